--- /dev/null
+++ b/crates/claims/src/lib.rs
@@ -0,0 +1,20 @@
+//! Claims on idempotency keys: a non-idempotent request with a key runs at most once, also when
+//! the caller repeats it at another entry VM.
+//!
+//! A key falls into a slot; the slot's owner grants the claim once another holder has its copy.
+//! An owner is replaced only by a new roster epoch, and the new one serves a slot only after it
+//! has heard from every holder that is left, see [`takeover`].
+//!
+//! Decisions only: no I/O, no clock, no random numbers.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod record;
+pub mod state;
+pub mod takeover;
+
+pub use record::{ClaimAsker, ClaimKey, ClaimPhase, ClaimRecord, ClaimSerial, KeptAnswer, Verdict};
+pub use state::{
+    ClaimAction, ClaimAsk, ClaimEvent, ClaimOptions, ClaimState, CopyChange, FinishOutcome,
+};
+pub use takeover::SlotPhase;
--- /dev/null
+++ b/crates/claims/src/state.rs
@@ -0,0 +1,865 @@
+//! One entry VM's claims: those it owns, and the copies it holds for others.
+
+use bergamot_roster::{RosterRecord, SLOT_COUNT, SlotMap};
+use bergamot_types::prelude::*;
+use indexmap::{IndexMap, IndexSet};
+
+use crate::record::{
+    ClaimAsker, ClaimKey, ClaimPhase, ClaimRecord, ClaimSerial, KeptAnswer, Verdict,
+};
+use crate::takeover::{HolderHistory, SlotPhase, begin, co_holders};
+use std::sync::Arc;
+
+/// How long claims live, and how many are kept.
+#[derive(Clone, Debug)]
+pub struct ClaimOptions {
+    /// How long an answer is kept for repeats.
+    pub keep: Millis,
+    /// How long the other holder has to answer.
+    pub copy_timeout: Millis,
+    /// Time between two questions to a holder that has not answered.
+    pub collect_retry: Millis,
+    /// Claims kept at most; a new one is refused beyond that, never an old one dropped.
+    pub max_claims: usize,
+}
+
+impl Default for ClaimOptions {
+    fn default() -> Self {
+        Self {
+            keep: Millis::from_secs(600),
+            copy_timeout: Millis(500),
+            collect_retry: Millis(1_000),
+            max_claims: 200_000,
+        }
+    }
+}
+
+/// Something the claims have to know of.
+#[derive(Clone, Debug)]
+pub enum ClaimEvent {
+    /// Time passed.
+    Tick,
+    /// The roster changed.
+    Roster(RosterRecord),
+    /// An entry VM asks for a claim.
+    Ask(ClaimAsk),
+    /// The asker tells what became of the request. None says that it truly did not run.
+    Finish {
+        /// The key.
+        key: ClaimKey,
+        /// Who was granted it.
+        asker: ClaimAsker,
+        /// What became of it.
+        outcome: FinishOutcome,
+    },
+    /// An owner asks to hold a copy.
+    Copy {
+        /// Names the question, for the answer.
+        ask: u64,
+        /// The owner's epoch.
+        epoch: u64,
+        /// The owner.
+        owner: EntryId,
+        /// What to hold or drop.
+        change: CopyChange,
+    },
+    /// A holder answered a copy.
+    Copied {
+        /// The operation.
+        op: u64,
+        /// The holder.
+        holder: EntryId,
+        /// Whether it holds the copy now.
+        is_held: bool,
+    },
+    /// A new owner gives copies of what it collected.
+    Replica {
+        /// Names the question, for the answer.
+        ask: u64,
+        /// The owner's epoch.
+        epoch: u64,
+        /// The claims.
+        records: Vec<ClaimRecord>,
+    },
+    /// A holder took the copies of some slots.
+    Replicated {
+        /// The holder.
+        holder: EntryId,
+        /// The epoch the copies were for.
+        epoch: u64,
+        /// The slots.
+        slots: Vec<u16>,
+    },
+    /// A new owner asks what is known of some slots.
+    Collect {
+        /// Names the question, for the answer.
+        ask: u64,
+        /// The new owner's epoch.
+        epoch: u64,
+        /// The slots.
+        slots: Vec<u16>,
+    },
+    /// A holder answered what it knows.
+    Collected {
+        /// The holder.
+        holder: EntryId,
+        /// The epoch the question was for.
+        epoch: u64,
+        /// The slots the question was for.
+        slots: Vec<u16>,
+        /// Its claims in them.
+        records: Vec<ClaimRecord>,
+    },
+}
+
+/// An entry VM's question whether it may run a request.
+#[derive(Clone, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
+pub struct ClaimAsk {
+    /// Names the question, for the verdict.
+    pub ask: u64,
+    /// The key.
+    pub key: ClaimKey,
+    /// Hash of the request.
+    pub body: u64,
+    /// Who would run it.
+    pub asker: ClaimAsker,
+    /// The asker's roster epoch.
+    pub epoch: u64,
+    /// How long the request may run.
+    pub grant: Millis,
+}
+
+/// What an owner tells another holder of one claim.
+#[derive(Clone, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
+pub enum CopyChange {
+    /// Hold it.
+    Hold(ClaimRecord),
+    /// Drop this very grant: it did not run. A later grant of the key stays.
+    Drop(ClaimKey, ClaimSerial),
+}
+
+impl CopyChange {
+    fn key(&self) -> ClaimKey {
+        match self {
+            Self::Hold(record) => record.key,
+            Self::Drop(key, _) => *key,
+        }
+    }
+}
+
+/// What an asker says became of its request.
+#[derive(Clone, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
+pub enum FinishOutcome {
+    /// It ran and was answered.
+    Answered(Arc<KeptAnswer>),
+    /// It was never sent, or the upstream said that it did not run it.
+    NotRun,
+    /// It was sent and nothing more is known.
+    Unknown,
+}
+
+/// Something the claims want done.
+#[derive(Clone, PartialEq, Debug)]
+pub enum ClaimAction {
+    /// Answer an [`ClaimEvent::Ask`].
+    Verdict {
+        /// The question.
+        ask: u64,
+        /// The answer.
+        verdict: Verdict,
+    },
+    /// Ask a holder to hold a copy, or to drop it.
+    SendCopy {
+        /// The operation; its answer comes as [`ClaimEvent::Copied`].
+        op: u64,
+        /// The holder.
+        to: EntryId,
+        /// This owner's epoch.
+        epoch: u64,
+        /// What to hold or drop.
+        change: CopyChange,
+    },
+    /// Answer a [`ClaimEvent::Copy`].
+    AnswerCopy {
+        /// The question.
+        ask: u64,
+        /// Whether the copy is held.
+        is_held: bool,
+    },
+    /// Give a holder copies of what was collected.
+    SendReplica {
+        /// The holder.
+        to: EntryId,
+        /// This owner's epoch.
+        epoch: u64,
+        /// The slots the copies are of.
+        slots: Vec<u16>,
+        /// The copies.
+        records: Vec<ClaimRecord>,
+    },
+    /// Answer a [`ClaimEvent::Replica`].
+    AnswerReplica {
+        /// The question.
+        ask: u64,
+        /// Whether the copies are held.
+        is_held: bool,
+    },
+    /// Ask a holder what it knows.
+    SendCollect {
+        /// The holder.
+        to: EntryId,
+        /// This owner's epoch.
+        epoch: u64,
+        /// The slots.
+        slots: Vec<u16>,
+    },
+    /// Answer a [`ClaimEvent::Collect`]; none when the epoch is not known here.
+    AnswerCollect {
+        /// The question.
+        ask: u64,
+        /// The claims.
+        records: Option<Vec<ClaimRecord>>,
+    },
+    /// Every owned slot was taken over in this epoch.
+    Settled(u64),
+}
+
+#[derive(Clone, Debug)]
+struct StoredClaim {
+    serial: ClaimSerial,
+    body: u64,
+    asker: ClaimAsker,
+    phase: ClaimPhase,
+    lost_at: Millis,
+    forget_at: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct PendingGrant {
+    ask: u64,
+    key: ClaimKey,
+    serial: ClaimSerial,
+    untried: Vec<EntryId>,
+    tried: Vec<EntryId>,
+    waiting_since: Millis,
+}
+
+/// The claims of one entry VM.
+#[derive(Clone, Debug)]
+pub struct ClaimState {
+    me: EntryId,
+    options: ClaimOptions,
+    roster: RosterRecord,
+    map: SlotMap,
+    slots: Vec<SlotPhase>,
+    claims: IndexMap<ClaimKey, StoredClaim>,
+    pending: IndexMap<u64, PendingGrant>,
+    next_op: u64,
+    next_collect: Millis,
+    next_expiry: Millis,
+    reported: u64,
+}
+
+/// Time between two passes that drop what is no longer kept.
+const EXPIRY_PERIOD: Millis = Millis(1_000);
+
+impl ClaimState {
+    /// The claims of a VM that knows no roster yet.
+    pub fn new(me: EntryId, options: ClaimOptions) -> Self {
+        Self {
+            me,
+            options,
+            roster: RosterRecord::default(),
+            map: SlotMap::default(),
+            slots: vec![SlotPhase::NotOwned; usize::from(SLOT_COUNT)],
+            claims: IndexMap::new(),
+            pending: IndexMap::new(),
+            next_op: 1,
+            next_collect: Millis::ZERO,
+            next_expiry: Millis::ZERO,
+            reported: 0,
+        }
+    }
+
+    /// The owner of a key in the newest known epoch, with that epoch.
+    pub fn owner(&self, key: ClaimKey) -> Option<(&EntryId, u64)> {
+        let owner = self.map.owner(key.slot())?;
+        Some((owner, self.roster.epoch))
+    }
+
+    /// Claims held, owned or copied.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Whether no claim is held.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// The epoch this VM is bound to.
+    pub fn epoch(&self) -> u64 {
+        self.roster.epoch
+    }
+
+    /// Owned slots, and how many of them are not ready.
+    pub fn slot_counts(&self) -> (usize, usize) {
+        let owned = self.slots.iter().filter(|s| **s != SlotPhase::NotOwned);
+        let ready = self.slots.iter().filter(|phase| is_served(phase));
+        let owned = owned.count();
+        (owned, owned - ready.count())
+    }
+
+    /// Takes one event and says what to do.
+    pub fn handle(&mut self, now: Millis, event: ClaimEvent) -> Vec<ClaimAction> {
+        match event {
+            ClaimEvent::Tick => self.tick(now),
+            ClaimEvent::Roster(record) => self.take_roster(now, record),
+            ClaimEvent::Ask(question) => self.take_ask(now, question),
+            ClaimEvent::Finish {
+                key,
+                asker,
+                outcome,
+            } => self.take_finish(now, key, &asker, outcome),
+            ClaimEvent::Copy {
+                ask,
+                epoch,
+                owner,
+                change,
+            } => vec![ClaimAction::AnswerCopy {
+                ask,
+                is_held: self.hold_copy(now, epoch, &owner, change),
+            }],
+            ClaimEvent::Copied {
+                op,
+                holder,
+                is_held,
+            } => self.take_copied(now, op, &holder, is_held),
+            ClaimEvent::Replica {
+                ask,
+                epoch,
+                records,
+            } => vec![ClaimAction::AnswerReplica {
+                ask,
+                is_held: self.hold_replica(now, epoch, records),
+            }],
+            ClaimEvent::Replicated {
+                holder,
+                epoch,
+                slots,
+            } => self.take_replicated(&holder, epoch, &slots),
+            ClaimEvent::Collect { ask, epoch, slots } => {
+                vec![ClaimAction::AnswerCollect {
+                    ask,
+                    records: self.tell(now, epoch, &slots),
+                }]
+            }
+            ClaimEvent::Collected {
+                holder,
+                epoch,
+                slots,
+                records,
+            } => self.take_collected(now, &holder, epoch, &slots, records),
+        }
+    }
+
+    fn take_roster(&mut self, now: Millis, record: RosterRecord) -> Vec<ClaimAction> {
+        if record.epoch < self.roster.epoch {
+            return Vec::new();
+        }
+        let is_new_epoch = record.epoch > self.roster.epoch;
+        let is_next_epoch = record.epoch == self.roster.epoch + 1;
+        self.roster = record;
+        if !is_new_epoch {
+            return self.report_settled();
+        }
+        self.map = SlotMap::at_epoch(&self.roster, self.roster.epoch);
+        let history = HolderHistory::of(&self.roster);
+        for slot in 0..SLOT_COUNT {
+            let old = std::mem::replace(&mut self.slots[usize::from(slot)], SlotPhase::NotOwned);
+            if self.map.owner(slot) != Some(&self.me) {
+                continue;
+            }
+            // Whoever owned the slot up to now, with no other epoch between, knows it all.
+            let is_known = is_next_epoch && is_served(&old);
+            let phase = match is_known {
+                true => self.known_phase(slot),
+                false => self.begin_slot(now, &history, slot, old),
+            };
+            self.slots[usize::from(slot)] = phase;
+        }
+        self.lose_orphans();
+        let mut actions = self.withdraw_all();
+        self.next_collect = now;
+        actions.extend(self.tick(now));
+        actions
+    }
+
+    fn begin_slot(
+        &self,
+        now: Millis,
+        history: &HolderHistory,
+        slot: u16,
+        old: SlotPhase,
+    ) -> SlotPhase {
+        let forget_until = now + self.options.keep;
+        match (
+            old,
+            begin(&self.roster, history, &self.me, slot, forget_until),
+        ) {
+            (_, SlotPhase::Forgetful(until)) => SlotPhase::Forgetful(until),
+            (SlotPhase::Forgetful(until), _) if until > now => SlotPhase::Forgetful(until),
+            (_, SlotPhase::Ready) => self.known_phase(slot),
+            (_, begun) => begun,
+        }
+    }
+
+    /// A claim whose asker is gone can no longer be answered.
+    fn lose_orphans(&mut self) {
+        let roster = &self.roster;
+        for claim in self.claims.values_mut() {
+            let is_there = roster.holds(&claim.asker.entry, claim.asker.incarnation);
+            if claim.phase == ClaimPhase::Granted && !is_there {
+                claim.phase = ClaimPhase::Lost;
+            }
+        }
+    }
+
+    /// Grants that wait for a copy in an old epoch are refused; they were never told.
+    fn withdraw_all(&mut self) -> Vec<ClaimAction> {
+        let pending = std::mem::take(&mut self.pending);
+        let mut actions = Vec::new();
+        for grant in pending.into_values() {
+            self.claims.swap_remove(&grant.key);
+            actions.extend(self.refuse(&grant));
+        }
+        actions
+    }
+
+    fn take_ask(&mut self, now: Millis, question: ClaimAsk) -> Vec<ClaimAction> {
+        let ClaimAsk {
+            ask,
+            key,
+            body,
+            asker,
+            epoch,
+            grant,
+        } = question;
+        let verdict = |verdict| vec![ClaimAction::Verdict { ask, verdict }];
+        if epoch != self.roster.epoch || !self.roster.holds(&asker.entry, asker.incarnation) {
+            return verdict(Verdict::Unavailable);
+        }
+        match &self.slots[usize::from(key.slot())] {
+            SlotPhase::NotOwned | SlotPhase::Collecting(_) => {
+                return verdict(Verdict::Unavailable);
+            }
+            SlotPhase::Replicating(_) | SlotPhase::Ready | SlotPhase::Forgetful(_) => {}
+        }
+        if let Some(claim) = self.claims.get(&key) {
+            return verdict(known_verdict(claim, body, now));
+        }
+        if let SlotPhase::Forgetful(until) = &self.slots[usize::from(key.slot())]
+            && *until > now
+        {
+            return verdict(Verdict::Forgotten);
+        }
+        if self.claims.len() >= self.options.max_claims {
+            return verdict(Verdict::Unavailable);
+        }
+        let op = self.next_op;
+        self.next_op += 1;
+        let serial = ClaimSerial { epoch, count: op };
+        let stored = StoredClaim {
+            serial,
+            body,
+            asker,
+            phase: ClaimPhase::Granted,
+            lost_at: now + grant,
+            forget_at: now + grant + self.options.keep,
+        };
+        self.claims.insert(key, stored);
+        let mut untried: Vec<EntryId> = co_holders(&self.map, &self.me, key.slot())
+            .into_iter()
+            .collect();
+        if untried.is_empty() {
+            // A lone entry VM has nobody to copy to, and nobody to be replaced by either.
+            return verdict(Verdict::Granted);
+        }
+        let first = untried.remove(0);
+        let grant = PendingGrant {
+            ask,
+            key,
+            serial,
+            untried,
+            tried: vec![first.clone()],
+            waiting_since: now,
+        };
+        self.pending.insert(op, grant);
+        vec![self.copy_to(now, op, first, (key, serial))]
+    }
+
+    fn copy_to(
+        &self,
+        now: Millis,
+        op: u64,
+        to: EntryId,
+        (key, serial): (ClaimKey, ClaimSerial),
+    ) -> ClaimAction {
+        let held = self.claims.get(&key).filter(|claim| claim.serial == serial);
+        let change = match held {
+            Some(claim) => CopyChange::Hold(export(key, claim, now)),
+            None => CopyChange::Drop(key, serial),
+        };
+        ClaimAction::SendCopy {
+            op,
+            to,
+            epoch: self.roster.epoch,
+            change,
+        }
+    }
+
+    fn refuse(&self, grant: &PendingGrant) -> Vec<ClaimAction> {
+        let mut actions = vec![ClaimAction::Verdict {
+            ask: grant.ask,
+            verdict: Verdict::Unavailable,
+        }];
+        // A holder may have the copy although its answer was lost.
+        for holder in &grant.tried {
+            actions.push(ClaimAction::SendCopy {
+                op: 0,
+                to: holder.clone(),
+                epoch: self.roster.epoch,
+                change: CopyChange::Drop(grant.key, grant.serial),
+            });
+        }
+        actions
+    }
+
+    fn take_copied(
+        &mut self,
+        now: Millis,
+        op: u64,
+        holder: &EntryId,
+        is_held: bool,
+    ) -> Vec<ClaimAction> {
+        let is_awaited = self
+            .pending
+            .get(&op)
+            .is_some_and(|grant| grant.tried.contains(holder));
+        if !is_awaited {
+            return Vec::new();
+        }
+        if !is_held {
+            return self.try_next_holder(now, op);
+        }
+        let Some(grant) = self.pending.swap_remove(&op) else {
+            return Vec::new();
+        };
+        vec![ClaimAction::Verdict {
+            ask: grant.ask,
+            verdict: Verdict::Granted,
+        }]
+    }
+
+    fn try_next_holder(&mut self, now: Millis, op: u64) -> Vec<ClaimAction> {
+        let Some(grant) = self.pending.get_mut(&op) else {
+            return Vec::new();
+        };
+        if grant.untried.is_empty() {
+            let Some(grant) = self.pending.swap_remove(&op) else {
+                return Vec::new();
+            };
+            self.claims.swap_remove(&grant.key);
+            return self.refuse(&grant);
+        }
+        let next = grant.untried.remove(0);
+        grant.tried.push(next.clone());
+        grant.waiting_since = now;
+        let granted = (grant.key, grant.serial);
+        vec![self.copy_to(now, op, next, granted)]
+    }
+
+    fn take_finish(
+        &mut self,
+        now: Millis,
+        key: ClaimKey,
+        asker: &ClaimAsker,
+        outcome: FinishOutcome,
+    ) -> Vec<ClaimAction> {
+        let Some(claim) = self.claims.get_mut(&key) else {
+            return Vec::new();
+        };
+        let is_open = claim.asker == *asker && !matches!(claim.phase, ClaimPhase::Done(_));
+        if !is_open {
+            return Vec::new();
+        }
+        let granted = (key, claim.serial);
+        match outcome {
+            FinishOutcome::Answered(answer) => {
+                claim.phase = ClaimPhase::Done(answer);
+                claim.forget_at = now + self.options.keep;
+            }
+            FinishOutcome::Unknown => claim.phase = ClaimPhase::Lost,
+            FinishOutcome::NotRun => {
+                self.claims.swap_remove(&key);
+            }
+        }
+        co_holders(&self.map, &self.me, key.slot())
+            .into_iter()
+            .map(|holder| self.copy_to(now, 0, holder, granted))
+            .collect()
+    }
+
+    fn hold_copy(&mut self, now: Millis, epoch: u64, owner: &EntryId, change: CopyChange) -> bool {
+        // An owner of another epoch must not grant: a newer owner may have asked us already.
+        let slot = change.key().slot();
+        if epoch != self.roster.epoch || self.map.owner(slot) != Some(owner) {
+            return false;
+        }
+        match change {
+            CopyChange::Hold(record) => self.import(now, record),
+            CopyChange::Drop(key, serial) => {
+                let is_same = self.claims.get(&key).is_some_and(|c| c.serial == serial);
+                if is_same {
+                    self.claims.swap_remove(&key);
+                }
+            }
+        }
+        true
+    }
+
+    fn hold_replica(&mut self, now: Millis, epoch: u64, records: Vec<ClaimRecord>) -> bool {
+        if epoch != self.roster.epoch {
+            return false;
+        }
+        for record in records {
+            self.import(now, record);
+        }
+        true
+    }
+
+    fn take_replicated(&mut self, holder: &EntryId, epoch: u64, slots: &[u16]) -> Vec<ClaimAction> {
+        if epoch != self.roster.epoch {
+            return Vec::new();
+        }
+        for slot in slots {
+            let Some(phase) = self.slots.get_mut(usize::from(*slot)) else {
+                continue;
+            };
+            if matches!(phase, SlotPhase::Replicating(waiting) if waiting.contains(holder)) {
+                *phase = SlotPhase::Ready;
+            }
+        }
+        self.report_settled()
+    }
+
+    /// The phase of a slot whose claims are all known here: do they need copies elsewhere?
+    fn known_phase(&self, slot: u16) -> SlotPhase {
+        let has_claims = self.claims.keys().any(|key| key.slot() == slot);
+        let others = co_holders(&self.map, &self.me, slot);
+        match has_claims && !others.is_empty() {
+            true => SlotPhase::Replicating(others),
+            false => SlotPhase::Ready,
+        }
+    }
+
+    fn tell(&mut self, now: Millis, epoch: u64, slots: &[u16]) -> Option<Vec<ClaimRecord>> {
+        if epoch != self.roster.epoch {
+            return None;
+        }
+        let asked: IndexSet<u16> = slots.iter().copied().collect();
+        let told = self
+            .claims
+            .iter()
+            .filter(|(key, _)| asked.contains(&key.slot()))
+            .map(|(key, claim)| export(*key, claim, now));
+        Some(told.collect())
+    }
+
+    fn take_collected(
+        &mut self,
+        now: Millis,
+        holder: &EntryId,
+        epoch: u64,
+        slots: &[u16],
+        records: Vec<ClaimRecord>,
+    ) -> Vec<ClaimAction> {
+        if epoch != self.roster.epoch {
+            return Vec::new();
+        }
+        for record in records {
+            self.import(now, record);
+        }
+        self.lose_orphans();
+        let mut known = Vec::new();
+        for slot in slots {
+            let Some(phase) = self.slots.get_mut(usize::from(*slot)) else {
+                continue;
+            };
+            let SlotPhase::Collecting(waiting) = phase else {
+                continue;
+            };
+            waiting.swap_remove(holder);
+            if waiting.is_empty() {
+                known.push(*slot);
+            }
+        }
+        for slot in known {
+            self.slots[usize::from(slot)] = self.known_phase(slot);
+        }
+        let mut actions = Vec::new();
+        self.send_replicas(now, &mut actions);
+        actions.extend(self.report_settled());
+        actions
+    }
+
+    /// Takes over a claim told by another holder; a later grant or phase wins.
+    fn import(&mut self, now: Millis, record: ClaimRecord) {
+        let stored = StoredClaim {
+            serial: record.serial,
+            body: record.body,
+            asker: record.asker,
+            phase: record.phase,
+            lost_at: now + record.grant_left,
+            forget_at: now + record.keep_left,
+        };
+        match self.claims.entry(record.key) {
+            indexmap::map::Entry::Vacant(vacant) => {
+                vacant.insert(stored);
+            }
+            indexmap::map::Entry::Occupied(mut occupied) => {
+                let held = occupied.get();
+                let order = |claim: &StoredClaim| (claim.serial, rank(&claim.phase));
+                if order(&stored) > order(held) {
+                    occupied.insert(stored);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Millis) -> Vec<ClaimAction> {
+        let mut actions = Vec::new();
+        let late: Vec<u64> = self
+            .pending
+            .iter()
+            .filter(|(_, grant)| now.since(grant.waiting_since) > self.options.copy_timeout)
+            .map(|(op, _)| *op)
+            .collect();
+        for op in late {
+            actions.extend(self.try_next_holder(now, op));
+        }
+        if now >= self.next_expiry {
+            self.next_expiry = now + EXPIRY_PERIOD;
+            self.expire(now);
+        }
+        if now >= self.next_collect {
+            self.next_collect = now + self.options.collect_retry;
+            self.ask_holders(&mut actions);
+            self.send_replicas(now, &mut actions);
+            actions.extend(self.report_settled());
+        }
+        actions
+    }
+
+    fn expire(&mut self, now: Millis) {
+        self.claims.retain(|_, claim| claim.forget_at > now);
+        for claim in self.claims.values_mut() {
+            if claim.phase == ClaimPhase::Granted && claim.lost_at <= now {
+                claim.phase = ClaimPhase::Lost;
+            }
+        }
+        for phase in &mut self.slots {
+            if matches!(phase, SlotPhase::Forgetful(until) if *until <= now) {
+                *phase = SlotPhase::Ready;
+            }
+        }
+    }
+
+    fn ask_holders(&self, actions: &mut Vec<ClaimAction>) {
+        let mut questions: IndexMap<&EntryId, Vec<u16>> = IndexMap::new();
+        for (slot, phase) in self.slots.iter().enumerate() {
+            if let SlotPhase::Collecting(waiting) = phase {
+                for holder in waiting {
+                    questions.entry(holder).or_default().push(slot as u16);
+                }
+            }
+        }
+        for (holder, slots) in questions {
+            actions.push(ClaimAction::SendCollect {
+                to: holder.clone(),
+                epoch: self.roster.epoch,
+                slots,
+            });
+        }
+    }
+
+    fn send_replicas(&self, now: Millis, actions: &mut Vec<ClaimAction>) {
+        let mut copies: IndexMap<&EntryId, (Vec<u16>, Vec<ClaimRecord>)> = IndexMap::new();
+        for (slot, phase) in self.slots.iter().enumerate() {
+            if let SlotPhase::Replicating(waiting) = phase {
+                for holder in waiting {
+                    copies.entry(holder).or_default().0.push(slot as u16);
+                }
+            }
+        }
+        for (holder, (slots, mut records)) in copies {
+            let chosen: IndexSet<u16> = slots.iter().copied().collect();
+            let claims = self.claims.iter();
+            let claims = claims.filter(|(key, _)| chosen.contains(&key.slot()));
+            records.extend(claims.map(|(key, claim)| export(*key, claim, now)));
+            actions.push(ClaimAction::SendReplica {
+                to: holder.clone(),
+                epoch: self.roster.epoch,
+                slots,
+                records,
+            });
+        }
+    }
+
+    fn report_settled(&mut self) -> Vec<ClaimAction> {
+        let is_open = |phase: &SlotPhase| {
+            matches!(phase, SlotPhase::Collecting(_) | SlotPhase::Replicating(_))
+        };
+        let is_settled = !self.slots.iter().any(is_open);
+        if !is_settled || self.reported >= self.roster.epoch {
+            return Vec::new();
+        }
+        self.reported = self.roster.epoch;
+        vec![ClaimAction::Settled(self.roster.epoch)]
+    }
+}
+
+fn is_served(phase: &SlotPhase) -> bool {
+    matches!(phase, SlotPhase::Ready | SlotPhase::Replicating(_))
+}
+
+fn known_verdict(claim: &StoredClaim, body: u64, now: Millis) -> Verdict {
+    if claim.body != body {
+        return Verdict::KeyReused;
+    }
+    match &claim.phase {
+        ClaimPhase::Done(answer) => Verdict::Kept(Arc::clone(answer)),
+        ClaimPhase::Granted if claim.lost_at > now => Verdict::InProgress,
+        ClaimPhase::Granted | ClaimPhase::Lost => Verdict::OutcomeUnknown,
+    }
+}
+
+fn export(key: ClaimKey, claim: &StoredClaim, now: Millis) -> ClaimRecord {
+    ClaimRecord {
+        key,
+        serial: claim.serial,
+        body: claim.body,
+        asker: claim.asker.clone(),
+        phase: claim.phase.clone(),
+        grant_left: claim.lost_at.since(now),
+        keep_left: claim.forget_at.since(now),
+    }
+}
+
+fn rank(phase: &ClaimPhase) -> u8 {
+    match phase {
+        ClaimPhase::Granted => 0,
+        ClaimPhase::Lost => 1,
+        ClaimPhase::Done(_) => 2,
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,16 @@
+//! The operators' command line: publish, roll and retire bundles, and see what became of them.
+//!
+//! Every command is a function from borrowed options to a typed outcome; the binary only parses
+//! and prints.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod cli;
+pub mod explain;
+pub mod files;
+pub mod publish;
+pub mod roll;
+pub mod status;
+
+pub use publish::{PublishOutcome, publish};
+pub use roll::{RollContext, RollOutcome, roll};
--- /dev/null
+++ b/crates/entry/src/bin/bergamot-entry.rs
@@ -0,0 +1,88 @@
+//! The daemon of an entry VM.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use bergamot_entry::{EntryDaemon, EntrySettings, StopOutcome};
+use getopts::Options;
+use tokio::signal::unix::{SignalKind, signal};
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    match run() {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("bergamot-entry: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run() -> anyhow::Result<ExitCode> {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "settings file", "FILE");
+    options.optflag("", "check", "check the settings and exit");
+    options.optflag("", "print-default", "print sample settings and exit");
+    options.optflag("h", "help", "print this help");
+    let matches = options.parse(std::env::args().skip(1))?;
+    if matches.opt_present("help") {
+        print!("{}", options.usage("Usage: bergamot-entry --settings FILE"));
+        return Ok(ExitCode::SUCCESS);
+    }
+    if matches.opt_present("print-default") {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&EntrySettings::sample())?
+        );
+        return Ok(ExitCode::SUCCESS);
+    }
+    let Some(file) = matches.opt_str("settings") else {
+        anyhow::bail!("--settings FILE is needed; --print-default shows a sample");
+    };
+    let settings = EntrySettings::load(Path::new(&file))?;
+    if matches.opt_present("check") {
+        println!("{file}: ok");
+        return Ok(ExitCode::SUCCESS);
+    }
+    let daemon = EntryDaemon::start(settings)?;
+    let signals = Arc::new(AtomicU32::new(0));
+    count_signals(Arc::clone(&signals))?;
+    while signals.load(Ordering::Relaxed) == 0 {
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+    let outcome = daemon.stop(|| signals.load(Ordering::Relaxed) > 1);
+    Ok(match outcome {
+        StopOutcome::Graceful => ExitCode::SUCCESS,
+        StopOutcome::Cut(cut) => {
+            eprintln!("bergamot-entry: {cut} requests were cut");
+            ExitCode::from(1)
+        }
+    })
+}
+
+/// Counts SIGTERM and SIGINT: the first stops gracefully, a second one at once.
+fn count_signals(count: Arc<AtomicU32>) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let (mut terminate, mut interrupt) = runtime.block_on(async {
+        Ok::<_, std::io::Error>((
+            signal(SignalKind::terminate())?,
+            signal(SignalKind::interrupt())?,
+        ))
+    })?;
+    std::thread::spawn(move || {
+        runtime.block_on(async move {
+            loop {
+                tokio::select! {
+                    _ = terminate.recv() => {}
+                    _ = interrupt.recv() => {}
+                }
+                count.fetch_add(1, Ordering::Relaxed);
+            }
+        });
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/duty/claims.rs
@@ -0,0 +1,355 @@
+//! The claims duty: feeds [`ClaimState`], asks owners for verdicts, and carries copies.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bergamot_claims::{
+    ClaimAction, ClaimAsk, ClaimAsker, ClaimEvent, ClaimKey, ClaimState, FinishOutcome, Verdict,
+};
+use bergamot_peer::{Answer, Question};
+use bergamot_types::prelude::*;
+use indexmap::IndexMap;
+use tokio::sync::oneshot;
+
+use super::shared::{ClaimsFront, SharedState};
+use crate::control::ControlEvent;
+use crate::ring::RingReceiver;
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(50);
+/// How often the owner is told how a request ended.
+const FINISH_TRIES: u32 = 5;
+/// Time between two of those.
+const FINISH_RETRY: Duration = Duration::from_millis(300);
+
+/// Who waits for an answer of the claims.
+enum Waiting {
+    Local(u64, oneshot::Sender<(u64, Verdict)>),
+    Peer(oneshot::Sender<Answer>),
+}
+
+struct ClaimsDuty {
+    shared: Arc<SharedState>,
+    state: ClaimState,
+    waiting: IndexMap<u64, Waiting>,
+    next_ask: u64,
+}
+
+/// Runs until the ring closes.
+pub async fn run(
+    shared: Arc<SharedState>,
+    mut inbox: RingReceiver<ClaimsFront>,
+    state: ClaimState,
+) {
+    let mut duty = ClaimsDuty {
+        shared,
+        state,
+        waiting: IndexMap::new(),
+        next_ask: 1,
+    };
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => duty.feed(ClaimEvent::Tick),
+            received = inbox.recv() => match received {
+                Some(item) => duty.take(item),
+                None => return,
+            },
+        }
+    }
+}
+
+impl ClaimsDuty {
+    fn asker(&self, attempt: u64) -> ClaimAsker {
+        ClaimAsker {
+            entry: self.shared.settings.entry.clone(),
+            incarnation: self.shared.incarnation,
+            attempt,
+        }
+    }
+
+    fn take(&mut self, item: ClaimsFront) {
+        match item {
+            ClaimsFront::Ask {
+                key,
+                body,
+                grant,
+                reply,
+            } => self.ask(key, body, grant, reply),
+            ClaimsFront::Finish {
+                key,
+                attempt,
+                outcome,
+            } => self.finish(key, attempt, outcome),
+            ClaimsFront::Peer(question, reply) => self.take_question(question, reply),
+            ClaimsFront::Event(event) => self.feed(event),
+            ClaimsFront::Dump(reply) => {
+                let (owned, unready) = self.state.slot_counts();
+                let _ = reply.send(serde_json::json!({
+                    "epoch": self.state.epoch(),
+                    "claims": self.state.len(),
+                    "slots_owned": owned,
+                    "slots_not_ready": unready,
+                }));
+            }
+        }
+    }
+
+    fn wait_for(&mut self, waiting: Waiting) -> u64 {
+        let ask = self.next_ask;
+        self.next_ask += 1;
+        self.waiting.insert(ask, waiting);
+        ask
+    }
+
+    fn ask(
+        &mut self,
+        key: ClaimKey,
+        body: u64,
+        grant: Millis,
+        reply: oneshot::Sender<(u64, Verdict)>,
+    ) {
+        let attempt = self.next_ask;
+        self.next_ask += 1;
+        let Some((owner, epoch)) = self.state.owner(key) else {
+            let _ = reply.send((attempt, Verdict::Unavailable));
+            return;
+        };
+        let owner = owner.clone();
+        let asker = self.asker(attempt);
+        let mut question = ClaimAsk {
+            ask: 0,
+            key,
+            body,
+            asker,
+            epoch,
+            grant,
+        };
+        if owner == self.shared.settings.entry {
+            question.ask = self.wait_for(Waiting::Local(attempt, reply));
+            self.feed(ClaimEvent::Ask(question));
+            return;
+        }
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(async move {
+            let verdict = ask_owner(&shared, &owner, question).await;
+            let _ = reply.send((attempt, verdict));
+        });
+    }
+
+    fn finish(&mut self, key: ClaimKey, attempt: u64, outcome: FinishOutcome) {
+        let Some((owner, _)) = self.state.owner(key) else {
+            return;
+        };
+        let owner = owner.clone();
+        let asker = self.asker(attempt);
+        if owner == self.shared.settings.entry {
+            self.feed(ClaimEvent::Finish {
+                key,
+                asker,
+                outcome,
+            });
+            return;
+        }
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(async move {
+            let question = Question::Finish {
+                key,
+                asker,
+                outcome,
+            };
+            tell_owner(&shared, &owner, question).await;
+        });
+    }
+
+    fn take_question(&mut self, question: Question, reply: oneshot::Sender<Answer>) {
+        match question {
+            Question::Claim(question) => {
+                let ask = self.wait_for(Waiting::Peer(reply));
+                self.feed(ClaimEvent::Ask(ClaimAsk { ask, ..question }));
+            }
+            Question::Finish {
+                key,
+                asker,
+                outcome,
+            } => {
+                let _ = reply.send(Answer::Noted);
+                self.feed(ClaimEvent::Finish {
+                    key,
+                    asker,
+                    outcome,
+                });
+            }
+            Question::Copy {
+                epoch,
+                owner,
+                change,
+            } => {
+                let ask = self.wait_for(Waiting::Peer(reply));
+                self.feed(ClaimEvent::Copy {
+                    ask,
+                    epoch,
+                    owner,
+                    change,
+                });
+            }
+            Question::Replica { epoch, records } => {
+                let ask = self.wait_for(Waiting::Peer(reply));
+                self.feed(ClaimEvent::Replica {
+                    ask,
+                    epoch,
+                    records,
+                });
+            }
+            Question::Collect { epoch, slots } => {
+                let ask = self.wait_for(Waiting::Peer(reply));
+                self.feed(ClaimEvent::Collect { ask, epoch, slots });
+            }
+            _ => {
+                let _ = reply.send(Answer::Refused);
+            }
+        }
+    }
+
+    fn feed(&mut self, event: ClaimEvent) {
+        let now = self.shared.clock.now();
+        for action in self.state.handle(now, event) {
+            self.carry_out(action);
+        }
+    }
+
+    fn answer(&mut self, ask: u64, answer: Answer) {
+        if let Some(Waiting::Peer(reply)) = self.waiting.swap_remove(&ask) {
+            let _ = reply.send(answer);
+        }
+    }
+
+    fn carry_out(&mut self, action: ClaimAction) {
+        match action {
+            ClaimAction::Verdict { ask, verdict } => match self.waiting.swap_remove(&ask) {
+                Some(Waiting::Local(attempt, reply)) => {
+                    let _ = reply.send((attempt, verdict));
+                }
+                Some(Waiting::Peer(reply)) => {
+                    let _ = reply.send(Answer::Claim(verdict));
+                }
+                None => {}
+            },
+            ClaimAction::AnswerCopy { ask, is_held }
+            | ClaimAction::AnswerReplica { ask, is_held } => {
+                self.answer(ask, Answer::Held(is_held));
+            }
+            ClaimAction::AnswerCollect { ask, records } => {
+                self.answer(ask, Answer::Collected(records));
+            }
+            ClaimAction::SendCopy {
+                op,
+                to,
+                epoch,
+                change,
+            } => {
+                let owner = self.shared.settings.entry.clone();
+                let question = Question::Copy {
+                    epoch,
+                    owner,
+                    change,
+                };
+                self.ask_holder(to, question, move |holder, answer| {
+                    let is_held = answer == Some(Answer::Held(true));
+                    Some(ClaimEvent::Copied {
+                        op,
+                        holder,
+                        is_held,
+                    })
+                });
+            }
+            ClaimAction::SendReplica {
+                to,
+                epoch,
+                slots,
+                records,
+            } => {
+                let question = Question::Replica { epoch, records };
+                self.ask_holder(to, question, move |holder, answer| {
+                    (answer == Some(Answer::Held(true))).then_some(ClaimEvent::Replicated {
+                        holder,
+                        epoch,
+                        slots,
+                    })
+                });
+            }
+            ClaimAction::SendCollect { to, epoch, slots } => {
+                let question = Question::Collect {
+                    epoch,
+                    slots: slots.clone(),
+                };
+                self.ask_holder(to, question, move |holder, answer| match answer {
+                    Some(Answer::Collected(Some(records))) => Some(ClaimEvent::Collected {
+                        holder,
+                        epoch,
+                        slots,
+                        records,
+                    }),
+                    _ => None,
+                });
+            }
+            ClaimAction::Settled(epoch) => {
+                self.shared.tell_control(ControlEvent::ClaimsSettled(epoch));
+            }
+        }
+    }
+
+    /// Asks another holder; what its answer means comes back as an event.
+    fn ask_holder<Meaning>(&self, to: EntryId, question: Question, meaning: Meaning)
+    where
+        Meaning: FnOnce(EntryId, Option<Answer>) -> Option<ClaimEvent> + Send + 'static,
+    {
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(async move {
+            let answer = match shared.peer_addr(&to) {
+                Some(addr) => shared.ask_peer(addr, question).await,
+                None => None,
+            };
+            if let Some(event) = meaning(to, answer) {
+                shared.claims.push(ClaimsFront::Event(event));
+            }
+        });
+    }
+}
+
+async fn ask_owner(shared: &Arc<SharedState>, owner: &EntryId, question: ClaimAsk) -> Verdict {
+    let Some(addr) = shared.peer_addr(owner) else {
+        return Verdict::Unavailable;
+    };
+    let (key, asker) = (question.key, question.asker.clone());
+    match shared.ask_peer(addr, Question::Claim(question)).await {
+        Some(Answer::Claim(verdict)) => verdict,
+        _ => {
+            // The claim may have been granted all the same. It will not be used: say so.
+            let undo = Question::Finish {
+                key,
+                asker,
+                outcome: FinishOutcome::NotRun,
+            };
+            tokio::spawn({
+                let shared = Arc::clone(shared);
+                let owner = owner.clone();
+                async move { tell_owner(&shared, &owner, undo).await }
+            });
+            Verdict::Unavailable
+        }
+    }
+}
+
+async fn tell_owner(shared: &Arc<SharedState>, owner: &EntryId, question: Question) {
+    for _ in 0..FINISH_TRIES {
+        if let Some(addr) = shared.peer_addr(owner)
+            && shared.ask_peer(addr, question.clone()).await.is_some()
+        {
+            return;
+        }
+        tokio::time::sleep(FINISH_RETRY).await;
+    }
+    log::warn!("event=claim_outcome_not_told owner={owner}");
+}
--- /dev/null
+++ b/crates/entry/src/duty/control.rs
@@ -0,0 +1,143 @@
+//! The control duty: feeds [`ControlState`] and carries its actions out.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bergamot_claims::ClaimEvent;
+
+use super::shared::{ClaimsFront, ControlInbox, PeerTask, PlatformTask, ProbeTask, SharedState};
+use crate::control::{ControlAction, ControlEvent, ControlState};
+use crate::ring::RingReceiver;
+use crate::route_view::RouteView;
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Runs until the ring closes.
+pub async fn run(
+    shared: Arc<SharedState>,
+    mut inbox: RingReceiver<ControlInbox>,
+    mut state: ControlState,
+) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let event = tokio::select! {
+            _ = ticks.tick() => ControlEvent::Tick,
+            received = inbox.recv() => match received {
+                None => return,
+                Some(ControlInbox::Event(event)) => event,
+                Some(ControlInbox::Dump(reply)) => {
+                    let _ = reply.send(state.dump(shared.clock.now()));
+                    continue;
+                }
+                Some(ControlInbox::Groups(reply)) => {
+                    let _ = reply.send(state.group_entries());
+                    continue;
+                }
+            },
+        };
+        let now = shared.clock.now();
+        for action in state.handle(now, event) {
+            carry_out(&shared, action);
+        }
+        set_gauges(&shared, &state);
+    }
+}
+
+fn set_gauges(shared: &SharedState, state: &ControlState) {
+    let roll = state.force().map_or(0, |force| force.record.number);
+    let metrics = &shared.metrics;
+    metrics.set_state("roll", roll as i64);
+    let roster = state.roster().record();
+    metrics.set_state("roster_epoch", roster.epoch as i64);
+    metrics.set_state("roster_members", roster.members.len() as i64);
+}
+
+fn carry_out(shared: &Arc<SharedState>, action: ControlAction) {
+    let is_taken = match action {
+        ControlAction::Read(key) => shared.platform.push(PlatformTask::Read(key)),
+        ControlAction::Swap {
+            key,
+            expected,
+            value,
+            nonce,
+        } => {
+            let task = PlatformTask::Swap {
+                key: key.clone(),
+                expected,
+                value,
+                nonce,
+            };
+            let is_taken = shared.platform.push(task);
+            if !is_taken {
+                shared.tell_control(ControlEvent::Swapped {
+                    key,
+                    nonce,
+                    outcome: bergamot_placement::SwapOutcome::NotSent,
+                });
+            }
+            is_taken
+        }
+        ControlAction::Send(to, datagram) => shared.peer.push(PeerTask::Send(to, datagram)),
+        ControlAction::AskRoll(peer, newer_than) => {
+            ask(shared, peer, bergamot_peer::Question::Roll { newer_than });
+            true
+        }
+        ControlAction::AskRoster(peer) => {
+            ask(shared, peer, bergamot_peer::Question::Roster);
+            true
+        }
+        ControlAction::AskGroups(peer) => {
+            ask(shared, peer, bergamot_peer::Question::Groups);
+            true
+        }
+        ControlAction::Probe(target) => shared.probe.push(ProbeTask::Probe(target)),
+        ControlAction::Order { target, order } => {
+            shared.probe.push(ProbeTask::Order(target, order))
+        }
+        ControlAction::Roster(record) => {
+            let event = ClaimEvent::Roster(record);
+            shared.claims.push(ClaimsFront::Event(event))
+        }
+        ControlAction::Publish(view) => {
+            take_view(shared, view);
+            true
+        }
+        ControlAction::Adopted(number, _) => {
+            shared.metrics.set_state("roll", number as i64);
+            true
+        }
+        ControlAction::Note(line) => {
+            log::info!("{line} entry={}", shared.settings.entry);
+            true
+        }
+    };
+    if !is_taken {
+        let dropped = &shared.metrics.dropped;
+        dropped.with_label_values(&["duty_ring_full"]).inc();
+    }
+}
+
+fn take_view(shared: &Arc<SharedState>, view: Arc<RouteView>) {
+    let now = shared.clock.now();
+    let groups = view.groups.len() as i64;
+    shared.metrics.set_state("routable_groups", groups);
+    shared.view.store(Arc::clone(&view));
+    shared.routing.lock().take_view(now, view);
+}
+
+/// Asks a peer; its answer comes back as an event.
+fn ask(shared: &Arc<SharedState>, peer: std::net::SocketAddr, question: bergamot_peer::Question) {
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move {
+        use bergamot_peer::Answer;
+        let event = match shared.ask_peer(peer, question).await {
+            Some(Answer::Roll(Some(roll))) => ControlEvent::PeerRoll(roll),
+            Some(Answer::Roster(record)) => ControlEvent::PeerRoster(record),
+            Some(Answer::Groups(entries)) => ControlEvent::PeerGroups(entries),
+            _ => return,
+        };
+        shared.tell_control(event);
+    });
+}
--- /dev/null
+++ b/crates/entry/src/duty/mod.rs
@@ -0,0 +1,11 @@
+//! The duties, each a thread of its own.
+
+pub mod admin;
+pub mod claims;
+pub mod control;
+pub mod peer;
+pub mod platform;
+pub mod probe;
+pub mod shared;
+
+pub use shared::{ClaimsFront, ControlInbox, PeerTask, PlatformTask, ProbeTask, SharedState};
--- /dev/null
+++ b/crates/entry/src/front/claimed.rs
@@ -0,0 +1,155 @@
+//! Requests that must run at most once over all repeats of their caller.
+
+use std::sync::Arc;
+
+use bergamot_claims::{ClaimKey, FinishOutcome, KeptAnswer, Verdict};
+use bergamot_types::prelude::*;
+use bytes::Bytes;
+use hyper::StatusCode;
+use tokio::sync::oneshot;
+
+use super::FrontContext;
+use super::answer::{CallerAnswer, Refusal, mark_ran, mark_replayed, name_request, whole};
+use super::request::CallerRequest;
+use crate::duty::ClaimsFront;
+
+/// What is added to a request's own time before its claim counts as lost.
+const GRANT_MARGIN: Millis = Millis(5_000);
+
+/// A granted claim. Its end must be told; dropped without, it counts as unknown.
+pub struct GrantedClaim {
+    front: Arc<FrontContext>,
+    key: ClaimKey,
+    attempt: u64,
+    outcome: Option<FinishOutcome>,
+}
+
+impl GrantedClaim {
+    /// Notes how the request ended, to be told at the end.
+    pub fn end(mut self, outcome: FinishOutcome) {
+        self.outcome = Some(outcome);
+    }
+
+    /// Notes the answer, to be kept if it is small enough.
+    pub fn answered(self, status: StatusCode, content_type: &str, body: Option<&[u8]>) {
+        let most = self.front.shared.settings.tuning.max_kept_bytes;
+        let body = body.filter(|body| body.len() <= most);
+        let answer = KeptAnswer {
+            status: status.as_u16(),
+            content_type: content_type.to_owned(),
+            body: body.map(<[u8]>::to_vec),
+        };
+        self.end(FinishOutcome::Answered(Arc::new(answer)));
+    }
+
+    /// Notes a failure: truly not run, or unknown.
+    pub fn failed(self, kind: ErrorKind) {
+        self.end(match kind.answer().ran {
+            RanState::No => FinishOutcome::NotRun,
+            RanState::Yes | RanState::Unknown => FinishOutcome::Unknown,
+        });
+    }
+}
+
+impl Drop for GrantedClaim {
+    fn drop(&mut self) {
+        let outcome = self.outcome.take().unwrap_or(FinishOutcome::Unknown);
+        let item = ClaimsFront::Finish {
+            key: self.key,
+            attempt: self.attempt,
+            outcome,
+        };
+        if !self.front.shared.claims.push(item) {
+            log::warn!("event=claim_outcome_dropped key={:032x}", self.key.0);
+        }
+    }
+}
+
+/// The outcome of asking for a claim.
+pub enum ClaimOutcome {
+    /// Run it, and tell how it ended.
+    Granted(GrantedClaim),
+    /// The first answer.
+    Replay(CallerAnswer),
+}
+
+/// Asks for the claim of a request with a key.
+///
+/// # Errors
+/// The verdict, if the request must not run.
+pub async fn claim(
+    front: &Arc<FrontContext>,
+    request: &CallerRequest,
+    account: &ClientAccount,
+    key: &str,
+) -> Result<ClaimOutcome, Refusal> {
+    let shared = &front.shared;
+    let key = ClaimKey::of(account, key);
+    let body = fingerprint(request);
+    let (sender, receiver) = oneshot::channel();
+    let ask = ClaimsFront::Ask {
+        key,
+        body,
+        grant: request.deadline.since(shared.clock.now()) + GRANT_MARGIN,
+        reply: sender,
+    };
+    if !shared.claims.push(ask) {
+        return Err(ErrorKind::ClaimUnavailable.into());
+    }
+    let Ok((attempt, verdict)) = receiver.await else {
+        return Err(ErrorKind::ClaimUnavailable.into());
+    };
+    let name = verdict_name(&verdict);
+    shared.metrics.claims.with_label_values(&[name]).inc();
+    if let Some(kind) = verdict.error() {
+        return Err(kind.into());
+    }
+    let Verdict::Kept(kept) = verdict else {
+        return Ok(ClaimOutcome::Granted(GrantedClaim {
+            front: Arc::clone(front),
+            key,
+            attempt,
+            outcome: None,
+        }));
+    };
+    Ok(ClaimOutcome::Replay(replay(&kept, &request.id)))
+}
+
+fn fingerprint(request: &CallerRequest) -> u64 {
+    let mut bytes = Vec::with_capacity(request.body.len() + request.path.len() + 16);
+    for part in [
+        request.method.as_str().as_bytes(),
+        request.path.as_bytes(),
+        request.query.as_deref().unwrap_or("").as_bytes(),
+        &request.body,
+    ] {
+        bytes.extend_from_slice(part);
+        bytes.push(0);
+    }
+    hash_bytes(&bytes)
+}
+
+fn replay(kept: &KeptAnswer, id: &RequestId) -> CallerAnswer {
+    let status = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
+    let body = match &kept.body {
+        Some(body) => Bytes::from(body.clone()),
+        None => Bytes::from_static(b"{\"note\":\"the first answer was too large to keep\"}"),
+    };
+    let mut answer = whole(status, &kept.content_type, body);
+    mark_ran(&mut answer);
+    mark_replayed(&mut answer);
+    name_request(&mut answer, id);
+    answer
+}
+
+fn verdict_name(verdict: &Verdict) -> &'static str {
+    match verdict {
+        Verdict::Granted => "granted",
+        Verdict::Kept(_) => "kept",
+        Verdict::InProgress => "in_progress",
+        Verdict::KeyReused => "key_reused",
+        Verdict::OutcomeUnknown => "outcome_unknown",
+        Verdict::Unavailable => "unavailable",
+        Verdict::Forgotten => "forgotten",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/front/model.rs
@@ -0,0 +1,539 @@
+//! Requests to models: streams that go on at another replica when one breaks.
+
+use std::sync::Arc;
+
+use bergamot_bundle::AccountSpec;
+use bergamot_bundle::roll::InForce;
+use bergamot_engine::headers::{EPOCH, GROUP};
+use bergamot_engine::{Error, SseEvent, SseParser, UpstreamReply, UpstreamRequest};
+use bergamot_routing::resume::TokenStep;
+use bergamot_routing::{RunnerFact, SentOutcome, StreamResume};
+use bergamot_types::prelude::*;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::header::HeaderValue;
+use hyper::{Method, StatusCode};
+use serde::Deserialize;
+use serde_json::Value;
+use tokio::sync::mpsc;
+
+use super::FrontContext;
+use super::answer::{CallerAnswer, Refusal, error_json, mark_ran, name_request, streamed, whole};
+use super::call::{CallContext, CallSpec, FailedAttempt};
+use super::claimed::{ClaimOutcome, GrantedClaim, claim};
+use super::request::{CallerRequest, allow};
+use super::server::InFlight;
+use super::upstream::{common_headers, group_headers, late, outcome_name, sent_outcome};
+use crate::routing_state::RouteName;
+
+/// Pieces of an answer that wait for a slow caller.
+const PIECES: usize = 64;
+/// Characters of a prompt that decide its affinity.
+const PREFIX_CHARS: usize = 64;
+/// Content type of a stream.
+const EVENT_STREAM: &str = "text/event-stream";
+/// The end of a stream.
+const DONE: &str = "data: [DONE]\n\n";
+
+/// The fields of a request that matter here.
+#[derive(Deserialize)]
+struct Question {
+    model: ModelName,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    messages: Vec<Value>,
+    #[serde(default)]
+    prompt: Value,
+}
+
+/// A piece of an answer on its way to the caller.
+enum Piece {
+    /// One token's chunk, as JSON text.
+    Token(String),
+    /// The last chunk.
+    Last(String),
+    /// The request failed.
+    Failed(ErrorKind),
+}
+
+/// Answers a request to a model.
+///
+/// # Errors
+/// The refusal, if no replica answered.
+pub async fn answer(
+    front: &Arc<FrontContext>,
+    request: CallerRequest,
+    force: &InForce,
+    account: &AccountSpec,
+    is_chat: bool,
+    in_flight: InFlight,
+) -> Result<CallerAnswer, Refusal> {
+    let (question, body) = read_question(&request, is_chat)?;
+    let model = force
+        .document
+        .model(question.model.as_str())
+        .ok_or(ErrorKind::NotFound)?;
+    allow(&model.accounts, account)?;
+    let is_idempotent = !request.at_most_once;
+    let claimed = match (&request.idempotency_key, is_idempotent) {
+        (Some(key), false) => match claim(front, &request, &account.name, key).await? {
+            ClaimOutcome::Replay(answer) => return Ok(answer),
+            ClaimOutcome::Granted(granted) => Some(granted),
+        },
+        _ => None,
+    };
+    let spec = CallSpec {
+        id: request.id.clone(),
+        account: account.name.clone(),
+        priority: account.priority,
+        route: RouteName::Model(model.name.clone()),
+        prefix: prefix_of(&question),
+        is_idempotent,
+        arrived: request.arrived,
+        deadline: request.deadline,
+    };
+    let mut call = match CallContext::admit(front, spec, in_flight).await {
+        Ok(call) => call,
+        Err(refusal) => {
+            count(front, refusal.kind.code());
+            if let Some(granted) = claimed {
+                granted.failed(refusal.kind);
+            }
+            return Err(refusal);
+        }
+    };
+    let (sender, receiver) = mpsc::channel(PIECES);
+    let path = request.path.clone();
+    let id = request.id.clone();
+    let key = request.idempotency_key.clone();
+    let is_stream = question.stream;
+    tokio::spawn(async move {
+        let mut sink = PieceSink {
+            sender,
+            must_finish: claimed.is_some(),
+            kept: claimed.is_some().then(Vec::new),
+        };
+        let outcome = drive(&mut call, &path, &body, key.as_deref(), &mut sink).await;
+        finish(&call, outcome, sink, claimed, is_chat, is_stream).await;
+    });
+    match is_stream {
+        true => stream_answer(receiver, id).await,
+        false => whole_answer(receiver, &id, is_chat).await,
+    }
+}
+
+fn read_question(request: &CallerRequest, is_chat: bool) -> Result<(Question, Bytes), ErrorKind> {
+    let mut body: Value =
+        serde_json::from_slice(&request.body).map_err(|_| ErrorKind::BadRequest)?;
+    let question: Question =
+        serde_json::from_value(body.clone()).map_err(|_| ErrorKind::BadRequest)?;
+    if is_chat && question.messages.is_empty() {
+        return Err(ErrorKind::BadRequest);
+    }
+    // Replicas always stream to us: it is what makes an answer resumable.
+    body["stream"] = Value::Bool(true);
+    Ok((question, Bytes::from(body.to_string())))
+}
+
+fn prefix_of(question: &Question) -> u64 {
+    let contents = question.messages.iter();
+    let contents = contents.filter_map(|message| message["content"].as_str());
+    let text: Vec<&str> = contents.chain(question.prompt.as_str()).collect();
+    let text = text.join("\n");
+    let start = text.char_indices().nth(PREFIX_CHARS);
+    let end = start.map_or(text.len(), |(index, _)| index);
+    hash_bytes(&text.as_bytes()[..end])
+}
+
+/// Where pieces go.
+struct PieceSink {
+    sender: mpsc::Sender<Piece>,
+    /// Whether the request runs to its end also when the caller has left.
+    must_finish: bool,
+    /// The pieces, for keeping the answer.
+    kept: Option<Vec<String>>,
+}
+
+impl PieceSink {
+    /// Passes a piece on; false if nobody wants the rest.
+    async fn push(&mut self, piece: Piece) -> bool {
+        if let (Some(kept), Piece::Token(text) | Piece::Last(text)) = (&mut self.kept, &piece) {
+            kept.push(text.clone());
+        }
+        self.sender.send(piece).await.is_ok() || self.must_finish
+    }
+}
+
+/// How a driven request ended.
+enum DriveOutcome {
+    Answered,
+    CallerLeft,
+    Failed(ErrorKind),
+}
+
+async fn drive(
+    call: &mut CallContext,
+    path: &str,
+    body: &Bytes,
+    key: Option<&str>,
+    sink: &mut PieceSink,
+) -> DriveOutcome {
+    let mut resume = StreamResume::default();
+    loop {
+        let (fact, attempt) = match call.plan().await {
+            Ok(planned) => planned,
+            Err(kind) => return DriveOutcome::Failed(call.truthful(kind)),
+        };
+        let json = HeaderValue::from_static("application/json");
+        let mut headers = common_headers(call, Some(&json), key);
+        group_headers(&mut headers, &fact, resume.next_offset());
+        let outgoing = UpstreamRequest {
+            method: Method::POST,
+            path: path.to_owned(),
+            headers,
+            body: body.clone(),
+        };
+        call.note_sent(&fact);
+        let attempt = attempt.send();
+        let outcome = stream(call, &fact, outgoing, &mut resume, sink).await;
+        match outcome {
+            StreamOutcome::Answered => {
+                attempt.answered();
+                call.note_ended(&fact, "ok");
+                return DriveOutcome::Answered;
+            }
+            StreamOutcome::CallerLeft => {
+                call.note_ended(&fact, "caller_left");
+                return DriveOutcome::CallerLeft;
+            }
+            StreamOutcome::Broken(outcome, reason) => {
+                call.note_ended(&fact, outcome_name(outcome));
+                log::info!(
+                    "event=attempt_failed request={} upstream={} offset={} reason={reason:?}",
+                    call.id,
+                    fact.id,
+                    resume.next_offset()
+                );
+                let next = attempt.failed(outcome);
+                if let Err(kind) = call.after_failure(&fact, FailedAttempt { outcome, next }) {
+                    return DriveOutcome::Failed(call.truthful(kind));
+                }
+                if call.now() >= call.deadline {
+                    return DriveOutcome::Failed(call.truthful(late(call)));
+                }
+                if resume.next_offset() > 0 {
+                    resume.resume();
+                }
+            }
+        }
+    }
+}
+
+/// How one attempt's stream ended.
+enum StreamOutcome {
+    Answered,
+    CallerLeft,
+    Broken(SentOutcome, String),
+}
+
+async fn stream(
+    call: &CallContext,
+    fact: &RunnerFact,
+    outgoing: UpstreamRequest,
+    resume: &mut StreamResume,
+    sink: &mut PieceSink,
+) -> StreamOutcome {
+    let sent_at = call.now();
+    let left = call.deadline.since(sent_at).as_duration();
+    let sent = call.front.client.send(fact.addr, outgoing);
+    let reply = match tokio::time::timeout(left, sent).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(error)) => return StreamOutcome::Broken(sent_outcome(&error), error.to_string()),
+        Err(_) => return broken("no answer before the deadline"),
+    };
+    if !is_from(&reply, fact) {
+        return broken("answered by another group or epoch");
+    }
+    if reply.status() != StatusCode::OK {
+        return broken("an error status without a word on whether it ran");
+    }
+    let mut reader = EventReader {
+        reply,
+        parser: SseParser::default(),
+        idle: call.front.shared.settings.tuning.stream_idle,
+    };
+    let mut last_at: Option<Millis> = None;
+    loop {
+        let event = match reader.next(call).await {
+            Ok(event) => event,
+            Err(error) => return broken(&error.to_string()),
+        };
+        let Some(offset) = event.id.as_deref().and_then(|id| id.parse().ok()) else {
+            return end(&event, resume, sink).await;
+        };
+        match resume.take(offset) {
+            TokenStep::Skip => continue,
+            TokenStep::Gap => return broken("a token is missing"),
+            TokenStep::Deliver => {}
+        }
+        observe(call, fact, sent_at, &mut last_at, offset);
+        if !sink.push(Piece::Token(event.data)).await {
+            return StreamOutcome::CallerLeft;
+        }
+    }
+}
+
+fn broken(reason: &str) -> StreamOutcome {
+    StreamOutcome::Broken(SentOutcome::Broken, reason.to_owned())
+}
+
+/// Whether the answer comes from the group and epoch the request was meant for.
+fn is_from(reply: &UpstreamReply, fact: &RunnerFact) -> bool {
+    let header = |name: &str| {
+        let value = reply.headers().get(name);
+        value.and_then(|value| value.to_str().ok())
+    };
+    let is_group = header(GROUP) == Some(fact.id.as_str());
+    let epoch = fact.epoch.to_string();
+    let is_own = is_group && header(EPOCH) == Some(epoch.as_str());
+    Invariant::WholeGroup.check(is_own || reply.status() != StatusCode::OK, || {
+        format!("group={:?} wanted={}", header(GROUP), fact.id)
+    });
+    is_own || reply.status() != StatusCode::OK
+}
+
+async fn end(event: &SseEvent, resume: &mut StreamResume, sink: &mut PieceSink) -> StreamOutcome {
+    let chunk: Value = serde_json::from_str(&event.data).unwrap_or_default();
+    let length = chunk["usage"]["completion_tokens"].as_u64();
+    if !length.is_some_and(|length| resume.finish(length)) {
+        return broken("the stream ended early");
+    }
+    match sink.push(Piece::Last(event.data.clone())).await {
+        true => StreamOutcome::Answered,
+        false => StreamOutcome::CallerLeft,
+    }
+}
+
+fn observe(
+    call: &CallContext,
+    fact: &RunnerFact,
+    sent_at: Millis,
+    last_at: &mut Option<Millis>,
+    offset: u64,
+) {
+    let now = call.now();
+    let metrics = &call.front.shared.metrics;
+    match *last_at {
+        Some(last) => {
+            let gap = now.since(last).as_secs_f64();
+            let histogram = &metrics.between_tokens;
+            histogram.with_label_values(&["model"]).observe(gap);
+        }
+        None => {
+            call.note_first(fact, sent_at);
+            if offset == 0 {
+                let took = now.since(call.arrived).as_secs_f64();
+                let histogram = &metrics.first_token;
+                histogram.with_label_values(&["model"]).observe(took);
+            }
+        }
+    }
+    *last_at = Some(now);
+}
+
+/// Reads events off an upstream's answer.
+struct EventReader {
+    reply: UpstreamReply,
+    parser: SseParser,
+    idle: Millis,
+}
+
+impl EventReader {
+    async fn next(&mut self, call: &CallContext) -> Result<SseEvent, Error> {
+        loop {
+            if let Some(event) = self.parser.next_event() {
+                return Ok(event);
+            }
+            if self.parser.is_overlong() {
+                return Err(Error::Malformed("an event is too long".to_owned()));
+            }
+            let left = call.deadline.since(call.now()).min(self.idle);
+            let frame = tokio::time::timeout(left.as_duration(), self.reply.body_mut().frame());
+            let frame = match frame.await {
+                Err(_) => return Err(Error::Timeout),
+                Ok(None) => return Err(Error::Broken("the stream ended".to_owned())),
+                Ok(Some(Err(error))) => return Err(Error::Broken(error.to_string())),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            if let Some(data) = frame.data_ref() {
+                self.parser.push(data);
+            }
+        }
+    }
+}
+
+async fn finish(
+    call: &CallContext,
+    outcome: DriveOutcome,
+    mut sink: PieceSink,
+    claimed: Option<GrantedClaim>,
+    is_chat: bool,
+    is_stream: bool,
+) {
+    let front = &call.front;
+    match outcome {
+        DriveOutcome::Answered => {
+            count(front, "ok");
+            let kept = sink.kept.take().unwrap_or_default();
+            if let Some(granted) = claimed {
+                let (kind, body) = kept_answer(&kept, &call.id, is_chat, is_stream);
+                granted.answered(StatusCode::OK, kind, Some(body.as_bytes()));
+            }
+        }
+        DriveOutcome::CallerLeft => count(front, "caller_left"),
+        DriveOutcome::Failed(kind) => {
+            let is_true = kind.answer().ran != RanState::No || !call.maybe_ran();
+            Invariant::NotRunIsTrue.check(is_true, || format!("request={} {kind}", call.id));
+            count(front, kind.code());
+            if let Some(granted) = claimed {
+                granted.failed(kind);
+            }
+            sink.push(Piece::Failed(kind)).await;
+        }
+    }
+}
+
+fn count(front: &FrontContext, outcome: &str) {
+    let requests = &front.shared.metrics.requests;
+    requests.with_label_values(&["model", outcome]).inc();
+}
+
+fn kept_answer(
+    pieces: &[String],
+    id: &RequestId,
+    is_chat: bool,
+    is_stream: bool,
+) -> (&'static str, String) {
+    if is_stream {
+        let events = pieces.iter().map(|piece| format!("data: {piece}\n\n"));
+        let body: String = events.chain([DONE.to_owned()]).collect();
+        return (EVENT_STREAM, body);
+    }
+    let mut answer = WholeText::default();
+    for piece in pieces {
+        answer.add(piece);
+    }
+    ("application/json", answer.to_json(id, is_chat).to_string())
+}
+
+async fn stream_answer(
+    mut pieces: mpsc::Receiver<Piece>,
+    id: RequestId,
+) -> Result<CallerAnswer, Refusal> {
+    let first = match pieces.recv().await {
+        Some(Piece::Failed(kind)) => return Err(kind.into()),
+        Some(piece) => piece,
+        None => return Err(ErrorKind::UpstreamLost.into()),
+    };
+    let (sender, receiver) = mpsc::channel(PIECES);
+    let name = id.clone();
+    let first_bytes = to_event(&first, &id);
+    let is_over = matches!(first, Piece::Last(_));
+    tokio::spawn(async move {
+        if is_over {
+            return;
+        }
+        while let Some(piece) = pieces.recv().await {
+            if sender.send(to_event(&piece, &id)).await.is_err() {
+                // Dropping the pieces tells the driver that the caller has left.
+                return;
+            }
+        }
+    });
+    let mut answer = streamed(StatusCode::OK, EVENT_STREAM, first_bytes, receiver);
+    name_request(&mut answer, &name);
+    Ok(answer)
+}
+
+fn to_event(piece: &Piece, id: &RequestId) -> Bytes {
+    Bytes::from(match piece {
+        Piece::Token(text) => format!("data: {text}\n\n"),
+        Piece::Last(text) => format!("data: {text}\n\n{DONE}"),
+        Piece::Failed(kind) => format!("data: {}\n\n", error_json(*kind, id)),
+    })
+}
+
+/// A whole answer, put together from chunks.
+#[derive(Default)]
+struct WholeText {
+    text: String,
+    model: Value,
+    finish_reason: Value,
+    usage: Value,
+}
+
+impl WholeText {
+    fn add(&mut self, chunk: &str) {
+        let chunk: Value = serde_json::from_str(chunk).unwrap_or_default();
+        let choice = &chunk["choices"][0];
+        let piece = choice["delta"]["content"].as_str();
+        self.text
+            .push_str(piece.or(choice["text"].as_str()).unwrap_or(""));
+        self.model = chunk["model"].clone();
+        self.finish_reason = choice["finish_reason"].clone();
+        self.usage = chunk["usage"].clone();
+    }
+
+    fn to_json(&self, id: &RequestId, is_chat: bool) -> Value {
+        let (object, choice) = match is_chat {
+            true => (
+                "chat.completion",
+                serde_json::json!({
+                    "index": 0,
+                    "message": { "role": "assistant", "content": self.text },
+                    "finish_reason": self.finish_reason,
+                }),
+            ),
+            false => (
+                "text_completion",
+                serde_json::json!({
+                    "index": 0,
+                    "text": self.text,
+                    "finish_reason": self.finish_reason,
+                }),
+            ),
+        };
+        serde_json::json!({
+            "id": id,
+            "object": object,
+            "model": self.model,
+            "choices": [choice],
+            "usage": self.usage,
+        })
+    }
+}
+
+async fn whole_answer(
+    mut pieces: mpsc::Receiver<Piece>,
+    id: &RequestId,
+    is_chat: bool,
+) -> Result<CallerAnswer, Refusal> {
+    let mut text = WholeText::default();
+    loop {
+        match pieces.recv().await {
+            Some(Piece::Token(chunk)) => text.add(&chunk),
+            Some(Piece::Last(chunk)) => {
+                text.add(&chunk);
+                break;
+            }
+            Some(Piece::Failed(kind)) => return Err(kind.into()),
+            None => return Err(ErrorKind::UpstreamLost.into()),
+        }
+    }
+    let body = text.to_json(id, is_chat).to_string();
+    let mut answer = whole(StatusCode::OK, "application/json", Bytes::from(body));
+    mark_ran(&mut answer);
+    name_request(&mut answer, id);
+    Ok(answer)
+}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load generator, experiments and capacity measurements
--- /dev/null
+++ b/crates/local/src/lib.rs
@@ -0,0 +1,13 @@
+//! The whole system in one process: stand-ins, entry VMs and a sample bundle.
+//!
+//! The newcomer's first command, and the base of tests over real sockets.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod ask;
+pub mod fleet;
+pub mod ready;
+pub mod sample;
+
+pub use fleet::{LocalFleet, LocalOptions};
+pub use ready::ReadyFile;
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,14 @@
+//! The protocol between entry VMs, alone: postcard messages, framing and versions.
+//!
+//! Small periodic news goes by UDP in one datagram of bounded size; questions and answers go by
+//! TCP, one answer to each question, in frames with a length.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod datagram;
+pub mod frame;
+pub mod message;
+
+pub use datagram::{Datagram, DemandFact, EvidenceFact, MAX_DATAGRAM_BYTES};
+pub use frame::{Error, decode, encode, read_frame, write_frame};
+pub use message::{Answer, GroupsEntry, Question};
--- /dev/null
+++ b/crates/placement/src/evidence.rs
@@ -0,0 +1,50 @@
+//! Whether a group may be sent requests.
+
+use bergamot_types::prelude::*;
+use indexmap::IndexMap;
+
+use crate::record::{DomainRecord, GroupPhase};
+use crate::report::EngineReport;
+
+/// What speaks for a group being whole.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct GroupEvidence {
+    /// When the oldest of its members' reports was asked for.
+    pub oldest: Millis,
+    /// Requests its leader reported as running.
+    pub running: u32,
+    /// Requests its leader reported as queued.
+    pub queued: u32,
+}
+
+/// The evidence that every member of a serving group is ready in the group's own epoch.
+///
+/// None when the record does not say serving, a member is missing, or any report differs.
+pub fn group_evidence(
+    record: &DomainRecord,
+    id: &GroupId,
+    reports: &IndexMap<VmId, (Millis, EngineReport)>,
+) -> Option<GroupEvidence> {
+    let group = record.groups.get(id)?;
+    if group.phase != GroupPhase::Serving || !record.is_full(id) {
+        return None;
+    }
+    let mut evidence: Option<GroupEvidence> = None;
+    for (vm, _) in record.members(id) {
+        let (asked, report) = reports.get(vm)?;
+        if !report.is_ready_in(id, group.epoch) || report.model.as_ref() != Some(&group.model) {
+            return None;
+        }
+        match evidence.as_mut() {
+            Some(evidence) => evidence.oldest = evidence.oldest.min(*asked),
+            None => {
+                evidence = Some(GroupEvidence {
+                    oldest: *asked,
+                    running: report.running,
+                    queued: report.queued,
+                });
+            }
+        }
+    }
+    evidence
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,205 @@
+//! One HTTP call with a deadline and a bounded answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// The largest answer that is read, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// How long an idle connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Why a call gave no answer.
+#[derive(Clone, Debug, thiserror::Error)]
+#[allow(missing_docs)]
+pub enum Error {
+    #[error("the call budget is used up")]
+    BudgetSpent,
+    #[error("no connection to {url}: {reason}")]
+    Connect { url: String, reason: String },
+    #[error("no answer from {url} in time")]
+    Timeout { url: String },
+    #[error("the answer of {url} broke off: {reason}")]
+    Broken { url: String, reason: String },
+    #[error("{url} answered {status}: {body}")]
+    Status {
+        url: String,
+        status: u16,
+        body: String,
+    },
+    #[error("the answer of {url} cannot be read: {reason}")]
+    Malformed { url: String, reason: String },
+}
+
+impl Error {
+    /// Whether the call may have taken effect although no answer came.
+    pub fn is_ambiguous(&self) -> bool {
+        match self {
+            Self::BudgetSpent | Self::Connect { .. } => false,
+            Self::Status { status, .. } => *status >= 500 && *status != 503,
+            Self::Timeout { .. } | Self::Broken { .. } | Self::Malformed { .. } => true,
+        }
+    }
+}
+
+/// An answer, read in full.
+#[derive(Clone, Debug)]
+pub struct HttpReply {
+    /// The status.
+    pub status: StatusCode,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A pooled HTTP/1.1 client. Clones share the pool.
+#[derive(Clone)]
+pub struct HttpCaller {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpCaller {
+    /// A client whose connections are set up within `connect_timeout`.
+    pub fn new(connect_timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(connect_timeout));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_timer(TokioTimer::new())
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and returns the answer's head, its body still to be read.
+    ///
+    /// # Errors
+    /// [`Error::Connect`] only when nothing was sent.
+    pub async fn open(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Response<Incoming>, Error> {
+        let url = request.uri().to_string();
+        let answer = tokio::time::timeout(timeout, self.client.request(request))
+            .await
+            .map_err(|_| Error::Timeout { url: url.clone() })?;
+        answer.map_err(|error| {
+            let reason = root_cause(&error);
+            match error.is_connect() {
+                true => Error::Connect { url, reason },
+                false => Error::Broken { url, reason },
+            }
+        })
+    }
+
+    /// Sends a request and reads the whole answer, whatever its status.
+    ///
+    /// # Errors
+    /// See [`Error`]; the timeout covers both head and body.
+    pub async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<HttpReply, Error> {
+        let url = request.uri().to_string();
+        let exchange = async {
+            let response = self.open(request, timeout).await?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+                .collect()
+                .await
+                .map_err(|error| Error::Broken {
+                    url: url.clone(),
+                    reason: error.to_string(),
+                })?
+                .to_bytes();
+            Ok(HttpReply { status, body })
+        };
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(Error::Timeout { url }),
+        }
+    }
+
+    /// Gets a JSON document.
+    ///
+    /// # Errors
+    /// Also [`Error::Status`] for anything but 200 and [`Error::Malformed`] for other content.
+    pub async fn get_json<Answer>(&self, url: &str, timeout: Duration) -> Result<Answer, Error>
+    where
+        Answer: serde::de::DeserializeOwned,
+    {
+        let request = build(Method::GET, url, Bytes::new())?;
+        parse(url, &self.call(request, timeout).await?)
+    }
+
+    /// Posts a JSON document and reads one back.
+    ///
+    /// # Errors
+    /// As [`HttpCaller::get_json`].
+    pub async fn post_json<Question, Answer>(
+        &self,
+        url: &str,
+        question: &Question,
+        timeout: Duration,
+    ) -> Result<Answer, Error>
+    where
+        Question: serde::Serialize + Sync,
+        Answer: serde::de::DeserializeOwned,
+    {
+        let body = serde_json::to_vec(question).map_err(|error| Error::Malformed {
+            url: url.to_owned(),
+            reason: error.to_string(),
+        })?;
+        let request = build(Method::POST, url, Bytes::from(body))?;
+        parse(url, &self.call(request, timeout).await?)
+    }
+}
+
+/// Builds a JSON request.
+///
+/// # Errors
+/// [`Error::Malformed`] when `url` is not one.
+pub fn build(method: Method, url: &str, body: Bytes) -> Result<Request<Full<Bytes>>, Error> {
+    Request::builder()
+        .method(method)
+        .uri(url)
+        .header("content-type", "application/json")
+        .body(Full::new(body))
+        .map_err(|error| Error::Malformed {
+            url: url.to_owned(),
+            reason: error.to_string(),
+        })
+}
+
+fn parse<Answer>(url: &str, reply: &HttpReply) -> Result<Answer, Error>
+where
+    Answer: serde::de::DeserializeOwned,
+{
+    if !reply.status.is_success() {
+        let shown = &reply.body[..reply.body.len().min(200)];
+        return Err(Error::Status {
+            url: url.to_owned(),
+            status: reply.status.as_u16(),
+            body: String::from_utf8_lossy(shown).into_owned(),
+        });
+    }
+    serde_json::from_slice(&reply.body).map_err(|error| Error::Malformed {
+        url: url.to_owned(),
+        reason: error.to_string(),
+    })
+}
+
+fn root_cause(error: &dyn std::error::Error) -> String {
+    let mut cause = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause.to_string()
+}
--- /dev/null
+++ b/crates/roster/src/state.rs
@@ -0,0 +1,449 @@
+//! One entry VM's view of the others.
+
+use bergamot_types::prelude::*;
+use indexmap::{IndexMap, IndexSet};
+use serde::Serialize;
+
+use crate::heartbeat::{Heartbeat, LivenessFact};
+use crate::pause::PauseWatch;
+use crate::record::{Member, RosterRecord};
+
+/// How often and to whom heartbeats go, and when silence becomes suspicion.
+#[derive(Clone, Debug)]
+pub struct RosterOptions {
+    /// Time between heartbeats.
+    pub period: Millis,
+    /// Peers of the same failure domain that get each heartbeat.
+    pub near_peers: usize,
+    /// Peers of other failure domains that get each heartbeat.
+    pub far_peers: usize,
+    /// Facts passed on in each heartbeat.
+    pub facts_per_beat: usize,
+    /// Silence that raises suspicion.
+    pub suspect_after: Millis,
+    /// Pieces of news within `suspect_after` that end a suspicion.
+    pub recover_beats: u32,
+    /// How long a member may be missing from the VM list before it was ever seen there.
+    pub unlisted_grace: Millis,
+}
+
+impl Default for RosterOptions {
+    fn default() -> Self {
+        Self {
+            period: Millis(500),
+            near_peers: 2,
+            far_peers: 1,
+            facts_per_beat: 24,
+            suspect_after: Millis(3_000),
+            recover_beats: 3,
+            unlisted_grace: Millis(120_000),
+        }
+    }
+}
+
+/// Something the roster has to know of.
+#[derive(Clone, Debug)]
+pub enum RosterEvent {
+    /// Time passed.
+    Tick,
+    /// A heartbeat came in.
+    Beat(Heartbeat),
+    /// The record was read, with whatever is in force now.
+    Record(RosterRecord),
+    /// The VM list was read: the VMs in it.
+    Listed(Vec<VmId>),
+    /// This VM has settled on an epoch.
+    Settled(u64),
+    /// This daemon is stopping.
+    Stopping,
+}
+
+/// Something the roster wants done.
+#[derive(Clone, PartialEq, Debug)]
+pub enum RosterAction {
+    /// Send a heartbeat to a member.
+    Send(Member, Heartbeat),
+    /// Write this record if the one in force is still the one last heard.
+    Propose(RosterRecord),
+    /// A member went silent.
+    Suspect(EntryId),
+    /// A member is heard again.
+    Trust(EntryId),
+    /// A newer epoch is in force.
+    EpochChanged(u64),
+    /// The process stood still for this long.
+    Paused(Millis),
+}
+
+/// What was heard of one member.
+#[derive(Clone, Debug, Serialize)]
+pub struct PeerNews {
+    /// Its counter when last heard.
+    pub counter: u32,
+    /// When there was last news of it.
+    pub heard_at: Millis,
+    /// Whether it is suspected.
+    pub is_suspect: bool,
+    /// Whether it said that it is stopping.
+    pub is_stopping: bool,
+    /// The epoch it settled on.
+    pub settled: u64,
+    /// News since it became suspect.
+    recovery: u32,
+}
+
+/// The roster as one entry VM knows it.
+#[derive(Clone, Debug)]
+pub struct RosterState {
+    me: Member,
+    options: RosterOptions,
+    record: RosterRecord,
+    news: IndexMap<EntryId, PeerNews>,
+    by_hash: IndexMap<u32, EntryId>,
+    watch: PauseWatch,
+    counter: u32,
+    settled: u64,
+    next_beat: Millis,
+    next_propose: Millis,
+    rotation: usize,
+    seen_listed: IndexSet<VmId>,
+    missing: IndexMap<VmId, (u32, Millis)>,
+    stopping: bool,
+}
+
+/// Looks at the VM list that must all lack a VM before it counts as gone.
+const MISSING_LOOKS: u32 = 2;
+/// Time between two proposals by one member.
+const PROPOSE_PERIOD: Millis = Millis(1_000);
+/// Silence of one's own clock, in heartbeat periods, that counts as a pause.
+const PAUSE_PERIODS: u64 = 4;
+
+impl RosterState {
+    /// A view that knows only itself.
+    pub fn new(me: Member, options: RosterOptions) -> Self {
+        let allowed = Millis(options.period.0 * PAUSE_PERIODS);
+        Self {
+            me,
+            options,
+            record: RosterRecord::default(),
+            news: IndexMap::new(),
+            by_hash: IndexMap::new(),
+            watch: PauseWatch::new(allowed),
+            counter: 0,
+            settled: 0,
+            next_beat: Millis::ZERO,
+            next_propose: Millis::ZERO,
+            rotation: 0,
+            seen_listed: IndexSet::new(),
+            missing: IndexMap::new(),
+            stopping: false,
+        }
+    }
+
+    /// This daemon.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// The newest record known.
+    pub fn record(&self) -> &RosterRecord {
+        &self.record
+    }
+
+    /// What was heard of the others.
+    pub fn news(&self) -> &IndexMap<EntryId, PeerNews> {
+        &self.news
+    }
+
+    /// Whether this run of the daemon is in the roster.
+    pub fn is_member(&self) -> bool {
+        self.record.holds(&self.me.entry, self.me.incarnation)
+    }
+
+    /// Whether a member is thought able to work. This VM always is, unless it is stopping.
+    pub fn is_trusted(&self, entry: &EntryId) -> bool {
+        if *entry == self.me.entry {
+            return !self.stopping;
+        }
+        self.news
+            .get(entry)
+            .is_some_and(|news| !news.is_suspect && !news.is_stopping)
+    }
+
+    /// Trusted members of this failure domain, this VM among them.
+    pub fn trusted_near(&self) -> impl Iterator<Item = &Member> {
+        self.record
+            .members
+            .iter()
+            .filter(|member| member.failure_domain == self.me.failure_domain)
+            .filter(|member| self.is_trusted(&member.entry))
+    }
+
+    /// Takes one event and says what to do.
+    pub fn handle(&mut self, now: Millis, event: RosterEvent) -> Vec<RosterAction> {
+        match event {
+            RosterEvent::Tick => self.tick(now),
+            RosterEvent::Beat(beat) => self.take_beat(now, &beat),
+            RosterEvent::Record(record) => self.take_record(now, record),
+            RosterEvent::Listed(vms) => self.take_list(now, vms),
+            RosterEvent::Settled(epoch) => {
+                self.settled = self.settled.max(epoch);
+                Vec::new()
+            }
+            RosterEvent::Stopping => {
+                self.stopping = true;
+                self.next_beat = now;
+                self.tick(now)
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Millis) -> Vec<RosterAction> {
+        let mut actions = Vec::new();
+        if let Some(gap) = self.watch.observe(now) {
+            // Nobody was heard because we did not listen; silence starts anew.
+            for news in self.news.values_mut() {
+                news.heard_at = now;
+            }
+            actions.push(RosterAction::Paused(gap));
+        }
+        self.raise_suspicions(now, &mut actions);
+        if now >= self.next_beat {
+            self.next_beat = now + self.options.period;
+            self.counter = self.counter.wrapping_add(1);
+            self.send_beats(&mut actions);
+        }
+        if now >= self.next_propose
+            && let Some(next) = self.proposal(now)
+        {
+            self.next_propose = now + PROPOSE_PERIOD;
+            actions.push(RosterAction::Propose(next));
+        }
+        actions
+    }
+
+    fn raise_suspicions(&mut self, now: Millis, actions: &mut Vec<RosterAction>) {
+        for (entry, news) in &mut self.news {
+            let is_silent = now.since(news.heard_at) > self.options.suspect_after;
+            if is_silent && !news.is_suspect {
+                news.is_suspect = true;
+                news.recovery = 0;
+                actions.push(RosterAction::Suspect(entry.clone()));
+            } else if is_silent {
+                news.recovery = 0;
+            }
+        }
+    }
+
+    fn send_beats(&mut self, actions: &mut Vec<RosterAction>) {
+        if !self.is_member() {
+            return;
+        }
+        self.rotation = self.rotation.wrapping_add(1);
+        let is_near = |member: &&Member| member.failure_domain == self.me.failure_domain;
+        let others = |near: bool| -> Vec<&Member> {
+            self.record
+                .members
+                .iter()
+                .filter(|member| member.entry != self.me.entry)
+                .filter(|member| is_near(member) == near)
+                .collect()
+        };
+        let mut targets = self.rotate(&others(true), self.options.near_peers);
+        targets.extend(self.rotate(&others(false), self.options.far_peers));
+        let beat = self.beat();
+        for target in targets {
+            actions.push(RosterAction::Send(target, beat.clone()));
+        }
+    }
+
+    /// Picks `count` members, others with each period, so that every pair talks in time.
+    fn rotate(&self, members: &[&Member], count: usize) -> Vec<Member> {
+        let size = members.len();
+        let start = self.rotation.wrapping_mul(count);
+        (0..count.min(size))
+            .map(|step| members[(start + step) % size].clone())
+            .collect()
+    }
+
+    fn beat(&self) -> Heartbeat {
+        let mut recent: Vec<(&EntryId, &PeerNews)> = self
+            .news
+            .iter()
+            .filter(|(_, news)| !news.is_suspect)
+            .collect();
+        recent.sort_by_key(|(_, news)| std::cmp::Reverse(news.heard_at));
+        let size = recent.len();
+        let take = self.options.facts_per_beat.min(size);
+        // Half are the freshest, half rotate, so that no member's news dies out.
+        let fresh = take.div_ceil(2);
+        let rotating = (0..take - fresh).map(|step| {
+            let index = (self.rotation.wrapping_mul(take) + step) % size.max(1);
+            recent[index]
+        });
+        let chosen: Vec<_> = recent.iter().copied().take(fresh).chain(rotating).collect();
+        let hash = |entry: &EntryId| {
+            let member = self.record.member(entry);
+            member.map_or(0, |m| LivenessFact::member_hash(entry, m.incarnation))
+        };
+        Heartbeat {
+            from: self.me.entry.clone(),
+            incarnation: self.me.incarnation,
+            epoch: self.record.epoch,
+            settled: self.settled,
+            counter: self.counter,
+            stopping: self.stopping,
+            facts: chosen
+                .iter()
+                .map(|(entry, news)| LivenessFact {
+                    member: hash(entry),
+                    counter: news.counter,
+                })
+                .collect(),
+            settled_facts: chosen
+                .iter()
+                .filter(|(_, news)| news.settled > self.record.settled)
+                .map(|(entry, news)| (hash(entry), news.settled))
+                .collect(),
+        }
+    }
+
+    fn take_beat(&mut self, now: Millis, beat: &Heartbeat) -> Vec<RosterAction> {
+        let mut actions = Vec::new();
+        if !self.record.holds(&beat.from, beat.incarnation) {
+            return actions;
+        }
+        let from = beat.from.clone();
+        self.take_news(now, &from, beat.counter, &mut actions);
+        if let Some(news) = self.news.get_mut(&from) {
+            news.is_stopping = beat.stopping;
+            news.settled = news.settled.max(beat.settled);
+        }
+        for fact in &beat.facts {
+            if let Some(entry) = self.by_hash.get(&fact.member).cloned() {
+                self.take_news(now, &entry, fact.counter, &mut actions);
+            }
+        }
+        for (hash, settled) in &beat.settled_facts {
+            let entry = self.by_hash.get(hash).cloned();
+            if let Some(news) = entry.and_then(|entry| self.news.get_mut(&entry)) {
+                news.settled = news.settled.max(*settled);
+            }
+        }
+        actions
+    }
+
+    fn take_news(
+        &mut self,
+        now: Millis,
+        entry: &EntryId,
+        counter: u32,
+        actions: &mut Vec<RosterAction>,
+    ) {
+        let Some(news) = self.news.get_mut(entry) else {
+            return;
+        };
+        let is_newer = counter.wrapping_sub(news.counter) as i32 > 0;
+        if !is_newer {
+            return;
+        }
+        news.counter = counter;
+        news.heard_at = now;
+        if news.is_suspect {
+            news.recovery += 1;
+            if news.recovery >= self.options.recover_beats {
+                news.is_suspect = false;
+                actions.push(RosterAction::Trust(entry.clone()));
+            }
+        }
+    }
+
+    fn take_record(&mut self, now: Millis, record: RosterRecord) -> Vec<RosterAction> {
+        let is_newer = (record.epoch, record.settled) > (self.record.epoch, self.record.settled);
+        if !is_newer || !record.is_valid() {
+            return Vec::new();
+        }
+        let epoch_changed = record.epoch != self.record.epoch;
+        let old = std::mem::replace(&mut self.record, record);
+        self.by_hash.clear();
+        let mut news = IndexMap::new();
+        for member in &self.record.members {
+            if member.entry == self.me.entry {
+                continue;
+            }
+            let hash = LivenessFact::member_hash(&member.entry, member.incarnation);
+            self.by_hash.insert(hash, member.entry.clone());
+            let kept = self
+                .news
+                .swap_remove(&member.entry)
+                .filter(|_| old.holds(&member.entry, member.incarnation));
+            let fresh = PeerNews {
+                counter: 0,
+                heard_at: now,
+                is_suspect: false,
+                is_stopping: false,
+                settled: 0,
+                recovery: 0,
+            };
+            news.insert(member.entry.clone(), kept.unwrap_or(fresh));
+        }
+        self.news = news;
+        match epoch_changed {
+            true => vec![RosterAction::EpochChanged(self.record.epoch)],
+            false => Vec::new(),
+        }
+    }
+
+    fn take_list(&mut self, now: Millis, vms: Vec<VmId>) -> Vec<RosterAction> {
+        let listed: IndexSet<VmId> = vms.into_iter().collect();
+        self.missing.retain(|vm, _| !listed.contains(vm));
+        for member in &self.record.members {
+            if listed.contains(&member.vm) {
+                self.seen_listed.insert(member.vm.clone());
+                continue;
+            }
+            let missing = self.missing.entry(member.vm.clone()).or_insert((0, now));
+            missing.0 += 1;
+        }
+        Vec::new()
+    }
+
+    fn is_gone(&self, now: Millis, member: &Member) -> bool {
+        let Some((looks, first)) = self.missing.get(&member.vm) else {
+            return false;
+        };
+        let was_listed = self.seen_listed.contains(&member.vm);
+        let grace_over = now.since(*first) > self.options.unlisted_grace;
+        member.entry != self.me.entry && *looks >= MISSING_LOOKS && (was_listed || grace_over)
+    }
+
+    /// The change this member should propose now, if it is the one to do so.
+    fn proposal(&self, now: Millis) -> Option<RosterRecord> {
+        if !self.is_member() {
+            if self.stopping {
+                return None;
+            }
+            return Some(self.record.with_member(self.me.clone()));
+        }
+        let mut able = self
+            .record
+            .members
+            .iter()
+            .filter(|member| self.is_trusted(&member.entry) && !self.is_gone(now, member));
+        if able.next().map(|member| &member.entry) != Some(&self.me.entry) {
+            return None;
+        }
+        let next = self.record.without(|member| self.is_gone(now, member));
+        if next != self.record {
+            return Some(next);
+        }
+        let settled = self.all_settled();
+        (settled > self.record.settled).then(|| self.record.settled_at(settled))
+    }
+
+    /// The epoch every member has settled on.
+    fn all_settled(&self) -> u64 {
+        let others = self.news.values().map(|news| news.settled);
+        others.chain([self.settled]).min().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,24 @@
+//! What becomes of a request: admission under limits, the choice of an upstream, attempts,
+//! retries and resumption.
+//!
+//! Decisions only: no I/O, no clock, and random numbers come from a seed that is handed in.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod admission;
+pub mod attempt;
+pub mod balance;
+pub mod bucket;
+pub mod resume;
+pub mod retry;
+pub mod runner;
+pub mod share;
+
+pub use admission::{AdmissionOutcome, AdmissionQueue, AdmissionRequest, Admitted};
+pub use attempt::{Answered, Attempt, NotSent, Sent, SentOutcome};
+pub use balance::{BalanceOptions, BalancePolicy, Balancer, Choice, PickRequest};
+pub use bucket::TokenBucket;
+pub use resume::StreamResume;
+pub use retry::RetryBudget;
+pub use runner::{RunnerFact, RunnerLoad, RunnerTable};
+pub use share::{Borrow, Lend, LimitShares, ShareOptions};
--- /dev/null
+++ b/crates/types/src/prelude.rs
@@ -0,0 +1,10 @@
+//! The types nearly every module names.
+
+pub use crate::hash::{hash_bytes, rendezvous_rank, rendezvous_score};
+pub use crate::id::{
+    ClientAccount, EntryId, FabricDomain, FailureDomain, GroupId, ModelName, RequestId,
+    ServiceName, UpstreamId, VmId,
+};
+pub use crate::invariant::Invariant;
+pub use crate::kind::{ErrorKind, RanState};
+pub use crate::time::Millis;
