--- a/crates/bundle/src/roll.rs
+++ b/crates/bundle/src/roll.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bergamot_types::Invariant;
+use bergamot_types::mutate::{Mutation, is_on};
 use serde::{Deserialize, Serialize};
 use serde_with::{base64::Base64, serde_as};
 
@@ -167,7 +168,8 @@
         record: &RollRecord,
         signed: &SignedBundle,
     ) -> Result<AdoptOutcome, Error> {
-        if record.number < self.number() {
+        let is_any_taken = is_on(Mutation::AdoptAnyRoll);
+        if record.number < self.number() && !is_any_taken {
             return Ok(AdoptOutcome::AlreadyNewer);
         }
         if let Some(force) = self.current.as_ref()
--- a/crates/claims/src/state.rs
+++ b/crates/claims/src/state.rs
@@ -1,6 +1,7 @@
 //! One entry VM's claims: those it owns, and the copies it holds for others.
 
 use bergamot_roster::{RosterRecord, SLOT_COUNT, SlotMap};
+use bergamot_types::mutate::{Mutation, is_on};
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 
@@ -430,7 +431,7 @@
         let pending = std::mem::take(&mut self.pending);
         let mut actions = Vec::new();
         for grant in pending.into_values() {
-            self.claims.swap_remove(&grant.key);
+            self.drop_grant(grant.key, grant.serial);
             actions.extend(self.refuse(&grant));
         }
         actions
@@ -481,7 +482,7 @@
         let mut untried: Vec<EntryId> = co_holders(&self.map, &self.me, key.slot())
             .into_iter()
             .collect();
-        if untried.is_empty() {
+        if untried.is_empty() || is_on(Mutation::GrantWithoutCopy) {
             // A lone entry VM has nobody to copy to, and nobody to be replaced by either.
             return verdict(Verdict::Granted);
         }
@@ -518,6 +519,17 @@
         }
     }
 
+    /// Drops one grant of a key, never a later one of the same key.
+    fn drop_grant(&mut self, key: ClaimKey, serial: ClaimSerial) {
+        let is_same = self
+            .claims
+            .get(&key)
+            .is_some_and(|claim| claim.serial == serial);
+        if is_same {
+            self.claims.swap_remove(&key);
+        }
+    }
+
     fn refuse(&self, grant: &PendingGrant) -> Vec<ClaimAction> {
         let mut actions = vec![ClaimAction::Verdict {
             ask: grant.ask,
@@ -569,7 +581,7 @@
             let Some(grant) = self.pending.swap_remove(&op) else {
                 return Vec::new();
             };
-            self.claims.swap_remove(&grant.key);
+            self.drop_grant(grant.key, grant.serial);
             return self.refuse(&grant);
         }
         let next = grant.untried.remove(0);
@@ -604,9 +616,27 @@
                 self.claims.swap_remove(&key);
             }
         }
-        co_holders(&self.map, &self.me, key.slot())
+        let mut actions = self.give_up_pending(granted.1);
+        let copies = co_holders(&self.map, &self.me, key.slot()).into_iter();
+        actions.extend(copies.map(|holder| self.copy_to(now, 0, holder, granted)));
+        actions
+    }
+
+    /// A grant that still waits for its copy is of no use to an asker that has given up.
+    fn give_up_pending(&mut self, serial: ClaimSerial) -> Vec<ClaimAction> {
+        let waiting = self.pending.iter();
+        let waiting = waiting.find(|(_, grant)| grant.serial == serial);
+        let Some(op) = waiting.map(|(op, _)| *op) else {
+            return Vec::new();
+        };
+        let given_up = self.pending.swap_remove(&op);
+        let verdict = Verdict::Unavailable;
+        given_up
+            .map(|grant| ClaimAction::Verdict {
+                ask: grant.ask,
+                verdict,
+            })
             .into_iter()
-            .map(|holder| self.copy_to(now, 0, holder, granted))
             .collect()
     }
 
@@ -618,12 +648,7 @@
         }
         match change {
             CopyChange::Hold(record) => self.import(now, record),
-            CopyChange::Drop(key, serial) => {
-                let is_same = self.claims.get(&key).is_some_and(|c| c.serial == serial);
-                if is_same {
-                    self.claims.swap_remove(&key);
-                }
-            }
+            CopyChange::Drop(key, serial) => self.drop_grant(key, serial),
         }
         true
     }
@@ -817,9 +842,9 @@
     }
 
     fn report_settled(&mut self) -> Vec<ClaimAction> {
-        let is_open = |phase: &SlotPhase| {
-            matches!(phase, SlotPhase::Collecting(_) | SlotPhase::Replicating(_))
-        };
+        // A forgetful slot is not settled either: were the losses behind it forgotten by the
+        // roster, the slot's next owner would not know that claims were lost.
+        let is_open = |phase: &SlotPhase| !matches!(phase, SlotPhase::NotOwned | SlotPhase::Ready);
         let is_settled = !self.slots.iter().any(is_open);
         if !is_settled || self.reported >= self.roster.epoch {
             return Vec::new();
--- a/crates/placement/src/advance.rs
+++ b/crates/placement/src/advance.rs
@@ -1,5 +1,6 @@
 //! The next record, given what is known: one pure step from record to record.
 
+use bergamot_types::mutate::{Mutation, is_on};
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
@@ -53,6 +54,9 @@
     }
 
     fn is_leaving(&self, vm: &VmId) -> bool {
+        if is_on(Mutation::KeepLeaving) {
+            return false;
+        }
         self.views
             .get(vm)
             .is_some_and(|view| view.listed == ListedState::Leaving)
@@ -120,7 +124,7 @@
         let VmUse::Evicted(group) = &slot.usage else {
             continue;
         };
-        if context.has_dropped(vm, group) {
+        if context.has_dropped(vm, group) || is_on(Mutation::FreeUnseen) {
             slot.usage = VmUse::Free;
         }
     }
@@ -187,7 +191,12 @@
             report.is_ready_in(id, group.epoch) && report.model.as_ref() == Some(&group.model)
         })
     };
-    record.is_full(id) && record.members(id).all(|(vm, _)| is_member_ready(vm))
+    let asked_members = match is_on(Mutation::TrustPartialGroup) {
+        true => 1,
+        false => usize::MAX,
+    };
+    let mut members = record.members(id).take(asked_members);
+    record.is_full(id) && members.all(|(vm, _)| is_member_ready(vm))
 }
 
 fn is_drained(record: &DomainRecord, context: &AdvanceContext<'_>, id: &GroupId) -> bool {
@@ -195,6 +204,9 @@
         return false;
     };
     let waited = context.now.since(*since);
+    if is_on(Mutation::ReleaseUndrained) {
+        return true;
+    }
     if waited >= context.options.max_drain {
         return true;
     }
--- a/crates/placement/src/evidence.rs
+++ b/crates/placement/src/evidence.rs
@@ -1,5 +1,6 @@
 //! Whether a group may be sent requests.
 
+use bergamot_types::mutate::{Mutation, is_on};
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
@@ -30,7 +31,11 @@
         return None;
     }
     let mut evidence: Option<GroupEvidence> = None;
-    for (vm, _) in record.members(id) {
+    let asked_members = match is_on(Mutation::TrustPartialGroup) {
+        true => 1,
+        false => usize::MAX,
+    };
+    for (vm, _) in record.members(id).take(asked_members) {
         let (asked, report) = reports.get(vm)?;
         if !report.is_ready_in(id, group.epoch) || report.model.as_ref() != Some(&group.model) {
             return None;
--- a/crates/placement/src/views.rs
+++ b/crates/placement/src/views.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bergamot_types::mutate::{Mutation, is_on};
 use bergamot_types::prelude::*;
 
 use crate::options::PlacementOptions;
@@ -107,7 +108,7 @@
     pub fn is_usable(&self, now: Millis, options: &PlacementOptions) -> bool {
         let is_idle = self
             .fresh_report(now, options)
-            .is_some_and(|report| report.group.is_none());
+            .is_some_and(|report| report.group.is_none() || is_on(Mutation::FreeUnseen));
         let is_steady = self
             .steady_since
             .is_some_and(|since| !self.has_flapped || now.since(since) >= options.flap_hold);
--- a/crates/routing/src/attempt.rs
+++ b/crates/routing/src/attempt.rs
@@ -3,6 +3,7 @@
 
 use std::marker::PhantomData;
 
+use bergamot_types::mutate::{Mutation, is_on};
 use bergamot_types::prelude::*;
 
 /// Nothing has left for the upstream.
@@ -69,6 +70,7 @@
     pub fn failed(self, outcome: SentOutcome) -> NextStep {
         match outcome {
             SentOutcome::RefusedNotRun | SentOutcome::NeverConnected => NextStep::MayRetry,
+            SentOutcome::Broken if is_on(Mutation::BrokenIsNotRun) => NextStep::MayRetry,
             SentOutcome::Broken if self.is_idempotent => NextStep::MayRetry,
             SentOutcome::Broken => NextStep::OutcomeUnknown,
         }
--- a/crates/routing/src/resume.rs
+++ b/crates/routing/src/resume.rs
@@ -1,6 +1,7 @@
 //! A broken token stream goes on at another upstream, each token once and in order.
 
 use bergamot_types::Invariant;
+use bergamot_types::mutate::{Mutation, is_on};
 
 /// How far a caller's stream has come.
 #[derive(Clone, Debug, Default)]
@@ -40,7 +41,7 @@
 
     /// Notes a token with its offset in the whole answer.
     pub fn take(&mut self, offset: u64) -> TokenStep {
-        if offset < self.delivered {
+        if offset < self.delivered && !is_on(Mutation::RepeatTokens) {
             return TokenStep::Skip;
         }
         if offset > self.delivered {
@@ -49,7 +50,7 @@
         Invariant::OwnWholeAnswer.check(!self.is_done, || {
             format!("a token at {offset} after the end")
         });
-        self.delivered += 1;
+        self.delivered += u64::from(offset == self.delivered);
         TokenStep::Deliver
     }
 
--- a/crates/routing/src/share.rs
+++ b/crates/routing/src/share.rs
@@ -7,6 +7,7 @@
 //! partition or with lost or doubled messages. Lost answers only waste the share for that time.
 
 use bergamot_roster::RosterRecord;
+use bergamot_types::mutate::{Mutation, is_on};
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -177,7 +178,7 @@
             true => self.slack(now, &account).min(question.wanted.max(0.0)),
             false => 0.0,
         };
-        if lent > 0.0 {
+        if lent > 0.0 && !is_on(Mutation::LendAndKeep) {
             let state = self.accounts.entry(account.clone()).or_default();
             state.lent.retain(|loan| loan.until > now);
             state.lent.push(Loan {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod id;
 pub mod invariant;
 pub mod kind;
+pub mod mutate;
 pub mod prelude;
 pub mod time;
 
