fix: a report asked for while an order may be on its way frees no VM

The VM was ordered to join, its group was released at once, and the release took a report from before the join for proof that the VM had left. Ruled out: fencing and the swap; both were right. The proof was too old. Change: only a report asked for after the last order's timeout, and after a new coordinator's quiet time, frees a VM or shows that it left.

--- a/crates/claims/src/state.rs
+++ b/crates/claims/src/state.rs
@@ -624,7 +624,7 @@
 
     /// A grant that still waits for its copy is of no use to an asker that has given up.
     fn give_up_pending(&mut self, serial: ClaimSerial) -> Vec<ClaimAction> {
-        let waiting = self.pending.iter();
+        let mut waiting = self.pending.iter();
         let waiting = waiting.find(|(_, grant)| grant.serial == serial);
         let Some(op) = waiting.map(|(op, _)| *op) else {
             return Vec::new();
--- a/crates/entry/src/control/route.rs
+++ b/crates/entry/src/control/route.rs
@@ -6,6 +6,7 @@
 use bergamot_placement::{DomainRecord, GroupPhase, GroupRecord, PlacementState};
 use bergamot_platform::{VmKind, VmState};
 use bergamot_routing::RunnerFact;
+use bergamot_types::mutate::{Mutation, is_on};
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
@@ -52,7 +53,7 @@
     fn is_routable(&self, record: &DomainRecord, id: &GroupId, group: &GroupRecord) -> bool {
         let is_staying = |vm: &VmId| {
             let fact = self.vms.get(vm);
-            fact.is_none_or(|fact| fact.state == VmState::Live)
+            fact.is_none_or(|fact| fact.state == VmState::Live) || is_on(Mutation::KeepLeaving)
         };
         group.phase == GroupPhase::Serving
             && record.is_full(id)
--- a/crates/placement/src/advance.rs
+++ b/crates/placement/src/advance.rs
@@ -30,6 +30,8 @@
     pub draining_since: &'a IndexMap<GroupId, Millis>,
     /// Since when there have been more groups of a model than wanted.
     pub surplus_since: &'a IndexMap<ModelName, Millis>,
+    /// Until when orders of an earlier coordinator may still be on their way.
+    pub quiet_until: Millis,
     /// Whether so much is silent at once that the fabric domain, or our link to it, is gone.
     pub is_storm: bool,
 }
@@ -46,10 +48,9 @@
 
     /// Whether a member's engine says that it is not in the group, as after a restart.
     pub(crate) fn has_dropped(&self, vm: &VmId, group: &GroupId) -> bool {
-        let report = self
-            .views
-            .get(vm)
-            .and_then(|view| view.fresh_report(self.now, self.options));
+        let view = self.views.get(vm);
+        let report =
+            view.and_then(|view| view.settled_report(self.now, self.quiet_until, self.options));
         report.is_some_and(|report| report.group.as_ref() != Some(group))
     }
 
@@ -74,7 +75,7 @@
             .iter()
             .filter(|(_, slot)| slot.usage == VmUse::Free)
             .filter_map(|(vm, _)| self.views.get(vm).map(|view| (vm, view)))
-            .filter(|(_, view)| view.is_usable(self.now, self.options))
+            .filter(|(_, view)| view.is_usable(self.now, self.quiet_until, self.options))
             .map(|(vm, view)| (!holds(view), vm))
             .collect();
         usable.sort_by_key(|(is_cold, _)| *is_cold);
--- a/crates/placement/src/fence.rs
+++ b/crates/placement/src/fence.rs
@@ -33,6 +33,11 @@
         self.term = None;
     }
 
+    /// Until when orders of an earlier coordinator may still be on their way.
+    pub fn quiet_until(&self) -> Millis {
+        self.quiet_until
+    }
+
     /// The term held, confirmed or not.
     pub fn term(&self) -> Option<u64> {
         self.term
--- a/crates/placement/src/state.rs
+++ b/crates/placement/src/state.rs
@@ -457,6 +457,7 @@
             may_replace: self.may_replace,
             draining_since: &self.draining_since,
             surplus_since: &self.surplus_since,
+            quiet_until: self.fence.quiet_until(),
             is_storm: self.is_storm(now),
         }
     }
@@ -565,6 +566,9 @@
                 continue;
             }
             self.ordered.insert(vm.clone(), now);
+            if let Some(view) = self.views.get_mut(&vm) {
+                view.ordered_until = now + self.options.order_timeout;
+            }
             actions.push(PlacementAction::Order { vm, order });
         }
     }
--- a/crates/placement/src/views.rs
+++ b/crates/placement/src/views.rs
@@ -51,6 +51,8 @@
     pub(crate) steady_since: Option<Millis>,
     /// Whether it was ever silent.
     pub(crate) has_flapped: bool,
+    /// Until when an order may still be on its way; what was reported before says nothing of it.
+    pub(crate) ordered_until: Millis,
 }
 
 impl VmView {
@@ -65,6 +67,7 @@
             silent_since: Some(now),
             steady_since: None,
             has_flapped: false,
+            ordered_until: Millis::ZERO,
         }
     }
 
@@ -94,6 +97,19 @@
         (now.since(*at) <= options.report_max_age).then_some(report)
     }
 
+    /// The last report, if it is fresh and was asked for when no order could be on its way.
+    pub fn settled_report(
+        &self,
+        now: Millis,
+        quiet_until: Millis,
+        options: &PlacementOptions,
+    ) -> Option<&EngineReport> {
+        let (asked, _) = self.report.as_ref()?;
+        let settled_from = self.ordered_until.max(quiet_until);
+        self.fresh_report(now, options)
+            .filter(|_| *asked >= settled_from)
+    }
+
     /// Whether it has been silent long enough to count as dead.
     pub fn is_dead(&self, now: Millis, options: &PlacementOptions) -> bool {
         match self.listed {
@@ -105,9 +121,9 @@
     }
 
     /// Whether it may enter a group: listed as staying, seen idle, and not flapping.
-    pub fn is_usable(&self, now: Millis, options: &PlacementOptions) -> bool {
+    pub fn is_usable(&self, now: Millis, quiet_until: Millis, options: &PlacementOptions) -> bool {
         let is_idle = self
-            .fresh_report(now, options)
+            .settled_report(now, quiet_until, options)
             .is_some_and(|report| report.group.is_none() || is_on(Mutation::FreeUnseen));
         let is_steady = self
             .steady_since
--- a/crates/proof/tests/support/mod.rs
+++ b/crates/proof/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! What the randomised runs share: a network that delays, doubles, loses and cuts, and seeds.
 #![allow(dead_code)]
 
+pub mod engines;
+pub mod platform;
+
 use std::collections::BTreeMap;
 
 use bergamot_types::Millis;
