--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -360,7 +360,7 @@
             };
             let shared = Arc::clone(&shared);
             tokio::spawn(async move {
-                let account = question.account.clone();
+                let (account, serial) = (question.account.clone(), question.serial);
                 let question = Question::Borrow {
                     account: question.account,
                     wanted: question.wanted,
@@ -372,6 +372,7 @@
                     let now = shared.clock.now();
                     let answer = Lend {
                         account,
+                        serial,
                         lent,
                         loan,
                     };
--- a/crates/entry/src/duty/peer.rs
+++ b/crates/entry/src/duty/peer.rs
@@ -217,6 +217,7 @@
                 wanted,
                 epoch,
                 roll,
+                serial: 0,
             };
             let lend = shared.routing.lock().lend(now, &question);
             Answer::Lent {
--- a/crates/entry/src/routing_state.rs
+++ b/crates/entry/src/routing_state.rs
@@ -250,10 +250,7 @@
                 if offer <= 0.0 || wish.wanted <= 0.0 {
                     break;
                 }
-                let part = Borrow {
-                    wanted: wish.wanted.min(offer),
-                    ..wish.clone()
-                };
+                let part = self.shares.ask(&wish, wish.wanted.min(offer));
                 wish.wanted -= part.wanted;
                 questions.push((lender.clone(), part));
             }
--- a/crates/routing/src/share.rs
+++ b/crates/routing/src/share.rs
@@ -44,6 +44,8 @@
     pub epoch: u64,
     /// The roll whose limits are meant.
     pub roll: u64,
+    /// Names the question at the borrower, so that an answer counts once.
+    pub serial: u64,
 }
 
 /// The answer to a [`Borrow`].
@@ -51,6 +53,8 @@
 pub struct Lend {
     /// Which account's limit.
     pub account: ClientAccount,
+    /// The question's name.
+    pub serial: u64,
     /// Share of the limit that is lent, 0 to 1.
     pub lent: f64,
     /// How long, from when the question was asked.
@@ -70,6 +74,8 @@
     /// Smoothed share of the limit that is in use or asked for here.
     demand: f64,
     next_ask: Millis,
+    /// Questions that were not answered yet.
+    open: Vec<u64>,
 }
 
 /// The shares of one entry VM.
@@ -78,6 +84,7 @@
     options: ShareOptions,
     epoch: u64,
     base: f64,
+    next_serial: u64,
     accounts: IndexMap<ClientAccount, AccountShare>,
 }
 
@@ -85,6 +92,8 @@
 const KEPT_SHARE: f64 = 0.1;
 /// How much of a new sample enters the smoothed demand.
 const DEMAND_GAIN: f64 = 0.3;
+/// Questions whose answers are waited for.
+const MAX_OPEN: usize = 32;
 /// Spare share kept above the demand before lending.
 const LEND_HEADROOM: f64 = 1.25;
 
@@ -95,6 +104,7 @@
             options,
             epoch: 0,
             base: 0.0,
+            next_serial: 1,
             accounts: IndexMap::new(),
         }
     }
@@ -167,9 +177,26 @@
             wanted: wanted.min(1.0),
             epoch,
             roll,
+            serial: 0,
         })
     }
 
+    /// The question for part of a wish, to be put to one lender.
+    pub fn ask(&mut self, wish: &Borrow, wanted: f64) -> Borrow {
+        let serial = self.next_serial;
+        self.next_serial += 1;
+        let state = self.accounts.entry(wish.account.clone()).or_default();
+        // Answers that never came are forgotten, the oldest first.
+        let excess = (state.open.len() + 1).saturating_sub(MAX_OPEN);
+        state.open.drain(..excess);
+        state.open.push(serial);
+        Borrow {
+            wanted,
+            serial,
+            ..wish.clone()
+        }
+    }
+
     /// Answers a question: what is lent is given up first, until after the borrower has stopped.
     pub fn lend(&mut self, now: Millis, question: &Borrow, roll: u64) -> Lend {
         let account = question.account.clone();
@@ -188,6 +215,7 @@
         }
         Lend {
             account,
+            serial: question.serial,
             lent,
             loan: self.options.loan,
         }
@@ -200,6 +228,10 @@
             return;
         }
         let state = self.accounts.entry(answer.account.clone()).or_default();
+        let Some(index) = state.open.iter().position(|open| *open == answer.serial) else {
+            return;
+        };
+        state.open.remove(index);
         state.borrowed.retain(|loan| loan.until > now);
         state.borrowed.push(Loan {
             share: answer.lent,
