feat: affinity over three candidates of all failure domains; fix: a drain counts from when the engine obeys

Change: (1) three candidates wherever they are, 8 requests of slack, a slow replica that was set aside before is set aside again by one slow answer; (2) idle counts only from reports asked for after the leader itself was seen draining, plus the time evidence counts.

--- a/crates/placement/src/advance.rs
+++ b/crates/placement/src/advance.rs
@@ -26,8 +26,8 @@
     pub roll: u64,
     /// Whether groups may be replaced by ones of a newer version here.
     pub may_replace: bool,
-    /// When each draining group was first seen draining.
-    pub draining_since: &'a IndexMap<GroupId, Millis>,
+    /// Since when each draining group drains.
+    pub draining_since: &'a IndexMap<GroupId, DrainTimes>,
     /// Since when there have been more groups of a model than wanted.
     pub surplus_since: &'a IndexMap<ModelName, Millis>,
     /// Until when orders of an earlier coordinator may still be on their way.
@@ -36,6 +36,16 @@
     pub is_storm: bool,
 }
 
+/// How far a drain has come.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct DrainTimes {
+    /// Since when the record says so.
+    pub recorded: Millis,
+    /// Since when the leader's own reports say so. Until then senders that lag behind the record
+    /// may still take it for ready.
+    pub obeyed: Option<Millis>,
+}
+
 impl AdvanceContext<'_> {
     /// Whether a VM counts as dead. In a storm only the platform's word counts.
     pub(crate) fn is_dead(&self, vm: &VmId) -> bool {
@@ -204,22 +214,25 @@
     let Some(since) = context.draining_since.get(id) else {
         return false;
     };
-    let waited = context.now.since(*since);
+    let waited = context.now.since(since.recorded);
     if is_on(Mutation::ReleaseUndrained) {
         return true;
     }
     if waited >= context.options.max_drain {
         return true;
     }
+    let Some(obeyed) = since.obeyed else {
+        return false;
+    };
     let is_idle = record.members(id).all(|(vm, _)| {
         let view = context.views.get(vm);
         let report = view.and_then(|view| view.report.as_ref());
         report.is_some_and(|(asked, report)| {
             // Only a report asked for after everyone stopped sending says anything.
-            *asked >= *since + context.options.min_drain && report.running + report.queued == 0
+            *asked >= obeyed + context.options.min_drain && report.running + report.queued == 0
         })
     });
-    waited >= context.options.min_drain && is_idle
+    is_idle
 }
 
 /// Whether a group should make way for one of a newer version.
--- a/crates/placement/src/state.rs
+++ b/crates/placement/src/state.rs
@@ -3,13 +3,13 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
-use crate::advance::{AdvanceContext, advance};
+use crate::advance::{AdvanceContext, DrainTimes, advance};
 use crate::fence::TermFence;
 use crate::options::PlacementOptions;
 use crate::orders::due_orders;
 use crate::quota::WantedModel;
 use crate::record::{DomainRecord, GroupPhase};
-use crate::report::{EngineReport, VmOrder};
+use crate::report::{EnginePhase, EngineReport, VmOrder};
 use crate::views::{ListedState, VmListing, VmView};
 
 /// What became of a compare-and-swap.
@@ -132,7 +132,7 @@
     pending: Option<PendingSwap>,
     next_nonce: u64,
     ordered: IndexMap<VmId, Millis>,
-    draining_since: IndexMap<GroupId, Millis>,
+    draining_since: IndexMap<GroupId, DrainTimes>,
     surplus_since: IndexMap<ModelName, Millis>,
     read_asked: Option<Millis>,
     leads_since: Option<Millis>,
@@ -387,7 +387,29 @@
         };
         self.draining_since.retain(|id, _| is_draining(id));
         for id in record.groups.keys().filter(|id| is_draining(id)) {
-            self.draining_since.entry(id.clone()).or_insert(now);
+            let begun = DrainTimes {
+                recorded: now,
+                obeyed: None,
+            };
+            self.draining_since.entry(id.clone()).or_insert(begun);
+        }
+    }
+
+    /// Notes which draining groups' leaders say themselves that they drain.
+    fn note_drains(&mut self) {
+        let Some(record) = &self.record else {
+            return;
+        };
+        for (id, times) in &mut self.draining_since {
+            let leader = record.leader(id).and_then(|(vm, _)| self.views.get(vm));
+            let report = leader.and_then(|view| view.report.as_ref());
+            let Some((asked, report)) = report else {
+                continue;
+            };
+            let is_obeyed = report.phase != EnginePhase::Ready || report.group.as_ref() != Some(id);
+            if is_obeyed && times.obeyed.is_none() {
+                times.obeyed = Some(*asked);
+            }
         }
     }
 
@@ -475,6 +497,7 @@
             return actions;
         }
         self.note_surplus(now);
+        self.note_drains();
         if self.pending.is_none() {
             actions.extend(self.next_swap(now));
         }
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -34,6 +34,9 @@
     pub candidates: usize,
     /// How much more loaded than the second choice the first may be, in requests.
     pub affinity_slack: f64,
+    /// Whether candidates of the home failure domain come before all others. It saves the way
+    /// between failure domains and costs one copy of each prefix in every failure domain.
+    pub prefer_home: bool,
     /// Requests an upstream of the home failure domain may have more than one outside.
     pub home_slack: f64,
     /// Times the median latency beyond which an upstream is set aside.
@@ -52,9 +55,10 @@
     fn default() -> Self {
         Self {
             policy: BalancePolicy::Affinity,
-            candidates: 4,
-            affinity_slack: 3.0,
-            home_slack: 4.0,
+            candidates: 3,
+            affinity_slack: 8.0,
+            prefer_home: false,
+            home_slack: 0.0,
             slow_factor: 3.0,
             slow_floor_ms: 100.0,
             set_aside: Millis(5_000),
@@ -104,7 +108,7 @@
 /// Share of its turns an upstream takes when it is let back first.
 const FIRST_ADMISSION: f64 = 0.1;
 /// Longest time set aside, as a multiple of the first.
-const MAX_SET_ASIDE: u64 = 8;
+const MAX_SET_ASIDE: u64 = 24;
 /// Size of an account's subset in [`BalancePolicy::NestedSubsets`].
 const ACCOUNT_SUBSET: usize = 12;
 
@@ -183,7 +187,7 @@
             .filter(|fact| fact.failure_domain == *request.home)
             .take(count)
             .collect();
-        let pool: Vec<&RunnerFact> = match home.len() >= 2 {
+        let pool: Vec<&RunnerFact> = match self.options.prefer_home && home.len() >= 2 {
             true => {
                 let away = candidates.iter().copied();
                 let away = away.filter(|fact| fact.failure_domain != *request.home);
@@ -249,7 +253,12 @@
         let gain = if load.samples == 1 { 1.0 } else { LATENCY_GAIN };
         load.latency += (sample - load.latency) * gain;
         let slow = (median * self.options.slow_factor).max(self.options.slow_floor_ms);
-        let is_slow = load.samples >= MIN_SAMPLES && median > 0.0 && load.latency > slow;
+        // One that was set aside before has to prove itself with its first answer.
+        let needed = match load.set_asides {
+            0 => MIN_SAMPLES,
+            _ => 1,
+        };
+        let is_slow = load.samples >= needed && median > 0.0 && load.latency > slow;
         if is_slow {
             self.set_aside(now, id);
         } else if load.admission < 1.0 && sample <= slow {
