--- a/crates/entry/src/control/evidence.rs
+++ b/crates/entry/src/control/evidence.rs
@@ -127,7 +127,8 @@
         if news.is_own {
             return;
         }
-        for placement in self.placements.values_mut() {
+        let coordinated = self.placements.values_mut().filter(|p| p.is_coordinator());
+        for placement in coordinated {
             let Some(record) = placement.record() else {
                 continue;
             };
@@ -230,11 +231,6 @@
     /// Asks the engines that are this VM's to ask now.
     pub(super) fn probe_due(&mut self, now: Millis, actions: &mut Vec<ControlAction>) {
         let mut due: Vec<VmId> = Vec::new();
-        let near: Vec<String> = self
-            .roster
-            .trusted_near()
-            .map(|member| member.entry.to_string())
-            .collect();
         for placement in self.placements.values() {
             let leads = placement.is_coordinator();
             let Some(record) = placement.record() else {
@@ -248,7 +244,8 @@
                 };
                 let is_mine = match group {
                     Some((id, group)) if group.phase == GroupPhase::Serving => {
-                        self.is_prober(id, &near) || (leads && self.is_unsure(now, id, group.epoch))
+                        self.own_probes.contains(id)
+                            || (leads && self.is_unsure(now, id, group.epoch))
                     }
                     _ => leads,
                 };
@@ -276,13 +273,21 @@
         }
     }
 
-    fn is_prober(&self, id: &GroupId, near: &[String]) -> bool {
-        let key = hash_bytes(id.as_str().as_bytes());
-        let me = self.me().entry.as_str();
-        rendezvous_rank(key, near)
-            .into_iter()
-            .take(PROBERS)
-            .any(|entry| entry == me)
+    /// Works out which serving groups of this failure domain are this VM's to probe.
+    pub(super) fn choose_probes(&mut self) {
+        let me = self.me().entry.clone();
+        let near: Vec<EntryId> = self
+            .roster
+            .trusted_near()
+            .map(|member| member.entry.clone())
+            .collect();
+        let domain = &self.me().failure_domain;
+        let records = self.placements.values().filter_map(|p| p.record());
+        let groups = records
+            .filter(|record| record.failure_domain == *domain)
+            .flat_map(|record| record.groups.keys());
+        let own = groups.filter(|id| is_prober(id, &me, &near));
+        self.own_probes = own.cloned().collect();
     }
 
     /// Whether there is too little news of a group for its coordinator to be at ease.
@@ -293,3 +298,12 @@
         news.epoch != epoch || now.since(news.oldest).0 * 2 > self.options.evidence_max_age.0
     }
 }
+
+/// Whether fewer than [`PROBERS`] others come before `me` for a group.
+fn is_prober(id: &GroupId, me: &EntryId, near: &[EntryId]) -> bool {
+    let key = hash_bytes(id.as_str().as_bytes());
+    let rank = |entry: &EntryId| (rendezvous_score(key, entry.as_str()), entry.clone());
+    let mine = rank(me);
+    let before = near.iter().filter(|entry| rank(entry) > mine);
+    before.take(PROBERS).count() < PROBERS
+}
--- a/crates/entry/src/control/route.rs
+++ b/crates/entry/src/control/route.rs
@@ -20,10 +20,13 @@
 impl ControlState {
     pub(super) fn publish(&mut self, now: Millis, actions: &mut Vec<ControlAction>) {
         self.view_version += 1;
+        if self.roster_view.settled != self.roster.record().settled {
+            self.roster_view = Arc::new(self.roster.record().clone());
+        }
         let mut view = RouteView {
             version: self.view_version,
             force: self.force().cloned(),
-            roster: Arc::new(self.roster.record().clone()),
+            roster: Arc::clone(&self.roster_view),
             trusted: self
                 .roster
                 .record()
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -66,6 +66,12 @@
     pub(super) view_version: u64,
     pub(super) next_view: Millis,
     pub(super) next_share: Millis,
+    pub(super) next_lead: Millis,
+    pub(super) next_probe: Millis,
+    pub(super) next_placement: Millis,
+    /// Groups that are this VM's to probe.
+    pub(super) own_probes: IndexSet<GroupId>,
+    pub(super) roster_view: Arc<bergamot_roster::RosterRecord>,
 }
 
 impl ControlState {
@@ -96,6 +102,11 @@
             view_version: 0,
             next_view: Millis::ZERO,
             next_share: Millis::ZERO,
+            next_lead: Millis::ZERO,
+            next_probe: Millis::ZERO,
+            next_placement: Millis::ZERO,
+            own_probes: IndexSet::new(),
+            roster_view: Arc::default(),
         }
     }
 
@@ -184,9 +195,19 @@
             self.next_share = now + SHARE_PERIOD;
             self.share_wanted(now);
         }
-        self.choose_leads(now);
-        self.tick_placements(now, actions);
-        self.probe_due(now, actions);
+        if now >= self.next_lead {
+            self.next_lead = now + LEAD_PERIOD;
+            self.choose_leads(now);
+            self.choose_probes();
+        }
+        if now >= self.next_placement {
+            self.next_placement = now + PLACEMENT_PERIOD;
+            self.tick_placements(now, actions);
+        }
+        if now >= self.next_probe {
+            self.next_probe = now + PROBE_LOOK;
+            self.probe_due(now, actions);
+        }
         if now >= self.next_view {
             self.next_view = now + VIEW_PERIOD;
             self.publish(now, actions);
@@ -214,6 +235,8 @@
                 }
                 RosterAction::EpochChanged(epoch) => {
                     let record = self.roster.record().clone();
+                    self.roster_view = Arc::new(record.clone());
+                    self.next_lead = Millis::ZERO;
                     let members = record.members.len();
                     actions.push(note(format!(
                         "event=roster_changed epoch={epoch} members={members}"
@@ -333,9 +356,15 @@
 }
 
 /// Time between two snapshots for the callers' side.
-const VIEW_PERIOD: Millis = Millis(100);
+const VIEW_PERIOD: Millis = Millis(250);
 /// Time between two sharings of the wanted replicas.
-const SHARE_PERIOD: Millis = Millis(500);
+const SHARE_PERIOD: Millis = Millis(1_000);
+/// Time between two choices of who coordinates and who probes.
+const LEAD_PERIOD: Millis = Millis(500);
+/// Time between two looks at the groups coordinated here.
+const PLACEMENT_PERIOD: Millis = Millis(100);
+/// Time between two looks for engines that are due to be asked.
+const PROBE_LOOK: Millis = Millis(100);
 
 pub(super) fn note(line: String) -> ControlAction {
     ControlAction::Note(line)
--- a/crates/load/src/experiment/fabric.rs
+++ b/crates/load/src/experiment/fabric.rs
@@ -40,7 +40,7 @@
 }
 
 /// Models an engine holds.
-const HELD_MODELS: usize = 2;
+const HELD_MODELS: usize = 3;
 
 impl Lab {
     /// A new VM with an idle engine.
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,4 +6,6 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod capacity;
 pub mod experiment;
+pub mod traffic;
--- a/crates/placement/src/options.rs
+++ b/crates/placement/src/options.rs
@@ -76,7 +76,7 @@
             failures_per_vm_day: 0.0036,
             surplus_hold: Millis(60_000),
             warm_spares: true,
-            models_per_spare: 2,
+            models_per_spare: 3,
         }
     }
 }
--- a/crates/roster/src/state.rs
+++ b/crates/roster/src/state.rs
@@ -113,6 +113,8 @@
 
 /// Looks at the VM list that must all lack a VM before it counts as gone.
 const MISSING_LOOKS: u32 = 2;
+/// Time that news takes longer to go round for each member.
+const SPREAD_PER_MEMBER: Millis = Millis(25);
 /// Time between two proposals by one member.
 const PROPOSE_PERIOD: Millis = Millis(1_000);
 /// Silence of one's own clock, in heartbeat periods, that counts as a pause.
@@ -213,18 +215,20 @@
             self.counter = self.counter.wrapping_add(1);
             self.send_beats(&mut actions);
         }
-        if now >= self.next_propose
-            && let Some(next) = self.proposal(now)
-        {
+        if now >= self.next_propose {
             self.next_propose = now + PROPOSE_PERIOD;
-            actions.push(RosterAction::Propose(next));
+            actions.extend(self.proposal(now).map(RosterAction::Propose));
         }
         actions
     }
 
     fn raise_suspicions(&mut self, now: Millis, actions: &mut Vec<RosterAction>) {
+        // News of a member goes round in heartbeats of bounded size, so it takes longer to reach
+        // everyone the more members there are.
+        let patience =
+            self.options.suspect_after + Millis(self.news.len() as u64 * SPREAD_PER_MEMBER.0);
         for (entry, news) in &mut self.news {
-            let is_silent = now.since(news.heard_at) > self.options.suspect_after;
+            let is_silent = now.since(news.heard_at) > patience;
             if is_silent && !news.is_suspect {
                 news.is_suspect = true;
                 news.recovery = 0;
--- a/crates/routing/src/runner.rs
+++ b/crates/routing/src/runner.rs
@@ -72,9 +72,13 @@
     /// Takes over the routable upstreams; loads of those that stay are kept.
     pub fn replace(&mut self, facts: Vec<RunnerFact>) {
         let mut next = IndexMap::with_capacity(facts.len());
-        for fact in facts {
+        for mut fact in facts {
             let load = self.loads.entry(fact.id.clone()).or_default();
             let old = self.facts.get(&fact.id);
+            // Evidence that came with answers may be newer than what was published.
+            if let Some(old) = old.filter(|old| old.epoch == fact.epoch) {
+                fact.evidence_at = fact.evidence_at.max(old.evidence_at);
+            }
             let is_new_report = old.is_none_or(|old| fact.reported_at > old.reported_at);
             if is_new_report {
                 load.sent_since_report = 0;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -48,7 +48,7 @@
             prefixes: 256,
             load_lag: Duration::from_millis(300),
             event_lag_ms: 2_000,
-            warm_models: 2,
+            warm_models: 3,
         }
     }
 }
