--- a/crates/load/src/capacity/decisions.rs
+++ b/crates/load/src/capacity/decisions.rs
@@ -276,7 +276,7 @@
     /// every group of this failure domain.
     fn hear_peers(&mut self) {
         const PEERS: usize = 3;
-        const FACTS: usize = 24;
+        const FACTS: usize = 60;
         const EVIDENCE: usize = 40;
         self.counter += 1;
         let members = self.state.roster().record().members.clone();
--- a/crates/roster/src/state.rs
+++ b/crates/roster/src/state.rs
@@ -33,7 +33,7 @@
             period: Millis(500),
             near_peers: 2,
             far_peers: 1,
-            facts_per_beat: 24,
+            facts_per_beat: 60,
             suspect_after: Millis(3_000),
             recover_beats: 3,
             unlisted_grace: Millis(120_000),
@@ -113,8 +113,8 @@
 
 /// Looks at the VM list that must all lack a VM before it counts as gone.
 const MISSING_LOOKS: u32 = 2;
-/// Time that news takes longer to go round for each member.
-const SPREAD_PER_MEMBER: Millis = Millis(25);
+/// Heartbeat periods that news takes longer to go round for each member.
+const SPREAD_PERIODS_PER_MEMBER: f64 = 0.2;
 /// Time between two proposals by one member.
 const PROPOSE_PERIOD: Millis = Millis(1_000);
 /// Silence of one's own clock, in heartbeat periods, that counts as a pause.
@@ -224,10 +224,28 @@
 
     fn raise_suspicions(&mut self, now: Millis, actions: &mut Vec<RosterAction>) {
         // News of a member goes round in heartbeats of bounded size, so it takes longer to reach
-        // everyone the more members there are.
-        let patience =
-            self.options.suspect_after + Millis(self.news.len() as u64 * SPREAD_PER_MEMBER.0);
+        // everyone the more members there are, and longest from another failure domain.
+        let is_near = |entry: &EntryId| {
+            let member = self.record.member(entry);
+            member.is_some_and(|m| m.failure_domain == self.me.failure_domain)
+        };
+        let near = self.news.keys().filter(|entry| is_near(entry)).count() as u64;
+        let base = self.options.suspect_after;
+        let spread = |members: u64| {
+            let periods = members as f64 * SPREAD_PERIODS_PER_MEMBER;
+            Millis((periods * self.options.period.0 as f64) as u64)
+        };
+        let near_patience = base + spread(near);
+        let all = self.news.len() as u64;
+        let far_patience = base + base + spread(all);
+        let record = &self.record;
+        let home = &self.me.failure_domain;
         for (entry, news) in &mut self.news {
+            let member = record.member(entry);
+            let patience = match member.is_some_and(|m| m.failure_domain == *home) {
+                true => near_patience,
+                false => far_patience,
+            };
             let is_silent = now.since(news.heard_at) > patience;
             if is_silent && !news.is_suspect {
                 news.is_suspect = true;
@@ -254,20 +272,29 @@
                 .collect()
         };
         let mut targets = self.rotate(&others(true), self.options.near_peers);
-        targets.extend(self.rotate(&others(false), self.options.far_peers));
+        // A failure domain with few members makes up for it outside.
+        let lacking = self.options.near_peers - targets.len();
+        targets.extend(self.rotate(&others(false), self.options.far_peers + lacking));
         let beat = self.beat();
         for target in targets {
             actions.push(RosterAction::Send(target, beat.clone()));
         }
     }
 
-    /// Picks `count` members, others with each period, so that every pair talks in time.
+    /// Picks `count` members, others with each period and different ones for each sender: were
+    /// all to walk the members in the same order, they would all write to the same one.
     fn rotate(&self, members: &[&Member], count: usize) -> Vec<Member> {
-        let size = members.len();
-        let start = self.rotation.wrapping_mul(count);
-        (0..count.min(size))
-            .map(|step| members[(start + step) % size].clone())
-            .collect()
+        let key = self.rotation as u64;
+        let mut ranked: Vec<(u64, &Member)> = members
+            .iter()
+            .map(|member| {
+                let mine = rendezvous_score(key, self.me.entry.as_str());
+                (rendezvous_score(mine, member.entry.as_str()), *member)
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(score, _)| *score);
+        let chosen = ranked.into_iter().take(count);
+        chosen.map(|(_, member)| member.clone()).collect()
     }
 
     fn beat(&self) -> Heartbeat {
@@ -276,16 +303,24 @@
             .iter()
             .filter(|(_, news)| !news.is_suspect)
             .collect();
-        recent.sort_by_key(|(_, news)| std::cmp::Reverse(news.heard_at));
-        let size = recent.len();
-        let take = self.options.facts_per_beat.min(size);
-        // Half are the freshest, half rotate, so that no member's news dies out.
-        let fresh = take.div_ceil(2);
-        let rotating = (0..take - fresh).map(|step| {
-            let index = (self.rotation.wrapping_mul(take) + step) % size.max(1);
-            recent[index]
-        });
-        let chosen: Vec<_> = recent.iter().copied().take(fresh).chain(rotating).collect();
+        // Drawn anew each time, and for each sender: by freshness, news would be passed on for one
+        // period only and die out before it has gone round.
+        let turn = rendezvous_score(self.rotation as u64, self.me.entry.as_str());
+        recent.sort_by_cached_key(|(entry, _)| rendezvous_score(turn, entry.as_str()));
+        // Members of the same failure domain matter most: they share coordination and probes.
+        let is_near = |entry: &EntryId| {
+            let member = self.record.member(entry);
+            member.is_some_and(|m| m.failure_domain == self.me.failure_domain)
+        };
+        let (near, far): (Vec<_>, Vec<_>) =
+            recent.into_iter().partition(|(entry, _)| is_near(entry));
+        let most = self.options.facts_per_beat;
+        let near_take = near
+            .len()
+            .min((most * 2 / 3).max(most.saturating_sub(far.len())));
+        let far_take = most - near_take;
+        let near = near.into_iter().take(near_take);
+        let chosen: Vec<_> = near.chain(far.into_iter().take(far_take)).collect();
         let hash = |entry: &EntryId| {
             let member = self.record.member(entry);
             member.map_or(0, |m| LivenessFact::member_hash(entry, m.incarnation))
