fix: overload keeps its goodput, and a large account's queue no longer refuses a small one

A small account was refused for the wait behind a large one's queue, though accounts take turns. Ruled out: the order of turns; it was right. Change: what cannot end in time, by what a quick request takes, is refused at once; the expected wait counts other accounts only as far as turns reach; a full queue makes room from the longest.

--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -78,12 +78,16 @@
     waiting: IndexMap<u8, IndexMap<ClientAccount, VecDeque<AdmissionRequest>>>,
     waiting_count: usize,
     running: usize,
-    /// Smoothed time a request occupies its place.
+    /// Smoothed time a request occupies its place, in milliseconds.
     service_time: f64,
+    /// What a quick request takes, in milliseconds: less than this is not enough for any.
+    quick_time: f64,
 }
 
 /// How much of a new sample enters the smoothed service time.
 const SERVICE_GAIN: f64 = 0.05;
+/// How fast the quick time follows shorter and longer samples.
+const QUICK_GAINS: (f64, f64) = (0.2, 0.02);
 /// Service time assumed before the first sample, in milliseconds.
 const FIRST_SERVICE_MS: f64 = 200.0;
 
@@ -97,6 +101,7 @@
             waiting_count: 0,
             running: 0,
             service_time: FIRST_SERVICE_MS,
+            quick_time: 0.0,
         }
     }
 
@@ -180,11 +185,12 @@
     }
 
     fn enqueue(&mut self, now: Millis, request: AdmissionRequest) -> AdmissionOutcome {
-        let wait = self.expected_wait(request.priority);
-        if now + wait > request.deadline {
+        let wait = self.expected_wait(&request);
+        // To be served too late is to be served in vain, in the place of one that is not too late.
+        if now + wait + self.quick_time() > request.deadline {
             return AdmissionOutcome::Refused(ErrorKind::Overloaded, wait);
         }
-        if self.waiting_count >= self.options.queue && !self.shed_less_urgent(&request) {
+        if self.waiting_count >= self.options.queue && !self.shed_for(&request) {
             return AdmissionOutcome::Refused(ErrorKind::Overloaded, wait);
         }
         let queue = self.waiting.entry(request.priority).or_default();
@@ -194,32 +200,56 @@
         AdmissionOutcome::Queued
     }
 
-    /// The wait behind everything as urgent as this, at the pace of late.
-    fn expected_wait(&self, priority: u8) -> Millis {
-        let before: usize = self
-            .waiting
-            .iter()
-            .filter(|(other, _)| **other <= priority)
-            .flat_map(|(_, accounts)| accounts.values())
-            .map(VecDeque::len)
-            .sum();
+    fn quick_time(&self) -> Millis {
+        Millis(self.quick_time as u64)
+    }
+
+    /// The wait behind everything more urgent and, as accounts take turns, behind as many requests
+    /// of each other account as this one's own has waiting; at the pace of late.
+    fn expected_wait(&self, request: &AdmissionRequest) -> Millis {
+        let own = self.waiting_of(request.priority, &request.account) + 1;
+        let mut before = 0;
+        for (priority, accounts) in &self.waiting {
+            for (account, queue) in accounts {
+                before += match priority.cmp(&request.priority) {
+                    std::cmp::Ordering::Less => queue.len(),
+                    std::cmp::Ordering::Equal if *account == request.account => queue.len(),
+                    std::cmp::Ordering::Equal => queue.len().min(own),
+                    std::cmp::Ordering::Greater => 0,
+                };
+            }
+        }
         let places = self.options.concurrency.max(1) as f64;
         Millis((before as f64 * self.service_time / places) as u64)
     }
 
-    /// Marks a waiting request that is less urgent than `request` to be refused.
-    fn shed_less_urgent(&mut self, request: &AdmissionRequest) -> bool {
-        let least = self
+    fn waiting_of(&self, priority: u8, account: &ClientAccount) -> usize {
+        let accounts = self.waiting.get(&priority);
+        let queue = accounts.and_then(|accounts| accounts.get(account));
+        queue.map_or(0, VecDeque::len)
+    }
+
+    /// Marks a waiting request to be refused in favour of `request`: one that is less urgent, or
+    /// one of an account that has more waiting.
+    fn shed_for(&mut self, request: &AdmissionRequest) -> bool {
+        let own = self.waiting_of(request.priority, &request.account) + 1;
+        let is_before = |priority: u8, length: usize| {
+            priority > request.priority || (priority == request.priority && length > own)
+        };
+        let victim = self
             .waiting
             .iter_mut()
-            .filter(|(priority, _)| **priority > request.priority)
-            .filter(|(_, accounts)| accounts.values().any(|queue| !queue.is_empty()))
-            .max_by_key(|(priority, _)| **priority);
-        let Some((_, accounts)) = least else {
+            .flat_map(|(priority, accounts)| {
+                let queues = accounts.values_mut();
+                queues.map(move |queue| (*priority, queue))
+            })
+            .filter(|(priority, queue)| is_before(*priority, queue.len()))
+            .max_by_key(|(priority, queue)| (*priority, queue.len()));
+        let Some((_, queue)) = victim else {
             return false;
         };
-        let longest = accounts.values_mut().max_by_key(|queue| queue.len());
-        let Some(last) = longest.and_then(VecDeque::back_mut) else {
+        let is_fresh = |waiting: &&mut AdmissionRequest| waiting.deadline > Millis::ZERO;
+        let Some(last) = queue.iter_mut().rev().find(is_fresh) else {
             return false;
         };
         // It is refused with the next poll; its place counts as free from now on.
@@ -237,7 +267,13 @@
     /// Ends a request that was admitted, after `took`.
     pub fn release(&mut self, account: &ClientAccount, took: Millis) {
         self.running = self.running.saturating_sub(1);
-        self.service_time += (took.0 as f64 - self.service_time) * SERVICE_GAIN;
+        let took = took.0 as f64;
+        self.service_time += (took - self.service_time) * SERVICE_GAIN;
+        let gain = match took < self.quick_time {
+            true => QUICK_GAINS.0,
+            false => QUICK_GAINS.1,
+        };
+        self.quick_time += (took - self.quick_time) * gain;
         if let Some(state) = self.accounts.get_mut(account) {
             state.running = state.running.saturating_sub(1);
         }
@@ -270,13 +306,14 @@
 
     fn refuse_late(&mut self, now: Millis) -> Vec<Admitted> {
         let mut refused = Vec::new();
+        let needed = self.quick_time();
         for queue in self.waiting.values_mut().flat_map(|a| a.values_mut()) {
             queue.retain(|request| {
-                let is_late = request.deadline <= now;
+                let is_late = request.deadline < now + needed;
                 if is_late {
-                    let refusal = match request.deadline == Millis::ZERO {
-                        true => ErrorKind::Overloaded,
-                        false => ErrorKind::DeadlineBeforeSend,
+                    let refusal = match request.deadline <= now && request.deadline > Millis::ZERO {
+                        true => ErrorKind::DeadlineBeforeSend,
+                        false => ErrorKind::Overloaded,
                     };
                     refused.push(Admitted {
                         ticket: request.ticket,
