--- a/crates/load/src/capacity/decisions.rs
+++ b/crates/load/src/capacity/decisions.rs
@@ -340,7 +340,7 @@
         let started = Instant::now();
         for _ in 0..1_000 / TICK {
             self.now = self.now + Millis(TICK);
-            if self.now.0 % 500 == 0 {
+            if self.now.0.is_multiple_of(500) {
                 self.hear_peers();
             }
             self.feed(ControlEvent::Tick);
--- a/crates/load/src/traffic/run.rs
+++ b/crates/load/src/traffic/run.rs
@@ -123,7 +123,7 @@
     }
     let prefix = random.random_range(0..options.prefixes);
     // The first characters decide the prefix; the number makes each answer the caller's own.
-    let prompt = format!("{:064}{id}", prefix);
+    let prompt = format!("{prefix:064}{id}");
     let kind = CallKind::Chat {
         prompt,
         tokens: random.random_range(1..=options.most_tokens),
--- a/crates/placement/src/advance.rs
+++ b/crates/placement/src/advance.rs
@@ -224,15 +224,14 @@
     let Some(obeyed) = since.obeyed else {
         return false;
     };
-    let is_idle = record.members(id).all(|(vm, _)| {
+    record.members(id).all(|(vm, _)| {
         let view = context.views.get(vm);
         let report = view.and_then(|view| view.report.as_ref());
         report.is_some_and(|(asked, report)| {
             // Only a report asked for after everyone stopped sending says anything.
             *asked >= obeyed + context.options.min_drain && report.running + report.queued == 0
         })
-    });
-    is_idle
+    })
 }
 
 /// Whether a group should make way for one of a newer version.
--- a/crates/placement/src/state.rs
+++ b/crates/placement/src/state.rs
@@ -131,7 +131,7 @@
     may_replace: bool,
     pending: Option<PendingSwap>,
     next_nonce: u64,
-    ordered: IndexMap<VmId, Millis>,
+    ordered: IndexMap<VmId, (Millis, VmOrder)>,
     draining_since: IndexMap<GroupId, DrainTimes>,
     surplus_since: IndexMap<ModelName, Millis>,
     read_asked: Option<Millis>,
@@ -263,9 +263,8 @@
                 self.leads_since = leads.then(|| since.unwrap_or(now));
                 self.leads = leads;
             }
-            PlacementEvent::Ordered { vm } => {
-                self.ordered.swap_remove(&vm);
-            }
+            // What an order did shows in the next report; until that is due it is not repeated.
+            PlacementEvent::Ordered { .. } => {}
         }
         Vec::new()
     }
@@ -586,14 +585,13 @@
         };
         let orders = due_orders(record, &self.context(now), term);
         for (vm, order) in orders {
-            let is_waiting = self
-                .ordered
-                .get(&vm)
-                .is_some_and(|sent| now.since(*sent) < self.options.order_timeout);
+            let is_waiting = self.ordered.get(&vm).is_some_and(|(sent, before)| {
+                *before == order && now.since(*sent) < self.options.order_timeout
+            });
             if is_waiting {
                 continue;
             }
-            self.ordered.insert(vm.clone(), now);
+            self.ordered.insert(vm.clone(), (now, order.clone()));
             if let Some(view) = self.views.get_mut(&vm) {
                 view.ordered_until = now + self.options.order_timeout;
             }
--- a/crates/proof/tests/claims.rs
+++ b/crates/proof/tests/claims.rs
@@ -211,10 +211,10 @@
                 }
             }
             Message::Ask(from, to, incarnation, asked) => {
-                self.take_ask(from, to, incarnation, asked)
+                self.take_ask(from, to, incarnation, asked);
             }
             Message::Verdict(node, incarnation, key, asker, verdict) => {
-                self.take_verdict(node, incarnation, key, asker, verdict);
+                self.take_verdict(node, incarnation, key, asker, &verdict);
             }
             Message::Tick(node, incarnation) => {
                 if self.is_live(node, incarnation) {
@@ -323,7 +323,7 @@
         incarnation: u64,
         key: ClaimKey,
         asker: ClaimAsker,
-        verdict: Verdict,
+        verdict: &Verdict,
     ) {
         if !self.is_live(node, incarnation) {
             return;
@@ -564,7 +564,7 @@
                 self.cut = [Some(0), Some(1), Some(2)]
                     .choose(&mut self.random)
                     .copied()
-                    .flatten()
+                    .flatten();
             }
             7..9 => self.cut = None,
             _ => self.weather.loss = self.random.random_range(0.0..0.3),
--- a/crates/proof/tests/control.rs
+++ b/crates/proof/tests/control.rs
@@ -306,7 +306,7 @@
             Message::Probe(node, incarnation, vm) => self.probe(node, incarnation, vm),
             Message::Order(node, incarnation, vm, order) => {
                 let now = self.now;
-                self.engines.obey(now, &vm, order);
+                self.engines.obey(now, &vm, &order);
                 let event = ControlEvent::Ordered { vm };
                 self.reply(node, incarnation, event);
             }
@@ -314,7 +314,7 @@
                 self.read(node, incarnation, key, started);
             }
             Message::Swap(node, incarnation, key, expected, value, nonce) => {
-                self.swap(node, incarnation, &key, expected, value, nonce)?;
+                self.swap(node, incarnation, &key, expected, &value, nonce)?;
             }
             Message::AskRoll(node, incarnation, peer, newer_than) => {
                 let force = self.nodes[peer].state.force().cloned();
@@ -334,7 +334,7 @@
             Message::Sync(node, incarnation) => self.sync(node, incarnation),
             Message::ListRead(node, incarnation) => self.list(node, incarnation),
             Message::Request => self.request(),
-            Message::Arrive(node, vm, sent) => self.arrive(node, vm, sent)?,
+            Message::Arrive(node, vm, sent) => self.arrive(node, &vm, sent)?,
             Message::Complete(key) => self.engines.complete(&key),
             Message::Probed(node, incarnation, upstream, members, asked) => {
                 self.take_probed(node, incarnation, &upstream, &members, asked);
@@ -519,17 +519,17 @@
         incarnation: u64,
         key: &str,
         expected: i64,
-        value: Vec<u8>,
+        value: &[u8],
         nonce: u64,
     ) -> Result<(), String> {
         if !self.store.is_up(self.now) || self.is_off_platform(node) {
             return Ok(());
         }
-        let outcome = match self.store.cas(key, expected, value.clone()) {
+        let outcome = match self.store.cas(key, expected, value.to_vec()) {
             Some(revision) => {
-                self.check_written(key, &value)?;
+                self.check_written(key, value)?;
                 if std::env::var_os("BERGAMOT_TRACE").is_some()
-                    && let Ok(record) = serde_json::from_slice::<DomainRecord>(&value)
+                    && let Ok(record) = serde_json::from_slice::<DomainRecord>(value)
                 {
                     let groups = record.groups.iter();
                     let groups: Vec<String> = groups
@@ -687,9 +687,9 @@
         }
     }
 
-    fn arrive(&mut self, node: usize, vm: VmId, sent: Millis) -> Result<(), String> {
+    fn arrive(&mut self, node: usize, vm: &VmId, sent: Millis) -> Result<(), String> {
         // A VM that is cut off from the list cannot know.
-        if let Some(since) = self.leaving.get(&vm)
+        if let Some(since) = self.leaving.get(vm)
             && !self.is_off_platform(node)
             && sent.since(*since) > LEAVING_GRACE
             && sent.since(self.last_disturbed) > LEAVING_GRACE
@@ -699,7 +699,7 @@
             ));
         }
         let now = self.now;
-        match self.engines.accept(now, &vm) {
+        match self.engines.accept(now, vm) {
             None => self.refused += 1,
             Some(key) => {
                 self.served += 1;
--- a/crates/proof/tests/support/engines.rs
+++ b/crates/proof/tests/support/engines.rs
@@ -101,7 +101,7 @@
         self.broken.insert(key);
     }
 
-    pub fn obey(&mut self, now: Millis, vm: &VmId, order: VmOrder) {
+    pub fn obey(&mut self, now: Millis, vm: &VmId, order: &VmOrder) {
         self.finish_loading(now, vm);
         if !self.answers(now, vm) {
             return;
@@ -119,7 +119,7 @@
                     return;
                 }
                 self.leave_group(vm, "a join");
-                self.join(now, vm, &order, model.clone(), members.clone());
+                self.join(now, vm, order, model.clone(), members.clone());
             }
             OrderKind::Drain if is_mine => {
                 let report = &mut self.engines[vm].report;
