--- a/crates/entry/src/duty/platform.rs
+++ b/crates/entry/src/duty/platform.rs
@@ -45,6 +45,7 @@
     });
     let tuning = &settings.tuning;
     tokio::spawn(sync_loop(Arc::clone(&platform), tuning.sync_period));
+    tokio::spawn(roster_loop(Arc::clone(&platform), tuning.roster_period));
     tokio::spawn(list_loop(Arc::clone(&platform), tuning.vm_list_period));
     tokio::spawn(watch_loop(Arc::clone(&platform)));
     tokio::spawn(remote_loop(Arc::clone(&platform), tuning.remote_period));
@@ -174,11 +175,11 @@
 }
 
 async fn sync_loop(platform: Arc<Platform>, period: Millis) {
-    repeat(period, || async {
-        let roll = platform.read(ROLL_KEY).await;
-        roll && platform.read(ROSTER_KEY).await
-    })
-    .await;
+    repeat(period, || platform.read(ROLL_KEY)).await;
+}
+
+async fn roster_loop(platform: Arc<Platform>, period: Millis) {
+    repeat(period, || platform.read(ROSTER_KEY)).await;
 }
 
 async fn remote_loop(platform: Arc<Platform>, period: Millis) {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -89,8 +89,10 @@
     pub probe_period: Millis,
     /// Time for one probe or order.
     pub probe_timeout: Millis,
-    /// Time between reads of the roll and the roster.
+    /// Time between reads of the roll.
     pub sync_period: Millis,
+    /// Time between reads of the roster. Peers tell of a newer one in between.
+    pub roster_period: Millis,
     /// Time between reads of the VM list.
     pub vm_list_period: Millis,
     /// Time between reads of other failure domains' groups.
@@ -134,6 +136,7 @@
             probe_period: Millis(1_000),
             probe_timeout: Millis(500),
             sync_period: Millis(1_000),
+            roster_period: Millis(1_000),
             vm_list_period: Millis(1_000),
             remote_period: Millis(3_000),
             platform_timeout: Millis(1_000),
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -101,6 +101,11 @@
         engine
     }
 
+    /// Requests it is generating for now.
+    pub fn running(&self) -> u32 {
+        self.places.counts().0
+    }
+
     fn tell_fabric(&self, state: &EngineState) {
         let is_ready = matches!(
             state.report.phase,
