--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -9,12 +9,12 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod event;
 pub mod record;
 pub mod state;
 pub mod takeover;
 
+pub use event::{ClaimAction, ClaimAsk, ClaimEvent, CopyChange, FinishOutcome};
 pub use record::{ClaimAsker, ClaimKey, ClaimPhase, ClaimRecord, ClaimSerial, KeptAnswer, Verdict};
-pub use state::{
-    ClaimAction, ClaimAsk, ClaimEvent, ClaimOptions, ClaimState, CopyChange, FinishOutcome,
-};
+pub use state::{ClaimOptions, ClaimState};
 pub use takeover::SlotPhase;
--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -17,22 +17,8 @@
 pub struct CallContext {
     /// What every request needs.
     pub front: Arc<FrontContext>,
-    /// The request's name.
-    pub id: RequestId,
-    /// Whose request.
-    pub account: ClientAccount,
-    /// Its priority at the upstream.
-    pub priority: u8,
-    /// Which upstreams it may go to.
-    pub route: RouteName,
-    /// Hash of the prompt's first part.
-    pub prefix: u64,
-    /// Whether it may run twice.
-    pub is_idempotent: bool,
-    /// When it came in.
-    pub arrived: Millis,
-    /// When its answer is of no use any more.
-    pub deadline: Millis,
+    /// What the request is.
+    pub spec: CallSpec,
     pool: PoolKind,
     tried: Vec<UpstreamId>,
     attempts: u32,
@@ -160,14 +146,7 @@
         shared.routing.lock().retries().note_request();
         Ok(Self {
             front: Arc::clone(front),
-            id: spec.id,
-            account: spec.account,
-            priority: spec.priority,
-            route: spec.route,
-            prefix: spec.prefix,
-            is_idempotent: spec.is_idempotent,
-            arrived: spec.arrived,
-            deadline: spec.deadline,
+            spec,
             pool,
             tried: Vec::new(),
             attempts: 0,
@@ -211,7 +190,7 @@
         let max = self.front.shared.settings.tuning.max_attempts;
         loop {
             let now = self.now();
-            if now >= self.deadline {
+            if now >= self.spec.deadline {
                 return Err(ErrorKind::DeadlineBeforeSend);
             }
             if self.attempts >= max {
@@ -219,11 +198,11 @@
             }
             match self.pick(now) {
                 Choice::Upstream(fact) => {
-                    let attempt = Attempt::plan(fact.id.clone(), self.is_idempotent);
+                    let attempt = Attempt::plan(fact.id.clone(), self.spec.is_idempotent);
                     return Ok((fact, attempt));
                 }
                 Choice::Probe(fact) => {
-                    if !probe_group(&self.front, &self.route, &fact).await {
+                    if !probe_group(&self.front, &self.spec.route, &fact).await {
                         self.tried.push(fact.id);
                     }
                 }
@@ -236,20 +215,20 @@
     fn pick(&self, now: Millis) -> Choice {
         let shared = &self.front.shared;
         let request = PickRequest {
-            account: &self.account,
-            prefix: self.prefix,
+            account: &self.spec.account,
+            prefix: self.spec.prefix,
             home: &shared.settings.failure_domain,
             tried: &self.tried,
         };
-        shared.routing.lock().pick(now, &self.route, &request)
+        shared.routing.lock().pick(now, &self.spec.route, &request)
     }
 
     /// Notes that a request is about to leave for an upstream.
     pub fn note_sent(&mut self, fact: &RunnerFact) {
         self.attempts += 1;
         self.sends_without_refusal += 1;
-        let may_send = self.is_idempotent || self.sends_without_refusal == 1;
-        Invariant::AtMostOnce.check(may_send, || format!("request={} sent again", self.id));
+        let may_send = self.spec.is_idempotent || self.sends_without_refusal == 1;
+        Invariant::AtMostOnce.check(may_send, || format!("request={} sent again", self.spec.id));
         let shared = &self.front.shared;
         let max_age = shared.settings.balance.evidence_max_age;
         let age = self.now().since(fact.evidence_at);
@@ -258,7 +237,7 @@
             format!("upstream={} evidence_age_ms={age}", fact.id)
         });
         let mut routing = shared.routing.lock();
-        if let Some(balancer) = routing.balancer(&self.route) {
+        if let Some(balancer) = routing.balancer(&self.spec.route) {
             balancer.note_sent(&fact.id);
         }
     }
@@ -269,7 +248,7 @@
         let attempts = &shared.metrics.attempts;
         attempts.with_label_values(&[self.kind(), outcome]).inc();
         let mut routing = shared.routing.lock();
-        if let Some(balancer) = routing.balancer(&self.route) {
+        if let Some(balancer) = routing.balancer(&self.spec.route) {
             balancer.note_ended(&fact.id);
         }
     }
@@ -279,7 +258,7 @@
         let now = self.now();
         let shared = &self.front.shared;
         let mut routing = shared.routing.lock();
-        if let Some(balancer) = routing.balancer(&self.route) {
+        if let Some(balancer) = routing.balancer(&self.spec.route) {
             balancer.note_latency(now, &fact.id, now.since(sent));
             balancer.note_evidence(&fact.id, fact.epoch, sent);
         }
@@ -304,7 +283,7 @@
         self.tried.push(fact.id.clone());
         let shared = &self.front.shared;
         let mut routing = shared.routing.lock();
-        if let Some(balancer) = routing.balancer(&self.route) {
+        if let Some(balancer) = routing.balancer(&self.spec.route) {
             balancer.note_failed(now, &fact.id);
         }
         if failed.next == NextStep::OutcomeUnknown {
--- a/crates/entry/src/front/claimed.rs
+++ b/crates/entry/src/front/claimed.rs
@@ -76,9 +76,11 @@
     Granted(GrantedClaim),
     /// The first answer.
     Replay(CallerAnswer),
+    /// It may run twice, or its caller named no key.
+    NotNeeded,
 }
 
-/// Asks for the claim of a request with a key.
+/// Asks for the claim of a non-idempotent request with a key.
 ///
 /// # Errors
 /// The verdict, if the request must not run.
@@ -86,8 +88,12 @@
     front: &Arc<FrontContext>,
     request: &CallerRequest,
     account: &ClientAccount,
-    key: &str,
+    is_idempotent: bool,
 ) -> Result<ClaimOutcome, Refusal> {
+    let key = request.idempotency_key.as_deref();
+    let Some(key) = key.filter(|_| !is_idempotent) else {
+        return Ok(ClaimOutcome::NotNeeded);
+    };
     let shared = &front.shared;
     let key = ClaimKey::of(account, key);
     let body = fingerprint(request);
--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -76,12 +76,10 @@
         .ok_or(ErrorKind::NotFound)?;
     allow(&model.accounts, account)?;
     let is_idempotent = !request.at_most_once;
-    let claimed = match (&request.idempotency_key, is_idempotent) {
-        (Some(key), false) => match claim(front, &request, &account.name, key).await? {
-            ClaimOutcome::Replay(answer) => return Ok(answer),
-            ClaimOutcome::Granted(granted) => Some(granted),
-        },
-        _ => None,
+    let claimed = match claim(front, &request, &account.name, is_idempotent).await? {
+        ClaimOutcome::Replay(answer) => return Ok(answer),
+        ClaimOutcome::Granted(granted) => Some(granted),
+        ClaimOutcome::NotNeeded => None,
     };
     let spec = CallSpec {
         id: request.id.clone(),
@@ -211,7 +209,7 @@
                 call.note_ended(&fact, outcome_name(outcome));
                 log::info!(
                     "event=attempt_failed request={} upstream={} offset={} reason={reason:?}",
-                    call.id,
+                    call.spec.id,
                     fact.id,
                     resume.next_offset()
                 );
@@ -219,7 +217,7 @@
                 if let Err(kind) = call.after_failure(&fact, FailedAttempt { outcome, next }) {
                     return DriveOutcome::Failed(call.truthful(kind));
                 }
-                if call.now() >= call.deadline {
+                if call.now() >= call.spec.deadline {
                     return DriveOutcome::Failed(call.truthful(late(call)));
                 }
                 if resume.next_offset() > 0 {
@@ -245,7 +243,7 @@
     sink: &mut PieceSink,
 ) -> StreamOutcome {
     let sent_at = call.now();
-    let left = call.deadline.since(sent_at).as_duration();
+    let left = call.spec.deadline.since(sent_at).as_duration();
     let sent = call.front.client.send(fact.addr, outgoing);
     let reply = match tokio::time::timeout(left, sent).await {
         Ok(Ok(reply)) => reply,
@@ -333,7 +331,7 @@
         None => {
             call.note_first(fact, sent_at);
             if offset == 0 {
-                let took = now.since(call.arrived).as_secs_f64();
+                let took = now.since(call.spec.arrived).as_secs_f64();
                 let histogram = &metrics.first_token;
                 histogram.with_label_values(&["model"]).observe(took);
             }
@@ -358,7 +356,7 @@
             if self.parser.is_overlong() {
                 return Err(Error::Malformed("an event is too long".to_owned()));
             }
-            let left = call.deadline.since(call.now()).min(self.idle);
+            let left = call.spec.deadline.since(call.now()).min(self.idle);
             let frame = tokio::time::timeout(left.as_duration(), self.reply.body_mut().frame());
             let frame = match frame.await {
                 Err(_) => return Err(Error::Timeout),
@@ -387,14 +385,14 @@
             count(front, "ok");
             let kept = sink.kept.take().unwrap_or_default();
             if let Some(granted) = claimed {
-                let (kind, body) = kept_answer(&kept, &call.id, is_chat, is_stream);
+                let (kind, body) = kept_answer(&kept, &call.spec.id, is_chat, is_stream);
                 granted.answered(StatusCode::OK, kind, Some(body.as_bytes()));
             }
         }
         DriveOutcome::CallerLeft => count(front, "caller_left"),
         DriveOutcome::Failed(kind) => {
             let is_true = kind.answer().ran != RanState::No || !call.maybe_ran();
-            Invariant::NotRunIsTrue.check(is_true, || format!("request={} {kind}", call.id));
+            Invariant::NotRunIsTrue.check(is_true, || format!("request={} {kind}", call.spec.id));
             count(front, kind.code());
             if let Some(granted) = claimed {
                 granted.failed(kind);
--- a/crates/entry/src/front/service.rs
+++ b/crates/entry/src/front/service.rs
@@ -53,12 +53,10 @@
     let rule = spec.is_idempotent(request.method.as_str(), &path);
     let is_idempotent = rule && !request.at_most_once;
     let route = RouteName::Service(spec.name.clone());
-    let claimed = match (&request.idempotency_key, is_idempotent) {
-        (Some(key), false) => match claim(front, &request, &account.name, key).await? {
-            ClaimOutcome::Replay(answer) => return Ok(answer),
-            ClaimOutcome::Granted(granted) => Some(granted),
-        },
-        _ => None,
+    let claimed = match claim(front, &request, &account.name, is_idempotent).await? {
+        ClaimOutcome::Replay(answer) => return Ok(answer),
+        ClaimOutcome::Granted(granted) => Some(granted),
+        ClaimOutcome::NotNeeded => None,
     };
     let spec = CallSpec {
         id: request.id.clone(),
@@ -136,19 +134,19 @@
     };
     match attempts(&mut call, request, path).await {
         Ok(reply) => {
-            let took = call.now().since(call.arrived).as_secs_f64();
+            let took = call.now().since(call.spec.arrived).as_secs_f64();
             let metrics = &front.shared.metrics;
             metrics
                 .first_token
                 .with_label_values(&["service"])
                 .observe(took);
             count(front, "ok");
-            Ok(to_caller(reply, &call.id))
+            Ok(to_caller(reply, &call.spec.id))
         }
         Err(kind) => {
             let kind = call.truthful(kind);
             let is_true = kind.answer().ran != RanState::No || !call.maybe_ran();
-            Invariant::NotRunIsTrue.check(is_true, || format!("request={} {kind}", call.id));
+            Invariant::NotRunIsTrue.check(is_true, || format!("request={} {kind}", call.spec.id));
             count(front, kind.code());
             Err(kind.into())
         }
@@ -177,7 +175,7 @@
             headers: common_headers(call, request.headers.get(CONTENT_TYPE), key),
             body: request.body.clone(),
         };
-        let left = call.deadline.since(call.now()).as_duration();
+        let left = call.spec.deadline.since(call.now()).as_duration();
         let sent_at = call.now();
         call.note_sent(&fact);
         let attempt = attempt.send();
@@ -197,7 +195,7 @@
                 call.note_ended(&fact, outcome_name(outcome));
                 log::info!(
                     "event=attempt_failed request={} upstream={} reason={error:?}",
-                    call.id,
+                    call.spec.id,
                     fact.id
                 );
                 let next = attempt.failed(outcome);
--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -20,9 +20,9 @@
     if let Some(content_type) = content_type {
         headers.insert(CONTENT_TYPE, content_type.clone());
     }
-    put(&mut headers, REQUEST_ID, call.id.as_str());
-    put(&mut headers, PRIORITY, &call.priority.to_string());
-    let left = call.deadline.since(call.now());
+    put(&mut headers, REQUEST_ID, call.spec.id.as_str());
+    put(&mut headers, PRIORITY, &call.spec.priority.to_string());
+    let left = call.spec.deadline.since(call.now());
     put(&mut headers, DEADLINE, &left.to_string());
     if let Some(key) = idempotency_key {
         put(&mut headers, IDEMPOTENCY_KEY, key);
@@ -65,7 +65,7 @@
 
 /// The error when the deadline passes during an attempt.
 pub fn late(call: &CallContext) -> ErrorKind {
-    match call.now() >= call.deadline {
+    match call.now() >= call.spec.deadline {
         true => ErrorKind::DeadlineAfterSend,
         false => ErrorKind::UpstreamLost,
     }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod advance;
 pub mod cost;
+pub mod event;
 pub mod evidence;
 pub mod fence;
 pub mod options;
@@ -20,11 +21,12 @@
 pub mod state;
 pub mod views;
 
+pub use event::{PlacementAction, PlacementEvent, SwapOutcome};
 pub use evidence::{GroupEvidence, group_evidence};
 pub use fence::TermFence;
 pub use options::{PlacementOptions, RepairPolicy};
 pub use quota::{DomainCapacity, WantedModel, share_replicas};
 pub use record::{DomainRecord, GroupPhase, GroupRecord, ModelRef, VmSlot, VmUse};
 pub use report::{EnginePhase, EngineReport, OrderKind, VmOrder};
-pub use state::{PlacementAction, PlacementEvent, PlacementState, SwapOutcome};
+pub use state::PlacementState;
 pub use views::{ListedState, VmListing, VmView};
