--- a/crates/load/src/experiment/events.rs
+++ b/crates/load/src/experiment/events.rs
@@ -21,9 +21,9 @@
 /// How often what happens.
 #[derive(Clone, Copy, Debug)]
 pub struct EventRates {
-    /// Failures per VM and day. The letter's 17 a day on 4,800 VMs.
+    /// Failures per VM and day. 17 a day on 4,800 VMs.
     pub fails: f64,
-    /// Replacements per VM and day. The letter's 150 a day on 4,800 VMs.
+    /// Replacements per VM and day. 150 a day on 4,800 VMs.
     pub replaces: f64,
     /// Pauses per VM and day.
     pub pauses: f64,
