fix: streams leave a replica that hangs

Ruled out: new requests; they stopped with the evidence. Change: a stream that is silent while its replica has had no evidence for 1.5 s goes on at another one, from the next token. Never for a request that must not run twice. Measured: six streams over three groups, two of which hang for good, end whole with an idle timeout of ten minutes; before, they would have waited for it. Conclusion: a hang costs callers about as long as it takes to be noticed.

--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -264,6 +264,23 @@
         }
     }
 
+    /// Waits until an upstream that a request runs at has gone without evidence for so long that
+    /// its silence is no pause between tokens. Never for a request that must not run twice.
+    pub async fn upstream_lost(&self, id: &UpstreamId) {
+        let mut missing = 0;
+        while missing < LOST_LOOKS || !self.spec.is_idempotent {
+            tokio::time::sleep(LOST_LOOK.as_duration()).await;
+            let shared = &self.front.shared;
+            let max_age = shared.settings.balance.evidence_max_age;
+            let view = shared.view.load();
+            let mut facts = view.models.values().flatten();
+            let is_seen = facts
+                .find(|fact| fact.id == *id)
+                .is_some_and(|fact| self.now().since(fact.evidence_at) <= max_age);
+            missing = if is_seen { 0 } else { missing + 1 };
+        }
+    }
+
     /// Notes a failed attempt and says whether another may follow.
     ///
     /// # Errors
@@ -296,6 +313,11 @@
     }
 }
 
+/// Time between two looks at the evidence of an upstream that is silent.
+const LOST_LOOK: Millis = Millis(500);
+/// Looks in a row without evidence that give it up.
+const LOST_LOOKS: u32 = 3;
+
 /// A failed attempt, and what the typestate says may follow.
 #[derive(Clone, Copy, Debug)]
 pub struct FailedAttempt {
--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -259,6 +259,7 @@
     let mut reader = EventReader {
         reply,
         parser: SseParser::default(),
+        upstream: fact.id.clone(),
         idle: call.front.shared.settings.tuning.stream_idle,
     };
     let mut last_at: Option<Millis> = None;
@@ -344,6 +345,7 @@
 struct EventReader {
     reply: UpstreamReply,
     parser: SseParser,
+    upstream: UpstreamId,
     idle: Millis,
 }
 
@@ -357,8 +359,11 @@
                 return Err(Error::Malformed("an event is too long".to_owned()));
             }
             let left = call.spec.deadline.since(call.now()).min(self.idle);
-            let frame = tokio::time::timeout(left.as_duration(), self.reply.body_mut().frame());
-            let frame = match frame.await {
+            let frame = tokio::select! {
+                frame = tokio::time::timeout(left.as_duration(), self.reply.body_mut().frame()) => frame,
+                () = call.upstream_lost(&self.upstream) => return Err(Error::Timeout),
+            };
+            let frame = match frame {
                 Err(_) => return Err(Error::Timeout),
                 Ok(None) => return Err(Error::Broken("the stream ended".to_owned())),
                 Ok(Some(Err(error))) => return Err(Error::Broken(error.to_string())),
--- a/crates/local/tests/failures.rs
+++ b/crates/local/tests/failures.rs
@@ -205,6 +205,50 @@
     assert_eq!(fleet.stop(), StopOutcome::Graceful);
 }
 
+/// Engines hang in the middle of streams: the streams go on elsewhere, long before the idle timeout.
+#[test]
+fn streams_leave_engines_that_hang() {
+    let options = bergamot_local::LocalOptions {
+        tune: |settings| settings.tuning.stream_idle = bergamot_types::Millis(600_000),
+        ..three_domains()
+    };
+    let fleet = fleet(&options);
+    let runtime = fleet.runtime().handle().clone();
+    let streams: Vec<_> = (0..6)
+        .map(|number| {
+            let asked = caller(&fleet, number % 3);
+            runtime.spawn(async move {
+                let prompt = format!("hang {number}");
+                let reply = asked.chat(&prompt, 300).await.expect("answered");
+                text(&reply) == whole(&prompt, 300)
+            })
+        })
+        .collect();
+    fleet
+        .wait_for("the streams to begin", |fleet| {
+            let engines = fleet.engines.iter();
+            engines.map(|e| e.engine.runs.list().len()).sum::<usize>() == 6
+        })
+        .expect("engines run them");
+    for engine in &fleet.engines {
+        if engine.fact.failure_domain.as_str() != "fd-3" {
+            engine.engine.faults.set(FaultSet {
+                hang: true,
+                ..FaultSet::default()
+            });
+        }
+    }
+    for stream in streams {
+        assert!(
+            runtime.block_on(stream).expect("the caller ends"),
+            "a whole answer"
+        );
+    }
+    for engine in &fleet.engines {
+        engine.engine.faults.set(FaultSet::default());
+    }
+}
+
 /// A planned stop of an entry VM cuts no stream.
 #[test]
 fn a_planned_stop_cuts_nothing() {
