--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -245,7 +245,11 @@
     let sent_at = call.now();
     let left = call.spec.deadline.since(sent_at).as_duration();
     let sent = call.front.client.send(fact.addr, outgoing);
-    let reply = match tokio::time::timeout(left, sent).await {
+    let reply = tokio::select! {
+        reply = tokio::time::timeout(left, sent) => reply,
+        () = call.upstream_lost(&fact.id) => return broken("silent, and without evidence"),
+    };
+    let reply = match reply {
         Ok(Ok(reply)) => reply,
         Ok(Err(error)) => return StreamOutcome::Broken(sent_outcome(&error), error.to_string()),
         Err(_) => return broken("no answer before the deadline"),
