--- a/crates/entry/src/bin/bergamot-entry.rs
+++ b/crates/entry/src/bin/bergamot-entry.rs
@@ -1,16 +1,70 @@
 //! The daemon of an entry VM.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use bergamot_adapter::{
+    SETTINGS_VARIABLE, SiteCatalog, SiteControl, SiteDialect, SiteSettings, SiteStore,
+};
 use bergamot_entry::{EntryDaemon, EntrySettings, StopOutcome};
+use bergamot_gateway::{GatewayDaemon, GatewayPorts};
 use getopts::Options;
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Port of the metrics where none is given.
+const DEFAULT_METRICS_PORT: u16 = 9464;
+
+/// The platform's ports for [`GatewayDaemon`].
+#[derive(Clone)]
+struct SitePorts {
+    store_addr: SocketAddr,
+}
+
+impl GatewayPorts for SitePorts {
+    type Store = SiteStore;
+    type Catalog = SiteCatalog;
+    type Control = SiteControl;
+    type Dialect = SiteDialect;
+
+    fn store(&self) -> SiteStore {
+        SiteStore::new(self.store_addr)
+    }
+
+    fn catalog(&self) -> SiteCatalog {
+        SiteCatalog
+    }
+
+    fn control(&self) -> SiteControl {
+        SiteControl::default()
+    }
+
+    fn dialect(&self) -> SiteDialect {
+        SiteDialect
+    }
+}
+
+/// Runs on the platform that lays a settings file for each process.
+fn run_on_platform(matches: &getopts::Matches) -> anyhow::Result<ExitCode> {
+    let path = std::env::var_os(SETTINGS_VARIABLE)
+        .ok_or_else(|| anyhow::anyhow!("{SETTINGS_VARIABLE} is not set"))?;
+    let settings = SiteSettings::load(Path::new(&path))?;
+    let port = matches.opt_get_default("metrics-port", DEFAULT_METRICS_PORT)?;
+    if matches.opt_present("check") {
+        println!("{}: ok", Path::new(&path).display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    bergamot_gateway::logs::start()?;
+    let ports = SitePorts {
+        store_addr: settings.store_addr(),
+    };
+    GatewayDaemon::new(settings.site(port), ports).run()?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     match run() {
         Ok(code) => code,
         Err(error) => {
@@ -23,12 +77,14 @@
 fn run() -> anyhow::Result<ExitCode> {
     let mut options = Options::new();
     options.optopt("s", "settings", "settings file", "FILE");
+    options.optflag("", "platform", "run on the platform that lays the settings file");
+    options.optopt("", "metrics-port", "port of the metrics on the platform", "PORT");
     options.optflag("", "check", "check the settings and exit");
     options.optflag("", "print-default", "print sample settings and exit");
     options.optflag("h", "help", "print this help");
     let matches = options.parse(std::env::args().skip(1))?;
     if matches.opt_present("help") {
-        print!("{}", options.usage("Usage: bergamot-entry --settings FILE"));
+        print!("{}", options.usage("Usage: bergamot-entry --settings FILE | --platform"));
         return Ok(ExitCode::SUCCESS);
     }
     if matches.opt_present("print-default") {
@@ -38,6 +94,10 @@
         );
         return Ok(ExitCode::SUCCESS);
     }
+    if matches.opt_present("platform") {
+        return run_on_platform(&matches);
+    }
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let Some(file) = matches.opt_str("settings") else {
         anyhow::bail!("--settings FILE is needed; --print-default shows a sample");
     };
--- /dev/null
+++ b/crates/gateway/src/daemon.rs
@@ -0,0 +1,225 @@
+//! Starts the duties and stops them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anyhow::Context;
+use bergamot_ports::{CallerDialect, StateStore, StoreCatalog, UpstreamControl, VmSite};
+use hyper::Response;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::task::LocalSet;
+
+use crate::front::FrontContext;
+use crate::front::server::{accept_callers, accept_ready, sweep};
+use crate::groups::GroupsDuty;
+use crate::shared::SharedState;
+use crate::sync::SyncDuty;
+
+/// Leaders at which requests stand still that wait for the groups' duty at most.
+const QUIET_RING: usize = 256;
+/// Time after the signal to stop in which the balancer learns of it and new callers still come.
+const STOP_NOTICE: Duration = Duration::from_millis(2_600);
+/// Time before the end of the grace in which the process ends whatever is in flight.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// Time between two looks at what is in flight while stopping.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// Makes the ports of one platform. Each duty makes its own, on its thread.
+pub trait GatewayPorts: Clone + Send + 'static {
+    /// The state store.
+    type Store: StateStore + 'static;
+    /// The reader of configuration and directory.
+    type Catalog: StoreCatalog + 'static;
+    /// The control side of upstreams.
+    type Control: UpstreamControl + 'static;
+    /// The callers' dialect.
+    type Dialect: CallerDialect + 'static;
+
+    /// A client of the store.
+    fn store(&self) -> Self::Store;
+    /// A reader of its entries.
+    fn catalog(&self) -> Self::Catalog;
+    /// A client of the upstreams' control side.
+    fn control(&self) -> Self::Control;
+    /// The dialect.
+    fn dialect(&self) -> Self::Dialect;
+}
+
+/// The daemon.
+pub struct GatewayDaemon<Ports> {
+    shared: Arc<SharedState>,
+    ports: Ports,
+    quiet: mpsc::Receiver<bergamot_types::UpstreamId>,
+}
+
+impl<Ports> GatewayDaemon<Ports>
+where
+    Ports: GatewayPorts,
+{
+    /// A daemon for a site. Nothing is started yet.
+    pub fn new(site: VmSite, ports: Ports) -> Self {
+        let (quiet_sender, quiet) = mpsc::channel(QUIET_RING);
+        Self {
+            shared: SharedState::new(site, quiet_sender),
+            ports,
+            quiet,
+        }
+    }
+
+    /// Runs until the process is told to stop and nothing is in flight any more.
+    ///
+    /// # Errors
+    /// When an address cannot be bound or a thread cannot be started.
+    pub fn run(self) -> anyhow::Result<()> {
+        let site = self.shared.site.clone();
+        let caller = bind(site.caller_addr)?;
+        let ready = bind(site.ready_addr)?;
+        let metrics = bind(site.metrics_addr)?;
+        let peer = std::net::UdpSocket::bind(site.peer_addr)
+            .with_context(|| format!("peer address {}", site.peer_addr))?;
+        peer.set_nonblocking(true)?;
+        log::info!(
+            "event=started vm={} failure_domain={} callers={} peers={}",
+            site.vm,
+            site.failure_domain,
+            site.caller_addr,
+            site.peer_addr
+        );
+        let (shared, ports) = (Arc::clone(&self.shared), self.ports.clone());
+        spawn_duty("store", move || async move {
+            let store = Rc::new(ports.store());
+            SyncDuty::new(shared, store, ports.catalog()).run().await;
+        })?;
+        let (shared, ports, quiet) = (Arc::clone(&self.shared), self.ports.clone(), self.quiet);
+        spawn_duty("groups", move || async move {
+            let socket = match UdpSocket::from_std(peer) {
+                Ok(socket) => socket,
+                Err(error) => {
+                    log::error!("event=duty_not_started duty=groups reason={error:?}");
+                    return;
+                }
+            };
+            let store = Rc::new(ports.store());
+            let control = Rc::new(ports.control());
+            GroupsDuty::new(shared, store, control, quiet, socket)
+                .run()
+                .await;
+        })?;
+        let shared = Arc::clone(&self.shared);
+        spawn_duty("metrics", move || serve_metrics(shared, metrics))?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let local = LocalSet::new();
+        local.block_on(&runtime, serve(self.shared, self.ports, caller, ready))
+    }
+}
+
+fn bind(addr: SocketAddr) -> anyhow::Result<std::net::TcpListener> {
+    let listener =
+        std::net::TcpListener::bind(addr).with_context(|| format!("listen address {addr}"))?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+fn spawn_duty<Duty, Work>(name: &str, duty: Duty) -> anyhow::Result<()>
+where
+    Duty: FnOnce() -> Work + Send + 'static,
+    Work: Future<Output = ()> + 'static,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    std::thread::Builder::new()
+        .name(format!("duty-{name}"))
+        .spawn(move || {
+            let local = LocalSet::new();
+            local.block_on(&runtime, async move { duty().await });
+        })?;
+    Ok(())
+}
+
+async fn serve<Ports>(
+    shared: Arc<SharedState>,
+    ports: Ports,
+    caller: std::net::TcpListener,
+    ready: std::net::TcpListener,
+) -> anyhow::Result<()>
+where
+    Ports: GatewayPorts,
+{
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let front = Rc::new(FrontContext::new(Arc::clone(&shared), ports.dialect()));
+    let (close_idle, closing) = watch::channel(false);
+    let caller = TcpListener::from_std(caller)?;
+    let ready = TcpListener::from_std(ready)?;
+    tokio::task::spawn_local(accept_callers(Rc::clone(&front), caller, closing));
+    tokio::task::spawn_local(accept_ready(Rc::clone(&front), ready));
+    tokio::task::spawn_local(sweep(Rc::clone(&front)));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => log::info!("event=reload outcome=unchanged"),
+        }
+    }
+    shared.stopping.store(true, Ordering::SeqCst);
+    shared.view_changed.send_modify(|count| *count += 1);
+    log::info!("event=stopping in_flight={}", front.in_flight.get());
+    let grace = shared.site.bounds.stop_grace.as_duration();
+    tokio::time::sleep(STOP_NOTICE.min(grace / 2)).await;
+    let _ = close_idle.send(true);
+    let left = grace.saturating_sub(STOP_NOTICE + STOP_MARGIN);
+    let quiet = async {
+        while front.open_connections() > 0 {
+            tokio::time::sleep(STOP_LOOK).await;
+        }
+    };
+    let is_quiet = tokio::time::timeout(left, quiet).await.is_ok();
+    log::info!(
+        "event=stopped is_quiet={is_quiet} connections={}",
+        front.open_connections()
+    );
+    // The writer of the log empties its ring meanwhile.
+    tokio::time::sleep(STOP_LOOK).await;
+    Ok(())
+}
+
+async fn serve_metrics(shared: Arc<SharedState>, listener: std::net::TcpListener) {
+    let listener = match TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!("event=duty_not_started duty=metrics reason={error:?}");
+            return;
+        }
+    };
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("event=accept_failed reason={error:?}");
+                continue;
+            }
+        };
+        let service = service_fn(|_request| {
+            let text = shared.metrics.render();
+            async move { Ok::<_, std::convert::Infallible>(Response::new(text)) }
+        });
+        let connection = http1::Builder::new()
+            .keep_alive(false)
+            .serve_connection(TokioIo::new(stream), service);
+        if let Err(error) = connection.await {
+            log::debug!("event=metrics_connection_ended reason={error:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/attempt.rs
@@ -0,0 +1,160 @@
+//! One try at one upstream.
+
+use bergamot_ports::{CallerCall, CallerDialect, OutgoingContext, ReplyFacts};
+use bergamot_types::prelude::*;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::http::response::Parts as ReplyParts;
+use hyper::{Method, Request, Uri};
+
+use super::FrontContext;
+use super::book::FlightGuard;
+use super::pool::{ConnectError, UpstreamConnection};
+use crate::view::RouteUpstream;
+
+/// What stays the same over all attempts of a request.
+pub struct SentRequest {
+    /// The method.
+    pub method: Method,
+    /// Path and query as the caller sent them.
+    pub uri: Uri,
+    /// The body.
+    pub body: Bytes,
+    /// The caller's call.
+    pub call: CallerCall,
+    /// Whose request it is.
+    pub account: Option<ClientAccount>,
+    /// 0 is the most urgent.
+    pub priority: u8,
+}
+
+/// An answer whose body is still to be read. Closes its connection when dropped.
+pub struct OpenReply {
+    /// The upstream.
+    pub upstream: RouteUpstream,
+    /// The answer's head.
+    pub head: ReplyParts,
+    /// What the head says.
+    pub facts: ReplyFacts,
+    /// The answer's body.
+    pub body: Incoming,
+    /// The connection, to be given back.
+    pub connection: UpstreamConnection,
+    /// Counts the request at the upstream.
+    pub flight: FlightGuard,
+}
+
+/// Why an attempt has no answer.
+#[derive(Debug)]
+pub enum AttemptError {
+    /// Nothing was sent.
+    NotSent(String),
+    /// The upstream's process is gone; nothing was sent.
+    Gone(String),
+    /// The upstream said that it did not run the request.
+    Refused(u16),
+    /// Another run of the upstream listens there.
+    Misdirected,
+    /// It was sent and may have run.
+    Broken(String),
+}
+
+impl AttemptError {
+    /// Whether the request may have run.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, Self::Broken(_))
+    }
+
+    /// The outcome's name in logs and metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not_sent",
+            Self::Gone(_) => "gone",
+            Self::Refused(_) => "refused",
+            Self::Misdirected => "misdirected",
+            Self::Broken(_) => "broken",
+        }
+    }
+}
+
+/// Sends a request and waits for the head of its answer.
+pub async fn send<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    upstream: &RouteUpstream,
+    time_left: Millis,
+    resume_after: Option<u64>,
+) -> Result<OpenReply, AttemptError>
+where
+    Dialect: CallerDialect,
+{
+    let flight = FlightGuard::enter(&front.book, &upstream.id);
+    let connection = front.pool.connect(&upstream.id, upstream.addr).await;
+    let mut connection = connection.map_err(|error| match error {
+        ConnectError::Refused(error) => AttemptError::Gone(error.to_string()),
+        ConnectError::Failed(reason) => AttemptError::NotSent(reason),
+    })?;
+    let context = OutgoingContext {
+        upstream: &upstream.id,
+        account: request.account.as_ref(),
+        time_left,
+        priority: request.priority,
+        resume_after,
+    };
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.uri.clone();
+    *outgoing.headers_mut() = front.dialect.outgoing_headers(&request.call, &context);
+    let reply = connection.sender.try_send_request(outgoing).await;
+    let reply = reply.map_err(|mut failed| {
+        let reason = failed.error().to_string();
+        match failed.take_message() {
+            Some(_) => AttemptError::NotSent(reason),
+            None => AttemptError::Broken(reason),
+        }
+    })?;
+    let (head, body) = reply.into_parts();
+    let facts = front.dialect.reply_facts(&request.call.id, &head);
+    if !facts.is_own {
+        return Err(AttemptError::Broken("an answer to another request".to_owned()));
+    }
+    let error = match (facts.is_misdirected, facts.is_not_run) {
+        (true, _) => AttemptError::Misdirected,
+        (false, true) => AttemptError::Refused(head.status.as_u16()),
+        (false, false) => {
+            return Ok(OpenReply {
+                upstream: upstream.clone(),
+                head,
+                facts,
+                body,
+                connection,
+                flight,
+            });
+        }
+    };
+    finish_refused(front, upstream, body, connection, facts.keep_alive);
+    Err(error)
+}
+
+/// Reads the rest of a refusal, so that its connection can be kept.
+fn finish_refused<Dialect>(
+    front: &FrontContext<Dialect>,
+    upstream: &RouteUpstream,
+    body: Incoming,
+    connection: UpstreamConnection,
+    keep_alive: Option<u64>,
+) {
+    let pool = std::rc::Rc::clone(&front.pool);
+    let id = upstream.id.clone();
+    tokio::task::spawn_local(async move {
+        let rest = http_body_util::BodyExt::collect(body);
+        let rest = tokio::time::timeout(REFUSAL_REST, rest).await;
+        if matches!(rest, Ok(Ok(_))) {
+            pool.give_back(&id, connection, keep_alive);
+        }
+    });
+}
+
+/// Time for the rest of a refusal to come, after which its connection is closed.
+const REFUSAL_REST: std::time::Duration = std::time::Duration::from_millis(200);
--- /dev/null
+++ b/crates/gateway/src/front/book.rs
@@ -0,0 +1,148 @@
+//! Load and trouble of upstreams as seen from this VM.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use bergamot_types::prelude::*;
+use indexmap::IndexMap;
+
+use crate::view::RouteUpstream;
+
+/// Time for which an upstream with a failure is avoided; doubled with each failure in a row.
+const FIRST_AVOIDANCE: Millis = Millis(300);
+/// The longest avoidance.
+const MAX_AVOIDANCE: Millis = Millis(5_000);
+/// Time for which an upstream is avoided at which requests stand still: the groups' coordinator
+/// ends the group by then, or it turns out to be sound.
+const QUIET_AVOIDANCE: Millis = Millis(2_000);
+/// What a request to another failure domain counts, in requests: with equal load the near one.
+const AWAY_PENALTY: f64 = 0.5;
+
+/// One upstream.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct UpstreamLoad {
+    /// Requests sent from here and not ended.
+    pub in_flight: u32,
+    /// When anything last came from it.
+    pub progress_at: Millis,
+    /// Failures in a row.
+    failures: u32,
+    avoided_until: Millis,
+}
+
+/// All upstreams that were sent to.
+#[derive(Debug, Default)]
+pub struct UpstreamBook {
+    loads: IndexMap<UpstreamId, UpstreamLoad>,
+}
+
+impl UpstreamBook {
+    /// The load of one upstream.
+    pub fn load(&self, id: &UpstreamId) -> UpstreamLoad {
+        self.loads.get(id).copied().unwrap_or_default()
+    }
+
+    fn load_mut(&mut self, id: &UpstreamId) -> &mut UpstreamLoad {
+        self.loads.entry(id.clone()).or_default()
+    }
+
+    /// Counts a request that is sent.
+    pub fn note_sent(&mut self, id: &UpstreamId) {
+        self.load_mut(id).in_flight += 1;
+    }
+
+    /// Counts the end of a request.
+    pub fn note_ended(&mut self, id: &UpstreamId) {
+        let load = self.load_mut(id);
+        load.in_flight = load.in_flight.saturating_sub(1);
+    }
+
+    /// Notes that something came from it.
+    pub fn note_progress(&mut self, id: &UpstreamId, now: Millis) {
+        self.load_mut(id).progress_at = now;
+    }
+
+    /// Notes a whole answer.
+    pub fn note_success(&mut self, id: &UpstreamId) {
+        let load = self.load_mut(id);
+        load.failures = 0;
+        load.avoided_until = Millis::ZERO;
+    }
+
+    /// Notes a failure.
+    pub fn note_failure(&mut self, id: &UpstreamId, now: Millis) {
+        let load = self.load_mut(id);
+        let factor = 1_u64 << load.failures.min(6);
+        load.failures += 1;
+        let wait = Millis(FIRST_AVOIDANCE.0 * factor).min(MAX_AVOIDANCE);
+        load.avoided_until = load.avoided_until.max(now + wait);
+    }
+
+    /// Notes that requests stand still there.
+    pub fn note_quiet(&mut self, id: &UpstreamId, now: Millis) {
+        let load = self.load_mut(id);
+        load.avoided_until = load.avoided_until.max(now + QUIET_AVOIDANCE);
+    }
+
+    /// Forgets upstreams that are not listed any more and have nothing in flight.
+    pub fn retain<Keep>(&mut self, is_listed: Keep)
+    where
+        Keep: Fn(&UpstreamId) -> bool,
+    {
+        self.loads
+            .retain(|id, load| load.in_flight > 0 || is_listed(id));
+    }
+
+    /// The least loaded upstream that was not tried. Avoided ones are used when there are no
+    /// others.
+    pub fn choose<'a>(
+        &self,
+        pool: &'a [RouteUpstream],
+        home: &FailureDomain,
+        tried: &[UpstreamId],
+        now: Millis,
+        random: u64,
+    ) -> Option<&'a RouteUpstream> {
+        let score = |upstream: &RouteUpstream| {
+            let load = self.load(&upstream.id);
+            let is_avoided = load.avoided_until > now;
+            let away = match upstream.failure_domain == *home {
+                true => 0.0,
+                false => AWAY_PENALTY,
+            };
+            let load = (f64::from(load.in_flight) + away) / f64::from(upstream.slots.max(1));
+            (is_avoided, load)
+        };
+        let fresh = pool.iter().filter(|upstream| !tried.contains(&upstream.id));
+        fresh.min_by(|a, b| {
+            let (a_score, b_score) = (score(a), score(b));
+            let by_score = a_score.0.cmp(&b_score.0).then(a_score.1.total_cmp(&b_score.1));
+            let tie = |it: &RouteUpstream| rendezvous_score(random, it.id.as_str());
+            by_score.then_with(|| tie(a).cmp(&tie(b)))
+        })
+    }
+}
+
+/// Counts a request at an upstream until dropped.
+#[derive(Debug)]
+pub struct FlightGuard {
+    book: Rc<RefCell<UpstreamBook>>,
+    id: UpstreamId,
+}
+
+impl FlightGuard {
+    /// Counts a request that is about to be sent.
+    pub fn enter(book: &Rc<RefCell<UpstreamBook>>, id: &UpstreamId) -> Self {
+        book.borrow_mut().note_sent(id);
+        Self {
+            book: Rc::clone(book),
+            id: id.clone(),
+        }
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.book.borrow_mut().note_ended(&self.id);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/mod.rs
@@ -0,0 +1,73 @@
+//! The callers' duty: takes requests in and carries each to one final answer.
+//!
+//! | module | what it does |
+//! | --- | --- |
+//! | [`server`] | connections of callers, readiness, the stop |
+//! | [`call`] | one request from its head to its answer |
+//! | [`attempt`] | one try at one upstream |
+//! | [`relay`] | a stream of events, over several upstreams if need be |
+//! | [`book`] | load and trouble of upstreams as seen from here |
+//! | [`budget`] | how many repeats may be sent |
+//! | [`pool`] | connections to upstreams |
+
+pub mod answer;
+pub mod attempt;
+pub mod book;
+pub mod budget;
+pub mod call;
+pub mod events;
+pub mod pool;
+pub mod relay;
+pub mod server;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bergamot_types::prelude::*;
+
+use crate::shared::SharedState;
+use book::UpstreamBook;
+use budget::RepeatBudget;
+use pool::ConnectionPool;
+
+/// What every request needs. Lives on one thread.
+pub struct FrontContext<Dialect> {
+    /// What all duties share.
+    pub shared: Arc<SharedState>,
+    /// How callers and upstreams speak.
+    pub dialect: Dialect,
+    /// Connections to upstreams.
+    pub pool: Rc<ConnectionPool>,
+    /// Load and trouble of upstreams.
+    pub book: Rc<RefCell<UpstreamBook>>,
+    /// Repeats sent.
+    pub budget: RefCell<RepeatBudget>,
+    /// Requests in flight.
+    pub in_flight: std::cell::Cell<usize>,
+}
+
+impl<Dialect> FrontContext<Dialect> {
+    /// A context without any connection yet.
+    pub fn new(shared: Arc<SharedState>, dialect: Dialect) -> Self {
+        let bounds = shared.site.bounds;
+        let budget = RepeatBudget::new(
+            bounds.retry_ratio,
+            bounds.retry_window,
+            bounds.retry_reserve,
+        );
+        Self {
+            shared,
+            dialect,
+            pool: Rc::new(ConnectionPool::default()),
+            book: Rc::new(RefCell::new(UpstreamBook::default())),
+            budget: RefCell::new(budget),
+            in_flight: std::cell::Cell::new(0),
+        }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Millis {
+        self.shared.clock.now()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/pool.rs
@@ -0,0 +1,159 @@
+//! Connections to upstreams: few, kept, one request at a time.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bergamot_types::prelude::*;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// Time for a connection to be set up. A lost opening packet comes again after a second, by when
+/// another upstream would have answered.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which unacknowledged bytes end a connection: a partition is noticed by then.
+const USER_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// How long an idle connection is kept where the upstream does not say.
+const DEFAULT_IDLE: Duration = Duration::from_millis(2_000);
+/// Taken off the time that an upstream keeps idle connections: it may close one on which a
+/// request is on its way.
+const IDLE_MARGIN: Duration = Duration::from_millis(800);
+
+/// Why there is no connection.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectError {
+    /// Nothing listens there.
+    #[error("refused: {0}")]
+    Refused(std::io::Error),
+    /// It was not set up in time, or broke at once.
+    #[error("not set up: {0}")]
+    Failed(String),
+}
+
+/// A connection in use. Dropped before its answer was read whole, it is closed, so that the
+/// upstream stops working on the request.
+pub struct UpstreamConnection {
+    /// Sends requests.
+    pub sender: http1::SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for UpstreamConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+struct IdleConnection {
+    connection: UpstreamConnection,
+    expires_at: Instant,
+}
+
+/// Idle connections by upstream.
+#[derive(Default)]
+pub struct ConnectionPool {
+    idle: RefCell<IndexMap<UpstreamId, Vec<IdleConnection>>>,
+}
+
+impl ConnectionPool {
+    /// An idle connection, or a new one.
+    ///
+    /// # Errors
+    /// See [`ConnectError`]; nothing was sent.
+    pub async fn connect(
+        &self,
+        id: &UpstreamId,
+        addr: SocketAddr,
+    ) -> Result<UpstreamConnection, ConnectError> {
+        if let Some(connection) = self.take_idle(id) {
+            return Ok(connection);
+        }
+        match tokio::time::timeout(CONNECT_TIMEOUT, open(addr)).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(ConnectError::Failed("no answer in time".to_owned())),
+        }
+    }
+
+    fn take_idle(&self, id: &UpstreamId) -> Option<UpstreamConnection> {
+        let mut pool = self.idle.borrow_mut();
+        let idle = pool.get_mut(id)?;
+        let now = Instant::now();
+        while let Some(last) = idle.pop() {
+            let is_usable = last.expires_at > now
+                && last.connection.sender.is_ready()
+                && !last.connection.driver.is_finished();
+            if is_usable {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was read whole. `keep_alive` is the upstream's idle time in
+    /// seconds.
+    pub fn give_back(
+        self: &Rc<Self>,
+        id: &UpstreamId,
+        mut connection: UpstreamConnection,
+        keep_alive: Option<u64>,
+    ) {
+        let idle = keep_alive.map_or(DEFAULT_IDLE, Duration::from_secs);
+        let idle = idle.saturating_sub(IDLE_MARGIN);
+        let expires_at = Instant::now() + idle;
+        let pool = Rc::clone(self);
+        let id = id.clone();
+        tokio::task::spawn_local(async move {
+            // An upstream that closes after its answer, or sent bytes beyond it, never gets ready.
+            if connection.sender.ready().await.is_err() {
+                return;
+            }
+            let kept = IdleConnection {
+                connection,
+                expires_at,
+            };
+            pool.idle.borrow_mut().entry(id).or_default().push(kept);
+        });
+    }
+
+    /// Closes the connections to upstreams that are not listed any more, and those that expired.
+    pub fn retain<Keep>(&self, is_listed: Keep)
+    where
+        Keep: Fn(&UpstreamId) -> bool,
+    {
+        let now = Instant::now();
+        let mut pool = self.idle.borrow_mut();
+        pool.retain(|id, idle| {
+            idle.retain(|it| it.expires_at > now);
+            is_listed(id) && !idle.is_empty()
+        });
+    }
+}
+
+async fn open(addr: SocketAddr) -> Result<UpstreamConnection, ConnectError> {
+    let stream = TcpStream::connect(addr).await.map_err(|error| {
+        match error.kind() == std::io::ErrorKind::ConnectionRefused {
+            true => ConnectError::Refused(error),
+            false => ConnectError::Failed(error.to_string()),
+        }
+    })?;
+    let failed = |error: std::io::Error| ConnectError::Failed(error.to_string());
+    stream.set_nodelay(true).map_err(failed)?;
+    let socket = SockRef::from(&stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT)).map_err(failed)?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) =
+        handshake.map_err(|error| ConnectError::Failed(error.to_string()))?;
+    let driver = tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!("event=connection_ended addr={addr} reason={error:?}");
+        }
+    });
+    Ok(UpstreamConnection { sender, driver })
+}
--- /dev/null
+++ b/crates/gateway/src/front/relay.rs
@@ -0,0 +1,261 @@
+//! A stream of events, over several upstreams if need be.
+
+use std::rc::Rc;
+
+use bergamot_ports::CallerDialect;
+use bergamot_types::prelude::*;
+use http_body_util::BodyExt;
+use hyper::body::Body as _;
+use tokio::sync::mpsc;
+
+use super::FrontContext;
+use super::answer::{AnswerPiece, BrokenAnswer, CallerAnswer, relayed_body};
+use super::attempt::{OpenReply, SentRequest};
+use super::call::{CallState, QUIET_TIME, count, is_quiet, note_quiet, open, plan};
+use super::events::{EventSplitter, StreamEvent};
+
+/// Events that wait for a slow caller at most, before the upstream is held back.
+const WAITING_EVENTS: usize = 64;
+
+/// What came next from an upstream's stream.
+enum NextEvent {
+    Event(StreamEvent),
+    End,
+    Broken(String),
+    CallerLeft,
+    DeadlinePassed,
+}
+
+/// Passes the events of an opened reply on, and goes on elsewhere when it breaks.
+pub async fn relay_events<Dialect>(
+    front: Rc<FrontContext<Dialect>>,
+    request: SentRequest,
+    state: CallState,
+    reply: OpenReply,
+) -> CallerAnswer
+where
+    Dialect: CallerDialect + 'static,
+{
+    let (sender, receiver) = mpsc::channel(WAITING_EVENTS);
+    let mut answer = CallerAnswer::new(relayed_body(receiver));
+    *answer.status_mut() = reply.head.status;
+    *answer.headers_mut() = front.dialect.answer_headers(&reply.head);
+    let relay = EventRelay {
+        last_event: request.call.resume_after,
+        last_at: None,
+        delivered: 0,
+        front,
+        request,
+        state,
+        sender,
+    };
+    tokio::task::spawn_local(relay.run(reply));
+    answer
+}
+
+struct EventRelay<Dialect> {
+    front: Rc<FrontContext<Dialect>>,
+    request: SentRequest,
+    state: CallState,
+    sender: mpsc::Sender<AnswerPiece>,
+    last_event: Option<u64>,
+    last_at: Option<Millis>,
+    delivered: u64,
+}
+
+impl<Dialect> EventRelay<Dialect>
+where
+    Dialect: CallerDialect,
+{
+    async fn run(mut self, reply: OpenReply) {
+        let mut reply = reply;
+        let outcome = loop {
+            let ended = self.relay_one(&mut reply).await;
+            match ended {
+                NextEvent::End => {
+                    self.finish(reply);
+                    break "ok";
+                }
+                NextEvent::CallerLeft => break "caller_left",
+                NextEvent::DeadlinePassed => break "deadline_exceeded_after_send",
+                NextEvent::Broken(reason) => {
+                    self.note_broken(&reply, &reason);
+                    drop(reply);
+                    match self.resume().await {
+                        Some(next) => reply = next,
+                        None => break "upstream_lost",
+                    }
+                }
+                NextEvent::Event(_) => {}
+            }
+        };
+        if outcome != "ok" {
+            let _ = self.sender.send(Err(BrokenAnswer)).await;
+        }
+        log::info!(
+            "event=stream_ended request={} route={} outcome={outcome} sends={} events={} last_event={} took={}",
+            self.request.call.id,
+            self.state.route.name,
+            self.state.sends(),
+            self.delivered,
+            self.last_event.unwrap_or_default(),
+            self.front.now().since(self.state.arrived),
+        );
+        count(&self.front, self.state.route.kind, outcome);
+    }
+
+    /// Passes on what one upstream sends, until it ends or breaks.
+    async fn relay_one(&mut self, reply: &mut OpenReply) -> NextEvent {
+        let began = self.front.now();
+        let mut splitter = EventSplitter::default();
+        loop {
+            let event = match self.next_event(reply, &mut splitter, began).await {
+                NextEvent::Event(event) => event,
+                ended => return ended,
+            };
+            // After a resumption the upstream may begin with what the caller has already.
+            if event.id.is_some() && event.id <= self.last_event {
+                continue;
+            }
+            self.observe();
+            self.last_event = event.id.or(self.last_event);
+            self.delivered += 1;
+            if self.sender.send(Ok(event.bytes)).await.is_err() {
+                return NextEvent::CallerLeft;
+            }
+        }
+    }
+
+    async fn next_event(
+        &self,
+        reply: &mut OpenReply,
+        splitter: &mut EventSplitter,
+        began: Millis,
+    ) -> NextEvent {
+        loop {
+            if let Some(event) = splitter.next_event() {
+                return NextEvent::Event(event);
+            }
+            if splitter.is_overlong() {
+                return NextEvent::Broken("an event is too long".to_owned());
+            }
+            let now = self.front.now();
+            let left = self.state.deadline.since(now);
+            if left == Millis::ZERO {
+                return NextEvent::DeadlinePassed;
+            }
+            let pause = left.min(QUIET_TIME).as_duration();
+            let frame = tokio::select! {
+                frame = tokio::time::timeout(pause, reply.body.frame()) => frame,
+                () = self.sender.closed() => return NextEvent::CallerLeft,
+            };
+            match frame {
+                Err(_) if is_quiet(&self.front, &reply.upstream.id, began) => {
+                    note_quiet(&self.front, &reply.upstream);
+                    return NextEvent::Broken("nothing comes from it".to_owned());
+                }
+                Err(_) => {}
+                Ok(None) if splitter.has_partial() => {
+                    return NextEvent::Broken("it ended within an event".to_owned());
+                }
+                Ok(None) => return NextEvent::End,
+                Ok(Some(Err(error))) => return NextEvent::Broken(error.to_string()),
+                Ok(Some(Ok(frame))) => {
+                    let now = self.front.now();
+                    let mut book = self.front.book.borrow_mut();
+                    book.note_progress(&reply.upstream.id, now);
+                    if let Some(data) = frame.data_ref() {
+                        splitter.push(data);
+                    }
+                }
+            }
+        }
+    }
+
+    fn observe(&mut self) {
+        let now = self.front.now();
+        let metrics = &self.front.shared.metrics;
+        let kind = [self.state.route.kind.as_str()];
+        match self.last_at {
+            Some(last) => {
+                let gap = now.since(last).as_secs_f64();
+                metrics.event_gap.with_label_values(&kind).observe(gap);
+            }
+            None => {
+                let took = now.since(self.state.arrived).as_secs_f64();
+                metrics.first_piece.with_label_values(&kind).observe(took);
+            }
+        }
+        self.last_at = Some(now);
+    }
+
+    fn finish(&self, reply: OpenReply) {
+        let id = reply.upstream.id.clone();
+        self.front.book.borrow_mut().note_success(&id);
+        if reply.body.is_end_stream() {
+            let keep_alive = reply.facts.keep_alive;
+            self.front.pool.give_back(&id, reply.connection, keep_alive);
+        }
+    }
+
+    fn note_broken(&self, reply: &OpenReply, reason: &str) {
+        let now = self.front.now();
+        self.front
+            .book
+            .borrow_mut()
+            .note_failure(&reply.upstream.id, now);
+        log::info!(
+            "event=stream_broken request={} route={} upstream={} group={} events={} last_event={} reason={reason:?}",
+            self.request.call.id,
+            self.state.route.name,
+            reply.upstream.id,
+            reply.upstream.group.as_ref().map_or("-", |group| group.as_str()),
+            self.delivered,
+            self.last_event.unwrap_or_default(),
+        );
+    }
+
+    /// Opens the rest of the stream at another upstream.
+    async fn resume(&mut self) -> Option<OpenReply> {
+        if !self.state.route.is_resumable {
+            return None;
+        }
+        loop {
+            let upstream = match plan(&self.front, &self.request, &mut self.state).await {
+                Ok(upstream) => upstream,
+                Err(refusal) => {
+                    log::info!(
+                        "event=stream_not_resumed request={} kind={}",
+                        self.request.call.id,
+                        refusal.kind
+                    );
+                    return None;
+                }
+            };
+            let (front, request) = (&self.front, &self.request);
+            let opened = open(front, request, &mut self.state, &upstream, self.last_event).await;
+            match opened {
+                Ok(reply) if reply.head.status.is_success() => {
+                    log::info!(
+                        "event=stream_resumed request={} upstream={} after={}",
+                        self.request.call.id,
+                        upstream.id,
+                        self.last_event.unwrap_or_default()
+                    );
+                    return Some(reply);
+                }
+                Ok(reply) => {
+                    self.note_broken(&reply, reply.head.status.as_str());
+                }
+                Err(error) => log::info!(
+                    "event=attempt_failed request={} route={} upstream={} attempt={} outcome={} reason={error:?}",
+                    self.request.call.id,
+                    self.state.route.name,
+                    upstream.id,
+                    self.state.sends(),
+                    error.as_str(),
+                ),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/server.rs
@@ -0,0 +1,179 @@
+//! Connections of callers, readiness, and the stop.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bergamot_ports::CallerDialect;
+use bytes::Bytes;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::FrontContext;
+use super::answer::{CallerAnswer, whole_body};
+use super::call::answer;
+
+/// Time between two looks at idle connections and at what is not listed any more.
+const SWEEP_PERIOD: Duration = Duration::from_secs(2);
+/// Pause after a failed accept: descriptors may have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The smallest buffer that the library takes for a request's head, in bytes.
+const MIN_HEAD_BUFFER: usize = 8_192;
+
+/// Takes in callers until the process ends.
+pub async fn accept_callers<Dialect>(
+    front: Rc<FrontContext<Dialect>>,
+    listener: TcpListener,
+    close_idle: watch::Receiver<bool>,
+) where
+    Dialect: CallerDialect + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let front = Rc::clone(&front);
+                tokio::task::spawn_local(serve_caller(front, stream, close_idle.clone()));
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed reason={error:?}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller<Dialect>(
+    front: Rc<FrontContext<Dialect>>,
+    stream: TcpStream,
+    mut close_idle: watch::Receiver<bool>,
+) where
+    Dialect: CallerDialect + 'static,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("event=caller_lost reason={error:?}");
+        return;
+    }
+    let limits = front.shared.view.load().config.as_ref().map(|config| config.caller_limits);
+    let limits = limits.unwrap_or_default();
+    let service = service_fn(|request: Request<hyper::body::Incoming>| {
+        let front = Rc::clone(&front);
+        async move {
+            let _in_flight = InFlight::enter(&front);
+            let mut response = answer(Rc::clone(&front), request).await;
+            if front.shared.is_stopping() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<CallerAnswer, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library counts this time from the last answer, so it bounds idle connections too.
+        .header_read_timeout(limits.idle_timeout.as_duration())
+        .max_buf_size(limits.header_bytes.max(MIN_HEAD_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    front.in_flight_connections(1);
+    let ended = loop {
+        tokio::select! {
+            ended = connection.as_mut() => break ended,
+            changed = close_idle.changed() => {
+                if changed.is_err() || *close_idle.borrow() {
+                    connection.as_mut().graceful_shutdown();
+                    break connection.as_mut().await;
+                }
+            }
+        }
+    };
+    front.in_flight_connections(-1);
+    if let Err(error) = ended {
+        log::debug!("event=caller_connection_ended reason={error:?}");
+    }
+}
+
+impl<Dialect> FrontContext<Dialect> {
+    fn in_flight_connections(&self, change: i64) {
+        let connections = &self.shared.metrics.state;
+        connections.with_label_values(&["caller_connections"]).add(change);
+    }
+
+    /// Connections of callers that are open.
+    pub fn open_connections(&self) -> i64 {
+        let connections = &self.shared.metrics.state;
+        connections.with_label_values(&["caller_connections"]).get()
+    }
+}
+
+/// Counts a request in flight until dropped.
+struct InFlight<'a, Dialect> {
+    front: &'a FrontContext<Dialect>,
+}
+
+impl<'a, Dialect> InFlight<'a, Dialect> {
+    fn enter(front: &'a FrontContext<Dialect>) -> Self {
+        front.in_flight.set(front.in_flight.get() + 1);
+        Self { front }
+    }
+}
+
+impl<Dialect> Drop for InFlight<'_, Dialect> {
+    fn drop(&mut self) {
+        self.front.in_flight.set(self.front.in_flight.get() - 1);
+    }
+}
+
+/// Answers the balancer.
+pub async fn accept_ready<Dialect>(front: Rc<FrontContext<Dialect>>, listener: TcpListener)
+where
+    Dialect: 'static,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("event=accept_failed reason={error:?}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let front = Rc::clone(&front);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|_request| {
+                let status = match is_ready(&front) {
+                    true => StatusCode::OK,
+                    false => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                let mut response = Response::new(whole_body(Bytes::new()));
+                *response.status_mut() = status;
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("event=ready_connection_ended reason={error:?}");
+            }
+        });
+    }
+}
+
+/// Whether callers should be sent here.
+fn is_ready<Dialect>(front: &FrontContext<Dialect>) -> bool {
+    let has_config = front.shared.view.load().config.is_some();
+    has_config && !front.shared.is_stopping() && front.shared.is_confirmed(front.now())
+}
+
+/// Closes what is not needed any more, now and then.
+pub async fn sweep<Dialect>(front: Rc<FrontContext<Dialect>>) {
+    loop {
+        tokio::time::sleep(SWEEP_PERIOD).await;
+        let view = front.shared.view.load_full();
+        let is_listed = |id: &bergamot_types::UpstreamId| view.upstreams.contains_key(id);
+        front.pool.retain(is_listed);
+        front.book.borrow_mut().retain(is_listed);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/groups.rs
@@ -0,0 +1,381 @@
+//! The groups' duty: one entry VM at a time coordinates the replica groups.
+//!
+//! Whoever holds the lease in the store does. Its fencing number is the revision at which it took
+//! over; it gives orders only while a renewal confirmed the lease recently enough.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bergamot_groups::{AskOutcome, GroupAction, GroupOptions, GroupPlanner};
+use bergamot_ports::{
+    ControlError, EngineSpec, KeyCondition, KeyWrite, OrderOutcome, OrderRequest, StateStore,
+    StoreTxn, TxnOutcome, UpstreamControl,
+};
+use bergamot_types::prelude::*;
+use futures::stream::{FuturesUnordered, StreamExt};
+use rand::Rng;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::own_keys::{COORDINATOR_KEY, EntryRecord, TERM_KEY};
+use crate::peer::{MAX_DATAGRAM, PeerMessage};
+use crate::shared::SharedState;
+use crate::view::ClusterView;
+
+/// How long the coordinator's lease outlives its last renewal. The time without a coordinator
+/// after a loss; the store takes one second and more.
+const LEASE_TTL: Millis = Millis(1_500);
+/// Time between two renewals: two may fail.
+const RENEW_PERIOD: Duration = Duration::from_millis(400);
+/// Taken off the lease's time, for the way of an order to its upstream.
+const LEASE_MARGIN: Millis = Millis(300);
+/// Time between two looks while there is work, for what no change announces.
+const STEP_PERIOD: Duration = Duration::from_millis(100);
+/// The longest random wait before a VM tries to become coordinator, so that most find the place
+/// taken already and save the call.
+const MAX_TAKEOVER_WAIT_MS: u64 = 200;
+
+/// The state of the duty.
+pub struct GroupsDuty<Store, Control> {
+    shared: Arc<SharedState>,
+    store: Rc<Store>,
+    control: Rc<Control>,
+    quiet: mpsc::Receiver<UpstreamId>,
+    socket: UdpSocket,
+}
+
+/// A term as coordinator.
+struct LeadTerm {
+    lease: u64,
+    fence: u64,
+    is_first: bool,
+    confirmed_at: Millis,
+}
+
+/// Something that came to an end.
+enum DoneAction {
+    Ordered(OrderRequest, OrderOutcome),
+    Asked(UpstreamId, AskOutcome),
+}
+
+impl<Store, Control> GroupsDuty<Store, Control>
+where
+    Store: StateStore,
+    Control: UpstreamControl,
+{
+    /// A duty that does not coordinate yet.
+    pub fn new(
+        shared: Arc<SharedState>,
+        store: Rc<Store>,
+        control: Rc<Control>,
+        quiet: mpsc::Receiver<UpstreamId>,
+        socket: UdpSocket,
+    ) -> Self {
+        Self {
+            shared,
+            store,
+            control,
+            quiet,
+            socket,
+        }
+    }
+
+    /// Runs for as long as the process does.
+    pub async fn run(mut self) {
+        let mut changes = self.shared.view_changed.subscribe();
+        loop {
+            let view = self.shared.view.load_full();
+            let is_vacant = view.coordinator.is_none() && view.revision > 0;
+            let has_groups = engine_service(&view).is_some();
+            if is_vacant && has_groups && !self.shared.is_stopping() {
+                let wait = rand::rng().random_range(0..MAX_TAKEOVER_WAIT_MS);
+                tokio::time::sleep(Duration::from_millis(wait)).await;
+                if self.shared.view.load().coordinator.is_some() {
+                    continue;
+                }
+                if let Some(term) = self.take_over(&view).await {
+                    self.lead(term).await;
+                    continue;
+                }
+            }
+            tokio::select! {
+                _ = changes.changed() => {}
+                leader = self.quiet.recv() => self.pass_on(leader).await,
+                () = tokio::time::sleep(RENEW_PERIOD), if is_vacant => {}
+            }
+        }
+    }
+
+    /// Tells the coordinator of a leader at which requests stand still.
+    async fn pass_on(&self, leader: Option<UpstreamId>) {
+        let Some(leader) = leader else {
+            // The senders live as long as the process.
+            return std::future::pending().await;
+        };
+        let view = self.shared.view.load_full();
+        let Some(coordinator) = &view.coordinator else {
+            return;
+        };
+        let message = PeerMessage::Quiet {
+            leader: leader.to_string(),
+        };
+        let bytes = message.to_bytes();
+        let sent = self.socket.send_to(&bytes, coordinator.peer_addr).await;
+        if let Err(error) = sent {
+            log::debug!("event=message_not_sent reason={error:?}");
+        }
+    }
+
+    /// Tries to become the coordinator.
+    async fn take_over(&self, view: &ClusterView) -> Option<LeadTerm> {
+        let confirmed_at = self.shared.clock.now();
+        let ttl = LEASE_TTL.as_duration();
+        let lease = match self.store.open_lease(ttl).await {
+            Ok(lease) => lease,
+            Err(error) => {
+                log::info!("event=takeover_failed reason={error:?}");
+                return None;
+            }
+        };
+        let site = &self.shared.site;
+        let record = EntryRecord {
+            vm: site.vm.to_string(),
+            peer_addr: site.peer_addr,
+        };
+        let write = |key: &str, lease: u64| KeyWrite {
+            key: key.to_owned(),
+            value: record.to_bytes(),
+            lease,
+        };
+        let condition = |key: &str, revision: u64| KeyCondition {
+            key: key.to_owned(),
+            revision,
+        };
+        let txn = StoreTxn {
+            conditions: vec![
+                condition(COORDINATOR_KEY, 0),
+                condition(TERM_KEY, view.term),
+            ],
+            writes: vec![write(COORDINATOR_KEY, lease), write(TERM_KEY, 0)],
+            removes: Vec::new(),
+        };
+        match self.store.commit(&txn).await {
+            Ok(TxnOutcome::Done(fence)) => {
+                log::info!("event=coordinator_begins fence={fence} before={}", view.term);
+                Some(LeadTerm {
+                    lease,
+                    fence,
+                    is_first: view.term == 0,
+                    confirmed_at,
+                })
+            }
+            outcome => {
+                // When the answer was lost the lease may hold the place: it ends with it.
+                log::info!("event=takeover_lost outcome={outcome:?}");
+                self.end_lease(lease).await;
+                None
+            }
+        }
+    }
+
+    async fn end_lease(&self, lease: u64) {
+        if let Err(error) = self.store.end_lease(lease).await {
+            log::info!("event=lease_not_ended reason={error:?}");
+        }
+    }
+
+    /// Coordinates until the lease is lost or the process stops.
+    async fn lead(&mut self, mut term: LeadTerm) {
+        let shared = Arc::clone(&self.shared);
+        let control = Rc::clone(&self.control);
+        let mut changes = shared.view_changed.subscribe();
+        let mut renewals = tokio::time::interval(RENEW_PERIOD);
+        renewals.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut steps = tokio::time::interval(STEP_PERIOD);
+        steps.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut planner: Option<GroupPlanner> = None;
+        let mut running = FuturesUnordered::new();
+        let mut seen = None;
+        let mut buffer = [0_u8; MAX_DATAGRAM];
+        loop {
+            let mut quiet = None;
+            tokio::select! {
+                biased;
+                _ = renewals.tick() => {
+                    if !self.renew(&mut term).await {
+                        break;
+                    }
+                }
+                Some(done) = running.next(), if !running.is_empty() => {
+                    note_done(&shared, planner.as_mut(), &done);
+                }
+                _ = changes.changed() => {}
+                leader = self.quiet.recv() => quiet = leader,
+                received = self.socket.recv_from(&mut buffer) => {
+                    quiet = read_quiet(&buffer, received);
+                }
+                _ = steps.tick() => {}
+            }
+            if shared.is_stopping() {
+                self.end_lease(term.lease).await;
+                log::info!("event=coordinator_ends reason=stopping");
+                return;
+            }
+            let now = shared.clock.now();
+            if now.since(term.confirmed_at) >= LEASE_TTL.since(LEASE_MARGIN) {
+                continue;
+            }
+            let count = *changes.borrow_and_update();
+            if seen != Some(count) {
+                seen = Some(count);
+                let view = shared.view.load_full();
+                update(&shared, &mut planner, &view, &term);
+            }
+            let Some(planner) = planner.as_mut() else {
+                continue;
+            };
+            let mut actions = match &quiet {
+                Some(leader) => planner.note_quiet(leader, now),
+                None => Vec::new(),
+            };
+            actions.extend(planner.step(now));
+            if planner.is_fenced() {
+                log::warn!("event=coordinator_fenced fence={}", term.fence);
+                break;
+            }
+            for action in actions {
+                let control = Rc::clone(&control);
+                running.push(act(control, action));
+            }
+        }
+        log::info!("event=coordinator_ends reason=lease");
+    }
+
+    /// Renews the lease. False when it is lost.
+    async fn renew(&self, term: &mut LeadTerm) -> bool {
+        let began = self.shared.clock.now();
+        match self.store.renew_lease(term.lease).await {
+            Ok(true) => {
+                term.confirmed_at = began;
+                true
+            }
+            Ok(false) => false,
+            Err(error) => {
+                log::info!("event=lease_not_renewed reason={error:?}");
+                // An outage may pause leases; a lapsed one shows when the store answers again.
+                true
+            }
+        }
+    }
+}
+
+fn engine_service(view: &ClusterView) -> Option<(ServiceName, EngineSpec)> {
+    let services = view.config.as_ref()?.services.values();
+    let mut engines = services.filter_map(|spec| {
+        let engine = spec.engine.clone()?;
+        Some((spec.name.clone(), engine))
+    });
+    engines.next()
+}
+
+fn update(
+    shared: &SharedState,
+    planner: &mut Option<GroupPlanner>,
+    view: &ClusterView,
+    term: &LeadTerm,
+) {
+    let Some((service, spec)) = engine_service(view) else {
+        return;
+    };
+    let planner = planner.get_or_insert_with(|| {
+        let options = GroupOptions {
+            stall_time: shared.site.bounds.stall_time,
+            ..GroupOptions::default()
+        };
+        let now = shared.clock.now();
+        GroupPlanner::new(options, spec.clone(), term.fence, term.is_first, now)
+    });
+    planner.set_spec(spec);
+    let entries = view.upstreams.values();
+    let members = entries.filter(|entry| entry.service == service);
+    planner.set_directory(members, view.revision);
+}
+
+async fn act<Control>(control: Rc<Control>, action: GroupAction) -> DoneAction
+where
+    Control: UpstreamControl,
+{
+    match action {
+        GroupAction::Order(request) => {
+            let outcome = control.order(&request).await;
+            DoneAction::Ordered(request, outcome)
+        }
+        GroupAction::Ask(target) => {
+            let outcome = match control.report(&target).await {
+                Ok(report) => AskOutcome::Answered(report),
+                Err(ControlError::Gone(_)) => AskOutcome::Gone,
+                Err(ControlError::Silent(_)) => AskOutcome::Silent,
+                Err(ControlError::Malformed(reason)) => {
+                    log::warn!("event=report_unreadable upstream={} reason={reason:?}", target.id);
+                    AskOutcome::Silent
+                }
+            };
+            DoneAction::Asked(target.id, outcome)
+        }
+    }
+}
+
+fn note_done(shared: &SharedState, planner: Option<&mut GroupPlanner>, done: &DoneAction) {
+    let Some(planner) = planner else {
+        return;
+    };
+    match done {
+        DoneAction::Ordered(request, outcome) => {
+            let order = request.order.as_str();
+            log::info!(
+                "event=order upstream={} order={order} group={} fence={} expected={:?} outcome={outcome:?}",
+                request.target.id,
+                request.order.group().map_or("", |group| group.as_str()),
+                request.fence,
+                request.expected,
+            );
+            let name = outcome_name(outcome);
+            let orders = &shared.metrics.orders;
+            orders.with_label_values(&[order, name]).inc();
+            planner.note_order(request, outcome);
+        }
+        DoneAction::Asked(id, outcome) => {
+            log::info!("event=asked upstream={id} outcome={outcome:?}");
+            planner.note_report(id, outcome);
+        }
+    }
+}
+
+fn outcome_name(outcome: &OrderOutcome) -> &'static str {
+    match outcome {
+        OrderOutcome::Begun => "begun",
+        OrderOutcome::Holds => "holds",
+        OrderOutcome::Unfit => "unfit",
+        OrderOutcome::Fenced => "fenced",
+        OrderOutcome::Refused(_) => "refused",
+        OrderOutcome::NoListener => "no_listener",
+        OrderOutcome::Unknown(_) => "unknown",
+    }
+}
+
+fn read_quiet(
+    buffer: &[u8],
+    received: std::io::Result<(usize, std::net::SocketAddr)>,
+) -> Option<UpstreamId> {
+    let (length, _) = match received {
+        Ok(received) => received,
+        Err(error) => {
+            log::debug!("event=message_not_received reason={error:?}");
+            return None;
+        }
+    };
+    match PeerMessage::from_bytes(&buffer[..length])? {
+        PeerMessage::Quiet { leader } => Some(UpstreamId::from(leader)),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,20 @@
+//! The serving path on a platform: admit, choose, attempt, relay, resume.
+//!
+//! Everything goes through the ports of `bergamot-ports`. A thread for each duty: callers, the
+//! store, the groups, metrics, and the log's writer.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod clock;
+pub mod daemon;
+mod front;
+mod groups;
+pub mod logs;
+pub mod metrics;
+pub mod own_keys;
+pub mod peer;
+pub mod shared;
+mod sync;
+pub mod view;
+
+pub use daemon::{GatewayDaemon, GatewayPorts};
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,113 @@
+//! The process's metrics, in the prometheus text form.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+/// Buckets of times, in seconds: from a plain answer to the longest stream.
+const TIME_BUCKETS: &[f64] = &[
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0,
+];
+
+/// Every metric of the serving path.
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Requests by route kind and outcome.
+    pub requests: IntCounterVec,
+    /// Attempts at upstreams by route kind and outcome.
+    pub attempts: IntCounterVec,
+    /// Time to the first piece of an answer, in seconds, by route kind.
+    pub first_piece: HistogramVec,
+    /// Time between two events of a stream, in seconds.
+    pub event_gap: HistogramVec,
+    /// Calls to the store by call and outcome.
+    pub store_calls: IntCounterVec,
+    /// Orders to upstreams by order and outcome.
+    pub orders: IntCounterVec,
+    /// Numbers of state by name.
+    pub state: IntGaugeVec,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl GatewayMetrics {
+    /// All metrics at zero.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let metric = IntCounterVec::new(Opts::new(name, help), labels)
+                .expect("the metric's name and labels are constants");
+            register(&registry, Box::new(metric.clone()));
+            metric
+        };
+        let histogram = |name: &str, help: &str, labels: &[&str]| {
+            let options = HistogramOpts::new(name, help).buckets(TIME_BUCKETS.to_vec());
+            let metric = HistogramVec::new(options, labels)
+                .expect("the metric's name and labels are constants");
+            register(&registry, Box::new(metric.clone()));
+            metric
+        };
+        let state = IntGaugeVec::new(Opts::new("bergamot_state", "Numbers of state"), &["name"])
+            .expect("the metric's name and labels are constants");
+        register(&registry, Box::new(state.clone()));
+        Self {
+            requests: counter(
+                "bergamot_requests_total",
+                "Requests by route kind and outcome",
+                &["kind", "outcome"],
+            ),
+            attempts: counter(
+                "bergamot_attempts_total",
+                "Attempts at upstreams by route kind and outcome",
+                &["kind", "outcome"],
+            ),
+            first_piece: histogram(
+                "bergamot_first_piece_seconds",
+                "Time to the first piece of an answer",
+                &["kind"],
+            ),
+            event_gap: histogram(
+                "bergamot_event_gap_seconds",
+                "Time between two events of a stream",
+                &["kind"],
+            ),
+            store_calls: counter(
+                "bergamot_store_calls_total",
+                "Calls to the store by call and outcome",
+                &["call", "outcome"],
+            ),
+            orders: counter(
+                "bergamot_orders_total",
+                "Orders to upstreams by order and outcome",
+                &["order", "outcome"],
+            ),
+            state,
+            registry,
+        }
+    }
+
+    /// The text form of all metrics.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        let encoder = TextEncoder::new();
+        if let Err(error) = encoder.encode(&self.registry.gather(), &mut text) {
+            log::error!("event=metrics_failed reason={error:?}");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+
+    /// Sets one of the numbers of state.
+    pub fn set_state(&self, name: &str, value: i64) {
+        self.state.with_label_values(&[name]).set(value);
+    }
+}
+
+fn register(registry: &Registry, metric: Box<dyn prometheus::core::Collector>) {
+    if let Err(error) = registry.register(metric) {
+        log::error!("event=metric_not_registered reason={error:?}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,82 @@
+//! What the duties share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use arc_swap::ArcSwap;
+use bergamot_ports::VmSite;
+use bergamot_types::prelude::*;
+use tokio::sync::{mpsc, watch};
+
+use crate::clock::SteadyClock;
+use crate::metrics::GatewayMetrics;
+use crate::view::ClusterView;
+
+/// Taken off the time for which a confirmed configuration counts: a request may still wait this
+/// long between the check and its arrival at the upstream.
+pub const CONFIRM_MARGIN: Millis = Millis(400);
+
+/// State that every duty reads.
+pub struct SharedState {
+    /// Where this process runs.
+    pub site: VmSite,
+    /// The clock of all times here.
+    pub clock: SteadyClock,
+    /// The metrics.
+    pub metrics: GatewayMetrics,
+    /// What was read from the store.
+    pub view: ArcSwap<ClusterView>,
+    /// Tells of each new view.
+    pub view_changed: watch::Sender<u64>,
+    /// When the last read that showed the newest configuration began, in milliseconds; 0: never.
+    confirmed_at: AtomicU64,
+    /// Whether the process is stopping.
+    pub stopping: AtomicBool,
+    /// Leaders at which requests stand still, for the coordinator.
+    pub quiet: mpsc::Sender<UpstreamId>,
+}
+
+impl SharedState {
+    /// The state of a process that has just started.
+    pub fn new(site: VmSite, quiet: mpsc::Sender<UpstreamId>) -> Arc<Self> {
+        Arc::new(Self {
+            site,
+            clock: SteadyClock::default(),
+            metrics: GatewayMetrics::new(),
+            view: ArcSwap::from_pointee(ClusterView::default()),
+            view_changed: watch::channel(0).0,
+            confirmed_at: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+            quiet,
+        })
+    }
+
+    /// Notes that a read begun at `began` showed the newest configuration.
+    pub fn note_confirmed(&self, began: Millis) {
+        self.confirmed_at.fetch_max(began.0, Ordering::SeqCst);
+    }
+
+    /// How long ago the newest configuration was confirmed.
+    pub fn config_age(&self, now: Millis) -> Millis {
+        now.since(Millis(self.confirmed_at.load(Ordering::SeqCst)))
+    }
+
+    /// Whether a caller's key may still be trusted.
+    pub fn is_confirmed(&self, now: Millis) -> bool {
+        let Some(bound) = self.site.bounds.revoke_time else {
+            return true;
+        };
+        self.config_age(now) < bound.since(CONFIRM_MARGIN)
+    }
+
+    /// Whether the process is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Publishes a new view.
+    pub fn publish(&self, view: ClusterView) {
+        self.view.store(Arc::new(view));
+        self.view_changed.send_modify(|count| *count += 1);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sync.rs
@@ -0,0 +1,396 @@
+//! The store's duty: reads configuration and directory, follows their changes, and confirms again
+//! and again that no newer configuration was missed.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bergamot_ports::{
+    KeyCondition, KeyWrite, StateStore, StoreCatalog, StoreError, StoreEvent, StoreItem, StoreTxn,
+    TxnOutcome, UpstreamEntry, WatchOutcome,
+};
+use bergamot_types::prelude::*;
+use indexmap::IndexMap;
+
+use crate::own_keys::{COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, TERM_KEY};
+use crate::shared::SharedState;
+use crate::view::{ClusterView, build_pools};
+
+/// Time between two confirmations of the configuration. A third of the shortest time for which
+/// one counts, so that two may fail in a row.
+const CONFIRM_PERIOD: Duration = Duration::from_millis(1_400);
+/// Time between two tries while the store is away.
+const RETRY_PERIOD: Duration = Duration::from_millis(300);
+/// The longest wait of one watch. A silent watch costs one call.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Time between a watch's answer and the next watch, so that changes that come together cost one
+/// call. Small against the seconds in which a change must be in force.
+const WATCH_PAUSE: Duration = Duration::from_millis(40);
+/// Time after the store's return in which entries that lapsed meanwhile come back.
+const LAPSE_GRACE: Millis = Millis(2_000);
+/// How long the key of an entry VM outlives its last renewal.
+const ENTRY_TTL: Duration = Duration::from_secs(6);
+
+/// The state of the duty.
+pub struct SyncDuty<Store, Catalog> {
+    shared: Arc<SharedState>,
+    store: Rc<Store>,
+    catalog: Catalog,
+    known: KnownState,
+}
+
+/// What was read so far.
+#[derive(Default)]
+struct KnownState {
+    config_revision: u64,
+    config: Option<Arc<bergamot_ports::ServingConfig>>,
+    upstreams: IndexMap<UpstreamId, UpstreamEntry>,
+    entries: IndexMap<String, EntryRecord>,
+    coordinator: Option<EntryRecord>,
+    term: u64,
+    /// Where to watch from; none when everything must be read anew.
+    revision: Option<u64>,
+    /// Removed entries that may come back, and until when they are kept.
+    lapsed: IndexMap<UpstreamId, Millis>,
+    /// Whether the store did not answer the last call.
+    is_away: bool,
+    returned_at: Option<Millis>,
+}
+
+impl<Store, Catalog> SyncDuty<Store, Catalog>
+where
+    Store: StateStore + 'static,
+    Catalog: StoreCatalog,
+{
+    /// A duty that has read nothing yet.
+    pub fn new(shared: Arc<SharedState>, store: Rc<Store>, catalog: Catalog) -> Self {
+        Self {
+            shared,
+            store,
+            catalog,
+            known: KnownState::default(),
+        }
+    }
+
+    /// Runs for as long as the process does.
+    pub async fn run(mut self) {
+        let mut lease: Option<u64> = None;
+        loop {
+            while !self.read_all().await {
+                tokio::time::sleep(RETRY_PERIOD).await;
+            }
+            self.follow(&mut lease).await;
+        }
+    }
+
+    /// Reads everything. False when the store did not answer.
+    async fn read_all(&mut self) -> bool {
+        let began = self.shared.clock.now();
+        let range = self.store.range("").await;
+        self.count("range", range.as_ref().err());
+        let range = match range {
+            Ok(range) => range,
+            Err(error) => {
+                self.note_failure("range", &error);
+                return false;
+            }
+        };
+        self.note_success();
+        let now = self.shared.clock.now();
+        let mut listed: Vec<UpstreamId> = Vec::new();
+        self.known.entries.clear();
+        self.known.coordinator = None;
+        for item in &range.items {
+            listed.extend(self.catalog.upstream_id(&item.key));
+            self.apply_item(item);
+        }
+        let missing = self.known.upstreams.keys();
+        let missing: Vec<UpstreamId> = missing.filter(|id| !listed.contains(id)).cloned().collect();
+        for id in missing {
+            self.remove_upstream(&id, now);
+        }
+        self.known.revision = Some(range.revision);
+        if self.known.config.is_some() {
+            self.shared.note_confirmed(began);
+        }
+        log::info!(
+            "event=store_read revision={} upstreams={} config={}",
+            range.revision,
+            self.known.upstreams.len(),
+            self.known.config.as_ref().map_or(0, |config| config.version)
+        );
+        self.publish();
+        true
+    }
+
+    /// Follows the changes until they are lost.
+    async fn follow(&mut self, lease: &mut Option<u64>) {
+        while let Some(revision) = self.known.revision {
+            let store = Rc::clone(&self.store);
+            let watch = async move { store.watch("", revision, WATCH_WAIT).await };
+            tokio::pin!(watch);
+            let outcome = loop {
+                let pause = match self.known.is_away {
+                    true => RETRY_PERIOD,
+                    false => CONFIRM_PERIOD,
+                };
+                let pause = self.until_lapse().map_or(pause, |lapse| lapse.min(pause));
+                tokio::select! {
+                    outcome = &mut watch => break Some(outcome),
+                    () = tokio::time::sleep(pause) => {}
+                }
+                self.expire_lapsed();
+                let was_away = self.known.is_away;
+                self.confirm().await;
+                self.renew(lease).await;
+                if was_away && !self.known.is_away {
+                    // The watch may hang on a connection that the outage cut.
+                    break None;
+                }
+            };
+            let Some(outcome) = outcome else {
+                continue;
+            };
+            self.count("watch", outcome.as_ref().err());
+            match outcome {
+                Ok(WatchOutcome::Changes { events, revision }) => {
+                    self.note_success();
+                    let has_changes = !events.is_empty();
+                    for event in events {
+                        self.apply_event(event);
+                    }
+                    self.known.revision = Some(revision);
+                    if has_changes {
+                        self.publish();
+                    }
+                    tokio::time::sleep(WATCH_PAUSE).await;
+                }
+                Ok(WatchOutcome::HistoryGone) => {
+                    log::info!("event=store_history_gone revision={revision}");
+                    self.known.revision = None;
+                }
+                Err(error) => {
+                    self.note_failure("watch", &error);
+                    tokio::time::sleep(WATCH_PAUSE).await;
+                    self.confirm().await;
+                }
+            }
+        }
+    }
+
+    /// Shows that the configuration that is known is still the newest, or takes over a newer one.
+    async fn confirm(&mut self) {
+        let began = self.shared.clock.now();
+        let txn = StoreTxn {
+            conditions: vec![KeyCondition {
+                key: self.catalog.config_key().to_owned(),
+                revision: self.known.config_revision,
+            }],
+            ..StoreTxn::default()
+        };
+        let outcome = self.store.commit(&txn).await;
+        self.count("confirm", outcome.as_ref().err());
+        match outcome {
+            Ok(TxnOutcome::Conflict(items)) => {
+                self.note_success();
+                for item in &items {
+                    self.apply_item(item);
+                }
+                self.publish();
+                if self.known.config.is_some() {
+                    self.shared.note_confirmed(began);
+                }
+            }
+            Ok(_) => {
+                self.note_success();
+                if self.known.config.is_some() {
+                    self.shared.note_confirmed(began);
+                }
+            }
+            Err(error) => self.note_failure("confirm", &error),
+        }
+    }
+
+    /// Keeps this VM's own key alive.
+    async fn renew(&mut self, lease: &mut Option<u64>) {
+        if self.known.is_away || self.shared.is_stopping() {
+            return;
+        }
+        if let Some(id) = *lease {
+            let outcome = self.store.renew_lease(id).await;
+            self.count("renew", outcome.as_ref().err());
+            if !matches!(outcome, Ok(false)) {
+                return;
+            }
+            *lease = None;
+        }
+        let opened = self.store.open_lease(ENTRY_TTL).await;
+        self.count("lease", opened.as_ref().err());
+        let Ok(id) = opened else {
+            return;
+        };
+        let site = &self.shared.site;
+        let record = EntryRecord {
+            vm: site.vm.to_string(),
+            peer_addr: site.peer_addr,
+        };
+        let txn = StoreTxn {
+            writes: vec![KeyWrite {
+                key: format!("{ENTRY_PREFIX}{}", site.vm),
+                value: record.to_bytes(),
+                lease: id,
+            }],
+            ..StoreTxn::default()
+        };
+        let outcome = self.store.commit(&txn).await;
+        self.count("register", outcome.as_ref().err());
+        if let Err(error) = outcome {
+            self.note_failure("register", &error);
+            return;
+        }
+        *lease = Some(id);
+    }
+
+    fn apply_event(&mut self, event: StoreEvent) {
+        match event {
+            StoreEvent::Written(item) => self.apply_item(&item),
+            StoreEvent::Removed { key, .. } => {
+                if let Some(id) = self.catalog.upstream_id(&key) {
+                    self.remove_upstream(&id, self.shared.clock.now());
+                } else if key == COORDINATOR_KEY {
+                    self.known.coordinator = None;
+                } else if let Some(vm) = key.strip_prefix(ENTRY_PREFIX) {
+                    self.known.entries.shift_remove(vm);
+                }
+            }
+        }
+    }
+
+    fn apply_item(&mut self, item: &StoreItem) {
+        if item.key == self.catalog.config_key() {
+            self.apply_config(item);
+        } else if self.catalog.upstream_id(&item.key).is_some() {
+            match self.catalog.read_upstream(item) {
+                Ok(entry) => {
+                    self.known.lapsed.shift_remove(&entry.id);
+                    self.known.upstreams.insert(entry.id.clone(), entry);
+                }
+                Err(error) => log::warn!("event=entry_unreadable reason={error:?}"),
+            }
+        } else if item.key == COORDINATOR_KEY {
+            self.known.coordinator = EntryRecord::from_bytes(&item.value);
+        } else if item.key == TERM_KEY {
+            self.known.term = item.revision;
+        } else if let Some(vm) = item.key.strip_prefix(ENTRY_PREFIX)
+            && let Some(record) = EntryRecord::from_bytes(&item.value)
+        {
+            self.known.entries.insert(vm.to_owned(), record);
+        }
+    }
+
+    fn apply_config(&mut self, item: &StoreItem) {
+        if item.revision <= self.known.config_revision {
+            return;
+        }
+        match self.catalog.read_config(item) {
+            Ok(config) => {
+                let known = self.known.config.as_ref().map_or(0, |known| known.version);
+                if config.version < known {
+                    log::warn!("event=config_ignored version={} known={known}", config.version);
+                    return;
+                }
+                log::info!(
+                    "event=config_in_force version={} revision={}",
+                    config.version,
+                    item.revision
+                );
+                self.known.config = Some(Arc::new(config));
+                self.known.config_revision = item.revision;
+            }
+            Err(error) => log::error!("event=config_unreadable reason={error:?}"),
+        }
+    }
+
+    /// Takes an entry out, at once or when it has had time to come back after an outage.
+    fn remove_upstream(&mut self, id: &UpstreamId, now: Millis) {
+        let grace_end = self.known.returned_at.map(|at| at + LAPSE_GRACE);
+        let keeps_until = match self.known.is_away {
+            true => Some(now + LAPSE_GRACE),
+            false => grace_end.filter(|end| *end > now),
+        };
+        match keeps_until {
+            Some(until) => {
+                self.known.lapsed.entry(id.clone()).or_insert(until);
+            }
+            None => {
+                log::info!("event=upstream_unlisted upstream={id}");
+                self.known.upstreams.shift_remove(id);
+            }
+        }
+    }
+
+    fn until_lapse(&self) -> Option<Duration> {
+        let now = self.shared.clock.now();
+        let first = self.known.lapsed.values().min()?;
+        Some(first.since(now).as_duration() + Duration::from_millis(1))
+    }
+
+    fn expire_lapsed(&mut self) {
+        let now = self.shared.clock.now();
+        let due = self.known.lapsed.iter().filter(|(_, until)| **until <= now);
+        let due: Vec<UpstreamId> = due.map(|(id, _)| id.clone()).collect();
+        if due.is_empty() || self.known.is_away {
+            return;
+        }
+        for id in &due {
+            log::info!("event=upstream_lapsed upstream={id}");
+            self.known.lapsed.shift_remove(id);
+            self.known.upstreams.shift_remove(id);
+        }
+        self.publish();
+    }
+
+    fn note_failure(&mut self, call: &str, error: &StoreError) {
+        if !self.known.is_away {
+            log::warn!("event=store_lost call={call} reason={error:?}");
+        }
+        self.known.is_away = true;
+        self.store.reset();
+    }
+
+    fn note_success(&mut self) {
+        if !self.known.is_away {
+            return;
+        }
+        let now = self.shared.clock.now();
+        log::info!("event=store_regained config_age={}", self.shared.config_age(now));
+        self.known.is_away = false;
+        self.known.returned_at = Some(now);
+    }
+
+    fn count(&self, call: &str, error: Option<&StoreError>) {
+        let outcome = match error {
+            None => "ok",
+            Some(StoreError::Refused(_)) => "refused",
+            Some(StoreError::NotSent(_)) => "not_sent",
+            Some(StoreError::Unknown(_)) => "unknown",
+            Some(StoreError::Malformed(_)) => "malformed",
+        };
+        let calls = &self.shared.metrics.store_calls;
+        calls.with_label_values(&[call, outcome]).inc();
+    }
+
+    fn publish(&self) {
+        let known = &self.known;
+        let pools = known.config.as_ref().map(|config| build_pools(config, &known.upstreams));
+        self.shared.publish(ClusterView {
+            config: known.config.clone(),
+            upstreams: known.upstreams.clone(),
+            revision: known.revision.unwrap_or(0),
+            pools: pools.unwrap_or_default(),
+            entries: known.entries.clone(),
+            coordinator: known.coordinator.clone(),
+            term: known.term,
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/view.rs
@@ -0,0 +1,103 @@
+//! What requests are routed by: the configuration and the upstreams, as they were last read.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bergamot_ports::{MemberState, ServingConfig, UpstreamEntry, UpstreamState};
+use bergamot_types::prelude::*;
+use indexmap::IndexMap;
+
+use crate::own_keys::EntryRecord;
+
+/// An upstream that requests may be sent to.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct RouteUpstream {
+    /// Which run of it.
+    pub id: UpstreamId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Where it can be cut off.
+    pub failure_domain: FailureDomain,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// The group it leads, where it does.
+    pub group: Option<GroupId>,
+}
+
+/// The upstreams of one service.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct ServicePool {
+    /// Instances of a plain service.
+    pub plain: Vec<RouteUpstream>,
+    /// Leaders of serving groups by model.
+    pub models: IndexMap<ModelName, Vec<RouteUpstream>>,
+}
+
+/// Everything that was read from the store.
+#[derive(Clone, Debug, Default)]
+pub struct ClusterView {
+    /// The configuration in force; none before the first.
+    pub config: Option<Arc<ServingConfig>>,
+    /// Entries of the directory.
+    pub upstreams: IndexMap<UpstreamId, UpstreamEntry>,
+    /// The revision of the newest change.
+    pub revision: u64,
+    /// Upstreams by service.
+    pub pools: IndexMap<ServiceName, ServicePool>,
+    /// Entry VMs by name.
+    pub entries: IndexMap<String, EntryRecord>,
+    /// Who coordinates the groups.
+    pub coordinator: Option<EntryRecord>,
+    /// Revision of the last change of the coordinator; 0 if there never was one.
+    pub term: u64,
+}
+
+/// Sorts the upstreams that take new work by service. Costs one pass over the directory.
+pub fn build_pools(
+    config: &ServingConfig,
+    upstreams: &IndexMap<UpstreamId, UpstreamEntry>,
+) -> IndexMap<ServiceName, ServicePool> {
+    let mut pools: IndexMap<ServiceName, ServicePool> = IndexMap::new();
+    for entry in upstreams.values() {
+        if entry.state == UpstreamState::Draining {
+            continue;
+        }
+        let Some(spec) = config.services.get(&entry.service) else {
+            continue;
+        };
+        let pool = pools.entry(entry.service.clone()).or_default();
+        let Some(engine) = &spec.engine else {
+            pool.plain.push(route_upstream(entry, entry.slots));
+            continue;
+        };
+        let leads = entry.membership.as_ref().filter(|membership| {
+            membership.rank == 0 && membership.state == MemberState::Open
+        });
+        if leads.is_none() {
+            continue;
+        }
+        let Some(model) = led_model(entry) else {
+            continue;
+        };
+        let upstream = route_upstream(entry, engine.slots);
+        pool.models.entry(model).or_default().push(upstream);
+    }
+    pools
+}
+
+/// The model a leader's group runs.
+fn led_model(entry: &UpstreamEntry) -> Option<ModelName> {
+    let group = entry.membership.as_ref()?.group.as_str();
+    let named = group.rsplit_once('.').map(|(model, _)| ModelName::new(model));
+    named.or_else(|| entry.models.first().cloned())
+}
+
+fn route_upstream(entry: &UpstreamEntry, slots: u32) -> RouteUpstream {
+    RouteUpstream {
+        id: entry.id.clone(),
+        addr: entry.addr,
+        failure_domain: entry.failure_domain.clone(),
+        slots,
+        group: entry.membership.as_ref().map(|it| it.group.clone()),
+    }
+}
--- /dev/null
+++ b/crates/groups/src/lib.rs
@@ -0,0 +1,24 @@
+//! Decides which upstreams form which replica group, from what they say of themselves.
+//!
+//! The upstreams' own directory entries are the only record of membership: a coordinator that
+//! takes over reads them and goes on. Decisions only: no I/O, no clock, no random numbers. See
+//! [`GroupPlanner::step`].
+//!
+//! What keeps the promises:
+//! - a group is opened only when every member says that it joined the same group and epoch;
+//! - a member is asked into another group only when the leader of its old one has left, has never
+//!   opened, is broken or gone, or has stood still for longer than it takes to break;
+//! - each order carries the number of orders its upstream has begun, so that one that is
+//!   delivered late finds itself out of date.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+mod allocate;
+mod forming;
+pub mod options;
+pub mod planner;
+mod track;
+mod view;
+
+pub use options::GroupOptions;
+pub use planner::{AskOutcome, GroupAction, GroupPlanner};
--- /dev/null
+++ b/crates/groups/src/options.rs
@@ -0,0 +1,37 @@
+//! Times and counts of the planner.
+
+use bergamot_types::Millis;
+
+/// What operators can set about groups.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct GroupOptions {
+    /// Time for which a group that lost a member stands still before it breaks. The platform's.
+    pub stall_time: Millis,
+    /// Added to it before a member of such a group is used again, for clocks and messages.
+    pub stall_margin: Millis,
+    /// Time after which an order whose effect does not show is given again. Several times the way
+    /// to an upstream and back through the directory.
+    pub order_retry: Millis,
+    /// Time after which an unreachable upstream is asked again.
+    pub ask_again: Millis,
+    /// Unanswered questions in a row after which an upstream counts as dead.
+    pub silent_limit: u32,
+    /// One in so many upstreams of a fabric domain is kept free for repairs.
+    pub spare_divisor: usize,
+    /// Time after which an incomplete group that is being formed is given up.
+    pub forming_limit: Millis,
+}
+
+impl Default for GroupOptions {
+    fn default() -> Self {
+        Self {
+            stall_time: Millis(4_000),
+            stall_margin: Millis(400),
+            order_retry: Millis(500),
+            ask_again: Millis(1_000),
+            silent_limit: 2,
+            spare_divisor: 5,
+            forming_limit: Millis(8_000),
+        }
+    }
+}
--- /dev/null
+++ b/crates/groups/src/planner.rs
@@ -0,0 +1,561 @@
+//! The coordinator's state and its next orders.
+
+use bergamot_ports::{
+    EngineSpec, GroupOrder, MemberState, OrderOutcome, OrderRequest, UpstreamEntry, UpstreamReport,
+    UpstreamState, UpstreamTarget,
+};
+use bergamot_types::prelude::*;
+use indexmap::IndexMap;
+
+use crate::allocate::{FreePool, allocate};
+use crate::forming::{FormingGroup, FormingStep};
+use crate::options::GroupOptions;
+use crate::track::{GivenOrder, UpstreamTrack};
+use crate::view::{GroupKey, GroupView, collect_groups, group_model, group_name};
+
+/// Time between an unanswered question and the next one, while a group may be standing still.
+const SECOND_QUESTION: Millis = Millis(50);
+
+/// Something the coordinator wants done.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum GroupAction {
+    /// Give an order and tell [`GroupPlanner::note_order`] what became of it.
+    Order(OrderRequest),
+    /// Ask for a report and tell [`GroupPlanner::note_report`].
+    Ask(UpstreamTarget),
+}
+
+/// What became of a question.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum AskOutcome {
+    /// It answered.
+    Answered(UpstreamReport),
+    /// Its process is gone.
+    Gone,
+    /// No answer.
+    Silent,
+}
+
+/// The coordinator of the replica groups of one service.
+#[derive(Debug)]
+pub struct GroupPlanner {
+    options: GroupOptions,
+    spec: EngineSpec,
+    fence: u64,
+    epoch: u64,
+    is_fenced: bool,
+    /// Upstreams that had begun orders before this coordinator took over are not used before
+    /// then, as their last group may still stand open.
+    inherited_until: Millis,
+    tracks: IndexMap<UpstreamId, UpstreamTrack>,
+    forming: IndexMap<GroupId, FormingGroup>,
+    /// Who leads, or led, each list of members.
+    leaders: IndexMap<GroupKey, UpstreamId>,
+}
+
+impl GroupPlanner {
+    /// A coordinator that took over at `now` with fencing number `fence`. `is_first` says that
+    /// there was none before it.
+    pub fn new(
+        options: GroupOptions,
+        spec: EngineSpec,
+        fence: u64,
+        is_first: bool,
+        now: Millis,
+    ) -> Self {
+        let inherited_until = match is_first {
+            true => Millis::ZERO,
+            false => now + options.stall_time + options.stall_margin,
+        };
+        Self {
+            options,
+            spec,
+            fence,
+            epoch: fence,
+            is_fenced: false,
+            inherited_until,
+            tracks: IndexMap::new(),
+            forming: IndexMap::new(),
+            leaders: IndexMap::new(),
+        }
+    }
+
+    /// Whether an upstream has seen a higher fencing number: another coordinator took over.
+    pub fn is_fenced(&self) -> bool {
+        self.is_fenced
+    }
+
+    /// Takes over a new configuration.
+    pub fn set_spec(&mut self, spec: EngineSpec) {
+        self.spec = spec;
+    }
+
+    /// Takes over the directory, read at the store's `revision`.
+    pub fn set_directory<'a, Entries>(&mut self, entries: Entries, revision: u64)
+    where
+        Entries: IntoIterator<Item = &'a UpstreamEntry>,
+    {
+        // Every change of a membership raises the store's revision, so this is higher than any
+        // epoch that an earlier coordinator used.
+        self.epoch = self.epoch.max(revision);
+        for track in self.tracks.values_mut() {
+            track.is_listed = false;
+        }
+        for entry in entries {
+            let track = self
+                .tracks
+                .entry(entry.id.clone())
+                .or_insert_with(|| UpstreamTrack::new(entry.clone()));
+            track.is_listed = true;
+            if track.entry != *entry {
+                track.silent = 0;
+                track.is_gone = false;
+                track.entry = entry.clone();
+            }
+            if let Some(membership) = &entry.membership {
+                self.epoch = self.epoch.max(membership.epoch);
+                track.warm_model = Some(group_model(&membership.group));
+                if membership.rank == 0 {
+                    let key = (membership.group.clone(), membership.epoch);
+                    self.leaders.insert(key, entry.id.clone());
+                }
+            }
+            let is_staged = track.staging.as_ref();
+            if is_staged.is_some_and(|(model, _)| entry.staged.contains(model)) {
+                track.staging = None;
+            }
+        }
+    }
+
+    /// Hears that requests at this leader stand still.
+    pub fn note_quiet(&mut self, leader: &UpstreamId, now: Millis) -> Vec<GroupAction> {
+        let membership = self
+            .tracks
+            .get(leader)
+            .and_then(|track| track.entry.membership.clone());
+        let Some(membership) = membership else {
+            return Vec::new();
+        };
+        let members: Vec<UpstreamId> = self
+            .tracks
+            .iter()
+            .filter(|(_, track)| track.is_in(&membership.group, membership.epoch))
+            .map(|(id, _)| id.clone())
+            .collect();
+        let gap = Millis(self.options.ask_again.0 / 3);
+        let asked = members.iter().filter_map(|id| self.ask(id, now, gap));
+        asked.collect()
+    }
+
+    /// Hears what became of an order.
+    pub fn note_order(&mut self, request: &OrderRequest, outcome: &OrderOutcome) {
+        let Some(track) = self.tracks.get_mut(&request.target.id) else {
+            return;
+        };
+        if let Some(given) = &mut track.given {
+            given.is_answered = true;
+        }
+        match outcome {
+            OrderOutcome::Begun => {
+                track.silent = 0;
+                track.orders_begun = request.expected.map(|expected| expected + 1);
+            }
+            OrderOutcome::Holds => track.silent = 0,
+            OrderOutcome::Unfit | OrderOutcome::Refused(_) => {
+                track.silent = 0;
+                track.orders_begun = None;
+                track.staging = None;
+            }
+            OrderOutcome::Fenced => {
+                // A join is refused the same way for its epoch; a new one gets a higher one.
+                track.orders_begun = None;
+                match request.order {
+                    GroupOrder::Join { .. } => self.drop_forming(request.order.group()),
+                    _ => self.is_fenced = true,
+                }
+            }
+            OrderOutcome::NoListener => track.is_gone = true,
+            OrderOutcome::Unknown(_) => {
+                track.silent += 1;
+                track.orders_begun = None;
+                track.staging = None;
+            }
+        }
+    }
+
+    fn drop_forming(&mut self, group: Option<&GroupId>) {
+        if let Some(group) = group {
+            self.forming.shift_remove(group);
+        }
+    }
+
+    /// Hears what became of a question.
+    pub fn note_report(&mut self, id: &UpstreamId, outcome: &AskOutcome) {
+        let Some(track) = self.tracks.get_mut(id) else {
+            return;
+        };
+        track.is_asked = false;
+        match outcome {
+            AskOutcome::Answered(report) => {
+                track.silent = 0;
+                track.orders_begun = Some(report.orders_begun);
+                if !track.is_listed {
+                    track.entry.membership = report.membership.clone();
+                }
+            }
+            AskOutcome::Gone => track.is_gone = true,
+            AskOutcome::Silent => track.silent += 1,
+        }
+    }
+
+    /// What is to be done now.
+    pub fn step(&mut self, now: Millis) -> Vec<GroupAction> {
+        let mut actions = Vec::new();
+        if self.is_fenced {
+            return actions;
+        }
+        let groups = collect_groups(&self.tracks);
+        self.step_forming(now, &mut actions);
+        let mut counts: IndexMap<ModelName, usize> = IndexMap::new();
+        let mut free: Vec<UpstreamId> = Vec::new();
+        for (key, group) in &groups {
+            if self.forming.contains_key(&key.0) {
+                *counts.entry(group_model(&key.0)).or_default() += 1;
+                continue;
+            }
+            self.step_group(now, key, group, &mut counts, &mut free, &mut actions);
+        }
+        for (id, track) in &self.tracks {
+            if track.is_listed && track.entry.membership.is_none() {
+                free.push(id.clone());
+            }
+        }
+        self.step_free(now, counts, &free, &mut actions);
+        self.ask_silent(now, &mut actions);
+        self.tracks.retain(|_, track| track.is_listed || !track.is_gone);
+        actions
+    }
+
+    fn step_forming(&mut self, now: Millis, actions: &mut Vec<GroupAction>) {
+        let ids: Vec<GroupId> = self.forming.keys().cloned().collect();
+        for id in ids {
+            let group = &self.forming[&id];
+            let step = group.step(&id, &self.tracks, self.options.silent_limit);
+            let is_late = now.since(group.since) > self.options.forming_limit;
+            match step {
+                FormingStep::Done => {
+                    log::info!("event=group_serves group={id} took={}", now.since(group.since));
+                    self.forming.shift_remove(&id);
+                }
+                FormingStep::Abort(reason) => self.abort(&id, reason),
+                FormingStep::Orders(_) if is_late => self.abort(&id, "it took too long"),
+                FormingStep::Orders(orders) => {
+                    for (upstream, order) in orders {
+                        self.give(now, &upstream, order, actions);
+                    }
+                }
+            }
+        }
+    }
+
+    fn abort(&mut self, id: &GroupId, reason: &str) {
+        log::info!("event=group_given_up group={id} reason={reason:?}");
+        self.forming.shift_remove(id);
+    }
+
+    /// Looks at a group that is not being formed: keeps it, ends it, or frees its members.
+    fn step_group(
+        &mut self,
+        now: Millis,
+        key: &GroupKey,
+        group: &GroupView,
+        counts: &mut IndexMap<ModelName, usize>,
+        free: &mut Vec<UpstreamId>,
+        actions: &mut Vec<GroupAction>,
+    ) {
+        let model = group_model(&key.0);
+        let size = self.spec.models.get(&model).map_or(1, |it| it.group_size);
+        let Some((leader, state)) = group.leader() else {
+            self.step_leaderless(now, key, group, free, actions);
+            return;
+        };
+        let loss = self.loss(key, group, size);
+        match (state, loss) {
+            (MemberState::Broken, _) => {
+                free.extend(group.members.iter().map(|(_, id, _)| id.clone()));
+            }
+            (MemberState::Open, None) => *counts.entry(model).or_default() += 1,
+            (MemberState::Ready, None) if self.is_joined(group, size) => {
+                *counts.entry(model).or_default() += 1;
+                let order = GroupOrder::Open {
+                    group: key.0.clone(),
+                    epoch: key.1,
+                };
+                self.give(now, leader, order, actions);
+            }
+            (_, _) if self.is_dead(leader) => {
+                self.step_leaderless(now, key, group, free, actions);
+            }
+            (MemberState::Open, Some(GroupLoss::Leaving)) => {
+                let order = GroupOrder::Close {
+                    group: key.0.clone(),
+                    epoch: key.1,
+                    is_cut: false,
+                };
+                self.give(now, leader, order, actions);
+            }
+            (MemberState::Closing, Some(GroupLoss::Leaving) | None) => {}
+            // Nothing moves in a group that lost a member, and one that never opened is not
+            // needed: the leader leaves, and with that the others are free.
+            (_, loss) => {
+                log::info!("event=group_ends group={} loss={loss:?}", key.0);
+                let order = GroupOrder::Leave {
+                    group: key.0.clone(),
+                    epoch: key.1,
+                };
+                self.give(now, leader, order, actions);
+            }
+        }
+    }
+
+    /// Whether every member says that it has joined.
+    fn is_joined(&self, group: &GroupView, size: usize) -> bool {
+        let all_ready = group
+            .members
+            .iter()
+            .all(|(_, _, state)| *state == MemberState::Ready);
+        all_ready && group.is_full(size)
+    }
+
+    /// What a group lacks, if anything.
+    fn loss(&self, key: &GroupKey, group: &GroupView, size: usize) -> Option<GroupLoss> {
+        let is_lost = group.members.iter().any(|(_, id, _)| self.is_dead(id));
+        // A member that fell out of the directory but still answers is only cut off from it.
+        let unlisted = self.tracks.values().filter(|track| {
+            !track.is_listed && track.is_in(&key.0, key.1) && !self.is_dead(&track.entry.id)
+        });
+        if is_lost || group.members.len() + unlisted.count() < size {
+            return Some(GroupLoss::Lost);
+        }
+        let is_leaving = |id: &UpstreamId| {
+            let track = self.tracks.get(id);
+            track.is_some_and(|track| track.entry.state == UpstreamState::Draining)
+        };
+        let has_leaving = group.members.iter().any(|(_, id, _)| is_leaving(id));
+        has_leaving.then_some(GroupLoss::Leaving)
+    }
+
+    fn is_dead(&self, id: &UpstreamId) -> bool {
+        let limit = self.options.silent_limit;
+        let track = self.tracks.get(id);
+        track.is_none_or(|track| track.is_gone || track.silent >= limit)
+    }
+
+    /// A group whose leader is not listed or does not answer.
+    fn step_leaderless(
+        &mut self,
+        now: Millis,
+        key: &GroupKey,
+        group: &GroupView,
+        free: &mut Vec<UpstreamId>,
+        actions: &mut Vec<GroupAction>,
+    ) {
+        let members = group.members.iter().map(|(_, id, _)| id);
+        let leader = self.leaders.get(key).cloned();
+        let track = leader.as_ref().and_then(|leader| self.tracks.get(leader));
+        let has_left = track.is_some_and(|track| track.is_listed && !track.is_in(&key.0, key.1));
+        let is_gone = track.is_some_and(|track| track.is_gone);
+        if has_left || is_gone {
+            free.extend(members.cloned());
+            return;
+        }
+        let is_settled = track.is_none_or(|track| track.silent >= self.options.silent_limit);
+        if !is_settled {
+            let gap = Millis(self.options.ask_again.0 / 3);
+            actions.extend(leader.and_then(|leader| self.ask(&leader, now, gap)));
+            return;
+        }
+        // The leader may live and serve out of our sight. With a member gone it stands still, and
+        // breaks when the stall time is over; until then nobody of the group is used again.
+        let members: Vec<UpstreamId> = members.cloned().collect();
+        let hold = now + self.options.stall_time + self.options.stall_margin;
+        for id in members.iter().filter(|id| Some(*id) != leader.as_ref()) {
+            let order = GroupOrder::Leave {
+                group: key.0.clone(),
+                epoch: key.1,
+            };
+            self.give(now, id, order, actions);
+            if let Some(track) = self.tracks.get_mut(id) {
+                track.held_until = track.held_until.max(hold);
+            }
+        }
+    }
+
+    fn step_free(
+        &mut self,
+        now: Millis,
+        counts: IndexMap<ModelName, usize>,
+        free: &[UpstreamId],
+        actions: &mut Vec<GroupAction>,
+    ) {
+        let mut pools: IndexMap<FabricDomain, FreePool<'_>> = IndexMap::new();
+        for track in self.tracks.values().filter(|track| track.is_listed) {
+            let Some(fabric) = &track.entry.fabric else {
+                continue;
+            };
+            let pool = pools.entry(fabric.clone()).or_default();
+            pool.total += 1;
+            if free.contains(&track.entry.id) && self.is_usable(track, now) {
+                pool.free.push(track);
+            }
+        }
+        let staging = self.tracks.values();
+        let mut loading = staging.filter(|track| track.staging.is_some()).count();
+        let allocation = allocate(&self.spec, pools, counts, self.options.spare_divisor);
+        for (model, members) in allocation.form {
+            self.form(now, model, members, actions);
+        }
+        for (id, model) in allocation.stage {
+            if loading >= self.spec.parallel_loads {
+                break;
+            }
+            loading += 1;
+            let order = GroupOrder::Stage {
+                model: model.clone(),
+            };
+            if self.give(now, &id, order, actions)
+                && let Some(track) = self.tracks.get_mut(&id)
+            {
+                track.staging = Some((model, now));
+            }
+        }
+    }
+
+    fn is_usable(&self, track: &UpstreamTrack, now: Millis) -> bool {
+        let id = &track.entry.id;
+        let is_forming = self.forming.values().any(|it| it.members.contains(id));
+        // One that has begun no order since its start never was in a group.
+        let is_inherited = now < self.inherited_until && !track.entry.staged.is_empty();
+        track.entry.state == UpstreamState::Ready
+            && !self.is_dead(id)
+            && !track.is_ordered()
+            && !is_forming
+            && !is_inherited
+            && track.held_until <= now
+    }
+
+    fn form(
+        &mut self,
+        now: Millis,
+        model: ModelName,
+        members: Vec<UpstreamId>,
+        actions: &mut Vec<GroupAction>,
+    ) {
+        self.epoch += 1;
+        let id = group_name(&model, self.epoch);
+        log::info!("event=group_forms group={id} members={members:?}");
+        let group = FormingGroup {
+            epoch: self.epoch,
+            model,
+            members,
+            since: now,
+        };
+        let key = (id.clone(), group.epoch);
+        self.leaders.insert(key, group.members[0].clone());
+        self.forming.insert(id.clone(), group.clone());
+        if let FormingStep::Orders(orders) =
+            group.step(&id, &self.tracks, self.options.silent_limit)
+        {
+            for (upstream, order) in orders {
+                self.give(now, &upstream, order, actions);
+            }
+        }
+    }
+
+    /// Gives an order unless one is on its way, or the same was given a moment ago.
+    fn give(
+        &mut self,
+        now: Millis,
+        id: &UpstreamId,
+        order: GroupOrder,
+        actions: &mut Vec<GroupAction>,
+    ) -> bool {
+        let retry = self.options.order_retry;
+        let Some(track) = self.tracks.get_mut(id) else {
+            return false;
+        };
+        let waits = track.given.as_ref().is_some_and(|given| {
+            let is_recent = now.since(given.at) < retry;
+            !given.is_answered || (is_recent && given.order == order)
+        });
+        if waits || track.is_asked {
+            return false;
+        }
+        // One that was never ordered has begun none; else the number must be known.
+        let is_new = track.given.is_none() && track.entry.staged.is_empty();
+        let expected = track.orders_begun.or(is_new.then_some(0));
+        if expected.is_none() {
+            actions.extend(self.ask(id, now, Millis(retry.0 / 2)));
+            return false;
+        }
+        track.given = Some(GivenOrder {
+            order: order.clone(),
+            at: now,
+            is_answered: false,
+        });
+        let request = OrderRequest {
+            target: track.target(),
+            order,
+            fence: self.fence,
+            expected,
+        };
+        actions.push(GroupAction::Order(request));
+        true
+    }
+
+    fn ask(&mut self, id: &UpstreamId, now: Millis, gap: Millis) -> Option<GroupAction> {
+        let track = self.tracks.get_mut(id)?;
+        let is_recent = track.asked_at.is_some_and(|at| now.since(at) < gap);
+        if track.is_asked || is_recent || track.is_gone {
+            return None;
+        }
+        track.is_asked = true;
+        track.asked_at = Some(now);
+        Some(GroupAction::Ask(track.target()))
+    }
+
+    /// Asks those that were silent, or fell out of the directory, whether they are back.
+    fn ask_silent(&mut self, now: Millis, actions: &mut Vec<GroupAction>) {
+        let limit = self.options.silent_limit;
+        let due: Vec<(UpstreamId, Millis)> = self
+            .tracks
+            .iter()
+            .filter(|(_, track)| !track.is_gone)
+            .filter(|(_, track)| track.silent > 0 || !track.is_listed)
+            .map(|(id, track)| {
+                // The second question follows at once: a group may be standing still.
+                let is_doubtful = (1..limit).contains(&track.silent);
+                let gap = match is_doubtful {
+                    true => SECOND_QUESTION,
+                    false => self.options.ask_again,
+                };
+                (id.clone(), gap)
+            })
+            .collect();
+        for (id, gap) in due {
+            actions.extend(self.ask(&id, now, gap));
+        }
+        // What is neither listed nor answers is forgotten; a return comes with a new entry.
+        self.tracks
+            .retain(|_, track| track.is_listed || track.silent < limit * 4);
+    }
+}
+
+/// Why a group cannot go on as it is.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum GroupLoss {
+    /// A member is dead, or has left.
+    Lost,
+    /// A member is leaving.
+    Leaving,
+}
--- /dev/null
+++ b/crates/groups/src/track.rs
@@ -0,0 +1,80 @@
+//! What the coordinator knows of one upstream besides its entry.
+
+use bergamot_ports::{GroupOrder, UpstreamEntry, UpstreamTarget};
+use bergamot_types::prelude::*;
+
+/// An order that was given and whose effect may not show yet.
+#[derive(Clone, Debug)]
+pub(crate) struct GivenOrder {
+    pub order: GroupOrder,
+    pub at: Millis,
+    pub is_answered: bool,
+}
+
+/// One upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamTrack {
+    /// Its last entry.
+    pub entry: UpstreamEntry,
+    /// Whether the directory has it now.
+    pub is_listed: bool,
+    /// Orders it has begun, as far as known.
+    pub orders_begun: Option<u64>,
+    /// The last order.
+    pub given: Option<GivenOrder>,
+    /// Whether a question is on its way.
+    pub is_asked: bool,
+    /// When the last question was asked.
+    pub asked_at: Option<Millis>,
+    /// Questions and orders in a row that it did not answer.
+    pub silent: u32,
+    /// Whether its process is known to be gone.
+    pub is_gone: bool,
+    /// The model of its last group: it joins that one again almost at once.
+    pub warm_model: Option<ModelName>,
+    /// The model that is being staged, and since when.
+    pub staging: Option<(ModelName, Millis)>,
+    /// Not to be used before then: its old group may still stand open.
+    pub held_until: Millis,
+}
+
+impl UpstreamTrack {
+    pub fn new(entry: UpstreamEntry) -> Self {
+        Self {
+            entry,
+            is_listed: true,
+            orders_begun: None,
+            given: None,
+            is_asked: false,
+            asked_at: None,
+            silent: 0,
+            is_gone: false,
+            warm_model: None,
+            staging: None,
+            held_until: Millis::ZERO,
+        }
+    }
+
+    pub fn target(&self) -> UpstreamTarget {
+        UpstreamTarget {
+            id: self.entry.id.clone(),
+            addr: self.entry.addr,
+        }
+    }
+
+    /// Whether an order is on its way.
+    pub fn is_ordered(&self) -> bool {
+        self.given.as_ref().is_some_and(|given| !given.is_answered)
+    }
+
+    /// Whether its entry names this group and epoch.
+    pub fn is_in(&self, group: &GroupId, epoch: u64) -> bool {
+        let membership = self.entry.membership.as_ref();
+        membership.is_some_and(|it| it.group == *group && it.epoch == epoch)
+    }
+
+    /// Whether it could join a group of the model without loading.
+    pub fn holds(&self, model: &ModelName) -> bool {
+        self.entry.staged.contains(model)
+    }
+}
--- /dev/null
+++ b/crates/ports/src/lib.rs
@@ -0,0 +1,36 @@
+//! What the serving path needs from whatever platform it runs on.
+//!
+//! Types in the product's words and narrow traits; nothing here knows a platform's names.
+//!
+//! | port | trait |
+//! | --- | --- |
+//! | state store | [`StateStore`] |
+//! | configuration source and upstream directory | [`StoreCatalog`] |
+//! | upstream control | [`UpstreamControl`] |
+//! | caller dialect | [`CallerDialect`] |
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod call;
+pub mod catalog;
+pub mod config;
+pub mod control;
+pub mod directory;
+pub mod site;
+pub mod store;
+
+pub use call::{CallerCall, CallerDialect, OutgoingContext, RefusalContext, ReplyFacts};
+pub use catalog::{CatalogError, StoreCatalog};
+pub use config::{
+    CallerLimits, EngineSpec, ModelSpec, Route, RouteKind, RouteTarget, ServiceSpec, ServingConfig,
+};
+pub use control::{
+    ControlError, GroupOrder, OrderOutcome, OrderRequest, UpstreamControl, UpstreamReport,
+    UpstreamTarget,
+};
+pub use directory::{GroupMembership, MemberState, UpstreamEntry, UpstreamState};
+pub use site::{ServingBounds, VmSite};
+pub use store::{
+    KeyCondition, KeyWrite, StateStore, StoreError, StoreEvent, StoreItem, StoreRange, StoreTxn,
+    TxnOutcome, WatchOutcome,
+};
