--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -5,7 +5,6 @@
 use bergamot_ports::CallerDialect;
 use bergamot_types::prelude::*;
 use http_body_util::BodyExt;
-use hyper::body::Body as _;
 use tokio::sync::mpsc;
 
 use super::FrontContext;
@@ -192,10 +191,8 @@
     fn finish(&self, reply: OpenReply) {
         let id = reply.upstream.id.clone();
         self.front.book.borrow_mut().note_success(&id);
-        if reply.body.is_end_stream() {
-            let keep_alive = reply.facts.keep_alive;
-            self.front.pool.give_back(&id, reply.connection, keep_alive);
-        }
+        let keep_alive = reply.facts.keep_alive;
+        self.front.pool.give_back(&id, reply.connection, keep_alive);
     }
 
     fn note_broken(&self, reply: &OpenReply, reason: &str) {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -11,6 +11,7 @@
 };
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
+use tokio::time::Instant;
 
 use crate::own_keys::{COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, TERM_KEY};
 use crate::shared::SharedState;
@@ -25,7 +26,9 @@
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Time between a watch's answer and the next watch, so that changes that come together cost one
 /// call. Small against the seconds in which a change must be in force.
-const WATCH_PAUSE: Duration = Duration::from_millis(40);
+const WATCH_PAUSE: Duration = Duration::from_millis(150);
+/// The same at the VM that coordinates the groups: a repair waits for each of its steps to show.
+const COORDINATOR_PAUSE: Duration = Duration::from_millis(20);
 /// Time after the store's return in which entries that lapsed meanwhile come back.
 const LAPSE_GRACE: Millis = Millis(2_000);
 /// How long the key of an entry VM outlives its last renewal.
@@ -125,24 +128,31 @@
 
     /// Follows the changes until they are lost.
     async fn follow(&mut self, lease: &mut Option<u64>) {
+        let mut confirm_at = Instant::now() + CONFIRM_PERIOD;
         while let Some(revision) = self.known.revision {
             let store = Rc::clone(&self.store);
             let watch = async move { store.watch("", revision, WATCH_WAIT).await };
             tokio::pin!(watch);
             let outcome = loop {
-                let pause = match self.known.is_away {
-                    true => RETRY_PERIOD,
-                    false => CONFIRM_PERIOD,
-                };
-                let pause = self.until_lapse().map_or(pause, |lapse| lapse.min(pause));
+                let lapse_at = self.until_lapse().map(|wait| Instant::now() + wait);
+                let wake_at = lapse_at.map_or(confirm_at, |at| at.min(confirm_at));
                 tokio::select! {
+                    biased;
+                    () = tokio::time::sleep_until(wake_at) => {}
                     outcome = &mut watch => break Some(outcome),
-                    () = tokio::time::sleep(pause) => {}
                 }
                 self.expire_lapsed();
+                if Instant::now() < confirm_at {
+                    continue;
+                }
                 let was_away = self.known.is_away;
                 self.confirm().await;
                 self.renew(lease).await;
+                let pause = match self.known.is_away {
+                    true => RETRY_PERIOD,
+                    false => CONFIRM_PERIOD,
+                };
+                confirm_at = Instant::now() + pause;
                 if was_away && !self.known.is_away {
                     // The watch may hang on a connection that the outage cut.
                     break None;
@@ -163,7 +173,7 @@
                     if has_changes {
                         self.publish();
                     }
-                    tokio::time::sleep(WATCH_PAUSE).await;
+                    tokio::time::sleep(self.watch_pause()).await;
                 }
                 Ok(WatchOutcome::HistoryGone) => {
                     log::info!("event=store_history_gone revision={revision}");
@@ -171,8 +181,8 @@
                 }
                 Err(error) => {
                     self.note_failure("watch", &error);
+                    confirm_at = Instant::now();
                     tokio::time::sleep(WATCH_PAUSE).await;
-                    self.confirm().await;
                 }
             }
         }
@@ -251,6 +261,14 @@
         *lease = Some(id);
     }
 
+    fn watch_pause(&self) -> Duration {
+        let own = self.shared.site.vm.as_str();
+        match &self.known.coordinator {
+            Some(record) if record.vm == own => COORDINATOR_PAUSE,
+            _ => WATCH_PAUSE,
+        }
+    }
+
     fn apply_event(&mut self, event: StoreEvent) {
         match event {
             StoreEvent::Written(item) => self.apply_item(&item),
--- a/crates/groups/src/allocate.rs
+++ b/crates/groups/src/allocate.rs
@@ -133,8 +133,7 @@
 fn neediest(open: &[&ModelSpec], groups: &IndexMap<ModelName, usize>) -> Option<usize> {
     let supply = |model: &ModelSpec| {
         let count = groups.get(&model.name).copied().unwrap_or(0) as f64;
-        // Work grows with the share of requests and with the time each of them takes.
-        count / (model.demand_share * model.pace).max(1e-3)
+        count / model.demand_share.max(1e-3)
     };
     let indexed = open.iter().enumerate();
     let least = indexed.min_by(|(_, a), (_, b)| supply(a).total_cmp(&supply(b)));
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -160,7 +160,12 @@
                 track.silent = 0;
                 track.orders_begun = request.expected.map(|expected| expected + 1);
             }
-            OrderOutcome::Holds => track.silent = 0,
+            OrderOutcome::Holds => {
+                track.silent = 0;
+                // Leaving is done at once, and counts as begun.
+                let is_leave = matches!(request.order, GroupOrder::Leave { .. });
+                track.orders_begun = request.expected.map(|it| it + u64::from(is_leave));
+            }
             OrderOutcome::Unfit | OrderOutcome::Refused(_) => {
                 track.silent = 0;
                 track.orders_begun = None;
