feat: domains of one model, limits that follow first events

Cause: groups of both models in each domain left survivors that could not stand in for one another; queues of 52 at leaders made every answer late.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -41,6 +41,8 @@
     pub body: Incoming,
     /// The connection, to be given back.
     pub connection: UpstreamConnection,
+    /// When it was sent.
+    pub sent_at: Millis,
     /// Counts the request at the upstream.
     pub flight: FlightGuard,
 }
@@ -89,6 +91,7 @@
 where
     Dialect: CallerDialect,
 {
+    let sent_at = front.now();
     let flight = FlightGuard::enter(&front.book, &upstream.id);
     let connection = front.pool.connect(&upstream.id, upstream.addr).await;
     let mut connection = connection.map_err(|error| match error {
@@ -130,6 +133,7 @@
                 facts,
                 body,
                 connection,
+                sent_at,
                 flight,
             });
         }
--- a/crates/gateway/src/front/book.rs
+++ b/crates/gateway/src/front/book.rs
@@ -18,9 +18,23 @@
 /// What a request to another failure domain counts, in requests: with equal load the near one.
 const AWAY_PENALTY: f64 = 0.5;
 
+/// Factor on the limit of requests in flight when a first event was late, or the upstream full.
+const LIMIT_DECREASE: f64 = 0.8;
+/// Time between two decreases: requests that were sent before the last one still come back.
+const DECREASE_PERIOD: Millis = Millis(250);
+/// The part of the objective in which a first event shows room for more.
+const ROOM_PART: f64 = 0.6;
+/// The lowest limit.
+const MIN_LIMIT: f64 = 1.0;
+
 /// One upstream.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct UpstreamLoad {
+    /// Requests that may be in flight from here; none before the first answer. It grows while
+    /// first events come in time and shrinks when they are late, so that all entry VMs together
+    /// keep an upstream's queue short without counting for each other.
+    limit: Option<f64>,
+    decreased_at: Millis,
     /// Requests sent from here and not ended.
     pub in_flight: u32,
     /// When anything last came from it.
@@ -62,6 +76,40 @@
         self.load_mut(id).progress_at = now;
     }
 
+    /// Notes how long the first event of a stream took, against its objective.
+    pub fn note_first(&mut self, id: &UpstreamId, slots: u32, took: Millis, now: Millis, objective: Millis) {
+        if took > objective {
+            self.decrease(id, slots, now);
+            return;
+        }
+        let load = self.load_mut(id);
+        let limit = load.limit.unwrap_or(f64::from(slots));
+        let has_room = took.0 as f64 <= objective.0 as f64 * ROOM_PART;
+        let is_used = f64::from(load.in_flight) >= limit - 1.0;
+        if has_room && is_used {
+            load.limit = Some((limit + 1.0 / limit).min(f64::from(slots)));
+        }
+    }
+
+    /// Notes that an upstream is full.
+    pub fn decrease(&mut self, id: &UpstreamId, slots: u32, now: Millis) {
+        let load = self.load_mut(id);
+        if now.since(load.decreased_at) < DECREASE_PERIOD {
+            return;
+        }
+        let limit = load.limit.unwrap_or(f64::from(slots));
+        let limit = limit.min(f64::from(load.in_flight.max(1)));
+        load.limit = Some((limit * LIMIT_DECREASE).max(MIN_LIMIT));
+        load.decreased_at = now;
+    }
+
+    /// Whether one more request may be sent.
+    fn has_room(&self, upstream: &RouteUpstream) -> bool {
+        let load = self.load(&upstream.id);
+        let limit = load.limit.unwrap_or(f64::from(upstream.slots.max(1)));
+        f64::from(load.in_flight) + 1.0 <= limit.max(MIN_LIMIT)
+    }
+
     /// Notes a whole answer.
     pub fn note_success(&mut self, id: &UpstreamId) {
         let load = self.load_mut(id);
@@ -93,8 +141,8 @@
             .retain(|id, load| load.in_flight > 0 || is_listed(id));
     }
 
-    /// The least loaded upstream that was not tried. Avoided ones are used when there are no
-    /// others.
+    /// The least loaded upstream that was not tried and has room. Avoided ones are used when there
+    /// are no others.
     pub fn choose<'a>(
         &self,
         pool: &'a [RouteUpstream],
@@ -102,7 +150,7 @@
         tried: &[UpstreamId],
         now: Millis,
         random: u64,
-    ) -> Option<&'a RouteUpstream> {
+    ) -> UpstreamChoice<'a> {
         let score = |upstream: &RouteUpstream| {
             let load = self.load(&upstream.id);
             let is_avoided = load.avoided_until > now;
@@ -113,16 +161,35 @@
             let load = (f64::from(load.in_flight) + away) / f64::from(upstream.slots.max(1));
             (is_avoided, load)
         };
-        let fresh = pool.iter().filter(|upstream| !tried.contains(&upstream.id));
-        fresh.min_by(|a, b| {
+        let mut fresh = pool
+            .iter()
+            .filter(|upstream| !tried.contains(&upstream.id))
+            .peekable();
+        if fresh.peek().is_none() {
+            return UpstreamChoice::None;
+        }
+        let roomy = fresh.filter(|upstream| self.has_room(upstream));
+        let best = roomy.min_by(|a, b| {
             let (a_score, b_score) = (score(a), score(b));
             let by_score = a_score.0.cmp(&b_score.0).then(a_score.1.total_cmp(&b_score.1));
             let tie = |it: &RouteUpstream| rendezvous_score(random, it.id.as_str());
             by_score.then_with(|| tie(a).cmp(&tie(b)))
-        })
+        });
+        best.map_or(UpstreamChoice::Full, UpstreamChoice::Chosen)
     }
 }
 
+/// What a choice came to.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum UpstreamChoice<'a> {
+    /// This one.
+    Chosen(&'a RouteUpstream),
+    /// All that are left have as many requests as they bear.
+    Full,
+    /// None is left.
+    None,
+}
+
 /// Counts a request at an upstream until dropped.
 #[derive(Debug)]
 pub struct FlightGuard {
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -15,6 +15,7 @@
 
 use super::FrontContext;
 use super::answer::{CallerAnswer, whole_body};
+use super::book::UpstreamChoice;
 use super::attempt::{AttemptError, OpenReply, SentRequest, send};
 use super::relay::relay_events;
 use crate::view::{ClusterView, RouteUpstream};
@@ -358,6 +359,9 @@
             if error.may_have_run() {
                 state.run_at.push(upstream.id.clone());
             }
+            if matches!(error, AttemptError::Refused(_)) {
+                book.decrease(&upstream.id, upstream.slots, now);
+            }
             if matches!(error, AttemptError::Gone(_)) {
                 report_quiet(front, upstream);
             }
@@ -508,11 +512,14 @@
     let home = &front.shared.site.failure_domain;
     let random = rand::random();
     let book = front.book.borrow();
-    let chosen = book.choose(upstreams, home, &state.tried, now, random);
-    let chosen = chosen.ok_or(match state.tried.is_empty() {
-        true => no_upstream,
-        false => refused,
-    })?;
+    let chosen = match book.choose(upstreams, home, &state.tried, now, random) {
+        UpstreamChoice::Chosen(chosen) => chosen,
+        UpstreamChoice::Full => {
+            return Err(CallRefusal::later(ErrorKind::Overloaded, RETURN_FULL));
+        }
+        UpstreamChoice::None if state.tried.is_empty() => return Err(no_upstream),
+        UpstreamChoice::None => return Err(refused),
+    };
     if !state.tried.is_empty() {
         let mut budget = front.budget.borrow_mut();
         budget.set_vms(view.entries.len().max(1));
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -105,8 +105,9 @@
 
     /// Passes on what one upstream sends, until it ends or breaks.
     async fn relay_one(&mut self, reply: &mut OpenReply) -> NextEvent {
-        let began = self.front.now();
+        let began = reply.sent_at;
         let mut splitter = EventSplitter::default();
+        let mut is_first = true;
         loop {
             let event = match self.next_event(reply, &mut splitter, began).await {
                 NextEvent::Event(event) => event,
@@ -116,6 +117,10 @@
             if event.id.is_some() && event.id <= self.last_event {
                 continue;
             }
+            if is_first {
+                is_first = false;
+                self.note_first(reply, began);
+            }
             self.observe();
             self.last_event = event.id.or(self.last_event);
             self.delivered += 1;
@@ -171,6 +176,15 @@
         }
     }
 
+    fn note_first(&self, reply: &OpenReply, sent_at: Millis) {
+        let now = self.front.now();
+        let upstream = &reply.upstream;
+        let objective = self.state.route.objective;
+        let took = now.since(sent_at);
+        let mut book = self.front.book.borrow_mut();
+        book.note_first(&upstream.id, upstream.slots, took, now, objective);
+    }
+
     fn observe(&mut self) {
         let now = self.front.now();
         let metrics = &self.front.shared.metrics;
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -347,7 +347,7 @@
         }
         DoneAction::Asked(id, outcome) => {
             log::info!("event=asked upstream={id} outcome={outcome:?}");
-            planner.note_report(id, outcome);
+            planner.note_report(id, outcome, shared.clock.now());
         }
     }
 }
--- a/crates/groups/src/allocate.rs
+++ b/crates/groups/src/allocate.rs
@@ -20,6 +20,9 @@
 pub(crate) struct FreePool<'a> {
     pub free: Vec<&'a UpstreamTrack>,
     pub total: usize,
+    pub failure_domain: FailureDomain,
+    /// Upstreams that run, hold or load each model.
+    pub models: IndexMap<ModelName, usize>,
 }
 
 /// How far a member is from joining a group of the model.
@@ -58,22 +61,54 @@
     fabric: FabricDomain,
     members: Vec<UpstreamId>,
     loads: usize,
+    /// Lower is better.
+    rank: CandidateRank,
+}
+
+/// How good a candidate is, the first field first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+struct CandidateRank {
+    /// The member that holds the group up most.
     slowest: Readiness,
+    /// Loads that the members still need.
+    loads: usize,
+    /// Upstreams of the domain that run or hold another model. What is left of a broken group can
+    /// stand in for a member of another only where both run the same model.
+    others: usize,
+    /// Groups of the model in the same failure domain, so that the loss of one leaves some.
+    together: usize,
+}
+
+/// What allocation knows beyond the free upstreams.
+pub(crate) struct AllocationContext<'a> {
+    pub spec: &'a EngineSpec,
+    /// One in so many upstreams is kept free for repairs.
+    pub spare_divisor: usize,
+    /// Groups that serve or form, by model.
+    pub groups: IndexMap<ModelName, usize>,
+}
+
+impl AllocationContext<'_> {
+    /// Groups of the model that the upstreams are enough for, spares left out.
+    fn wanted(&self, model: &ModelSpec, total: usize) -> usize {
+        let shares = self.spec.models.values();
+        let whole: f64 = shares
+            .map(|it| it.demand_share * it.group_size as f64)
+            .sum();
+        let used = total as f64 * (1.0 - 1.0 / self.spare_divisor as f64);
+        (used * model.demand_share / whole.max(1e-3)).ceil() as usize
+    }
 }
 
 fn best_candidate(
     model: &ModelSpec,
     pools: &IndexMap<FabricDomain, FreePool<'_>>,
+    together: &IndexMap<(FailureDomain, ModelName), usize>,
     spare_divisor: usize,
-    is_needed: bool,
 ) -> Option<Candidate> {
     let mut best: Option<Candidate> = None;
     for (fabric, pool) in pools {
-        // The first group of a model goes before spares.
-        let spares = match is_needed {
-            true => 0,
-            false => pool.total / spare_divisor,
-        };
+        let spares = pool.total.checked_div(spare_divisor).unwrap_or(0);
         if pool.free.len() < model.group_size + spares {
             continue;
         }
@@ -85,16 +120,21 @@
         ranked.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.entry.id.cmp(&b.1.entry.id)));
         ranked.truncate(model.group_size);
         let loads = ranked.iter().filter(|(it, _)| *it > Readiness::Staged);
+        let others = pool.models.iter().filter(|(name, _)| **name != model.name);
+        let place = (pool.failure_domain.clone(), model.name.clone());
+        let rank = CandidateRank {
+            slowest: ranked.last().map_or(Readiness::Warm, |(it, _)| *it),
+            loads: loads.count(),
+            others: others.map(|(_, count)| count).sum(),
+            together: together.get(&place).copied().unwrap_or(0),
+        };
         let candidate = Candidate {
             fabric: fabric.clone(),
-            loads: loads.count(),
-            slowest: ranked.last().map_or(Readiness::Warm, |(it, _)| *it),
+            loads: rank.loads,
+            rank,
             members: ranked.iter().map(|(_, it)| it.entry.id.clone()).collect(),
         };
-        let is_better = best.as_ref().is_none_or(|best| {
-            (candidate.slowest, candidate.loads) < (best.slowest, best.loads)
-        });
-        if is_better {
+        if best.as_ref().is_none_or(|best| candidate.rank < best.rank) {
             best = Some(candidate);
         }
     }
@@ -104,28 +144,40 @@
 /// Shares the free upstreams out: again and again the model with the fewest groups for its part
 /// of the work gets one where it is ready soonest. Costs groups x upstreams.
 pub(crate) fn allocate(
-    spec: &EngineSpec,
+    context: &AllocationContext<'_>,
     mut pools: IndexMap<FabricDomain, FreePool<'_>>,
-    mut groups: IndexMap<ModelName, usize>,
-    spare_divisor: usize,
 ) -> Allocation {
     let mut allocation = Allocation::default();
-    let mut open: Vec<&ModelSpec> = spec.models.values().collect();
+    let mut groups = context.groups.clone();
+    let total = pools.values().map(|pool| pool.total).sum();
+    let mut together: IndexMap<(FailureDomain, ModelName), usize> = IndexMap::new();
+    for pool in pools.values() {
+        for (model, count) in &pool.models {
+            let place = (pool.failure_domain.clone(), model.clone());
+            *together.entry(place).or_default() += count;
+        }
+    }
+    let mut open: Vec<&ModelSpec> = context.spec.models.values().collect();
     while !open.is_empty() {
         let Some(index) = neediest(&open, &groups) else {
             break;
         };
         let model = open[index];
         let count = groups.entry(model.name.clone()).or_default();
-        let candidate = best_candidate(model, &pools, spare_divisor, *count == 0);
+        // Spares are for what is wanted; only more than that leaves some free.
+        let divisor = match *count < context.wanted(model, total) {
+            true => 0,
+            false => context.spare_divisor,
+        };
+        let candidate = best_candidate(model, &pools, &together, divisor);
         let Some(candidate) = candidate else {
             open.remove(index);
             continue;
         };
         *count += 1;
-        reserve(&mut pools, &candidate, model, &mut allocation);
+        reserve(&mut pools, &mut together, &candidate, model, &mut allocation);
     }
-    stage_spares(spec, &pools, &mut allocation);
+    stage_spares(context.spec, &pools, &mut allocation);
     allocation
 }
 
@@ -142,6 +194,7 @@
 
 fn reserve(
     pools: &mut IndexMap<FabricDomain, FreePool<'_>>,
+    together: &mut IndexMap<(FailureDomain, ModelName), usize>,
     candidate: &Candidate,
     model: &ModelSpec,
     allocation: &mut Allocation,
@@ -149,6 +202,9 @@
     let Some(pool) = pools.get_mut(&candidate.fabric) else {
         return;
     };
+    let place = (pool.failure_domain.clone(), model.name.clone());
+    *together.entry(place).or_default() += candidate.members.len();
+    *pool.models.entry(model.name.clone()).or_default() += candidate.loads;
     for track in &pool.free {
         let id = &track.entry.id;
         let lacks = readiness(track, &model.name) > Readiness::Staging;
@@ -165,25 +221,23 @@
     }
 }
 
-/// Spares hold the weights of the models in turn, the larger groups' first, as those are the
-/// likeliest to lose a member.
+/// Spares hold the model that most of their domain runs.
 fn stage_spares(
     spec: &EngineSpec,
     pools: &IndexMap<FabricDomain, FreePool<'_>>,
     allocation: &mut Allocation,
 ) {
-    let mut models: Vec<&ModelSpec> = spec.models.values().collect();
-    models.sort_by_key(|model| std::cmp::Reverse(model.group_size));
-    if models.is_empty() {
-        return;
-    }
     for pool in pools.values() {
+        let most = pool.models.iter().max_by_key(|(_, count)| **count);
+        let model = most.map(|(model, _)| model).or(spec.models.keys().next());
+        let Some(model) = model else {
+            continue;
+        };
         let cold = pool.free.iter().filter(|track| {
             track.staging.is_none() && track.entry.staged.is_empty()
         });
-        for (index, track) in cold.enumerate() {
-            let model = models[index % models.len()];
-            let stage = (track.entry.id.clone(), model.name.clone());
+        for track in cold {
+            let stage = (track.entry.id.clone(), model.clone());
             allocation.stage.push(stage);
         }
     }
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -7,7 +7,7 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
-use crate::allocate::{FreePool, allocate};
+use crate::allocate::{AllocationContext, FreePool, allocate};
 use crate::forming::{FormingGroup, FormingStep};
 use crate::options::GroupOptions;
 use crate::track::{GivenOrder, UpstreamTrack};
@@ -44,6 +44,8 @@
     fence: u64,
     epoch: u64,
     is_fenced: bool,
+    /// Whether there was no coordinator before: an upstream that was not ordered has begun none.
+    is_first: bool,
     /// Upstreams that had begun orders before this coordinator took over are not used before
     /// then, as their last group may still stand open.
     inherited_until: Millis,
@@ -73,6 +75,7 @@
             fence,
             epoch: fence,
             is_fenced: false,
+            is_first,
             inherited_until,
             tracks: IndexMap::new(),
             forming: IndexMap::new(),
@@ -120,8 +123,11 @@
                     self.leaders.insert(key, entry.id.clone());
                 }
             }
-            let is_staged = track.staging.as_ref();
-            if is_staged.is_some_and(|(model, _)| entry.staged.contains(model)) {
+            let is_staged = |model: &ModelName| {
+                let is_unknown = model.as_str().is_empty() && !entry.staged.is_empty();
+                is_unknown || entry.staged.contains(model)
+            };
+            if track.staging.as_ref().is_some_and(|(model, _)| is_staged(model)) {
                 track.staging = None;
             }
         }
@@ -195,7 +201,7 @@
     }
 
     /// Hears what became of a question.
-    pub fn note_report(&mut self, id: &UpstreamId, outcome: &AskOutcome) {
+    pub fn note_report(&mut self, id: &UpstreamId, outcome: &AskOutcome, now: Millis) {
         let Some(track) = self.tracks.get_mut(id) else {
             return;
         };
@@ -204,6 +210,11 @@
             AskOutcome::Answered(report) => {
                 track.silent = 0;
                 track.orders_begun = Some(report.orders_begun);
+                let is_loading = report.is_busy && report.membership.is_none();
+                if is_loading && track.staging.is_none() {
+                    // An order of an earlier coordinator; the entry will tell the model.
+                    track.staging = Some((ModelName::default(), now));
+                }
                 if !track.is_listed {
                     track.entry.membership = report.membership.clone();
                 }
@@ -410,13 +421,22 @@
             };
             let pool = pools.entry(fabric.clone()).or_default();
             pool.total += 1;
+            pool.failure_domain = track.entry.failure_domain.clone();
+            if let Some(model) = track.model() {
+                *pool.models.entry(model.clone()).or_default() += 1;
+            }
             if free.contains(&track.entry.id) && self.is_usable(track, now) {
                 pool.free.push(track);
             }
         }
         let staging = self.tracks.values();
         let mut loading = staging.filter(|track| track.staging.is_some()).count();
-        let allocation = allocate(&self.spec, pools, counts, self.options.spare_divisor);
+        let context = AllocationContext {
+            spec: &self.spec,
+            spare_divisor: self.options.spare_divisor,
+            groups: counts,
+        };
+        let allocation = allocate(&context, pools);
         for (model, members) in allocation.form {
             self.form(now, model, members, actions);
         }
@@ -497,7 +517,7 @@
             return false;
         }
         // One that was never ordered has begun none; else the number must be known.
-        let is_new = track.given.is_none() && track.entry.staged.is_empty();
+        let is_new = self.is_first && track.given.is_none();
         let expected = track.orders_begun.or(is_new.then_some(0));
         if expected.is_none() {
             actions.extend(self.ask(id, now, Millis(retry.0 / 2)));
--- a/crates/groups/src/track.rs
+++ b/crates/groups/src/track.rs
@@ -73,6 +73,13 @@
         membership.is_some_and(|it| it.group == *group && it.epoch == epoch)
     }
 
+    /// The model that it runs, holds or loads.
+    pub fn model(&self) -> Option<&ModelName> {
+        let staging = self.staging.as_ref().map(|(model, _)| model);
+        let staging = staging.filter(|model| !model.as_str().is_empty());
+        staging.or(self.entry.staged.last())
+    }
+
     /// Whether it could join a group of the model without loading.
     pub fn holds(&self, model: &ModelName) -> bool {
         self.entry.staged.contains(model)
--- a/crates/ports/src/control.rs
+++ b/crates/ports/src/control.rs
@@ -20,6 +20,8 @@
 pub struct UpstreamReport {
     /// Orders that it has begun since its start.
     pub orders_begun: u64,
+    /// Whether an order is in progress, such as a load.
+    pub is_busy: bool,
     /// Requests that wait.
     pub waiting: u32,
     /// Requests that run.
