--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -35,6 +35,8 @@
 /// Time without anything from an upstream after which requests there count as standing still.
 /// Engines answer in passes of some 50 ms; the longest prompt holds a pass for 120 ms.
 pub const QUIET_TIME: Millis = Millis(600);
+/// The same for asking the coordinator to look at the group, which costs a few questions.
+pub const DOUBT_TIME: Millis = Millis(350);
 
 /// Why a request is refused, and when to come back.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -331,7 +333,7 @@
     let outcome = loop {
         let now = front.now();
         let pause = match is_engine {
-            true => QUIET_TIME.min(state.deadline.since(now)),
+            true => DOUBT_TIME.min(state.deadline.since(now)),
             false => state.deadline.since(now),
         };
         match tokio::time::timeout(pause.as_duration(), &mut sent).await {
@@ -339,8 +341,7 @@
             Err(_) if front.now() >= state.deadline => {
                 break Err(AttemptError::Broken("no answer before the deadline".to_owned()));
             }
-            Err(_) if is_quiet(front, &upstream.id, began) => {
-                note_quiet(front, upstream);
+            Err(_) if is_engine && look_quiet(front, upstream, began) => {
                 break Err(AttemptError::Broken("nothing comes from it".to_owned()));
             }
             Err(_) => {}
@@ -373,17 +374,24 @@
     outcome
 }
 
-/// Whether nothing has come from the upstream since `since` or for the quiet time.
-pub fn is_quiet<Dialect>(front: &FrontContext<Dialect>, id: &UpstreamId, since: Millis) -> bool {
-    let progress = front.book.borrow().load(id).progress_at;
-    front.now().since(progress.max(since)) >= QUIET_TIME
-}
-
-/// Notes that requests stand still at a leader, and tells the coordinator.
-pub fn note_quiet<Dialect>(front: &FrontContext<Dialect>, upstream: &RouteUpstream) {
+/// Whether nothing has come from the upstream since `since`, nor for the quiet time. Tells the
+/// coordinator when it is in doubt.
+pub fn look_quiet<Dialect>(
+    front: &FrontContext<Dialect>,
+    upstream: &RouteUpstream,
+    since: Millis,
+) -> bool {
     let now = front.now();
-    front.book.borrow_mut().note_quiet(&upstream.id, now);
-    report_quiet(front, upstream);
+    let progress = front.book.borrow().load(&upstream.id).progress_at;
+    let silence = now.since(progress.max(since));
+    if silence >= DOUBT_TIME {
+        report_quiet(front, upstream);
+    }
+    let is_quiet = silence >= QUIET_TIME;
+    if is_quiet {
+        front.book.borrow_mut().note_quiet(&upstream.id, now);
+    }
+    is_quiet
 }
 
 fn report_quiet<Dialect>(front: &FrontContext<Dialect>, upstream: &RouteUpstream) {
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -10,7 +10,7 @@
 use bergamot_groups::{AskOutcome, GroupAction, GroupOptions, GroupPlanner};
 use bergamot_ports::{
     ControlError, EngineSpec, KeyCondition, KeyWrite, OrderOutcome, OrderRequest, StateStore,
-    StoreTxn, TxnOutcome, UpstreamControl,
+    StoreError, StoreTxn, TxnOutcome, UpstreamControl,
 };
 use bergamot_types::prelude::*;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -18,7 +18,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
-use crate::own_keys::{COORDINATOR_KEY, EntryRecord, TERM_KEY};
+use crate::own_keys::{COORDINATOR_KEY, EntryRecord, HOLD_PREFIX, TERM_KEY, hold_to_bytes};
 use crate::peer::{MAX_DATAGRAM, PeerMessage};
 use crate::shared::SharedState;
 use crate::view::ClusterView;
@@ -32,6 +32,8 @@
 const LEASE_MARGIN: Millis = Millis(300);
 /// Time between two looks while there is work, for what no change announces.
 const STEP_PERIOD: Duration = Duration::from_millis(100);
+/// How long a note of held members lasts: the hold itself and a change of the coordinator.
+const HOLD_TTL: Duration = Duration::from_secs(12);
 /// The longest random wait before a VM tries to become coordinator, so that most find the place
 /// taken already and save the call.
 const MAX_TAKEOVER_WAIT_MS: u64 = 200;
@@ -57,6 +59,7 @@
 enum DoneAction {
     Ordered(OrderRequest, OrderOutcome),
     Asked(UpstreamId, AskOutcome),
+    Held(GroupId, bool),
 }
 
 impl<Store, Control> GroupsDuty<Store, Control>
@@ -245,8 +248,8 @@
                 break;
             }
             for action in actions {
-                let control = Rc::clone(&control);
-                running.push(act(control, action));
+                let (store, control) = (Rc::clone(&self.store), Rc::clone(&control));
+                running.push(act(store, control, action));
             }
         }
         log::info!("event=coordinator_ends reason=lease");
@@ -294,7 +297,9 @@
             ..GroupOptions::default()
         };
         let now = shared.clock.now();
-        GroupPlanner::new(options, spec.clone(), term.fence, term.is_first, now)
+        let inherited = view.holds.values().flatten().cloned().collect();
+        let (fence, is_first) = (term.fence, term.is_first);
+        GroupPlanner::new(options, spec.clone(), fence, is_first, inherited, now)
     });
     planner.set_spec(spec);
     let entries = view.upstreams.values();
@@ -302,11 +307,23 @@
     planner.set_directory(members, view.revision);
 }
 
-async fn act<Control>(control: Rc<Control>, action: GroupAction) -> DoneAction
+async fn act<Store, Control>(
+    store: Rc<Store>,
+    control: Rc<Control>,
+    action: GroupAction,
+) -> DoneAction
 where
+    Store: StateStore,
     Control: UpstreamControl,
 {
     match action {
+        GroupAction::Hold { group, members } => {
+            let kept = keep_hold(store.as_ref(), &group, &members).await;
+            if let Err(error) = &kept {
+                log::info!("event=hold_not_kept group={group} reason={error:?}");
+            }
+            DoneAction::Held(group, kept.is_ok())
+        }
         GroupAction::Order(request) => {
             let outcome = control.order(&request).await;
             DoneAction::Ordered(request, outcome)
@@ -326,6 +343,30 @@
     }
 }
 
+/// Keeps held members in the store for longer than the time they are held.
+async fn keep_hold<Store>(
+    store: &Store,
+    group: &GroupId,
+    members: &[UpstreamId],
+) -> Result<(), StoreError>
+where
+    Store: StateStore,
+{
+    let lease = store.open_lease(HOLD_TTL).await?;
+    let txn = StoreTxn {
+        writes: vec![KeyWrite {
+            key: format!("{HOLD_PREFIX}{group}"),
+            value: hold_to_bytes(members),
+            lease,
+        }],
+        ..StoreTxn::default()
+    };
+    match store.commit(&txn).await? {
+        TxnOutcome::Done(_) => Ok(()),
+        other => Err(StoreError::Malformed(format!("{other:?}"))),
+    }
+}
+
 fn note_done(shared: &SharedState, planner: Option<&mut GroupPlanner>, done: &DoneAction) {
     let Some(planner) = planner else {
         return;
@@ -345,6 +386,7 @@
             orders.with_label_values(&[order, name]).inc();
             planner.note_order(request, outcome);
         }
+        DoneAction::Held(group, is_kept) => planner.note_hold(group, *is_kept),
         DoneAction::Asked(id, outcome) => {
             log::info!("event=asked upstream={id} outcome={outcome:?}");
             planner.note_report(id, outcome, shared.clock.now());
--- a/crates/gateway/src/own_keys.rs
+++ b/crates/gateway/src/own_keys.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bergamot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
 /// Everything of ours lies below it.
@@ -14,6 +15,22 @@
 /// Below it each entry VM has a key, which ends with the VM's lease.
 pub const ENTRY_PREFIX: &str = "bergamot/entry/";
 
+/// Below it each group whose members are held has a key with their ids.
+pub const HOLD_PREFIX: &str = "bergamot/hold/";
+
+/// Writes the ids of held members.
+pub fn hold_to_bytes(members: &[UpstreamId]) -> Vec<u8> {
+    postcard::to_stdvec(members).unwrap_or_else(|error| {
+        log::error!("event=record_not_written reason={error:?}");
+        Vec::new()
+    })
+}
+
+/// Reads the ids of held members; none when they are of another format.
+pub fn hold_from_bytes(bytes: &[u8]) -> Option<Vec<UpstreamId>> {
+    postcard::from_bytes(bytes).ok()
+}
+
 /// The value of an entry VM's key, and of the coordinator's.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct EntryRecord {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -13,7 +13,9 @@
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
-use crate::own_keys::{COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, TERM_KEY};
+use crate::own_keys::{
+    COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, HOLD_PREFIX, TERM_KEY, hold_from_bytes,
+};
 use crate::shared::SharedState;
 use crate::view::{ClusterView, build_pools};
 
@@ -26,7 +28,7 @@
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Time between a watch's answer and the next watch, so that changes that come together cost one
 /// call. Small against the seconds in which a change must be in force.
-const WATCH_PAUSE: Duration = Duration::from_millis(150);
+const WATCH_PAUSE: Duration = Duration::from_millis(400);
 /// The same at the VM that coordinates the groups: a repair waits for each of its steps to show.
 const COORDINATOR_PAUSE: Duration = Duration::from_millis(20);
 /// Time after the store's return in which entries that lapsed meanwhile come back.
@@ -50,6 +52,7 @@
     upstreams: IndexMap<UpstreamId, UpstreamEntry>,
     entries: IndexMap<String, EntryRecord>,
     coordinator: Option<EntryRecord>,
+    holds: IndexMap<String, Vec<UpstreamId>>,
     term: u64,
     /// Where to watch from; none when everything must be read anew.
     revision: Option<u64>,
@@ -102,6 +105,7 @@
         let now = self.shared.clock.now();
         let mut listed: Vec<UpstreamId> = Vec::new();
         self.known.entries.clear();
+        self.known.holds.clear();
         self.known.coordinator = None;
         for item in &range.items {
             listed.extend(self.catalog.upstream_id(&item.key));
@@ -279,6 +283,8 @@
                     self.known.coordinator = None;
                 } else if let Some(vm) = key.strip_prefix(ENTRY_PREFIX) {
                     self.known.entries.shift_remove(vm);
+                } else if let Some(group) = key.strip_prefix(HOLD_PREFIX) {
+                    self.known.holds.shift_remove(group);
                 }
             }
         }
@@ -303,6 +309,10 @@
             && let Some(record) = EntryRecord::from_bytes(&item.value)
         {
             self.known.entries.insert(vm.to_owned(), record);
+        } else if let Some(group) = item.key.strip_prefix(HOLD_PREFIX)
+            && let Some(members) = hold_from_bytes(&item.value)
+        {
+            self.known.holds.insert(group.to_owned(), members);
         }
     }
 
@@ -408,6 +418,7 @@
             pools: pools.unwrap_or_default(),
             entries: known.entries.clone(),
             coordinator: known.coordinator.clone(),
+            holds: known.holds.clone(),
             term: known.term,
         });
     }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -48,6 +48,8 @@
     pub entries: IndexMap<String, EntryRecord>,
     /// Who coordinates the groups.
     pub coordinator: Option<EntryRecord>,
+    /// Members that are held, by group.
+    pub holds: IndexMap<String, Vec<UpstreamId>>,
     /// Revision of the last change of the coordinator; 0 if there never was one.
     pub term: u64,
 }
--- a/crates/groups/src/allocate.rs
+++ b/crates/groups/src/allocate.rs
@@ -11,6 +11,9 @@
 pub(crate) struct Allocation {
     /// Groups whose members can all join now.
     pub form: Vec<(ModelName, Vec<UpstreamId>)>,
+    /// Spares to join a group of their own and leave it again: after that they join any group of
+    /// the model in 0.2 s instead of the model's warm-up time.
+    pub warm: Vec<(UpstreamId, ModelName)>,
     /// Hosts to load a model onto, the most useful first.
     pub stage: Vec<(UpstreamId, ModelName)>,
 }
@@ -148,6 +151,7 @@
     mut pools: IndexMap<FabricDomain, FreePool<'_>>,
 ) -> Allocation {
     let mut allocation = Allocation::default();
+    let all_free: Vec<&UpstreamTrack> = pools.values().flat_map(|it| it.free.clone()).collect();
     let mut groups = context.groups.clone();
     let total = pools.values().map(|pool| pool.total).sum();
     let mut together: IndexMap<(FailureDomain, ModelName), usize> = IndexMap::new();
@@ -178,9 +182,25 @@
         reserve(&mut pools, &mut together, &candidate, model, &mut allocation);
     }
     stage_spares(context.spec, &pools, &mut allocation);
+    warm_spares(&all_free, &mut allocation);
     allocation
 }
 
+/// Warms what is staged and not about to join a group.
+fn warm_spares(free: &[&UpstreamTrack], allocation: &mut Allocation) {
+    for track in free {
+        let id = &track.entry.id;
+        let is_formed = allocation.form.iter().any(|(_, members)| members.contains(id));
+        let Some(model) = track.entry.staged.last() else {
+            continue;
+        };
+        let is_cold = track.staging.is_none() && track.warm_model.as_ref() != Some(model);
+        if is_cold && !is_formed {
+            allocation.warm.push((id.clone(), model.clone()));
+        }
+    }
+}
+
 /// The model with the fewest groups for its part of the work.
 fn neediest(open: &[&ModelSpec], groups: &IndexMap<ModelName, usize>) -> Option<usize> {
     let supply = |model: &ModelSpec| {
--- a/crates/groups/src/options.rs
+++ b/crates/groups/src/options.rs
@@ -22,6 +22,13 @@
     pub forming_limit: Millis,
 }
 
+impl GroupOptions {
+    /// Time for which members of a group whose leader may stand open are not used again.
+    pub fn hold_time(&self) -> Millis {
+        self.stall_time + self.stall_margin
+    }
+}
+
 impl Default for GroupOptions {
     fn default() -> Self {
         Self {
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -5,7 +5,7 @@
     UpstreamState, UpstreamTarget,
 };
 use bergamot_types::prelude::*;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::allocate::{AllocationContext, FreePool, allocate};
 use crate::forming::{FormingGroup, FormingStep};
@@ -23,6 +23,15 @@
     Order(OrderRequest),
     /// Ask for a report and tell [`GroupPlanner::note_report`].
     Ask(UpstreamTarget),
+    /// Keep these where a later coordinator finds them, for at least [`GroupOptions::hold_time`],
+    /// and tell [`GroupPlanner::note_hold`]: they are about to leave a group whose leader may
+    /// still stand open.
+    Hold {
+        /// The group.
+        group: GroupId,
+        /// Its members.
+        members: Vec<UpstreamId>,
+    },
 }
 
 /// What became of a question.
@@ -46,9 +55,11 @@
     is_fenced: bool,
     /// Whether there was no coordinator before: an upstream that was not ordered has begun none.
     is_first: bool,
-    /// Upstreams that had begun orders before this coordinator took over are not used before
-    /// then, as their last group may still stand open.
+    /// Upstreams that an earlier coordinator held, and until when they are not used.
+    inherited: IndexSet<UpstreamId>,
     inherited_until: Millis,
+    /// Groups whose members are held, and whether that is kept.
+    holds: IndexMap<GroupId, bool>,
     tracks: IndexMap<UpstreamId, UpstreamTrack>,
     forming: IndexMap<GroupId, FormingGroup>,
     /// Who leads, or led, each list of members.
@@ -57,26 +68,25 @@
 
 impl GroupPlanner {
     /// A coordinator that took over at `now` with fencing number `fence`. `is_first` says that
-    /// there was none before it.
+    /// there was none before it; `inherited` are the upstreams that earlier ones held.
     pub fn new(
         options: GroupOptions,
         spec: EngineSpec,
         fence: u64,
         is_first: bool,
+        inherited: IndexSet<UpstreamId>,
         now: Millis,
     ) -> Self {
-        let inherited_until = match is_first {
-            true => Millis::ZERO,
-            false => now + options.stall_time + options.stall_margin,
-        };
         Self {
+            inherited_until: now + options.hold_time(),
+            inherited,
+            holds: IndexMap::new(),
             options,
             spec,
             fence,
             epoch: fence,
             is_fenced: false,
             is_first,
-            inherited_until,
             tracks: IndexMap::new(),
             forming: IndexMap::new(),
             leaders: IndexMap::new(),
@@ -224,6 +234,18 @@
         }
     }
 
+    /// Hears whether members are held where a later coordinator finds it.
+    pub fn note_hold(&mut self, group: &GroupId, is_kept: bool) {
+        match is_kept {
+            true => {
+                self.holds.insert(group.clone(), true);
+            }
+            false => {
+                self.holds.shift_remove(group);
+            }
+        }
+    }
+
     /// What is to be done now.
     pub fn step(&mut self, now: Millis) -> Vec<GroupAction> {
         let mut actions = Vec::new();
@@ -321,6 +343,8 @@
                 self.give(now, leader, order, actions);
             }
             (MemberState::Closing, Some(GroupLoss::Leaving) | None) => {}
+            // A spare that warms up, alone.
+            (MemberState::Joining, _) if group.members.len() == 1 => {}
             // Nothing moves in a group that lost a member, and one that never opened is not
             // needed: the leader leaves, and with that the others are free.
             (_, loss) => {
@@ -394,7 +418,18 @@
         // The leader may live and serve out of our sight. With a member gone it stands still, and
         // breaks when the stall time is over; until then nobody of the group is used again.
         let members: Vec<UpstreamId> = members.cloned().collect();
-        let hold = now + self.options.stall_time + self.options.stall_margin;
+        let kept = self.holds.get(&key.0).copied();
+        if kept.is_none() {
+            self.holds.insert(key.0.clone(), false);
+            actions.push(GroupAction::Hold {
+                group: key.0.clone(),
+                members: members.clone(),
+            });
+        }
+        if kept != Some(true) {
+            return;
+        }
+        let hold = now + self.options.hold_time();
         for id in members.iter().filter(|id| Some(*id) != leader.as_ref()) {
             let order = GroupOrder::Leave {
                 group: key.0.clone(),
@@ -440,6 +475,19 @@
         for (model, members) in allocation.form {
             self.form(now, model, members, actions);
         }
+        for (id, model) in allocation.warm {
+            if self.was_just_ordered(&id, now) {
+                continue;
+            }
+            self.epoch += 1;
+            let order = GroupOrder::Join {
+                group: group_name(&model, self.epoch),
+                epoch: self.epoch,
+                model,
+                members: vec![id.clone()],
+            };
+            self.give(now, &id, order, actions);
+        }
         for (id, model) in allocation.stage {
             if loading >= self.spec.parallel_loads {
                 break;
@@ -456,11 +504,16 @@
         }
     }
 
+    /// Whether an order was given whose effect may not show yet.
+    fn was_just_ordered(&self, id: &UpstreamId, now: Millis) -> bool {
+        let given = self.tracks.get(id).and_then(|track| track.given.as_ref());
+        given.is_some_and(|given| now.since(given.at) < self.options.order_retry)
+    }
+
     fn is_usable(&self, track: &UpstreamTrack, now: Millis) -> bool {
         let id = &track.entry.id;
         let is_forming = self.forming.values().any(|it| it.members.contains(id));
-        // One that has begun no order since its start never was in a group.
-        let is_inherited = now < self.inherited_until && !track.entry.staged.is_empty();
+        let is_inherited = now < self.inherited_until && self.inherited.contains(id);
         track.entry.state == UpstreamState::Ready
             && !self.is_dead(id)
             && !track.is_ordered()
