fix: a stopping VM takes nothing that it might have to cut; feat: the state of groups in the log

Cause: where all VMs of a failure domain stop one after another, the balancer keeps sending to those that are not ready; streams taken 6 s after the signal were cut at the end of the grace.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -20,15 +19,11 @@
 use crate::front::FrontContext;
 use crate::front::server::{accept_callers, accept_ready, sweep};
 use crate::groups::GroupsDuty;
-use crate::shared::SharedState;
+use crate::shared::{STOP_MARGIN, STOP_NOTICE, SharedState};
 use crate::sync::SyncDuty;
 
 /// Leaders at which requests stand still that wait for the groups' duty at most.
 const QUIET_RING: usize = 256;
-/// Time after the signal to stop in which the balancer learns of it and new callers still come.
-const STOP_NOTICE: Duration = Duration::from_millis(2_600);
-/// Time before the end of the grace in which the process ends whatever is in flight.
-const STOP_MARGIN: Duration = Duration::from_millis(500);
 /// Time between two looks at what is in flight while stopping.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
@@ -173,13 +168,12 @@
             _ = reload.recv() => log::info!("event=reload outcome=unchanged"),
         }
     }
-    shared.stopping.store(true, Ordering::SeqCst);
-    shared.view_changed.send_modify(|count| *count += 1);
+    shared.begin_stop();
     log::info!("event=stopping in_flight={}", front.in_flight.get());
-    let grace = shared.site.bounds.stop_grace.as_duration();
-    tokio::time::sleep(STOP_NOTICE.min(grace / 2)).await;
+    let grace = shared.site.bounds.stop_grace;
+    tokio::time::sleep(STOP_NOTICE.as_duration()).await;
     let _ = close_idle.send(true);
-    let left = grace.saturating_sub(STOP_NOTICE + STOP_MARGIN);
+    let left = grace.since(STOP_NOTICE + STOP_MARGIN).as_duration();
     let quiet = async {
         while front.open_connections() > 0 {
             tokio::time::sleep(STOP_LOOK).await;
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -26,6 +26,8 @@
 const RETURN_FULL: Millis = Millis(300);
 /// When to come back where the configuration is not confirmed: the store is asked again by then.
 const RETURN_UNCONFIRMED: Millis = Millis(800);
+/// When to come back where this VM is stopping: at once, as another VM takes the request.
+const RETURN_STOPPING: Millis = Millis(50);
 /// One part in so many of a route's objective may be spent waiting for an upstream. A refusal
 /// that comes later costs the caller its own retry in time.
 const WAIT_DIVISOR: u64 = 5;
@@ -167,6 +169,12 @@
     let (account, rank) = authorize(config, route, call)?;
     let service = draw_service(route, &call.id).ok_or(ErrorKind::NoUpstream)?;
     let timeout = call.deadline.map_or(route.timeout, |it| it.min(route.timeout));
+    let stop_end = front.shared.stop_end(arrived);
+    if stop_end.is_some_and(|end| arrived + timeout > end) {
+        // It could be cut before its end.
+        let kind = ErrorKind::ShuttingDown;
+        return Err(CallRefusal::later(kind, RETURN_STOPPING));
+    }
     Ok(AdmittedCall {
         state: CallState {
             route: route.clone(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -16,6 +16,12 @@
 /// long between the check and its arrival at the upstream.
 pub const CONFIRM_MARGIN: Millis = Millis(400);
 
+/// Time after the signal to stop in which the balancer learns of it, by two missed questions a
+/// second apart, and new callers still come.
+pub const STOP_NOTICE: Millis = Millis(2_600);
+/// Time before the end of the grace in which the process ends whatever is in flight.
+pub const STOP_MARGIN: Millis = Millis(500);
+
 /// State that every duty reads.
 pub struct SharedState {
     /// Where this process runs.
@@ -32,6 +38,8 @@
     confirmed_at: AtomicU64,
     /// Whether the process is stopping.
     pub stopping: AtomicBool,
+    /// When the signal to stop came, in milliseconds; 0: not yet.
+    stop_began: AtomicU64,
     /// Leaders at which requests stand still, for the coordinator.
     pub quiet: mpsc::Sender<UpstreamId>,
 }
@@ -47,6 +55,7 @@
             view_changed: watch::channel(0).0,
             confirmed_at: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
+            stop_began: AtomicU64::new(0),
             quiet,
         })
     }
@@ -74,6 +83,25 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
+    /// Notes the signal to stop.
+    pub fn begin_stop(&self) {
+        self.stop_began.store(self.clock.now().0, Ordering::SeqCst);
+        self.stopping.store(true, Ordering::SeqCst);
+        self.view_changed.send_modify(|count| *count += 1);
+    }
+
+    /// When the process ends at the latest, once callers have had time to learn of the stop. None
+    /// before: until then every request is taken.
+    pub fn stop_end(&self, now: Millis) -> Option<Millis> {
+        if !self.is_stopping() {
+            return None;
+        }
+        let began = Millis(self.stop_began.load(Ordering::SeqCst));
+        let is_noticed = now.since(began) >= STOP_NOTICE;
+        let end = began + self.site.bounds.stop_grace;
+        is_noticed.then_some(end.since(STOP_MARGIN))
+    }
+
     /// Publishes a new view.
     pub fn publish(&self, view: ClusterView) {
         self.view.store(Arc::new(view));
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -60,6 +60,8 @@
     inherited_until: Millis,
     /// Groups whose members are held, and whether that is kept.
     holds: IndexMap<GroupId, bool>,
+    /// The last state that was logged.
+    logged: String,
     tracks: IndexMap<UpstreamId, UpstreamTrack>,
     forming: IndexMap<GroupId, FormingGroup>,
     /// Who leads, or led, each list of members.
@@ -81,6 +83,7 @@
             inherited_until: now + options.hold_time(),
             inherited,
             holds: IndexMap::new(),
+            logged: String::new(),
             options,
             spec,
             fence,
@@ -268,12 +271,37 @@
                 free.push(id.clone());
             }
         }
+        self.log_state(now, &counts, &free);
         self.step_free(now, counts, &free, &mut actions);
         self.ask_silent(now, &mut actions);
         self.tracks.retain(|_, track| track.is_listed || !track.is_gone);
         actions
     }
 
+    /// Logs how many groups and upstreams there are, when that changed.
+    fn log_state(&mut self, now: Millis, counts: &IndexMap<ModelName, usize>, free: &[UpstreamId]) {
+        let usable = free.iter().filter_map(|id| self.tracks.get(id));
+        let usable: Vec<&UpstreamTrack> = usable.filter(|it| self.is_usable(it, now)).collect();
+        let staged = usable.iter().filter(|it| !it.entry.staged.is_empty());
+        let loading = self.tracks.values().filter(|it| it.staging.is_some());
+        let held = self.tracks.values().filter(|it| it.held_until > now);
+        let dead = self.tracks.keys().filter(|id| self.is_dead(id));
+        let state = format!(
+            "groups={counts:?} forming={} free={} staged={} loading={} held={} dead={} listed={}",
+            self.forming.len(),
+            usable.len(),
+            staged.count(),
+            loading.count(),
+            held.count(),
+            dead.count(),
+            self.tracks.values().filter(|it| it.is_listed).count(),
+        );
+        if state != self.logged {
+            log::info!("event=groups_state {state}");
+            self.logged = state;
+        }
+    }
+
     fn step_forming(&mut self, now: Millis, actions: &mut Vec<GroupAction>) {
         let ids: Vec<GroupId> = self.forming.keys().cloned().collect();
         for id in ids {
