perf: limits settle where a third of first events are late

Cause: a limit that fell by a fifth for each late first event and rose by a request in five settled at one request a VM under load, and refused while there was room.

--- a/crates/gateway/src/front/book.rs
+++ b/crates/gateway/src/front/book.rs
@@ -18,12 +18,11 @@
 /// What a request to another failure domain counts, in requests: with equal load the near one.
 const AWAY_PENALTY: f64 = 0.5;
 
-/// Factor on the limit of requests in flight when a first event was late, or the upstream full.
-const LIMIT_DECREASE: f64 = 0.8;
-/// Time between two decreases: requests that were sent before the last one still come back.
-const DECREASE_PERIOD: Millis = Millis(250);
-/// The part of the objective in which a first event shows room for more.
-const ROOM_PART: f64 = 0.6;
+/// Added to the limit of requests in flight by a first event in time.
+const LIMIT_INCREASE: f64 = 0.3;
+/// Taken off the limit by a late first event, or when the upstream is full. With twice the
+/// increase, a third of the first events are late where the limit settles.
+const LIMIT_DECREASE: f64 = 0.6;
 /// The lowest limit.
 const MIN_LIMIT: f64 = 1.0;
 
@@ -34,7 +33,6 @@
     /// first events come in time and shrinks when they are late, so that all entry VMs together
     /// keep an upstream's queue short without counting for each other.
     limit: Option<f64>,
-    decreased_at: Millis,
     /// Requests sent from here and not ended.
     pub in_flight: u32,
     /// When anything last came from it.
@@ -77,30 +75,24 @@
     }
 
     /// Notes how long the first event of a stream took, against its objective.
-    pub fn note_first(&mut self, id: &UpstreamId, slots: u32, took: Millis, now: Millis, objective: Millis) {
+    pub fn note_first(&mut self, id: &UpstreamId, slots: u32, took: Millis, objective: Millis) {
         if took > objective {
-            self.decrease(id, slots, now);
+            self.decrease(id, slots);
             return;
         }
         let load = self.load_mut(id);
         let limit = load.limit.unwrap_or(f64::from(slots));
-        let has_room = took.0 as f64 <= objective.0 as f64 * ROOM_PART;
-        let is_used = f64::from(load.in_flight) >= limit - 1.0;
-        if has_room && is_used {
-            load.limit = Some((limit + 1.0 / limit).min(f64::from(slots)));
+        if f64::from(load.in_flight) >= limit - 1.0 {
+            load.limit = Some((limit + LIMIT_INCREASE).min(f64::from(slots)));
         }
     }
 
     /// Notes that an upstream is full.
-    pub fn decrease(&mut self, id: &UpstreamId, slots: u32, now: Millis) {
+    pub fn decrease(&mut self, id: &UpstreamId, slots: u32) {
         let load = self.load_mut(id);
-        if now.since(load.decreased_at) < DECREASE_PERIOD {
-            return;
-        }
         let limit = load.limit.unwrap_or(f64::from(slots));
-        let limit = limit.min(f64::from(load.in_flight.max(1)));
-        load.limit = Some((limit * LIMIT_DECREASE).max(MIN_LIMIT));
-        load.decreased_at = now;
+        let limit = limit.min(f64::from(load.in_flight.max(1)) + 1.0);
+        load.limit = Some((limit - LIMIT_DECREASE).max(MIN_LIMIT));
     }
 
     /// Whether one more request may be sent.
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -369,7 +369,7 @@
                 state.run_at.push(upstream.id.clone());
             }
             if matches!(error, AttemptError::Refused(_)) {
-                book.decrease(&upstream.id, upstream.slots, now);
+                book.decrease(&upstream.id, upstream.slots);
             }
             if matches!(error, AttemptError::Gone(_)) {
                 report_quiet(front, upstream);
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -181,7 +181,7 @@
         let objective = self.state.route.objective;
         let took = now.since(sent_at);
         let mut book = self.front.book.borrow_mut();
-        book.note_first(&upstream.id, upstream.slots, took, now, objective);
+        book.note_first(&upstream.id, upstream.slots, took, objective);
     }
 
     fn observe(&mut self) {
