perf: all loads begin before the first request; begun requests need no room

Cause: the weight store is ten times as quick before the first request, for every load begun by then (a load begun 0.8 s before it took 1.6 s; one begun 0.2 s after it took 16 s), and we began six at a time.

--- a/crates/gateway/src/front/book.rs
+++ b/crates/gateway/src/front/book.rs
@@ -133,16 +133,28 @@
             .retain(|id, load| load.in_flight > 0 || is_listed(id));
     }
 
+    /// What the limits of these upstreams add up to, and what is in flight, for the log.
+    pub fn describe(&self, pool: &[RouteUpstream]) -> String {
+        let loads = pool.iter().map(|upstream| {
+            let load = self.load(&upstream.id);
+            let limit = load.limit.unwrap_or(f64::from(upstream.slots));
+            format!("{}/{limit:.1}", load.in_flight)
+        });
+        loads.collect::<Vec<_>>().join(",")
+    }
+
     /// The least loaded upstream that was not tried and has room. Avoided ones are used when there
-    /// are no others.
+    /// are no others. A request that was begun elsewhere (`must_go_on`) needs no room: what it got
+    /// so far would be lost with it.
     pub fn choose<'a>(
         &self,
         pool: &'a [RouteUpstream],
         home: &FailureDomain,
         tried: &[UpstreamId],
         now: Millis,
-        random: u64,
+        must_go_on: bool,
     ) -> UpstreamChoice<'a> {
+        let random: u64 = rand::random();
         let score = |upstream: &RouteUpstream| {
             let load = self.load(&upstream.id);
             let is_avoided = load.avoided_until > now;
@@ -160,7 +172,7 @@
         if fresh.peek().is_none() {
             return UpstreamChoice::None;
         }
-        let roomy = fresh.filter(|upstream| self.has_room(upstream));
+        let roomy = fresh.filter(|upstream| must_go_on || self.has_room(upstream));
         let best = roomy.min_by(|a, b| {
             let (a_score, b_score) = (score(a), score(b));
             let by_score = a_score.0.cmp(&b_score.0).then(a_score.1.total_cmp(&b_score.1));
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bergamot_ports::{
@@ -94,6 +95,11 @@
         self.tried.len()
     }
 
+    /// The upstream that it was last sent to.
+    pub fn last_upstream(&self) -> &str {
+        self.tried.last().map_or("-", UpstreamId::as_str)
+    }
+
     /// The refusal that is true given what was sent.
     pub fn truthful(&self, refusal: CallRefusal) -> CallRefusal {
         let says_not_run = refusal.kind.answer().ran == RanState::No;
@@ -114,6 +120,7 @@
     Dialect: CallerDialect + 'static,
 {
     let arrived = front.now();
+    front.shared.has_traffic.store(true, Ordering::Relaxed);
     let (head, body) = request.into_parts();
     let call = match front.dialect.read_call(&head) {
         Ok(call) => call,
@@ -364,14 +371,18 @@
     match &outcome {
         Ok(_) => book.note_progress(&upstream.id, now),
         Err(error) => {
-            book.note_failure(&upstream.id, now);
+            match error {
+                // Nothing answers there: others will wait as long in vain.
+                AttemptError::NotSent(_) if is_engine => book.note_quiet(&upstream.id, now),
+                _ => book.note_failure(&upstream.id, now),
+            }
             if error.may_have_run() {
                 state.run_at.push(upstream.id.clone());
             }
             if matches!(error, AttemptError::Refused(_)) {
                 book.decrease(&upstream.id, upstream.slots);
             }
-            if matches!(error, AttemptError::Gone(_)) {
+            if matches!(error, AttemptError::Gone(_) | AttemptError::NotSent(_)) {
                 report_quiet(front, upstream);
             }
         }
@@ -526,11 +537,16 @@
         return Err(refused);
     }
     let home = &front.shared.site.failure_domain;
-    let random = rand::random();
     let book = front.book.borrow();
-    let chosen = match book.choose(upstreams, home, &state.tried, now, random) {
+    let must_go_on = state.may_have_run();
+    let chosen = match book.choose(upstreams, home, &state.tried, now, must_go_on) {
         UpstreamChoice::Chosen(chosen) => chosen,
         UpstreamChoice::Full => {
+            log::info!(
+                "event=no_room request={} in_flight_and_limits={}",
+                request.call.id,
+                book.describe(upstreams)
+            );
             return Err(CallRefusal::later(ErrorKind::Overloaded, RETURN_FULL));
         }
         UpstreamChoice::None if state.tried.is_empty() => return Err(no_upstream),
--- a/crates/gateway/src/front/pool.rs
+++ b/crates/gateway/src/front/pool.rs
@@ -16,8 +16,8 @@
 use tokio::task::JoinHandle;
 
 /// Time for a connection to be set up. A lost opening packet comes again after a second, by when
-/// another upstream would have answered.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// another upstream would have answered; one that lives takes a few milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time after which unacknowledged bytes end a connection: a partition is noticed by then.
 const USER_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// How long an idle connection is kept where the upstream does not say.
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -43,6 +43,8 @@
         last_event: request.call.resume_after,
         last_at: None,
         delivered: 0,
+        first_after: Millis::ZERO,
+        longest_gap: Millis::ZERO,
         front,
         request,
         state,
@@ -60,6 +62,9 @@
     last_event: Option<u64>,
     last_at: Option<Millis>,
     delivered: u64,
+    /// Time from the request's head to its first event.
+    first_after: Millis,
+    longest_gap: Millis,
 }
 
 impl<Dialect> EventRelay<Dialect>
@@ -92,12 +97,15 @@
             let _ = self.sender.send(Err(BrokenAnswer)).await;
         }
         log::info!(
-            "event=stream_ended request={} route={} outcome={outcome} sends={} events={} last_event={} took={}",
+            "event=stream_ended request={} route={} upstream={} outcome={outcome} sends={} events={} last_event={} first={} longest_gap={} took={}",
             self.request.call.id,
             self.state.route.name,
+            self.state.last_upstream(),
             self.state.sends(),
             self.delivered,
             self.last_event.unwrap_or_default(),
+            self.first_after,
+            self.longest_gap,
             self.front.now().since(self.state.arrived),
         );
         count(&self.front, self.state.route.kind, outcome);
@@ -190,11 +198,13 @@
         let kind = [self.state.route.kind.as_str()];
         match self.last_at {
             Some(last) => {
+                self.longest_gap = self.longest_gap.max(now.since(last));
                 let gap = now.since(last).as_secs_f64();
                 metrics.event_gap.with_label_values(&kind).observe(gap);
             }
             None => {
-                let took = now.since(self.state.arrived).as_secs_f64();
+                self.first_after = now.since(self.state.arrived);
+                let took = self.first_after.as_secs_f64();
                 metrics.first_piece.with_label_values(&kind).observe(took);
             }
         }
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bergamot_groups::{AskOutcome, GroupAction, GroupOptions, GroupPlanner};
@@ -238,6 +239,9 @@
             let Some(planner) = planner.as_mut() else {
                 continue;
             };
+            if shared.has_traffic.load(Ordering::Relaxed) {
+                planner.note_traffic();
+            }
             let mut actions = match &quiet {
                 Some(leader) => planner.note_quiet(leader, now),
                 None => Vec::new(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -38,6 +38,8 @@
     confirmed_at: AtomicU64,
     /// Whether the process is stopping.
     pub stopping: AtomicBool,
+    /// Whether a caller's request has come in since the start.
+    pub has_traffic: AtomicBool,
     /// When the signal to stop came, in milliseconds; 0: not yet.
     stop_began: AtomicU64,
     /// Leaders at which requests stand still, for the coordinator.
@@ -55,6 +57,7 @@
             view_changed: watch::channel(0).0,
             confirmed_at: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
+            has_traffic: AtomicBool::new(false),
             stop_began: AtomicU64::new(0),
             quiet,
         })
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -55,6 +55,8 @@
     is_fenced: bool,
     /// Whether there was no coordinator before: an upstream that was not ordered has begun none.
     is_first: bool,
+    /// Whether requests come in.
+    has_traffic: bool,
     /// Upstreams that an earlier coordinator held, and until when they are not used.
     inherited: IndexSet<UpstreamId>,
     inherited_until: Millis,
@@ -90,6 +92,7 @@
             epoch: fence,
             is_fenced: false,
             is_first,
+            has_traffic: !is_first,
             tracks: IndexMap::new(),
             forming: IndexMap::new(),
             leaders: IndexMap::new(),
@@ -146,6 +149,11 @@
         }
     }
 
+    /// Hears that requests come in.
+    pub fn note_traffic(&mut self) {
+        self.has_traffic = true;
+    }
+
     /// Hears that requests at this leader stand still.
     pub fn note_quiet(&mut self, leader: &UpstreamId, now: Millis) -> Vec<GroupAction> {
         let membership = self
@@ -517,7 +525,9 @@
             self.give(now, &id, order, actions);
         }
         for (id, model) in allocation.stage {
-            if loading >= self.spec.parallel_loads {
+            // Before the first request the weight store is quick, for every load begun by then. How
+            // long one takes is settled when it begins, so all begin at once, the most useful first.
+            if self.has_traffic && loading >= self.spec.parallel_loads {
                 break;
             }
             loading += 1;
