fix: a refused connection is no proof that an upstream is gone

Now only another run at the same address shows it. Ruled out: a late order (the joins were new ones).

--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -335,7 +335,7 @@
         GroupAction::Ask(target) => {
             let outcome = match control.report(&target).await {
                 Ok(report) => AskOutcome::Answered(report),
-                Err(ControlError::Gone(_)) => AskOutcome::Gone,
+                Err(ControlError::Gone) => AskOutcome::Gone,
                 Err(ControlError::Silent(_)) => AskOutcome::Silent,
                 Err(ControlError::Malformed(reason)) => {
                     log::warn!("event=report_unreadable upstream={} reason={reason:?}", target.id);
@@ -405,7 +405,7 @@
         OrderOutcome::Unfit => "unfit",
         OrderOutcome::Fenced => "fenced",
         OrderOutcome::Refused(_) => "refused",
-        OrderOutcome::NoListener => "no_listener",
+        OrderOutcome::Gone => "gone",
         OrderOutcome::Unknown(_) => "unknown",
     }
 }
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -1,5 +1,7 @@
 //! The coordinator's state and its next orders.
 
+use std::net::SocketAddr;
+
 use bergamot_ports::{
     EngineSpec, GroupOrder, MemberState, OrderOutcome, OrderRequest, UpstreamEntry, UpstreamReport,
     UpstreamState, UpstreamTarget,
@@ -120,7 +122,9 @@
         for track in self.tracks.values_mut() {
             track.is_listed = false;
         }
+        let mut listed: IndexMap<SocketAddr, &UpstreamId> = IndexMap::new();
         for entry in entries {
+            listed.insert(entry.addr, &entry.id);
             let track = self
                 .tracks
                 .entry(entry.id.clone())
@@ -147,6 +151,11 @@
                 track.staging = None;
             }
         }
+        // An address belongs to one run at a time.
+        for (id, track) in self.tracks.iter_mut().filter(|(_, track)| !track.is_listed) {
+            let successor = listed.get(&track.entry.addr);
+            track.is_gone |= successor.is_some_and(|successor| *successor != id);
+        }
     }
 
     /// Hears that requests come in.
@@ -206,7 +215,7 @@
                     _ => self.is_fenced = true,
                 }
             }
-            OrderOutcome::NoListener => track.is_gone = true,
+            OrderOutcome::Gone => track.is_gone = true,
             OrderOutcome::Unknown(_) => {
                 track.silent += 1;
                 track.orders_begun = None;
--- a/crates/ports/src/control.rs
+++ b/crates/ports/src/control.rs
@@ -124,10 +124,11 @@
     Unfit,
     /// A higher fencing number was seen.
     Fenced,
-    /// Another run of the upstream listens there, or it does not know the order.
+    /// It does not know the order, or cannot read it.
     Refused(u16),
-    /// Nothing listens there: the upstream's process is gone.
-    NoListener,
+    /// Another run of the upstream listens there: this one is gone. A refused connection does not
+    /// show that, as a partition may refuse connections too.
+    Gone,
     /// No answer: it may have begun, or may yet.
     Unknown(String),
 }
@@ -135,9 +136,9 @@
 /// Why there is no report.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum ControlError {
-    /// The upstream's process is gone: nothing listens, or another run does.
-    #[error("the upstream is gone: {0}")]
-    Gone(String),
+    /// Another run of the upstream listens there: this one is gone.
+    #[error("another run of the upstream listens there")]
+    Gone,
     /// No answer in time.
     #[error("the upstream is silent: {0}")]
     Silent(String),
