--- /dev/null
+++ b/crates/groups/tests/support/mod.rs
@@ -0,0 +1,2 @@
+//! Shared by the tests of this crate.
+pub mod world;
