--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -17,7 +17,7 @@
 use tokio::task::LocalSet;
 
 use crate::front::FrontContext;
-use crate::front::server::{accept_callers, accept_ready, sweep};
+use crate::front::server::{accept_callers, accept_ready, follow_groups, sweep};
 use crate::groups::GroupsDuty;
 use crate::shared::{STOP_MARGIN, STOP_NOTICE, SharedState};
 use crate::sync::SyncDuty;
@@ -161,6 +161,7 @@
     tokio::task::spawn_local(accept_callers(Rc::clone(&front), caller, closing));
     tokio::task::spawn_local(accept_ready(Rc::clone(&front), ready));
     tokio::task::spawn_local(sweep(Rc::clone(&front)));
+    tokio::task::spawn_local(follow_groups(Rc::clone(&front)));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -92,8 +92,10 @@
     Dialect: CallerDialect,
 {
     let sent_at = front.now();
-    let flight = FlightGuard::enter(&front.book, &upstream.id);
+    let flight = FlightGuard::enter(&front.book, &upstream.id, sent_at);
+    front.book.borrow_mut().note_connecting(&upstream.id, sent_at);
     let connection = front.pool.connect(&upstream.id, upstream.addr).await;
+    front.book.borrow_mut().note_connected(&upstream.id);
     let mut connection = connection.map_err(|error| match error {
         ConnectError::Refused(error) => AttemptError::Gone(error.to_string()),
         ConnectError::Failed(reason) => AttemptError::NotSent(reason),
--- a/crates/gateway/src/front/book.rs
+++ b/crates/gateway/src/front/book.rs
@@ -15,6 +15,11 @@
 /// Time for which an upstream is avoided at which requests stand still: the groups' coordinator
 /// ends the group by then, or it turns out to be sound.
 const QUIET_AVOIDANCE: Millis = Millis(2_000);
+/// Time that a connection takes at a sound upstream, several times over.
+const SLOW_CONNECT: Millis = Millis(40);
+/// Time without any event from a busy engine after which new requests go elsewhere, if they can.
+/// Engines answer in passes of some 50 ms.
+const SUSPECT_SILENCE: Millis = Millis(200);
 /// What a request to another failure domain counts, in requests: with equal load the near one.
 const AWAY_PENALTY: f64 = 0.5;
 
@@ -37,11 +42,33 @@
     pub in_flight: u32,
     /// When anything last came from it.
     pub progress_at: Millis,
+    /// Since when there has been a request in flight from here without a break.
+    busy_since: Millis,
+    /// Since when a connection has been on its way, if one is.
+    connecting_since: Option<Millis>,
     /// Failures in a row.
     failures: u32,
     avoided_until: Millis,
 }
 
+impl UpstreamLoad {
+    /// How long it has been silent while it had something to do.
+    pub fn silence(&self, now: Millis) -> Millis {
+        match self.in_flight {
+            0 => Millis::ZERO,
+            _ => now.since(self.progress_at.max(self.busy_since)),
+        }
+    }
+
+    /// Whether others are better used now.
+    fn is_avoided(&self, now: Millis) -> bool {
+        let is_unreachable = self
+            .connecting_since
+            .is_some_and(|since| now.since(since) > SLOW_CONNECT);
+        self.avoided_until > now || is_unreachable || self.silence(now) > SUSPECT_SILENCE
+    }
+}
+
 /// All upstreams that were sent to.
 #[derive(Debug, Default)]
 pub struct UpstreamBook {
@@ -59,8 +86,30 @@
     }
 
     /// Counts a request that is sent.
-    pub fn note_sent(&mut self, id: &UpstreamId) {
-        self.load_mut(id).in_flight += 1;
+    pub fn note_sent(&mut self, id: &UpstreamId, now: Millis) {
+        let load = self.load_mut(id);
+        if load.in_flight == 0 {
+            load.busy_since = now;
+        }
+        load.in_flight += 1;
+    }
+
+    /// Notes that a connection is being set up.
+    pub fn note_connecting(&mut self, id: &UpstreamId, now: Millis) {
+        self.load_mut(id).connecting_since.get_or_insert(now);
+    }
+
+    /// Notes that a connection was set up, or was given up.
+    pub fn note_connected(&mut self, id: &UpstreamId) {
+        self.load_mut(id).connecting_since = None;
+    }
+
+    /// Notes that its group has changed: what was held against it no longer counts.
+    pub fn note_regrouped(&mut self, id: &UpstreamId) {
+        let load = self.load_mut(id);
+        load.avoided_until = Millis::ZERO;
+        load.failures = 0;
+        load.limit = None;
     }
 
     /// Counts the end of a request.
@@ -157,7 +206,7 @@
         let random: u64 = rand::random();
         let score = |upstream: &RouteUpstream| {
             let load = self.load(&upstream.id);
-            let is_avoided = load.avoided_until > now;
+            let is_avoided = load.is_avoided(now);
             let away = match upstream.failure_domain == *home {
                 true => 0.0,
                 false => AWAY_PENALTY,
@@ -203,8 +252,8 @@
 
 impl FlightGuard {
     /// Counts a request that is about to be sent.
-    pub fn enter(book: &Rc<RefCell<UpstreamBook>>, id: &UpstreamId) -> Self {
-        book.borrow_mut().note_sent(id);
+    pub fn enter(book: &Rc<RefCell<UpstreamBook>>, id: &UpstreamId, now: Millis) -> Self {
+        book.borrow_mut().note_sent(id, now);
         Self {
             book: Rc::clone(book),
             id: id.clone(),
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -38,6 +38,10 @@
 /// Time without anything from an upstream after which requests there count as standing still.
 /// Engines answer in passes of some 50 ms; the longest prompt holds a pass for 120 ms.
 pub const QUIET_TIME: Millis = Millis(600);
+/// Time between two looks while a request waits at an engine.
+pub const LOOK_PERIOD: Millis = Millis(120);
+/// The least time that a request waits for anything from its upstream.
+const MIN_WAIT: Millis = Millis(250);
 /// The same for asking the coordinator to look at the group, which costs a few questions.
 pub const DOUBT_TIME: Millis = Millis(350);
 
@@ -348,7 +352,7 @@
     let outcome = loop {
         let now = front.now();
         let pause = match is_engine {
-            true => DOUBT_TIME.min(state.deadline.since(now)),
+            true => LOOK_PERIOD.min(state.deadline.since(now)),
             false => state.deadline.since(now),
         };
         match tokio::time::timeout(pause.as_duration(), &mut sent).await {
@@ -373,7 +377,7 @@
         Err(error) => {
             match error {
                 // Nothing answers there: others will wait as long in vain.
-                AttemptError::NotSent(_) if is_engine => book.note_quiet(&upstream.id, now),
+                AttemptError::NotSent(_) | AttemptError::Misdirected if is_engine => book.note_quiet(&upstream.id, now),
                 _ => book.note_failure(&upstream.id, now),
             }
             if error.may_have_run() {
@@ -401,12 +405,12 @@
     since: Millis,
 ) -> bool {
     let now = front.now();
-    let progress = front.book.borrow().load(&upstream.id).progress_at;
-    let silence = now.since(progress.max(since));
+    let silence = front.book.borrow().load(&upstream.id).silence(now);
     if silence >= DOUBT_TIME {
         report_quiet(front, upstream);
     }
-    let is_quiet = silence >= QUIET_TIME;
+    // A request that came when the upstream had long been silent needs not wait all that time.
+    let is_quiet = silence >= QUIET_TIME && now.since(since) >= MIN_WAIT;
     if is_quiet {
         front.book.borrow_mut().note_quiet(&upstream.id, now);
     }
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -10,7 +10,7 @@
 use super::FrontContext;
 use super::answer::{AnswerPiece, BrokenAnswer, CallerAnswer, relayed_body};
 use super::attempt::{OpenReply, SentRequest};
-use super::call::{CallState, DOUBT_TIME, count, look_quiet, open, plan};
+use super::call::{CallState, LOOK_PERIOD, count, look_quiet, open, plan};
 use super::events::{EventSplitter, StreamEvent};
 
 /// Events that wait for a slow caller at most, before the upstream is held back.
@@ -156,7 +156,7 @@
             if left == Millis::ZERO {
                 return NextEvent::DeadlinePassed;
             }
-            let pause = left.min(DOUBT_TIME).as_duration();
+            let pause = left.min(LOOK_PERIOD).as_duration();
             let frame = tokio::select! {
                 frame = tokio::time::timeout(pause, reply.body.frame()) => frame,
                 () = self.sender.closed() => return NextEvent::CallerLeft,
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use bergamot_ports::CallerDialect;
+use bergamot_types::prelude::*;
 use bytes::Bytes;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use indexmap::IndexMap;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -167,12 +169,32 @@
     has_config && !front.shared.is_stopping() && front.shared.is_confirmed(front.now())
 }
 
+/// Forgets what was held against a leader when its group changes.
+pub async fn follow_groups<Dialect>(front: Rc<FrontContext<Dialect>>) {
+    let mut changes = front.shared.view_changed.subscribe();
+    let mut known: IndexMap<UpstreamId, Option<GroupId>> = IndexMap::new();
+    while changes.changed().await.is_ok() {
+        let view = front.shared.view.load_full();
+        let leaders = view.pools.values().flat_map(|pool| pool.models.values().flatten());
+        let now: IndexMap<_, _> = leaders
+            .map(|leader| (leader.id.clone(), leader.group.clone()))
+            .collect();
+        let mut book = front.book.borrow_mut();
+        for (id, group) in &now {
+            if known.get(id).is_some_and(|old| old != group) {
+                book.note_regrouped(id);
+            }
+        }
+        known = now;
+    }
+}
+
 /// Closes what is not needed any more, now and then.
 pub async fn sweep<Dialect>(front: Rc<FrontContext<Dialect>>) {
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         let view = front.shared.view.load_full();
-        let is_listed = |id: &bergamot_types::UpstreamId| view.upstreams.contains_key(id);
+        let is_listed = |id: &UpstreamId| view.upstreams.contains_key(id);
         front.pool.retain(is_listed);
         front.book.borrow_mut().retain(is_listed);
     }
