test: a stand-in of the platform, and whole requests over it

Found on the way: events that were ready were lost when a stream broke off right behind them, as the connection was closed before they had left; they now have 5 ms.

--- a/crates/entry/src/bin/bergamot-entry.rs
+++ b/crates/entry/src/bin/bergamot-entry.rs
@@ -1,51 +1,19 @@
 //! The daemon of an entry VM.
 
-use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use bergamot_adapter::{
-    SETTINGS_VARIABLE, SiteCatalog, SiteControl, SiteDialect, SiteSettings, SiteStore,
-};
+use bergamot_adapter::{SETTINGS_VARIABLE, SitePorts, SiteSettings};
 use bergamot_entry::{EntryDaemon, EntrySettings, StopOutcome};
-use bergamot_gateway::{GatewayDaemon, GatewayPorts};
+use bergamot_gateway::GatewayDaemon;
 use getopts::Options;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Port of the metrics where none is given.
 const DEFAULT_METRICS_PORT: u16 = 9464;
 
-/// The platform's ports for [`GatewayDaemon`].
-#[derive(Clone)]
-struct SitePorts {
-    store_addr: SocketAddr,
-}
-
-impl GatewayPorts for SitePorts {
-    type Store = SiteStore;
-    type Catalog = SiteCatalog;
-    type Control = SiteControl;
-    type Dialect = SiteDialect;
-
-    fn store(&self) -> SiteStore {
-        SiteStore::new(self.store_addr)
-    }
-
-    fn catalog(&self) -> SiteCatalog {
-        SiteCatalog
-    }
-
-    fn control(&self) -> SiteControl {
-        SiteControl::default()
-    }
-
-    fn dialect(&self) -> SiteDialect {
-        SiteDialect
-    }
-}
-
 /// Runs on the platform that lays a settings file for each process.
 fn run_on_platform(matches: &getopts::Matches) -> anyhow::Result<ExitCode> {
     let path = std::env::var_os(SETTINGS_VARIABLE)
@@ -57,9 +25,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     bergamot_gateway::logs::start()?;
-    let ports = SitePorts {
-        store_addr: settings.store_addr(),
-    };
+    let ports = SitePorts::new(settings.store_addr());
     GatewayDaemon::new(settings.site(port), ports).run()?;
     Ok(ExitCode::SUCCESS)
 }
@@ -77,14 +43,26 @@
 fn run() -> anyhow::Result<ExitCode> {
     let mut options = Options::new();
     options.optopt("s", "settings", "settings file", "FILE");
-    options.optflag("", "platform", "run on the platform that lays the settings file");
-    options.optopt("", "metrics-port", "port of the metrics on the platform", "PORT");
+    options.optflag(
+        "",
+        "platform",
+        "run on the platform that lays the settings file",
+    );
+    options.optopt(
+        "",
+        "metrics-port",
+        "port of the metrics on the platform",
+        "PORT",
+    );
     options.optflag("", "check", "check the settings and exit");
     options.optflag("", "print-default", "print sample settings and exit");
     options.optflag("h", "help", "print this help");
     let matches = options.parse(std::env::args().skip(1))?;
     if matches.opt_present("help") {
-        print!("{}", options.usage("Usage: bergamot-entry --settings FILE | --platform"));
+        print!(
+            "{}",
+            options.usage("Usage: bergamot-entry --settings FILE | --platform")
+        );
         return Ok(ExitCode::SUCCESS);
     }
     if matches.opt_present("print-default") {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use bergamot_ports::{CallerDialect, StateStore, StoreCatalog, UpstreamControl, VmSite};
+use bergamot_ports::{PortSet, VmSite};
 use hyper::Response;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -27,27 +27,6 @@
 /// Time between two looks at what is in flight while stopping.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
-/// Makes the ports of one platform. Each duty makes its own, on its thread.
-pub trait GatewayPorts: Clone + Send + 'static {
-    /// The state store.
-    type Store: StateStore + 'static;
-    /// The reader of configuration and directory.
-    type Catalog: StoreCatalog + 'static;
-    /// The control side of upstreams.
-    type Control: UpstreamControl + 'static;
-    /// The callers' dialect.
-    type Dialect: CallerDialect + 'static;
-
-    /// A client of the store.
-    fn store(&self) -> Self::Store;
-    /// A reader of its entries.
-    fn catalog(&self) -> Self::Catalog;
-    /// A client of the upstreams' control side.
-    fn control(&self) -> Self::Control;
-    /// The dialect.
-    fn dialect(&self) -> Self::Dialect;
-}
-
 /// The daemon.
 pub struct GatewayDaemon<Ports> {
     shared: Arc<SharedState>,
@@ -57,7 +36,7 @@
 
 impl<Ports> GatewayDaemon<Ports>
 where
-    Ports: GatewayPorts,
+    Ports: PortSet,
 {
     /// A daemon for a site. Nothing is started yet.
     pub fn new(site: VmSite, ports: Ports) -> Self {
@@ -149,7 +128,7 @@
     ready: std::net::TcpListener,
 ) -> anyhow::Result<()>
 where
-    Ports: GatewayPorts,
+    Ports: PortSet,
 {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -48,17 +48,22 @@
 }
 
 /// Why an attempt has no answer.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub enum AttemptError {
     /// Nothing was sent.
+    #[error("nothing was sent: {0}")]
     NotSent(String),
-    /// The upstream's process is gone; nothing was sent.
-    Gone(String),
+    /// Nothing listens there, so nothing was sent.
+    #[error("nothing was sent, the connection was refused: {0}")]
+    NoListener(String),
     /// The upstream said that it did not run the request.
+    #[error("refused unrun with status {0}")]
     Refused(u16),
-    /// Another run of the upstream listens there.
+    /// Another run of the upstream listens there, or it leads no group.
+    #[error("another upstream was meant")]
     Misdirected,
     /// It was sent and may have run.
+    #[error("broken after it was sent: {0}")]
     Broken(String),
 }
 
@@ -72,7 +77,7 @@
     pub fn as_str(&self) -> &'static str {
         match self {
             Self::NotSent(_) => "not_sent",
-            Self::Gone(_) => "gone",
+            Self::NoListener(_) => "no_listener",
             Self::Refused(_) => "refused",
             Self::Misdirected => "misdirected",
             Self::Broken(_) => "broken",
@@ -93,11 +98,14 @@
 {
     let sent_at = front.now();
     let flight = FlightGuard::enter(&front.book, &upstream.id, sent_at);
-    front.book.borrow_mut().note_connecting(&upstream.id, sent_at);
+    front
+        .book
+        .borrow_mut()
+        .note_connecting(&upstream.id, sent_at);
     let connection = front.pool.connect(&upstream.id, upstream.addr).await;
     front.book.borrow_mut().note_connected(&upstream.id);
     let mut connection = connection.map_err(|error| match error {
-        ConnectError::Refused(error) => AttemptError::Gone(error.to_string()),
+        ConnectError::Refused(error) => AttemptError::NoListener(error.to_string()),
         ConnectError::Failed(reason) => AttemptError::NotSent(reason),
     })?;
     let context = OutgoingContext {
@@ -123,7 +131,9 @@
     let facts = front.dialect.reply_facts(&request.call.id, &head);
     log::debug!("event=reply head={head:?}");
     if !facts.is_own {
-        return Err(AttemptError::Broken("an answer to another request".to_owned()));
+        return Err(AttemptError::Broken(
+            "an answer to another request".to_owned(),
+        ));
     }
     let error = match (facts.is_misdirected, facts.is_not_run) {
         (true, _) => AttemptError::Misdirected,
--- a/crates/gateway/src/front/book.rs
+++ b/crates/gateway/src/front/book.rs
@@ -224,7 +224,10 @@
         let roomy = fresh.filter(|upstream| must_go_on || self.has_room(upstream));
         let best = roomy.min_by(|a, b| {
             let (a_score, b_score) = (score(a), score(b));
-            let by_score = a_score.0.cmp(&b_score.0).then(a_score.1.total_cmp(&b_score.1));
+            let by_score = a_score
+                .0
+                .cmp(&b_score.0)
+                .then(a_score.1.total_cmp(&b_score.1));
             let tie = |it: &RouteUpstream| rendezvous_score(random, it.id.as_str());
             by_score.then_with(|| tie(a).cmp(&tie(b)))
         });
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -5,9 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bergamot_ports::{
-    CallerCall, CallerDialect, RefusalContext, Route, RouteKind, ServingConfig,
-};
+use bergamot_ports::{CallerCall, CallerDialect, RefusalContext, Route, RouteKind, ServingConfig};
 use bergamot_types::prelude::*;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -16,8 +14,8 @@
 
 use super::FrontContext;
 use super::answer::{CallerAnswer, whole_body};
-use super::book::UpstreamChoice;
 use super::attempt::{AttemptError, OpenReply, SentRequest, send};
+use super::book::UpstreamChoice;
 use super::relay::relay_events;
 use crate::view::{ClusterView, RouteUpstream};
 
@@ -172,14 +170,16 @@
     arrived: Millis,
 ) -> Result<AdmittedCall, CallRefusal> {
     let view = front.shared.view.load();
-    let config = view.config.as_ref().ok_or(CallRefusal::later(
-        ErrorKind::NoBundle,
-        RETURN_UNCONFIRMED,
-    ))?;
+    let config = view
+        .config
+        .as_ref()
+        .ok_or(CallRefusal::later(ErrorKind::NoBundle, RETURN_UNCONFIRMED))?;
     let route = config.route(&call.host, path).ok_or(ErrorKind::NotFound)?;
     let (account, rank) = authorize(config, route, call)?;
     let service = draw_service(route, &call.id).ok_or(ErrorKind::NoUpstream)?;
-    let timeout = call.deadline.map_or(route.timeout, |it| it.min(route.timeout));
+    let timeout = call
+        .deadline
+        .map_or(route.timeout, |it| it.min(route.timeout));
     let stop_end = front.shared.stop_end(arrived);
     if stop_end.is_some_and(|end| arrived + timeout > end) {
         // It could be cut before its end.
@@ -278,7 +278,7 @@
             TryOutcome::OwnFailure(answer) => failed = Some(answer),
             TryOutcome::Failed(error) => {
                 log::info!(
-                    "event=attempt_failed request={} route={} upstream={} attempt={} outcome={} reason={error:?} waited={}",
+                    "event=attempt_failed request={} route={} upstream={} attempt={} outcome={} reason=\"{error}\" waited={}",
                     request.call.id,
                     state.route.name,
                     upstream.id,
@@ -358,7 +358,9 @@
         match tokio::time::timeout(pause.as_duration(), &mut sent).await {
             Ok(outcome) => break outcome,
             Err(_) if front.now() >= state.deadline => {
-                break Err(AttemptError::Broken("no answer before the deadline".to_owned()));
+                break Err(AttemptError::Broken(
+                    "no answer before the deadline".to_owned(),
+                ));
             }
             Err(_) if is_engine && look_quiet(front, upstream, began) => {
                 break Err(AttemptError::Broken("nothing comes from it".to_owned()));
@@ -368,7 +370,9 @@
     };
     let now = front.now();
     let kind = state.route.kind.as_str();
-    let name = outcome.as_ref().map_or_else(AttemptError::as_str, |_| "answered");
+    let name = outcome
+        .as_ref()
+        .map_or_else(AttemptError::as_str, |_| "answered");
     let attempts = &front.shared.metrics.attempts;
     attempts.with_label_values(&[kind, name]).inc();
     let mut book = front.book.borrow_mut();
@@ -377,7 +381,9 @@
         Err(error) => {
             match error {
                 // Nothing answers there: others will wait as long in vain.
-                AttemptError::NotSent(_) | AttemptError::Misdirected if is_engine => book.note_quiet(&upstream.id, now),
+                AttemptError::NotSent(_) | AttemptError::Misdirected if is_engine => {
+                    book.note_quiet(&upstream.id, now)
+                }
                 _ => book.note_failure(&upstream.id, now),
             }
             if error.may_have_run() {
@@ -386,7 +392,10 @@
             if matches!(error, AttemptError::Refused(_)) {
                 book.decrease(&upstream.id, upstream.slots);
             }
-            if matches!(error, AttemptError::Gone(_) | AttemptError::NotSent(_)) {
+            if matches!(
+                error,
+                AttemptError::NoListener(_) | AttemptError::NotSent(_)
+            ) {
                 report_quiet(front, upstream);
             }
         }
@@ -422,7 +431,10 @@
         return;
     }
     if let Err(error) = front.shared.quiet.try_send(upstream.id.clone()) {
-        log::debug!("event=quiet_not_passed_on upstream={} reason={error}", upstream.id);
+        log::debug!(
+            "event=quiet_not_passed_on upstream={} reason={error}",
+            upstream.id
+        );
     }
 }
 
@@ -441,7 +453,10 @@
     drop(reply.flight);
     let broken = |reason: String| {
         let now = front.now();
-        front.book.borrow_mut().note_failure(&reply.upstream.id, now);
+        front
+            .book
+            .borrow_mut()
+            .note_failure(&reply.upstream.id, now);
         TryOutcome::Failed(AttemptError::Broken(reason))
     };
     let body = match body {
@@ -609,7 +624,9 @@
     );
     let kind = state.map_or("none", |state| state.route.kind.as_str());
     let requests = &front.shared.metrics.requests;
-    requests.with_label_values(&[kind, refusal.kind.code()]).inc();
+    requests
+        .with_label_values(&[kind, refusal.kind.code()])
+        .inc();
     refuse(front, Some(id), refusal)
 }
 
--- a/crates/gateway/src/front/pool.rs
+++ b/crates/gateway/src/front/pool.rs
@@ -146,7 +146,9 @@
     let failed = |error: std::io::Error| ConnectError::Failed(error.to_string());
     stream.set_nodelay(true).map_err(failed)?;
     let socket = SockRef::from(&stream);
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT)).map_err(failed)?;
+    socket
+        .set_tcp_user_timeout(Some(USER_TIMEOUT))
+        .map_err(failed)?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) =
         handshake.map_err(|error| ConnectError::Failed(error.to_string()))?;
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -16,6 +16,9 @@
 /// Events that wait for a slow caller at most, before the upstream is held back.
 const WAITING_EVENTS: usize = 64;
 
+/// Time for events to leave before a broken answer's connection is closed.
+const FLUSH_TIME: std::time::Duration = std::time::Duration::from_millis(5);
+
 /// What came next from an upstream's stream.
 enum NextEvent {
     Event(StreamEvent),
@@ -94,6 +97,8 @@
             }
         };
         if outcome != "ok" {
+            // Events that are ready leave before the connection is closed.
+            tokio::time::sleep(FLUSH_TIME).await;
             let _ = self.sender.send(Err(BrokenAnswer)).await;
         }
         log::info!(
@@ -229,7 +234,11 @@
             self.request.call.id,
             self.state.route.name,
             reply.upstream.id,
-            reply.upstream.group.as_ref().map_or("-", |group| group.as_str()),
+            reply
+                .upstream
+                .group
+                .as_ref()
+                .map_or("-", |group| group.as_str()),
             self.delivered,
             self.last_event.unwrap_or_default(),
         );
@@ -268,7 +277,7 @@
                     self.note_broken(&reply, reply.head.status.as_str());
                 }
                 Err(error) => log::info!(
-                    "event=attempt_failed request={} route={} upstream={} attempt={} outcome={} reason={error:?}",
+                    "event=attempt_failed request={} route={} upstream={} attempt={} outcome={} reason=\"{error}\"",
                     self.request.call.id,
                     self.state.route.name,
                     upstream.id,
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -60,7 +60,13 @@
         log::debug!("event=caller_lost reason={error:?}");
         return;
     }
-    let limits = front.shared.view.load().config.as_ref().map(|config| config.caller_limits);
+    let limits = front
+        .shared
+        .view
+        .load()
+        .config
+        .as_ref()
+        .map(|config| config.caller_limits);
     let limits = limits.unwrap_or_default();
     let service = service_fn(|request: Request<hyper::body::Incoming>| {
         let front = Rc::clone(&front);
@@ -102,7 +108,9 @@
 impl<Dialect> FrontContext<Dialect> {
     fn in_flight_connections(&self, change: i64) {
         let connections = &self.shared.metrics.state;
-        connections.with_label_values(&["caller_connections"]).add(change);
+        connections
+            .with_label_values(&["caller_connections"])
+            .add(change);
     }
 
     /// Connections of callers that are open.
@@ -175,7 +183,10 @@
     let mut known: IndexMap<UpstreamId, Option<GroupId>> = IndexMap::new();
     while changes.changed().await.is_ok() {
         let view = front.shared.view.load_full();
-        let leaders = view.pools.values().flat_map(|pool| pool.models.values().flatten());
+        let leaders = view
+            .pools
+            .values()
+            .flat_map(|pool| pool.models.values().flatten());
         let now: IndexMap<_, _> = leaders
             .map(|leader| (leader.id.clone(), leader.group.clone()))
             .collect();
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -166,7 +166,10 @@
         };
         match self.store.commit(&txn).await {
             Ok(TxnOutcome::Done(fence)) => {
-                log::info!("event=coordinator_begins fence={fence} before={}", view.term);
+                log::info!(
+                    "event=coordinator_begins fence={fence} before={}",
+                    view.term
+                );
                 Some(LeadTerm {
                     lease,
                     fence,
@@ -338,7 +341,10 @@
                 Err(ControlError::Gone) => AskOutcome::Gone,
                 Err(ControlError::Silent(_)) => AskOutcome::Silent,
                 Err(ControlError::Malformed(reason)) => {
-                    log::warn!("event=report_unreadable upstream={} reason={reason:?}", target.id);
+                    log::warn!(
+                        "event=report_unreadable upstream={} reason={reason:?}",
+                        target.id
+                    );
                     AskOutcome::Silent
                 }
             };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,4 +17,4 @@
 mod sync;
 pub mod view;
 
-pub use daemon::{GatewayDaemon, GatewayPorts};
+pub use daemon::GatewayDaemon;
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -124,7 +124,10 @@
             "event=store_read revision={} upstreams={} config={}",
             range.revision,
             self.known.upstreams.len(),
-            self.known.config.as_ref().map_or(0, |config| config.version)
+            self.known
+                .config
+                .as_ref()
+                .map_or(0, |config| config.version)
         );
         self.publish();
         true
@@ -324,7 +327,10 @@
             Ok(config) => {
                 let known = self.known.config.as_ref().map_or(0, |known| known.version);
                 if config.version < known {
-                    log::warn!("event=config_ignored version={} known={known}", config.version);
+                    log::warn!(
+                        "event=config_ignored version={} known={known}",
+                        config.version
+                    );
                     return;
                 }
                 log::info!(
@@ -391,7 +397,10 @@
             return;
         }
         let now = self.shared.clock.now();
-        log::info!("event=store_regained config_age={}", self.shared.config_age(now));
+        log::info!(
+            "event=store_regained config_age={}",
+            self.shared.config_age(now)
+        );
         self.known.is_away = false;
         self.known.returned_at = Some(now);
     }
@@ -410,7 +419,10 @@
 
     fn publish(&self) {
         let known = &self.known;
-        let pools = known.config.as_ref().map(|config| build_pools(config, &known.upstreams));
+        let pools = known
+            .config
+            .as_ref()
+            .map(|config| build_pools(config, &known.upstreams));
         self.shared.publish(ClusterView {
             config: known.config.clone(),
             upstreams: known.upstreams.clone(),
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -72,9 +72,10 @@
             pool.plain.push(route_upstream(entry, entry.slots));
             continue;
         };
-        let leads = entry.membership.as_ref().filter(|membership| {
-            membership.rank == 0 && membership.state == MemberState::Open
-        });
+        let leads = entry
+            .membership
+            .as_ref()
+            .filter(|membership| membership.rank == 0 && membership.state == MemberState::Open);
         if leads.is_none() {
             continue;
         }
@@ -90,7 +91,9 @@
 /// The model a leader's group runs.
 fn led_model(entry: &UpstreamEntry) -> Option<ModelName> {
     let group = entry.membership.as_ref()?.group.as_str();
-    let named = group.rsplit_once('.').map(|(model, _)| ModelName::new(model));
+    let named = group
+        .rsplit_once('.')
+        .map(|(model, _)| ModelName::new(model));
     named.or_else(|| entry.models.first().cloned())
 }
 
--- a/crates/groups/src/allocate.rs
+++ b/crates/groups/src/allocate.rs
@@ -179,7 +179,13 @@
             continue;
         };
         *count += 1;
-        reserve(&mut pools, &mut together, &candidate, model, &mut allocation);
+        reserve(
+            &mut pools,
+            &mut together,
+            &candidate,
+            model,
+            &mut allocation,
+        );
     }
     stage_spares(context.spec, &pools, &mut allocation);
     warm_spares(&all_free, &mut allocation);
@@ -190,7 +196,10 @@
 fn warm_spares(free: &[&UpstreamTrack], allocation: &mut Allocation) {
     for track in free {
         let id = &track.entry.id;
-        let is_formed = allocation.form.iter().any(|(_, members)| members.contains(id));
+        let is_formed = allocation
+            .form
+            .iter()
+            .any(|(_, members)| members.contains(id));
         let Some(model) = track.entry.staged.last() else {
             continue;
         };
@@ -253,9 +262,10 @@
         let Some(model) = model else {
             continue;
         };
-        let cold = pool.free.iter().filter(|track| {
-            track.staging.is_none() && track.entry.staged.is_empty()
-        });
+        let cold = pool
+            .free
+            .iter()
+            .filter(|track| track.staging.is_none() && track.entry.staged.is_empty());
         for track in cold {
             let stage = (track.entry.id.clone(), model.clone());
             allocation.stage.push(stage);
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -147,7 +147,11 @@
                 let is_unknown = model.as_str().is_empty() && !entry.staged.is_empty();
                 is_unknown || entry.staged.contains(model)
             };
-            if track.staging.as_ref().is_some_and(|(model, _)| is_staged(model)) {
+            if track
+                .staging
+                .as_ref()
+                .is_some_and(|(model, _)| is_staged(model))
+            {
                 track.staging = None;
             }
         }
@@ -291,7 +295,8 @@
         self.log_state(now, &counts, &free);
         self.step_free(now, counts, &free, &mut actions);
         self.ask_silent(now, &mut actions);
-        self.tracks.retain(|_, track| track.is_listed || !track.is_gone);
+        self.tracks
+            .retain(|_, track| track.is_listed || !track.is_gone);
         actions
     }
 
@@ -327,7 +332,10 @@
             let is_late = now.since(group.since) > self.options.forming_limit;
             match step {
                 FormingStep::Done => {
-                    log::info!("event=group_serves group={id} took={}", now.since(group.since));
+                    log::info!(
+                        "event=group_serves group={id} took={}",
+                        now.since(group.since)
+                    );
                     self.forming.shift_remove(&id);
                 }
                 FormingStep::Abort(reason) => self.abort(&id, reason),
--- a/crates/groups/tests/random.rs
+++ b/crates/groups/tests/random.rs
@@ -61,7 +61,9 @@
 
 /// The seeds of a case, or the one that `BERGAMOT_SEED` names.
 fn seeds(count: u64) -> std::ops::Range<u64> {
-    let one = std::env::var("BERGAMOT_SEED").ok().and_then(|seed| seed.parse().ok());
+    let one = std::env::var("BERGAMOT_SEED")
+        .ok()
+        .and_then(|seed| seed.parse().ok());
     one.map_or(0..count, |seed: u64| seed..seed + 1)
 }
 
@@ -72,13 +74,22 @@
         for seed in seeds(case.seeds) {
             let mut world = World::new(seed, case.options);
             world.run(RUN_LENGTH);
-            assert_eq!(world.broken, Vec::<String>::new(), "{} seed {seed}", case.name);
+            assert_eq!(
+                world.broken,
+                Vec::<String>::new(),
+                "{} seed {seed}",
+                case.name
+            );
             serving += world.serving_part();
         }
         let mean = serving / case.seeds as f64;
         println!("{}: {mean:.2} of the groups serve", case.name);
         let is_whole_set = std::env::var_os("BERGAMOT_SEED").is_none();
-        assert!(!is_whole_set || mean >= case.min_serving, "{}: {mean}", case.name);
+        assert!(
+            !is_whole_set || mean >= case.min_serving,
+            "{}: {mean}",
+            case.name
+        );
     }
 }
 
@@ -86,18 +97,24 @@
 #[test]
 fn wrong_decisions_are_caught() {
     let wrong = [
-        ("members are used while their leader stands open", WorldOptions {
-            trust_refusals: true,
-            cut_chance: 0.05,
-            crash_chance: 0.01,
-            ..WorldOptions::CALM
-        }),
-        ("held members are not passed on to the next coordinator", WorldOptions {
-            forget_holds: true,
-            cut_chance: 0.05,
-            takeover_chance: 0.1,
-            ..WorldOptions::CALM
-        }),
+        (
+            "members are used while their leader stands open",
+            WorldOptions {
+                trust_refusals: true,
+                cut_chance: 0.05,
+                crash_chance: 0.01,
+                ..WorldOptions::CALM
+            },
+        ),
+        (
+            "held members are not passed on to the next coordinator",
+            WorldOptions {
+                forget_holds: true,
+                cut_chance: 0.05,
+                takeover_chance: 0.1,
+                ..WorldOptions::CALM
+            },
+        ),
     ];
     for (name, options) in wrong {
         let is_caught = (0..200).any(|seed| {
--- a/crates/groups/tests/support/world.rs
+++ b/crates/groups/tests/support/world.rs
@@ -139,7 +139,10 @@
             broken: Vec::new(),
         };
         for index in 0..18_u16 {
-            let runner = world.start(usize::from(index / 9), ([10, 0, 0, 1], 9_000 + index).into());
+            let runner = world.start(
+                usize::from(index / 9),
+                ([10, 0, 0, 1], 9_000 + index).into(),
+            );
             world.runners.push(runner);
         }
         world.take_over();
@@ -174,7 +177,11 @@
         self.revision += 1;
         let inherited = match self.options.forget_holds {
             true => IndexSet::new(),
-            false => self.holds.values().flat_map(|(ids, _)| ids.clone()).collect(),
+            false => self
+                .holds
+                .values()
+                .flat_map(|(ids, _)| ids.clone())
+                .collect(),
         };
         self.trace(|| format!("takeover, held: {inherited:?}"));
         let planner = GroupPlanner::new(
@@ -324,9 +331,10 @@
     }
 
     fn directory(&self) -> Vec<UpstreamEntry> {
-        let listed = self.runners.iter().filter(|runner| {
-            runner.down_until <= self.now && self.now - runner.beat_at < LAPSE
-        });
+        let listed = self
+            .runners
+            .iter()
+            .filter(|runner| runner.down_until <= self.now && self.now - runner.beat_at < LAPSE);
         listed
             .map(|runner| UpstreamEntry {
                 id: runner.id.clone(),
@@ -365,14 +373,17 @@
     fn act(&mut self, index: usize, action: GroupAction) {
         match action {
             GroupAction::Hold { group, members } => {
-                self.holds.insert(group.clone(), (members, self.now + 12_000));
+                self.holds
+                    .insert(group.clone(), (members, self.now + 12_000));
                 self.planners[index].0.note_hold(&group, true);
             }
             GroupAction::Ask(target) => {
                 let outcome = self.ask(&target.id, target.addr);
                 self.trace(|| format!("{index} asks {}: {outcome:?}", target.id));
                 let now = Millis(self.now);
-                self.planners[index].0.note_report(&target.id, &outcome, now);
+                self.planners[index]
+                    .0
+                    .note_report(&target.id, &outcome, now);
             }
             GroupAction::Order(request) => {
                 let is_late = self.random.random_bool(self.options.late_chance);
@@ -421,8 +432,9 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        let (due, later): (Vec<Flying>, Vec<Flying>) =
-            std::mem::take(&mut self.flying).into_iter().partition(|it| it.at <= now);
+        let (due, later): (Vec<Flying>, Vec<Flying>) = std::mem::take(&mut self.flying)
+            .into_iter()
+            .partition(|it| it.at <= now);
         self.flying = later;
         for order in due {
             let outcome = self.apply(&order.request);
@@ -432,7 +444,9 @@
                 format!("{} to {id}: {:?} {outcome:?}", order.planner, request.order)
             });
             if order.is_answered {
-                self.planners[order.planner].0.note_order(&order.request, &outcome);
+                self.planners[order.planner]
+                    .0
+                    .note_order(&order.request, &outcome);
             }
         }
     }
@@ -446,7 +460,10 @@
 
     fn apply(&mut self, request: &OrderRequest) -> OrderOutcome {
         let target = &request.target;
-        let found = self.runners.iter().position(|runner| runner.addr == target.addr);
+        let found = self
+            .runners
+            .iter()
+            .position(|runner| runner.addr == target.addr);
         let Some(index) = found else {
             return OrderOutcome::Unknown("nobody".to_owned());
         };
@@ -460,7 +477,10 @@
         if request.fence < runner.fence {
             return OrderOutcome::Fenced;
         }
-        if request.expected.is_some_and(|expected| expected != runner.begun) {
+        if request
+            .expected
+            .is_some_and(|expected| expected != runner.begun)
+        {
             return OrderOutcome::Unfit;
         }
         let outcome = self.carry_out(index, &request.order);
@@ -602,13 +622,17 @@
         }
         joined.membership.state = MemberState::Open;
         let members = joined.members.clone();
-        let model = group.as_str().rsplit_once('.').map_or("", |(model, _)| model);
+        let model = group
+            .as_str()
+            .rsplit_once('.')
+            .map_or("", |(model, _)| model);
         let size = spec().models.get(model).map_or(0, |it| it.group_size);
         let key = (group.clone(), epoch, members.clone());
         let ready = self.ready.get(&key).cloned().unwrap_or_default();
         let is_whole = members.len() == size && members.iter().all(|id| ready.contains(id));
         if !is_whole {
-            self.broken.push(format!("t={} {group} opens without all members", self.now));
+            self.broken
+                .push(format!("t={} {group} opens without all members", self.now));
         }
         OrderOutcome::Begun
     }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod config;
 pub mod control;
 pub mod directory;
+pub mod set;
 pub mod site;
 pub mod store;
 
@@ -29,6 +30,7 @@
     UpstreamTarget,
 };
 pub use directory::{GroupMembership, MemberState, UpstreamEntry, UpstreamState};
+pub use set::PortSet;
 pub use site::{ServingBounds, VmSite};
 pub use store::{
     KeyCondition, KeyWrite, StateStore, StoreError, StoreEvent, StoreItem, StoreRange, StoreTxn,
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -42,6 +42,8 @@
     pub method: Method,
     /// The path, without the query.
     pub path: String,
+    /// The query, empty if there is none.
+    pub query: String,
     /// The headers.
     pub headers: hyper::HeaderMap,
     /// The body.
@@ -147,6 +149,7 @@
     let question = Question {
         method: head.method,
         path: head.uri.path().to_owned(),
+        query: head.uri.query().unwrap_or("").to_owned(),
         headers: head.headers,
         body,
     };
--- /dev/null
+++ b/crates/standin/src/site/mod.rs
@@ -0,0 +1,11 @@
+//! A stand-in of the users' platform: its metadata store and its upstreams, small, over real
+//! sockets. It speaks the published protocol as far as tests and the first look need it.
+
+pub mod group;
+pub mod store;
+pub mod store_wire;
+pub mod upstream;
+
+pub use group::GroupTimes;
+pub use store::{SiteStoreOptions, SiteStoreStandin};
+pub use upstream::{SiteUpstream, UpstreamOptions};
--- /dev/null
+++ b/crates/standin/src/site/upstream.rs
@@ -0,0 +1,312 @@
+//! One upstream of the platform: a member of replica groups, or an instance of a plain service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::StreamExt;
+use hyper::body::Frame;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{Method, Response, StatusCode};
+use parking_lot::Mutex;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use super::group::{GroupSide, GroupTimes, WireOrder};
+use super::store::SiteStoreStandin;
+use crate::fault::FaultSwitch;
+use crate::serve::{
+    Abort, Answer, AnswerBody, Question, StandinServer, json as answer_json, serve_on, stream_body,
+};
+
+/// Time between two looks at what is due.
+const STEP: Duration = Duration::from_millis(5);
+/// Tokens in one event of a stream.
+const EVENT_TOKENS: u64 = 7;
+/// Time between two events.
+const EVENT_GAP: Duration = Duration::from_millis(5);
+
+/// What a test can set.
+#[derive(Clone, Debug)]
+pub struct UpstreamOptions {
+    /// Names this run.
+    pub id: String,
+    /// The service.
+    pub service: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Its fabric domain; none for a plain service.
+    pub fabric: Option<String>,
+    /// Times of its groups.
+    pub times: GroupTimes,
+}
+
+/// A request as it came in.
+#[derive(Clone, Debug)]
+pub struct SeenRequest {
+    /// The method.
+    pub method: Method,
+    /// The path.
+    pub path: String,
+    /// The headers.
+    pub headers: hyper::HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl SeenRequest {
+    /// A header as text, empty if it is absent.
+    pub fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name);
+        value.and_then(|value| value.to_str().ok()).unwrap_or("")
+    }
+}
+
+/// The upstream.
+pub struct SiteUpstream {
+    options: UpstreamOptions,
+    store: Arc<SiteStoreStandin>,
+    addr: SocketAddr,
+    group: Mutex<GroupSide>,
+    seen: Mutex<Vec<SeenRequest>>,
+    state: Mutex<&'static str>,
+    /// Its faults.
+    pub faults: FaultSwitch,
+}
+
+impl SiteUpstream {
+    /// Starts it on a port of its own and registers it.
+    ///
+    /// # Errors
+    /// When no port can be bound.
+    pub async fn start(
+        options: UpstreamOptions,
+        store: Arc<SiteStoreStandin>,
+    ) -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let upstream = Arc::new(Self {
+            group: Mutex::new(GroupSide::new(&options.id, options.times)),
+            addr: listener.local_addr()?,
+            options,
+            store,
+            seen: Mutex::new(Vec::new()),
+            state: Mutex::new("ready"),
+            faults: FaultSwitch::default(),
+        });
+        upstream.register();
+        serve_on(listener, Arc::clone(&upstream))?;
+        let steps = Arc::clone(&upstream);
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(STEP).await;
+                let has_changed = steps.group.lock().advance(Instant::now());
+                if has_changed && !steps.faults.get().dead {
+                    steps.register();
+                }
+            }
+        });
+        Ok(upstream)
+    }
+
+    /// Its id.
+    pub fn id(&self) -> &str {
+        &self.options.id
+    }
+
+    /// The requests that it began to run.
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        self.seen.lock().clone()
+    }
+
+    /// Whether it takes requests as the leader of a group.
+    pub fn is_open(&self) -> bool {
+        self.group.lock().is_open()
+    }
+
+    /// The members of the group that it leads.
+    pub fn members(&self) -> Vec<String> {
+        self.group.lock().members()
+    }
+
+    /// Says that it is leaving.
+    pub fn drain(&self) {
+        *self.state.lock() = "draining";
+        self.register();
+    }
+
+    /// Falls silent and out of the directory, as a crashed machine does.
+    pub fn die(&self) {
+        let mut faults = self.faults.get();
+        faults.hang = true;
+        self.faults.set(faults);
+        self.store.remove(&format!("servers/{}", self.options.id));
+    }
+
+    fn register(&self) {
+        let options = &self.options;
+        let mut entry = self.group.lock().describe();
+        entry["service"] = json!(options.service);
+        entry["address"] = json!(self.addr);
+        entry["zone"] = json!(options.failure_domain);
+        entry["version"] = json!("v1");
+        entry["slots"] = json!(8);
+        entry["state"] = json!(*self.state.lock());
+        entry["coldLeftMs"] = json!(0);
+        entry["sequence"] = json!(1);
+        entry["domain"] = json!(options.fabric);
+        if entry["group"].is_null() {
+            entry["group"] = json!({"name": "", "epoch": 0, "rank": 0, "state": "ready"});
+        }
+        let key = format!("servers/{}", options.id);
+        self.store.put(&key, entry.to_string().as_bytes());
+    }
+
+    fn report(&self) -> Answer {
+        let group = self.group.lock();
+        let mut report = group.describe();
+        report["sequence"] = json!(group.begun());
+        report["waiting"] = json!(0);
+        report["running"] = json!(0);
+        answer_json(StatusCode::OK, &report)
+    }
+
+    fn order(&self, question: &Question) -> Answer {
+        let Some(order) = question.json::<WireOrder>() else {
+            return answer_json(StatusCode::BAD_REQUEST, &json!({"error": "unreadable"}));
+        };
+        let status = self.group.lock().order(&order, Instant::now());
+        self.register();
+        answer_json(status, &json!({}))
+    }
+
+    async fn run(&self, question: Question) -> Answer {
+        let id = question.header("request-id").to_owned();
+        let is_engine = self.options.fabric.is_some();
+        if is_engine && !self.is_open() {
+            return self.refuse(StatusCode::MISDIRECTED_REQUEST, &id);
+        }
+        if self.faults.take_refusal() {
+            return self.refuse(StatusCode::SERVICE_UNAVAILABLE, &id);
+        }
+        self.seen.lock().push(SeenRequest {
+            method: question.method.clone(),
+            path: question.path.clone(),
+            headers: question.headers.clone(),
+            body: question.body.clone(),
+        });
+        self.faults.before().await?;
+        if self.faults.take_lost_answer() {
+            return Err(Abort);
+        }
+        let death = self.faults.take_death();
+        let body = match question.headers.contains_key("token-counts") {
+            true => event_body(&question, death),
+            false => plain_body(&question, death),
+        };
+        let mut response = Response::new(body);
+        let kind = match is_engine {
+            true => "text/event-stream",
+            false => "application/octet-stream",
+        };
+        set(&mut response, "content-type", kind);
+        set(&mut response, "request-id", &id);
+        set(
+            &mut response,
+            "response-stamp",
+            &format!("stamp-{}-{id}", self.options.id),
+        );
+        set(&mut response, "keep-alive", "timeout=10");
+        Ok(response)
+    }
+
+    fn refuse(&self, status: StatusCode, id: &str) -> Answer {
+        let mut response = answer_json(status, &json!({"error": "not run"}))?;
+        set(&mut response, "not-executed", "1");
+        set(&mut response, "request-id", id);
+        set(&mut response, "instance-id", &self.options.id);
+        Ok(response)
+    }
+}
+
+fn set(response: &mut Response<AnswerBody>, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        let name = HeaderName::from_static(name);
+        response.headers_mut().insert(name, value);
+    }
+}
+
+/// Events from the one after the last that the caller has; broken off in the middle of an event
+/// after `death` of them.
+fn event_body(question: &Question, death: Option<u64>) -> AnswerBody {
+    let counts = question.header("token-counts");
+    let tokens: u64 = counts
+        .split_once(',')
+        .map_or(7, |(_, it)| it.parse().unwrap_or(7));
+    let last: u64 = question.header("last-event-id").parse().unwrap_or(0);
+    let events = tokens.div_ceil(EVENT_TOKENS);
+    let ids = futures::stream::iter(last + 1..=events);
+    let frames = ids.then(move |id| async move {
+        tokio::time::sleep(EVENT_GAP).await;
+        if death.is_some_and(|death| id > death) {
+            return Err(Abort);
+        }
+        Ok(Frame::data(Bytes::from(format!(
+            "id: {id}\ndata: piece {id}\n\n"
+        ))))
+    });
+    let partial = death.filter(|death| *death < events).map(|death| {
+        let half = format!("id: {}\ndata: pie", death + 1);
+        Ok(Frame::data(Bytes::from(half)))
+    });
+    let whole = death
+        .map_or(events, |death| death.min(events))
+        .saturating_sub(last) as usize;
+    let (before, after) = (frames, futures::stream::iter(partial));
+    let broken = futures::stream::iter(death.filter(|it| *it < events));
+    let broken = broken.then(|_| async {
+        // What was sent so far must have left.
+        tokio::time::sleep(EVENT_GAP).await;
+        Err(Abort)
+    });
+    stream_body(before.take(whole).chain(after).chain(broken))
+}
+
+/// What a plain service answers: the request's own body and path.
+fn plain_body(question: &Question, death: Option<u64>) -> AnswerBody {
+    let text = format!(
+        "{} {} {}",
+        question.method,
+        question.path,
+        question.body.len()
+    );
+    let bytes = Bytes::from(text);
+    let end = death.map_or(bytes.len(), |death| (death as usize).min(bytes.len()));
+    let frames = [Ok(Frame::data(bytes.slice(..end)))];
+    let broken = death.map(|_| Err(Abort));
+    stream_body(futures::stream::iter(frames.into_iter().chain(broken)))
+}
+
+impl StandinServer for SiteUpstream {
+    async fn answer(&self, question: Question) -> Answer {
+        if let Some(answer) = self.faults.answer(&question) {
+            return answer;
+        }
+        let expected = question.header("expect-instance");
+        if !expected.is_empty() && expected != self.options.id {
+            let id = question.header("request-id").to_owned();
+            return self.refuse(StatusCode::MISDIRECTED_REQUEST, &id);
+        }
+        match (&question.method, question.path.as_str()) {
+            (&Method::GET, "/-/report") => {
+                self.faults.before().await?;
+                self.report()
+            }
+            (&Method::POST, "/-/order") => {
+                self.faults.before().await?;
+                self.order(&question)
+            }
+            _ => self.run(question).await,
+        }
+    }
+}
