--- a/crates/entry/src/bin/bergamot-entry.rs
+++ b/crates/entry/src/bin/bergamot-entry.rs
@@ -26,7 +26,10 @@
     }
     bergamot_gateway::logs::start()?;
     let ports = SitePorts::new(settings.store_addr());
-    GatewayDaemon::new(settings.site(port), ports).run()?;
+    let reader = move || Ok(SiteSettings::load(Path::new(&path))?.site(port));
+    GatewayDaemon::new(settings.site(port), ports)
+        .with_reader(Box::new(reader))
+        .run()?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -45,6 +45,14 @@
     messages: Vec<Value>,
     #[serde(default)]
     prompt: Value,
+    /// The most tokens of the answer. Read here so that a negative or fractional number is the
+    /// caller's error rather than an upstream's.
+    #[serde(default)]
+    #[expect(
+        dead_code,
+        reason = "only checked; the upstream reads it from the body"
+    )]
+    max_tokens: Option<u64>,
 }
 
 /// A piece of an answer on its way to the caller.
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -27,10 +27,17 @@
 /// Time between two looks at what is in flight while stopping.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
+/// Time between two looks at the settings, which may change without a signal.
+const RELOAD_PERIOD: Duration = Duration::from_secs(5);
+
+/// Reads the settings again.
+pub type SettingsReader = Box<dyn Fn() -> anyhow::Result<VmSite> + Send>;
+
 /// The daemon.
 pub struct GatewayDaemon<Ports> {
     shared: Arc<SharedState>,
     ports: Ports,
+    reader: Option<SettingsReader>,
     quiet: mpsc::Receiver<bergamot_types::UpstreamId>,
 }
 
@@ -44,10 +51,18 @@
         Self {
             shared: SharedState::new(site, quiet_sender),
             ports,
+            reader: None,
             quiet,
         }
     }
 
+    /// Reads the settings again on a hang-up signal, and now and then.
+    #[must_use]
+    pub fn with_reader(mut self, reader: SettingsReader) -> Self {
+        self.reader = Some(reader);
+        self
+    }
+
     /// Runs until the process is told to stop and nothing is in flight any more.
     ///
     /// # Errors
@@ -93,7 +108,10 @@
             .enable_all()
             .build()?;
         let local = LocalSet::new();
-        local.block_on(&runtime, serve(self.shared, self.ports, caller, ready))
+        local.block_on(
+            &runtime,
+            serve(self.shared, self.ports, self.reader, caller, ready),
+        )
     }
 }
 
@@ -124,6 +142,7 @@
 async fn serve<Ports>(
     shared: Arc<SharedState>,
     ports: Ports,
+    reader: Option<SettingsReader>,
     caller: std::net::TcpListener,
     ready: std::net::TcpListener,
 ) -> anyhow::Result<()>
@@ -141,16 +160,31 @@
     tokio::task::spawn_local(accept_ready(Rc::clone(&front), ready));
     tokio::task::spawn_local(sweep(Rc::clone(&front)));
     tokio::task::spawn_local(follow_groups(Rc::clone(&front)));
+    let mut looks = tokio::time::interval(RELOAD_PERIOD);
+    looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut known = shared.site.clone();
     loop {
-        tokio::select! {
+        let is_told = tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = reload.recv() => log::info!("event=reload outcome=unchanged"),
+            _ = reload.recv() => true,
+            _ = looks.tick() => false,
+        };
+        let Some(reader) = &reader else {
+            continue;
+        };
+        match reader() {
+            Ok(site) if is_told || site != known => {
+                shared.reload(&site);
+                known = site;
+            }
+            Ok(_) => {}
+            Err(error) => log::error!("event=reload outcome=unreadable reason={error:?}"),
         }
     }
     shared.begin_stop();
     log::info!("event=stopping in_flight={}", front.in_flight.get());
-    let grace = shared.site.bounds.stop_grace;
+    let grace = shared.bounds().stop_grace;
     tokio::time::sleep(STOP_NOTICE.as_duration()).await;
     let _ = close_idle.send(true);
     let left = grace.since(STOP_NOTICE + STOP_MARGIN).as_duration();
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -129,7 +129,6 @@
     })?;
     let (head, body) = reply.into_parts();
     let facts = front.dialect.reply_facts(&request.call.id, &head);
-    log::debug!("event=reply head={head:?}");
     if !facts.is_own {
         return Err(AttemptError::Broken(
             "an answer to another request".to_owned(),
--- a/crates/gateway/src/front/budget.rs
+++ b/crates/gateway/src/front/budget.rs
@@ -4,6 +4,7 @@
 
 use std::collections::VecDeque;
 
+use bergamot_ports::ServingBounds;
 use bergamot_types::Millis;
 use bergamot_types::prelude::ServiceName;
 use indexmap::IndexMap;
@@ -23,33 +24,30 @@
 /// Counts requests and repeats over a sliding window.
 #[derive(Debug)]
 pub struct RepeatBudget {
-    ratio: f64,
-    window: Millis,
-    reserve: f64,
+    bounds: ServingBounds,
     vms: usize,
     services: IndexMap<ServiceName, ServiceWindow>,
 }
 
 impl RepeatBudget {
-    /// A budget of `ratio` repeats a request within `window`, and `reserve` besides for all VMs.
-    pub fn new(ratio: f64, window: Millis, reserve: f64) -> Self {
+    /// A budget that keeps to the bounds on repeats.
+    pub fn new(bounds: ServingBounds) -> Self {
         Self {
-            ratio,
-            window,
-            reserve,
+            bounds,
             vms: ASSUMED_VMS,
             services: IndexMap::new(),
         }
     }
 
-    /// Sets how many entry VMs share the reserve.
-    pub fn set_vms(&mut self, vms: usize) {
+    /// Sets the bounds, and how many entry VMs share the reserve.
+    pub fn set_bounds(&mut self, bounds: ServingBounds, vms: usize) {
+        self.bounds = bounds;
         self.vms = vms.max(1);
     }
 
     /// Counts a request.
     pub fn note_request(&mut self, now: Millis, service: &ServiceName) {
-        let window = self.window;
+        let window = self.bounds.retry_window;
         let counts = self.counts(service);
         forget(&mut counts.requests, now, window);
         counts.requests.push_back(now);
@@ -57,8 +55,9 @@
 
     /// Takes one repeat, if there is one left.
     pub fn take(&mut self, now: Millis, service: &ServiceName) -> bool {
-        let (window, ratio) = (self.window, self.ratio);
-        let reserve = self.reserve / self.vms as f64;
+        let window = self.bounds.retry_window;
+        let ratio = self.bounds.retry_ratio;
+        let reserve = self.bounds.retry_reserve / self.vms as f64;
         let counts = self.counts(service);
         forget(&mut counts.requests, now, window);
         forget(&mut counts.repeats, now, window);
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -382,7 +382,7 @@
             match error {
                 // Nothing answers there: others will wait as long in vain.
                 AttemptError::NotSent(_) | AttemptError::Misdirected if is_engine => {
-                    book.note_quiet(&upstream.id, now)
+                    book.note_quiet(&upstream.id, now);
                 }
                 _ => book.note_failure(&upstream.id, now),
             }
@@ -573,7 +573,7 @@
     };
     if !state.tried.is_empty() {
         let mut budget = front.budget.borrow_mut();
-        budget.set_vms(view.entries.len().max(1));
+        budget.set_bounds(front.shared.bounds(), view.entries.len());
         if !budget.take(now, &state.service) {
             return Err(refused);
         }
--- a/crates/gateway/src/front/events.rs
+++ b/crates/gateway/src/front/events.rs
@@ -64,6 +64,6 @@
 
 fn event_id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
-    let ids = text.lines().filter_map(|line| line.strip_prefix("id:"));
-    ids.last().and_then(|id| id.trim().parse().ok())
+    let mut ids = text.lines().filter_map(|line| line.strip_prefix("id:"));
+    ids.next_back().and_then(|id| id.trim().parse().ok())
 }
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -50,12 +50,7 @@
 impl<Dialect> FrontContext<Dialect> {
     /// A context without any connection yet.
     pub fn new(shared: Arc<SharedState>, dialect: Dialect) -> Self {
-        let bounds = shared.site.bounds;
-        let budget = RepeatBudget::new(
-            bounds.retry_ratio,
-            bounds.retry_window,
-            bounds.retry_reserve,
-        );
+        let budget = RepeatBudget::new(shared.bounds());
         Self {
             shared,
             dialect,
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -300,7 +300,7 @@
     };
     let planner = planner.get_or_insert_with(|| {
         let options = GroupOptions {
-            stall_time: shared.site.bounds.stall_time,
+            stall_time: shared.bounds().stall_time,
             ..GroupOptions::default()
         };
         let now = shared.clock.now();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
-use bergamot_ports::VmSite;
+use bergamot_ports::{ServingBounds, VmSite};
 use bergamot_types::prelude::*;
 use tokio::sync::{mpsc, watch};
 
@@ -26,6 +26,8 @@
 pub struct SharedState {
     /// Where this process runs.
     pub site: VmSite,
+    /// The bounds in force; a reload changes them.
+    bounds: ArcSwap<ServingBounds>,
     /// The clock of all times here.
     pub clock: SteadyClock,
     /// The metrics.
@@ -50,6 +52,7 @@
     /// The state of a process that has just started.
     pub fn new(site: VmSite, quiet: mpsc::Sender<UpstreamId>) -> Arc<Self> {
         Arc::new(Self {
+            bounds: ArcSwap::from_pointee(site.bounds),
             site,
             clock: SteadyClock::default(),
             metrics: GatewayMetrics::new(),
@@ -63,6 +66,29 @@
         })
     }
 
+    /// The bounds in force.
+    pub fn bounds(&self) -> ServingBounds {
+        **self.bounds.load()
+    }
+
+    /// Takes over what a reload may change: the bounds. Addresses and names stay until a restart.
+    pub fn reload(&self, site: &VmSite) {
+        let known = self.bounds();
+        let same_place = VmSite {
+            bounds: self.site.bounds,
+            ..site.clone()
+        };
+        if same_place != self.site {
+            log::warn!("event=reload outcome=needs_restart site={site:?}");
+        }
+        if known == site.bounds {
+            log::info!("event=reload outcome=unchanged");
+            return;
+        }
+        self.bounds.store(Arc::new(site.bounds));
+        log::info!("event=reload outcome=changed bounds={:?}", site.bounds);
+    }
+
     /// Notes that a read begun at `began` showed the newest configuration.
     pub fn note_confirmed(&self, began: Millis) {
         self.confirmed_at.fetch_max(began.0, Ordering::SeqCst);
@@ -75,7 +101,7 @@
 
     /// Whether a caller's key may still be trusted.
     pub fn is_confirmed(&self, now: Millis) -> bool {
-        let Some(bound) = self.site.bounds.revoke_time else {
+        let Some(bound) = self.bounds().revoke_time else {
             return true;
         };
         self.config_age(now) < bound.since(CONFIRM_MARGIN)
@@ -101,7 +127,7 @@
         }
         let began = Millis(self.stop_began.load(Ordering::SeqCst));
         let is_noticed = now.since(began) >= STOP_NOTICE;
-        let end = began + self.site.bounds.stop_grace;
+        let end = began + self.bounds().stop_grace;
         is_noticed.then_some(end.since(STOP_MARGIN))
     }
 
--- a/crates/local/src/bin/bergamot-local.rs
+++ b/crates/local/src/bin/bergamot-local.rs
@@ -8,7 +8,7 @@
 use anyhow::Context;
 use bergamot_entry::StopOutcome;
 use bergamot_local::ask::LocalCaller;
-use bergamot_local::{LocalFleet, LocalOptions, sample};
+use bergamot_local::{LocalFleet, LocalOptions, SiteFleet, sample};
 use getopts::{Matches, Options};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -26,6 +26,11 @@
 fn options() -> Options {
     let mut options = Options::new();
     options.optflag("", "once", "send one request, print its answer and exit");
+    options.optflag(
+        "",
+        "platform",
+        "one daemon on a stand-in of the users' platform",
+    );
     options.optopt(
         "",
         "ready-file",
@@ -74,6 +79,9 @@
         print!("{}", options.usage("Usage: bergamot-local [OPTIONS]"));
         return Ok(ExitCode::SUCCESS);
     }
+    if matches.opt_present("platform") {
+        return run_on_platform(matches.opt_present("once"));
+    }
     let sizes = fleet_options(&matches)?;
     let stopped = stop_flag()?;
     let fleet = LocalFleet::start(&sizes)?;
@@ -109,6 +117,23 @@
     })
 }
 
+/// Runs one daemon on a stand-in of the users' platform.
+fn run_on_platform(is_once: bool) -> anyhow::Result<ExitCode> {
+    let stopped = stop_flag()?;
+    let fleet = SiteFleet::start()?;
+    let answer = fleet.ask()?;
+    println!("{answer}");
+    if is_once {
+        return Ok(ExitCode::SUCCESS);
+    }
+    println!("callers: {}", fleet.callers);
+    println!("metrics: {}", fleet.metrics);
+    while !stopped.load(Ordering::Relaxed) {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn ask_once(fleet: &LocalFleet) -> anyhow::Result<()> {
     let ready = fleet.ready_file();
     let caller = LocalCaller::new(&ready.entries[0]);
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod fleet;
 pub mod ready;
 pub mod sample;
+pub mod site;
 
 pub use fleet::{LocalFleet, LocalOptions};
 pub use ready::ReadyFile;
+pub use site::SiteFleet;
--- a/crates/local/tests/input.rs
+++ b/crates/local/tests/input.rs
@@ -51,6 +51,15 @@
             "{}".to_owned(),
             "bad_request",
         ),
+        case(
+            "a negative number of tokens",
+            Method::POST,
+            CHAT,
+            &[],
+            r#"{"model":"lot-writer","max_tokens":-1,"messages":[{"role":"user","content":"y"}]}"#
+                .to_owned(),
+            "bad_request",
+        ),
         case(
             "an unknown model",
             Method::POST,
