--- a/crates/gateway/src/front/book.rs
+++ b/crates/gateway/src/front/book.rs
@@ -28,6 +28,10 @@
 /// Taken off the limit by a late first event, or when the upstream is full. With twice the
 /// increase, a third of the first events are late where the limit settles.
 const LIMIT_DECREASE: f64 = 0.6;
+/// Factor on an equal part of the slots for the first limit.
+const FIRST_LIMIT_FACTOR: f64 = 1.5;
+/// The lowest first limit, in requests.
+const FIRST_LIMIT_FLOOR: f64 = 2.0;
 /// The lowest limit.
 const MIN_LIMIT: f64 = 1.0;
 
@@ -73,9 +77,24 @@
 #[derive(Debug, Default)]
 pub struct UpstreamBook {
     loads: IndexMap<UpstreamId, UpstreamLoad>,
+    /// Entry VMs that send to the same upstreams.
+    vms: usize,
 }
 
 impl UpstreamBook {
+    /// Sets how many entry VMs send to the same upstreams.
+    pub fn set_vms(&mut self, vms: usize) {
+        self.vms = vms;
+    }
+
+    /// The limit before an upstream has shown what it bears: somewhat more than an equal part of
+    /// its slots, as callers are spread unevenly. Without it every VM would fill a group that has
+    /// just opened by itself.
+    fn first_limit(&self, slots: u32) -> f64 {
+        let part = f64::from(slots) / self.vms.max(1) as f64;
+        (part * FIRST_LIMIT_FACTOR).clamp(FIRST_LIMIT_FLOOR, f64::from(slots).max(MIN_LIMIT))
+    }
+
     /// The load of one upstream.
     pub fn load(&self, id: &UpstreamId) -> UpstreamLoad {
         self.loads.get(id).copied().unwrap_or_default()
@@ -129,8 +148,9 @@
             self.decrease(id, slots);
             return;
         }
+        let first = self.first_limit(slots);
         let load = self.load_mut(id);
-        let limit = load.limit.unwrap_or(f64::from(slots));
+        let limit = load.limit.unwrap_or(first);
         if f64::from(load.in_flight) >= limit - 1.0 {
             load.limit = Some((limit + LIMIT_INCREASE).min(f64::from(slots)));
         }
@@ -138,8 +158,9 @@
 
     /// Notes that an upstream is full.
     pub fn decrease(&mut self, id: &UpstreamId, slots: u32) {
+        let first = self.first_limit(slots);
         let load = self.load_mut(id);
-        let limit = load.limit.unwrap_or(f64::from(slots));
+        let limit = load.limit.unwrap_or(first);
         let limit = limit.min(f64::from(load.in_flight.max(1)) + 1.0);
         load.limit = Some((limit - LIMIT_DECREASE).max(MIN_LIMIT));
     }
@@ -147,7 +168,12 @@
     /// Whether one more request may be sent.
     fn has_room(&self, upstream: &RouteUpstream) -> bool {
         let load = self.load(&upstream.id);
-        let limit = load.limit.unwrap_or(f64::from(upstream.slots.max(1)));
+        // Plain services have no first events to learn from; they turn away what is too much.
+        let first = match upstream.group {
+            Some(_) => self.first_limit(upstream.slots),
+            None => f64::from(upstream.slots),
+        };
+        let limit = load.limit.unwrap_or(first);
         f64::from(load.in_flight) + 1.0 <= limit.max(MIN_LIMIT)
     }
 
@@ -186,7 +212,7 @@
     pub fn describe(&self, pool: &[RouteUpstream]) -> String {
         let loads = pool.iter().map(|upstream| {
             let load = self.load(&upstream.id);
-            let limit = load.limit.unwrap_or(f64::from(upstream.slots));
+            let limit = load.limit.unwrap_or(self.first_limit(upstream.slots));
             format!("{}/{limit:.1}", load.in_flight)
         });
         loads.collect::<Vec<_>>().join(",")
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -191,6 +191,7 @@
             .map(|leader| (leader.id.clone(), leader.group.clone()))
             .collect();
         let mut book = front.book.borrow_mut();
+        book.set_vms(view.entries.len());
         for (id, group) in &now {
             if known.get(id).is_some_and(|old| old != group) {
                 book.note_regrouped(id);
