--- a/crates/gateway/tests/operations.rs
+++ b/crates/gateway/tests/operations.rs
@@ -19,7 +19,11 @@
     let is_word = |letter: char| letter.is_ascii_lowercase() || letter == '_';
     let parts = text.split(start).skip(1);
     parts
-        .map(|part| part.chars().take_while(|letter| is_word(*letter)).collect::<String>())
+        .map(|part| {
+            part.chars()
+                .take_while(|letter| is_word(*letter))
+                .collect::<String>()
+        })
         .filter(|word| !word.is_empty())
         .collect()
 }
@@ -35,10 +39,16 @@
     for file in files {
         let text = std::fs::read_to_string(&file).expect("a source file");
         for event in words(&text, "event=") {
-            assert!(page.contains(&format!("`{event}`")), "event {event} of {file:?}");
+            assert!(
+                page.contains(&format!("`{event}`")),
+                "event {event} of {file:?}"
+            );
         }
         for metric in words(&text, "\"bergamot_") {
-            assert!(page.contains(&format!("`bergamot_{metric}`")), "metric {metric}");
+            assert!(
+                page.contains(&format!("`bergamot_{metric}`")),
+                "metric {metric}"
+            );
         }
     }
 }
--- a/crates/groups/src/allocate.rs
+++ b/crates/groups/src/allocate.rs
@@ -6,6 +6,10 @@
 
 use crate::track::UpstreamTrack;
 
+/// A model may take over hosts of another one that has so many times as many groups for its part
+/// of the work.
+const CONVERT_RATIO: f64 = 1.4;
+
 /// What is to be done with the free upstreams.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub(crate) struct Allocation {
@@ -167,13 +171,20 @@
             break;
         };
         let model = open[index];
+        let least = supply(model, &groups);
+        let mut others = context.spec.models.values();
+        let is_behind = others.any(|other| supply(other, &groups) > least * CONVERT_RATIO);
         let count = groups.entry(model.name.clone()).or_default();
         // Spares are for what is wanted; only more than that leaves some free.
         let divisor = match *count < context.wanted(model, total) {
             true => 0,
             false => context.spare_divisor,
         };
+        // A host that holds another model gives it up for good: only where that one has plenty.
+        let may_convert = is_behind;
         let candidate = best_candidate(model, &pools, &together, divisor);
+        let candidate =
+            candidate.filter(|it| may_convert || it.rank.slowest < Readiness::HoldsOther);
         let Some(candidate) = candidate else {
             open.remove(index);
             continue;
@@ -200,11 +211,12 @@
             .form
             .iter()
             .any(|(_, members)| members.contains(id));
+        let is_loaded = allocation.stage.iter().any(|(staged, _)| staged == id);
         let Some(model) = track.entry.staged.last() else {
             continue;
         };
         let is_cold = track.staging.is_none() && track.warm_model.as_ref() != Some(model);
-        if is_cold && !is_formed {
+        if is_cold && !is_formed && !is_loaded {
             allocation.warm.push((id.clone(), model.clone()));
         }
     }
@@ -212,15 +224,20 @@
 
 /// The model with the fewest groups for its part of the work.
 fn neediest(open: &[&ModelSpec], groups: &IndexMap<ModelName, usize>) -> Option<usize> {
-    let supply = |model: &ModelSpec| {
-        let count = groups.get(&model.name).copied().unwrap_or(0) as f64;
-        count / model.demand_share.max(1e-3)
-    };
     let indexed = open.iter().enumerate();
-    let least = indexed.min_by(|(_, a), (_, b)| supply(a).total_cmp(&supply(b)));
+    let least = indexed.min_by(|(_, a), (_, b)| {
+        let (a, b) = (supply(a, groups), supply(b, groups));
+        a.total_cmp(&b)
+    });
     least.map(|(index, _)| index)
 }
 
+/// Groups of the model for its part of the work.
+fn supply(model: &ModelSpec, groups: &IndexMap<ModelName, usize>) -> f64 {
+    let count = groups.get(&model.name).copied().unwrap_or(0) as f64;
+    count / model.demand_share.max(1e-3)
+}
+
 fn reserve(
     pools: &mut IndexMap<FabricDomain, FreePool<'_>>,
     together: &mut IndexMap<(FailureDomain, ModelName), usize>,
