--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -60,7 +60,7 @@
 enum DoneAction {
     Ordered(OrderRequest, OrderOutcome),
     Asked(UpstreamId, AskOutcome),
-    Held(GroupId, bool),
+    Held(GroupId, Vec<UpstreamId>, bool),
 }
 
 impl<Store, Control> GroupsDuty<Store, Control>
@@ -311,7 +311,7 @@
     planner.set_spec(spec);
     let entries = view.upstreams.values();
     let members = entries.filter(|entry| entry.service == service);
-    planner.set_directory(members, view.revision);
+    planner.set_directory(members, view.revision, shared.clock.now());
 }
 
 async fn act<Store, Control>(
@@ -329,7 +329,7 @@
             if let Err(error) = &kept {
                 log::info!("event=hold_not_kept group={group} reason={error:?}");
             }
-            DoneAction::Held(group, kept.is_ok())
+            DoneAction::Held(group, members, kept.is_ok())
         }
         GroupAction::Order(request) => {
             let outcome = control.order(&request).await;
@@ -396,7 +396,9 @@
             orders.with_label_values(&[order, name]).inc();
             planner.note_order(request, outcome);
         }
-        DoneAction::Held(group, is_kept) => planner.note_hold(group, *is_kept),
+        DoneAction::Held(group, members, is_kept) => {
+            planner.note_hold(group, members, *is_kept);
+        }
         DoneAction::Asked(id, outcome) => {
             log::info!("event=asked upstream={id} outcome={outcome:?}");
             planner.note_report(id, outcome, shared.clock.now());
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -62,8 +62,8 @@
     /// Upstreams that an earlier coordinator held, and until when they are not used.
     inherited: IndexSet<UpstreamId>,
     inherited_until: Millis,
-    /// Groups whose members are held, and whether that is kept.
-    holds: IndexMap<GroupId, bool>,
+    /// Members that are held, by group.
+    holds: IndexMap<GroupId, GroupHold>,
     /// The last state that was logged.
     logged: String,
     tracks: IndexMap<UpstreamId, UpstreamTrack>,
@@ -112,7 +112,7 @@
     }
 
     /// Takes over the directory, read at the store's `revision`.
-    pub fn set_directory<'a, Entries>(&mut self, entries: Entries, revision: u64)
+    pub fn set_directory<'a, Entries>(&mut self, entries: Entries, revision: u64, now: Millis)
     where
         Entries: IntoIterator<Item = &'a UpstreamEntry>,
     {
@@ -123,6 +123,7 @@
             track.is_listed = false;
         }
         let mut listed: IndexMap<SocketAddr, &UpstreamId> = IndexMap::new();
+        let mut left: Vec<(UpstreamId, GroupKey)> = Vec::new();
         for entry in entries {
             listed.insert(entry.addr, &entry.id);
             let track = self
@@ -130,6 +131,10 @@
                 .entry(entry.id.clone())
                 .or_insert_with(|| UpstreamTrack::new(entry.clone()));
             track.is_listed = true;
+            let before = track.entry.membership.as_ref();
+            if let Some(before) = before.filter(|_| entry.membership.is_none()) {
+                left.push((entry.id.clone(), (before.group.clone(), before.epoch)));
+            }
             if track.entry != *entry {
                 track.silent = 0;
                 track.is_gone = false;
@@ -155,6 +160,9 @@
                 track.staging = None;
             }
         }
+        for (id, key) in left {
+            self.hold_if_standing(&id, &key, now);
+        }
         // An address belongs to one run at a time.
         for (id, track) in self.tracks.iter_mut().filter(|(_, track)| !track.is_listed) {
             let successor = listed.get(&track.entry.addr);
@@ -162,6 +170,26 @@
         }
     }
 
+    /// Holds a member that left a group whose leader may still stand open, by an order that an
+    /// earlier coordinator gave and that was carried out late.
+    fn hold_if_standing(&mut self, id: &UpstreamId, key: &GroupKey, now: Millis) {
+        let leader = self.leaders.get(key).filter(|leader| *leader != id);
+        let leader = leader.and_then(|leader| self.tracks.get(leader));
+        let is_over = leader.is_some_and(|leader| {
+            let state = leader.entry.membership.as_ref().map(|it| it.state);
+            let is_open = matches!(state, Some(MemberState::Open | MemberState::Closing));
+            leader.is_gone || (leader.is_listed && !(is_open && leader.is_in(&key.0, key.1)))
+        });
+        let was_leader = self.leaders.get(key) == Some(id);
+        if is_over || was_leader {
+            return;
+        }
+        let hold = now + self.options.hold_time();
+        if let Some(track) = self.tracks.get_mut(id) {
+            track.held_until = track.held_until.max(hold);
+        }
+    }
+
     /// Hears that requests come in.
     pub fn note_traffic(&mut self) {
         self.has_traffic = true;
@@ -259,14 +287,11 @@
     }
 
     /// Hears whether members are held where a later coordinator finds it.
-    pub fn note_hold(&mut self, group: &GroupId, is_kept: bool) {
+    pub fn note_hold(&mut self, group: &GroupId, members: &[UpstreamId], is_kept: bool) {
+        let held = self.holds.entry(group.clone()).or_default();
         match is_kept {
-            true => {
-                self.holds.insert(group.clone(), true);
-            }
-            false => {
-                self.holds.shift_remove(group);
-            }
+            true => held.kept.extend(members.iter().cloned()),
+            false => held.asked = held.kept.clone(),
         }
     }
 
@@ -471,19 +496,20 @@
         // The leader may live and serve out of our sight. With a member gone it stands still, and
         // breaks when the stall time is over; until then nobody of the group is used again.
         let members: Vec<UpstreamId> = members.cloned().collect();
-        let kept = self.holds.get(&key.0).copied();
-        if kept.is_none() {
-            self.holds.insert(key.0.clone(), false);
+        let held = self.holds.entry(key.0.clone()).or_default();
+        // A member may come back to the directory when others were held already.
+        let is_news = members.iter().any(|id| !held.asked.contains(id));
+        if is_news {
+            held.asked.extend(members.iter().cloned());
             actions.push(GroupAction::Hold {
                 group: key.0.clone(),
-                members: members.clone(),
+                members: held.asked.iter().cloned().collect(),
             });
         }
-        if kept != Some(true) {
-            return;
-        }
+        let kept = held.kept.clone();
         let hold = now + self.options.hold_time();
-        for id in members.iter().filter(|id| Some(*id) != leader.as_ref()) {
+        let others = members.iter().filter(|id| Some(*id) != leader.as_ref());
+        for id in others.filter(|id| kept.contains(*id)) {
             let order = GroupOrder::Leave {
                 group: key.0.clone(),
                 epoch: key.1,
@@ -684,6 +710,15 @@
     }
 }
 
+/// The members of a group that are held.
+#[derive(Debug, Default)]
+struct GroupHold {
+    /// Those that were to be kept.
+    asked: IndexSet<UpstreamId>,
+    /// Those that are kept: only they are ordered to leave.
+    kept: IndexSet<UpstreamId>,
+}
+
 /// Why a group cannot go on as it is.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum GroupLoss {
--- a/crates/groups/tests/decisions.rs
+++ b/crates/groups/tests/decisions.rs
@@ -101,7 +101,7 @@
         .enumerate()
         .map(|(index, up)| entry(up, index))
         .collect();
-    planner.set_directory(entries.iter(), 30);
+    planner.set_directory(entries.iter(), 30, NOW);
 }
 
 /// Orders in short: who and what.
@@ -248,7 +248,8 @@
     let id = UpstreamId::new(id);
     planner.note_quiet(&id, now);
     planner.note_report(&id, &AskOutcome::Silent, now);
-    planner.step(now + Millis(60));
+    let actions = planner.step(now + Millis(60));
+    obey(planner, &actions);
     planner.note_report(&id, &AskOutcome::Silent, now + Millis(60));
 }
 
@@ -276,7 +277,8 @@
     // Not before the hold is kept.
     let actions = planner.step(now + Millis(100));
     assert!(!orders(&actions).iter().any(|order| order.starts_with("u2")));
-    planner.note_hold(&GroupId::new("a.7"), true);
+    let held = [UpstreamId::new("u1"), UpstreamId::new("u2")];
+    planner.note_hold(&GroupId::new("a.7"), &held, true);
     let actions = planner.step(now + Millis(200));
     assert_eq!(
         orders(&actions)
@@ -306,6 +308,34 @@
     );
 }
 
+#[test]
+fn a_member_that_left_by_a_late_order_is_held_while_its_leader_is_open() {
+    let open = member("u1", "a.7", 0, MemberState::Open);
+    let mut planner = planner();
+    show(
+        &[
+            open,
+            member("u2", "a.7", 1, MemberState::Ready),
+            up("u3", Some("a")),
+        ],
+        &mut planner,
+    );
+    show(
+        &[open, up("u2", Some("a")), up("u3", Some("a"))],
+        &mut planner,
+    );
+    let is_used = |planner: &mut GroupPlanner, after: u64| {
+        let actions = planner.step(NOW + Millis(after));
+        obey(planner, &actions);
+        orders(&actions)
+            .iter()
+            .any(|order| order.starts_with("u2: join"))
+    };
+    assert!(!is_used(&mut planner, 0));
+    assert!(!is_used(&mut planner, 4_000));
+    assert!(is_used(&mut planner, 5_000));
+}
+
 #[test]
 fn a_refused_fencing_number_ends_the_term() {
     let ups = [member("u1", "a.7", 0, MemberState::Open)];
--- a/crates/groups/tests/support/world.rs
+++ b/crates/groups/tests/support/world.rs
@@ -362,7 +362,7 @@
         let planner = &mut self.planners[index].0;
         // A coordinator that was replaced goes on with what it knew.
         if is_current {
-            planner.set_directory(entries.iter(), revision);
+            planner.set_directory(entries.iter(), revision, now);
         }
         planner.note_traffic();
         for action in self.planners[index].0.step(now) {
@@ -373,9 +373,9 @@
     fn act(&mut self, index: usize, action: GroupAction) {
         match action {
             GroupAction::Hold { group, members } => {
-                self.holds
-                    .insert(group.clone(), (members, self.now + 12_000));
-                self.planners[index].0.note_hold(&group, true);
+                let planner = &mut self.planners[index].0;
+                planner.note_hold(&group, &members, true);
+                self.holds.insert(group, (members, self.now + 12_000));
             }
             GroupAction::Ask(target) => {
                 let outcome = self.ask(&target.id, target.addr);
