perf: leaders are shared out over many entry VMs; a queue is no silence

Each leader now belongs to three quarters as many VMs as it has slots, and a leader that has not moved yet is left after 1.3 s instead of 0.6 s.

--- a/crates/gateway/src/front/book.rs
+++ b/crates/gateway/src/front/book.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use bergamot_types::prelude::*;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::view::RouteUpstream;
 
@@ -56,6 +56,12 @@
 }
 
 impl UpstreamLoad {
+    /// Whether something came from it since it got something to do. Before that, silence may only
+    /// mean that requests wait there behind those of other entry VMs.
+    pub fn has_moved(&self) -> bool {
+        self.progress_at >= self.busy_since
+    }
+
     /// How long it has been silent while it had something to do.
     pub fn silence(&self, now: Millis) -> Millis {
         match self.in_flight {
@@ -73,25 +79,56 @@
     }
 }
 
+/// Entry VMs that use one leader at most: each may then have one request and a third there.
+fn users_of(slots: u32) -> usize {
+    (slots as usize * 3).div_ceil(4).max(1)
+}
+
 /// All upstreams that were sent to.
 #[derive(Debug, Default)]
 pub struct UpstreamBook {
     loads: IndexMap<UpstreamId, UpstreamLoad>,
     /// Entry VMs that send to the same upstreams.
     vms: usize,
+    /// Leaders that are this VM's to use; none while there are few entry VMs.
+    own: Option<IndexSet<UpstreamId>>,
 }
 
 impl UpstreamBook {
-    /// Sets how many entry VMs send to the same upstreams.
-    pub fn set_vms(&mut self, vms: usize) {
-        self.vms = vms;
+    /// Shares the leaders out over the entry VMs `vms`, of which `own` is this one. A leader is
+    /// used by so many of them that each may have some requests there at once; with more, a limit
+    /// of one request each would still fill it several times over.
+    pub fn share_leaders<'a, Leaders>(&mut self, leaders: Leaders, vms: &[&str], own: &str)
+    where
+        Leaders: Iterator<Item = &'a RouteUpstream>,
+    {
+        self.vms = vms.len();
+        let mut mine = IndexSet::new();
+        let mut is_shared = false;
+        for leader in leaders {
+            let users = users_of(leader.slots);
+            is_shared |= users < vms.len();
+            let key = hash_bytes(leader.id.as_str().as_bytes());
+            let score = rendezvous_score(key, own);
+            let higher = vms.iter().filter(|vm| rendezvous_score(key, vm) > score);
+            if higher.count() < users {
+                mine.insert(leader.id.clone());
+            }
+        }
+        self.own = is_shared.then_some(mine);
+    }
+
+    /// Whether a leader is this VM's to use.
+    fn is_own(&self, id: &UpstreamId) -> bool {
+        self.own.as_ref().is_none_or(|own| own.contains(id))
     }
 
     /// The limit before an upstream has shown what it bears: somewhat more than an equal part of
     /// its slots, as callers are spread unevenly. Without it every VM would fill a group that has
     /// just opened by itself.
     fn first_limit(&self, slots: u32) -> f64 {
-        let part = f64::from(slots) / self.vms.max(1) as f64;
+        let users = self.vms.min(users_of(slots)).max(1);
+        let part = f64::from(slots) / users as f64;
         (part * FIRST_LIMIT_FACTOR).clamp(FIRST_LIMIT_FLOOR, f64::from(slots).max(MIN_LIMIT))
     }
 
@@ -238,7 +275,7 @@
                 false => AWAY_PENALTY,
             };
             let load = (f64::from(load.in_flight) + away) / f64::from(upstream.slots.max(1));
-            (is_avoided, load)
+            (is_avoided, !self.is_own(&upstream.id), load)
         };
         let mut fresh = pool
             .iter()
@@ -247,13 +284,19 @@
         if fresh.peek().is_none() {
             return UpstreamChoice::None;
         }
-        let roomy = fresh.filter(|upstream| must_go_on || self.has_room(upstream));
+        let has_own = pool.iter().any(|upstream| {
+            self.is_own(&upstream.id) && !self.load(&upstream.id).is_avoided(now)
+        });
+        let usable = fresh.filter(|upstream| {
+            let is_plain = upstream.group.is_none();
+            must_go_on || is_plain || self.is_own(&upstream.id) || !has_own
+        });
+        let roomy = usable.filter(|upstream| must_go_on || self.has_room(upstream));
         let best = roomy.min_by(|a, b| {
             let (a_score, b_score) = (score(a), score(b));
-            let by_score = a_score
-                .0
-                .cmp(&b_score.0)
-                .then(a_score.1.total_cmp(&b_score.1));
+            let by_score = (a_score.0, a_score.1)
+                .cmp(&(b_score.0, b_score.1))
+                .then(a_score.2.total_cmp(&b_score.2));
             let tie = |it: &RouteUpstream| rendezvous_score(random, it.id.as_str());
             by_score.then_with(|| tie(a).cmp(&tie(b)))
         });
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -40,6 +40,9 @@
 pub const LOOK_PERIOD: Millis = Millis(120);
 /// The least time that a request waits for anything from its upstream.
 const MIN_WAIT: Millis = Millis(250);
+/// The same where nothing came from it yet: requests may wait there behind those of other VMs.
+/// Callers leave after two seconds.
+const QUEUE_TIME: Millis = Millis(1_300);
 /// The same for asking the coordinator to look at the group, which costs a few questions.
 pub const DOUBT_TIME: Millis = Millis(350);
 
@@ -414,12 +417,17 @@
     since: Millis,
 ) -> bool {
     let now = front.now();
-    let silence = front.book.borrow().load(&upstream.id).silence(now);
-    if silence >= DOUBT_TIME {
+    let load = front.book.borrow().load(&upstream.id);
+    let silence = load.silence(now);
+    let (doubt_time, quiet_time) = match load.has_moved() {
+        true => (DOUBT_TIME, QUIET_TIME),
+        false => (QUIET_TIME, QUEUE_TIME),
+    };
+    if silence >= doubt_time {
         report_quiet(front, upstream);
     }
     // A request that came when the upstream had long been silent needs not wait all that time.
-    let is_quiet = silence >= QUIET_TIME && now.since(since) >= MIN_WAIT;
+    let is_quiet = silence >= quiet_time && now.since(since) >= MIN_WAIT;
     if is_quiet {
         front.book.borrow_mut().note_quiet(&upstream.id, now);
     }
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -191,7 +191,10 @@
             .map(|leader| (leader.id.clone(), leader.group.clone()))
             .collect();
         let mut book = front.book.borrow_mut();
-        book.set_vms(view.entries.len());
+        let vms: Vec<&str> = view.entries.keys().map(String::as_str).collect();
+        let leaders = view.pools.values();
+        let leaders = leaders.flat_map(|pool| pool.models.values().flatten());
+        book.share_leaders(leaders, &vms, front.shared.site.vm.as_str());
         for (id, group) in &now {
             if known.get(id).is_some_and(|old| old != group) {
                 book.note_regrouped(id);
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -29,6 +29,12 @@
 /// Time between a watch's answer and the next watch, so that changes that come together cost one
 /// call. Small against the seconds in which a change must be in force.
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
+/// Added to it for each entry VM beyond the first ten: all of them together then make no more
+/// calls for the same changes.
+const PAUSE_PER_VM: Duration = Duration::from_millis(20);
+/// The pause is at most one part in so many of the time in which a leaving upstream must get no
+/// new work.
+const PAUSE_DIVISOR: u32 = 3;
 /// The same at the VM that coordinates the groups: a repair waits for each of its steps to show.
 const COORDINATOR_PAUSE: Duration = Duration::from_millis(20);
 /// Time after the store's return in which entries that lapsed meanwhile come back.
@@ -272,7 +278,11 @@
         let own = self.shared.site.vm.as_str();
         match &self.known.coordinator {
             Some(record) if record.vm == own => COORDINATOR_PAUSE,
-            _ => WATCH_PAUSE,
+            _ => {
+                let more = self.known.entries.len().saturating_sub(10) as u32;
+                let most = self.shared.bounds().drain_time.as_duration() / PAUSE_DIVISOR;
+                (WATCH_PAUSE + PAUSE_PER_VM * more).min(most)
+            }
         }
     }
 
