perf: a model's share is one of upstreams, not of groups

Cause: the platform's share of the work counts upstreams: half of 222 upstreams for a model of 4 are 28 groups, not as many as of a model of 16. Ruled out: requests (a model with 92 % of them has half of the work).

--- a/crates/groups/src/allocate.rs
+++ b/crates/groups/src/allocate.rs
@@ -98,12 +98,11 @@
 impl AllocationContext<'_> {
     /// Groups of the model that the upstreams are enough for, spares left out.
     fn wanted(&self, model: &ModelSpec, total: usize) -> usize {
-        let shares = self.spec.models.values();
-        let whole: f64 = shares
-            .map(|it| it.demand_share * it.group_size as f64)
-            .sum();
+        let shares = self.spec.models.values().map(|it| it.demand_share);
+        let whole: f64 = shares.sum();
         let used = total as f64 * (1.0 - 1.0 / self.spare_divisor as f64);
-        (used * model.demand_share / whole.max(1e-3)).ceil() as usize
+        let part = used * model.demand_share / whole.max(1e-3);
+        (part / model.group_size as f64).ceil() as usize
     }
 }
 
@@ -222,7 +221,7 @@
     }
 }
 
-/// The model with the fewest groups for its part of the work.
+/// The model with the fewest upstreams in groups for its part of the work.
 fn neediest(open: &[&ModelSpec], groups: &IndexMap<ModelName, usize>) -> Option<usize> {
     let indexed = open.iter().enumerate();
     let least = indexed.min_by(|(_, a), (_, b)| {
@@ -232,10 +231,10 @@
     least.map(|(index, _)| index)
 }
 
-/// Groups of the model for its part of the work.
+/// Upstreams in groups of the model for its part of the work.
 fn supply(model: &ModelSpec, groups: &IndexMap<ModelName, usize>) -> f64 {
-    let count = groups.get(&model.name).copied().unwrap_or(0) as f64;
-    count / model.demand_share.max(1e-3)
+    let count = groups.get(&model.name).copied().unwrap_or(0);
+    (count * model.group_size) as f64 / model.demand_share.max(1e-3)
 }
 
 fn reserve(
--- a/crates/ports/src/config.rs
+++ b/crates/ports/src/config.rs
@@ -80,7 +80,7 @@
     pub name: ModelName,
     /// Upstreams that one replica spans.
     pub group_size: usize,
-    /// Its expected share of the requests, 0 to 1.
+    /// Its expected share of the work, as a part of the upstreams, 0 to 1.
     pub demand_share: f64,
     /// Factor on all times of its groups; lower is faster.
     pub pace: f64,
