--- a/crates/gateway/src/front/book.rs
+++ b/crates/gateway/src/front/book.rs
@@ -284,9 +284,9 @@
         if fresh.peek().is_none() {
             return UpstreamChoice::None;
         }
-        let has_own = pool.iter().any(|upstream| {
-            self.is_own(&upstream.id) && !self.load(&upstream.id).is_avoided(now)
-        });
+        let has_own = pool
+            .iter()
+            .any(|upstream| self.is_own(&upstream.id) && !self.load(&upstream.id).is_avoided(now));
         let usable = fresh.filter(|upstream| {
             let is_plain = upstream.group.is_none();
             must_go_on || is_plain || self.is_own(&upstream.id) || !has_own
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -3,22 +3,32 @@
 //! | module | what it does |
 //! | --- | --- |
 //! | [`server`] | connections of callers, readiness, the stop |
+//! | [`admit`] | route, account and body of a request |
 //! | [`call`] | one request from its head to its answer |
+//! | [`state`] | where a request stands |
+//! | [`plan`] | the next upstream for a request |
 //! | [`attempt`] | one try at one upstream |
 //! | [`relay`] | a stream of events, over several upstreams if need be |
+//! | [`quiet`] | when an upstream counts as standing still |
+//! | [`refusal`] | answers of this system's own |
 //! | [`book`] | load and trouble of upstreams as seen from here |
 //! | [`budget`] | how many repeats may be sent |
 //! | [`pool`] | connections to upstreams |
 
+pub mod admit;
 pub mod answer;
 pub mod attempt;
 pub mod book;
 pub mod budget;
 pub mod call;
 pub mod events;
+pub mod plan;
 pub mod pool;
+pub mod quiet;
+pub mod refusal;
 pub mod relay;
 pub mod server;
+pub mod state;
 
 use std::cell::RefCell;
 use std::rc::Rc;
--- /dev/null
+++ b/crates/gateway/src/front/plan.rs
@@ -0,0 +1,118 @@
+//! Chooses the next upstream for a request.
+
+use std::sync::Arc;
+
+use bergamot_ports::ServingConfig;
+use bergamot_types::prelude::*;
+
+use super::FrontContext;
+use super::admit::authorize;
+use super::attempt::SentRequest;
+use super::book::UpstreamChoice;
+use super::refusal::{CallRefusal, RETURN_FULL, RETURN_NO_UPSTREAM, RETURN_UNCONFIRMED};
+use super::state::CallState;
+use crate::view::{ClusterView, RouteUpstream};
+
+/// One part in so many of a route's objective may be spent waiting for an upstream. A refusal
+/// that comes later costs the caller its own retry in time.
+pub const WAIT_DIVISOR: u64 = 5;
+
+/// Sends that were refused unrun on top of those that may run. Each is a repeat that all entry
+/// VMs share a bound for.
+pub const MAX_REFUSED_SENDS: usize = 2;
+
+/// Chooses the next upstream, or says why there is none.
+pub async fn plan<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    state: &mut CallState,
+) -> Result<RouteUpstream, CallRefusal> {
+    let wait_end = state.arrived + Millis(state.route.objective.0 / WAIT_DIVISOR);
+    let mut changes = front.shared.view_changed.subscribe();
+    loop {
+        changes.mark_unchanged();
+        let refusal = match plan_now(front, request, state) {
+            Ok(upstream) => return Ok(upstream),
+            Err(refusal) => refusal,
+        };
+        let now = front.now();
+        let may_wait = refusal.kind == ErrorKind::NoUpstream && now < wait_end;
+        if !may_wait {
+            return Err(refusal);
+        }
+        let pause = wait_end.since(now).as_duration();
+        let _ = tokio::time::timeout(pause, changes.changed()).await;
+    }
+}
+
+pub fn plan_now<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    state: &mut CallState,
+) -> Result<RouteUpstream, CallRefusal> {
+    let now = front.now();
+    if now >= state.deadline {
+        return Err(ErrorKind::DeadlineBeforeSend.into());
+    }
+    let view: Arc<ClusterView> = front.shared.view.load_full();
+    let config = view.config.as_ref().ok_or(ErrorKind::NoBundle)?;
+    check_key(front, config, request, state, now)?;
+    let no_upstream = CallRefusal::later(ErrorKind::NoUpstream, RETURN_NO_UPSTREAM);
+    let pool = view.pools.get(&state.service).ok_or(no_upstream)?;
+    let upstreams = match &request.call.model {
+        Some(model) if !pool.models.is_empty() => pool.models.get(model).ok_or(no_upstream)?,
+        _ => &pool.plain,
+    };
+    let refused = CallRefusal::later(ErrorKind::UpstreamRefused, RETURN_FULL);
+    // An upstream that is gone does not count against the most that a request may be sent to.
+    let is_listed = |id: &&UpstreamId| view.upstreams.contains_key(*id);
+    let runs = state.run_at.iter().filter(is_listed).count();
+    let is_spent = runs >= state.route.max_attempts as usize
+        || state.tried.len() >= state.route.max_attempts as usize + MAX_REFUSED_SENDS;
+    if is_spent {
+        return Err(refused);
+    }
+    let home = &front.shared.site.failure_domain;
+    let book = front.book.borrow();
+    let must_go_on = state.may_have_run();
+    let chosen = match book.choose(upstreams, home, &state.tried, now, must_go_on) {
+        UpstreamChoice::Chosen(chosen) => chosen,
+        UpstreamChoice::Full => {
+            log::info!(
+                "event=no_room request={} in_flight_and_limits={}",
+                request.call.id,
+                book.describe(upstreams)
+            );
+            return Err(CallRefusal::later(ErrorKind::Overloaded, RETURN_FULL));
+        }
+        UpstreamChoice::None if state.tried.is_empty() => return Err(no_upstream),
+        UpstreamChoice::None => return Err(refused),
+    };
+    if !state.tried.is_empty() {
+        let mut budget = front.budget.borrow_mut();
+        budget.set_bounds(front.shared.bounds(), view.entries.len());
+        if !budget.take(now, &state.service) {
+            return Err(refused);
+        }
+    }
+    Ok(chosen.clone())
+}
+
+/// Checks the caller's key once more, by the newest configuration, right before sending.
+pub fn check_key<Dialect>(
+    front: &FrontContext<Dialect>,
+    config: &ServingConfig,
+    request: &SentRequest,
+    state: &CallState,
+    now: Millis,
+) -> Result<(), CallRefusal> {
+    if config.accounts.is_none() || state.route.is_public {
+        return Ok(());
+    }
+    if !front.shared.is_confirmed(now) {
+        let kind = ErrorKind::ConfigUnconfirmed;
+        return Err(CallRefusal::later(kind, RETURN_UNCONFIRMED));
+    }
+    authorize(config, &state.route, &request.call)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/front/refusal.rs
@@ -0,0 +1,96 @@
+//! Answers of this system's own: why a request was not served, and when to come back.
+
+use bergamot_ports::{CallerDialect, RefusalContext};
+use bergamot_types::prelude::*;
+use bytes::Bytes;
+
+use super::FrontContext;
+use super::answer::{CallerAnswer, whole_body};
+use super::state::CallState;
+
+/// When to come back where no upstream serves: about the time in which a group is repaired.
+pub const RETURN_NO_UPSTREAM: Millis = Millis(600);
+
+/// When to come back where the upstreams are full: a few answers end by then.
+pub const RETURN_FULL: Millis = Millis(300);
+
+/// When to come back where the configuration is not confirmed: the store is asked again by then.
+pub const RETURN_UNCONFIRMED: Millis = Millis(800);
+
+/// When to come back where this VM is stopping: at once, as another VM takes the request.
+pub const RETURN_STOPPING: Millis = Millis(50);
+
+/// Why a request is refused, and when to come back.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct CallRefusal {
+    /// Why.
+    pub kind: ErrorKind,
+    /// When to come back.
+    pub retry_after: Option<Millis>,
+}
+
+impl From<ErrorKind> for CallRefusal {
+    fn from(kind: ErrorKind) -> Self {
+        Self {
+            kind,
+            retry_after: None,
+        }
+    }
+}
+
+impl CallRefusal {
+    /// A refusal that says when to come back.
+    pub const fn later(kind: ErrorKind, wait: Millis) -> Self {
+        Self {
+            kind,
+            retry_after: Some(wait),
+        }
+    }
+}
+
+/// Logs and counts a refusal and makes its answer.
+pub fn log_refusal<Dialect>(
+    front: &FrontContext<Dialect>,
+    id: &RequestId,
+    state: Option<&CallState>,
+    refusal: CallRefusal,
+) -> CallerAnswer
+where
+    Dialect: CallerDialect,
+{
+    let now = front.now();
+    log::info!(
+        "event=refused request={id} kind={} status={} route={} sends={} ran={} waited={} config_age={} retry_after={}",
+        refusal.kind,
+        refusal.kind.answer().status,
+        state.map_or("-", |state| state.route.name.as_str()),
+        state.map_or(0, CallState::sends),
+        refusal.kind.answer().ran,
+        state.map_or(Millis::ZERO, |state| now.since(state.arrived)),
+        front.shared.config_age(now),
+        refusal.retry_after.unwrap_or_default(),
+    );
+    let kind = state.map_or("none", |state| state.route.kind.as_str());
+    let requests = &front.shared.metrics.requests;
+    requests
+        .with_label_values(&[kind, refusal.kind.code()])
+        .inc();
+    refuse(front, Some(id), refusal)
+}
+
+pub fn refuse<Dialect>(
+    front: &FrontContext<Dialect>,
+    id: Option<&RequestId>,
+    refusal: CallRefusal,
+) -> CallerAnswer
+where
+    Dialect: CallerDialect,
+{
+    let context = RefusalContext {
+        kind: refusal.kind,
+        id,
+        retry_after: refusal.retry_after,
+    };
+    let (head, body) = front.dialect.refusal(&context).into_parts();
+    CallerAnswer::from_parts(head, whole_body(Bytes::from(body)))
+}
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -10,8 +10,11 @@
 use super::FrontContext;
 use super::answer::{AnswerPiece, BrokenAnswer, CallerAnswer, relayed_body};
 use super::attempt::{OpenReply, SentRequest};
-use super::call::{CallState, LOOK_PERIOD, count, look_quiet, open, plan};
+use super::call::{count, open};
 use super::events::{EventSplitter, StreamEvent};
+use super::plan::plan;
+use super::quiet::{LOOK_PERIOD, look_quiet};
+use super::state::CallState;
 
 /// Events that wait for a slow caller at most, before the upstream is held back.
 const WAITING_EVENTS: usize = 64;
--- /dev/null
+++ b/crates/gateway/src/front/state.rs
@@ -0,0 +1,49 @@
+//! Where a request stands.
+
+use bergamot_ports::Route;
+use bergamot_types::prelude::*;
+
+use super::refusal::CallRefusal;
+
+/// Where a request stands.
+pub struct CallState {
+    /// Its route.
+    pub route: Route,
+    /// The service that was drawn for it.
+    pub service: ServiceName,
+    /// When its head had arrived.
+    pub arrived: Millis,
+    /// When it must have its final answer.
+    pub deadline: Millis,
+    /// Upstreams that it was sent to.
+    pub tried: Vec<UpstreamId>,
+    /// Of these, where it may have run.
+    pub run_at: Vec<UpstreamId>,
+}
+
+impl CallState {
+    /// Whether it may have run.
+    pub fn may_have_run(&self) -> bool {
+        !self.run_at.is_empty()
+    }
+
+    /// Upstreams that it was sent to.
+    pub fn sends(&self) -> usize {
+        self.tried.len()
+    }
+
+    /// The upstream that it was last sent to.
+    pub fn last_upstream(&self) -> &str {
+        self.tried.last().map_or("-", UpstreamId::as_str)
+    }
+
+    /// The refusal that is true given what was sent.
+    pub fn truthful(&self, refusal: CallRefusal) -> CallRefusal {
+        let says_not_run = refusal.kind.answer().ran == RanState::No;
+        match (self.may_have_run(), says_not_run, refusal.kind) {
+            (true, true, ErrorKind::DeadlineBeforeSend) => ErrorKind::DeadlineAfterSend.into(),
+            (true, true, _) => ErrorKind::UpstreamLost.into(),
+            _ => refusal,
+        }
+    }
+}
--- /dev/null
+++ b/crates/groups/src/assign.rs
@@ -0,0 +1,123 @@
+//! What free upstreams are used for.
+
+use bergamot_ports::{GroupOrder, UpstreamState};
+use bergamot_types::prelude::*;
+use indexmap::IndexMap;
+
+use crate::allocate::{AllocationContext, FreePool, allocate};
+use crate::forming::{FormingGroup, FormingStep};
+use crate::planner::{GroupAction, GroupPlanner};
+use crate::track::UpstreamTrack;
+use crate::view::group_name;
+
+impl GroupPlanner {
+    pub(crate) fn step_free(
+        &mut self,
+        now: Millis,
+        counts: IndexMap<ModelName, usize>,
+        free: &[UpstreamId],
+        actions: &mut Vec<GroupAction>,
+    ) {
+        let mut pools: IndexMap<FabricDomain, FreePool<'_>> = IndexMap::new();
+        for track in self.tracks.values().filter(|track| track.is_listed) {
+            let Some(fabric) = &track.entry.fabric else {
+                continue;
+            };
+            let pool = pools.entry(fabric.clone()).or_default();
+            pool.total += 1;
+            pool.failure_domain = track.entry.failure_domain.clone();
+            if let Some(model) = track.model() {
+                *pool.models.entry(model.clone()).or_default() += 1;
+            }
+            if free.contains(&track.entry.id) && self.is_usable(track, now) {
+                pool.free.push(track);
+            }
+        }
+        let staging = self.tracks.values();
+        let mut loading = staging.filter(|track| track.staging.is_some()).count();
+        let context = AllocationContext {
+            spec: &self.spec,
+            spare_divisor: self.options.spare_divisor,
+            groups: counts,
+        };
+        let allocation = allocate(&context, pools);
+        for (model, members) in allocation.form {
+            self.form(now, model, members, actions);
+        }
+        for (id, model) in allocation.warm {
+            if self.was_just_ordered(&id, now) {
+                continue;
+            }
+            self.epoch += 1;
+            let order = GroupOrder::Join {
+                group: group_name(&model, self.epoch),
+                epoch: self.epoch,
+                model,
+                members: vec![id.clone()],
+            };
+            self.give(now, &id, order, actions);
+        }
+        for (id, model) in allocation.stage {
+            // Before the first request the weight store is quick, for every load begun by then. How
+            // long one takes is settled when it begins, so all begin at once, the most useful first.
+            if self.has_traffic && loading >= self.spec.parallel_loads {
+                break;
+            }
+            loading += 1;
+            let order = GroupOrder::Stage {
+                model: model.clone(),
+            };
+            if self.give(now, &id, order, actions)
+                && let Some(track) = self.tracks.get_mut(&id)
+            {
+                track.staging = Some((model, now));
+            }
+        }
+    }
+
+    /// Whether an order was given whose effect may not show yet.
+    pub(crate) fn was_just_ordered(&self, id: &UpstreamId, now: Millis) -> bool {
+        let given = self.tracks.get(id).and_then(|track| track.given.as_ref());
+        given.is_some_and(|given| now.since(given.at) < self.options.order_retry)
+    }
+
+    pub(crate) fn is_usable(&self, track: &UpstreamTrack, now: Millis) -> bool {
+        let id = &track.entry.id;
+        let is_forming = self.forming.values().any(|it| it.members.contains(id));
+        let is_inherited = now < self.inherited_until && self.inherited.contains(id);
+        track.entry.state == UpstreamState::Ready
+            && !self.is_dead(id)
+            && !track.is_ordered()
+            && !is_forming
+            && !is_inherited
+            && track.held_until <= now
+    }
+
+    pub(crate) fn form(
+        &mut self,
+        now: Millis,
+        model: ModelName,
+        members: Vec<UpstreamId>,
+        actions: &mut Vec<GroupAction>,
+    ) {
+        self.epoch += 1;
+        let id = group_name(&model, self.epoch);
+        log::info!("event=group_forms group={id} members={members:?}");
+        let group = FormingGroup {
+            epoch: self.epoch,
+            model,
+            members,
+            since: now,
+        };
+        let key = (id.clone(), group.epoch);
+        self.leaders.insert(key, group.members[0].clone());
+        self.forming.insert(id.clone(), group.clone());
+        if let FormingStep::Orders(orders) =
+            group.step(&id, &self.tracks, self.options.silent_limit)
+        {
+            for (upstream, order) in orders {
+                self.give(now, &upstream, order, actions);
+            }
+        }
+    }
+}
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -14,9 +14,12 @@
 #![forbid(unsafe_code)]
 
 mod allocate;
+mod assign;
 mod forming;
+mod give;
 pub mod options;
 pub mod planner;
+mod step;
 mod track;
 mod view;
 
--- /dev/null
+++ b/crates/groups/src/step.rs
@@ -0,0 +1,252 @@
+//! One look at all groups: keeps them, ends them, or frees their members.
+
+use bergamot_ports::{GroupOrder, MemberState, UpstreamState};
+use bergamot_types::prelude::*;
+use indexmap::IndexMap;
+
+use crate::forming::FormingStep;
+use crate::planner::{GroupAction, GroupPlanner};
+use crate::track::UpstreamTrack;
+use crate::view::{GroupKey, GroupView, collect_groups, group_model};
+
+/// Why a group cannot go on as it is.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum GroupLoss {
+    /// A member is dead, or has left.
+    Lost,
+    /// A member is leaving.
+    Leaving,
+}
+
+impl GroupPlanner {
+    /// What is to be done now.
+    pub fn step(&mut self, now: Millis) -> Vec<GroupAction> {
+        let mut actions = Vec::new();
+        if self.is_fenced {
+            return actions;
+        }
+        let groups = collect_groups(&self.tracks);
+        self.step_forming(now, &mut actions);
+        let mut counts: IndexMap<ModelName, usize> = IndexMap::new();
+        let mut free: Vec<UpstreamId> = Vec::new();
+        for (key, group) in &groups {
+            if self.forming.contains_key(&key.0) {
+                *counts.entry(group_model(&key.0)).or_default() += 1;
+                continue;
+            }
+            self.step_group(now, key, group, &mut counts, &mut free, &mut actions);
+        }
+        for (id, track) in &self.tracks {
+            if track.is_listed && track.entry.membership.is_none() {
+                free.push(id.clone());
+            }
+        }
+        self.log_state(now, &counts, &free);
+        self.step_free(now, counts, &free, &mut actions);
+        self.ask_silent(now, &mut actions);
+        self.tracks
+            .retain(|_, track| track.is_listed || !track.is_gone);
+        actions
+    }
+
+    /// Logs how many groups and upstreams there are, when that changed.
+    pub(crate) fn log_state(
+        &mut self,
+        now: Millis,
+        counts: &IndexMap<ModelName, usize>,
+        free: &[UpstreamId],
+    ) {
+        let usable = free.iter().filter_map(|id| self.tracks.get(id));
+        let usable: Vec<&UpstreamTrack> = usable.filter(|it| self.is_usable(it, now)).collect();
+        let staged = usable.iter().filter(|it| !it.entry.staged.is_empty());
+        let loading = self.tracks.values().filter(|it| it.staging.is_some());
+        let held = self.tracks.values().filter(|it| it.held_until > now);
+        let dead = self.tracks.keys().filter(|id| self.is_dead(id));
+        let state = format!(
+            "groups={counts:?} forming={} free={} staged={} loading={} held={} dead={} listed={}",
+            self.forming.len(),
+            usable.len(),
+            staged.count(),
+            loading.count(),
+            held.count(),
+            dead.count(),
+            self.tracks.values().filter(|it| it.is_listed).count(),
+        );
+        if state != self.logged {
+            log::info!("event=groups_state {state}");
+            self.logged = state;
+        }
+    }
+
+    pub(crate) fn step_forming(&mut self, now: Millis, actions: &mut Vec<GroupAction>) {
+        let ids: Vec<GroupId> = self.forming.keys().cloned().collect();
+        for id in ids {
+            let group = &self.forming[&id];
+            let step = group.step(&id, &self.tracks, self.options.silent_limit);
+            let is_late = now.since(group.since) > self.options.forming_limit;
+            match step {
+                FormingStep::Done => {
+                    log::info!(
+                        "event=group_serves group={id} took={}",
+                        now.since(group.since)
+                    );
+                    self.forming.shift_remove(&id);
+                }
+                FormingStep::Abort(reason) => self.abort(&id, reason),
+                FormingStep::Orders(_) if is_late => self.abort(&id, "it took too long"),
+                FormingStep::Orders(orders) => {
+                    for (upstream, order) in orders {
+                        self.give(now, &upstream, order, actions);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(crate) fn abort(&mut self, id: &GroupId, reason: &str) {
+        log::info!("event=group_given_up group={id} reason={reason:?}");
+        self.forming.shift_remove(id);
+    }
+
+    /// Looks at a group that is not being formed: keeps it, ends it, or frees its members.
+    pub(crate) fn step_group(
+        &mut self,
+        now: Millis,
+        key: &GroupKey,
+        group: &GroupView,
+        counts: &mut IndexMap<ModelName, usize>,
+        free: &mut Vec<UpstreamId>,
+        actions: &mut Vec<GroupAction>,
+    ) {
+        let model = group_model(&key.0);
+        let size = self.spec.models.get(&model).map_or(1, |it| it.group_size);
+        let Some((leader, state)) = group.leader() else {
+            self.step_leaderless(now, key, group, free, actions);
+            return;
+        };
+        let loss = self.loss(key, group, size);
+        match (state, loss) {
+            (MemberState::Broken, _) => {
+                free.extend(group.members.iter().map(|(_, id, _)| id.clone()));
+            }
+            (MemberState::Open, None) => *counts.entry(model).or_default() += 1,
+            (MemberState::Ready, None) if self.is_joined(group, size) => {
+                *counts.entry(model).or_default() += 1;
+                let order = GroupOrder::Open {
+                    group: key.0.clone(),
+                    epoch: key.1,
+                };
+                self.give(now, leader, order, actions);
+            }
+            (_, _) if self.is_dead(leader) => {
+                self.step_leaderless(now, key, group, free, actions);
+            }
+            (MemberState::Open, Some(GroupLoss::Leaving)) => {
+                let order = GroupOrder::Close {
+                    group: key.0.clone(),
+                    epoch: key.1,
+                    is_cut: false,
+                };
+                self.give(now, leader, order, actions);
+            }
+            (MemberState::Closing, Some(GroupLoss::Leaving) | None) => {}
+            // A spare that warms up, alone.
+            (MemberState::Joining, _) if group.members.len() == 1 => {}
+            // Nothing moves in a group that lost a member, and one that never opened is not
+            // needed: the leader leaves, and with that the others are free.
+            (_, loss) => {
+                log::info!("event=group_ends group={} loss={loss:?}", key.0);
+                let order = GroupOrder::Leave {
+                    group: key.0.clone(),
+                    epoch: key.1,
+                };
+                self.give(now, leader, order, actions);
+            }
+        }
+    }
+
+    /// Whether every member says that it has joined.
+    pub(crate) fn is_joined(&self, group: &GroupView, size: usize) -> bool {
+        let all_ready = group
+            .members
+            .iter()
+            .all(|(_, _, state)| *state == MemberState::Ready);
+        all_ready && group.is_full(size)
+    }
+
+    /// What a group lacks, if anything.
+    pub(crate) fn loss(&self, key: &GroupKey, group: &GroupView, size: usize) -> Option<GroupLoss> {
+        let is_lost = group.members.iter().any(|(_, id, _)| self.is_dead(id));
+        // A member that fell out of the directory but still answers is only cut off from it.
+        let unlisted = self.tracks.values().filter(|track| {
+            !track.is_listed && track.is_in(&key.0, key.1) && !self.is_dead(&track.entry.id)
+        });
+        if is_lost || group.members.len() + unlisted.count() < size {
+            return Some(GroupLoss::Lost);
+        }
+        let is_leaving = |id: &UpstreamId| {
+            let track = self.tracks.get(id);
+            track.is_some_and(|track| track.entry.state == UpstreamState::Draining)
+        };
+        let has_leaving = group.members.iter().any(|(_, id, _)| is_leaving(id));
+        has_leaving.then_some(GroupLoss::Leaving)
+    }
+
+    pub(crate) fn is_dead(&self, id: &UpstreamId) -> bool {
+        let limit = self.options.silent_limit;
+        let track = self.tracks.get(id);
+        track.is_none_or(|track| track.is_gone || track.silent >= limit)
+    }
+
+    /// A group whose leader is not listed or does not answer.
+    pub(crate) fn step_leaderless(
+        &mut self,
+        now: Millis,
+        key: &GroupKey,
+        group: &GroupView,
+        free: &mut Vec<UpstreamId>,
+        actions: &mut Vec<GroupAction>,
+    ) {
+        let members = group.members.iter().map(|(_, id, _)| id);
+        let leader = self.leaders.get(key).cloned();
+        let track = leader.as_ref().and_then(|leader| self.tracks.get(leader));
+        let has_left = track.is_some_and(|track| track.is_listed && !track.is_in(&key.0, key.1));
+        let is_gone = track.is_some_and(|track| track.is_gone);
+        if has_left || is_gone {
+            free.extend(members.cloned());
+            return;
+        }
+        let is_settled = track.is_none_or(|track| track.silent >= self.options.silent_limit);
+        if !is_settled {
+            let gap = Millis(self.options.ask_again.0 / 3);
+            actions.extend(leader.and_then(|leader| self.ask(&leader, now, gap)));
+            return;
+        }
+        // The leader may live and serve out of our sight. With a member gone it stands still, and
+        // breaks when the stall time is over; until then nobody of the group is used again.
+        let members: Vec<UpstreamId> = members.cloned().collect();
+        let held = self.holds.entry(key.0.clone()).or_default();
+        // A member may come back to the directory when others were held already.
+        let is_news = members.iter().any(|id| !held.asked.contains(id));
+        if is_news {
+            held.asked.extend(members.iter().cloned());
+            actions.push(GroupAction::Hold {
+                group: key.0.clone(),
+                members: held.asked.iter().cloned().collect(),
+            });
+        }
+        let kept = held.kept.clone();
+        let hold = now + self.options.hold_time();
+        let others = members.iter().filter(|id| Some(*id) != leader.as_ref());
+        for id in others.filter(|id| kept.contains(*id)) {
+            let order = GroupOrder::Leave {
+                group: key.0.clone(),
+                epoch: key.1,
+            };
+            self.give(now, id, order, actions);
+            if let Some(track) = self.tracks.get_mut(id) {
+                track.held_until = track.held_until.max(hold);
+            }
+        }
+    }
+}
