refactor: what was read and what is carried out in modules of their own; fix: no spinning over lapsed entries

While the store was away, an entry whose time to come back had passed woke the store's duty every millisecond until the store returned; that time now begins with the return.

--- /dev/null
+++ b/crates/gateway/src/group_actions.rs
@@ -0,0 +1,149 @@
+//! Carries out what the coordinator wants done, and tells it what became of it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bergamot_groups::{AskOutcome, GroupAction, GroupPlanner};
+use bergamot_ports::{
+    ControlError, KeyWrite, OrderOutcome, OrderRequest, StateStore, StoreError, StoreTxn,
+    TxnOutcome, UpstreamControl,
+};
+use bergamot_types::prelude::*;
+
+use crate::own_keys::{HOLD_PREFIX, hold_to_bytes};
+use crate::peer::PeerMessage;
+use crate::shared::SharedState;
+
+/// How long a note of held members lasts: the hold itself and a change of the coordinator.
+const HOLD_TTL: Duration = Duration::from_secs(12);
+
+/// Something that came to an end.
+pub(crate) enum DoneAction {
+    Ordered(OrderRequest, OrderOutcome),
+    Asked(UpstreamId, AskOutcome),
+    Held(GroupId, Vec<UpstreamId>, bool),
+}
+
+pub(crate) async fn act<Store, Control>(
+    store: Rc<Store>,
+    control: Rc<Control>,
+    action: GroupAction,
+) -> DoneAction
+where
+    Store: StateStore,
+    Control: UpstreamControl,
+{
+    match action {
+        GroupAction::Hold { group, members } => {
+            let kept = keep_hold(store.as_ref(), &group, &members).await;
+            if let Err(error) = &kept {
+                log::info!("event=hold_not_kept group={group} reason={error:?}");
+            }
+            DoneAction::Held(group, members, kept.is_ok())
+        }
+        GroupAction::Order(request) => {
+            let outcome = control.order(&request).await;
+            DoneAction::Ordered(request, outcome)
+        }
+        GroupAction::Ask(target) => {
+            let outcome = match control.report(&target).await {
+                Ok(report) => AskOutcome::Answered(report),
+                Err(ControlError::Gone) => AskOutcome::Gone,
+                Err(ControlError::Silent(_)) => AskOutcome::Silent,
+                Err(ControlError::Malformed(reason)) => {
+                    log::warn!(
+                        "event=report_unreadable upstream={} reason={reason:?}",
+                        target.id
+                    );
+                    AskOutcome::Silent
+                }
+            };
+            DoneAction::Asked(target.id, outcome)
+        }
+    }
+}
+
+/// Keeps held members in the store for longer than the time they are held.
+pub(crate) async fn keep_hold<Store>(
+    store: &Store,
+    group: &GroupId,
+    members: &[UpstreamId],
+) -> Result<(), StoreError>
+where
+    Store: StateStore,
+{
+    let lease = store.open_lease(HOLD_TTL).await?;
+    let txn = StoreTxn {
+        writes: vec![KeyWrite {
+            key: format!("{HOLD_PREFIX}{group}"),
+            value: hold_to_bytes(members),
+            lease,
+        }],
+        ..StoreTxn::default()
+    };
+    match store.commit(&txn).await? {
+        TxnOutcome::Done(_) => Ok(()),
+        other => Err(StoreError::Malformed(format!("{other:?}"))),
+    }
+}
+
+pub(crate) fn note_done(
+    shared: &SharedState,
+    planner: Option<&mut GroupPlanner>,
+    done: &DoneAction,
+) {
+    let Some(planner) = planner else {
+        return;
+    };
+    match done {
+        DoneAction::Ordered(request, outcome) => {
+            let order = request.order.as_str();
+            log::info!(
+                "event=order upstream={} order={order} group={} fence={} expected={:?} outcome={outcome:?}",
+                request.target.id,
+                request.order.group().map_or("", |group| group.as_str()),
+                request.fence,
+                request.expected,
+            );
+            let name = outcome_name(outcome);
+            let orders = &shared.metrics.orders;
+            orders.with_label_values(&[order, name]).inc();
+            planner.note_order(request, outcome);
+        }
+        DoneAction::Held(group, members, is_kept) => {
+            planner.note_hold(group, members, *is_kept);
+        }
+        DoneAction::Asked(id, outcome) => {
+            log::info!("event=asked upstream={id} outcome={outcome:?}");
+            planner.note_report(id, outcome, shared.clock.now());
+        }
+    }
+}
+
+pub(crate) fn outcome_name(outcome: &OrderOutcome) -> &'static str {
+    match outcome {
+        OrderOutcome::Begun => "begun",
+        OrderOutcome::Holds => "holds",
+        OrderOutcome::Unfit => "unfit",
+        OrderOutcome::Fenced => "fenced",
+        OrderOutcome::Refused(_) => "refused",
+        OrderOutcome::Gone => "gone",
+        OrderOutcome::Unknown(_) => "unknown",
+    }
+}
+
+pub(crate) fn read_quiet(
+    buffer: &[u8],
+    received: std::io::Result<(usize, std::net::SocketAddr)>,
+) -> Option<UpstreamId> {
+    let (length, _) = match received {
+        Ok(received) => received,
+        Err(error) => {
+            log::debug!("event=message_not_received reason={error:?}");
+            return None;
+        }
+    };
+    match PeerMessage::from_bytes(&buffer[..length])? {
+        PeerMessage::Quiet { leader } => Some(UpstreamId::from(leader)),
+    }
+}
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -8,10 +8,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bergamot_groups::{AskOutcome, GroupAction, GroupOptions, GroupPlanner};
+use bergamot_groups::{GroupOptions, GroupPlanner};
 use bergamot_ports::{
-    ControlError, EngineSpec, KeyCondition, KeyWrite, OrderOutcome, OrderRequest, StateStore,
-    StoreError, StoreTxn, TxnOutcome, UpstreamControl,
+    EngineSpec, KeyCondition, KeyWrite, StateStore, StoreTxn, TxnOutcome, UpstreamControl,
 };
 use bergamot_types::prelude::*;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -19,7 +18,8 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
-use crate::own_keys::{COORDINATOR_KEY, EntryRecord, HOLD_PREFIX, TERM_KEY, hold_to_bytes};
+use crate::group_actions::{act, note_done, read_quiet};
+use crate::own_keys::{COORDINATOR_KEY, EntryRecord, TERM_KEY};
 use crate::peer::{MAX_DATAGRAM, PeerMessage};
 use crate::shared::SharedState;
 use crate::view::ClusterView;
@@ -33,8 +33,6 @@
 const LEASE_MARGIN: Millis = Millis(300);
 /// Time between two looks while there is work, for what no change announces.
 const STEP_PERIOD: Duration = Duration::from_millis(100);
-/// How long a note of held members lasts: the hold itself and a change of the coordinator.
-const HOLD_TTL: Duration = Duration::from_secs(12);
 /// The longest random wait before a VM tries to become coordinator, so that most find the place
 /// taken already and save the call.
 const MAX_TAKEOVER_WAIT_MS: u64 = 200;
@@ -56,13 +54,6 @@
     confirmed_at: Millis,
 }
 
-/// Something that came to an end.
-enum DoneAction {
-    Ordered(OrderRequest, OrderOutcome),
-    Asked(UpstreamId, AskOutcome),
-    Held(GroupId, Vec<UpstreamId>, bool),
-}
-
 impl<Store, Control> GroupsDuty<Store, Control>
 where
     Store: StateStore,
@@ -313,123 +304,3 @@
     let members = entries.filter(|entry| entry.service == service);
     planner.set_directory(members, view.revision, shared.clock.now());
 }
-
-async fn act<Store, Control>(
-    store: Rc<Store>,
-    control: Rc<Control>,
-    action: GroupAction,
-) -> DoneAction
-where
-    Store: StateStore,
-    Control: UpstreamControl,
-{
-    match action {
-        GroupAction::Hold { group, members } => {
-            let kept = keep_hold(store.as_ref(), &group, &members).await;
-            if let Err(error) = &kept {
-                log::info!("event=hold_not_kept group={group} reason={error:?}");
-            }
-            DoneAction::Held(group, members, kept.is_ok())
-        }
-        GroupAction::Order(request) => {
-            let outcome = control.order(&request).await;
-            DoneAction::Ordered(request, outcome)
-        }
-        GroupAction::Ask(target) => {
-            let outcome = match control.report(&target).await {
-                Ok(report) => AskOutcome::Answered(report),
-                Err(ControlError::Gone) => AskOutcome::Gone,
-                Err(ControlError::Silent(_)) => AskOutcome::Silent,
-                Err(ControlError::Malformed(reason)) => {
-                    log::warn!(
-                        "event=report_unreadable upstream={} reason={reason:?}",
-                        target.id
-                    );
-                    AskOutcome::Silent
-                }
-            };
-            DoneAction::Asked(target.id, outcome)
-        }
-    }
-}
-
-/// Keeps held members in the store for longer than the time they are held.
-async fn keep_hold<Store>(
-    store: &Store,
-    group: &GroupId,
-    members: &[UpstreamId],
-) -> Result<(), StoreError>
-where
-    Store: StateStore,
-{
-    let lease = store.open_lease(HOLD_TTL).await?;
-    let txn = StoreTxn {
-        writes: vec![KeyWrite {
-            key: format!("{HOLD_PREFIX}{group}"),
-            value: hold_to_bytes(members),
-            lease,
-        }],
-        ..StoreTxn::default()
-    };
-    match store.commit(&txn).await? {
-        TxnOutcome::Done(_) => Ok(()),
-        other => Err(StoreError::Malformed(format!("{other:?}"))),
-    }
-}
-
-fn note_done(shared: &SharedState, planner: Option<&mut GroupPlanner>, done: &DoneAction) {
-    let Some(planner) = planner else {
-        return;
-    };
-    match done {
-        DoneAction::Ordered(request, outcome) => {
-            let order = request.order.as_str();
-            log::info!(
-                "event=order upstream={} order={order} group={} fence={} expected={:?} outcome={outcome:?}",
-                request.target.id,
-                request.order.group().map_or("", |group| group.as_str()),
-                request.fence,
-                request.expected,
-            );
-            let name = outcome_name(outcome);
-            let orders = &shared.metrics.orders;
-            orders.with_label_values(&[order, name]).inc();
-            planner.note_order(request, outcome);
-        }
-        DoneAction::Held(group, members, is_kept) => {
-            planner.note_hold(group, members, *is_kept);
-        }
-        DoneAction::Asked(id, outcome) => {
-            log::info!("event=asked upstream={id} outcome={outcome:?}");
-            planner.note_report(id, outcome, shared.clock.now());
-        }
-    }
-}
-
-fn outcome_name(outcome: &OrderOutcome) -> &'static str {
-    match outcome {
-        OrderOutcome::Begun => "begun",
-        OrderOutcome::Holds => "holds",
-        OrderOutcome::Unfit => "unfit",
-        OrderOutcome::Fenced => "fenced",
-        OrderOutcome::Refused(_) => "refused",
-        OrderOutcome::Gone => "gone",
-        OrderOutcome::Unknown(_) => "unknown",
-    }
-}
-
-fn read_quiet(
-    buffer: &[u8],
-    received: std::io::Result<(usize, std::net::SocketAddr)>,
-) -> Option<UpstreamId> {
-    let (length, _) = match received {
-        Ok(received) => received,
-        Err(error) => {
-            log::debug!("event=message_not_received reason={error:?}");
-            return None;
-        }
-    };
-    match PeerMessage::from_bytes(&buffer[..length])? {
-        PeerMessage::Quiet { leader } => Some(UpstreamId::from(leader)),
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/known.rs
@@ -0,0 +1,167 @@
+//! What was read from the store so far.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bergamot_ports::{ServingConfig, StoreCatalog, StoreEvent, StoreItem, UpstreamEntry};
+use bergamot_types::prelude::*;
+use indexmap::IndexMap;
+
+use crate::own_keys::{
+    COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, HOLD_PREFIX, TERM_KEY, hold_from_bytes,
+};
+
+/// Time after the store's return in which entries that lapsed meanwhile come back.
+const LAPSE_GRACE: Millis = Millis(2_000);
+
+/// What was read so far.
+#[derive(Default)]
+pub(crate) struct KnownState {
+    pub(crate) config_revision: u64,
+    pub(crate) config: Option<Arc<ServingConfig>>,
+    pub(crate) upstreams: IndexMap<UpstreamId, UpstreamEntry>,
+    pub(crate) entries: IndexMap<String, EntryRecord>,
+    pub(crate) coordinator: Option<EntryRecord>,
+    pub(crate) holds: IndexMap<String, Vec<UpstreamId>>,
+    pub(crate) term: u64,
+    /// Where to watch from; none when everything must be read anew.
+    pub(crate) revision: Option<u64>,
+    /// Removed entries that may come back, and until when they are kept.
+    pub(crate) lapsed: IndexMap<UpstreamId, Millis>,
+    /// Whether the store did not answer the last call.
+    pub(crate) is_away: bool,
+    pub(crate) returned_at: Option<Millis>,
+}
+
+impl KnownState {
+    pub(crate) fn apply_event<Catalog>(&mut self, catalog: &Catalog, event: StoreEvent, now: Millis)
+    where
+        Catalog: StoreCatalog,
+    {
+        match event {
+            StoreEvent::Written(item) => self.apply_item(catalog, &item),
+            StoreEvent::Removed { key, .. } => {
+                if let Some(id) = catalog.upstream_id(&key) {
+                    self.remove_upstream(&id, now);
+                } else if key == COORDINATOR_KEY {
+                    self.coordinator = None;
+                } else if let Some(vm) = key.strip_prefix(ENTRY_PREFIX) {
+                    self.entries.shift_remove(vm);
+                } else if let Some(group) = key.strip_prefix(HOLD_PREFIX) {
+                    self.holds.shift_remove(group);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn apply_item<Catalog>(&mut self, catalog: &Catalog, item: &StoreItem)
+    where
+        Catalog: StoreCatalog,
+    {
+        if item.key == catalog.config_key() {
+            self.apply_config(catalog, item);
+        } else if catalog.upstream_id(&item.key).is_some() {
+            match catalog.read_upstream(item) {
+                Ok(entry) => {
+                    self.lapsed.shift_remove(&entry.id);
+                    self.upstreams.insert(entry.id.clone(), entry);
+                }
+                Err(error) => log::warn!("event=entry_unreadable reason={error:?}"),
+            }
+        } else if item.key == COORDINATOR_KEY {
+            self.coordinator = EntryRecord::from_bytes(&item.value);
+        } else if item.key == TERM_KEY {
+            self.term = item.revision;
+        } else if let Some(vm) = item.key.strip_prefix(ENTRY_PREFIX)
+            && let Some(record) = EntryRecord::from_bytes(&item.value)
+        {
+            self.entries.insert(vm.to_owned(), record);
+        } else if let Some(group) = item.key.strip_prefix(HOLD_PREFIX)
+            && let Some(members) = hold_from_bytes(&item.value)
+        {
+            self.holds.insert(group.to_owned(), members);
+        }
+    }
+
+    pub(crate) fn apply_config<Catalog>(&mut self, catalog: &Catalog, item: &StoreItem)
+    where
+        Catalog: StoreCatalog,
+    {
+        if item.revision <= self.config_revision {
+            return;
+        }
+        match catalog.read_config(item) {
+            Ok(config) => {
+                let known = self.config.as_ref().map_or(0, |known| known.version);
+                if config.version < known {
+                    log::warn!(
+                        "event=config_ignored version={} known={known}",
+                        config.version
+                    );
+                    return;
+                }
+                log::info!(
+                    "event=config_in_force version={} revision={}",
+                    config.version,
+                    item.revision
+                );
+                self.config = Some(Arc::new(config));
+                self.config_revision = item.revision;
+            }
+            Err(error) => log::error!("event=config_unreadable reason={error:?}"),
+        }
+    }
+
+    /// Takes an entry out, at once or when it has had time to come back after an outage.
+    pub(crate) fn remove_upstream(&mut self, id: &UpstreamId, now: Millis) {
+        let grace_end = self.returned_at.map(|at| at + LAPSE_GRACE);
+        let keeps_until = match self.is_away {
+            true => Some(now + LAPSE_GRACE),
+            false => grace_end.filter(|end| *end > now),
+        };
+        match keeps_until {
+            Some(until) => {
+                self.lapsed.entry(id.clone()).or_insert(until);
+            }
+            None => {
+                log::info!("event=upstream_unlisted upstream={id}");
+                self.upstreams.shift_remove(id);
+            }
+        }
+    }
+
+    /// Time until an entry that lapsed has had its time to come back. None while the store is
+    /// away: that time begins with its return.
+    pub(crate) fn until_lapse(&self, now: Millis) -> Option<Duration> {
+        if self.is_away {
+            return None;
+        }
+        let first = self
+            .lapsed
+            .values()
+            .map(|until| self.lapse_end(*until))
+            .min()?;
+        Some(first.since(now).as_duration() + Duration::from_millis(1))
+    }
+
+    fn lapse_end(&self, until: Millis) -> Millis {
+        let grace_end = self.returned_at.map(|at| at + LAPSE_GRACE);
+        grace_end.map_or(until, |end| end.max(until))
+    }
+
+    /// Takes out the entries that did not come back in time. True if there were any.
+    pub(crate) fn expire_lapsed(&mut self, now: Millis) -> bool {
+        if self.is_away {
+            return false;
+        }
+        let due = self.lapsed.iter();
+        let due = due.filter(|(_, until)| self.lapse_end(**until) <= now);
+        let due: Vec<UpstreamId> = due.map(|(id, _)| id.clone()).collect();
+        for id in &due {
+            log::info!("event=upstream_lapsed upstream={id}");
+            self.lapsed.shift_remove(id);
+            self.upstreams.shift_remove(id);
+        }
+        !due.is_empty()
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod clock;
 pub mod daemon;
 mod front;
+mod group_actions;
 mod groups;
+mod known;
 pub mod logs;
 pub mod metrics;
 pub mod own_keys;
@@ -18,3 +20,4 @@
 pub mod view;
 
 pub use daemon::GatewayDaemon;
+pub use front::budget;
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -6,16 +6,14 @@
 use std::time::Duration;
 
 use bergamot_ports::{
-    KeyCondition, KeyWrite, StateStore, StoreCatalog, StoreError, StoreEvent, StoreItem, StoreTxn,
-    TxnOutcome, UpstreamEntry, WatchOutcome,
+    KeyCondition, KeyWrite, StateStore, StoreCatalog, StoreError, StoreTxn, TxnOutcome,
+    WatchOutcome,
 };
 use bergamot_types::prelude::*;
-use indexmap::IndexMap;
 use tokio::time::Instant;
 
-use crate::own_keys::{
-    COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, HOLD_PREFIX, TERM_KEY, hold_from_bytes,
-};
+use crate::known::KnownState;
+use crate::own_keys::{ENTRY_PREFIX, EntryRecord};
 use crate::shared::SharedState;
 use crate::view::{ClusterView, build_pools};
 
@@ -37,8 +35,6 @@
 const PAUSE_DIVISOR: u32 = 3;
 /// The same at the VM that coordinates the groups: a repair waits for each of its steps to show.
 const COORDINATOR_PAUSE: Duration = Duration::from_millis(20);
-/// Time after the store's return in which entries that lapsed meanwhile come back.
-const LAPSE_GRACE: Millis = Millis(2_000);
 /// How long the key of an entry VM outlives its last renewal.
 const ENTRY_TTL: Duration = Duration::from_secs(6);
 
@@ -50,25 +46,6 @@
     known: KnownState,
 }
 
-/// What was read so far.
-#[derive(Default)]
-struct KnownState {
-    config_revision: u64,
-    config: Option<Arc<bergamot_ports::ServingConfig>>,
-    upstreams: IndexMap<UpstreamId, UpstreamEntry>,
-    entries: IndexMap<String, EntryRecord>,
-    coordinator: Option<EntryRecord>,
-    holds: IndexMap<String, Vec<UpstreamId>>,
-    term: u64,
-    /// Where to watch from; none when everything must be read anew.
-    revision: Option<u64>,
-    /// Removed entries that may come back, and until when they are kept.
-    lapsed: IndexMap<UpstreamId, Millis>,
-    /// Whether the store did not answer the last call.
-    is_away: bool,
-    returned_at: Option<Millis>,
-}
-
 impl<Store, Catalog> SyncDuty<Store, Catalog>
 where
     Store: StateStore + 'static,
@@ -115,12 +92,12 @@
         self.known.coordinator = None;
         for item in &range.items {
             listed.extend(self.catalog.upstream_id(&item.key));
-            self.apply_item(item);
+            self.known.apply_item(&self.catalog, item);
         }
         let missing = self.known.upstreams.keys();
         let missing: Vec<UpstreamId> = missing.filter(|id| !listed.contains(id)).cloned().collect();
         for id in missing {
-            self.remove_upstream(&id, now);
+            self.known.remove_upstream(&id, now);
         }
         self.known.revision = Some(range.revision);
         if self.known.config.is_some() {
@@ -147,14 +124,20 @@
             let watch = async move { store.watch("", revision, WATCH_WAIT).await };
             tokio::pin!(watch);
             let outcome = loop {
-                let lapse_at = self.until_lapse().map(|wait| Instant::now() + wait);
+                let lapse_at = self
+                    .known
+                    .until_lapse(self.shared.clock.now())
+                    .map(|wait| Instant::now() + wait);
                 let wake_at = lapse_at.map_or(confirm_at, |at| at.min(confirm_at));
                 tokio::select! {
                     biased;
                     () = tokio::time::sleep_until(wake_at) => {}
                     outcome = &mut watch => break Some(outcome),
                 }
-                self.expire_lapsed();
+                let now = self.shared.clock.now();
+                if self.known.expire_lapsed(now) {
+                    self.publish();
+                }
                 if Instant::now() < confirm_at {
                     continue;
                 }
@@ -180,7 +163,8 @@
                     self.note_success();
                     let has_changes = !events.is_empty();
                     for event in events {
-                        self.apply_event(event);
+                        let now = self.shared.clock.now();
+                        self.known.apply_event(&self.catalog, event, now);
                     }
                     self.known.revision = Some(revision);
                     if has_changes {
@@ -217,7 +201,7 @@
             Ok(TxnOutcome::Conflict(items)) => {
                 self.note_success();
                 for item in &items {
-                    self.apply_item(item);
+                    self.known.apply_item(&self.catalog, item);
                 }
                 self.publish();
                 if self.known.config.is_some() {
@@ -286,114 +270,6 @@
         }
     }
 
-    fn apply_event(&mut self, event: StoreEvent) {
-        match event {
-            StoreEvent::Written(item) => self.apply_item(&item),
-            StoreEvent::Removed { key, .. } => {
-                if let Some(id) = self.catalog.upstream_id(&key) {
-                    self.remove_upstream(&id, self.shared.clock.now());
-                } else if key == COORDINATOR_KEY {
-                    self.known.coordinator = None;
-                } else if let Some(vm) = key.strip_prefix(ENTRY_PREFIX) {
-                    self.known.entries.shift_remove(vm);
-                } else if let Some(group) = key.strip_prefix(HOLD_PREFIX) {
-                    self.known.holds.shift_remove(group);
-                }
-            }
-        }
-    }
-
-    fn apply_item(&mut self, item: &StoreItem) {
-        if item.key == self.catalog.config_key() {
-            self.apply_config(item);
-        } else if self.catalog.upstream_id(&item.key).is_some() {
-            match self.catalog.read_upstream(item) {
-                Ok(entry) => {
-                    self.known.lapsed.shift_remove(&entry.id);
-                    self.known.upstreams.insert(entry.id.clone(), entry);
-                }
-                Err(error) => log::warn!("event=entry_unreadable reason={error:?}"),
-            }
-        } else if item.key == COORDINATOR_KEY {
-            self.known.coordinator = EntryRecord::from_bytes(&item.value);
-        } else if item.key == TERM_KEY {
-            self.known.term = item.revision;
-        } else if let Some(vm) = item.key.strip_prefix(ENTRY_PREFIX)
-            && let Some(record) = EntryRecord::from_bytes(&item.value)
-        {
-            self.known.entries.insert(vm.to_owned(), record);
-        } else if let Some(group) = item.key.strip_prefix(HOLD_PREFIX)
-            && let Some(members) = hold_from_bytes(&item.value)
-        {
-            self.known.holds.insert(group.to_owned(), members);
-        }
-    }
-
-    fn apply_config(&mut self, item: &StoreItem) {
-        if item.revision <= self.known.config_revision {
-            return;
-        }
-        match self.catalog.read_config(item) {
-            Ok(config) => {
-                let known = self.known.config.as_ref().map_or(0, |known| known.version);
-                if config.version < known {
-                    log::warn!(
-                        "event=config_ignored version={} known={known}",
-                        config.version
-                    );
-                    return;
-                }
-                log::info!(
-                    "event=config_in_force version={} revision={}",
-                    config.version,
-                    item.revision
-                );
-                self.known.config = Some(Arc::new(config));
-                self.known.config_revision = item.revision;
-            }
-            Err(error) => log::error!("event=config_unreadable reason={error:?}"),
-        }
-    }
-
-    /// Takes an entry out, at once or when it has had time to come back after an outage.
-    fn remove_upstream(&mut self, id: &UpstreamId, now: Millis) {
-        let grace_end = self.known.returned_at.map(|at| at + LAPSE_GRACE);
-        let keeps_until = match self.known.is_away {
-            true => Some(now + LAPSE_GRACE),
-            false => grace_end.filter(|end| *end > now),
-        };
-        match keeps_until {
-            Some(until) => {
-                self.known.lapsed.entry(id.clone()).or_insert(until);
-            }
-            None => {
-                log::info!("event=upstream_unlisted upstream={id}");
-                self.known.upstreams.shift_remove(id);
-            }
-        }
-    }
-
-    fn until_lapse(&self) -> Option<Duration> {
-        let now = self.shared.clock.now();
-        let first = self.known.lapsed.values().min()?;
-        Some(first.since(now).as_duration() + Duration::from_millis(1))
-    }
-
-    fn expire_lapsed(&mut self) {
-        let now = self.shared.clock.now();
-        let due = self.known.lapsed.iter().filter(|(_, until)| **until <= now);
-        let due: Vec<UpstreamId> = due.map(|(id, _)| id.clone()).collect();
-        if due.is_empty() || self.known.is_away {
-            return;
-        }
-        for id in &due {
-            log::info!("event=upstream_lapsed upstream={id}");
-            self.known.lapsed.shift_remove(id);
-            self.known.upstreams.shift_remove(id);
-        }
-        self.publish();
-    }
-
     fn note_failure(&mut self, call: &str, error: &StoreError) {
         if !self.known.is_away {
             log::warn!("event=store_lost call={call} reason={error:?}");
