feat: a request's head has a time of its own

The library's time for heads also bounds idle connections, so it had to be the longer of the two; a slow head could hold a connection for 15 s instead of 3 s.

--- a/crates/gateway/src/front/answer.rs
+++ b/crates/gateway/src/front/answer.rs
@@ -1,10 +1,13 @@
 //! Answers to callers.
 
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::Response;
-use hyper::body::Frame;
+use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
 /// The answer broke off: its connection is closed, so that it does not look complete.
@@ -21,6 +24,42 @@
 /// An answer to a caller.
 pub type CallerAnswer = Response<AnswerBody>;
 
+/// A body that holds something until it was sent, or dropped.
+pub struct HeldBody<Held> {
+    body: AnswerBody,
+    _held: Held,
+}
+
+impl<Held> HeldBody<Held> {
+    /// Holds `held` for as long as `body` lasts.
+    pub fn new(body: AnswerBody, held: Held) -> Self {
+        Self { body, _held: held }
+    }
+}
+
+impl<Held> Body for HeldBody<Held>
+where
+    Held: Unpin,
+{
+    type Data = Bytes;
+    type Error = BrokenAnswer;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A body that is known in whole.
 pub fn whole_body(bytes: Bytes) -> AnswerBody {
     Full::new(bytes)
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | [`server`] | connections of callers, readiness, the stop |
 //! | [`admit`] | route, account and body of a request |
+//! | [`head_timer`] | the time that a request's head may take |
 //! | [`call`] | one request from its head to its answer |
 //! | [`state`] | where a request stands |
 //! | [`plan`] | the next upstream for a request |
@@ -22,6 +23,7 @@
 pub mod budget;
 pub mod call;
 pub mod events;
+pub mod head_timer;
 pub mod plan;
 pub mod pool;
 pub mod quiet;
@@ -30,7 +32,7 @@
 pub mod server;
 pub mod state;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -54,7 +56,7 @@
     /// Repeats sent.
     pub budget: RefCell<RepeatBudget>,
     /// Requests in flight.
-    pub in_flight: std::cell::Cell<usize>,
+    pub in_flight: Rc<Cell<usize>>,
 }
 
 impl<Dialect> FrontContext<Dialect> {
@@ -67,7 +69,7 @@
             pool: Rc::new(ConnectionPool::default()),
             book: Rc::new(RefCell::new(UpstreamBook::default())),
             budget: RefCell::new(budget),
-            in_flight: std::cell::Cell::new(0),
+            in_flight: Rc::new(Cell::new(0)),
         }
     }
 
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -1,5 +1,6 @@
 //! Connections of callers, readiness, and the stop.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,8 +18,9 @@
 use tokio::sync::watch;
 
 use super::FrontContext;
-use super::answer::{CallerAnswer, whole_body};
+use super::answer::{HeldBody, whole_body};
 use super::call::answer;
+use super::head_timer::{HeadTimer, TimedStream};
 
 /// Time between two looks at idle connections and at what is not listed any more.
 const SWEEP_PERIOD: Duration = Duration::from_secs(2);
@@ -68,16 +70,20 @@
         .as_ref()
         .map(|config| config.caller_limits);
     let limits = limits.unwrap_or_default();
+    let timer = HeadTimer::new(limits.header_timeout.as_duration());
     let service = service_fn(|request: Request<hyper::body::Incoming>| {
         let front = Rc::clone(&front);
+        let timer = timer.clone();
         async move {
-            let _in_flight = InFlight::enter(&front);
+            let arrived = timer.arrived();
+            let in_flight = InFlight::enter(&front);
             let mut response = answer(Rc::clone(&front), request).await;
             if front.shared.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<CallerAnswer, Infallible>(response)
+            let held = (arrived, in_flight);
+            Ok::<_, Infallible>(response.map(|body| HeldBody::new(body, held)))
         }
     });
     let connection = http1::Builder::new()
@@ -85,12 +91,14 @@
         // The library counts this time from the last answer, so it bounds idle connections too.
         .header_read_timeout(limits.idle_timeout.as_duration())
         .max_buf_size(limits.header_bytes.max(MIN_HEAD_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
+        .serve_connection(TokioIo::new(TimedStream::new(stream, timer.clone())), service);
+    let overdue = timer.overdue();
+    tokio::pin!(connection, overdue);
     front.in_flight_connections(1);
     let ended = loop {
         tokio::select! {
             ended = connection.as_mut() => break ended,
+            () = overdue.as_mut() => break Ok(()),
             changed = close_idle.changed() => {
                 if changed.is_err() || *close_idle.borrow() {
                     connection.as_mut().graceful_shutdown();
@@ -121,20 +129,21 @@
 }
 
 /// Counts a request in flight until dropped.
-struct InFlight<'a, Dialect> {
-    front: &'a FrontContext<Dialect>,
+struct InFlight {
+    count: Rc<Cell<usize>>,
 }
 
-impl<'a, Dialect> InFlight<'a, Dialect> {
-    fn enter(front: &'a FrontContext<Dialect>) -> Self {
-        front.in_flight.set(front.in_flight.get() + 1);
-        Self { front }
+impl InFlight {
+    fn enter<Dialect>(front: &FrontContext<Dialect>) -> Self {
+        let count = Rc::clone(&front.in_flight);
+        count.set(count.get() + 1);
+        Self { count }
     }
 }
 
-impl<Dialect> Drop for InFlight<'_, Dialect> {
+impl Drop for InFlight {
     fn drop(&mut self) {
-        self.front.in_flight.set(self.front.in_flight.get() - 1);
+        self.count.set(self.count.get() - 1);
     }
 }
 
