fix: loads keep to the weight store's rate; refactor: fields that decide nothing are gone

The store's rate was kept only by the number of loads at once; a deployment with many of these and slow starts would have begun more than it allows.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -6,14 +6,14 @@
 
 /// Milliseconds since the start of the process.
 #[derive(Clone, Copy, Debug)]
-pub struct SteadyClock {
+pub struct MonotonicClock {
     started: Instant,
 }
 
 /// The clock's reading at the start, so that zero is long ago, in milliseconds.
 const OFFSET: u64 = 3_600_000;
 
-impl Default for SteadyClock {
+impl Default for MonotonicClock {
     fn default() -> Self {
         Self {
             started: Instant::now(),
@@ -21,7 +21,7 @@
     }
 }
 
-impl SteadyClock {
+impl MonotonicClock {
     /// The time now.
     pub fn now(&self) -> Millis {
         Millis(self.started.elapsed().as_millis() as u64 + OFFSET)
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -8,7 +8,7 @@
 use bergamot_types::prelude::*;
 use tokio::sync::{mpsc, watch};
 
-use crate::clock::SteadyClock;
+use crate::clock::MonotonicClock;
 use crate::metrics::GatewayMetrics;
 use crate::view::ClusterView;
 
@@ -29,7 +29,7 @@
     /// The bounds in force; a reload changes them.
     bounds: ArcSwap<ServingBounds>,
     /// The clock of all times here.
-    pub clock: SteadyClock,
+    pub clock: MonotonicClock,
     /// The metrics.
     pub metrics: GatewayMetrics,
     /// What was read from the store.
@@ -54,7 +54,7 @@
         Arc::new(Self {
             bounds: ArcSwap::from_pointee(site.bounds),
             site,
-            clock: SteadyClock::default(),
+            clock: MonotonicClock::default(),
             metrics: GatewayMetrics::new(),
             view: ArcSwap::from_pointee(ClusterView::default()),
             view_changed: watch::channel(0).0,
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -12,7 +12,6 @@
     retry_window: Millis(10_000),
     retry_reserve: 100.0,
     stall_time: Millis(4_000),
-    heartbeat: Millis(1_200),
 };
 
 struct BudgetCase {
--- a/crates/groups/src/assign.rs
+++ b/crates/groups/src/assign.rs
@@ -10,7 +10,11 @@
 use crate::track::UpstreamTrack;
 use crate::view::group_name;
 
+/// The window over which the weight store's rate is kept. The platform judges it over as long.
+const LOAD_WINDOW: Millis = Millis(5_000);
+
 impl GroupPlanner {
+    /// Forms groups from free upstreams, warms spares up, and loads weights where they are missing.
     pub(crate) fn step_free(
         &mut self,
         now: Millis,
@@ -60,7 +64,8 @@
         for (id, model) in allocation.stage {
             // Before the first request the weight store is quick, for every load begun by then. How
             // long one takes is settled when it begins, so all begin at once, the most useful first.
-            if self.has_traffic && loading >= self.spec.parallel_loads {
+            let is_slow = self.has_traffic && loading >= self.spec.parallel_loads;
+            if is_slow || !self.has_load_rate(now) {
                 break;
             }
             loading += 1;
@@ -71,16 +76,33 @@
                 && let Some(track) = self.tracks.get_mut(&id)
             {
                 track.staging = Some((model, now));
+                self.load_starts.push_back(now);
             }
         }
     }
 
+    /// Whether the weight store's rate allows one more load to begin.
+    pub(crate) fn has_load_rate(&mut self, now: Millis) -> bool {
+        while self
+            .load_starts
+            .front()
+            .is_some_and(|at| now.since(*at) > LOAD_WINDOW)
+        {
+            self.load_starts.pop_front();
+        }
+        let rate = self.spec.loads_per_second;
+        let most = rate * LOAD_WINDOW.as_secs_f64();
+        // Loads before the first request do not count, and no rate means no bound.
+        !self.has_traffic || rate <= 0.0 || ((self.load_starts.len() + 1) as f64) <= most
+    }
+
     /// Whether an order was given whose effect may not show yet.
     pub(crate) fn was_just_ordered(&self, id: &UpstreamId, now: Millis) -> bool {
         let given = self.tracks.get(id).and_then(|track| track.given.as_ref());
         given.is_some_and(|given| now.since(given.at) < self.options.order_retry)
     }
 
+    /// Whether a free upstream may join a group now.
     pub(crate) fn is_usable(&self, track: &UpstreamTrack, now: Millis) -> bool {
         let id = &track.entry.id;
         let is_forming = self.forming.values().any(|it| it.members.contains(id));
@@ -93,6 +115,7 @@
             && track.held_until <= now
     }
 
+    /// Begins to form a group; the first of the members leads.
     pub(crate) fn form(
         &mut self,
         now: Millis,
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -1,5 +1,6 @@
 //! The coordinator's state and its next orders.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use bergamot_ports::{
@@ -58,6 +59,8 @@
     /// Upstreams that an earlier coordinator held, and until when they are not used.
     pub(crate) inherited: IndexSet<UpstreamId>,
     pub(crate) inherited_until: Millis,
+    /// When loads were ordered, within the window of the weight store's rate.
+    pub(crate) load_starts: VecDeque<Millis>,
     /// Members that are held, by group.
     pub(crate) holds: IndexMap<GroupId, GroupHold>,
     /// The last state that was logged.
@@ -82,6 +85,7 @@
         Self {
             inherited_until: now + options.hold_time(),
             inherited,
+            load_starts: VecDeque::new(),
             holds: IndexMap::new(),
             logged: String::new(),
             options,
--- a/crates/groups/src/step.rs
+++ b/crates/groups/src/step.rs
@@ -78,6 +78,7 @@
         }
     }
 
+    /// Moves each forming group on, or gives it up.
     pub(crate) fn step_forming(&mut self, now: Millis, actions: &mut Vec<GroupAction>) {
         let ids: Vec<GroupId> = self.forming.keys().cloned().collect();
         for id in ids {
@@ -103,6 +104,7 @@
         }
     }
 
+    /// Gives a forming group up. Its leader is told to leave with the next look at all groups.
     pub(crate) fn abort(&mut self, id: &GroupId, reason: &str) {
         log::info!("event=group_given_up group={id} reason={reason:?}");
         self.forming.shift_remove(id);
@@ -192,6 +194,7 @@
         has_leaving.then_some(GroupLoss::Leaving)
     }
 
+    /// Whether an upstream counts as dead.
     pub(crate) fn is_dead(&self, id: &UpstreamId) -> bool {
         let limit = self.options.silent_limit;
         let track = self.tracks.get(id);
--- a/crates/groups/tests/decisions.rs
+++ b/crates/groups/tests/decisions.rs
@@ -28,7 +28,6 @@
         loads_per_second: 4.0,
         parallel_loads: 2,
         open_time: Millis(300),
-        staged_models: 1,
     }
 }
 
@@ -380,3 +379,28 @@
         .collect();
     assert_eq!(expected, [Some(5), Some(5)]);
 }
+
+#[test]
+fn loads_keep_to_the_weight_stores_rate() {
+    let mut planner = planner();
+    planner.set_spec(EngineSpec {
+        loads_per_second: 0.6,
+        parallel_loads: 9,
+        ..spec()
+    });
+    let cold: Vec<Up> = ["u1", "u2", "u3", "u4", "u5", "u6"]
+        .into_iter()
+        .map(|id| up(id, None))
+        .collect();
+    show(&cold, &mut planner);
+    let mut count = |after: u64| {
+        let actions = planner.step(NOW + Millis(after));
+        obey(&mut planner, &actions);
+        orders(&actions).len()
+    };
+    // Three in five seconds.
+    assert_eq!(
+        (count(0), count(1_000), count(4_900), count(5_100)),
+        (3, 0, 0, 3)
+    );
+}
--- a/crates/groups/tests/support/world.rs
+++ b/crates/groups/tests/support/world.rs
@@ -55,7 +55,7 @@
     due: u64,
 }
 
-struct Runner {
+struct ModelUpstream {
     id: UpstreamId,
     fabric: usize,
     addr: SocketAddr,
@@ -86,7 +86,7 @@
     options: WorldOptions,
     random: ChaCha8Rng,
     now: u64,
-    runners: Vec<Runner>,
+    upstreams: Vec<ModelUpstream>,
     planners: Vec<(GroupPlanner, u64)>,
     flying: Vec<Flying>,
     revision: u64,
@@ -117,7 +117,6 @@
         loads_per_second: 10.0,
         parallel_loads: 6,
         open_time: Millis(300),
-        staged_models: 1,
     }
 }
 
@@ -127,7 +126,7 @@
             options,
             random: ChaCha8Rng::seed_from_u64(seed),
             now: 0,
-            runners: Vec::new(),
+            upstreams: Vec::new(),
             planners: Vec::new(),
             flying: Vec::new(),
             revision: 10,
@@ -139,20 +138,20 @@
             broken: Vec::new(),
         };
         for index in 0..18_u16 {
-            let runner = world.start(
+            let upstream = world.start(
                 usize::from(index / 9),
                 ([10, 0, 0, 1], 9_000 + index).into(),
             );
-            world.runners.push(runner);
+            world.upstreams.push(upstream);
         }
         world.take_over();
         world
     }
 
-    fn start(&mut self, fabric: usize, addr: SocketAddr) -> Runner {
+    fn start(&mut self, fabric: usize, addr: SocketAddr) -> ModelUpstream {
         self.next_run += 1;
         self.revision += 1;
-        Runner {
+        ModelUpstream {
             id: UpstreamId::from(format!("i-{}", self.next_run)),
             fabric,
             addr,
@@ -224,33 +223,33 @@
     }
 
     fn serving(&self) -> u64 {
-        let open = self.runners.iter().filter(|runner| {
-            let state = runner.joined.as_ref().map(|it| it.membership.state);
-            state == Some(MemberState::Open) && runner.down_until <= self.now
+        let open = self.upstreams.iter().filter(|upstream| {
+            let state = upstream.joined.as_ref().map(|it| it.membership.state);
+            state == Some(MemberState::Open) && upstream.down_until <= self.now
         });
         open.count() as u64
     }
 
     fn trouble(&mut self) {
-        for index in 0..self.runners.len() {
+        for index in 0..self.upstreams.len() {
             if self.random.random_bool(self.options.crash_chance) {
-                let fabric = self.runners[index].fabric;
-                let addr = self.runners[index].addr;
-                let staged = self.runners[index].staged.clone();
+                let fabric = self.upstreams[index].fabric;
+                let addr = self.upstreams[index].addr;
+                let staged = self.upstreams[index].staged.clone();
                 let down = self.now + self.random.random_range(1_000..6_000);
                 let mut next = self.start(fabric, addr);
                 next.staged = staged;
                 next.down_until = down;
-                self.runners[index] = next;
+                self.upstreams[index] = next;
             }
             if self.random.random_bool(self.options.cut_chance) {
                 let until = self.now + self.random.random_range(2_000..9_000);
                 let kind = self.random.random_range(1..4);
-                let runner = &mut self.runners[index];
-                runner.cut_until = until;
-                runner.cut_from_store = kind & 1 != 0;
-                runner.cut_from_coordinator = kind & 2 != 0;
-                let id = runner.id.clone();
+                let upstream = &mut self.upstreams[index];
+                upstream.cut_until = until;
+                upstream.cut_from_store = kind & 1 != 0;
+                upstream.cut_from_coordinator = kind & 2 != 0;
+                let id = upstream.id.clone();
                 self.trace(|| format!("{id} is cut off, {kind}, until {until}"));
             }
         }
@@ -263,19 +262,23 @@
     fn live(&mut self) {
         let now = self.now;
         let mut changed = 0;
-        for runner in &mut self.runners {
-            if runner.cut_until <= now {
-                runner.cut_from_store = false;
-                runner.cut_from_coordinator = false;
+        for upstream in &mut self.upstreams {
+            if upstream.cut_until <= now {
+                upstream.cut_from_store = false;
+                upstream.cut_from_coordinator = false;
             }
-            if runner.down_until <= now && !runner.cut_from_store {
-                runner.beat_at = now;
+            if upstream.down_until <= now && !upstream.cut_from_store {
+                upstream.beat_at = now;
             }
-            if runner.loading.as_ref().is_some_and(|(_, due)| *due <= now) {
-                runner.staged = runner.loading.take().map(|(model, _)| model);
+            if upstream
+                .loading
+                .as_ref()
+                .is_some_and(|(_, due)| *due <= now)
+            {
+                upstream.staged = upstream.loading.take().map(|(model, _)| model);
                 changed += 1;
             }
-            if let Some(joined) = &mut runner.joined
+            if let Some(joined) = &mut upstream.joined
                 && joined.membership.state == MemberState::Joining
                 && joined.due <= now
             {
@@ -286,7 +289,10 @@
                     joined.membership.epoch,
                     joined.members.clone(),
                 );
-                self.ready.entry(key).or_default().insert(runner.id.clone());
+                self.ready
+                    .entry(key)
+                    .or_default()
+                    .insert(upstream.id.clone());
             }
         }
         self.stall();
@@ -299,17 +305,17 @@
     fn stall(&mut self) {
         let now = self.now;
         let alive: IndexMap<UpstreamId, Option<(GroupId, u64)>> = self
-            .runners
+            .upstreams
             .iter()
-            .filter(|runner| runner.down_until <= now)
-            .map(|runner| {
-                let joined = runner.joined.as_ref();
+            .filter(|upstream| upstream.down_until <= now)
+            .map(|upstream| {
+                let joined = upstream.joined.as_ref();
                 let key = joined.map(|it| (it.membership.group.clone(), it.membership.epoch));
-                (runner.id.clone(), key)
+                (upstream.id.clone(), key)
             })
             .collect();
-        for runner in &mut self.runners {
-            let Some(joined) = &mut runner.joined else {
+        for upstream in &mut self.upstreams {
+            let Some(joined) = &mut upstream.joined else {
                 continue;
             };
             let key = (joined.membership.group.clone(), joined.membership.epoch);
@@ -319,10 +325,10 @@
                 .all(|id| alive.get(id).is_some_and(|it| it.as_ref() == Some(&key)));
             let is_open = joined.membership.state == MemberState::Open;
             if is_whole || !is_open {
-                runner.broken_at = None;
+                upstream.broken_at = None;
                 continue;
             }
-            let at = *runner.broken_at.get_or_insert(now + STALL);
+            let at = *upstream.broken_at.get_or_insert(now + STALL);
             if at <= now {
                 joined.membership.state = MemberState::Broken;
                 self.revision += 1;
@@ -331,22 +337,21 @@
     }
 
     fn directory(&self) -> Vec<UpstreamEntry> {
-        let listed = self
-            .runners
-            .iter()
-            .filter(|runner| runner.down_until <= self.now && self.now - runner.beat_at < LAPSE);
+        let listed = self.upstreams.iter().filter(|upstream| {
+            upstream.down_until <= self.now && self.now - upstream.beat_at < LAPSE
+        });
         listed
-            .map(|runner| UpstreamEntry {
-                id: runner.id.clone(),
+            .map(|upstream| UpstreamEntry {
+                id: upstream.id.clone(),
                 service: ServiceName::new("engines"),
-                addr: runner.addr,
+                addr: upstream.addr,
                 failure_domain: FailureDomain::new("fd"),
-                fabric: Some(FabricDomain::from(format!("fabric-{}", runner.fabric))),
+                fabric: Some(FabricDomain::from(format!("fabric-{}", upstream.fabric))),
                 state: UpstreamState::Ready,
                 slots: 8,
-                staged: runner.staged.iter().cloned().collect(),
+                staged: upstream.staged.iter().cloned().collect(),
                 models: Vec::new(),
-                membership: runner.joined.as_ref().map(|it| it.membership.clone()),
+                membership: upstream.joined.as_ref().map(|it| it.membership.clone()),
             })
             .collect()
     }
@@ -408,25 +413,25 @@
 
     /// What the upstream at an address answers to a question for `id`.
     fn ask(&self, id: &UpstreamId, addr: SocketAddr) -> AskOutcome {
-        let there = self.runners.iter().find(|runner| runner.addr == addr);
-        let Some(runner) = there.filter(|runner| !runner.cut_from_coordinator) else {
+        let there = self.upstreams.iter().find(|upstream| upstream.addr == addr);
+        let Some(upstream) = there.filter(|upstream| !upstream.cut_from_coordinator) else {
             return match self.options.trust_refusals {
                 true => AskOutcome::Gone,
                 false => AskOutcome::Silent,
             };
         };
-        if runner.down_until > self.now {
+        if upstream.down_until > self.now {
             return AskOutcome::Silent;
         }
-        if runner.id != *id {
+        if upstream.id != *id {
             return AskOutcome::Gone;
         }
         AskOutcome::Answered(UpstreamReport {
-            orders_begun: runner.begun,
-            is_busy: runner.loading.is_some(),
+            orders_begun: upstream.begun,
+            is_busy: upstream.loading.is_some(),
             waiting: 0,
             running: 0,
-            membership: runner.joined.as_ref().map(|it| it.membership.clone()),
+            membership: upstream.joined.as_ref().map(|it| it.membership.clone()),
         })
     }
 
@@ -461,34 +466,34 @@
     fn apply(&mut self, request: &OrderRequest) -> OrderOutcome {
         let target = &request.target;
         let found = self
-            .runners
+            .upstreams
             .iter()
-            .position(|runner| runner.addr == target.addr);
+            .position(|upstream| upstream.addr == target.addr);
         let Some(index) = found else {
             return OrderOutcome::Unknown("nobody".to_owned());
         };
-        let runner = &self.runners[index];
-        if runner.cut_from_coordinator || runner.down_until > self.now {
+        let upstream = &self.upstreams[index];
+        if upstream.cut_from_coordinator || upstream.down_until > self.now {
             return OrderOutcome::Unknown("cut off".to_owned());
         }
-        if runner.id != target.id {
+        if upstream.id != target.id {
             return OrderOutcome::Gone;
         }
-        if request.fence < runner.fence {
+        if request.fence < upstream.fence {
             return OrderOutcome::Fenced;
         }
         if request
             .expected
-            .is_some_and(|expected| expected != runner.begun)
+            .is_some_and(|expected| expected != upstream.begun)
         {
             return OrderOutcome::Unfit;
         }
         let outcome = self.carry_out(index, &request.order);
-        let runner = &mut self.runners[index];
-        runner.fence = runner.fence.max(request.fence);
+        let upstream = &mut self.upstreams[index];
+        upstream.fence = upstream.fence.max(request.fence);
         let is_leave = matches!(request.order, GroupOrder::Leave { .. });
         if outcome == OrderOutcome::Begun || (is_leave && outcome == OrderOutcome::Holds) {
-            runner.begun += 1;
+            upstream.begun += 1;
             self.revision += 1;
         }
         outcome
@@ -498,11 +503,11 @@
         let now = self.now;
         match order {
             GroupOrder::Stage { model } => {
-                let runner = &mut self.runners[index];
-                if runner.loading.is_some() {
+                let upstream = &mut self.upstreams[index];
+                if upstream.loading.is_some() {
                     return OrderOutcome::Unfit;
                 }
-                runner.loading = Some((model.clone(), now + 2_000));
+                upstream.loading = Some((model.clone(), now + 2_000));
                 OrderOutcome::Begun
             }
             GroupOrder::Join {
@@ -511,7 +516,7 @@
                 model,
                 members,
             } => {
-                if *epoch < self.runners[index].top_epoch {
+                if *epoch < self.upstreams[index].top_epoch {
                     return OrderOutcome::Fenced;
                 }
                 let is_same = |joined: &Joined| {
@@ -519,21 +524,21 @@
                     let is_list = joined.members == *members;
                     membership.group == *group && membership.epoch == *epoch && is_list
                 };
-                if self.runners[index].joined.as_ref().is_some_and(is_same) {
+                if self.upstreams[index].joined.as_ref().is_some_and(is_same) {
                     return OrderOutcome::Holds;
                 }
                 self.check_join(index, group, *epoch);
-                let runner = &mut self.runners[index];
-                let time = match (&runner.warm, &runner.staged) {
+                let upstream = &mut self.upstreams[index];
+                let time = match (&upstream.warm, &upstream.staged) {
                     (Some(warm), _) if warm == model => 200,
                     (_, Some(staged)) if staged == model => 1_000,
                     _ => 3_000,
                 };
-                runner.top_epoch = *epoch;
-                runner.warm = Some(model.clone());
-                runner.staged = Some(model.clone());
-                let rank = members.iter().position(|id| *id == runner.id);
-                runner.joined = Some(Joined {
+                upstream.top_epoch = *epoch;
+                upstream.warm = Some(model.clone());
+                upstream.staged = Some(model.clone());
+                let rank = members.iter().position(|id| *id == upstream.id);
+                upstream.joined = Some(Joined {
                     membership: GroupMembership {
                         group: group.clone(),
                         epoch: *epoch,
@@ -557,21 +562,21 @@
                 if self.joined_in(index, group, *epoch).is_none() {
                     return OrderOutcome::Unfit;
                 }
-                self.runners[index].joined = None;
+                self.upstreams[index].joined = None;
                 OrderOutcome::Holds
             }
         }
     }
 
     fn joined_in(&mut self, index: usize, group: &GroupId, epoch: u64) -> Option<&mut Joined> {
-        let joined = self.runners[index].joined.as_mut()?;
+        let joined = self.upstreams[index].joined.as_mut()?;
         let membership = &joined.membership;
         (membership.group == *group && membership.epoch == epoch).then_some(joined)
     }
 
     /// No member joins another group while the leader of its old one is open.
     fn check_join(&mut self, index: usize, group: &GroupId, epoch: u64) {
-        let Some(old) = self.runners[index].joined.clone() else {
+        let Some(old) = self.upstreams[index].joined.clone() else {
             return self.check_left(index);
         };
         if old.membership.group == *group && old.membership.epoch == epoch {
@@ -582,13 +587,13 @@
 
     /// One that left may still hold up a group that has not broken yet.
     fn check_left(&mut self, index: usize) {
-        let id = self.runners[index].id.clone();
-        let standing = self.runners.iter().find(|runner| {
-            let joined = runner.joined.as_ref();
+        let id = self.upstreams[index].id.clone();
+        let standing = self.upstreams.iter().find(|upstream| {
+            let joined = upstream.joined.as_ref();
             let is_open = joined.is_some_and(|it| {
                 it.membership.state == MemberState::Open && it.members.contains(&id)
             });
-            is_open && runner.down_until <= self.now
+            is_open && upstream.down_until <= self.now
         });
         if let Some(leader) = standing {
             let problem = format!("t={} {id} joins while {} stands still", self.now, leader.id);
@@ -597,16 +602,20 @@
     }
 
     fn check_leader(&mut self, leader: &UpstreamId, old: &GroupMembership, index: usize) {
-        let Some(runner) = self.runners.iter().find(|runner| runner.id == *leader) else {
+        let Some(upstream) = self
+            .upstreams
+            .iter()
+            .find(|upstream| upstream.id == *leader)
+        else {
             return;
         };
-        let is_open = runner.joined.as_ref().is_some_and(|it| {
+        let is_open = upstream.joined.as_ref().is_some_and(|it| {
             it.membership.group == old.group
                 && it.membership.epoch == old.epoch
                 && it.membership.state == MemberState::Open
         });
-        if is_open && runner.down_until <= self.now {
-            let id = &self.runners[index].id;
+        if is_open && upstream.down_until <= self.now {
+            let id = &self.upstreams[index].id;
             let problem = format!("t={} {id} joins while {leader} is open", self.now);
             self.broken.push(problem);
         }
--- a/crates/ports/src/call.rs
+++ b/crates/ports/src/call.rs
@@ -55,8 +55,6 @@
     pub is_signed: bool,
     /// Seconds the upstream keeps an idle connection, if it says so.
     pub keep_alive: Option<u64>,
-    /// The upstream at fault, where the one that answers names another.
-    pub blamed: Option<UpstreamId>,
 }
 
 /// An answer of this system's own.
--- a/crates/ports/src/config.rs
+++ b/crates/ports/src/config.rs
@@ -103,8 +103,6 @@
     pub parallel_loads: usize,
     /// Time a ready group takes to begin serving.
     pub open_time: Millis,
-    /// Models whose weights a host keeps.
-    pub staged_models: usize,
 }
 
 /// One service.
--- a/crates/ports/src/site.rs
+++ b/crates/ports/src/site.rs
@@ -22,8 +22,6 @@
     pub retry_reserve: f64,
     /// Time for which a group that lost a member stands still before it breaks.
     pub stall_time: Millis,
-    /// Time between two heartbeats of an upstream.
-    pub heartbeat: Millis,
 }
 
 /// This process's place.
@@ -41,8 +39,6 @@
     pub metrics_addr: SocketAddr,
     /// Where peers send datagrams.
     pub peer_addr: SocketAddr,
-    /// Descriptors the process may hold.
-    pub max_descriptors: usize,
     /// The bounds in force.
     pub bounds: ServingBounds,
 }
