fix: a repeat waits for the first attempt's end before it is refused

Cause: a caller whose confirmation ended with `upstream_lost` repeated it at another entry VM before word of the end had reached the claim's owner, and was told that the first one still ran.

Change: "still running" is asked again within the patience that an unsettled roster gets already (1.5 s), so a repeat gets the first answer, or its outcome, where the first attempt ends in that time. It is not a request that was given up.

Test: an_early_repeat_gets_the_first_answer failed before (409 for 200) and passes; the eight tests of that file pass.

--- a/crates/entry/src/front/claimed.rs
+++ b/crates/entry/src/front/claimed.rs
@@ -16,7 +16,8 @@
 /// What is added to a request's own time before its claim counts as lost.
 const GRANT_MARGIN: Millis = Millis(5_000);
 
-/// How long an owner that cannot answer is asked again before the request is refused.
+/// How long an owner that cannot answer yet is asked again before the request is refused. Roster
+/// changes settle within it, and most first attempts end.
 const ASK_PATIENCE: Millis = Millis(1_500);
 /// Time between two of those questions.
 const ASK_RETRY: Millis = Millis(100);
@@ -115,7 +116,8 @@
 }
 
 /// Asks until there is a word. For a moment after each change of the roster its members do not
-/// agree on who owns a key; that is no reason to refuse a request that has time.
+/// agree on who owns a key, and a first attempt may still run, or word of its end may be on its
+/// way to the owner: no reason to refuse a request that has time.
 async fn ask_patiently(
     front: &FrontContext,
     request: &CallerRequest,
@@ -126,7 +128,8 @@
     let give_up = (clock.now() + ASK_PATIENCE).min(request.deadline);
     loop {
         let (attempt, verdict) = ask_once(front, request, key, body).await;
-        if verdict != Verdict::Unavailable || clock.now() + ASK_RETRY >= give_up {
+        let may_change = matches!(verdict, Verdict::Unavailable | Verdict::InProgress);
+        if !may_change || clock.now() + ASK_RETRY >= give_up {
             return (attempt, verdict);
         }
         tokio::time::sleep(ASK_RETRY.as_duration()).await;
--- a/crates/local/tests/failures.rs
+++ b/crates/local/tests/failures.rs
@@ -101,6 +101,33 @@
     assert_eq!(fleet.stop(), StopOutcome::Graceful);
 }
 
+/// A repeat that comes while the first attempt runs, or while word of its end is on its way to the
+/// claim's owner, gets the first answer.
+#[test]
+fn an_early_repeat_gets_the_first_answer() {
+    let fleet = fleet(&three_domains());
+    let runtime = fleet.runtime().handle().clone();
+    for service in &fleet.services {
+        service.service.faults.set(FaultSet {
+            delay_ms: 500,
+            ..FaultSet::default()
+        });
+    }
+    let (first, again) = (caller(&fleet, 0), caller(&fleet, 1));
+    let first = runtime.spawn(async move { confirm(&first, "bid-1", "lot 1").await });
+    fleet
+        .wait_for("the first attempt to run", |fleet| {
+            runs_of(fleet, "bid-1") == 1
+        })
+        .expect("a service runs it");
+    let again = runtime.block_on(confirm(&again, "bid-1", "lot 1"));
+    let first = runtime.block_on(first).expect("the caller ends");
+    assert_eq!(again.status, 200, "{}", code(&again));
+    assert_eq!(first.status, 200);
+    assert_eq!(first.body, again.body);
+    assert_eq!(runs_of(&fleet, "bid-1"), 1);
+}
+
 /// An entry VM that owned claims dies; a repeat at another one never runs the request again.
 #[test]
 fn a_lost_owner_forgets_nothing() {
