feat: one VM of a failure domain reads the store, peers ask it; fix: a coordinator without processor time suspected its upstreams

Ruled out: longer pauses (the leaving time bounds them). Change: the VM with the most processor in each failure domain follows the store; the others ask it each 250 ms over a kept connection for the latest change of each key, its age, and the age of the configuration's confirmation, both counted from the moment of asking. News older than 1.3 s, or from a peer that has it from a peer itself, sends a VM back to the store. A VM that the store turns away makes do with any peer that it does not. Successors of the coordinator try one after another (before, 62 VMs tried at once: three calls each).

Ruled out: dropped idle connections (no report ended by a reset; 3,280 ran out of time), the upstreams (they answered when asked later). Change: at least 20 ms between two looks, the coordinator is the VM with the most processor, and silence that shows late, when this process stood still, suspects nobody.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -75,6 +75,7 @@
         let peer = std::net::UdpSocket::bind(site.peer_addr)
             .with_context(|| format!("peer address {}", site.peer_addr))?;
         peer.set_nonblocking(true)?;
+        let news = bind(site.peer_addr)?;
         log::info!(
             "event=started vm={} failure_domain={} callers={} peers={}",
             site.vm,
@@ -85,7 +86,9 @@
         let (shared, ports) = (Arc::clone(&self.shared), self.ports.clone());
         spawn_duty("store", move || async move {
             let store = Rc::new(ports.store());
-            SyncDuty::new(shared, store, ports.catalog()).run().await;
+            SyncDuty::new(shared, store, ports.catalog())
+                .run(news)
+                .await;
         })?;
         let (shared, ports, quiet) = (Arc::clone(&self.shared), self.ports.clone(), self.quiet);
         spawn_duty("groups", move || async move {
--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -1,9 +1,10 @@
 //! Carries out what the coordinator wants done, and tells it what became of it.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bergamot_groups::{AskOutcome, GroupAction, GroupPlanner};
+use bergamot_peer::{PeerNotice, frame};
 use bergamot_ports::{
     ControlError, KeyWrite, OrderOutcome, OrderRequest, StateStore, StoreError, StoreTxn,
     TxnOutcome, UpstreamControl,
@@ -11,12 +12,15 @@
 use bergamot_types::prelude::*;
 
 use crate::own_keys::{HOLD_PREFIX, hold_to_bytes};
-use crate::peer::PeerMessage;
 use crate::shared::SharedState;
 
 /// How long a note of held members lasts: the hold itself and a change of the coordinator.
 const HOLD_TTL: Duration = Duration::from_secs(12);
 
+/// How late a timer may fire in a process that is not short of processor: several times the few
+/// milliseconds that were seen.
+const STALL_MARGIN: Duration = Duration::from_millis(40);
+
 /// Something that came to an end.
 pub(crate) enum DoneAction {
     Ordered(OrderRequest, OrderOutcome),
@@ -42,14 +46,30 @@
             DoneAction::Held(group, members, kept.is_ok())
         }
         GroupAction::Order(request) => {
-            let outcome = control.order(&request).await;
+            let began = Instant::now();
+            let outcome = match control.order(&request).await {
+                OrderOutcome::Unknown(_) if stood_still(began, Control::ORDER_TIME) => {
+                    OrderOutcome::Unheard
+                }
+                outcome => outcome,
+            };
             DoneAction::Ordered(request, outcome)
         }
         GroupAction::Ask(target) => {
+            let began = Instant::now();
             let outcome = match control.report(&target).await {
                 Ok(report) => AskOutcome::Answered(report),
                 Err(ControlError::Gone) => AskOutcome::Gone,
-                Err(ControlError::Silent(_)) => AskOutcome::Silent,
+                Err(ControlError::Silent(_)) if stood_still(began, Control::REPORT_TIME) => {
+                    AskOutcome::Unheard
+                }
+                Err(ControlError::Silent(reason)) => {
+                    log::info!(
+                        "event=report_missing upstream={} reason={reason:?}",
+                        target.id
+                    );
+                    AskOutcome::Silent
+                }
                 Err(ControlError::Malformed(reason)) => {
                     log::warn!(
                         "event=report_unreadable upstream={} reason={reason:?}",
@@ -63,6 +83,12 @@
     }
 }
 
+/// Whether a call that began at `began` and has `time` ran out late: then this process had no share
+/// of the processor, and the answer may have waited for it.
+fn stood_still(began: Instant, time: Duration) -> bool {
+    began.elapsed() > time + STALL_MARGIN
+}
+
 /// Keeps held members in the store for longer than the time they are held.
 pub(crate) async fn keep_hold<Store>(
     store: &Store,
@@ -129,6 +155,7 @@
         OrderOutcome::Refused(_) => "refused",
         OrderOutcome::Gone => "gone",
         OrderOutcome::Unknown(_) => "unknown",
+        OrderOutcome::Unheard => "unheard",
     }
 }
 
@@ -139,11 +166,15 @@
     let (length, _) = match received {
         Ok(received) => received,
         Err(error) => {
-            log::debug!("event=message_not_received reason={error:?}");
+            log::debug!("event=notice_not_received reason={error:?}");
             return None;
         }
     };
-    match PeerMessage::from_bytes(&buffer[..length])? {
-        PeerMessage::Quiet { leader } => Some(UpstreamId::from(leader)),
+    match frame::decode(&buffer[..length]) {
+        Ok(PeerNotice::Quiet { leader }) => Some(leader),
+        Err(error) => {
+            log::info!("event=notice_unreadable reason={error:?}");
+            None
+        }
     }
 }
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -8,19 +8,20 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bergamot_groups::{GroupOptions, GroupPlanner};
+use bergamot_groups::{GroupAction, GroupOptions, GroupPlanner};
+use bergamot_peer::{MAX_DATAGRAM_BYTES, PeerNotice, frame};
 use bergamot_ports::{
-    EngineSpec, KeyCondition, KeyWrite, StateStore, StoreTxn, TxnOutcome, UpstreamControl,
+    EngineSpec, KeyCondition, KeyWrite, StateStore, StoreTxn, TxnOutcome, UpstreamControl, VmSite,
 };
 use bergamot_types::prelude::*;
 use futures::stream::{FuturesUnordered, StreamExt};
 use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
-use crate::group_actions::{act, note_done, read_quiet};
+use crate::group_actions::{DoneAction, act, note_done, read_quiet};
 use crate::own_keys::{COORDINATOR_KEY, EntryRecord, TERM_KEY};
-use crate::peer::{MAX_DATAGRAM, PeerMessage};
 use crate::shared::SharedState;
 use crate::view::ClusterView;
 
@@ -33,9 +34,13 @@
 const LEASE_MARGIN: Millis = Millis(300);
 /// Time between two looks while there is work, for what no change announces.
 const STEP_PERIOD: Duration = Duration::from_millis(100);
-/// The longest random wait before a VM tries to become coordinator, so that most find the place
-/// taken already and save the call.
-const MAX_TAKEOVER_WAIT_MS: u64 = 200;
+/// The least time between two looks. On an eighth of a core a look at 296 upstreams takes up to 8 ms;
+/// one after each of the 16 answers of a group made the next questions run out of time.
+const STEP_GAP: Duration = Duration::from_millis(20);
+/// What each VM waits longer than the one before it in the order of succession before it tries to
+/// become coordinator. About as long as news of a successor takes to most others, so that a few try
+/// in vain and not all: three calls to the store each.
+const TAKEOVER_STEP: Millis = Millis(80);
 
 /// The state of the duty.
 pub struct GroupsDuty<Store, Control> {
@@ -54,6 +59,13 @@
     confirmed_at: Millis,
 }
 
+impl LeadTerm {
+    /// Whether the lease was confirmed recently enough for an order that is given now.
+    fn allows_orders(&self, now: Millis) -> bool {
+        now.since(self.confirmed_at) < LEASE_TTL.since(LEASE_MARGIN)
+    }
+}
+
 impl<Store, Control> GroupsDuty<Store, Control>
 where
     Store: StateStore,
@@ -84,9 +96,13 @@
             let is_vacant = view.coordinator.is_none() && view.revision > 0;
             let has_groups = engine_service(&view).is_some();
             if is_vacant && has_groups && !self.shared.is_stopping() {
-                let wait = rand::rng().random_range(0..MAX_TAKEOVER_WAIT_MS);
-                tokio::time::sleep(Duration::from_millis(wait)).await;
-                if self.shared.view.load().coordinator.is_some() {
+                let wait = takeover_wait(&view, &self.shared.site);
+                let is_taken = async {
+                    let taken = |count: &u64| *count > 0 && self.shared.has_coordinator();
+                    let _ = changes.wait_for(taken).await;
+                };
+                let is_taken = tokio::time::timeout(wait.as_duration(), is_taken).await;
+                if is_taken.is_ok() {
                     continue;
                 }
                 if let Some(term) = self.take_over(&view).await {
@@ -112,13 +128,17 @@
         let Some(coordinator) = &view.coordinator else {
             return;
         };
-        let message = PeerMessage::Quiet {
-            leader: leader.to_string(),
+        let notice = PeerNotice::Quiet { leader };
+        let bytes = match frame::encode(&notice) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("event=notice_not_written reason={error:?}");
+                return;
+            }
         };
-        let bytes = message.to_bytes();
         let sent = self.socket.send_to(&bytes, coordinator.peer_addr).await;
         if let Err(error) = sent {
-            log::debug!("event=message_not_sent reason={error:?}");
+            log::debug!("event=notice_not_sent reason={error:?}");
         }
     }
 
@@ -133,11 +153,7 @@
                 return None;
             }
         };
-        let site = &self.shared.site;
-        let record = EntryRecord {
-            vm: site.vm.to_string(),
-            peer_addr: site.peer_addr,
-        };
+        let record = EntryRecord::of(&self.shared.site);
         let write = |key: &str, lease: u64| KeyWrite {
             key: key.to_owned(),
             value: record.to_bytes(),
@@ -186,18 +202,17 @@
     /// Coordinates until the lease is lost or the process stops.
     async fn lead(&mut self, mut term: LeadTerm) {
         let shared = Arc::clone(&self.shared);
-        let control = Rc::clone(&self.control);
         let mut changes = shared.view_changed.subscribe();
+        changes.mark_changed();
         let mut renewals = tokio::time::interval(RENEW_PERIOD);
         renewals.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut steps = tokio::time::interval(STEP_PERIOD);
-        steps.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut planner: Option<GroupPlanner> = None;
         let mut running = FuturesUnordered::new();
-        let mut seen = None;
-        let mut buffer = [0_u8; MAX_DATAGRAM];
+        let mut buffer = [0_u8; MAX_DATAGRAM_BYTES];
+        let mut step_at = Instant::now();
         loop {
-            let mut quiet = None;
+            let earliest = step_at.checked_sub(STEP_PERIOD - STEP_GAP);
+            let soon = earliest.unwrap_or(step_at);
             tokio::select! {
                 biased;
                 _ = renewals.tick() => {
@@ -207,52 +222,73 @@
                 }
                 Some(done) = running.next(), if !running.is_empty() => {
                     note_done(&shared, planner.as_mut(), &done);
+                    step_at = soon;
+                }
+                _ = changes.changed() => {
+                    let view = shared.view.load_full();
+                    update(&shared, &mut planner, &view, &term);
+                    step_at = soon;
+                }
+                leader = self.quiet.recv() => {
+                    let questions = self.doubt(&term, planner.as_mut(), leader);
+                    running.extend(questions.into_iter().map(|it| self.carry_out(it)));
                 }
-                _ = changes.changed() => {}
-                leader = self.quiet.recv() => quiet = leader,
                 received = self.socket.recv_from(&mut buffer) => {
-                    quiet = read_quiet(&buffer, received);
+                    let leader = read_quiet(&buffer, received);
+                    let questions = self.doubt(&term, planner.as_mut(), leader);
+                    running.extend(questions.into_iter().map(|it| self.carry_out(it)));
                 }
-                _ = steps.tick() => {}
+                () = tokio::time::sleep_until(step_at) => {}
             }
             if shared.is_stopping() {
                 self.end_lease(term.lease).await;
                 log::info!("event=coordinator_ends reason=stopping");
                 return;
             }
-            let now = shared.clock.now();
-            if now.since(term.confirmed_at) >= LEASE_TTL.since(LEASE_MARGIN) {
+            if Instant::now() < step_at {
                 continue;
             }
-            let count = *changes.borrow_and_update();
-            if seen != Some(count) {
-                seen = Some(count);
-                let view = shared.view.load_full();
-                update(&shared, &mut planner, &view, &term);
-            }
-            let Some(planner) = planner.as_mut() else {
+            step_at = Instant::now() + STEP_PERIOD;
+            let now = shared.clock.now();
+            let Some(planner) = planner.as_mut().filter(|_| term.allows_orders(now)) else {
                 continue;
             };
             if shared.has_traffic.load(Ordering::Relaxed) {
                 planner.note_traffic();
             }
-            let mut actions = match &quiet {
-                Some(leader) => planner.note_quiet(leader, now),
-                None => Vec::new(),
-            };
-            actions.extend(planner.step(now));
+            for action in planner.step(now) {
+                running.push(self.carry_out(action));
+            }
             if planner.is_fenced() {
                 log::warn!("event=coordinator_fenced fence={}", term.fence);
                 break;
             }
-            for action in actions {
-                let (store, control) = (Rc::clone(&self.store), Rc::clone(&control));
-                running.push(act(store, control, action));
-            }
         }
         log::info!("event=coordinator_ends reason=lease");
     }
 
+    /// The questions to a group at whose leader requests stand still.
+    fn doubt(
+        &self,
+        term: &LeadTerm,
+        planner: Option<&mut GroupPlanner>,
+        leader: Option<UpstreamId>,
+    ) -> Vec<GroupAction> {
+        let now = self.shared.clock.now();
+        let planner = planner.filter(|_| term.allows_orders(now));
+        match (planner, leader) {
+            (Some(planner), Some(leader)) => planner.note_quiet(&leader, now),
+            _ => Vec::new(),
+        }
+    }
+
+    fn carry_out(
+        &self,
+        action: GroupAction,
+    ) -> impl Future<Output = DoneAction> + use<Store, Control> {
+        act(Rc::clone(&self.store), Rc::clone(&self.control), action)
+    }
+
     /// Renews the lease. False when it is lost.
     async fn renew(&self, term: &mut LeadTerm) -> bool {
         let began = self.shared.clock.now();
@@ -271,6 +307,18 @@
     }
 }
 
+/// How long this VM leaves the place to those before it: the ones with the most processor first, as
+/// the coordinator has the most to do, and else in an order that is new for each term. VMs that are
+/// not known yet, as at the first start, all count as the first: their waits are drawn.
+fn takeover_wait(view: &ClusterView, site: &VmSite) -> Millis {
+    let order = |millicores: u32, vm: &str| (millicores, rendezvous_score(view.term, vm));
+    let own = order(site.millicores, site.vm.as_str());
+    let entries = view.entries.values();
+    let before = entries.filter(|entry| order(entry.millicores, &entry.vm) > own);
+    let drawn = rand::rng().random_range(0..TAKEOVER_STEP.0);
+    Millis(TAKEOVER_STEP.0 * before.count() as u64 + drawn)
+}
+
 fn engine_service(view: &ClusterView) -> Option<(ServiceName, EngineSpec)> {
     let services = view.config.as_ref()?.services.values();
     let mut engines = services.filter_map(|spec| {
--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Notes that the store came back at this moment.
+    pub(crate) fn note_return(&mut self, at: Millis) {
+        self.returned_at = self.returned_at.max(Some(at));
+    }
+
     /// Takes an entry out, at once or when it has had time to come back after an outage.
     pub(crate) fn remove_upstream(&mut self, id: &UpstreamId, now: Millis) {
         let grace_end = self.returned_at.map(|at| at + LAPSE_GRACE);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod logs;
 pub mod metrics;
 pub mod own_keys;
-pub mod peer;
 pub mod shared;
 mod sync;
 pub mod view;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,8 @@
     pub event_gap: HistogramVec,
     /// Calls to the store by call and outcome.
     pub store_calls: IntCounterVec,
+    /// Questions to peers for changes of the store, by outcome.
+    pub news: IntCounterVec,
     /// Orders to upstreams by order and outcome.
     pub orders: IntCounterVec,
     /// Numbers of state by name.
@@ -80,6 +82,11 @@
                 "Calls to the store by call and outcome",
                 &["call", "outcome"],
             ),
+            news: counter(
+                "bergamot_news_total",
+                "Questions to peers for changes of the store, by outcome",
+                &["outcome"],
+            ),
             orders: counter(
                 "bergamot_orders_total",
                 "Orders to upstreams by order and outcome",
--- a/crates/gateway/src/own_keys.rs
+++ b/crates/gateway/src/own_keys.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bergamot_ports::VmSite;
 use bergamot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -36,11 +37,25 @@
 pub struct EntryRecord {
     /// The VM's name.
     pub vm: String,
-    /// Where its peers send datagrams.
+    /// Where its peers send datagrams, and ask for news.
     pub peer_addr: SocketAddr,
+    /// Where it can be cut off.
+    pub failure_domain: FailureDomain,
+    /// Thousandths of a core that it may use.
+    pub millicores: u32,
 }
 
 impl EntryRecord {
+    /// The record of the VM that runs at `site`.
+    pub fn of(site: &VmSite) -> Self {
+        Self {
+            vm: site.vm.to_string(),
+            peer_addr: site.peer_addr,
+            failure_domain: site.failure_domain.clone(),
+            millicores: site.millicores,
+        }
+    }
+
     /// The record as it is kept.
     pub fn to_bytes(&self) -> Vec<u8> {
         postcard::to_stdvec(self).unwrap_or_else(|error| {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -107,6 +107,11 @@
         self.config_age(now) < bound.since(CONFIRM_MARGIN)
     }
 
+    /// Whether some VM coordinates the groups.
+    pub fn has_coordinator(&self) -> bool {
+        self.view.load().coordinator.is_some()
+    }
+
     /// Whether the process is stopping.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
--- /dev/null
+++ b/crates/gateway/src/sync/board.rs
@@ -0,0 +1,44 @@
+//! What this VM can tell its peers about the store.
+
+use bergamot_news::{Freshness, NewsTable};
+use bergamot_peer::{NewsAnswer, NewsQuestion, StoreNews};
+use bergamot_types::prelude::*;
+
+/// Changes to pass on, and how recent they are.
+#[derive(Debug, Default)]
+pub(crate) struct NewsBoard {
+    /// The changes.
+    pub(crate) table: NewsTable,
+    /// How recent what is known is.
+    pub(crate) freshness: Freshness,
+    /// The revision of the configuration; 0 before the first.
+    pub(crate) config_revision: u64,
+    /// Whether the changes come from a peer.
+    pub(crate) is_relayed: bool,
+    /// When the store last came back from an outage.
+    pub(crate) returned_at: Option<Millis>,
+}
+
+impl NewsBoard {
+    /// Answers a peer at `now`, when the configuration was confirmed `config_age` ago.
+    pub(crate) fn answer(
+        &self,
+        question: &NewsQuestion,
+        now: Millis,
+        config_age: Millis,
+    ) -> NewsAnswer {
+        let Some(slice) = self.table.since(question.after) else {
+            return NewsAnswer::Forgotten;
+        };
+        NewsAnswer::Changes(StoreNews {
+            changes: slice.changes,
+            revision: slice.revision,
+            has_more: slice.has_more,
+            is_relayed: self.is_relayed,
+            age: self.freshness.age(now),
+            config_revision: self.config_revision,
+            config_age,
+            since_return: self.returned_at.map(|at| now.since(at)),
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sync/own.rs
@@ -0,0 +1,69 @@
+//! Keeps this VM's own key in the store alive.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bergamot_ports::{KeyWrite, StateStore, StoreTxn, TxnOutcome};
+
+use super::count_call;
+use crate::own_keys::{ENTRY_PREFIX, EntryRecord};
+use crate::shared::SharedState;
+
+/// How long the key of an entry VM outlives its last renewal.
+const ENTRY_TTL: Duration = Duration::from_secs(6);
+/// Time between two renewals: two may fail.
+const RENEW_PERIOD: Duration = Duration::from_millis(1_900);
+
+/// Writes the key and renews its lease until the process stops.
+pub(crate) async fn keep_own_key<Store>(shared: Arc<SharedState>, store: Rc<Store>)
+where
+    Store: StateStore,
+{
+    let mut lease = None;
+    while !shared.is_stopping() {
+        lease = match lease {
+            Some(id) => renew(&shared, store.as_ref(), id).await,
+            None => register(&shared, store.as_ref()).await,
+        };
+        tokio::time::sleep(RENEW_PERIOD).await;
+    }
+}
+
+/// Renews the lease. None when it has ended.
+async fn renew<Store>(shared: &SharedState, store: &Store, lease: u64) -> Option<u64>
+where
+    Store: StateStore,
+{
+    let outcome = store.renew_lease(lease).await;
+    count_call(shared, "renew", outcome.as_ref().err());
+    (!matches!(outcome, Ok(false))).then_some(lease)
+}
+
+/// Writes the key under a new lease. None when that failed.
+async fn register<Store>(shared: &SharedState, store: &Store) -> Option<u64>
+where
+    Store: StateStore,
+{
+    let opened = store.open_lease(ENTRY_TTL).await;
+    count_call(shared, "lease", opened.as_ref().err());
+    let lease = opened.ok()?;
+    let site = &shared.site;
+    let txn = StoreTxn {
+        writes: vec![KeyWrite {
+            key: format!("{ENTRY_PREFIX}{}", site.vm),
+            value: EntryRecord::of(site).to_bytes(),
+            lease,
+        }],
+        ..StoreTxn::default()
+    };
+    let outcome = store.commit(&txn).await;
+    count_call(shared, "register", outcome.as_ref().err());
+    match outcome {
+        Ok(TxnOutcome::Done(_)) => Some(lease),
+        other => {
+            log::info!("event=not_registered outcome={other:?}");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sync/peers.rs
@@ -0,0 +1,163 @@
+//! Learns changes of the store from peers.
+
+use std::cmp::Ordering;
+use std::time::Duration;
+
+use bergamot_news::PeerPlace;
+use bergamot_peer::{NewsAnswer, NewsQuestion, StoreNews};
+use bergamot_ports::{StateStore, StoreCatalog};
+use bergamot_types::prelude::*;
+use tokio::time::Instant;
+
+use super::{CONFIRM_PERIOD, SyncDuty};
+
+/// Time between two questions. Changes are known here within it and the reader's own pause, a
+/// fraction of the time in which a leaving upstream must get no new work.
+pub(super) const ASK_PERIOD: Duration = Duration::from_millis(250);
+
+/// The oldest news that counts: the time between two confirmations at the reader and its pause. With
+/// the time between two questions it stays below the two seconds in which a leaving upstream must
+/// get no new work.
+const MAX_AGE: Millis = Millis(1_300);
+
+/// Why a peer's answer does not count.
+#[derive(Debug, thiserror::Error)]
+enum NewsError {
+    #[error("{0}")]
+    NoAnswer(#[from] bergamot_peer::Error),
+    #[error("its news is {0} old")]
+    Stale(Millis),
+    #[error("it has its news from another peer")]
+    Relayed,
+    #[error("it does not know what happened since")]
+    Forgotten,
+    #[error("its address is not known")]
+    NoAddress,
+}
+
+impl<Store, Catalog> SyncDuty<Store, Catalog>
+where
+    Store: StateStore + 'static,
+    Catalog: StoreCatalog,
+{
+    /// Ranks the peers anew, by the entry VMs that are known.
+    pub(super) fn rank_peers(&mut self) {
+        let site = &self.shared.site;
+        let own = PeerPlace {
+            vm: site.vm.to_string(),
+            failure_domain: site.failure_domain.clone(),
+            millicores: site.millicores,
+        };
+        let peers = self.known.entries.values().map(|entry| PeerPlace {
+            vm: entry.vm.clone(),
+            failure_domain: entry.failure_domain.clone(),
+            millicores: entry.millicores,
+        });
+        self.ranking.rank(peers, &own);
+    }
+
+    /// Asks these peers, one after another. False when none of them has fresh news.
+    pub(super) async fn ask_peers(&mut self, peers: &[String]) -> bool {
+        for vm in peers {
+            let Err(error) = self.ask_peer(vm).await else {
+                self.note_source(vm);
+                return true;
+            };
+            log::info!("event=news_not_usable peer={vm} reason=\"{error}\"");
+            self.shared
+                .metrics
+                .news
+                .with_label_values(&["failed"])
+                .inc();
+            if !matches!(error, NewsError::Forgotten) {
+                let now = self.shared.clock.now();
+                self.ranking.note_failure(vm, self.known.is_away, now);
+            }
+        }
+        false
+    }
+
+    /// Asks one peer until it has nothing more to tell.
+    async fn ask_peer(&mut self, vm: &str) -> Result<(), NewsError> {
+        let entry = self.known.entries.get(vm);
+        let addr = entry.ok_or(NewsError::NoAddress)?.peer_addr;
+        let mut has_changes = false;
+        loop {
+            let asked_at = self.shared.clock.now();
+            let question = NewsQuestion {
+                after: self.known.revision.unwrap_or(0),
+            };
+            let news = match self.caller.ask(addr, question).await? {
+                NewsAnswer::Changes(news) => news,
+                NewsAnswer::Forgotten => return Err(NewsError::Forgotten),
+            };
+            // Only a VM that cannot read the store itself makes do with a peer that cannot either:
+            // else some peer that can would stop reading it.
+            if news.is_relayed && !self.known.is_away {
+                return Err(NewsError::Relayed);
+            }
+            let age = self.shared.clock.now().since(asked_at) + news.age;
+            if age > MAX_AGE {
+                return Err(NewsError::Stale(age));
+            }
+            self.shared
+                .metrics
+                .news
+                .with_label_values(&["answered"])
+                .inc();
+            let has_more = news.has_more;
+            has_changes |= !news.changes.is_empty();
+            self.take_news(news, asked_at).await;
+            if !has_more {
+                break;
+            }
+        }
+        if has_changes {
+            self.publish();
+        }
+        Ok(())
+    }
+
+    /// Takes over what a peer told when it was asked at `asked_at`. Its ages count from then, which
+    /// makes them too old rather than too young.
+    async fn take_news(&mut self, news: StoreNews, asked_at: Millis) {
+        self.note_success();
+        if let Some(since) = news.since_return {
+            let returned_at = Millis(asked_at.0.saturating_sub(since.0));
+            self.known.note_return(returned_at);
+        }
+        let now = self.shared.clock.now();
+        for change in news.changes {
+            self.note_change(change, now);
+        }
+        let fresh_at = Millis(asked_at.0.saturating_sub(news.age.0));
+        let is_whole = !news.has_more;
+        self.reach(news.revision);
+        if is_whole {
+            self.board.borrow_mut().freshness.note_fresh(fresh_at);
+        }
+        match news.config_revision.cmp(&self.known.config_revision) {
+            Ordering::Greater => self.confirm_when_due().await,
+            Ordering::Equal if self.known.config.is_some() => {
+                let confirmed_at = asked_at.0.saturating_sub(news.config_age.0);
+                self.shared.note_confirmed(Millis(confirmed_at));
+            }
+            // The peer lags behind: it confirms nothing.
+            _ => {}
+        }
+    }
+
+    /// Reads a configuration that a peer has heard of.
+    async fn confirm_when_due(&mut self) {
+        if self.has_failed_confirm && Instant::now() < self.confirm_at {
+            return;
+        }
+        let outcome = self.confirm().await;
+        self.has_failed_confirm = outcome.is_err();
+        if let Err(error) = outcome {
+            log::warn!("event=config_not_read reason={error:?}");
+            self.store.reset();
+            self.confirm_at = Instant::now() + CONFIRM_PERIOD;
+        }
+    }
+}
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -42,6 +42,8 @@
     Gone,
     /// No answer.
     Silent,
+    /// No answer, but this process stood still while it waited: that says nothing of the upstream.
+    Unheard,
 }
 
 /// The coordinator of the replica groups of one service.
@@ -248,8 +250,8 @@
                 }
             }
             OrderOutcome::Gone => track.is_gone = true,
-            OrderOutcome::Unknown(_) => {
-                track.silent += 1;
+            OrderOutcome::Unknown(_) | OrderOutcome::Unheard => {
+                track.silent += u32::from(*outcome != OrderOutcome::Unheard);
                 track.orders_begun = None;
                 track.staging = None;
             }
@@ -283,6 +285,7 @@
             }
             AskOutcome::Gone => track.is_gone = true,
             AskOutcome::Silent => track.silent += 1,
+            AskOutcome::Unheard => {}
         }
     }
 
--- a/crates/groups/tests/decisions.rs
+++ b/crates/groups/tests/decisions.rs
@@ -252,6 +252,29 @@
     planner.note_report(&id, &AskOutcome::Silent, now + Millis(60));
 }
 
+/// A coordinator that had no processor time for the answers must not take its groups for lost.
+#[test]
+fn a_coordinator_that_stood_still_suspects_nobody() {
+    let ups = [
+        member("u1", "a.7", 0, MemberState::Open),
+        member("u2", "a.7", 1, MemberState::Ready),
+    ];
+    let mut planner = planner();
+    show(&ups, &mut planner);
+    for round in 0..4 {
+        let now = NOW + Millis(round * 1_000);
+        planner.note_quiet(&UpstreamId::new("u1"), now);
+        for id in ["u1", "u2"] {
+            planner.note_report(&UpstreamId::new(id), &AskOutcome::Unheard, now);
+        }
+        let actions = planner.step(now + Millis(60));
+        let orders = actions
+            .iter()
+            .filter(|it| matches!(it, GroupAction::Order(_)));
+        assert_eq!(orders.count(), 0, "{actions:?}");
+    }
+}
+
 #[test]
 fn members_of_a_leader_that_does_not_answer_are_held() {
     let ups = [
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,7 +8,11 @@
 pub mod datagram;
 pub mod frame;
 pub mod message;
+pub mod news;
+pub mod notice;
 
 pub use datagram::{Datagram, DemandFact, EvidenceFact, MAX_DATAGRAM_BYTES};
 pub use frame::{Error, decode, encode, read_frame, write_frame};
 pub use message::{Answer, GroupsEntry, Question};
+pub use news::{NewsAnswer, NewsQuestion, StoreNews};
+pub use notice::PeerNotice;
--- /dev/null
+++ b/crates/peer/src/news.rs
@@ -0,0 +1,43 @@
+//! What entry VMs ask each other about changes of the store.
+
+use bergamot_ports::StoreEvent;
+use bergamot_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// A question for changes.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct NewsQuestion {
+    /// The asker knows everything up to this revision.
+    pub after: u64,
+}
+
+/// The answer to a [`NewsQuestion`].
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum NewsAnswer {
+    /// The changes that the asker lacks.
+    Changes(StoreNews),
+    /// The asker lacks changes that are forgotten here.
+    Forgotten,
+}
+
+/// Changes, and how recent the answerer's knowledge is. Ages are taken when it answers, so the
+/// asker may count them from the moment it asked.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct StoreNews {
+    /// The latest change of each key, in order; the configuration is left out, as it may be large.
+    pub changes: Vec<StoreEvent>,
+    /// The revision that the asker knows everything up to with them.
+    pub revision: u64,
+    /// Whether there are more.
+    pub has_more: bool,
+    /// Whether the answerer has them from another peer.
+    pub is_relayed: bool,
+    /// How long ago a call to the store began that showed nothing newer.
+    pub age: Millis,
+    /// The revision of the configuration.
+    pub config_revision: u64,
+    /// How long ago a call to the store began that showed this configuration as the newest.
+    pub config_age: Millis,
+    /// How long ago the store came back from an outage, if it was away.
+    pub since_return: Option<Millis>,
+}
--- a/crates/ports/src/control.rs
+++ b/crates/ports/src/control.rs
@@ -1,6 +1,7 @@
 //! Reports of upstreams and orders to them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bergamot_types::prelude::*;
 
@@ -131,6 +132,8 @@
     Gone,
     /// No answer: it may have begun, or may yet.
     Unknown(String),
+    /// The same, but this process stood still while it waited: that says nothing of the upstream.
+    Unheard,
 }
 
 /// Why there is no report.
@@ -150,6 +153,11 @@
 /// A client of the upstreams' control side. One call each, no retries.
 #[allow(async_fn_in_trait)]
 pub trait UpstreamControl {
+    /// Time for a report.
+    const REPORT_TIME: Duration;
+    /// Time for the answer to an order.
+    const ORDER_TIME: Duration;
+
     /// Asks for a report.
     ///
     /// # Errors
--- a/crates/ports/src/site.rs
+++ b/crates/ports/src/site.rs
@@ -37,7 +37,9 @@
     pub ready_addr: SocketAddr,
     /// Where metrics are served.
     pub metrics_addr: SocketAddr,
-    /// Where peers send datagrams.
+    /// Thousandths of a core that this VM may use.
+    pub millicores: u32,
+    /// Where peers send datagrams, and ask for news by connections.
     pub peer_addr: SocketAddr,
     /// The bounds in force.
     pub bounds: ServingBounds,
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// A key with its value.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct StoreItem {
     /// The key.
     pub key: String,
@@ -14,7 +16,7 @@
 }
 
 /// One change that a watch reports.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum StoreEvent {
     /// The key was written.
     Written(StoreItem),
@@ -27,6 +29,32 @@
     },
 }
 
+impl StoreEvent {
+    /// The key.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Written(item) => &item.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+
+    /// The store's revision of the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Written(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
+
+    /// Bytes of the value; a removal has none.
+    pub fn value_len(&self) -> usize {
+        match self {
+            Self::Written(item) => item.value.len(),
+            Self::Removed { .. } => 0,
+        }
+    }
+}
+
 /// All items below a prefix.
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
 pub struct StoreRange {
