perf: groups out of reach are left alone; the first groups wait for the directory

Change: members that are silent themselves are not ordered, nor held for; and before a member that came back is ordered, its leader is asked once more. Cause 2: the first groups were formed from the first upstreams listed: too few in a fabric domain for groups of 16, so small groups took the hosts of whole fabric domains, 14 of 24 in the failure domain that is cut off later. Change: at the first start, before requests come in, groups are formed once the directory has been quiet for 0.7 s, 4 s at most. Also: the gap between two looks was not kept (it was taken from the moment that it had just moved); a group's end says which member is dead, or how many are missing.

Tests, failing before: a_group_that_is_out_of_reach_is_left_alone, the_first_groups_wait_for_the_directory. The randomised model and its wrong decisions pass.

--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -209,10 +209,9 @@
         let mut planner: Option<GroupPlanner> = None;
         let mut running = FuturesUnordered::new();
         let mut buffer = [0_u8; MAX_DATAGRAM_BYTES];
-        let mut step_at = Instant::now();
+        let mut soon = Instant::now();
+        let mut step_at = soon;
         loop {
-            let earliest = step_at.checked_sub(STEP_PERIOD - STEP_GAP);
-            let soon = earliest.unwrap_or(step_at);
             tokio::select! {
                 biased;
                 _ = renewals.tick() => {
@@ -248,6 +247,7 @@
             if Instant::now() < step_at {
                 continue;
             }
+            soon = Instant::now() + STEP_GAP;
             step_at = Instant::now() + STEP_PERIOD;
             let now = shared.clock.now();
             let Some(planner) = planner.as_mut().filter(|_| term.allows_orders(now)) else {
--- a/crates/groups/src/assign.rs
+++ b/crates/groups/src/assign.rs
@@ -22,6 +22,9 @@
         free: &[UpstreamId],
         actions: &mut Vec<GroupAction>,
     ) {
+        if !self.is_settled(now) {
+            return;
+        }
         let mut pools: IndexMap<FabricDomain, FreePool<'_>> = IndexMap::new();
         for track in self.tracks.values().filter(|track| track.is_listed) {
             let Some(fabric) = &track.entry.fabric else {
@@ -81,6 +84,14 @@
         }
     }
 
+    /// Whether enough of the directory is known to share the upstreams out. Only the first start
+    /// waits for that, and not once requests come in.
+    fn is_settled(&self, now: Millis) -> bool {
+        let is_quiet = now.since(self.listed_at) >= self.options.settle_time;
+        let is_late = now.since(self.began) >= self.options.settle_limit;
+        !self.is_first || self.has_traffic || is_quiet || is_late
+    }
+
     /// Whether the weight store's rate allows one more load to begin.
     pub(crate) fn has_load_rate(&mut self, now: Millis) -> bool {
         while self
--- a/crates/groups/src/give.rs
+++ b/crates/groups/src/give.rs
@@ -7,7 +7,7 @@
 use crate::track::GivenOrder;
 
 /// Time between an unanswered question and the next one, while a group may be standing still.
-const SECOND_QUESTION: Millis = Millis(50);
+pub(crate) const SECOND_QUESTION: Millis = Millis(50);
 
 impl GroupPlanner {
     /// Gives an order unless one is on its way, or the same was given a moment ago.
--- a/crates/groups/src/options.rs
+++ b/crates/groups/src/options.rs
@@ -18,6 +18,12 @@
     pub silent_limit: u32,
     /// One in so many upstreams of a fabric domain is kept free for repairs.
     pub spare_divisor: usize,
+    /// At the first start, time without a new upstream in the directory after which groups are formed.
+    /// Of those that are listed first, only small groups could be formed, and all in the same
+    /// failure domain. A little less than the time between two of an upstream's own writes.
+    pub settle_time: Millis,
+    /// The longest such wait: what is listed by then is used.
+    pub settle_limit: Millis,
     /// Time after which an incomplete group that is being formed is given up.
     pub forming_limit: Millis,
 }
@@ -38,6 +44,8 @@
             ask_again: Millis(1_000),
             silent_limit: 2,
             spare_divisor: 5,
+            settle_time: Millis(700),
+            settle_limit: Millis(4_000),
             forming_limit: Millis(8_000),
         }
     }
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -58,6 +58,10 @@
     pub(crate) is_first: bool,
     /// Whether requests come in.
     pub(crate) has_traffic: bool,
+    /// When it took over.
+    pub(crate) began: Millis,
+    /// When an upstream was last listed for the first time.
+    pub(crate) listed_at: Millis,
     /// Upstreams that an earlier coordinator held, and until when they are not used.
     pub(crate) inherited: IndexSet<UpstreamId>,
     pub(crate) inherited_until: Millis,
@@ -85,6 +89,8 @@
         now: Millis,
     ) -> Self {
         Self {
+            began: now,
+            listed_at: now,
             inherited_until: now + options.hold_time(),
             inherited,
             load_starts: VecDeque::new(),
@@ -124,6 +130,7 @@
         for track in self.tracks.values_mut() {
             track.is_listed = false;
         }
+        let known = self.tracks.len();
         let mut listed: IndexMap<SocketAddr, &UpstreamId> = IndexMap::new();
         let mut left: Vec<(UpstreamId, GroupKey)> = Vec::new();
         for entry in entries {
@@ -162,6 +169,9 @@
                 track.staging = None;
             }
         }
+        if self.tracks.len() > known {
+            self.listed_at = now;
+        }
         for (id, key) in left {
             self.hold_if_standing(&id, &key, now);
         }
@@ -273,6 +283,7 @@
         match outcome {
             AskOutcome::Answered(report) => {
                 track.silent = 0;
+                track.heard_at = now;
                 track.orders_begun = Some(report.orders_begun);
                 let is_loading = report.is_busy && report.membership.is_none();
                 if is_loading && track.staging.is_none() {
@@ -284,7 +295,10 @@
                 }
             }
             AskOutcome::Gone => track.is_gone = true,
-            AskOutcome::Silent => track.silent += 1,
+            AskOutcome::Silent => {
+                track.silent += 1;
+                track.silent_at = now;
+            }
             AskOutcome::Unheard => {}
         }
     }
--- a/crates/groups/src/step.rs
+++ b/crates/groups/src/step.rs
@@ -5,15 +5,18 @@
 use indexmap::IndexMap;
 
 use crate::forming::FormingStep;
+use crate::give::SECOND_QUESTION;
 use crate::planner::{GroupAction, GroupPlanner};
 use crate::track::UpstreamTrack;
 use crate::view::{GroupKey, GroupView, collect_groups, group_model};
 
 /// Why a group cannot go on as it is.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq, Debug)]
 pub(crate) enum GroupLoss {
-    /// A member is dead, or has left.
-    Lost,
+    /// This member is dead.
+    Dead(UpstreamId),
+    /// So many members are not in it any more.
+    Missing(usize),
     /// A member is leaving.
     Leaving,
 }
@@ -178,13 +181,17 @@
 
     /// What a group lacks, if anything.
     pub(crate) fn loss(&self, key: &GroupKey, group: &GroupView, size: usize) -> Option<GroupLoss> {
-        let is_lost = group.members.iter().any(|(_, id, _)| self.is_dead(id));
+        let mut members = group.members.iter().map(|(_, id, _)| id);
+        if let Some(dead) = members.find(|id| self.is_dead(id)) {
+            return Some(GroupLoss::Dead(dead.clone()));
+        }
         // A member that fell out of the directory but still answers is only cut off from it.
         let unlisted = self.tracks.values().filter(|track| {
             !track.is_listed && track.is_in(&key.0, key.1) && !self.is_dead(&track.entry.id)
         });
-        if is_lost || group.members.len() + unlisted.count() < size {
-            return Some(GroupLoss::Lost);
+        let left = group.members.len() + unlisted.count();
+        if left < size {
+            return Some(GroupLoss::Missing(size - left));
         }
         let is_leaving = |id: &UpstreamId| {
             let track = self.tracks.get(id);
@@ -227,21 +234,29 @@
         }
         // The leader may live and serve out of our sight. With a member gone it stands still, and
         // breaks when the stall time is over; until then nobody of the group is used again.
+        let silent_at = track.map(|track| track.silent_at);
         let members: Vec<UpstreamId> = members.cloned().collect();
-        let held = self.holds.entry(key.0.clone()).or_default();
-        // A member may come back to the directory when others were held already.
-        let is_news = members.iter().any(|id| !held.asked.contains(id));
-        if is_news {
-            held.asked.extend(members.iter().cloned());
-            actions.push(GroupAction::Hold {
-                group: key.0.clone(),
-                members: held.asked.iter().cloned().collect(),
-            });
+        let others = members.iter().filter(|id| Some(*id) != leader.as_ref());
+        // With all of them silent it is we who are cut off, and the group may be whole: its members
+        // are left alone then.
+        let reached: Vec<UpstreamId> = others.filter(|id| !self.is_dead(id)).cloned().collect();
+        if reached.is_empty() {
+            return;
         }
-        let kept = held.kept.clone();
+        self.keep_hold(&key.0, &members, actions);
+        // The leader may be back as well, if one of them was heard of after it was last silent.
+        let is_outdated = |id: &UpstreamId| {
+            let heard_at = self.tracks.get(id).map(|it| it.heard_at);
+            silent_at.is_some() && heard_at > silent_at
+        };
+        if reached.iter().any(is_outdated) {
+            actions.extend(leader.and_then(|leader| self.ask(&leader, now, SECOND_QUESTION)));
+            return;
+        }
+        let kept = self.holds.get(&key.0).map(|held| held.kept.clone());
+        let kept = kept.unwrap_or_default();
         let hold = now + self.options.hold_time();
-        let others = members.iter().filter(|id| Some(*id) != leader.as_ref());
-        for id in others.filter(|id| kept.contains(*id)) {
+        for id in reached.iter().filter(|id| kept.contains(*id)) {
             let order = GroupOrder::Leave {
                 group: key.0.clone(),
                 epoch: key.1,
@@ -252,4 +267,23 @@
             }
         }
     }
+
+    /// Has the members of a group held where a later coordinator finds them.
+    fn keep_hold(
+        &mut self,
+        group: &GroupId,
+        members: &[UpstreamId],
+        actions: &mut Vec<GroupAction>,
+    ) {
+        let held = self.holds.entry(group.clone()).or_default();
+        // A member may come back to the directory when others were held already.
+        if members.iter().all(|id| held.asked.contains(id)) {
+            return;
+        }
+        held.asked.extend(members.iter().cloned());
+        actions.push(GroupAction::Hold {
+            group: group.clone(),
+            members: held.asked.iter().cloned().collect(),
+        });
+    }
 }
--- a/crates/groups/src/track.rs
+++ b/crates/groups/src/track.rs
@@ -28,6 +28,10 @@
     pub asked_at: Option<Millis>,
     /// Questions and orders in a row that it did not answer.
     pub silent: u32,
+    /// When it last answered a question.
+    pub heard_at: Millis,
+    /// When a question to it was last in vain.
+    pub silent_at: Millis,
     /// Whether its process is known to be gone.
     pub is_gone: bool,
     /// The model of its last group: it joins that one again almost at once.
@@ -48,6 +52,8 @@
             is_asked: false,
             asked_at: None,
             silent: 0,
+            heard_at: Millis::ZERO,
+            silent_at: Millis::ZERO,
             is_gone: false,
             warm_model: None,
             staging: None,
--- a/crates/groups/tests/decisions.rs
+++ b/crates/groups/tests/decisions.rs
@@ -330,6 +330,50 @@
     );
 }
 
+/// A failure domain that is cut off goes on by itself: when it is back its groups are whole.
+#[test]
+fn a_group_that_is_out_of_reach_is_left_alone() {
+    let ups = [
+        member("u1", "a.7", 0, MemberState::Open),
+        member("u2", "a.7", 1, MemberState::Ready),
+    ];
+    let (leader, other) = (UpstreamId::new("u1"), UpstreamId::new("u2"));
+    let mut planner = planner();
+    show(&ups, &mut planner);
+    for id in [&leader, &other] {
+        quiet(&mut planner, id.as_str(), NOW);
+    }
+    for round in 0..20 {
+        let actions = planner.step(NOW + Millis(100 + 500 * round));
+        let has_more = actions.iter().any(|it| !matches!(it, GroupAction::Ask(_)));
+        assert!(!has_more, "round {round}: {actions:?}");
+    }
+    // The member is heard of first: the leader is asked once more before anybody leaves.
+    let now = NOW + Millis(12_000);
+    let report = AskOutcome::Answered(UpstreamReport::default());
+    planner.note_report(&other, &report, now);
+    planner.note_hold(&GroupId::new("a.7"), &[leader.clone(), other], true);
+    let actions = planner.step(now);
+    assert_eq!(orders(&actions), Vec::<String>::new(), "{actions:?}");
+    planner.note_report(&leader, &report, now + Millis(100));
+    let actions = planner.step(now + Millis(100));
+    assert_eq!(orders(&actions), Vec::<String>::new(), "{actions:?}");
+}
+
+/// What is listed first at the first start decides nothing: small groups would take all hosts of
+/// the first fabric domains.
+#[test]
+fn the_first_groups_wait_for_the_directory() {
+    let options = GroupOptions::default();
+    let settle = options.settle_time;
+    let mut planner = GroupPlanner::new(options, spec(), 20, true, IndexSet::new(), NOW);
+    show(&[up("u1", Some("a")), up("u2", Some("a"))], &mut planner);
+    let early = planner.step(NOW + settle.since(Millis(1)));
+    assert_eq!(orders(&early), Vec::<String>::new());
+    let late = planner.step(NOW + settle);
+    assert!(!orders(&late).is_empty());
+}
+
 #[test]
 fn a_member_that_left_by_a_late_order_is_held_while_its_leader_is_open() {
     let open = member("u1", "a.7", 0, MemberState::Open);
