perf: a silent member is lost when requests stand still

Their reports ran out of time, so they counted as dead and their groups were ended, though requests moved there: six groups of 16 fell to three. Ruled out: a coordinator without processor time (no question came back late). Change: a member that does not answer is lost for its group when requests stand still at the leader after it went silent, when another run is at its address, or when a dead one would have broken the group by then (the stall time).

Test, failing before: a_silent_member_is_lost_when_requests_stand_still (five cases).

--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -209,11 +209,11 @@
 
     /// Hears that requests at this leader stand still.
     pub fn note_quiet(&mut self, leader: &UpstreamId, now: Millis) -> Vec<GroupAction> {
-        let membership = self
-            .tracks
-            .get(leader)
-            .and_then(|track| track.entry.membership.clone());
-        let Some(membership) = membership else {
+        let Some(track) = self.tracks.get_mut(leader) else {
+            return Vec::new();
+        };
+        track.quiet_at = Some(now);
+        let Some(membership) = track.entry.membership.clone() else {
             return Vec::new();
         };
         let members: Vec<UpstreamId> = self
@@ -283,6 +283,7 @@
         match outcome {
             AskOutcome::Answered(report) => {
                 track.silent = 0;
+                track.silent_since = None;
                 track.heard_at = now;
                 track.orders_begun = Some(report.orders_begun);
                 let is_loading = report.is_busy && report.membership.is_none();
@@ -298,6 +299,7 @@
             AskOutcome::Silent => {
                 track.silent += 1;
                 track.silent_at = now;
+                track.silent_since.get_or_insert(now);
             }
             AskOutcome::Unheard => {}
         }
--- a/crates/groups/src/step.rs
+++ b/crates/groups/src/step.rs
@@ -129,7 +129,7 @@
             self.step_leaderless(now, key, group, free, actions);
             return;
         };
-        let loss = self.loss(key, group, size);
+        let loss = self.loss(now, key, group, size);
         match (state, loss) {
             (MemberState::Broken, _) => {
                 free.extend(group.members.iter().map(|(_, id, _)| id.clone()));
@@ -143,9 +143,10 @@
                 };
                 self.give(now, leader, order, actions);
             }
-            (_, _) if self.is_dead(leader) => {
+            (_, _) if self.is_lost(now, leader, leader) => {
                 self.step_leaderless(now, key, group, free, actions);
             }
+            (_, _) if self.is_dead(leader) => {}
             (MemberState::Open, Some(GroupLoss::Leaving)) => {
                 let order = GroupOrder::Close {
                     group: key.0.clone(),
@@ -180,16 +181,25 @@
     }
 
     /// What a group lacks, if anything.
-    pub(crate) fn loss(&self, key: &GroupKey, group: &GroupView, size: usize) -> Option<GroupLoss> {
-        let mut members = group.members.iter().map(|(_, id, _)| id);
-        if let Some(dead) = members.find(|id| self.is_dead(id)) {
+    pub(crate) fn loss(
+        &self,
+        now: Millis,
+        key: &GroupKey,
+        group: &GroupView,
+        size: usize,
+    ) -> Option<GroupLoss> {
+        let members = group.members.iter().map(|(_, id, _)| id);
+        // Those that fell out of the directory are members all the same, until they are lost.
+        let unlisted = self.tracks.values();
+        let unlisted = unlisted.filter(|it| !it.is_listed && it.is_in(&key.0, key.1));
+        let unlisted: Vec<&UpstreamId> = unlisted.map(|it| &it.entry.id).collect();
+        let mut all = members.chain(unlisted.iter().copied());
+        let leader = group.leader().map(|(leader, _)| leader);
+        let is_lost = |id: &&UpstreamId| self.is_lost(now, id, leader.unwrap_or(id));
+        if let Some(dead) = all.find(is_lost) {
             return Some(GroupLoss::Dead(dead.clone()));
         }
-        // A member that fell out of the directory but still answers is only cut off from it.
-        let unlisted = self.tracks.values().filter(|track| {
-            !track.is_listed && track.is_in(&key.0, key.1) && !self.is_dead(&track.entry.id)
-        });
-        let left = group.members.len() + unlisted.count();
+        let left = group.members.len() + unlisted.len();
         if left < size {
             return Some(GroupLoss::Missing(size - left));
         }
@@ -208,6 +218,21 @@
         track.is_none_or(|track| track.is_gone || track.silent >= limit)
     }
 
+    /// Whether a member of the group that `leader` leads is lost for it. One that only does not answer
+    /// us may be cut off from us and work in its group: it is lost when requests stand still at the
+    /// leader since then, or when the group must have broken if it is dead.
+    fn is_lost(&self, now: Millis, id: &UpstreamId, leader: &UpstreamId) -> bool {
+        let Some(track) = self.tracks.get(id).filter(|_| self.is_dead(id)) else {
+            return !self.tracks.contains_key(id);
+        };
+        let Some(since) = track.silent_since.filter(|_| !track.is_gone) else {
+            return true;
+        };
+        let quiet_at = self.tracks.get(leader).and_then(|leader| leader.quiet_at);
+        let stands_still = quiet_at.is_some_and(|at| at >= since);
+        stands_still || now.since(since) >= self.options.stall_time
+    }
+
     /// A group whose leader is not listed or does not answer.
     pub(crate) fn step_leaderless(
         &mut self,
--- a/crates/groups/src/track.rs
+++ b/crates/groups/src/track.rs
@@ -32,6 +32,10 @@
     pub heard_at: Millis,
     /// When a question to it was last in vain.
     pub silent_at: Millis,
+    /// Since when it has not answered, if it does not.
+    pub silent_since: Option<Millis>,
+    /// When requests last stood still at it, where it leads a group.
+    pub quiet_at: Option<Millis>,
     /// Whether its process is known to be gone.
     pub is_gone: bool,
     /// The model of its last group: it joins that one again almost at once.
@@ -54,6 +58,8 @@
             silent: 0,
             heard_at: Millis::ZERO,
             silent_at: Millis::ZERO,
+            silent_since: None,
+            quiet_at: None,
             is_gone: false,
             warm_model: None,
             staging: None,
--- a/crates/groups/tests/decisions.rs
+++ b/crates/groups/tests/decisions.rs
@@ -330,6 +330,59 @@
     );
 }
 
+/// A member that is cut off from us, and from the store, may work in its group all the same.
+#[test]
+fn a_silent_member_is_lost_when_requests_stand_still() {
+    struct SilentCase {
+        name: &'static str,
+        is_listed: bool,
+        /// Whether requests stand still after the member was found silent.
+        stands_still: bool,
+        /// Time since then.
+        after: u64,
+        ends: bool,
+    }
+    let case = |name, is_listed, stands_still, after, ends| SilentCase {
+        name,
+        is_listed,
+        stands_still,
+        after,
+        ends,
+    };
+    let cases = [
+        case("the requests move", true, false, 1_000, false),
+        case("it is not listed either", false, false, 1_000, false),
+        case("they stand still", true, true, 1_000, true),
+        case("not listed, and they stand still", false, true, 1_000, true),
+        case("a dead one would have broken it", true, false, 4_000, true),
+    ];
+    for case in cases {
+        let ups = [
+            member("u1", "a.7", 0, MemberState::Open),
+            member("u2", "a.7", 1, MemberState::Ready),
+        ];
+        let mut planner = planner();
+        show(&ups, &mut planner);
+        let report = AskOutcome::Answered(UpstreamReport::default());
+        planner.note_quiet(&UpstreamId::new("u1"), NOW);
+        planner.note_report(&UpstreamId::new("u1"), &report, NOW);
+        for after in [1, 60] {
+            let at = NOW + Millis(after);
+            planner.note_report(&UpstreamId::new("u2"), &AskOutcome::Silent, at);
+        }
+        if !case.is_listed {
+            show(&ups[..1], &mut planner);
+        }
+        if case.stands_still {
+            planner.note_quiet(&UpstreamId::new("u1"), NOW + Millis(200));
+            planner.note_report(&UpstreamId::new("u1"), &report, NOW + Millis(201));
+        }
+        let actions = planner.step(NOW + Millis(1 + case.after));
+        let ends = orders(&actions).contains(&"u1: leave".to_owned());
+        assert_eq!(ends, case.ends, "{}: {actions:?}", case.name);
+    }
+}
+
 /// A failure domain that is cut off goes on by itself: when it is back its groups are whole.
 #[test]
 fn a_group_that_is_out_of_reach_is_left_alone() {
