perf: ready upstreams are not held back as spares; small configurations are told to peers

Ruled out: the limits of leaders (few refusals). A group that is lost without a spare leaves its other members as spares, so holding back what could serve gains nothing but the first repair's half second. Change: only upstreams that would have to load first are held back. Test, failing before: ready_upstreams_are_not_held_back.

Second: each change of the configuration was read by every VM from the store.

--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -46,6 +46,9 @@
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
 /// The same at the VM that coordinates the groups: a repair waits for each of its steps to show.
 const COORDINATOR_PAUSE: Duration = Duration::from_millis(20);
+/// The largest configuration that is told to peers, in bytes; they read a larger one from the store. A
+/// hundred routes take some 20 KiB.
+const MAX_TOLD_CONFIG: usize = 48 << 10;
 /// The name of the store among the sources of changes, in the log.
 const STORE_NAME: &str = "store";
 
@@ -260,7 +263,8 @@
 
     /// Takes a change over, and keeps it for peers.
     fn note_change(&mut self, change: StoreEvent, now: Millis) {
-        if change.key() != self.catalog.config_key() {
+        let is_config = change.key() == self.catalog.config_key();
+        if !is_config || change.value_len() <= MAX_TOLD_CONFIG {
             self.board.borrow_mut().table.note(&change);
         }
         self.known.apply_event(&self.catalog, change, now);
--- a/crates/groups/src/allocate.rs
+++ b/crates/groups/src/allocate.rs
@@ -114,8 +114,7 @@
 ) -> Option<Candidate> {
     let mut best: Option<Candidate> = None;
     for (fabric, pool) in pools {
-        let spares = pool.total.checked_div(spare_divisor).unwrap_or(0);
-        if pool.free.len() < model.group_size + spares {
+        if pool.free.len() < model.group_size {
             continue;
         }
         let mut ranked: Vec<(Readiness, &UpstreamTrack)> = pool
@@ -134,6 +133,12 @@
             others: others.map(|(_, count)| count).sum(),
             together: together.get(&place).copied().unwrap_or(0),
         };
+        // Members that are ready serve now and can be spares later; those that would have to load
+        // are kept as spares.
+        let spares = pool.total.checked_div(spare_divisor).unwrap_or(0);
+        if rank.loads > 0 && pool.free.len() < model.group_size + spares {
+            continue;
+        }
         let candidate = Candidate {
             fabric: fabric.clone(),
             loads: rank.loads,
--- a/crates/groups/tests/decisions.rs
+++ b/crates/groups/tests/decisions.rs
@@ -413,6 +413,31 @@
     assert_eq!(orders(&actions), Vec::<String>::new(), "{actions:?}");
 }
 
+/// A spare that could serve is a stranded accelerator; what is left of a lost group is the spare.
+#[test]
+fn ready_upstreams_are_not_held_back() {
+    let mut ups: Vec<Up> = ["u1", "u2", "u3", "u4", "u5", "u6"]
+        .map(|id| up(id, Some("a")))
+        .to_vec();
+    for (id, group, rank, state) in [
+        ("u7", "b.7", 0, MemberState::Open),
+        ("u8", "b.7", 1, MemberState::Ready),
+        ("u9", "b.8", 0, MemberState::Open),
+        ("v1", "b.8", 1, MemberState::Ready),
+    ] {
+        ups.push(Up {
+            group: Some((group, rank, state)),
+            ..up(id, Some("b"))
+        });
+    }
+    let mut planner = planner();
+    show(&ups, &mut planner);
+    let actions = planner.step(NOW);
+    let joins = orders(&actions);
+    let joins = joins.iter().filter(|it| it.ends_with("join a of 2"));
+    assert_eq!(joins.count(), 6, "{actions:?}");
+}
+
 /// What is listed first at the first start decides nothing: small groups would take all hosts of
 /// the first fabric domains.
 #[test]
--- a/crates/peer/src/news.rs
+++ b/crates/peer/src/news.rs
@@ -24,7 +24,7 @@
 /// asker may count them from the moment it asked.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct StoreNews {
-    /// The latest change of each key, in order; the configuration is left out, as it may be large.
+    /// The latest change of each key, in order; a large configuration is left out.
     pub changes: Vec<StoreEvent>,
     /// The revision that the asker knows everything up to with them.
     pub revision: u64,
