--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::front::FrontContext;
 use crate::front::server::{accept_callers, accept_ready, follow_groups, sweep};
 use crate::groups::GroupsDuty;
+use crate::listen::next_connection;
 use crate::shared::{STOP_MARGIN, STOP_NOTICE, SharedState};
 use crate::sync::SyncDuty;
 
@@ -215,13 +216,7 @@
         }
     };
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("event=accept_failed reason={error:?}");
-                continue;
-            }
-        };
+        let stream = next_connection(&listener).await;
         let service = service_fn(|_request| {
             let text = shared.metrics.render();
             async move { Ok::<_, std::convert::Infallible>(Response::new(text)) }
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -21,11 +21,10 @@
 use super::answer::{HeldBody, whole_body};
 use super::call::answer;
 use super::head_timer::{HeadTimer, TimedStream};
+use crate::listen::next_connection;
 
 /// Time between two looks at idle connections and at what is not listed any more.
 const SWEEP_PERIOD: Duration = Duration::from_secs(2);
-/// Pause after a failed accept: descriptors may have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// The smallest buffer that the library takes for a request's head, in bytes.
 const MIN_HEAD_BUFFER: usize = 8_192;
 
@@ -38,16 +37,9 @@
     Dialect: CallerDialect + 'static,
 {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let front = Rc::clone(&front);
-                tokio::task::spawn_local(serve_caller(front, stream, close_idle.clone()));
-            }
-            Err(error) => {
-                log::warn!("event=accept_failed reason={error:?}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = next_connection(&listener).await;
+        let front = Rc::clone(&front);
+        tokio::task::spawn_local(serve_caller(front, stream, close_idle.clone()));
     }
 }
 
@@ -153,14 +145,7 @@
     Dialect: 'static,
 {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("event=accept_failed reason={error:?}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = next_connection(&listener).await;
         let front = Rc::clone(&front);
         tokio::task::spawn_local(async move {
             let service = service_fn(|_request| {
--- a/crates/gateway/src/sync/serve.rs
+++ b/crates/gateway/src/sync/serve.rs
@@ -9,6 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::board::NewsBoard;
+use crate::listen::next_connection;
 use crate::shared::SharedState;
 
 /// Time without a question after which a peer's connection is closed: forty times the time between
@@ -16,8 +17,6 @@
 const IDLE_TIME: Duration = Duration::from_secs(10);
 /// Time for an answer to leave. A peer that takes longer has given it up.
 const WRITE_TIME: Duration = Duration::from_secs(1);
-/// Time between two tries to accept after a failure.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Answers peers for as long as the process lives.
 pub(crate) async fn serve_news(
@@ -33,14 +32,7 @@
         }
     };
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("event=accept_failed reason={error:?}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = next_connection(&listener).await;
         let (shared, board) = (Arc::clone(&shared), Rc::clone(&board));
         tokio::task::spawn_local(async move {
             let reason = answer_peer(&shared, &board, stream).await;
--- /dev/null
+++ b/crates/groups/tests/silence.rs
@@ -0,0 +1,170 @@
+//! What follows from upstreams that do not answer.
+
+mod support;
+
+use bergamot_groups::{AskOutcome, GroupAction};
+use bergamot_ports::{MemberState, OrderOutcome, UpstreamReport};
+use bergamot_types::prelude::*;
+
+use support::short::*;
+
+/// A coordinator that had no processor time for the answers must not take its groups for lost.
+#[test]
+fn a_coordinator_that_stood_still_suspects_nobody() {
+    let ups = [
+        member("u1", "a.7", 0, MemberState::Open),
+        member("u2", "a.7", 1, MemberState::Ready),
+    ];
+    let mut planner = planner();
+    show(&ups, &mut planner);
+    for round in 0..4 {
+        let now = NOW + Millis(round * 1_000);
+        planner.note_quiet(&UpstreamId::new("u1"), now);
+        for id in ["u1", "u2"] {
+            planner.note_report(&UpstreamId::new(id), &AskOutcome::Unheard, now);
+        }
+        let actions = planner.step(now + Millis(60));
+        let orders = actions
+            .iter()
+            .filter(|it| matches!(it, GroupAction::Order(_)));
+        assert_eq!(orders.count(), 0, "{actions:?}");
+    }
+}
+
+#[test]
+fn members_of_a_leader_that_does_not_answer_are_held() {
+    let ups = [
+        member("u1", "a.7", 0, MemberState::Open),
+        member("u2", "a.7", 1, MemberState::Ready),
+        up("u3", Some("a")),
+    ];
+    let mut planner = planner();
+    show(&ups, &mut planner);
+    quiet(&mut planner, "u1", NOW);
+    let report = AskOutcome::Answered(UpstreamReport::default());
+    planner.note_report(&UpstreamId::new("u2"), &report, NOW);
+    let now = NOW + Millis(200);
+    let actions = planner.step(now);
+    let hold = GroupAction::Hold {
+        group: GroupId::new("a.7"),
+        members: vec![UpstreamId::new("u1"), UpstreamId::new("u2")],
+    };
+    assert!(actions.contains(&hold), "{actions:?}");
+    obey(&mut planner, &actions);
+    assert!(!orders(&actions).iter().any(|order| order.starts_with("u2")));
+    // Not before the hold is kept.
+    let actions = planner.step(now + Millis(100));
+    assert!(!orders(&actions).iter().any(|order| order.starts_with("u2")));
+    let held = [UpstreamId::new("u1"), UpstreamId::new("u2")];
+    planner.note_hold(&GroupId::new("a.7"), &held, true);
+    let actions = planner.step(now + Millis(200));
+    assert_eq!(
+        orders(&actions)
+            .iter()
+            .filter(|it| *it == "u2: leave")
+            .count(),
+        1
+    );
+    let request = actions.iter().find_map(|action| match action {
+        GroupAction::Order(request) if request.target.id.as_str() == "u2" => Some(request.clone()),
+        _ => None,
+    });
+    planner.note_order(&request.expect("it was ordered"), &OrderOutcome::Holds);
+    let left = [ups[0], up("u2", Some("a")), ups[2]];
+    show(&left, &mut planner);
+    planner.note_report(&UpstreamId::new("u1"), &AskOutcome::Silent, now);
+    let actions = planner.step(now + Millis(4_000));
+    assert!(
+        !orders(&actions).iter().any(|order| order.starts_with("u2")),
+        "{actions:?}"
+    );
+    obey(&mut planner, &actions);
+    let actions = planner.step(now + Millis(4_800));
+    assert!(
+        orders(&actions).contains(&"u2: join a of 2".to_owned()),
+        "{actions:?}"
+    );
+}
+
+/// A member that is cut off from us, and from the store, may work in its group all the same.
+#[test]
+fn a_silent_member_is_lost_when_requests_stand_still() {
+    struct SilentCase {
+        name: &'static str,
+        is_listed: bool,
+        /// Whether requests stand still after the member was found silent.
+        stands_still: bool,
+        /// Time since then.
+        after: u64,
+        ends: bool,
+    }
+    let case = |name, is_listed, stands_still, after, ends| SilentCase {
+        name,
+        is_listed,
+        stands_still,
+        after,
+        ends,
+    };
+    let cases = [
+        case("the requests move", true, false, 1_000, false),
+        case("it is not listed either", false, false, 1_000, false),
+        case("they stand still", true, true, 1_000, true),
+        case("not listed, and they stand still", false, true, 1_000, true),
+        case("a dead one would have broken it", true, false, 4_000, true),
+    ];
+    for case in cases {
+        let ups = [
+            member("u1", "a.7", 0, MemberState::Open),
+            member("u2", "a.7", 1, MemberState::Ready),
+        ];
+        let mut planner = planner();
+        show(&ups, &mut planner);
+        let report = AskOutcome::Answered(UpstreamReport::default());
+        planner.note_quiet(&UpstreamId::new("u1"), NOW);
+        planner.note_report(&UpstreamId::new("u1"), &report, NOW);
+        for after in [1, 60] {
+            let at = NOW + Millis(after);
+            planner.note_report(&UpstreamId::new("u2"), &AskOutcome::Silent, at);
+        }
+        if !case.is_listed {
+            show(&ups[..1], &mut planner);
+        }
+        if case.stands_still {
+            planner.note_quiet(&UpstreamId::new("u1"), NOW + Millis(200));
+            planner.note_report(&UpstreamId::new("u1"), &report, NOW + Millis(201));
+        }
+        let actions = planner.step(NOW + Millis(1 + case.after));
+        let ends = orders(&actions).contains(&"u1: leave".to_owned());
+        assert_eq!(ends, case.ends, "{}: {actions:?}", case.name);
+    }
+}
+
+/// A failure domain that is cut off goes on by itself: when it is back its groups are whole.
+#[test]
+fn a_group_that_is_out_of_reach_is_left_alone() {
+    let ups = [
+        member("u1", "a.7", 0, MemberState::Open),
+        member("u2", "a.7", 1, MemberState::Ready),
+    ];
+    let (leader, other) = (UpstreamId::new("u1"), UpstreamId::new("u2"));
+    let mut planner = planner();
+    show(&ups, &mut planner);
+    for id in [&leader, &other] {
+        quiet(&mut planner, id.as_str(), NOW);
+    }
+    for round in 0..20 {
+        let actions = planner.step(NOW + Millis(100 + 500 * round));
+        let has_more = actions.iter().any(|it| !matches!(it, GroupAction::Ask(_)));
+        assert!(!has_more, "round {round}: {actions:?}");
+    }
+    // The member is heard of first: the leader is asked once more before anybody leaves.
+    let now = NOW + Millis(12_000);
+    let report = AskOutcome::Answered(UpstreamReport::default());
+    planner.note_report(&other, &report, now);
+    planner.note_hold(&GroupId::new("a.7"), &[leader.clone(), other], true);
+    let actions = planner.step(now);
+    assert_eq!(orders(&actions), Vec::<String>::new(), "{actions:?}");
+    planner.note_report(&leader, &report, now + Millis(100));
+    let actions = planner.step(now + Millis(100));
+    assert_eq!(orders(&actions), Vec::<String>::new(), "{actions:?}");
+}
--- a/crates/groups/tests/support/mod.rs
+++ b/crates/groups/tests/support/mod.rs
@@ -1,2 +1,5 @@
 //! Shared by the tests of this crate.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod short;
 pub mod world;
