refactor: the program's test takes the platform's names from the adapter; an unused method is gone

The test of the real program wrote headers, the settings variable and a key of the store by hand: they come from the adapter's sample now. NewsTable::revision was used by nobody. No behaviour changes; the three tests of that file pass.

--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -7,7 +7,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_adapter::sample::{config, settings_text};
+use bergamot_adapter::SETTINGS_VARIABLE;
+use bergamot_adapter::sample::{CONFIG_KEY, config, request_headers, settings_text};
 use bergamot_standin::fault::FaultSet;
 use bergamot_standin::site::{
     GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
@@ -21,7 +22,7 @@
 
 fn program(settings: &PathBuf) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_bergamot-entry"));
-    command.env("BERGAMOTSTEP_CONFIG", settings);
+    command.env(SETTINGS_VARIABLE, settings);
     command.args(["--platform", "--metrics-port", "7003"]);
     command
 }
@@ -113,7 +114,7 @@
             bergamot_standin::serve_on(listener, Arc::clone(&store)).expect("the store serves")
         });
         let text = config(1, &["key-1"]).to_string();
-        store.put("op/config", text.as_bytes());
+        store.put(CONFIG_KEY, text.as_bytes());
         let options = UpstreamOptions {
             id: "d0".to_owned(),
             service: "desk".to_owned(),
@@ -198,9 +199,12 @@
 }
 
 fn ask(front: SocketAddr) -> Option<String> {
-    let text = "GET /read/x HTTP/1.1\r\nHost: calls.example\r\nRequest-Id: r-1\r\nDeadline-Ms: 4000\r\n\
-                Authorization: Token key-1\r\nConnection: close\r\n\r\n";
-    exchange(front, text)
+    let mut text = "GET /read/x HTTP/1.1\r\nConnection: close\r\n".to_owned();
+    for (name, value) in request_headers("key-1") {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str("\r\n");
+    exchange(front, &text)
 }
 
 #[test]
--- a/crates/news/src/table.rs
+++ b/crates/news/src/table.rs
@@ -45,11 +45,6 @@
         }
     }
 
-    /// The revision up to which changes are known.
-    pub fn revision(&self) -> u64 {
-        self.revision
-    }
-
     /// Notes a change.
     pub fn note(&mut self, change: &StoreEvent) {
         let (key, revision) = (change.key().to_owned(), change.revision());
