--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -47,8 +47,8 @@
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
 /// The same at the VM that coordinates the groups: a repair waits for each of its steps to show.
 const COORDINATOR_PAUSE: Duration = Duration::from_millis(20);
-/// The largest configuration that is told to peers, in bytes; they read a larger one from the store. A
-/// hundred routes take some 20 KiB.
+/// The largest configuration that is told to peers, in bytes; they read a larger one from the store.
+/// Below one slice of news (64 KiB), so that it comes with other changes; not tuned.
 const MAX_TOLD_CONFIG: usize = 48 << 10;
 /// The name of the store among the sources of changes, in the log.
 const STORE_NAME: &str = "store";
