perf: a VM that starts takes the directory from the VM that reads the store for it

A VM now reads which entry VMs there are and takes the rest from the one that reads for it, in parts. Peers hold what is in the store and forget only removals; a VM that lacks forgotten ones reads anew the same way. A peer that has read nothing yet says so, where it told an empty directory before.

what_is_forgotten_is_not_passed_over now has removals, as nothing else is forgotten; it checks as much as before, and partial readers too.

--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -5,7 +5,7 @@
 
 use bergamot_ports::{ServingConfig, StoreCatalog, StoreEvent, StoreItem, UpstreamEntry};
 use bergamot_types::prelude::*;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::own_keys::{
     COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, HOLD_PREFIX, TERM_KEY, hold_from_bytes,
@@ -115,6 +115,16 @@
         }
     }
 
+    /// Takes out the upstreams that are not among these.
+    pub(crate) fn keep_listed(&mut self, listed: &[UpstreamId], now: Millis) {
+        let listed: IndexSet<&UpstreamId> = listed.iter().collect();
+        let missing = self.upstreams.keys().filter(|id| !listed.contains(id));
+        let missing: Vec<UpstreamId> = missing.cloned().collect();
+        for id in missing {
+            self.remove_upstream(&id, now);
+        }
+    }
+
     /// Notes that the store came back at this moment.
     pub(crate) fn note_return(&mut self, at: Millis) {
         self.returned_at = self.returned_at.max(Some(at));
--- a/crates/gateway/src/sync/board.rs
+++ b/crates/gateway/src/sync/board.rs
@@ -8,8 +8,8 @@
 /// Changes to pass on, and how recent they are.
 #[derive(Debug, Default)]
 pub(crate) struct NewsBoard {
-    /// The changes.
-    pub(crate) table: NewsTable,
+    /// The changes; none before the store was read.
+    pub(crate) table: Option<NewsTable>,
     /// How recent what is known is.
     pub(crate) freshness: Freshness,
     /// The configuration as it stands in the store; none before the first.
@@ -28,7 +28,10 @@
         now: Millis,
         config_age: Millis,
     ) -> NewsAnswer {
-        let Some(slice) = self.table.since(question.after) else {
+        let Some(table) = &self.table else {
+            return NewsAnswer::NotReady;
+        };
+        let Some(slice) = table.since(question.after, question.unaffected_until) else {
             return NewsAnswer::Forgotten;
         };
         let config = self.config.as_ref();
@@ -38,6 +41,7 @@
             changes: slice.changes,
             revision: slice.revision,
             has_more: slice.has_more,
+            reached: table.revision(),
             is_relayed: self.is_relayed,
             age: self.freshness.age(now),
             config_revision: config.map_or(0, |config| config.revision),
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -1,13 +1,14 @@
 //! The store's duty: reads configuration and directory, follows their changes, and confirms again
 //! and again that no newer configuration was missed.
 //!
-//! One VM of each failure domain follows the store itself, and the coordinator of the groups; the
-//! others ask that VM, and turn to the store when it has nothing fresh to tell.
+//! One VM of each failure domain reads and follows the store itself, and the coordinator of the groups;
+//! the others ask that VM, and turn to the store when it has nothing fresh to tell.
 
 mod ask;
 mod board;
 mod own;
 mod peers;
+mod read;
 mod serve;
 
 use std::cell::RefCell;
@@ -15,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bergamot_news::{NewsSource, NewsTable, PeerRanking};
+use bergamot_news::{NewsSource, PeerRanking};
 use bergamot_ports::{
     KeyCondition, StateStore, StoreCatalog, StoreError, StoreEvent, StoreTxn, TxnOutcome,
     WatchOutcome,
@@ -141,54 +142,6 @@
         }
     }
 
-    /// Reads everything. False when the store did not answer.
-    async fn read_all(&mut self) -> bool {
-        let began = self.shared.clock.now();
-        let range = self.store.range("").await;
-        self.count("range", range.as_ref().err());
-        let range = match range {
-            Ok(range) => range,
-            Err(error) => {
-                self.note_failure("range", &error);
-                return false;
-            }
-        };
-        self.note_success();
-        let now = self.shared.clock.now();
-        let mut listed: Vec<UpstreamId> = Vec::new();
-        self.known.entries.clear();
-        self.known.holds.clear();
-        self.known.coordinator = None;
-        for item in &range.items {
-            listed.extend(self.catalog.upstream_id(&item.key));
-            self.known.apply_item(&self.catalog, item);
-        }
-        let missing = self.known.upstreams.keys();
-        let missing: Vec<UpstreamId> = missing.filter(|id| !listed.contains(id)).cloned().collect();
-        for id in missing {
-            self.known.remove_upstream(&id, now);
-        }
-        self.known.revision = Some(range.revision);
-        let mut board = self.board.borrow_mut();
-        board.table = NewsTable::starting_at(range.revision);
-        board.freshness.note_fresh(began);
-        drop(board);
-        if self.known.config.is_some() {
-            self.shared.note_confirmed(began);
-        }
-        log::info!(
-            "event=store_read revision={} upstreams={} config={}",
-            range.revision,
-            self.known.upstreams.len(),
-            self.known
-                .config
-                .as_ref()
-                .map_or(0, |config| config.version)
-        );
-        self.publish();
-        true
-    }
-
     /// Follows the store for the length of one watch from `revision`. While it is away, one short
     /// call shows whether it is back.
     async fn follow_store(&mut self, revision: u64) {
@@ -265,8 +218,12 @@
     /// Takes a change over, and keeps it for peers.
     fn note_change(&mut self, change: StoreEvent, now: Millis) {
         let is_config = change.key() == self.catalog.config_key();
-        if !is_config || change.value_len() <= MAX_TOLD_CONFIG {
-            self.board.borrow_mut().table.note(&change);
+        let is_told = !is_config || change.value_len() <= MAX_TOLD_CONFIG;
+        if let Some(table) = &mut self.board.borrow_mut().table {
+            match is_told {
+                true => table.note(&change),
+                false => table.forget(change.key()),
+            }
         }
         self.known.apply_event(&self.catalog, change, now);
     }
@@ -276,7 +233,9 @@
         let known = self.known.revision.unwrap_or(0).max(revision);
         self.known.revision = Some(known);
         let mut board = self.board.borrow_mut();
-        board.table.reach(known);
+        if let Some(table) = &mut board.table {
+            table.reach(known);
+        }
         board.freshness.note_known(known);
     }
 
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -23,7 +23,7 @@
 
 /// Why a peer's answer does not count.
 #[derive(Debug, thiserror::Error)]
-enum NewsError {
+pub(super) enum NewsError {
     #[error("{0}")]
     NoAnswer(#[from] bergamot_peer::Error),
     #[error("its news is {0} old")]
@@ -32,6 +32,8 @@
     Relayed,
     #[error("it does not know what happened since")]
     Forgotten,
+    #[error("it has not read the store yet")]
+    NotReady,
     #[error("its address is not known")]
     NoAddress,
 }
@@ -63,7 +65,8 @@
         self.ranking.rank(peers, &own);
     }
 
-    /// Asks these peers, one after another. False when none of them has fresh news.
+    /// Asks these peers, one after another. False when none of them has fresh news. Where one knows
+    /// too little of the past, everything is to be read anew.
     pub(super) async fn ask_peers(&mut self, peers: &[String]) -> bool {
         for vm in peers {
             let Err(error) = self.ask_peer(vm).await else {
@@ -73,9 +76,8 @@
             log::info!("event=news_not_usable peer={vm} reason=\"{error}\"");
             self.count_news("failed");
             if matches!(error, NewsError::Forgotten) {
-                // A peer that answers may mean that our links are back; only the store can help now.
-                self.confirm_at = self.confirm_at.min(Instant::now());
-                continue;
+                self.known.revision = None;
+                return true;
             }
             let now = self.shared.clock.now();
             self.ranking.note_failure(vm, self.known.is_away, now);
@@ -105,18 +107,37 @@
         outcome
     }
 
-    /// Asks one question.
+    /// Asks for the next changes.
     async fn ask_once(&mut self, addr: SocketAddr) -> Result<NewsTold, NewsError> {
         let asked_at = self.shared.clock.now();
+        let known = self.known.revision.unwrap_or(0);
         let question = NewsQuestion {
-            after: self.known.revision.unwrap_or(0),
+            after: known,
+            unaffected_until: known,
             lacks_config_after: self
                 .has_failed_confirm
                 .then_some(self.known.config_revision),
         };
+        let news = self.ask(addr, question).await?;
+        let told = NewsTold {
+            has_changes: !news.changes.is_empty() || news.config.is_some(),
+            has_more: news.has_more,
+        };
+        self.take_news(news, asked_at).await;
+        Ok(told)
+    }
+
+    /// Asks one question. An answer that does not count is an error.
+    pub(super) async fn ask(
+        &mut self,
+        addr: SocketAddr,
+        question: NewsQuestion,
+    ) -> Result<StoreNews, NewsError> {
+        let asked_at = self.shared.clock.now();
         let news = match self.caller.ask(addr, question).await? {
             NewsAnswer::Changes(news) => news,
             NewsAnswer::Forgotten => return Err(NewsError::Forgotten),
+            NewsAnswer::NotReady => return Err(NewsError::NotReady),
         };
         // Only a VM that cannot read the store itself makes do with a peer that cannot either: else
         // some peer that can would stop reading it.
@@ -128,15 +149,10 @@
             return Err(NewsError::Stale(age));
         }
         self.count_news("answered");
-        let told = NewsTold {
-            has_changes: !news.changes.is_empty() || news.config.is_some(),
-            has_more: news.has_more,
-        };
-        self.take_news(news, asked_at).await;
-        Ok(told)
+        Ok(news)
     }
 
-    fn count_news(&self, outcome: &str) {
+    pub(super) fn count_news(&self, outcome: &str) {
         let news = &self.shared.metrics.news;
         news.with_label_values(&[outcome]).inc();
     }
@@ -145,13 +161,10 @@
     /// makes them too old rather than too young.
     async fn take_news(&mut self, news: StoreNews, asked_at: Millis) {
         self.note_success();
-        if let Some(since) = news.since_return {
-            let returned_at = Millis(asked_at.0.saturating_sub(since.0));
-            self.known.note_return(returned_at);
-        }
+        self.take_return(&news, asked_at);
         let now = self.shared.clock.now();
-        for change in news.changes {
-            self.note_change(change, now);
+        for change in &news.changes {
+            self.note_change(change.clone(), now);
         }
         let fresh_at = Millis(asked_at.0.saturating_sub(news.age.0));
         let is_whole = !news.has_more;
@@ -163,6 +176,19 @@
             self.known.apply_item(&self.catalog, item);
             self.has_failed_confirm = false;
         }
+        self.take_confirmation(&news, asked_at).await;
+    }
+
+    /// Takes over when the store came back, as a peer saw it.
+    pub(super) fn take_return(&mut self, news: &StoreNews, asked_at: Millis) {
+        if let Some(since) = news.since_return {
+            let returned_at = Millis(asked_at.0.saturating_sub(since.0));
+            self.known.note_return(returned_at);
+        }
+    }
+
+    /// Takes over a peer's confirmation of the configuration, or reads the one that it has heard of.
+    pub(super) async fn take_confirmation(&mut self, news: &StoreNews, asked_at: Millis) {
         match news.config_revision.cmp(&self.known.config_revision) {
             Ordering::Greater => self.confirm_when_due().await,
             Ordering::Equal if self.known.config.is_some() => {
--- a/crates/news/src/table.rs
+++ b/crates/news/src/table.rs
@@ -1,13 +1,13 @@
 //! The latest change of each key, to be told to peers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use bergamot_ports::StoreEvent;
+use bergamot_ports::{StoreEvent, StoreItem};
 use indexmap::IndexMap;
 
-/// Changes kept at most: several times what a fleet of 600 upstreams writes while a peer is away for
-/// a second. Older ones are forgotten, and a peer that lacks them reads the store itself.
-const MAX_CHANGES: usize = 4_096;
+/// Removals kept at most: several times what a fleet of 600 upstreams writes while a peer is away for
+/// a second. Older ones are forgotten, and a peer that lacks them asks for everything anew.
+const MAX_REMOVALS: usize = 4_096;
 
 /// Bytes of keys and values told at once, so that a burst holds neither a narrow link nor the thread
 /// up: 64 KiB are 26 ms at 20 Mbit/s. The rest is asked for next.
@@ -24,51 +24,80 @@
     pub has_more: bool,
 }
 
-/// The latest change of each key since some revision.
-#[derive(Clone, Debug, Default)]
+/// What is in the store, and the removals since some revision.
+#[derive(Clone, Debug)]
 pub struct NewsTable {
     /// By revision and key: one transaction writes several keys at one revision.
     changes: BTreeMap<(u64, String), StoreEvent>,
     latest: IndexMap<String, u64>,
-    /// Changes up to this revision may be missing.
+    /// The removals among the changes.
+    removals: BTreeSet<(u64, String)>,
+    /// Removals up to this revision may be missing.
     floor: u64,
     revision: u64,
 }
 
 impl NewsTable {
-    /// A table that begins after `revision`, at which everything was read.
-    pub fn starting_at(revision: u64) -> Self {
-        Self {
+    /// A table of these items, which were read at `revision`.
+    pub fn of<Items>(items: Items, revision: u64) -> Self
+    where
+        Items: IntoIterator<Item = StoreItem>,
+    {
+        let mut table = Self {
+            changes: BTreeMap::new(),
+            latest: IndexMap::new(),
+            removals: BTreeSet::new(),
             floor: revision,
             revision,
-            ..Self::default()
+        };
+        for item in items {
+            table.note(&StoreEvent::Written(item));
         }
+        table
     }
 
     /// Notes a change.
     pub fn note(&mut self, change: &StoreEvent) {
         let (key, revision) = (change.key().to_owned(), change.revision());
-        if let Some(before) = self.latest.insert(key.clone(), revision) {
-            self.changes.remove(&(before, key.clone()));
+        self.forget(&key);
+        self.latest.insert(key.clone(), revision);
+        if matches!(change, StoreEvent::Removed { .. }) {
+            self.removals.insert((revision, key.clone()));
         }
         self.changes.insert((revision, key), change.clone());
-        while self.changes.len() > MAX_CHANGES {
-            let Some(((oldest, key), _)) = self.changes.pop_first() else {
+        while self.removals.len() > MAX_REMOVALS {
+            let Some((oldest, key)) = self.removals.first().cloned() else {
                 break;
             };
-            self.latest.swap_remove(&key);
+            self.forget(&key);
             self.floor = self.floor.max(oldest);
         }
     }
 
+    /// Drops what is known of a key. Peers that ask are not told of it.
+    pub fn forget(&mut self, key: &str) {
+        let Some(revision) = self.latest.swap_remove(key) else {
+            return;
+        };
+        let place = (revision, key.to_owned());
+        self.changes.remove(&place);
+        self.removals.remove(&place);
+    }
+
+    /// Every change up to this revision was noted.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Notes that every change up to `revision` was noted.
     pub fn reach(&mut self, revision: u64) {
         self.revision = self.revision.max(revision);
     }
 
-    /// What a peer lacks that knows everything up to `after`. None when it lacks what is forgotten.
-    pub fn since(&self, after: u64) -> Option<NewsSlice> {
-        if after < self.floor {
+    /// What a peer lacks that knows everything up to `after`, and no key that was removed up to
+    /// `unaffected_until`. None when a later removal is forgotten here.
+    pub fn since(&self, after: u64, unaffected_until: u64) -> Option<NewsSlice> {
+        if unaffected_until < self.floor {
             return None;
         }
         let mut slice = NewsSlice {
--- a/crates/news/tests/news.rs
+++ b/crates/news/tests/news.rs
@@ -19,7 +19,7 @@
 
 #[test]
 fn a_peer_is_told_the_latest_change_of_each_key() {
-    let mut table = NewsTable::starting_at(10);
+    let mut table = NewsTable::of([], 10);
     for change in [written("a", 11, 1), written("b", 12, 1), removed("a", 13)] {
         table.note(&change);
     }
@@ -47,7 +47,7 @@
         },
     ];
     for case in cases {
-        let slice = table.since(case.after);
+        let slice = table.since(case.after, case.after);
         let keys = slice.as_ref().map(|slice| {
             let keys = slice.changes.iter().map(StoreEvent::key);
             keys.collect::<Vec<_>>()
@@ -59,7 +59,7 @@
 
 #[test]
 fn a_burst_is_told_in_parts_and_whole_revisions() {
-    let mut table = NewsTable::starting_at(0);
+    let mut table = NewsTable::of([], 0);
     for revision in 1..=40 {
         // Two keys of one transaction.
         table.note(&written(&format!("x{revision}"), revision, 2_000));
@@ -68,7 +68,7 @@
     table.reach(40);
     let (mut after, mut told, mut parts) = (0, 0, 0);
     loop {
-        let slice = table.since(after).expect("nothing is forgotten");
+        let slice = table.since(after, after).expect("nothing is forgotten");
         told += slice.changes.len();
         parts += 1;
         assert_eq!(slice.changes.len() % 2, 0, "a revision was split");
@@ -83,14 +83,40 @@
 
 #[test]
 fn what_is_forgotten_is_not_passed_over() {
-    let mut table = NewsTable::starting_at(0);
-    for revision in 1..=5_000 {
-        table.note(&written(&format!("k{revision}"), revision, 1));
+    let mut table = NewsTable::of([], 0);
+    for number in 1..=5_000 {
+        let key = format!("k{number}");
+        table.note(&written(&key, 2 * number - 1, 1));
+        table.note(&removed(&key, 2 * number));
     }
-    table.reach(5_000);
-    assert_eq!(table.since(1), None);
-    let slice = table.since(4_000).expect("recent changes are kept");
-    assert_eq!(slice.changes.len(), 1_000);
+    table.reach(10_000);
+    assert_eq!(table.since(1, 1), None);
+    let slice = table.since(9_000, 9_000);
+    let slice = slice.expect("recent changes are kept");
+    assert_eq!(slice.changes.len(), 500);
+    // One that knew nothing at 9,000 and has been told a part since then.
+    let slice = table.since(1, 9_000);
+    assert!(slice.is_some_and(|slice| slice.changes.len() > 500));
+}
+
+#[test]
+fn a_vm_that_starts_is_told_everything_however_old() {
+    let items = (1..=5_000).map(|revision| StoreItem {
+        key: format!("k{revision}"),
+        value: vec![0],
+        revision,
+    });
+    let mut table = NewsTable::of(items, 5_000);
+    table.note(&removed("k7", 5_001));
+    table.note(&written("k8", 5_002, 1));
+    table.forget("k9");
+    table.reach(5_002);
+    assert_eq!(table.since(0, 0), None, "it may know of removed keys");
+    let slice = table.since(0, u64::MAX).expect("it knows nothing");
+    let keys: Vec<&str> = slice.changes.iter().map(StoreEvent::key).collect();
+    assert_eq!(keys.len(), 5_000 - 1, "all but the one that was dropped");
+    assert_eq!(keys[keys.len() - 2..], ["k7", "k8"]);
+    assert!(!keys.contains(&"k9"));
 }
 
 #[test]
--- a/crates/peer/src/news.rs
+++ b/crates/peer/src/news.rs
@@ -9,6 +9,9 @@
 pub struct NewsQuestion {
     /// The asker knows everything up to this revision.
     pub after: u64,
+    /// The asker knows no key that was removed up to this revision: what it knows everything up to,
+    /// but more where it has only begun to read.
+    pub unaffected_until: u64,
     /// The revision of the configuration that the asker has, if it could not read a newer one from
     /// the store itself.
     pub lacks_config_after: Option<u64>,
@@ -21,6 +24,8 @@
     Changes(StoreNews),
     /// The asker lacks changes that are forgotten here.
     Forgotten,
+    /// The answerer has not read the store yet.
+    NotReady,
 }
 
 /// Changes, and how recent the answerer's knowledge is. Ages are taken when it answers, so the
@@ -33,6 +38,8 @@
     pub revision: u64,
     /// Whether there are more.
     pub has_more: bool,
+    /// The revision that the answerer knows everything up to.
+    pub reached: u64,
     /// Whether the answerer has them from another peer.
     pub is_relayed: bool,
     /// How long ago a call to the store began that showed nothing newer.
