feat: a soak of the real program: processes, a loopback proxy, signals and seeds

Faults are drawn from a seed and overlap; what callers and upstreams saw is checked against the promises. A leader that lacks a member stands still and gives its group up, as on the platform, so that two groups at once show. UpstreamOptions has an address to advertise, for the proxy.

fix: a hang-up signal while the process starts does not end it. Cause: the default action ended the process until the signal was taken over, after settings and ports; the soak sent it right after a restart (entry 4 gone for good). The signal is taken over first now; the soak leaves a process 100 ms before it signals it, as no program can take a signal before it runs. Failing before: a_hang_up_while_the_process_starts_does_not_end_it (signal: 1).

--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -121,6 +121,7 @@
             failure_domain: "east".to_owned(),
             fabric: None,
             times: GroupTimes::default(),
+            advertised: None,
         };
         let desk = SiteUpstream::start(options, Arc::clone(&store));
         let desk = runtime.block_on(desk).expect("an upstream starts");
@@ -223,6 +224,33 @@
     assert!(entry.is_ready());
 }
 
+#[test]
+fn a_hang_up_while_the_process_starts_does_not_end_it() {
+    // The settings come through a pipe, which holds the start up until something is written.
+    let pipe = std::env::temp_dir().join(format!("bergamot-pipe-{}", std::process::id()));
+    let made = Command::new("mkfifo").arg(&pipe).status();
+    assert!(made.is_ok_and(|status| status.success()));
+    let mut process = program(&pipe)
+        .arg("--check")
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("it starts");
+    std::thread::sleep(Duration::from_millis(300));
+    let id = process.id().to_string();
+    let sent = Command::new("kill").args(["-s", "HUP", &id]).status();
+    assert!(sent.is_ok_and(|status| status.success()));
+    std::thread::sleep(Duration::from_millis(100));
+    let ended = process.try_wait().expect("it can be asked for");
+    if ended.is_none() {
+        let store = SocketAddr::from(([127, 0, 0, 1], 9));
+        let text = sample_settings(Ipv4Addr::LOCALHOST, store);
+        std::fs::write(&pipe, text).expect("it reads");
+    }
+    let status = process.wait().expect("it ends");
+    std::fs::remove_file(&pipe).expect("it was made");
+    assert!(status.success(), "{status}");
+}
+
 #[test]
 fn a_stop_is_told_at_once_and_cuts_nothing() {
     let mut entry = RunningEntry::start(Ipv4Addr::new(127, 77, 1, 2));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod own_keys;
 pub mod shared;
+pub mod signals;
 mod sync;
 pub mod view;
 
--- a/crates/local/src/site.rs
+++ b/crates/local/src/site.rs
@@ -62,6 +62,7 @@
                 failure_domain: "east".to_owned(),
                 fabric: is_engine.then(|| "east-d0".to_owned()),
                 times: GroupTimes::default(),
+                advertised: None,
             };
             let started = SiteUpstream::start(options, Arc::clone(&store));
             upstreams.push(runtime.block_on(started)?);
--- /dev/null
+++ b/crates/soak/src/audit.rs
@@ -0,0 +1,361 @@
+//! The promises, checked from what callers and upstreams saw.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use bergamot_standin::site::upstream::SeenRequest;
+
+use crate::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
+use crate::plan::FaultKind;
+use crate::site::{CHANGING_KEY, LASTING_KEY, RevokedKey, UpstreamRun};
+
+/// Time after which a key that was taken away is good nowhere: the bound in the processes' settings,
+/// and 250 ms for a request on its way.
+const REVOKE_BOUND: Duration = Duration::from_millis(5_250);
+/// Time after which a leaving upstream gets no new work, from processes whose links are whole.
+const LEAVE_BOUND: Duration = Duration::from_millis(2_000);
+/// Time past its deadline in which a request has its answer on a busy machine.
+const ANSWER_SLACK: Duration = Duration::from_millis(1_000);
+/// Time after the end of a fault in which it still counts as a cause.
+const FAULT_SHADOW: Duration = Duration::from_millis(2_500);
+
+/// A promise that was broken.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Violation {
+    /// A request that is not idempotent ran more than once.
+    RanTwice {
+        /// The request.
+        id: String,
+        /// How often it ran.
+        runs: usize,
+    },
+    /// A request was said not to have run, and had, or did later.
+    FalselyNotRun {
+        /// The request.
+        id: String,
+        /// What was answered.
+        status: u16,
+    },
+    /// An answer was not the whole one to its own request.
+    WrongAnswer {
+        /// The request.
+        id: String,
+    },
+    /// A request that was given up on without a word on when to come back.
+    NoRetryAfter {
+        /// The request.
+        id: String,
+        /// What was answered.
+        status: u16,
+    },
+    /// A request had no answer for longer than its deadline.
+    HeldTooLong {
+        /// The request.
+        id: String,
+        /// For how long.
+        took: Duration,
+    },
+    /// A good key was refused.
+    Denied {
+        /// The request.
+        id: String,
+        /// What was answered.
+        status: u16,
+    },
+    /// A key was good long after it had been taken away.
+    RevokedServed {
+        /// The request.
+        id: String,
+        /// How long after.
+        after: Duration,
+    },
+    /// A process went by an older configuration than before.
+    Reverted {
+        /// The request.
+        id: String,
+        /// The process.
+        entry: usize,
+    },
+    /// An upstream got new work long after it had said that it was leaving.
+    WorkWhileLeaving {
+        /// The request.
+        id: String,
+        /// The upstream.
+        upstream: String,
+        /// How long after.
+        after: Duration,
+    },
+    /// A planned stop cut a request off.
+    CutByStop {
+        /// The request.
+        id: String,
+        /// The process.
+        entry: usize,
+    },
+    /// A process did not end within its grace.
+    DidNotStop {
+        /// The process.
+        entry: usize,
+    },
+    /// An upstream is a member of two groups that serve.
+    TwoGroups {
+        /// The upstream.
+        member: String,
+        /// Both leaders, or the leader and the other group.
+        leaders: [String; 2],
+    },
+    /// Some time after the last fault a process does not serve.
+    NotBack {
+        /// The process.
+        entry: usize,
+        /// What it does not serve.
+        kind: RequestKind,
+        /// How the last try ended.
+        end: CallEnd,
+    },
+    /// Some time after the last fault a process does not go by the newest configuration.
+    OldConfig {
+        /// The process.
+        entry: usize,
+    },
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?}")
+    }
+}
+
+/// Something that befell processes or upstreams for a time.
+#[derive(Clone, Copy, Debug)]
+pub struct Trouble {
+    /// What.
+    pub kind: FaultKind,
+    /// Since when.
+    pub from: Instant,
+    /// Until when.
+    pub until: Instant,
+}
+
+impl Trouble {
+    fn overlaps(&self, from: Instant, until: Instant) -> bool {
+        self.from <= until && from <= self.until + FAULT_SHADOW
+    }
+
+    /// Whether a process can be late, cut off or gone because of it.
+    fn befalls(&self, entry: usize) -> bool {
+        match self.kind {
+            FaultKind::KillEntry(it) | FaultKind::PauseEntry(it) | FaultKind::StoreLink(it, _) => {
+                it == entry
+            }
+            FaultKind::StoreOutage | FaultKind::StoreHang | FaultKind::StoreSlow(_) => true,
+            _ => false,
+        }
+    }
+
+    /// Whether a stream or an answer can break because of it.
+    const fn breaks_answers(&self) -> bool {
+        matches!(
+            self.kind,
+            FaultKind::EngineLink(..)
+                | FaultKind::DeskLink(..)
+                | FaultKind::EngineDies(_)
+                | FaultKind::DeskDies(_)
+                | FaultKind::EngineBreaksOff(..)
+                | FaultKind::EngineLeaves(_)
+                | FaultKind::DeskLosesAnswers(..)
+        )
+    }
+}
+
+/// Everything that was seen in a run.
+pub struct AuditBook {
+    /// What callers saw.
+    pub records: Vec<CallRecord>,
+    /// What upstreams began to run, by the request's id.
+    pub seen: BTreeMap<String, Vec<(UpstreamRun, SeenRequest)>>,
+    /// Faults, as they really were.
+    pub troubles: Vec<Trouble>,
+    /// Keys that were taken away.
+    pub revoked: Vec<RevokedKey>,
+}
+
+impl AuditBook {
+    /// What was broken.
+    pub fn check(&self) -> Vec<Violation> {
+        let mut found = Vec::new();
+        for record in &self.records {
+            found.extend(self.check_runs(record));
+            found.extend(self.check_answer(record));
+            found.extend(self.check_key(record));
+            found.extend(self.check_stop(record));
+            found.extend(self.check_leaving(record));
+        }
+        found.extend(self.check_order());
+        found
+    }
+
+    fn runs(&self, record: &CallRecord) -> usize {
+        self.seen.get(&record.id).map_or(0, Vec::len)
+    }
+
+    fn is_troubled(&self, entry: usize, from: Instant, until: Instant) -> bool {
+        let mut troubles = self.troubles.iter();
+        troubles.any(|trouble| trouble.befalls(entry) && trouble.overlaps(from, until))
+    }
+
+    fn check_runs(&self, record: &CallRecord) -> Option<Violation> {
+        let runs = self.runs(record);
+        let id = record.id.clone();
+        if record.kind == RequestKind::Bid && runs > 1 {
+            return Some(Violation::RanTwice { id, runs });
+        }
+        let CallEnd::Answered {
+            status,
+            says_not_run,
+            ..
+        } = record.end
+        else {
+            return None;
+        };
+        let is_promised =
+            record.kind == RequestKind::Bid && matches!(status, 408 | 421 | 429 | 503);
+        let is_false = runs > 0 && (is_promised || says_not_run);
+        is_false.then_some(Violation::FalselyNotRun { id, status })
+    }
+
+    fn check_answer(&self, record: &CallRecord) -> Option<Violation> {
+        let id = record.id.clone();
+        let took = record.ended_at - record.sent_at;
+        let is_troubled = self.is_troubled(record.entry, record.sent_at, record.ended_at);
+        if took > DEADLINE + ANSWER_SLACK && !is_troubled {
+            return Some(Violation::HeldTooLong { id, took });
+        }
+        match record.end {
+            CallEnd::Answered {
+                status: 200,
+                is_whole: false,
+                ..
+            } => Some(Violation::WrongAnswer { id }),
+            CallEnd::Answered {
+                status: status @ (429 | 503),
+                has_retry_after: false,
+                ..
+            } => Some(Violation::NoRetryAfter { id, status }),
+            _ => None,
+        }
+    }
+
+    fn check_key(&self, record: &CallRecord) -> Option<Violation> {
+        let CallEnd::Answered { status, .. } = record.end else {
+            return None;
+        };
+        let id = record.id.clone();
+        if record.key == LASTING_KEY {
+            let is_denied = matches!(status, 401 | 403 | 404);
+            return is_denied.then_some(Violation::Denied { id, status });
+        }
+        let mut revoked = self.revoked.iter();
+        let revoked = revoked.find(|revoked| revoked.key == record.key)?;
+        let after = record.sent_at.checked_duration_since(revoked.at)?;
+        let is_served = status == 200 && after > REVOKE_BOUND;
+        is_served.then_some(Violation::RevokedServed { id, after })
+    }
+
+    /// A request that was there before the signal to stop must end with an answer.
+    fn check_stop(&self, record: &CallRecord) -> Option<Violation> {
+        if !matches!(record.end, CallEnd::Cut { .. } | CallEnd::GivenUp) {
+            return None;
+        }
+        let (from, until) = (record.sent_at, record.ended_at);
+        let stops = self.troubles.iter().any(|trouble| {
+            let is_stop = trouble.kind == FaultKind::StopEntry(record.entry);
+            is_stop && from < trouble.from && trouble.from < until
+        });
+        let is_excused = self.troubles.iter().any(|trouble| {
+            let can_break = trouble.befalls(record.entry) || trouble.breaks_answers();
+            can_break && trouble.overlaps(from, until)
+        });
+        // One that no upstream saw may have met the end of an idle connection.
+        let is_cut = stops && !is_excused && self.runs(record) > 0;
+        is_cut.then(|| Violation::CutByStop {
+            id: record.id.clone(),
+            entry: record.entry,
+        })
+    }
+
+    fn check_leaving(&self, record: &CallRecord) -> Option<Violation> {
+        let runs = self.seen.get(&record.id)?;
+        runs.iter().find_map(|(run, seen)| {
+            let after = seen.at.checked_duration_since(run.leaving_since?)?;
+            let is_late = after > LEAVE_BOUND;
+            let is_excused = self.is_troubled(record.entry, seen.at - LEAVE_BOUND, seen.at);
+            (is_late && !is_excused).then(|| Violation::WorkWhileLeaving {
+                id: record.id.clone(),
+                upstream: run.upstream.id().to_owned(),
+                after,
+            })
+        })
+    }
+
+    /// A process must not take a key that was taken away after it has gone by a later configuration:
+    /// it refused the key after having taken it, or took a later one.
+    fn check_order(&self) -> Vec<Violation> {
+        let mut seen: BTreeMap<usize, KeyHistory> = BTreeMap::new();
+        let mut found = Vec::new();
+        for record in &self.records {
+            let CallEnd::Answered { status, .. } = record.end else {
+                continue;
+            };
+            let Some(version) = key_version(&record.key) else {
+                continue;
+            };
+            let history = seen.entry(record.entry).or_default();
+            match status {
+                200 if history.is_past(version, record.sent_at) => {
+                    found.push(Violation::Reverted {
+                        id: record.id.clone(),
+                        entry: record.entry,
+                    });
+                }
+                200 => history.taken.push((version, record.ended_at)),
+                401 => history.note_refused(version, record.sent_at, record.ended_at),
+                _ => {}
+            }
+        }
+        found
+    }
+}
+
+/// Which keys a process took and refused, in the order in which the answers came.
+#[derive(Default)]
+struct KeyHistory {
+    /// Versions whose keys were taken, and when the answer was there.
+    taken: Vec<(u64, Instant)>,
+    /// Versions whose keys were refused after they had been taken, and when the answer was there.
+    refused: Vec<(u64, Instant)>,
+}
+
+impl KeyHistory {
+    fn note_refused(&mut self, version: u64, sent_at: Instant, ended_at: Instant) {
+        let mut taken = self.taken.iter();
+        if taken.any(|(it, at)| *it == version && *at < sent_at) {
+            self.refused.push((version, ended_at));
+        }
+    }
+
+    /// Whether a request that was sent at this moment met a later configuration than the one with
+    /// this version's key.
+    fn is_past(&self, version: u64, sent_at: Instant) -> bool {
+        let mut taken = self.taken.iter();
+        let mut refused = self.refused.iter();
+        taken.any(|(it, at)| *it > version && *at < sent_at)
+            || refused.any(|(it, at)| *it == version && *at < sent_at)
+    }
+}
+
+/// The version of the configuration that gave a key out; none for the key that lasts.
+fn key_version(key: &str) -> Option<u64> {
+    key.strip_prefix(CHANGING_KEY)?.parse().ok()
+}
--- /dev/null
+++ b/crates/soak/src/bin/bergamot-soak.rs
@@ -0,0 +1,107 @@
+//! Plays seeds of the soak.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use anyhow::Context;
+use bergamot_soak::{SoakOptions, SoakOutcome, run_seed};
+use getopts::Options;
+
+const USAGE: &str = "bergamot-soak [options]: plays random faults on processes of bergamot-entry";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("bergamot-soak: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run() -> anyhow::Result<ExitCode> {
+    let mut options = Options::new();
+    options.optopt("", "seeds", "seeds to play (10)", "COUNT");
+    options.optopt(
+        "",
+        "first",
+        "the first seed; by default drawn from the clock",
+        "SEED",
+    );
+    options.optopt("", "entries", "processes (6)", "COUNT");
+    options.optopt("", "faults", "faults in a run (16)", "COUNT");
+    options.optopt("", "seconds", "time in which faults begin (12)", "SECONDS");
+    options.optopt(
+        "",
+        "program",
+        "the program; by default beside this one",
+        "FILE",
+    );
+    options.optopt("", "folder", "where logs are kept (target/soak)", "FOLDER");
+    options.optflag("h", "help", "this text");
+    let matches = options.parse(std::env::args().skip(1))?;
+    if matches.opt_present("help") {
+        print!("{}", options.usage(USAGE));
+        return Ok(ExitCode::SUCCESS);
+    }
+    let first = match matches.opt_get("first")? {
+        Some(first) => first,
+        None => drawn_seed()?,
+    };
+    let seeds: u64 = matches.opt_get_default("seeds", 10)?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    let mut failed = Vec::new();
+    for seed in first..first + seeds {
+        let run = run_options(&matches, seed)?;
+        let outcome = runtime.block_on(run_seed(seed, &run))?;
+        print_outcome(&outcome);
+        if outcome.violations.is_empty() {
+            std::fs::remove_dir_all(&run.folder)?;
+        } else {
+            println!("  kept: {}", run.folder.display());
+            failed.push(seed);
+        }
+    }
+    println!(
+        "{} of {seeds} seeds broke a promise: {failed:?}",
+        failed.len()
+    );
+    Ok(match failed.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
+
+fn drawn_seed() -> anyhow::Result<u64> {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    Ok(since.context("the clock stands before 1970")?.as_millis() as u64)
+}
+
+fn run_options(matches: &getopts::Matches, seed: u64) -> anyhow::Result<SoakOptions> {
+    let beside = std::env::current_exe()?.with_file_name("bergamot-entry");
+    let program = matches.opt_get_default("program", beside)?;
+    let folder = matches.opt_get_default("folder", PathBuf::from("target/soak"))?;
+    let usual = SoakOptions::usual(program, folder.join(seed.to_string()));
+    let seconds = matches.opt_get_default("seconds", usual.length.as_secs())?;
+    Ok(SoakOptions {
+        entries: matches.opt_get_default("entries", usual.entries)?,
+        faults: matches.opt_get_default("faults", usual.faults)?,
+        length: Duration::from_secs(seconds),
+        ..usual
+    })
+}
+
+fn print_outcome(outcome: &SoakOutcome) {
+    println!(
+        "seed {}: {} requests, {} served, {} refused as not run, {} violations",
+        outcome.seed,
+        outcome.requests,
+        outcome.served,
+        outcome.refused,
+        outcome.violations.len()
+    );
+    for violation in &outcome.violations {
+        println!("  {violation}");
+    }
+}
--- /dev/null
+++ b/crates/soak/src/caller.rs
@@ -0,0 +1,266 @@
+//! Callers: each keeps one connection to one process for as long as it lasts.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bergamot_adapter::sample::request_headers;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Method, Request, Response};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::net::TcpStream;
+
+use crate::process::EntryPlace;
+use crate::site::{LASTING_KEY, SoakSite};
+
+/// The deadline of each request.
+pub const DEADLINE: Duration = Duration::from_millis(4_000);
+/// Time past the deadline after which a caller gives up.
+const PATIENCE: Duration = Duration::from_millis(4_000);
+/// The longest pause between two requests of a caller.
+const LONGEST_PAUSE_MS: u64 = 60;
+/// Pause of a caller that could not connect.
+const CONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// One request in so many goes with the key that changes, or with one that was taken away.
+const PROBE_SHARE: u32 = 6;
+/// Tokens in an event of the stand-in's streams.
+const EVENT_TOKENS: u64 = 7;
+
+/// What a request is for.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum RequestKind {
+    /// Idempotent, to the plain service.
+    Read,
+    /// Not idempotent, to the plain service.
+    Bid,
+    /// A stream that may be resumed, to a group; of so many events.
+    Stream(u64),
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum CallEnd {
+    /// With an answer, read to its end.
+    Answered {
+        /// Its status.
+        status: u16,
+        /// Whether it is the whole answer to this request.
+        is_whole: bool,
+        /// Whether it says when to come back.
+        has_retry_after: bool,
+        /// Whether it says that the request did not run.
+        says_not_run: bool,
+    },
+    /// The connection ended; after the head of the answer, or before it.
+    Cut {
+        /// Whether the head had come.
+        had_head: bool,
+    },
+    /// No connection was to be had.
+    NotSent,
+    /// Nothing came in time.
+    GivenUp,
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    /// Its id.
+    pub id: String,
+    /// What it was for.
+    pub kind: RequestKind,
+    /// The process it was sent to.
+    pub entry: usize,
+    /// The key it carried.
+    pub key: String,
+    /// When it was sent.
+    pub sent_at: Instant,
+    /// When it ended.
+    pub ended_at: Instant,
+    /// How it ended.
+    pub end: CallEnd,
+}
+
+/// One caller.
+pub struct CallerLoop {
+    /// Its number.
+    pub number: usize,
+    /// The process it calls.
+    pub entry: usize,
+    /// Where that listens.
+    pub place: EntryPlace,
+    /// Where it finds keys.
+    pub site: Arc<SoakSite>,
+    /// Where requests are noted.
+    pub records: Arc<Mutex<Vec<CallRecord>>>,
+    /// What it draws from.
+    pub seed: u64,
+}
+
+impl CallerLoop {
+    /// Calls until the task is dropped.
+    pub async fn run(self) {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ self.number as u64);
+        let mut kept = None;
+        for count in 0_u64.. {
+            let pause = rng.random_range(1..LONGEST_PAUSE_MS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+            let id = format!("c{}-{count}", self.number);
+            let kind = match rng.random_range(0..3) {
+                0 => RequestKind::Read,
+                1 => RequestKind::Bid,
+                _ => RequestKind::Stream(rng.random_range(1..80)),
+            };
+            let key = self.draw_key(&mut rng);
+            let record = self.call(&mut kept, id, kind, key).await;
+            let is_refused = record.end == CallEnd::NotSent;
+            self.records.lock().push(record);
+            if is_refused {
+                tokio::time::sleep(CONNECT_PAUSE).await;
+            }
+        }
+    }
+
+    fn draw_key<Source>(&self, rng: &mut Source) -> String
+    where
+        Source: Rng,
+    {
+        if !rng.random_ratio(1, PROBE_SHARE) {
+            return LASTING_KEY.to_owned();
+        }
+        let keys = self.site.keys.lock();
+        let revoked = keys.revoked.last().filter(|_| rng.random_bool(0.5));
+        revoked.map_or_else(|| keys.current.clone(), |revoked| revoked.key.clone())
+    }
+
+    async fn call(
+        &self,
+        kept: &mut Option<SendRequest<Full<Bytes>>>,
+        id: String,
+        kind: RequestKind,
+        key: String,
+    ) -> CallRecord {
+        let sent_at = Instant::now();
+        let limit = DEADLINE + PATIENCE;
+        let exchange = exchange(kept, self.place, &id, kind, &key);
+        let end = tokio::time::timeout(limit, exchange).await;
+        let end = end.unwrap_or(CallEnd::GivenUp);
+        if !matches!(end, CallEnd::Answered { .. }) {
+            *kept = None;
+        }
+        CallRecord {
+            id,
+            kind,
+            entry: self.entry,
+            key,
+            sent_at,
+            ended_at: Instant::now(),
+            end,
+        }
+    }
+}
+
+/// One call on a connection of its own.
+pub async fn call_once(place: EntryPlace, id: &str, kind: RequestKind, key: &str) -> CallEnd {
+    let mut kept = None;
+    let call = exchange(&mut kept, place, id, kind, key);
+    let end = tokio::time::timeout(DEADLINE + PATIENCE, call).await;
+    end.unwrap_or(CallEnd::GivenUp)
+}
+
+async fn exchange(
+    kept: &mut Option<SendRequest<Full<Bytes>>>,
+    place: EntryPlace,
+    id: &str,
+    kind: RequestKind,
+    key: &str,
+) -> CallEnd {
+    let usable = kept.take().filter(|sender| !sender.is_closed());
+    let sender = match usable {
+        Some(sender) => Some(sender),
+        None => connect(place).await,
+    };
+    let Some(mut sender) = sender else {
+        return CallEnd::NotSent;
+    };
+    let Some(request) = request(id, kind, key) else {
+        return CallEnd::NotSent;
+    };
+    if sender.ready().await.is_err() {
+        return CallEnd::NotSent;
+    }
+    let Ok(response) = sender.send_request(request).await else {
+        return CallEnd::Cut { had_head: false };
+    };
+    let end = read_answer(id, kind, response).await;
+    *kept = Some(sender);
+    end
+}
+
+async fn connect(place: EntryPlace) -> Option<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(place.front()).await.ok()?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    // How the connection ended shows in the call on it.
+    tokio::spawn(async move { connection.await.is_ok() });
+    Some(sender)
+}
+
+fn request(id: &str, kind: RequestKind, key: &str) -> Option<Request<Full<Bytes>>> {
+    let (method, path) = match kind {
+        RequestKind::Read => (Method::GET, format!("/read/{id}")),
+        RequestKind::Bid => (Method::POST, format!("/bid/{id}")),
+        RequestKind::Stream(_) => (Method::POST, format!("/stream/{id}")),
+    };
+    let mut builder = Request::builder().method(method).uri(path);
+    for (name, value) in request_headers(key) {
+        let value = match (name, kind) {
+            ("request-id", _) => id.to_owned(),
+            ("token-counts", RequestKind::Stream(events)) => {
+                format!("10,{}", events * EVENT_TOKENS)
+            }
+            ("token-counts" | "model", RequestKind::Read | RequestKind::Bid) => continue,
+            _ => value,
+        };
+        builder = builder.header(name, value);
+    }
+    let body = match kind {
+        RequestKind::Read => Bytes::new(),
+        _ => Bytes::from(id.to_owned()),
+    };
+    builder.body(Full::new(body)).ok()
+}
+
+async fn read_answer(
+    id: &str,
+    kind: RequestKind,
+    response: Response<hyper::body::Incoming>,
+) -> CallEnd {
+    let (head, body) = response.into_parts();
+    let has = |name: &str| head.headers.contains_key(name);
+    let (has_retry_after, says_not_run) = (has("retry-after"), has("not-executed"));
+    let Ok(body) = body.collect().await else {
+        return CallEnd::Cut { had_head: true };
+    };
+    let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+    CallEnd::Answered {
+        status: head.status.as_u16(),
+        is_whole: text == whole_answer(id, kind),
+        has_retry_after,
+        says_not_run,
+    }
+}
+
+/// What the stand-ins answer to this request.
+fn whole_answer(id: &str, kind: RequestKind) -> String {
+    match kind {
+        RequestKind::Read => format!("GET /read/{id} 0"),
+        RequestKind::Bid => format!("POST /bid/{id} {}", id.len()),
+        RequestKind::Stream(events) => (1..=events)
+            .map(|event| format!("id: {event}\ndata: piece {event}\n\n"))
+            .collect(),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,28 @@
+//! A soak of the real program: many processes of `bergamot-entry` on one machine, before stand-ins of the
+//! store and the upstreams, with faults from outside them.
+//!
+//! A run is drawn from a seed ([`FaultPlan`]). Faults come one upon another: connections are delayed,
+//! reset, cut one way or silenced by a proxy ([`LinkProxy`]); processes are stopped, paused, killed and
+//! started again ([`EntryProcess`]); the store and the upstreams fail ([`SoakSite`]). Callers
+//! ([`caller`]) keep their connections until the process is gone. What they and the upstreams saw is
+//! checked against the promises ([`audit`]). The system reads no time of day, so clocks are left alone.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod audit;
+pub mod caller;
+pub mod groups;
+pub mod options;
+pub mod plan;
+pub mod process;
+pub mod proxy;
+pub mod run;
+pub mod site;
+
+pub use audit::{AuditBook, Violation};
+pub use options::SoakOptions;
+pub use plan::{FaultKind, FaultPlan, LinkState, TimedFault};
+pub use process::EntryProcess;
+pub use proxy::LinkProxy;
+pub use run::{SoakOutcome, run_seed};
+pub use site::SoakSite;
--- /dev/null
+++ b/crates/soak/src/options.rs
@@ -0,0 +1,44 @@
+//! What a run consists of.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// What a run consists of.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    /// The program, `bergamot-entry`.
+    pub program: PathBuf,
+    /// Where the processes' settings and logs are kept.
+    pub folder: PathBuf,
+    /// Processes.
+    pub entries: usize,
+    /// Engine upstreams; two make a group.
+    pub engines: usize,
+    /// Instances of the plain service.
+    pub desks: usize,
+    /// Callers of each process.
+    pub callers: usize,
+    /// Time in which faults begin.
+    pub length: Duration,
+    /// Faults in that time.
+    pub faults: usize,
+    /// The number of the first place for processes; runs that go on side by side need others.
+    pub first_place: usize,
+}
+
+impl SoakOptions {
+    /// A run of a dozen processes and some twenty seconds.
+    pub fn usual(program: PathBuf, folder: PathBuf) -> Self {
+        Self {
+            program,
+            folder,
+            entries: 6,
+            engines: 9,
+            desks: 3,
+            callers: 4,
+            length: Duration::from_secs(12),
+            faults: 16,
+            first_place: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,166 @@
+//! The faults of a run, drawn from its seed.
+
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::options::SoakOptions;
+
+/// What befalls the bytes of a link.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum LinkState {
+    /// They pass.
+    Whole,
+    /// They pass this much later.
+    Delayed(Duration),
+    /// Connections are reset, old and new.
+    Reset,
+    /// Nothing passes towards the listener; what it sends does.
+    CutForward,
+    /// Nothing passes towards the connecting side.
+    CutBackward,
+    /// Nothing passes.
+    Silent,
+}
+
+/// What goes wrong, or is done on purpose. Numbers name a process, an engine or a desk.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum FaultKind {
+    /// A process is killed and started again at the end.
+    KillEntry(usize),
+    /// A process is told to stop, and started again once it has ended and the time is over.
+    StopEntry(usize),
+    /// A process stands still.
+    PauseEntry(usize),
+    /// A process is told to read its settings again.
+    ReloadEntry(usize),
+    /// A process's link to the store.
+    StoreLink(usize, LinkState),
+    /// All processes' links to an engine.
+    EngineLink(usize, LinkState),
+    /// All processes' links to an instance of the plain service.
+    DeskLink(usize, LinkState),
+    /// The store fails every call.
+    StoreOutage,
+    /// The store takes calls and does not answer.
+    StoreHang,
+    /// The store answers this much later.
+    StoreSlow(Duration),
+    /// The store does so many calls and loses the answers.
+    StoreLosesAnswers(u64),
+    /// The store forgets its history.
+    StoreForgets,
+    /// An engine falls silent; another run of it comes back at the end.
+    EngineDies(usize),
+    /// An engine leaves; another run of it comes back at the end.
+    EngineLeaves(usize),
+    /// An instance of the plain service falls silent; another comes back at the end.
+    DeskDies(usize),
+    /// An instance of the plain service leaves; another comes back at the end.
+    DeskLeaves(usize),
+    /// A desk runs so many requests and loses the answers.
+    DeskLosesAnswers(usize, u64),
+    /// A desk refuses so many requests as not run.
+    DeskRefuses(usize, u64),
+    /// A desk answers this much later.
+    DeskSlow(usize, Duration),
+    /// An engine breaks its next stream off after so many events.
+    EngineBreaksOff(usize, u64),
+    /// The operator takes a key away and gives out another.
+    ChangeKeys,
+}
+
+/// A fault with its time.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct TimedFault {
+    /// When it begins, from the start of the run.
+    pub at: Duration,
+    /// How long it lasts.
+    pub length: Duration,
+    /// What it is.
+    pub kind: FaultKind,
+}
+
+/// All faults of a run, in the order in which they begin.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct FaultPlan {
+    /// The faults.
+    pub faults: Vec<TimedFault>,
+}
+
+/// The shortest fault, in milliseconds.
+const SHORTEST_MS: u64 = 100;
+/// The longest: past the store's leases and the time after which a group breaks.
+const LONGEST_MS: u64 = 6_000;
+
+impl FaultPlan {
+    /// Draws a plan. Faults overlap, and may befall the same thing twice.
+    pub fn draw(seed: u64, options: &SoakOptions) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut faults: Vec<TimedFault> = (0..options.faults)
+            .map(|_| TimedFault {
+                at: Duration::from_millis(rng.random_range(0..options.length.as_millis() as u64)),
+                length: Duration::from_millis(rng.random_range(SHORTEST_MS..LONGEST_MS)),
+                kind: draw_kind(&mut rng, options),
+            })
+            .collect();
+        faults.sort_by_key(|fault| fault.at);
+        Self { faults }
+    }
+}
+
+fn draw_link<Source>(rng: &mut Source) -> LinkState
+where
+    Source: Rng,
+{
+    let delay = Duration::from_millis(rng.random_range(5..400));
+    let states = [
+        LinkState::Delayed(delay),
+        LinkState::Reset,
+        LinkState::CutForward,
+        LinkState::CutBackward,
+        LinkState::Silent,
+    ];
+    *states.choose(rng).unwrap_or(&LinkState::Silent)
+}
+
+fn draw_kind<Source>(rng: &mut Source, options: &SoakOptions) -> FaultKind
+where
+    Source: Rng,
+{
+    let entry = rng.random_range(0..options.entries);
+    let engine = rng.random_range(0..options.engines);
+    let desk = rng.random_range(0..options.desks);
+    let count = rng.random_range(1..6);
+    let delay = Duration::from_millis(rng.random_range(20..1_500));
+    let link = draw_link(rng);
+    match rng.random_range(0..21) {
+        0 => FaultKind::KillEntry(entry),
+        1 | 2 => FaultKind::StopEntry(entry),
+        3 => FaultKind::PauseEntry(entry),
+        4 => FaultKind::ReloadEntry(entry),
+        5 | 6 => FaultKind::StoreLink(entry, link),
+        7 => FaultKind::EngineLink(engine, link),
+        8 => FaultKind::DeskLink(desk, link),
+        9 => FaultKind::StoreOutage,
+        10 => FaultKind::StoreHang,
+        11 => FaultKind::StoreSlow(delay),
+        12 => FaultKind::StoreLosesAnswers(count),
+        13 => FaultKind::StoreForgets,
+        14 => FaultKind::EngineDies(engine),
+        15 => FaultKind::EngineLeaves(engine),
+        16 => match rng.random_bool(0.5) {
+            true => FaultKind::DeskDies(desk),
+            false => FaultKind::DeskLeaves(desk),
+        },
+        17 => FaultKind::DeskLosesAnswers(desk, count),
+        18 => match rng.random_bool(0.5) {
+            true => FaultKind::DeskRefuses(desk, count),
+            false => FaultKind::DeskSlow(desk, delay),
+        },
+        19 => FaultKind::EngineBreaksOff(engine, count),
+        _ => FaultKind::ChangeKeys,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/process.rs
@@ -0,0 +1,157 @@
+//! One process of `bergamot-entry`.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use bergamot_adapter::SETTINGS_VARIABLE;
+use bergamot_adapter::sample::settings_text;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use tokio::process::{Child, Command};
+
+use crate::options::SoakOptions;
+
+/// Time a process that was told to stop may take: its grace of 8 s and some room.
+const STOP_PATIENCE: Duration = Duration::from_secs(12);
+
+/// Time between a process's start and the moment from which on it is to have taken its signals over.
+const SIGNAL_TIME: Duration = Duration::from_millis(100);
+
+/// Where a process listens: an address of the loopback range of its own, so that its ports are free.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryPlace {
+    /// The address.
+    pub ip: Ipv4Addr,
+}
+
+impl EntryPlace {
+    /// The place of the process with this number, in a run of this program.
+    pub fn new(number: usize) -> Self {
+        let [.., high, low] = std::process::id().to_be_bytes();
+        let [upper, lower] = (number as u16 + 1).to_be_bytes();
+        // Runs of several programs at once must not meet: the second byte is the program's.
+        let second = 64 | (high ^ low) & 63 | upper << 7;
+        Self {
+            ip: Ipv4Addr::new(127, second, low, lower),
+        }
+    }
+
+    /// Where callers connect.
+    pub fn front(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, 7_001))
+    }
+}
+
+/// A process, running or not.
+#[derive(Debug)]
+pub struct EntryProcess {
+    /// Where it listens.
+    pub place: EntryPlace,
+    settings: PathBuf,
+    log: PathBuf,
+    program: PathBuf,
+    child: Option<Child>,
+    started_at: Instant,
+}
+
+impl EntryProcess {
+    /// Writes the settings of a process. It reaches the store at `store`.
+    ///
+    /// # Errors
+    /// When the file cannot be written.
+    pub fn prepare(
+        number: usize,
+        options: &SoakOptions,
+        store: SocketAddr,
+    ) -> anyhow::Result<Self> {
+        let folder = &options.folder;
+        let place = EntryPlace::new(options.first_place + number);
+        let port = |port: u16| SocketAddr::from((place.ip, port));
+        let text = settings_text(store, place.front(), port(7_002), 7_004);
+        let failure_domain = if number.is_multiple_of(2) {
+            "east"
+        } else {
+            "west"
+        };
+        let text = text
+            .replace("127.0.0.1\"\nzone", &format!("{}\"\nzone", place.ip))
+            .replace("front-east-1", &format!("entry-{number}"))
+            .replace("zone = \"east\"", &format!("zone = \"{failure_domain}\""));
+        let settings = folder.join(format!("entry-{number}.toml"));
+        std::fs::write(&settings, text).context("settings")?;
+        Ok(Self {
+            place,
+            settings,
+            log: folder.join(format!("entry-{number}.log")),
+            program: options.program.clone(),
+            child: None,
+            started_at: Instant::now(),
+        })
+    }
+
+    /// Starts it. Its log goes on where it ended.
+    ///
+    /// # Errors
+    /// When it cannot be started.
+    pub fn start(&mut self) -> anyhow::Result<()> {
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
+        let child = Command::new(&self.program)
+            .env(SETTINGS_VARIABLE, &self.settings)
+            .args(["--platform", "--metrics-port", "7003"])
+            .stdin(Stdio::null())
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| format!("{} cannot be started", self.program.display()))?;
+        self.child = Some(child);
+        self.started_at = Instant::now();
+        Ok(())
+    }
+
+    /// Waits until a process that was just started had the time to take its signals over.
+    pub async fn wait_signals(&self) {
+        tokio::time::sleep_until((self.started_at + SIGNAL_TIME).into()).await;
+    }
+
+    /// Sends it a signal, by its id.
+    pub fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().and_then(Child::id);
+        let Some(id) = id.and_then(|id| i32::try_from(id).ok()) else {
+            return;
+        };
+        if let Err(error) = kill(Pid::from_raw(id), signal) {
+            eprintln!("signal {signal} not sent to {id}: {error}");
+        }
+    }
+
+    /// Kills it and waits for its end.
+    pub async fn kill(&mut self) {
+        if let Some(mut child) = self.child.take()
+            && let Err(error) = child.kill().await
+        {
+            eprintln!("process not killed: {error}");
+        }
+    }
+
+    /// Waits until it has ended after a signal to stop. How long that took; none when it had to be
+    /// killed.
+    pub async fn wait_stopped(&mut self) -> Option<Duration> {
+        let mut child = self.child.take()?;
+        let began = Instant::now();
+        let ended = tokio::time::timeout(STOP_PATIENCE, child.wait()).await;
+        if ended.is_ok() {
+            return Some(began.elapsed());
+        }
+        if let Err(error) = child.kill().await {
+            eprintln!("process not killed: {error}");
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/audit.rs
@@ -0,0 +1,363 @@
+//! Each broken promise is found, and what is in order is not.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bergamot_soak::audit::{AuditBook, Trouble, Violation};
+use bergamot_soak::caller::{CallEnd, CallRecord, RequestKind};
+use bergamot_soak::plan::FaultKind;
+use bergamot_soak::site::{CHANGING_KEY, LASTING_KEY, RevokedKey, UpstreamRun};
+use bergamot_standin::site::upstream::SeenRequest;
+use bergamot_standin::site::{
+    GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
+};
+
+/// One request, told in milliseconds from a start.
+struct AuditCase {
+    name: &'static str,
+    kind: RequestKind,
+    key: &'static str,
+    sent: u64,
+    ended: u64,
+    end: CallEnd,
+    /// When the upstream began to run it, each time.
+    runs: &'static [u64],
+    /// The upstream says at 1,000 that it leaves.
+    leaves: bool,
+    /// What befalls the process or others, from and until.
+    trouble: Option<(FaultKind, u64, u64)>,
+    /// How the violation's name begins; none where all is in order.
+    found: Option<&'static str>,
+}
+
+const SERVED: CallEnd = answered(200, true);
+
+const fn answered(status: u16, is_whole: bool) -> CallEnd {
+    CallEnd::Answered {
+        status,
+        is_whole,
+        has_retry_after: true,
+        says_not_run: false,
+    }
+}
+
+impl Default for AuditCase {
+    fn default() -> Self {
+        Self {
+            name: "in order",
+            kind: RequestKind::Bid,
+            key: LASTING_KEY,
+            sent: 100,
+            ended: 150,
+            end: SERVED,
+            runs: &[120],
+            leaves: false,
+            trouble: None,
+            found: None,
+        }
+    }
+}
+
+fn cases() -> Vec<AuditCase> {
+    let case = AuditCase::default;
+    let cut = CallEnd::Cut { had_head: false };
+    vec![
+        case(),
+        AuditCase {
+            name: "twice",
+            runs: &[110, 120],
+            found: Some("RanTwice"),
+            ..case()
+        },
+        AuditCase {
+            name: "a read twice",
+            kind: RequestKind::Read,
+            runs: &[110, 120],
+            ..case()
+        },
+        AuditCase {
+            name: "not run, and had",
+            end: answered(503, false),
+            found: Some("FalselyNotRun"),
+            ..case()
+        },
+        AuditCase {
+            name: "not run, later it did",
+            end: answered(429, false),
+            runs: &[900],
+            found: Some("FalselyNotRun"),
+            ..case()
+        },
+        AuditCase {
+            name: "not run",
+            end: answered(503, false),
+            runs: &[],
+            ..case()
+        },
+        AuditCase {
+            name: "may have run",
+            end: answered(502, false),
+            ..case()
+        },
+        AuditCase {
+            name: "a read that says so",
+            kind: RequestKind::Read,
+            end: CallEnd::Answered {
+                status: 503,
+                is_whole: false,
+                has_retry_after: true,
+                says_not_run: true,
+            },
+            found: Some("FalselyNotRun"),
+            ..case()
+        },
+        AuditCase {
+            name: "half an answer",
+            end: answered(200, false),
+            found: Some("WrongAnswer"),
+            ..case()
+        },
+        AuditCase {
+            name: "no word when to come back",
+            end: CallEnd::Answered {
+                status: 503,
+                is_whole: false,
+                has_retry_after: false,
+                says_not_run: false,
+            },
+            runs: &[],
+            found: Some("NoRetryAfter"),
+            ..case()
+        },
+        AuditCase {
+            name: "held",
+            ended: 5_500,
+            found: Some("HeldTooLong"),
+            ..case()
+        },
+        AuditCase {
+            name: "held while it stood still",
+            ended: 5_500,
+            trouble: Some((FaultKind::PauseEntry(0), 200, 4_000)),
+            ..case()
+        },
+        AuditCase {
+            name: "another stood still",
+            ended: 5_500,
+            trouble: Some((FaultKind::PauseEntry(1), 200, 4_000)),
+            found: Some("HeldTooLong"),
+            ..case()
+        },
+        AuditCase {
+            name: "a good key",
+            end: answered(401, false),
+            runs: &[],
+            found: Some("Denied"),
+            ..case()
+        },
+        AuditCase {
+            name: "a key that is gone",
+            key: "key-old",
+            sent: 6_000,
+            ended: 6_100,
+            runs: &[6_050],
+            found: Some("RevokedServed"),
+            ..case()
+        },
+        AuditCase {
+            name: "a key that has just gone",
+            key: "key-old",
+            sent: 4_000,
+            ended: 4_100,
+            runs: &[4_050],
+            ..case()
+        },
+        AuditCase {
+            name: "cut by a stop",
+            end: cut.clone(),
+            trouble: Some((FaultKind::StopEntry(0), 130, 200)),
+            found: Some("CutByStop"),
+            ..case()
+        },
+        AuditCase {
+            name: "sent after the stop",
+            end: cut.clone(),
+            trouble: Some((FaultKind::StopEntry(0), 50, 200)),
+            ..case()
+        },
+        AuditCase {
+            name: "an idle connection at a stop",
+            end: cut.clone(),
+            runs: &[],
+            trouble: Some((FaultKind::StopEntry(0), 130, 200)),
+            ..case()
+        },
+        AuditCase {
+            name: "killed",
+            end: cut,
+            trouble: Some((FaultKind::KillEntry(0), 130, 200)),
+            ..case()
+        },
+        AuditCase {
+            name: "work while it leaves",
+            sent: 3_000,
+            ended: 3_200,
+            runs: &[3_100],
+            leaves: true,
+            found: Some("WorkWhileLeaving"),
+            ..case()
+        },
+        AuditCase {
+            name: "work just after that",
+            sent: 2_000,
+            ended: 2_200,
+            runs: &[2_100],
+            leaves: true,
+            ..case()
+        },
+        AuditCase {
+            name: "work while the store is away",
+            sent: 3_000,
+            ended: 3_200,
+            runs: &[3_100],
+            leaves: true,
+            trouble: Some((FaultKind::StoreOutage, 900, 3_000)),
+            ..case()
+        },
+    ]
+}
+
+#[tokio::test]
+async fn each_broken_promise_is_found() {
+    let store = SiteStoreStandin::new(SiteStoreOptions::default());
+    let options = UpstreamOptions {
+        id: "desk-0".to_owned(),
+        service: "desk".to_owned(),
+        failure_domain: "east".to_owned(),
+        fabric: None,
+        times: GroupTimes::default(),
+        advertised: None,
+    };
+    let upstream = SiteUpstream::start(options, store).await;
+    let upstream = upstream.expect("an upstream starts");
+    for case in cases() {
+        let found = book(&case, &upstream).check();
+        let names: Vec<String> = found.iter().map(ToString::to_string).collect();
+        let is_right = match case.found {
+            Some(name) => names.len() == 1 && names[0].starts_with(name),
+            None => names.is_empty(),
+        };
+        assert!(is_right, "{}: {names:?}", case.name);
+    }
+}
+
+/// Answers of one process to requests with keys of versions, in order.
+struct OrderCase {
+    name: &'static str,
+    /// Version of the key, when it was sent, and the status, which came 10 ms later.
+    answers: &'static [(u64, u64, u16)],
+    found: usize,
+}
+
+#[test]
+fn an_older_configuration_after_a_newer_one_is_found() {
+    let cases = [
+        OrderCase {
+            name: "each version after the other",
+            answers: &[(1, 100, 200), (2, 200, 401), (2, 300, 200), (1, 400, 401)],
+            found: 0,
+        },
+        OrderCase {
+            name: "one that was not known yet when it was taken away",
+            answers: &[(2, 100, 401), (2, 200, 200), (2, 300, 401)],
+            found: 0,
+        },
+        OrderCase {
+            name: "refused and taken again",
+            answers: &[(1, 100, 200), (1, 200, 401), (1, 300, 200)],
+            found: 1,
+        },
+        OrderCase {
+            name: "taken after a later one",
+            answers: &[(2, 100, 200), (1, 200, 200)],
+            found: 1,
+        },
+        OrderCase {
+            name: "sent before the later one was answered",
+            answers: &[(2, 100, 200), (1, 105, 200)],
+            found: 0,
+        },
+    ];
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    for case in cases {
+        let records = case
+            .answers
+            .iter()
+            .map(|(version, sent, status)| CallRecord {
+                id: format!("at-{sent}"),
+                kind: RequestKind::Read,
+                entry: 0,
+                key: format!("{CHANGING_KEY}{version}"),
+                sent_at: at(*sent),
+                ended_at: at(sent + 10),
+                end: answered(*status, true),
+            });
+        let book = AuditBook {
+            records: records.collect(),
+            seen: BTreeMap::new(),
+            troubles: Vec::new(),
+            revoked: Vec::new(),
+        };
+        let found = book.check();
+        assert_eq!(found.len(), case.found, "{}: {found:?}", case.name);
+        assert!(
+            found
+                .iter()
+                .all(|it| matches!(it, Violation::Reverted { .. }))
+        );
+    }
+}
+
+fn book(case: &AuditCase, upstream: &Arc<SiteUpstream>) -> AuditBook {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let run = UpstreamRun {
+        upstream: Arc::clone(upstream),
+        leaving_since: case.leaves.then(|| at(1_000)),
+    };
+    let seen = case.runs.iter().map(|ms| {
+        let request = SeenRequest {
+            method: hyper::Method::POST,
+            path: String::new(),
+            headers: hyper::HeaderMap::new(),
+            body: bytes::Bytes::new(),
+            at: at(*ms),
+        };
+        (run.clone(), request)
+    });
+    let record = CallRecord {
+        id: "r".to_owned(),
+        kind: case.kind,
+        entry: 0,
+        key: case.key.to_owned(),
+        sent_at: at(case.sent),
+        ended_at: at(case.ended),
+        end: case.end.clone(),
+    };
+    let trouble = case.trouble.map(|(kind, from, until)| Trouble {
+        kind,
+        from: at(from),
+        until: at(until),
+    });
+    AuditBook {
+        records: vec![record],
+        seen: BTreeMap::from([("r".to_owned(), seen.collect())]),
+        troubles: trouble.into_iter().collect(),
+        revoked: vec![RevokedKey {
+            key: "key-old".to_owned(),
+            at: at(0),
+        }],
+    }
+}
--- a/crates/standin/src/site/group.rs
+++ b/crates/standin/src/site/group.rs
@@ -120,6 +120,19 @@
         seat.map_or_else(Vec::new, |seat| seat.members.clone())
     }
 
+    /// The group it belongs to, by name and epoch.
+    pub fn seat(&self) -> Option<(String, u64)> {
+        let seat = self.seat.as_ref()?;
+        Some((seat.name.clone(), seat.epoch))
+    }
+
+    /// Gives an open group up.
+    pub fn break_up(&mut self) {
+        if let Some(seat) = self.seat.as_mut().filter(|seat| seat.state == "open") {
+            seat.state = "broken";
+        }
+    }
+
     /// What its entry and its report say of groups.
     pub fn describe(&self) -> Value {
         let group = self.seat.as_ref().map(|seat| {
--- a/crates/standin/src/site/upstream.rs
+++ b/crates/standin/src/site/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -40,6 +41,8 @@
     pub fabric: Option<String>,
     /// Times of its groups.
     pub times: GroupTimes,
+    /// Where it says that it listens, such as a proxy; its own address where none is given.
+    pub advertised: Option<SocketAddr>,
 }
 
 /// A request as it came in.
@@ -53,6 +56,8 @@
     pub headers: hyper::HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// When it began to run.
+    pub at: Instant,
 }
 
 impl SeenRequest {
@@ -70,6 +75,7 @@
     addr: SocketAddr,
     group: Mutex<GroupSide>,
     seen: Mutex<Vec<SeenRequest>>,
+    is_stalled: AtomicBool,
     state: Mutex<&'static str>,
     /// Its faults.
     pub faults: FaultSwitch,
@@ -91,6 +97,7 @@
             options,
             store,
             seen: Mutex::new(Vec::new()),
+            is_stalled: AtomicBool::new(false),
             state: Mutex::new("ready"),
             faults: FaultSwitch::default(),
         });
@@ -114,6 +121,34 @@
         &self.options.id
     }
 
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Whether it has fallen silent.
+    pub fn is_dead(&self) -> bool {
+        let faults = self.faults.get();
+        faults.hang || faults.dead
+    }
+
+    /// Which group it belongs to, by name and epoch.
+    pub fn seat(&self) -> Option<(String, u64)> {
+        self.group.lock().seat()
+    }
+
+    /// Stands still with its group, or goes on. What has not begun waits.
+    pub fn stall(&self, is_stalled: bool) {
+        self.is_stalled.store(is_stalled, Ordering::Relaxed);
+    }
+
+    /// Gives its group up: it takes no more requests.
+    pub fn break_group(&self) {
+        self.group.lock().break_up();
+        self.stall(false);
+        self.register();
+    }
+
     /// The requests that it began to run.
     pub fn seen(&self) -> Vec<SeenRequest> {
         self.seen.lock().clone()
@@ -147,7 +182,7 @@
         let options = &self.options;
         let mut entry = self.group.lock().describe();
         entry["service"] = json!(options.service);
-        entry["address"] = json!(self.addr);
+        entry["address"] = json!(options.advertised.unwrap_or(self.addr));
         entry["zone"] = json!(options.failure_domain);
         entry["version"] = json!("v1");
         entry["slots"] = json!(8);
@@ -186,6 +221,13 @@
         if is_engine && !self.is_open() {
             return self.refuse(StatusCode::MISDIRECTED_REQUEST, &id);
         }
+        while self.is_stalled.load(Ordering::Relaxed) {
+            tokio::time::sleep(STEP).await;
+        }
+        // It may have broken while it stood still.
+        if is_engine && !self.is_open() {
+            return self.refuse(StatusCode::SERVICE_UNAVAILABLE, &id);
+        }
         if self.faults.take_refusal() {
             return self.refuse(StatusCode::SERVICE_UNAVAILABLE, &id);
         }
@@ -194,6 +236,7 @@
             path: question.path.clone(),
             headers: question.headers.clone(),
             body: question.body.clone(),
+            at: Instant::now(),
         });
         self.faults.before().await?;
         if self.faults.take_lost_answer() {
