--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -1,6 +1,6 @@
 //! Arguments, commands, exit codes.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use anyhow::{Context, bail};
@@ -14,6 +14,7 @@
 use crate::publish::publish;
 use crate::roll::{RollContext, RollOutcome, roll};
 use crate::status::{dump, fleet, wait_in_force};
+use crate::story::{StorySubject, tell};
 
 /// Done.
 pub const EXIT_OK: u8 = 0;
@@ -64,6 +65,7 @@
   retire MODEL BUNDLE OUT      write the bundle without a model, to be signed and rolled
   status                       what is in force where
   explain NAME                 why a group or VM is where it is
+  explain KIND NAME --log FILE the story of a request, group or vm out of logs (--log again for more)
   dump                         the whole state of each entry VM
 
 Exit codes: 0 done, 2 unfit input, 3 another roll came first, 4 refused and nothing changed,
@@ -76,6 +78,7 @@
     let mut options = Options::new();
     options.optopt("", "kv", "key-value service, http://HOST:PORT", "URL");
     options.optmulti("", "admin", "admin address of an entry VM", "HOST:PORT");
+    options.optmulti("", "log", "log of a process on the platform", "FILE");
     options.optmulti("", "key", "operator key file", "FILE");
     options.optopt(
         "",
@@ -105,6 +108,7 @@
         ["retire", model, bundle, out] => retire(model, Path::new(bundle), Path::new(out)),
         ["status"] => status(matches).await,
         ["explain", name] => explain_name(matches, name).await,
+        ["explain", kind, name] => explain_by_logs(matches, kind, name),
         ["dump"] => dump_all(matches).await,
         [] => bail!("a command is needed; --help lists them"),
         [command, ..] => bail!("{command}: no such command, or the wrong arguments; see --help"),
@@ -306,6 +310,30 @@
     Ok(CommandOutcome::new(code, text.join("\n"), json))
 }
 
+fn explain_by_logs(matches: &Matches, kind: &str, name: &str) -> anyhow::Result<CommandOutcome> {
+    let subject = StorySubject::new(kind, name)
+        .with_context(|| format!("{kind}: what can be explained is request, group or vm"))?;
+    let logs: Vec<PathBuf> = matches
+        .opt_strs("log")
+        .into_iter()
+        .map(PathBuf::from)
+        .collect();
+    if logs.is_empty() {
+        bail!("--log is needed: the logs of the processes");
+    }
+    let told = tell(&subject, &logs)?;
+    let lines: Vec<String> = told
+        .iter()
+        .map(|it| format!("{}:{}: {}", it.log, it.number, it.line.text))
+        .collect();
+    let json = json!({"lines": lines});
+    if lines.is_empty() {
+        let text = format!("no log says anything of {kind} {name}");
+        return Ok(CommandOutcome::new(EXIT_UNFIT, text, json));
+    }
+    Ok(CommandOutcome::new(EXIT_OK, lines.join("\n"), json))
+}
+
 async fn explain_name(matches: &Matches, name: &str) -> anyhow::Result<CommandOutcome> {
     let caller = HttpCaller::new(KV_TIMEOUT);
     let mut lines = Vec::new();
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod cli;
 pub mod explain;
 pub mod files;
+pub mod log_line;
 pub mod publish;
 pub mod roll;
 pub mod status;
+pub mod story;
 
 pub use publish::{PublishOutcome, publish};
 pub use roll::{RollContext, RollOutcome, roll};
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Lines that wait for the writer at most: a few seconds' worth at the peak, under 1 MB.
 const RING_LINES: usize = 4_096;
@@ -45,13 +46,20 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format(|out, record| {
             let level = record.level().as_str().to_ascii_lowercase();
-            writeln!(out, "level={level} {}", record.args())
+            writeln!(out, "at={} level={level} {}", time_of_day(), record.args())
         })
         .target(env_logger::Target::Pipe(Box::new(writer)))
         .init();
     Ok(())
 }
 
+/// The machine's time of day in milliseconds, to order lines of several processes; nothing else goes
+/// by it. Zero on a machine whose clock stands before 1970.
+fn time_of_day() -> u128 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis())
+}
+
 fn write_lines(receiver: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
     let mut out = std::io::stdout().lock();
     while let Ok(line) = receiver.recv() {
@@ -62,7 +70,8 @@
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
-            let _ = writeln!(out, "level=warn event=lines_dropped count={lost}");
+            let at = time_of_day();
+            let _ = writeln!(out, "at={at} level=warn event=lines_dropped count={lost}");
         }
         let _ = out.flush();
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,7 +5,8 @@
 //! reset, cut one way or silenced by a proxy ([`LinkProxy`]); processes are stopped, paused, killed and
 //! started again ([`EntryProcess`]); the store and the upstreams fail ([`SoakSite`]). Callers
 //! ([`caller`]) keep their connections until the process is gone. What they and the upstreams saw is
-//! checked against the promises ([`audit`]). The system reads no time of day, so clocks are left alone.
+//! checked against the promises ([`audit`]). Nothing but log lines goes by the time of day, so clocks are
+//! left alone.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
