--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -1,65 +1,72 @@
-//! A short soak of this program, and the seeds that once broke a promise.
+//! A short soak of this program, and the faults that once broke a promise.
 
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use bergamot_soak::{SoakOptions, SoakOutcome, run_seed};
+use bergamot_soak::{FaultKind, FaultPlan, SoakOptions, SoakOutcome, TimedFault, run_plan};
 
-/// A seed that is always played.
-struct SeedCase {
-    seed: u64,
-    /// Why.
-    reason: &'static str,
-    /// Whether it is played as short as CI plays any seed, or as it was when it failed.
-    is_short: bool,
+/// Faults that are always played.
+struct SoakCase {
+    name: &'static str,
+    faults: SoakFaults,
 }
 
-const CASES: [SeedCase; 4] = [
-    SeedCase {
-        seed: 1,
-        reason: "any",
-        is_short: true,
-    },
-    SeedCase {
-        seed: 2,
-        reason: "any",
-        is_short: true,
+enum SoakFaults {
+    /// Those of a seed.
+    Seed(u64),
+    /// These: when they begin and how long they last, in milliseconds.
+    Known(&'static [(u64, u64, FaultKind)]),
+}
+
+const CASES: [SoakCase; 3] = [
+    SoakCase {
+        name: "any",
+        faults: SoakFaults::Seed(1),
     },
-    SeedCase {
-        seed: 100,
-        reason: "a hang-up signal ended a process that had just started",
-        is_short: false,
+    SoakCase {
+        name: "any other",
+        faults: SoakFaults::Seed(2),
     },
-    SeedCase {
-        seed: 302,
-        reason: "a hang-up signal ended a process that had just started",
-        is_short: false,
+    // Drawn by seeds 100 and 302: the signal ended the process, which had just started.
+    SoakCase {
+        name: "told to read its settings right after a start",
+        faults: SoakFaults::Known(&[
+            (500, 1_000, FaultKind::KillEntry(4)),
+            (700, 100, FaultKind::ReloadEntry(4)),
+        ]),
     },
 ];
 
 /// Places of processes between one run and the next.
 const PLACES: usize = 16;
 
-async fn play(index: usize, case: &SeedCase) -> (PathBuf, SoakOutcome) {
+async fn play(index: usize, case: &SoakCase) -> (PathBuf, SoakOutcome) {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_bergamot-entry"));
-    let name = format!("soak-{}", case.seed);
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let usual = SoakOptions {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{index}"));
+    let options = SoakOptions {
         first_place: index * PLACES,
+        length: Duration::from_secs(5),
+        faults: 8,
         ..SoakOptions::usual(program, folder.clone())
     };
-    let options = match case.is_short {
-        true => SoakOptions {
-            length: Duration::from_secs(5),
-            faults: 8,
-            ..usual
+    let plan = match case.faults {
+        SoakFaults::Seed(seed) => FaultPlan::draw(seed, &options),
+        SoakFaults::Known(faults) => FaultPlan {
+            faults: faults.iter().copied().map(timed).collect(),
         },
-        false => usual,
     };
-    let outcome = run_seed(case.seed, &options).await;
+    let outcome = run_plan(&plan, index as u64, &options).await;
     (folder, outcome.expect("everything starts"))
 }
 
+fn timed((at, length, kind): (u64, u64, FaultKind)) -> TimedFault {
+    TimedFault {
+        at: Duration::from_millis(at),
+        length: Duration::from_millis(length),
+        kind,
+    }
+}
+
 #[test]
 fn no_promise_is_broken_by_faults_from_outside() {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
@@ -67,12 +74,12 @@
     let runs = runs.map(|(index, case)| play(index, case));
     let outcomes = runtime.block_on(futures::future::join_all(runs));
     for (case, (folder, outcome)) in CASES.iter().zip(outcomes) {
-        let reason = case.reason;
         assert!(
             outcome.violations.is_empty(),
-            "{reason}: {outcome:#?}; logs are in {}",
+            "{}: {outcome:#?}; logs are in {}",
+            case.name,
             folder.display()
         );
-        assert!(outcome.served > 100, "{outcome:?}");
+        assert!(outcome.served > 100, "{}: {outcome:?}", case.name);
     }
 }
--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -154,18 +154,19 @@
         }
     }
 
-    /// Whether a stream or an answer can break because of it.
-    const fn breaks_answers(&self) -> bool {
-        matches!(
-            self.kind,
+    /// Whether an answer can break because of it that one of these upstreams gave. Any engine may be in
+    /// the group that streams.
+    fn breaks_answers(&self, runs: &[(UpstreamRun, SeenRequest)]) -> bool {
+        match self.kind {
             FaultKind::EngineLink(..)
-                | FaultKind::DeskLink(..)
-                | FaultKind::EngineDies(_)
-                | FaultKind::DeskDies(_)
-                | FaultKind::EngineBreaksOff(..)
-                | FaultKind::EngineLeaves(_)
-                | FaultKind::DeskLosesAnswers(..)
-        )
+            | FaultKind::EngineDies(_)
+            | FaultKind::EngineBreaksOff(..)
+            | FaultKind::EngineLeaves(_) => runs.iter().any(|(run, _)| run.is_engine()),
+            FaultKind::DeskLink(desk, _)
+            | FaultKind::DeskDies(desk)
+            | FaultKind::DeskLosesAnswers(desk, _) => runs.iter().any(|(run, _)| run.is_desk(desk)),
+            _ => false,
+        }
     }
 }
 
@@ -273,12 +274,13 @@
             let is_stop = trouble.kind == FaultKind::StopEntry(record.entry);
             is_stop && from < trouble.from && trouble.from < until
         });
+        // One that no upstream saw may have met the end of an idle connection.
+        let runs = self.seen.get(&record.id).filter(|runs| !runs.is_empty())?;
         let is_excused = self.troubles.iter().any(|trouble| {
-            let can_break = trouble.befalls(record.entry) || trouble.breaks_answers();
+            let can_break = trouble.befalls(record.entry) || trouble.breaks_answers(runs);
             can_break && trouble.overlaps(from, until)
         });
-        // One that no upstream saw may have met the end of an idle connection.
-        let is_cut = stops && !is_excused && self.runs(record) > 0;
+        let is_cut = stops && !is_excused;
         is_cut.then(|| Violation::CutByStop {
             id: record.id.clone(),
             entry: record.entry,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -25,5 +25,5 @@
 pub use plan::{FaultKind, FaultPlan, LinkState, TimedFault};
 pub use process::EntryProcess;
 pub use proxy::LinkProxy;
-pub use run::{SoakOutcome, run_seed};
+pub use run::{SoakOutcome, run_plan, run_seed};
 pub use site::SoakSite;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -92,8 +92,9 @@
 
 /// The shortest fault, in milliseconds.
 const SHORTEST_MS: u64 = 100;
-/// The longest: past the store's leases and the time after which a group breaks.
-const LONGEST_MS: u64 = 6_000;
+/// The longest: past the store's leases, the time after which a group breaks, and the time for which a
+/// key may be trusted without a confirmation.
+const LONGEST_MS: u64 = 9_000;
 
 impl FaultPlan {
     /// Draws a plan. Faults overlap, and may befall the same thing twice.
@@ -136,7 +137,7 @@
     let count = rng.random_range(1..6);
     let delay = Duration::from_millis(rng.random_range(20..1_500));
     let link = draw_link(rng);
-    match rng.random_range(0..21) {
+    match rng.random_range(0..22) {
         0 => FaultKind::KillEntry(entry),
         1 | 2 => FaultKind::StopEntry(entry),
         3 => FaultKind::PauseEntry(entry),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -58,8 +58,19 @@
 /// # Errors
 /// When something cannot be started.
 pub async fn run_seed(seed: u64, options: &SoakOptions) -> anyhow::Result<SoakOutcome> {
+    run_plan(&FaultPlan::draw(seed, options), seed, options).await
+}
+
+/// Plays these faults; the seed says what callers do.
+///
+/// # Errors
+/// When something cannot be started.
+pub async fn run_plan(
+    plan: &FaultPlan,
+    seed: u64,
+    options: &SoakOptions,
+) -> anyhow::Result<SoakOutcome> {
     std::fs::create_dir_all(&options.folder)?;
-    let plan = FaultPlan::draw(seed, options);
     std::fs::write(options.folder.join("plan.txt"), format!("{plan:#?}"))?;
     let run = SoakRun::start(options).await?;
     let run = Arc::new(run);
@@ -69,7 +80,7 @@
     run.check_back().await;
     let records = Arc::new(Mutex::new(Vec::new()));
     let callers = run.start_callers(seed, options, &records).await;
-    run.play(&plan).await?;
+    run.play(plan).await?;
     run.check_back().await;
     run.check_config().await;
     drop(callers);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -20,6 +20,12 @@
 pub const LASTING_KEY: &str = "key-lasting";
 /// How the keys that change begin; the version that gave one out follows.
 pub const CHANGING_KEY: &str = "key-";
+/// The service of groups, as the sample configuration names it.
+const ENGINES: &str = "engines";
+/// The plain service.
+const DESK: &str = "desk";
+/// Upstreams that a request may be sent to.
+const MAX_ATTEMPTS: u32 = 3;
 /// Times of groups: loads and warm-ups short enough that many fit into a run, and not instant.
 const GROUP_TIMES: GroupTimes = GroupTimes {
     load: Duration::from_millis(400),
@@ -37,6 +43,19 @@
     pub leaving_since: Option<Instant>,
 }
 
+impl UpstreamRun {
+    /// Whether it is an engine.
+    pub fn is_engine(&self) -> bool {
+        self.upstream.id().starts_with(ENGINES)
+    }
+
+    /// Whether it is a run of the plain service's instance with this number.
+    pub fn is_desk(&self, desk: usize) -> bool {
+        let id = self.upstream.id().strip_prefix(DESK);
+        id.is_some_and(|rest| rest.starts_with(&format!("-{desk}-")))
+    }
+}
+
 /// A place for an upstream: one run after another behind one proxy each.
 #[derive(Clone)]
 pub struct UpstreamPlace {
@@ -160,8 +179,8 @@
             "west"
         };
         let (service, fabric) = match role {
-            UpstreamRole::Engine => ("engines", Some(format!("{failure_domain}-d0"))),
-            UpstreamRole::Desk => ("desk", None),
+            UpstreamRole::Engine => (ENGINES, Some(format!("{failure_domain}-d0"))),
+            UpstreamRole::Desk => (DESK, None),
         };
         let options = UpstreamOptions {
             id: format!("{service}-{index}-{run}"),
@@ -225,7 +244,12 @@
         let mut keys = self.keys.lock();
         keys.version += 1;
         let next = format!("{CHANGING_KEY}{}", keys.version);
-        let text = config(keys.version, &[LASTING_KEY, &next]).to_string();
+        let mut config = config(keys.version, &[LASTING_KEY, &next]);
+        for route in config["routes"].as_array_mut().into_iter().flatten() {
+            // More than one upstream for any request: what may run once only is up to the system.
+            route["maxAttempts"] = MAX_ATTEMPTS.into();
+        }
+        let text = config.to_string();
         self.store.put(CONFIG_KEY, text.as_bytes());
         let key = std::mem::replace(&mut keys.current, next);
         if !key.is_empty() {
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -27,6 +27,8 @@
     leaves: bool,
     /// What befalls the process or others, from and until.
     trouble: Option<(FaultKind, u64, u64)>,
+    /// Something more.
+    other: Option<(FaultKind, u64, u64)>,
     /// How the violation's name begins; none where all is in order.
     found: Option<&'static str>,
 }
@@ -54,6 +56,7 @@
             runs: &[120],
             leaves: false,
             trouble: None,
+            other: None,
             found: None,
         }
     }
@@ -180,6 +183,21 @@
             found: Some("CutByStop"),
             ..case()
         },
+        AuditCase {
+            name: "cut by a stop while another instance is gone",
+            end: cut.clone(),
+            trouble: Some((FaultKind::StopEntry(0), 130, 200)),
+            other: Some((FaultKind::DeskDies(1), 0, 300)),
+            found: Some("CutByStop"),
+            ..case()
+        },
+        AuditCase {
+            name: "cut while its instance was gone",
+            end: cut.clone(),
+            trouble: Some((FaultKind::StopEntry(0), 130, 200)),
+            other: Some((FaultKind::DeskDies(0), 0, 300)),
+            ..case()
+        },
         AuditCase {
             name: "sent after the stop",
             end: cut.clone(),
@@ -232,7 +250,7 @@
 async fn each_broken_promise_is_found() {
     let store = SiteStoreStandin::new(SiteStoreOptions::default());
     let options = UpstreamOptions {
-        id: "desk-0".to_owned(),
+        id: "desk-0-0".to_owned(),
         service: "desk".to_owned(),
         failure_domain: "east".to_owned(),
         fabric: None,
@@ -346,15 +364,16 @@
         ended_at: at(case.ended),
         end: case.end.clone(),
     };
-    let trouble = case.trouble.map(|(kind, from, until)| Trouble {
-        kind,
-        from: at(from),
-        until: at(until),
+    let troubles = case.trouble.iter().chain(&case.other);
+    let troubles = troubles.map(|(kind, from, until)| Trouble {
+        kind: *kind,
+        from: at(*from),
+        until: at(*until),
     });
     AuditBook {
         records: vec![record],
         seen: BTreeMap::from([("r".to_owned(), seen.collect())]),
-        troubles: trouble.into_iter().collect(),
+        troubles: troubles.collect(),
         revoked: vec![RevokedKey {
             key: "key-old".to_owned(),
             at: at(0),
