perf: few leaders are used by all entry VMs

Cause: leaders were shared out over 23 of 90 VMs each (three quarters of 30 slots). With eight leaders of the large model a VM had two or three, some one, and their loads came out uneven: of 590 streams in 8 s one leader got 124 with a mean first event of 414 ms, others 37 and 63 with 255 and 329; a third of all first events were late. The sharing is a module of its own.

--- a/crates/gateway/src/front/book.rs
+++ b/crates/gateway/src/front/book.rs
@@ -4,8 +4,9 @@
 use std::rc::Rc;
 
 use bergamot_types::prelude::*;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
+use super::sharing::LeaderSharing;
 use crate::view::RouteUpstream;
 
 /// Time for which an upstream with a failure is avoided; doubled with each failure in a row.
@@ -79,74 +80,27 @@
     }
 }
 
-/// Entry VMs that use one leader at most: each may then have one request and a third there.
-fn users_of(slots: u32) -> usize {
-    (slots as usize * 3).div_ceil(4).max(1)
-}
-
-/// How many of the entry VMs `vms` come before `own` in the order in which they use a leader.
-fn vms_before(leader: &UpstreamId, vms: &[&str], own: &str) -> usize {
-    let key = hash_bytes(leader.as_str().as_bytes());
-    let score = rendezvous_score(key, own);
-    let higher = vms.iter().filter(|vm| rendezvous_score(key, vm) > score);
-    higher.count()
-}
-
 /// All upstreams that were sent to.
 #[derive(Debug, Default)]
 pub struct UpstreamBook {
     loads: IndexMap<UpstreamId, UpstreamLoad>,
-    /// Entry VMs that send to the same upstreams.
-    vms: usize,
-    /// Leaders that are this VM's to use; none while there are few entry VMs.
-    own: Option<IndexSet<UpstreamId>>,
-    /// The entry VMs by which leaders were shared out.
-    sharers: Vec<String>,
-    /// For each leader how many entry VMs come before this one, by those sharers.
-    before: IndexMap<UpstreamId, usize>,
+    sharing: LeaderSharing,
 }
 
 impl UpstreamBook {
-    /// Shares the leaders out over the entry VMs `vms`, of which `own` is this one. A leader is
-    /// used by so many of them that each may have some requests there at once; with more, a limit
-    /// of one request each would still fill it several times over.
+    /// Shares the leaders out over the entry VMs `vms`, of which `own` is this one.
     pub fn share_leaders<'a, Leaders>(&mut self, leaders: Leaders, vms: &[&str], own: &str)
     where
         Leaders: Iterator<Item = &'a RouteUpstream>,
     {
-        self.vms = vms.len();
-        if !self.sharers.iter().eq(vms.iter().copied()) {
-            self.sharers = vms.iter().map(|vm| (*vm).to_owned()).collect();
-            self.before.clear();
-        }
-        let mut known = IndexMap::new();
-        let mut mine = IndexSet::new();
-        let mut is_shared = false;
-        for leader in leaders {
-            let users = users_of(leader.slots);
-            is_shared |= users < vms.len();
-            // Worked out once: at 400 leaders and 300 entry VMs it is 120,000 scores.
-            let before = self.before.get(&leader.id).copied();
-            let before = before.unwrap_or_else(|| vms_before(&leader.id, vms, own));
-            if before < users {
-                mine.insert(leader.id.clone());
-            }
-            known.insert(leader.id.clone(), before);
-        }
-        self.before = known;
-        self.own = is_shared.then_some(mine);
-    }
-
-    /// Whether a leader is this VM's to use.
-    fn is_own(&self, id: &UpstreamId) -> bool {
-        self.own.as_ref().is_none_or(|own| own.contains(id))
+        self.sharing.share(leaders, vms, own);
     }
 
     /// The limit before an upstream has shown what it bears: somewhat more than an equal part of
     /// its slots, as callers are spread unevenly. Without it every VM would fill a group that has
     /// just opened by itself.
     fn first_limit(&self, slots: u32) -> f64 {
-        let users = self.vms.min(users_of(slots)).max(1);
+        let users = self.sharing.users(slots);
         let part = f64::from(slots) / users as f64;
         (part * FIRST_LIMIT_FACTOR).clamp(FIRST_LIMIT_FLOOR, f64::from(slots).max(MIN_LIMIT))
     }
@@ -294,7 +248,7 @@
                 false => AWAY_PENALTY,
             };
             let load = (f64::from(load.in_flight) + away) / f64::from(upstream.slots.max(1));
-            (is_avoided, !self.is_own(&upstream.id), load)
+            (is_avoided, !self.sharing.is_own(&upstream.id), load)
         };
         let mut fresh = pool
             .iter()
@@ -303,12 +257,12 @@
         if fresh.peek().is_none() {
             return UpstreamChoice::None;
         }
-        let has_own = pool
-            .iter()
-            .any(|upstream| self.is_own(&upstream.id) && !self.load(&upstream.id).is_avoided(now));
+        let has_own = pool.iter().any(|upstream| {
+            self.sharing.is_own(&upstream.id) && !self.load(&upstream.id).is_avoided(now)
+        });
         let usable = fresh.filter(|upstream| {
             let is_plain = upstream.group.is_none();
-            must_go_on || is_plain || self.is_own(&upstream.id) || !has_own
+            must_go_on || is_plain || self.sharing.is_own(&upstream.id) || !has_own
         });
         let roomy = usable.filter(|upstream| must_go_on || self.has_room(upstream));
         let best = roomy.min_by(|a, b| {
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -13,6 +13,7 @@
 //! | [`quiet`] | when an upstream counts as standing still |
 //! | [`refusal`] | answers of this system's own |
 //! | [`book`] | load and trouble of upstreams as seen from here |
+//! | [`sharing`] | which entry VMs use which leaders of groups |
 //! | [`budget`] | how many repeats may be sent |
 //! | [`pool`] | connections to upstreams |
 
@@ -30,6 +31,7 @@
 pub mod refusal;
 pub mod relay;
 pub mod server;
+pub mod sharing;
 pub mod state;
 
 use std::cell::{Cell, RefCell};
