--- a/crates/groups/tests/size.rs
+++ b/crates/groups/tests/size.rs
@@ -1,53 +1,17 @@
 //! What a look at all groups costs at the size of two years.
 
+mod support;
+
 use std::time::Instant;
 
 use bergamot_groups::{GroupAction, GroupOptions, GroupPlanner};
-use bergamot_ports::{
-    EngineSpec, GroupMembership, MemberState, ModelSpec, OrderOutcome, UpstreamEntry, UpstreamState,
-};
+use bergamot_ports::{GroupMembership, MemberState, OrderOutcome, UpstreamEntry};
 use bergamot_types::prelude::*;
-use indexmap::{IndexMap, IndexSet};
-
-const UPSTREAMS: usize = 3_000;
-const FABRIC_SIZE: usize = 37;
+use indexmap::IndexSet;
 
-fn spec() -> EngineSpec {
-    let model = |name: &str, size| ModelSpec {
-        name: ModelName::new(name),
-        group_size: size,
-        demand_share: 0.5,
-        pace: 1.0,
-        load_time: Millis(16_000),
-        warmup_time: Millis(1_600),
-    };
-    EngineSpec {
-        slots: 30,
-        models: [model("large", 16), model("small", 4)]
-            .into_iter()
-            .map(|it| (it.name.clone(), it))
-            .collect::<IndexMap<_, _>>(),
-        loads_per_second: 18.0,
-        parallel_loads: 27,
-        open_time: Millis(300),
-    }
-}
+use support::fleet::{FABRIC_SIZE, entry, spec};
 
-fn entry(index: usize) -> UpstreamEntry {
-    let fabric = index / FABRIC_SIZE;
-    UpstreamEntry {
-        id: UpstreamId::from(format!("i-{index:08x}")),
-        service: ServiceName::new("engines"),
-        addr: ([10, 1, (index / 200) as u8, (index % 200) as u8], 8_000).into(),
-        failure_domain: FailureDomain::from(format!("fd-{}", fabric % 3)),
-        fabric: Some(FabricDomain::from(format!("fabric-{fabric}"))),
-        state: UpstreamState::Ready,
-        slots: 30,
-        staged: Vec::new(),
-        models: Vec::new(),
-        membership: None,
-    }
-}
+const UPSTREAMS: usize = 3_000;
 
 /// Steps once, in milliseconds.
 fn timed(planner: &mut GroupPlanner, now: Millis) -> (f64, Vec<GroupAction>) {
--- /dev/null
+++ b/crates/groups/tests/support/fleet.rs
@@ -0,0 +1,39 @@
+//! A large fleet: a model of groups of 16 and one of groups of four, in fabric domains of 37.
+
+use bergamot_ports::{EngineSpec, UpstreamEntry, UpstreamState};
+use bergamot_types::prelude::*;
+use indexmap::IndexMap;
+
+use super::short::model;
+
+pub const FABRIC_SIZE: usize = 37;
+
+pub fn spec() -> EngineSpec {
+    EngineSpec {
+        slots: 30,
+        models: [model("large", 16), model("small", 4)]
+            .into_iter()
+            .map(|it| (it.name.clone(), it))
+            .collect::<IndexMap<_, _>>(),
+        loads_per_second: 18.0,
+        parallel_loads: 27,
+        open_time: Millis(300),
+    }
+}
+
+/// A cold upstream.
+pub fn entry(index: usize) -> UpstreamEntry {
+    let fabric = index / FABRIC_SIZE;
+    UpstreamEntry {
+        id: UpstreamId::from(format!("i-{index:08x}")),
+        service: ServiceName::new("engines"),
+        addr: ([10, 1, (index / 200) as u8, (index % 200) as u8], 8_000).into(),
+        failure_domain: FailureDomain::from(format!("fd-{}", fabric % 3)),
+        fabric: Some(FabricDomain::from(format!("fabric-{fabric}"))),
+        state: UpstreamState::Ready,
+        slots: 30,
+        staged: Vec::new(),
+        models: Vec::new(),
+        membership: None,
+    }
+}
--- a/crates/groups/tests/support/short.rs
+++ b/crates/groups/tests/support/short.rs
@@ -10,15 +10,19 @@
 
 pub const NOW: Millis = Millis(100_000);
 
-pub fn spec() -> EngineSpec {
-    let model = |name: &str, size| ModelSpec {
+/// A model with half of the work.
+pub fn model(name: &str, size: usize) -> ModelSpec {
+    ModelSpec {
         name: ModelName::new(name),
         group_size: size,
         demand_share: 0.5,
         pace: 1.0,
         load_time: Millis(16_000),
         warmup_time: Millis(1_600),
-    };
+    }
+}
+
+pub fn spec() -> EngineSpec {
     EngineSpec {
         slots: 8,
         models: [model("a", 2), model("b", 2)]
