fix: an overloaded group whose member is cut off from us is not taken apart

Ruled out: that these groups really stood still. Now doubt after 350 ms only asks; a silent member is lost when requests stand still for certain (600 ms), and only requests whose answers have begun can say so.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use bergamot_peer::QuietNotice;
 use bergamot_ports::{PortSet, VmSite};
 use hyper::Response;
 use hyper::server::conn::http1;
@@ -39,7 +40,7 @@
     shared: Arc<SharedState>,
     ports: Ports,
     reader: Option<SettingsReader>,
-    quiet: mpsc::Receiver<bergamot_types::UpstreamId>,
+    quiet: mpsc::Receiver<QuietNotice>,
 }
 
 impl<Ports> GatewayDaemon<Ports>
--- a/crates/gateway/src/front/book.rs
+++ b/crates/gateway/src/front/book.rs
@@ -45,6 +45,8 @@
     limit: Option<f64>,
     /// Requests sent from here and not ended.
     pub in_flight: u32,
+    /// Of these, the ones whose answers have begun.
+    begun: u32,
     /// When anything last came from it.
     pub progress_at: Millis,
     /// Since when there has been a request in flight from here without a break.
@@ -57,10 +59,10 @@
 }
 
 impl UpstreamLoad {
-    /// Whether something came from it since it got something to do. Before that, silence may only
-    /// mean that requests wait there behind those of other entry VMs.
-    pub fn has_moved(&self) -> bool {
-        self.progress_at >= self.busy_since
+    /// Whether an answer from it has begun and goes on. Where none has, silence may only mean that
+    /// requests wait there behind those of other entry VMs.
+    pub fn has_begun(&self) -> bool {
+        self.begun > 0
     }
 
     /// How long it has been silent while it had something to do.
@@ -141,10 +143,16 @@
         load.limit = None;
     }
 
-    /// Counts the end of a request.
-    pub fn note_ended(&mut self, id: &UpstreamId) {
+    /// Counts an answer that begins.
+    fn note_begun(&mut self, id: &UpstreamId) {
+        self.load_mut(id).begun += 1;
+    }
+
+    /// Counts the end of a request, whose answer may have begun.
+    fn note_ended(&mut self, id: &UpstreamId, has_begun: bool) {
         let load = self.load_mut(id);
         load.in_flight = load.in_flight.saturating_sub(1);
+        load.begun = load.begun.saturating_sub(u32::from(has_begun));
     }
 
     /// Notes that something came from it.
@@ -293,6 +301,7 @@
 pub struct FlightGuard {
     book: Rc<RefCell<UpstreamBook>>,
     id: UpstreamId,
+    has_begun: bool,
 }
 
 impl FlightGuard {
@@ -302,12 +311,21 @@
         Self {
             book: Rc::clone(book),
             id: id.clone(),
+            has_begun: false,
+        }
+    }
+
+    /// Counts that the answer has begun.
+    pub fn note_begun(&mut self) {
+        if !self.has_begun {
+            self.has_begun = true;
+            self.book.borrow_mut().note_begun(&self.id);
         }
     }
 }
 
 impl Drop for FlightGuard {
     fn drop(&mut self) {
-        self.book.borrow_mut().note_ended(&self.id);
+        self.book.borrow_mut().note_ended(&self.id, self.has_begun);
     }
 }
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -213,7 +213,7 @@
                 error,
                 AttemptError::NoListener(_) | AttemptError::NotSent(_)
             ) {
-                report_quiet(front, upstream);
+                report_quiet(front, upstream, true);
             }
         }
     }
--- a/crates/gateway/src/front/quiet.rs
+++ b/crates/gateway/src/front/quiet.rs
@@ -1,5 +1,6 @@
 //! When an upstream counts as standing still.
 
+use bergamot_peer::QuietNotice;
 use bergamot_types::prelude::*;
 
 use super::FrontContext;
@@ -32,12 +33,12 @@
     let now = front.now();
     let load = front.book.borrow().load(&upstream.id);
     let silence = load.silence(now);
-    let (doubt_time, quiet_time) = match load.has_moved() {
+    let (doubt_time, quiet_time) = match load.has_begun() {
         true => (DOUBT_TIME, QUIET_TIME),
         false => (QUIET_TIME, QUEUE_TIME),
     };
     if silence >= doubt_time {
-        report_quiet(front, upstream);
+        report_quiet(front, upstream, silence >= quiet_time);
     }
     // A request that came when the upstream had long been silent needs not wait all that time.
     let is_quiet = silence >= quiet_time && now.since(since) >= MIN_WAIT;
@@ -47,11 +48,21 @@
     is_quiet
 }
 
-pub fn report_quiet<Dialect>(front: &FrontContext<Dialect>, upstream: &RouteUpstream) {
+/// Tells the coordinator that nothing comes from an upstream, and whether its requests stand still for
+/// `is_certain`.
+pub fn report_quiet<Dialect>(
+    front: &FrontContext<Dialect>,
+    upstream: &RouteUpstream,
+    is_certain: bool,
+) {
     if upstream.group.is_none() {
         return;
     }
-    if let Err(error) = front.shared.quiet.try_send(upstream.id.clone()) {
+    let notice = QuietNotice {
+        leader: upstream.id.clone(),
+        is_certain,
+    };
+    if let Err(error) = front.shared.quiet.try_send(notice) {
         log::debug!(
             "event=quiet_not_passed_on upstream={} reason={error}",
             upstream.id
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -183,7 +183,9 @@
                     let now = self.front.now();
                     let mut book = self.front.book.borrow_mut();
                     book.note_progress(&reply.upstream.id, now);
+                    drop(book);
                     if let Some(data) = frame.data_ref() {
+                        reply.flight.note_begun();
                         splitter.push(data);
                     }
                 }
--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_groups::{AskOutcome, GroupAction, GroupPlanner};
-use bergamot_peer::{PeerNotice, frame};
+use bergamot_peer::{PeerNotice, QuietNotice, frame};
 use bergamot_ports::{
     ControlError, KeyWrite, OrderOutcome, OrderRequest, StateStore, StoreError, StoreTxn,
     TxnOutcome, UpstreamControl,
@@ -173,7 +173,7 @@
 pub(crate) fn read_quiet(
     buffer: &[u8],
     received: std::io::Result<(usize, std::net::SocketAddr)>,
-) -> Option<UpstreamId> {
+) -> Option<QuietNotice> {
     let (length, _) = match received {
         Ok(received) => received,
         Err(error) => {
@@ -182,7 +182,7 @@
         }
     };
     match frame::decode(&buffer[..length]) {
-        Ok(PeerNotice::Quiet { leader }) => Some(leader),
+        Ok(PeerNotice::Quiet(notice)) => Some(notice),
         Err(error) => {
             log::info!("event=notice_unreadable reason={error:?}");
             None
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bergamot_groups::{GroupAction, GroupOptions, GroupPlanner};
-use bergamot_peer::{MAX_DATAGRAM_BYTES, PeerNotice, frame};
+use bergamot_peer::{MAX_DATAGRAM_BYTES, PeerNotice, QuietNotice, frame};
 use bergamot_ports::{
     EngineSpec, KeyCondition, KeyWrite, StateStore, StoreTxn, TxnOutcome, UpstreamControl, VmSite,
 };
@@ -52,7 +52,7 @@
     control: Rc<Control>,
     /// Bounds the calls to upstreams that are on their way.
     calls: Rc<Semaphore>,
-    quiet: mpsc::Receiver<UpstreamId>,
+    quiet: mpsc::Receiver<QuietNotice>,
     socket: UdpSocket,
 }
 
@@ -81,7 +81,7 @@
         shared: Arc<SharedState>,
         store: Rc<Store>,
         control: Rc<Control>,
-        quiet: mpsc::Receiver<UpstreamId>,
+        quiet: mpsc::Receiver<QuietNotice>,
         socket: UdpSocket,
     ) -> Self {
         Self {
@@ -118,15 +118,15 @@
             }
             tokio::select! {
                 _ = changes.changed() => {}
-                leader = self.quiet.recv() => self.pass_on(leader).await,
+                notice = self.quiet.recv() => self.pass_on(notice).await,
                 () = tokio::time::sleep(RENEW_PERIOD), if is_vacant => {}
             }
         }
     }
 
-    /// Tells the coordinator of a leader at which requests stand still.
-    async fn pass_on(&self, leader: Option<UpstreamId>) {
-        let Some(leader) = leader else {
+    /// Tells the coordinator of a leader from which nothing comes.
+    async fn pass_on(&self, notice: Option<QuietNotice>) {
+        let Some(notice) = notice else {
             // The senders live as long as the process.
             return std::future::pending().await;
         };
@@ -134,8 +134,7 @@
         let Some(coordinator) = &view.coordinator else {
             return;
         };
-        let notice = PeerNotice::Quiet { leader };
-        let bytes = match frame::encode(&notice) {
+        let bytes = match frame::encode(&PeerNotice::Quiet(notice)) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!("event=notice_not_written reason={error:?}");
@@ -234,13 +233,13 @@
                     update(&shared, &mut planner, &view, &term);
                     step_at = soon;
                 }
-                leader = self.quiet.recv() => {
-                    let questions = self.doubt(&term, planner.as_mut(), leader);
+                notice = self.quiet.recv() => {
+                    let questions = self.doubt(&term, planner.as_mut(), notice);
                     running.extend(questions.into_iter().map(|it| self.carry_out(it)));
                 }
                 received = self.socket.recv_from(&mut buffer) => {
-                    let leader = read_quiet(&buffer, received);
-                    let questions = self.doubt(&term, planner.as_mut(), leader);
+                    let notice = read_quiet(&buffer, received);
+                    let questions = self.doubt(&term, planner.as_mut(), notice);
                     running.extend(questions.into_iter().map(|it| self.carry_out(it)));
                 }
                 () = tokio::time::sleep_until(step_at) => {}
@@ -276,17 +275,19 @@
         log::info!("event=coordinator_ends reason=lease");
     }
 
-    /// The questions to a group at whose leader requests stand still.
+    /// The questions to a group from whose leader nothing comes.
     fn doubt(
         &self,
         term: &LeadTerm,
         planner: Option<&mut GroupPlanner>,
-        leader: Option<UpstreamId>,
+        notice: Option<QuietNotice>,
     ) -> Vec<GroupAction> {
         let now = self.shared.clock.now();
         let planner = planner.filter(|_| term.allows_orders(now));
-        match (planner, leader) {
-            (Some(planner), Some(leader)) => planner.note_quiet(&leader, now),
+        match (planner, notice) {
+            (Some(planner), Some(notice)) => {
+                planner.note_quiet(&notice.leader, notice.is_certain, now)
+            }
             _ => Vec::new(),
         }
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
+use bergamot_peer::QuietNotice;
 use bergamot_ports::{ServingBounds, VmSite};
 use bergamot_types::prelude::*;
 use tokio::sync::{mpsc, watch};
@@ -44,13 +45,13 @@
     pub has_traffic: AtomicBool,
     /// When the signal to stop came, in milliseconds; 0: not yet.
     stop_began: AtomicU64,
-    /// Leaders at which requests stand still, for the coordinator.
-    pub quiet: mpsc::Sender<UpstreamId>,
+    /// Leaders from which nothing comes, for the coordinator.
+    pub quiet: mpsc::Sender<QuietNotice>,
 }
 
 impl SharedState {
     /// The state of a process that has just started.
-    pub fn new(site: VmSite, quiet: mpsc::Sender<UpstreamId>) -> Arc<Self> {
+    pub fn new(site: VmSite, quiet: mpsc::Sender<QuietNotice>) -> Arc<Self> {
         Arc::new(Self {
             bounds: ArcSwap::from_pointee(site.bounds),
             site,
--- /dev/null
+++ b/crates/gateway/tests/standstill.rs
@@ -0,0 +1,37 @@
+//! When requests at the leader of a group may be said to stand still.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use bergamot_gateway::book::{FlightGuard, UpstreamBook};
+use bergamot_types::prelude::*;
+
+#[test]
+fn a_request_that_only_waits_says_nothing_about_its_group() {
+    let book = Rc::new(RefCell::new(UpstreamBook::default()));
+    let leader = UpstreamId::new("leader");
+    let enter = |at| FlightGuard::enter(&book, &leader, Millis(at));
+    let has_begun = || book.borrow().load(&leader).has_begun();
+
+    let mut streaming = enter(1_000);
+    assert!(!has_begun(), "it may wait behind others");
+    streaming.note_begun();
+    streaming.note_begun();
+    book.borrow_mut().note_progress(&leader, Millis(1_100));
+    assert!(has_begun());
+
+    // The second one waits in the leader's queue when the first has its whole answer.
+    let waiting = enter(1_200);
+    assert!(has_begun());
+    drop(streaming);
+    assert!(!has_begun(), "nothing is to be expected soon");
+    assert_eq!(
+        book.borrow().load(&leader).silence(Millis(1_800)),
+        Millis(700)
+    );
+    drop(waiting);
+    assert_eq!(
+        book.borrow().load(&leader).silence(Millis(1_800)),
+        Millis(0)
+    );
+}
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -207,12 +207,20 @@
         self.has_traffic = true;
     }
 
-    /// Hears that requests at this leader stand still.
-    pub fn note_quiet(&mut self, leader: &UpstreamId, now: Millis) -> Vec<GroupAction> {
+    /// Hears that nothing comes from this leader, and whether requests stand still there for certain.
+    /// Asks all members; only certainty makes one that does not answer a lost one.
+    pub fn note_quiet(
+        &mut self,
+        leader: &UpstreamId,
+        is_certain: bool,
+        now: Millis,
+    ) -> Vec<GroupAction> {
         let Some(track) = self.tracks.get_mut(leader) else {
             return Vec::new();
         };
-        track.quiet_at = Some(now);
+        if is_certain {
+            track.quiet_at = Some(now);
+        }
         let Some(membership) = track.entry.membership.clone() else {
             return Vec::new();
         };
--- a/crates/peer/src/notice.rs
+++ b/crates/peer/src/notice.rs
@@ -7,9 +7,16 @@
 /// What entry VMs tell each other unasked.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum PeerNotice {
-    /// Requests stand still at this leader.
-    Quiet {
-        /// The leader.
-        leader: UpstreamId,
-    },
+    /// Nothing comes from a leader of a group.
+    Quiet(QuietNotice),
+}
+
+/// That nothing comes from the leader of a group while requests run there.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct QuietNotice {
+    /// The leader.
+    pub leader: UpstreamId,
+    /// Whether its requests stand still. Before that there is only doubt: an overloaded group is silent
+    /// for a while too.
+    pub is_certain: bool,
 }
