--- a/crates/entry/src/duty/claims.rs
+++ b/crates/entry/src/duty/claims.rs
@@ -1,5 +1,7 @@
 //! The claims duty: feeds [`ClaimState`], asks owners for verdicts, and carries copies.
 
+mod owner;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +14,7 @@
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 
+use self::owner::{ask_owner, tell_owner};
 use super::shared::{ClaimsFront, SharedState};
 use crate::control::ControlEvent;
 use crate::ring::RingReceiver;
@@ -379,39 +382,3 @@
         });
     }
 }
-
-async fn ask_owner(shared: &Arc<SharedState>, owner: &EntryId, question: ClaimAsk) -> Verdict {
-    let Some(addr) = shared.peer_addr(owner) else {
-        return Verdict::Unavailable;
-    };
-    let (key, asker) = (question.key, question.asker.clone());
-    match shared.ask_peer(addr, Question::Claim(question)).await {
-        Some(Answer::Claim(verdict)) => verdict,
-        _ => {
-            // The claim may have been granted all the same. It will not be used: say so.
-            let undo = Question::Finish {
-                key,
-                asker,
-                outcome: FinishOutcome::NotRun,
-            };
-            tokio::spawn({
-                let shared = Arc::clone(shared);
-                let owner = owner.clone();
-                async move { tell_owner(&shared, &owner, undo).await }
-            });
-            Verdict::Unavailable
-        }
-    }
-}
-
-async fn tell_owner(shared: &Arc<SharedState>, owner: &EntryId, question: Question) {
-    for _ in 0..FINISH_TRIES {
-        if let Some(addr) = shared.peer_addr(owner)
-            && shared.ask_peer(addr, question.clone()).await.is_some()
-        {
-            return;
-        }
-        tokio::time::sleep(FINISH_RETRY).await;
-    }
-    log::warn!("event=claim_outcome_not_told owner={owner}");
-}
--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -1,24 +1,28 @@
 //! Requests to models: streams that go on at another replica when one breaks.
 
+mod events;
+mod pieces;
+
 use std::sync::Arc;
 
 use bergamot_bundle::AccountSpec;
 use bergamot_bundle::roll::InForce;
 use bergamot_engine::headers::{EPOCH, GROUP};
-use bergamot_engine::{Error, SseEvent, SseParser, UpstreamReply, UpstreamRequest};
+use bergamot_engine::{SseEvent, SseParser, UpstreamReply, UpstreamRequest};
 use bergamot_routing::resume::TokenStep;
 use bergamot_routing::{RunnerFact, SentOutcome, StreamResume};
 use bergamot_types::prelude::*;
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::header::HeaderValue;
 use hyper::{Method, StatusCode};
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::sync::mpsc;
 
+use self::events::EventReader;
+use self::pieces::{kept_answer, stream_answer, whole_answer};
 use super::FrontContext;
-use super::answer::{CallerAnswer, Refusal, error_json, mark_ran, name_request, streamed, whole};
+use super::answer::{CallerAnswer, Refusal};
 use super::call::{CallContext, CallSpec, FailedAttempt};
 use super::claimed::{ClaimOutcome, GrantedClaim, claim};
 use super::request::{CallerRequest, allow};
@@ -353,41 +357,6 @@
     *last_at = Some(now);
 }
 
-/// Reads events off an upstream's answer.
-struct EventReader {
-    reply: UpstreamReply,
-    parser: SseParser,
-    upstream: UpstreamId,
-    idle: Millis,
-}
-
-impl EventReader {
-    async fn next(&mut self, call: &CallContext) -> Result<SseEvent, Error> {
-        loop {
-            if let Some(event) = self.parser.next_event() {
-                return Ok(event);
-            }
-            if self.parser.is_overlong() {
-                return Err(Error::Malformed("an event is too long".to_owned()));
-            }
-            let left = call.spec.deadline.since(call.now()).min(self.idle);
-            let frame = tokio::select! {
-                frame = tokio::time::timeout(left.as_duration(), self.reply.body_mut().frame()) => frame,
-                () = call.upstream_lost(&self.upstream) => return Err(Error::Timeout),
-            };
-            let frame = match frame {
-                Err(_) => return Err(Error::Timeout),
-                Ok(None) => return Err(Error::Broken("the stream ended".to_owned())),
-                Ok(Some(Err(error))) => return Err(Error::Broken(error.to_string())),
-                Ok(Some(Ok(frame))) => frame,
-            };
-            if let Some(data) = frame.data_ref() {
-                self.parser.push(data);
-            }
-        }
-    }
-}
-
 async fn finish(
     call: &CallContext,
     outcome: DriveOutcome,
@@ -423,125 +392,3 @@
     let requests = &front.shared.metrics.requests;
     requests.with_label_values(&["model", outcome]).inc();
 }
-
-fn kept_answer(
-    pieces: &[String],
-    id: &RequestId,
-    is_chat: bool,
-    is_stream: bool,
-) -> (&'static str, String) {
-    if is_stream {
-        let events = pieces.iter().map(|piece| format!("data: {piece}\n\n"));
-        let body: String = events.chain([DONE.to_owned()]).collect();
-        return (EVENT_STREAM, body);
-    }
-    let mut answer = WholeText::default();
-    for piece in pieces {
-        answer.add(piece);
-    }
-    ("application/json", answer.to_json(id, is_chat).to_string())
-}
-
-async fn stream_answer(
-    mut pieces: mpsc::Receiver<Piece>,
-    id: RequestId,
-) -> Result<CallerAnswer, Refusal> {
-    let first = match pieces.recv().await {
-        Some(Piece::Failed(kind)) => return Err(kind.into()),
-        Some(piece) => piece,
-        None => return Err(ErrorKind::UpstreamLost.into()),
-    };
-    let name = id.clone();
-    let first = to_event(&first, &id);
-    // The pieces go from the driver straight into the body; when the caller leaves, the body is
-    // dropped and the driver notices.
-    let rest = futures::stream::unfold((pieces, id), |(mut pieces, id)| async move {
-        let piece = pieces.recv().await?;
-        Some((to_event(&piece, &id), (pieces, id)))
-    });
-    let mut answer = streamed(StatusCode::OK, EVENT_STREAM, first, rest);
-    name_request(&mut answer, &name);
-    Ok(answer)
-}
-
-fn to_event(piece: &Piece, id: &RequestId) -> Bytes {
-    Bytes::from(match piece {
-        Piece::Token(text) => format!("data: {text}\n\n"),
-        Piece::Last(text) => format!("data: {text}\n\n{DONE}"),
-        Piece::Failed(kind) => format!("data: {}\n\n", error_json(*kind, id)),
-    })
-}
-
-/// A whole answer, put together from chunks.
-#[derive(Default)]
-struct WholeText {
-    text: String,
-    model: Value,
-    finish_reason: Value,
-    usage: Value,
-}
-
-impl WholeText {
-    fn add(&mut self, chunk: &str) {
-        let chunk: Value = serde_json::from_str(chunk).unwrap_or_default();
-        let choice = &chunk["choices"][0];
-        let piece = choice["delta"]["content"].as_str();
-        self.text
-            .push_str(piece.or(choice["text"].as_str()).unwrap_or(""));
-        self.model = chunk["model"].clone();
-        self.finish_reason = choice["finish_reason"].clone();
-        self.usage = chunk["usage"].clone();
-    }
-
-    fn to_json(&self, id: &RequestId, is_chat: bool) -> Value {
-        let (object, choice) = match is_chat {
-            true => (
-                "chat.completion",
-                serde_json::json!({
-                    "index": 0,
-                    "message": { "role": "assistant", "content": self.text },
-                    "finish_reason": self.finish_reason,
-                }),
-            ),
-            false => (
-                "text_completion",
-                serde_json::json!({
-                    "index": 0,
-                    "text": self.text,
-                    "finish_reason": self.finish_reason,
-                }),
-            ),
-        };
-        serde_json::json!({
-            "id": id,
-            "object": object,
-            "model": self.model,
-            "choices": [choice],
-            "usage": self.usage,
-        })
-    }
-}
-
-async fn whole_answer(
-    mut pieces: mpsc::Receiver<Piece>,
-    id: &RequestId,
-    is_chat: bool,
-) -> Result<CallerAnswer, Refusal> {
-    let mut text = WholeText::default();
-    loop {
-        match pieces.recv().await {
-            Some(Piece::Token(chunk)) => text.add(&chunk),
-            Some(Piece::Last(chunk)) => {
-                text.add(&chunk);
-                break;
-            }
-            Some(Piece::Failed(kind)) => return Err(kind.into()),
-            None => return Err(ErrorKind::UpstreamLost.into()),
-        }
-    }
-    let body = text.to_json(id, is_chat).to_string();
-    let mut answer = whole(StatusCode::OK, "application/json", Bytes::from(body));
-    mark_ran(&mut answer);
-    name_request(&mut answer, id);
-    Ok(answer)
-}
--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -8,11 +8,13 @@
 use std::time::{Duration, Instant};
 
 use bergamot_adapter::SETTINGS_VARIABLE;
-use bergamot_adapter::sample::{CONFIG_KEY, config, request_headers, settings_text};
-use bergamot_standin::fault::FaultSet;
-use bergamot_standin::site::{
+use bergamot_adapter::sample::{
+    CALLER_PORT, CONFIG_KEY, METRICS_PORT, READY_PORT, SampleRequest, SampleSettings, config,
+};
+use bergamot_site_standin::{
     GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
 };
+use bergamot_standin::fault::FaultSet;
 use tokio::runtime::Runtime;
 
 /// The longest a test waits for something to come true.
@@ -23,7 +25,7 @@
 fn program(settings: &PathBuf) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_bergamot-entry"));
     command.env(SETTINGS_VARIABLE, settings);
-    command.args(["--platform", "--metrics-port", "7003"]);
+    command.args(["--platform", "--metrics-port", &METRICS_PORT.to_string()]);
     command
 }
 
@@ -35,9 +37,7 @@
 }
 
 fn sample_settings(ip: Ipv4Addr, store: SocketAddr) -> String {
-    let port = |port: u16| SocketAddr::from((ip, port));
-    let text = settings_text(store, port(7_001), port(7_002), 7_004);
-    text.replace("127.0.0.1\"\nzone", &format!("{ip}\"\nzone"))
+    SampleSettings::on_address(ip, store).to_text()
 }
 
 #[test]
@@ -134,8 +134,8 @@
         let entry = Self {
             process,
             settings,
-            front: port(7_001),
-            ready: port(7_002),
+            front: port(CALLER_PORT),
+            ready: port(READY_PORT),
             desk,
             _runtime: runtime,
         };
@@ -201,7 +201,12 @@
 
 fn ask(front: SocketAddr) -> Option<String> {
     let mut text = "GET /read/x HTTP/1.1\r\nConnection: close\r\n".to_owned();
-    for (name, value) in request_headers("key-1") {
+    let request = SampleRequest {
+        id: "first-look",
+        key: "key-1",
+        answer_tokens: None,
+    };
+    for (name, value) in request.headers() {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
     text.push_str("\r\n");
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -159,12 +159,12 @@
 
     /// Takes over what a peer told when it was asked at `asked_at`. Its ages count from then, which
     /// makes them too old rather than too young.
-    async fn take_news(&mut self, news: StoreNews, asked_at: Millis) {
+    async fn take_news(&mut self, mut news: StoreNews, asked_at: Millis) {
         self.note_success();
         self.take_return(&news, asked_at);
         let now = self.shared.clock.now();
-        for change in &news.changes {
-            self.note_change(change.clone(), now);
+        for change in std::mem::take(&mut news.changes) {
+            self.note_change(change, now);
         }
         let fresh_at = Millis(asked_at.0.saturating_sub(news.age.0));
         let is_whole = !news.has_more;
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -4,7 +4,7 @@
 
 use bergamot_news::{NewsSource, NewsTable};
 use bergamot_peer::NewsQuestion;
-use bergamot_ports::{StateStore, StoreCatalog, StoreEvent, StoreItem};
+use bergamot_ports::{StateStore, StoreCatalog, StoreEvent, StoreItem, StoreRange};
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 use tokio::time::Instant;
@@ -16,7 +16,7 @@
 /// Time in which peers that have just started may read the store: 3,000 upstreams take one of them
 /// about a second.
 const PEERS_WAIT: Duration = Duration::from_millis(2_000);
-/// Time between two questions to such a peer.
+/// Time between two questions to such a peer: short against the second that its read takes; not tuned.
 const PEERS_PAUSE: Duration = Duration::from_millis(100);
 
 impl<Store, Catalog> SyncDuty<Store, Catalog>
@@ -69,14 +69,8 @@
 
     /// Reads which entry VMs there are. False when the store did not answer.
     async fn read_entries(&mut self) -> bool {
-        let range = self.store.range(ENTRY_PREFIX).await;
-        self.count("range_entries", range.as_ref().err());
-        let range = match range {
-            Ok(range) => range,
-            Err(error) => {
-                self.note_failure("range_entries", &error);
-                return false;
-            }
+        let Some(range) = self.range(ENTRY_PREFIX, "range_entries").await else {
+            return false;
         };
         for item in &range.items {
             self.known.apply_item(&self.catalog, item);
@@ -125,14 +119,8 @@
     /// Reads everything from the store. False when it did not answer.
     async fn read_store(&mut self) -> bool {
         let began = self.shared.clock.now();
-        let range = self.store.range("").await;
-        self.count("range", range.as_ref().err());
-        let range = match range {
-            Ok(range) => range,
-            Err(error) => {
-                self.note_failure("range", &error);
-                return false;
-            }
+        let Some(range) = self.range("", "range").await else {
+            return false;
         };
         self.note_success();
         self.note_source(STORE_NAME);
@@ -144,6 +132,17 @@
         true
     }
 
+    /// Reads the keys with this prefix; `call` names it in log and metrics. None when the store did not
+    /// answer.
+    async fn range(&mut self, prefix: &str, call: &str) -> Option<StoreRange> {
+        let range = self.store.range(prefix).await;
+        self.count(call, range.as_ref().err());
+        if let Err(error) = &range {
+            self.note_failure(call, error);
+        }
+        range.ok()
+    }
+
     /// Takes over everything that was in the store at `revision`, and at `fresh_at`.
     fn take_all(&mut self, items: Vec<StoreItem>, revision: u64, fresh_at: Millis, source: &str) {
         let now = self.shared.clock.now();
--- a/crates/load/src/capacity/mod.rs
+++ b/crates/load/src/capacity/mod.rs
@@ -2,6 +2,9 @@
 
 pub mod decisions;
 pub mod fit;
+mod fixture;
+pub mod row;
 
-pub use decisions::{CapacityRow, full_size, slopes};
+pub use decisions::{full_size, slopes};
 pub use fit::LineFit;
+pub use row::CapacityRow;
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -6,10 +6,12 @@
 
 pub mod ask;
 pub mod fleet;
+pub mod options;
 pub mod ready;
 pub mod sample;
 pub mod site;
 
-pub use fleet::{LocalFleet, LocalOptions};
+pub use fleet::LocalFleet;
+pub use options::LocalOptions;
 pub use ready::ReadyFile;
 pub use site::SiteFleet;
--- a/crates/local/src/site.rs
+++ b/crates/local/src/site.rs
@@ -9,10 +9,10 @@
 use bergamot_gateway::GatewayDaemon;
 use bergamot_platform::HttpCaller;
 use bergamot_platform::http::build;
-use bergamot_standin::serve_on;
-use bergamot_standin::site::{
+use bergamot_site_standin::{
     GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
 };
+use bergamot_standin::serve_on;
 use bytes::Bytes;
 use hyper::Method;
 use tokio::runtime::Runtime;
@@ -69,7 +69,7 @@
         }
         let (callers, ready, metrics) = (free_addr()?, free_addr()?, free_addr()?);
         let peers = free_addr()?.port();
-        let text = sample::settings_text(store_addr, callers, ready, peers);
+        let text = sample::SampleSettings::local(store_addr, callers, ready, peers).to_text();
         let settings = SiteSettings::parse(&text).map_err(anyhow::Error::msg)?;
         let site = settings.site(metrics.port());
         let daemon = GatewayDaemon::new(site, SitePorts::new(store_addr));
@@ -109,7 +109,12 @@
         let url = format!("http://{}/stream/lot-12", self.callers);
         let mut request = build(Method::POST, &url, Bytes::from_static(b"Describe lot 12."))?;
         let headers = request.headers_mut();
-        for (name, value) in sample::request_headers(KEY) {
+        let sample = sample::SampleRequest {
+            id: "first-look",
+            key: KEY,
+            answer_tokens: Some(28),
+        };
+        for (name, value) in sample.headers() {
             headers.insert(name, value.parse().context(name)?);
         }
         let caller = HttpCaller::new(PATIENCE);
--- a/crates/placement/src/state.rs
+++ b/crates/placement/src/state.rs
@@ -1,17 +1,20 @@
 //! One entry VM's part in coordinating one fabric domain.
 
+mod notes;
+mod swaps;
+
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
 use crate::advance::{AdvanceContext, DrainTimes, advance};
-use crate::event::{PlacementAction, PlacementEvent, SwapOutcome};
+use crate::event::{PlacementAction, PlacementEvent};
 use crate::fence::TermFence;
 use crate::options::PlacementOptions;
 use crate::orders::due_orders;
 use crate::quota::WantedModel;
-use crate::record::{DomainRecord, GroupPhase};
-use crate::report::{EnginePhase, VmOrder};
-use crate::views::{ListedState, VmListing, VmView};
+use crate::record::DomainRecord;
+use crate::report::VmOrder;
+use crate::views::{ListedState, VmView};
 
 /// A swap that is on its way.
 #[derive(Clone, Debug)]
@@ -203,181 +206,6 @@
         self.note_phases(now);
     }
 
-    /// Learns from a later read what became of a swap whose answer was lost.
-    fn settle_unknown(
-        &mut self,
-        now: Millis,
-        record: Option<&DomainRecord>,
-        revision: i64,
-        started: Millis,
-    ) {
-        let Some(pending) = self
-            .pending
-            .take_if(|pending| pending.is_unknown && started > pending.sent)
-        else {
-            return;
-        };
-        let is_written = record.is_some_and(|record| record.nonce == pending.record.nonce);
-        if is_written {
-            log::info!(
-                "event=swap_settled fabric={} nonce={} revision={revision} outcome=won",
-                self.fabric,
-                pending.record.nonce
-            );
-            self.win(now, &pending);
-        }
-    }
-
-    fn holds_record(&self) -> bool {
-        self.record.as_ref().is_some_and(|record| {
-            record.coordinator == self.me && record.incarnation == self.incarnation
-        })
-    }
-
-    fn win(&mut self, now: Millis, pending: &PendingSwap) {
-        match pending.is_takeover {
-            true => {
-                // Whoever held the term before may still have an order on its way.
-                let had_other = pending.record.term > 1;
-                let quiet = match had_other {
-                    true => self.options.confirm_bound + self.options.order_timeout,
-                    false => Millis::ZERO,
-                };
-                self.fence
-                    .won(pending.record.term, pending.sent, now, quiet);
-            }
-            false => self.fence.confirm(pending.sent),
-        }
-    }
-
-    fn take_swap(&mut self, now: Millis, nonce: u64, outcome: &SwapOutcome) {
-        let is_pending = |pending: &mut PendingSwap| pending.record.nonce == nonce;
-        match outcome {
-            SwapOutcome::Won(revision) => {
-                let Some(pending) = self.pending.take_if(is_pending) else {
-                    return;
-                };
-                if *revision < self.revision {
-                    return;
-                }
-                self.win(now, &pending);
-                self.revision = *revision;
-                self.record = Some(pending.record);
-                self.note_phases(now);
-            }
-            SwapOutcome::Lost | SwapOutcome::NotSent => {
-                self.pending.take_if(is_pending);
-                self.is_read = *outcome == SwapOutcome::NotSent && self.is_read;
-            }
-            SwapOutcome::Unknown => {
-                if let Some(pending) = self.pending.as_mut()
-                    && pending.record.nonce == nonce
-                {
-                    pending.is_unknown = true;
-                    // The settling read has to begin after the swap was given up.
-                    pending.sent = now;
-                    self.is_read = false;
-                }
-            }
-        }
-    }
-
-    fn note_phases(&mut self, now: Millis) {
-        let Some(record) = &self.record else {
-            return;
-        };
-        let is_known = self.term_since.is_some_and(|(term, _)| term == record.term);
-        if !is_known {
-            self.term_since = Some((record.term, now));
-        }
-        let is_draining = |id: &GroupId| {
-            let group = record.groups.get(id);
-            group.is_some_and(|group| group.phase == GroupPhase::Draining)
-        };
-        self.draining_since.retain(|id, _| is_draining(id));
-        for id in record.groups.keys().filter(|id| is_draining(id)) {
-            let begun = DrainTimes {
-                recorded: now,
-                obeyed: None,
-            };
-            self.draining_since.entry(id.clone()).or_insert(begun);
-        }
-    }
-
-    /// Notes which draining groups' leaders say themselves that they drain.
-    fn note_drains(&mut self) {
-        let Some(record) = &self.record else {
-            return;
-        };
-        for (id, times) in &mut self.draining_since {
-            let leader = record.leader(id).and_then(|(vm, _)| self.views.get(vm));
-            let report = leader.and_then(|view| view.report.as_ref());
-            let Some((asked, report)) = report else {
-                continue;
-            };
-            let is_obeyed = report.phase != EnginePhase::Ready || report.group.as_ref() != Some(id);
-            if is_obeyed && times.obeyed.is_none() {
-                times.obeyed = Some(*asked);
-            }
-        }
-    }
-
-    fn note_surplus(&mut self, now: Millis) {
-        let (Some(record), Some(wanted)) = (&self.record, &self.wanted) else {
-            return;
-        };
-        let has_surplus = |want: &WantedModel| {
-            let groups = record.groups.values().filter(|group| {
-                group.model.name == want.model.name
-                    && matches!(group.phase, GroupPhase::Forming | GroupPhase::Serving)
-            });
-            groups.count() > want.count as usize
-        };
-        for want in wanted {
-            match has_surplus(want) {
-                true => {
-                    self.surplus_since
-                        .entry(want.model.name.clone())
-                        .or_insert(now);
-                }
-                false => {
-                    self.surplus_since.swap_remove(&want.model.name);
-                }
-            }
-        }
-    }
-
-    fn take_list(&mut self, now: Millis, listings: &[VmListing]) {
-        for listing in listings {
-            let view = self
-                .views
-                .entry(listing.vm.clone())
-                .or_insert_with(|| VmView::new(listing, now));
-            view.missing_looks = 0;
-            if view.listed == ListedState::Gone {
-                *view = VmView::new(listing, now);
-            }
-            view.listed = match listing.is_leaving {
-                true => ListedState::Leaving,
-                false => ListedState::Live,
-            };
-        }
-        let is_listed = |vm: &VmId| listings.iter().any(|listing| listing.vm == *vm);
-        for (vm, view) in &mut self.views {
-            if is_listed(vm) {
-                continue;
-            }
-            view.missing_looks += 1;
-            if view.missing_looks >= MISSING_LOOKS {
-                view.listed = ListedState::Gone;
-            }
-        }
-        let record = self.record.as_ref();
-        let is_known = |vm: &VmId| record.is_some_and(|record| record.vms.contains_key(vm));
-        self.views
-            .retain(|vm, view| view.listed != ListedState::Gone || is_known(vm));
-    }
-
     fn context(&self, now: Millis) -> AdvanceContext<'_> {
         AdvanceContext {
             now,
--- a/crates/proof/tests/control.rs
+++ b/crates/proof/tests/control.rs
@@ -774,7 +774,7 @@
                 self.last_disturbed = now + pause;
             }
             9..11 => {
-                // The platform takes a VM away and brings it back as a new machine later.
+                // The platform takes a VM away and brings it back as a new one later.
                 let vm = self.any_engine();
                 if !self.leaving.contains_key(&vm) && self.leaving.is_empty() {
                     self.leaving.insert(vm.clone(), now + LIST_LAG);
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -8,14 +8,16 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod event;
 pub mod heartbeat;
 pub mod pause;
 pub mod record;
 pub mod slots;
 pub mod state;
 
+pub use event::{RosterAction, RosterEvent, RosterOptions};
 pub use heartbeat::{Heartbeat, LivenessFact};
 pub use pause::PauseWatch;
 pub use record::{Departed, Member, RosterRecord};
 pub use slots::{SLOT_COUNT, SlotMap, slot_of};
-pub use state::{RosterAction, RosterEvent, RosterOptions, RosterState};
+pub use state::RosterState;
--- a/crates/roster/src/record.rs
+++ b/crates/roster/src/record.rs
@@ -10,7 +10,7 @@
 pub struct Member {
     /// The entry VM.
     pub entry: EntryId,
-    /// The same machine in the platform's list.
+    /// The same VM in the platform's list.
     pub vm: VmId,
     /// Differs with each start of the daemon, so that a returning one is never its old self.
     pub incarnation: u64,
--- a/crates/roster/src/state.rs
+++ b/crates/roster/src/state.rs
@@ -1,80 +1,16 @@
 //! One entry VM's view of the others.
 
+mod beats;
+
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 use serde::Serialize;
 
+use crate::event::{RosterAction, RosterEvent, RosterOptions};
 use crate::heartbeat::{Heartbeat, LivenessFact};
 use crate::pause::PauseWatch;
 use crate::record::{Member, RosterRecord};
 
-/// How often and to whom heartbeats go, and when silence becomes suspicion.
-#[derive(Clone, Debug)]
-pub struct RosterOptions {
-    /// Time between heartbeats.
-    pub period: Millis,
-    /// Peers of the same failure domain that get each heartbeat.
-    pub near_peers: usize,
-    /// Peers of other failure domains that get each heartbeat.
-    pub far_peers: usize,
-    /// Facts passed on in each heartbeat.
-    pub facts_per_beat: usize,
-    /// Silence that raises suspicion.
-    pub suspect_after: Millis,
-    /// Pieces of news within `suspect_after` that end a suspicion.
-    pub recover_beats: u32,
-    /// How long a member may be missing from the VM list before it was ever seen there.
-    pub unlisted_grace: Millis,
-}
-
-impl Default for RosterOptions {
-    fn default() -> Self {
-        Self {
-            period: Millis(500),
-            near_peers: 2,
-            far_peers: 1,
-            facts_per_beat: 60,
-            suspect_after: Millis(3_000),
-            recover_beats: 3,
-            unlisted_grace: Millis(120_000),
-        }
-    }
-}
-
-/// Something the roster has to know of.
-#[derive(Clone, Debug)]
-pub enum RosterEvent {
-    /// Time passed.
-    Tick,
-    /// A heartbeat came in.
-    Beat(Heartbeat),
-    /// The record was read, with whatever is in force now.
-    Record(RosterRecord),
-    /// The VM list was read: the VMs in it.
-    Listed(Vec<VmId>),
-    /// This VM has settled on an epoch.
-    Settled(u64),
-    /// This daemon is stopping.
-    Stopping,
-}
-
-/// Something the roster wants done.
-#[derive(Clone, PartialEq, Debug)]
-pub enum RosterAction {
-    /// Send a heartbeat to a member.
-    Send(Member, Heartbeat),
-    /// Write this record if the one in force is still the one last heard.
-    Propose(RosterRecord),
-    /// A member went silent.
-    Suspect(EntryId),
-    /// A member is heard again.
-    Trust(EntryId),
-    /// A newer epoch is in force.
-    EpochChanged(u64),
-    /// The process stood still for this long.
-    Paused(Millis),
-}
-
 /// What was heard of one member.
 #[derive(Clone, Debug, Serialize)]
 pub struct PeerNews {
@@ -257,96 +193,6 @@
         }
     }
 
-    fn send_beats(&mut self, actions: &mut Vec<RosterAction>) {
-        if !self.is_member() {
-            return;
-        }
-        self.rotation = self.rotation.wrapping_add(1);
-        let is_near = |member: &&Member| member.failure_domain == self.me.failure_domain;
-        let others = |near: bool| -> Vec<&Member> {
-            self.record
-                .members
-                .iter()
-                .filter(|member| member.entry != self.me.entry)
-                .filter(|member| is_near(member) == near)
-                .collect()
-        };
-        let mut targets = self.rotate(&others(true), self.options.near_peers);
-        // A failure domain with few members makes up for it outside.
-        let lacking = self.options.near_peers - targets.len();
-        targets.extend(self.rotate(&others(false), self.options.far_peers + lacking));
-        let beat = self.beat();
-        for target in targets {
-            actions.push(RosterAction::Send(target, beat.clone()));
-        }
-    }
-
-    /// Picks `count` members, others with each period and different ones for each sender: were
-    /// all to walk the members in the same order, they would all write to the same one.
-    fn rotate(&self, members: &[&Member], count: usize) -> Vec<Member> {
-        let key = self.rotation as u64;
-        let mut ranked: Vec<(u64, &Member)> = members
-            .iter()
-            .map(|member| {
-                let mine = rendezvous_score(key, self.me.entry.as_str());
-                (rendezvous_score(mine, member.entry.as_str()), *member)
-            })
-            .collect();
-        ranked.sort_unstable_by_key(|(score, _)| *score);
-        let chosen = ranked.into_iter().take(count);
-        chosen.map(|(_, member)| member.clone()).collect()
-    }
-
-    fn beat(&self) -> Heartbeat {
-        let mut recent: Vec<(&EntryId, &PeerNews)> = self
-            .news
-            .iter()
-            .filter(|(_, news)| !news.is_suspect)
-            .collect();
-        // Drawn anew each time, and for each sender: by freshness, news would be passed on for one
-        // period only and die out before it has gone round.
-        let turn = rendezvous_score(self.rotation as u64, self.me.entry.as_str());
-        recent.sort_by_cached_key(|(entry, _)| rendezvous_score(turn, entry.as_str()));
-        // Members of the same failure domain matter most: they share coordination and probes.
-        let is_near = |entry: &EntryId| {
-            let member = self.record.member(entry);
-            member.is_some_and(|m| m.failure_domain == self.me.failure_domain)
-        };
-        let (near, far): (Vec<_>, Vec<_>) =
-            recent.into_iter().partition(|(entry, _)| is_near(entry));
-        let most = self.options.facts_per_beat;
-        let near_take = near
-            .len()
-            .min((most * 2 / 3).max(most.saturating_sub(far.len())));
-        let far_take = most - near_take;
-        let near = near.into_iter().take(near_take);
-        let chosen: Vec<_> = near.chain(far.into_iter().take(far_take)).collect();
-        let hash = |entry: &EntryId| {
-            let member = self.record.member(entry);
-            member.map_or(0, |m| LivenessFact::member_hash(entry, m.incarnation))
-        };
-        Heartbeat {
-            from: self.me.entry.clone(),
-            incarnation: self.me.incarnation,
-            epoch: self.record.epoch,
-            settled: self.settled,
-            counter: self.counter,
-            stopping: self.stopping,
-            facts: chosen
-                .iter()
-                .map(|(entry, news)| LivenessFact {
-                    member: hash(entry),
-                    counter: news.counter,
-                })
-                .collect(),
-            settled_facts: chosen
-                .iter()
-                .filter(|(_, news)| news.settled > self.record.settled)
-                .map(|(entry, news)| (hash(entry), news.settled))
-                .collect(),
-        }
-    }
-
     fn take_beat(&mut self, now: Millis, beat: &Heartbeat) -> Vec<RosterAction> {
         let mut actions = Vec::new();
         if !self.record.holds(&beat.from, beat.incarnation) {
--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
-use bergamot_standin::site::upstream::SeenRequest;
+use bergamot_site_standin::upstream::SeenRequest;
 
 use crate::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
 use crate::plan::FaultKind;
@@ -15,9 +15,10 @@
 const REVOKE_BOUND: Duration = Duration::from_millis(5_250);
 /// Time after which a leaving upstream gets no new work, from processes whose links are whole.
 const LEAVE_BOUND: Duration = Duration::from_millis(2_000);
-/// Time past its deadline in which a request has its answer on a busy machine.
+/// Time past its deadline in which a request has its answer on a busy machine; not tuned.
 const ANSWER_SLACK: Duration = Duration::from_millis(1_000);
-/// Time after the end of a fault in which it still counts as a cause.
+/// Time after the end of a fault in which it still counts as a cause: the two seconds after which a VM
+/// whose link is back is up to date, and one retry.
 const FAULT_SHADOW: Duration = Duration::from_millis(2_500);
 
 /// A promise that was broken.
--- a/crates/soak/src/bin/bergamot-soak.rs
+++ b/crates/soak/src/bin/bergamot-soak.rs
@@ -4,9 +4,10 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use anyhow::Context;
+use anyhow::{Context, bail};
 use bergamot_soak::{SoakOptions, SoakOutcome, run_seed};
 use getopts::Options;
+use tokio::signal::unix::{SignalKind, signal};
 
 const USAGE: &str = "bergamot-soak [options]: plays random faults on processes of bergamot-entry";
 
@@ -54,7 +55,7 @@
     let mut failed = Vec::new();
     for seed in first..first + seeds {
         let run = run_options(&matches, seed)?;
-        let outcome = runtime.block_on(run_seed(seed, &run))?;
+        let outcome = runtime.block_on(play(seed, &run))?;
         print_outcome(&outcome);
         if outcome.violations.is_empty() {
             std::fs::remove_dir_all(&run.folder)?;
@@ -73,6 +74,19 @@
     })
 }
 
+/// Plays one seed. A signal to stop ends it and the processes that it started.
+async fn play(seed: u64, run: &SoakOptions) -> anyhow::Result<SoakOutcome> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        outcome = run_seed(seed, run) => outcome,
+        _ = terminate.recv() => bail!("seed {seed}: told to stop"),
+        _ = hangup.recv() => bail!("seed {seed}: the terminal is gone"),
+        _ = interrupt.recv() => bail!("seed {seed}: interrupted"),
+    }
+}
+
 fn drawn_seed() -> anyhow::Result<u64> {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     Ok(since.context("the clock stands before 1970")?.as_millis() as u64)
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -3,10 +3,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_adapter::sample::request_headers;
+use bergamot_adapter::SiteDialect;
+use bergamot_adapter::sample::SampleRequest;
+use bergamot_ports::CallerDialect;
+use bergamot_site_standin::upstream::EVENT_TOKENS;
+use bergamot_types::prelude::*;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::RETRY_AFTER;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -19,16 +24,14 @@
 
 /// The deadline of each request.
 pub const DEADLINE: Duration = Duration::from_millis(4_000);
-/// Time past the deadline after which a caller gives up.
+/// Time past the deadline after which a caller gives up: as long again, so that a late answer shows as late.
 const PATIENCE: Duration = Duration::from_millis(4_000);
-/// The longest pause between two requests of a caller.
+/// The longest pause between two requests of a caller, in milliseconds: some 30 requests a second of each.
 const LONGEST_PAUSE_MS: u64 = 60;
-/// Pause of a caller that could not connect.
+/// Pause of a caller that could not connect: short against the shortest restart of a process.
 const CONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// One request in so many goes with the key that changes, or with one that was taken away.
 const PROBE_SHARE: u32 = 6;
-/// Tokens in an event of the stand-in's streams.
-const EVENT_TOKENS: u64 = 7;
 
 /// What a request is for.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -216,15 +219,16 @@
         RequestKind::Stream(_) => (Method::POST, format!("/stream/{id}")),
     };
     let mut builder = Request::builder().method(method).uri(path);
-    for (name, value) in request_headers(key) {
-        let value = match (name, kind) {
-            ("request-id", _) => id.to_owned(),
-            ("token-counts", RequestKind::Stream(events)) => {
-                format!("10,{}", events * EVENT_TOKENS)
-            }
-            ("token-counts" | "model", RequestKind::Read | RequestKind::Bid) => continue,
-            _ => value,
-        };
+    let answer_tokens = match kind {
+        RequestKind::Stream(events) => Some(events * EVENT_TOKENS),
+        RequestKind::Read | RequestKind::Bid => None,
+    };
+    let sample = SampleRequest {
+        id,
+        key,
+        answer_tokens,
+    };
+    for (name, value) in sample.headers() {
         builder = builder.header(name, value);
     }
     let body = match kind {
@@ -240,8 +244,8 @@
     response: Response<hyper::body::Incoming>,
 ) -> CallEnd {
     let (head, body) = response.into_parts();
-    let has = |name: &str| head.headers.contains_key(name);
-    let (has_retry_after, says_not_run) = (has("retry-after"), has("not-executed"));
+    let has_retry_after = head.headers.contains_key(RETRY_AFTER);
+    let facts = SiteDialect.reply_facts(&RequestId::new(id), &head);
     let Ok(body) = body.collect().await else {
         return CallEnd::Cut { had_head: true };
     };
@@ -250,7 +254,7 @@
         status: head.status.as_u16(),
         is_whole: text == whole_answer(id, kind),
         has_retry_after,
-        says_not_run,
+        says_not_run: facts.is_not_run,
     }
 }
 
--- a/crates/soak/src/groups.rs
+++ b/crates/soak/src/groups.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_standin::site::SiteUpstream;
+use bergamot_site_standin::SiteUpstream;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 
 use crate::audit::Violation;
 use crate::site::SoakSite;
 
-/// Time between two looks.
+/// Time between two looks: a third of the time in which the stand-in's groups can be re-formed.
 const LOOK: Duration = Duration::from_millis(20);
 /// Time without a member after which a leader gives its group up: the bound that the processes'
 /// settings name.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -90,7 +90,7 @@
     pub faults: Vec<TimedFault>,
 }
 
-/// The shortest fault, in milliseconds.
+/// The shortest fault, in milliseconds: below the time of one call to the store.
 const SHORTEST_MS: u64 = 100;
 /// The longest: past the store's leases, the time after which a group breaks, and the time for which a
 /// key may be trusted without a confirmation.
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -7,7 +7,7 @@
 
 use anyhow::Context;
 use bergamot_adapter::SETTINGS_VARIABLE;
-use bergamot_adapter::sample::settings_text;
+use bergamot_adapter::sample::{CALLER_PORT, METRICS_PORT, SampleSettings};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use tokio::process::{Child, Command};
@@ -41,7 +41,7 @@
 
     /// Where callers connect.
     pub fn front(&self) -> SocketAddr {
-        SocketAddr::from((self.ip, 7_001))
+        SocketAddr::from((self.ip, CALLER_PORT))
     }
 }
 
@@ -69,19 +69,18 @@
     ) -> anyhow::Result<Self> {
         let folder = &options.folder;
         let place = EntryPlace::new(options.first_place + number);
-        let port = |port: u16| SocketAddr::from((place.ip, port));
-        let text = settings_text(store, place.front(), port(7_002), 7_004);
         let failure_domain = if number.is_multiple_of(2) {
             "east"
         } else {
             "west"
         };
-        let text = text
-            .replace("127.0.0.1\"\nzone", &format!("{}\"\nzone", place.ip))
-            .replace("front-east-1", &format!("entry-{number}"))
-            .replace("zone = \"east\"", &format!("zone = \"{failure_domain}\""));
         let settings = folder.join(format!("entry-{number}.toml"));
-        std::fs::write(&settings, text).context("settings")?;
+        let sample = SampleSettings {
+            vm: format!("entry-{number}"),
+            failure_domain: failure_domain.to_owned(),
+            ..SampleSettings::on_address(place.ip, store)
+        };
+        std::fs::write(&settings, sample.to_text()).context("settings")?;
         Ok(Self {
             place,
             settings,
@@ -103,7 +102,7 @@
             .open(&self.log)?;
         let child = Command::new(&self.program)
             .env(SETTINGS_VARIABLE, &self.settings)
-            .args(["--platform", "--metrics-port", "7003"])
+            .args(["--platform", "--metrics-port", &METRICS_PORT.to_string()])
             .stdin(Stdio::null())
             .stderr(log.try_clone()?)
             .stdout(log)
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -11,7 +11,7 @@
 
 use crate::plan::LinkState;
 
-/// Bytes read at once.
+/// Bytes read at once: one is a whole answer of the stand-ins, or many events.
 const CHUNK: usize = 16 << 10;
 
 /// One link: whoever connects to `addr` reaches the target, as its state allows.
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_adapter::sample::{CONFIG_KEY, config};
-use bergamot_standin::site::upstream::SeenRequest;
-use bergamot_standin::site::{
+use bergamot_adapter::sample::{CONFIG_KEY, config_with};
+use bergamot_site_standin::upstream::SeenRequest;
+use bergamot_site_standin::{
     GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
 };
 use parking_lot::Mutex;
@@ -24,7 +24,8 @@
 const ENGINES: &str = "engines";
 /// The plain service.
 const DESK: &str = "desk";
-/// Upstreams that a request may be sent to.
+/// Upstreams that a request may be sent to that may run once only: more than one, so that it is up to
+/// the system.
 const MAX_ATTEMPTS: u32 = 3;
 /// Times of groups: loads and warm-ups short enough that many fit into a run, and not instant.
 const GROUP_TIMES: GroupTimes = GroupTimes {
@@ -244,11 +245,7 @@
         let mut keys = self.keys.lock();
         keys.version += 1;
         let next = format!("{CHANGING_KEY}{}", keys.version);
-        let mut config = config(keys.version, &[LASTING_KEY, &next]);
-        for route in config["routes"].as_array_mut().into_iter().flatten() {
-            // More than one upstream for any request: what may run once only is up to the system.
-            route["maxAttempts"] = MAX_ATTEMPTS.into();
-        }
+        let config = config_with(keys.version, &[LASTING_KEY, &next], MAX_ATTEMPTS);
         let text = config.to_string();
         self.store.put(CONFIG_KEY, text.as_bytes());
         let key = std::mem::replace(&mut keys.current, next);
@@ -271,7 +268,7 @@
         let mut seen: BTreeMap<String, Vec<_>> = BTreeMap::new();
         for run in self.all_runs() {
             for request in run.upstream.seen() {
-                let id = request.header("request-id").to_owned();
+                let id = request.id().to_owned();
                 seen.entry(id).or_default().push((run.clone(), request));
             }
         }
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bergamot_site_standin::upstream::SeenRequest;
+use bergamot_site_standin::{
+    GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
+};
 use bergamot_soak::audit::{AuditBook, Trouble, Violation};
 use bergamot_soak::caller::{CallEnd, CallRecord, RequestKind};
 use bergamot_soak::plan::FaultKind;
 use bergamot_soak::site::{CHANGING_KEY, LASTING_KEY, RevokedKey, UpstreamRun};
-use bergamot_standin::site::upstream::SeenRequest;
-use bergamot_standin::site::{
-    GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
-};
 
 /// One request, told in milliseconds from a start.
 struct AuditCase {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,5 +1,7 @@
 //! A model engine on one VM.
 
+mod generation;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,10 +14,11 @@
 use serde_json::json as value;
 use tokio::sync::mpsc;
 
+use self::generation::Generation;
 use crate::batch::{BatchPlaces, PrefixCache};
 use crate::fabric::{FabricRegistry, MemberState};
 use crate::fault::FaultSwitch;
-use crate::generate::{Prompt, chunk, last_chunk, token};
+use crate::generate::Prompt;
 use crate::run_log::{RUNS_PATH, RunLog};
 use crate::serve::{Abort, Answer, Question, StandinServer, empty, json, stream_body};
 use crate::weights::WeightStandin;
@@ -308,63 +311,6 @@
     Ok(response)
 }
 
-struct Generation {
-    engine: Arc<EngineStandin>,
-    id: String,
-    priority: u8,
-    from: u64,
-    prompt: Prompt,
-    is_chat: bool,
-    run: u64,
-    death: Option<u64>,
-    group: (GroupId, u32),
-}
-
-impl Generation {
-    /// Generates until the end, until the caller leaves, or until the group breaks.
-    async fn run(self, sender: mpsc::Sender<Result<Frame<Bytes>, Abort>>) {
-        let _place = self.engine.places.enter(self.priority).await;
-        let options = &self.engine.options;
-        let is_held = self.engine.cache.touch(self.prompt.prefix());
-        let slow = self.engine.faults.slow_factor();
-        if !is_held {
-            tokio::time::sleep(options.prefill_time * slow).await;
-        }
-        let text = self.prompt.text();
-        let length = self.prompt.length();
-        let mut sent = 0_u64;
-        for offset in self.from..length {
-            tokio::time::sleep(options.token_time * self.engine.faults.slow_factor()).await;
-            while self.engine.faults.get().hang {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-            if self.engine.faults.get().dead || self.engine.leads().as_ref() != Some(&self.group) {
-                let _ = sender.send(Err(Abort)).await;
-                return;
-            }
-            let piece = token(&text, offset);
-            let chunk = chunk(self.is_chat, &self.id, &self.prompt.model, &piece);
-            let event = format!("id: {offset}\ndata: {chunk}\n\n");
-            sent += event.len() as u64;
-            if self.death.is_some_and(|death| sent > death) {
-                let _ = sender.send(Err(Abort)).await;
-                return;
-            }
-            if sender
-                .send(Ok(Frame::data(Bytes::from(event))))
-                .await
-                .is_err()
-            {
-                return;
-            }
-        }
-        let last = last_chunk(self.is_chat, &self.id, &self.prompt.model, length);
-        let end = format!("data: {last}\n\ndata: [DONE]\n\n");
-        self.engine.runs.end(self.run);
-        let _ = sender.send(Ok(Frame::data(Bytes::from(end)))).await;
-    }
-}
-
 /// The engine as its server sees it. Keeps the engine shared with its own tasks.
 pub struct EngineServer(pub Arc<EngineStandin>);
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod run_log;
 pub mod serve;
 pub mod service;
-pub mod site;
 pub mod vm_list;
 pub mod weights;
 
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -65,7 +65,7 @@
 }
 
 string_id!(
-    /// A machine of the platform, as its VM list names it.
+    /// A VM, as the platform's list names it.
     VmId
 );
 string_id!(
@@ -73,7 +73,7 @@
     FailureDomain
 );
 string_id!(
-    /// Machines joined by one fast interconnect; a replica never spans two.
+    /// VMs joined by one fast interconnect; a replica never spans two.
     FabricDomain
 );
 string_id!(
@@ -81,7 +81,7 @@
     ClientAccount
 );
 string_id!(
-    /// A back end: one replica of a model, or one instance of a plain service.
+    /// What requests are sent to: one replica of a model, or one instance of a plain service.
     UpstreamId
 );
 string_id!(
