--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -18,6 +18,7 @@
 use tokio::task::LocalSet;
 
 use crate::front::FrontContext;
+use crate::front::exchange::exchange;
 use crate::front::server::{accept_callers, accept_ready, follow_groups, sweep};
 use crate::groups::GroupsDuty;
 use crate::listen::next_connection;
@@ -77,7 +78,9 @@
         let peer = std::net::UdpSocket::bind(site.peer_addr)
             .with_context(|| format!("peer address {}", site.peer_addr))?;
         peer.set_nonblocking(true)?;
+        let peer_sender = peer.try_clone()?;
         let news = bind(site.peer_addr)?;
+        let (doubt_sender, doubts) = mpsc::channel(QUIET_RING);
         log::info!(
             "event=started vm={} failure_domain={} callers={} peers={}",
             site.vm,
@@ -94,7 +97,7 @@
         })?;
         let (shared, ports, quiet) = (Arc::clone(&self.shared), self.ports.clone(), self.quiet);
         spawn_duty("groups", move || async move {
-            let socket = match UdpSocket::from_std(peer) {
+            let socket = match UdpSocket::from_std(peer_sender) {
                 Ok(socket) => socket,
                 Err(error) => {
                     log::error!("event=duty_not_started duty=groups reason={error:?}");
@@ -103,7 +106,7 @@
             };
             let store = Rc::new(ports.store());
             let control = Rc::new(ports.control());
-            GroupsDuty::new(shared, store, control, quiet, socket)
+            GroupsDuty::new(shared, store, control, quiet, doubts, socket)
                 .run()
                 .await;
         })?;
@@ -115,7 +118,17 @@
         let local = LocalSet::new();
         local.block_on(
             &runtime,
-            serve(self.shared, self.ports, self.reader, caller, ready),
+            serve(
+                self.shared,
+                self.ports,
+                self.reader,
+                FrontSockets {
+                    caller,
+                    ready,
+                    peer,
+                },
+                doubt_sender,
+            ),
         )
     }
 }
@@ -144,12 +157,19 @@
     Ok(())
 }
 
+/// What the callers' duty listens on.
+struct FrontSockets {
+    caller: std::net::TcpListener,
+    ready: std::net::TcpListener,
+    peer: std::net::UdpSocket,
+}
+
 async fn serve<Ports>(
     shared: Arc<SharedState>,
     ports: Ports,
     reader: Option<SettingsReader>,
-    caller: std::net::TcpListener,
-    ready: std::net::TcpListener,
+    sockets: FrontSockets,
+    doubts: mpsc::Sender<QuietNotice>,
 ) -> anyhow::Result<()>
 where
     Ports: PortSet,
@@ -159,12 +179,14 @@
     let mut reload = signal(SignalKind::hangup())?;
     let front = Rc::new(FrontContext::new(Arc::clone(&shared), ports.dialect()));
     let (close_idle, closing) = watch::channel(false);
-    let caller = TcpListener::from_std(caller)?;
-    let ready = TcpListener::from_std(ready)?;
+    let caller = TcpListener::from_std(sockets.caller)?;
+    let ready = TcpListener::from_std(sockets.ready)?;
+    let peer = UdpSocket::from_std(sockets.peer)?;
     tokio::task::spawn_local(accept_callers(Rc::clone(&front), caller, closing));
     tokio::task::spawn_local(accept_ready(Rc::clone(&front), ready));
     tokio::task::spawn_local(sweep(Rc::clone(&front)));
     tokio::task::spawn_local(follow_groups(Rc::clone(&front)));
+    tokio::task::spawn_local(exchange(Rc::clone(&front), peer, doubts));
     let mut looks = tokio::time::interval(RELOAD_PERIOD);
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut known = shared.site.clone();
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -1,6 +1,7 @@
 //! One try at one upstream.
 
 use bergamot_ports::{CallerCall, CallerDialect, OutgoingContext, ReplyFacts};
+use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -9,9 +10,8 @@
 use hyper::{Method, Request, Uri};
 
 use super::FrontContext;
-use super::book::FlightGuard;
+use super::flight::FlightGuard;
 use super::pool::{ConnectError, UpstreamConnection};
-use crate::view::RouteUpstream;
 
 /// What stays the same over all attempts of a request.
 pub struct SentRequest {
@@ -97,7 +97,12 @@
     Dialect: CallerDialect,
 {
     let sent_at = front.now();
-    let flight = FlightGuard::enter(&front.book, &upstream.id, sent_at);
+    let flight = FlightGuard::enter(
+        &front.book,
+        &upstream.id,
+        request.call.prompt_tokens(),
+        sent_at,
+    );
     front
         .book
         .borrow_mut()
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use bergamot_ports::{CallerDialect, RouteKind};
+use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
 use http_body_util::BodyExt;
 use hyper::Request;
@@ -18,7 +19,6 @@
 use super::refusal::{log_refusal, refuse};
 use super::relay::relay_events;
 use super::state::CallState;
-use crate::view::RouteUpstream;
 
 /// Answers a request.
 pub async fn answer<Dialect>(
--- /dev/null
+++ b/crates/gateway/src/front/exchange.rs
@@ -0,0 +1,127 @@
+//! Datagrams between entry VMs: what each has in flight at leaders, and doubts for the groups' duty.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bergamot_news::PeerPlace;
+use bergamot_occupancy::{OccupancyAction, OccupancyEvent, TELL_PERIOD};
+use bergamot_peer::{MAX_DATAGRAM_BYTES, PeerNotice, QuietNotice, frame};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use super::FrontContext;
+use crate::view::ClusterView;
+
+/// Periods in a row without anything in flight after which peers are told no more.
+const IDLE_PERIODS: u32 = 4;
+
+/// Tells peers what is in flight from here, and takes in what they tell, until the process ends. Doubts
+/// about leaders are passed on to the groups' duty by `doubts`.
+pub async fn exchange<Dialect>(
+    front: Rc<FrontContext<Dialect>>,
+    socket: UdpSocket,
+    doubts: mpsc::Sender<QuietNotice>,
+) {
+    let mut periods = tokio::time::interval(TELL_PERIOD.as_duration());
+    periods.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut changes = front.shared.view_changed.subscribe();
+    let mut buffer = [0_u8; MAX_DATAGRAM_BYTES];
+    let mut idle = 0;
+    loop {
+        let actions = tokio::select! {
+            received = socket.recv_from(&mut buffer) => {
+                receive(&front, &buffer, received, &doubts)
+            }
+            _ = periods.tick() => tick(&front, &mut idle),
+            changed = changes.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                let view = front.shared.view.load();
+                front.book.borrow_mut().occupancy.set_peers(places(&view));
+                Vec::new()
+            }
+        };
+        if !actions.is_empty() {
+            let view = front.shared.view.load();
+            send(&socket, &view, actions);
+        }
+    }
+}
+
+/// Where the entry VMs of a view are.
+fn places(view: &ClusterView) -> impl Iterator<Item = PeerPlace> {
+    view.entries.values().map(|entry| PeerPlace {
+        vm: entry.vm.clone(),
+        failure_domain: entry.failure_domain.clone(),
+        millicores: entry.millicores,
+    })
+}
+
+fn tick<Dialect>(front: &FrontContext<Dialect>, idle: &mut u32) -> Vec<OccupancyAction> {
+    let now = front.now();
+    let mut book = front.book.borrow_mut();
+    let in_flight = book.in_flight();
+    *idle = match in_flight.is_empty() {
+        true => *idle + 1,
+        false => 0,
+    };
+    // A collector goes on for as long as others ask it.
+    if *idle > IDLE_PERIODS && !book.occupancy.is_asked() {
+        return Vec::new();
+    }
+    book.occupancy.handle(now, OccupancyEvent::Tick(in_flight))
+}
+
+fn receive<Dialect>(
+    front: &FrontContext<Dialect>,
+    buffer: &[u8],
+    received: std::io::Result<(usize, SocketAddr)>,
+    doubts: &mpsc::Sender<QuietNotice>,
+) -> Vec<OccupancyAction> {
+    let length = match received {
+        Ok((length, _)) => length,
+        Err(error) => {
+            log::debug!("event=notice_not_received reason={error:?}");
+            return Vec::new();
+        }
+    };
+    match frame::decode(&buffer[..length]) {
+        Ok(PeerNotice::Load(notice)) => {
+            let now = front.now();
+            let mut book = front.book.borrow_mut();
+            book.occupancy
+                .handle(now, OccupancyEvent::Received(&notice))
+        }
+        Ok(PeerNotice::Quiet(notice)) => {
+            if let Err(error) = doubts.try_send(notice) {
+                log::debug!("event=quiet_not_passed_on reason={error}");
+            }
+            Vec::new()
+        }
+        Err(error) => {
+            log::info!("event=notice_unreadable reason={error:?}");
+            Vec::new()
+        }
+    }
+}
+
+/// Sends notices. One that cannot be sent at once is lost, like one that is lost on its way: the next
+/// period brings another.
+fn send(socket: &UdpSocket, view: &ClusterView, actions: Vec<OccupancyAction>) {
+    for action in actions {
+        let Some(entry) = view.entries.get(&action.vm) else {
+            continue;
+        };
+        let bytes = match frame::encode(&PeerNotice::Load(action.notice)) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("event=notice_not_written reason={error:?}");
+                continue;
+            }
+        };
+        if let Err(error) = socket.try_send_to(&bytes, entry.peer_addr) {
+            log::debug!("event=notice_not_sent reason={error:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/flight.rs
@@ -0,0 +1,50 @@
+//! Counts of requests at upstreams that end with the request.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use bergamot_routing::UpstreamBook;
+use bergamot_types::prelude::*;
+
+/// Counts a request at an upstream until dropped.
+#[derive(Debug)]
+pub struct FlightGuard {
+    book: Rc<RefCell<UpstreamBook>>,
+    id: UpstreamId,
+    /// Tokens of its prompt.
+    prompt: u32,
+    has_begun: bool,
+}
+
+impl FlightGuard {
+    /// Counts a request with so many prompt tokens that is about to be sent.
+    pub fn enter(
+        book: &Rc<RefCell<UpstreamBook>>,
+        id: &UpstreamId,
+        prompt: u32,
+        now: Millis,
+    ) -> Self {
+        book.borrow_mut().note_sent(id, prompt, now);
+        Self {
+            book: Rc::clone(book),
+            id: id.clone(),
+            prompt,
+            has_begun: false,
+        }
+    }
+
+    /// Counts that the answer has begun.
+    pub fn note_begun(&mut self) {
+        if !self.has_begun {
+            self.has_begun = true;
+            self.book.borrow_mut().note_begun(&self.id, self.prompt);
+        }
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        let mut book = self.book.borrow_mut();
+        book.note_ended(&self.id, self.has_begun, self.prompt);
+    }
+}
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -12,18 +12,19 @@
 //! | [`relay`] | a stream of events, over several upstreams if need be |
 //! | [`quiet`] | when an upstream counts as standing still |
 //! | [`refusal`] | answers of this system's own |
-//! | [`book`] | load and trouble of upstreams as seen from here |
-//! | [`sharing`] | which entry VMs use which leaders of groups |
+//! | [`flight`] | counts of requests at upstreams |
+//! | [`exchange`] | what all entry VMs have in flight, told between them |
 //! | [`budget`] | how many repeats may be sent |
 //! | [`pool`] | connections to upstreams |
 
 pub mod admit;
 pub mod answer;
 pub mod attempt;
-pub mod book;
 pub mod budget;
 pub mod call;
 pub mod events;
+pub mod exchange;
+pub mod flight;
 pub mod head_timer;
 pub mod plan;
 pub mod pool;
@@ -31,17 +32,17 @@
 pub mod refusal;
 pub mod relay;
 pub mod server;
-pub mod sharing;
 pub mod state;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 
+use bergamot_news::PeerPlace;
+use bergamot_routing::UpstreamBook;
 use bergamot_types::prelude::*;
 
 use crate::shared::SharedState;
-use book::UpstreamBook;
 use budget::RepeatBudget;
 use pool::ConnectionPool;
 
@@ -65,11 +66,16 @@
     /// A context without any connection yet.
     pub fn new(shared: Arc<SharedState>, dialect: Dialect) -> Self {
         let budget = RepeatBudget::new(shared.bounds());
+        let place = PeerPlace {
+            vm: shared.site.vm.to_string(),
+            failure_domain: shared.site.failure_domain.clone(),
+            millicores: shared.site.millicores,
+        };
         Self {
             shared,
             dialect,
             pool: Rc::new(ConnectionPool::default()),
-            book: Rc::new(RefCell::new(UpstreamBook::default())),
+            book: Rc::new(RefCell::new(UpstreamBook::new(place))),
             budget: RefCell::new(budget),
             in_flight: Rc::new(Cell::new(0)),
         }
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -3,15 +3,15 @@
 use std::sync::Arc;
 
 use bergamot_ports::ServingConfig;
+use bergamot_routing::{RouteUpstream, UpstreamAsk, UpstreamChoice};
 use bergamot_types::prelude::*;
 
 use super::FrontContext;
 use super::admit::authorize;
 use super::attempt::SentRequest;
-use super::book::UpstreamChoice;
 use super::refusal::{CallRefusal, RETURN_FULL, RETURN_NO_UPSTREAM, RETURN_UNCONFIRMED};
 use super::state::CallState;
-use crate::view::{ClusterView, RouteUpstream};
+use crate::view::ClusterView;
 
 /// One part in so many of a route's objective may be spent waiting for an upstream. A refusal
 /// that comes later costs the caller its own retry in time.
@@ -74,14 +74,21 @@
     }
     let home = &front.shared.site.failure_domain;
     let book = front.book.borrow();
-    let must_go_on = state.may_have_run();
-    let chosen = match book.choose(upstreams, home, &state.tried, now, must_go_on) {
+    let ask = UpstreamAsk {
+        home,
+        tried: &state.tried,
+        must_go_on: state.may_have_run(),
+        prompt: request.call.prompt_tokens(),
+        objective: state.route.objective,
+        draw: rand::random(),
+    };
+    let chosen = match book.choose(upstreams, &ask, now) {
         UpstreamChoice::Chosen(chosen) => chosen,
         UpstreamChoice::Full => {
             log::info!(
                 "event=no_room request={} in_flight_and_limits={}",
                 request.call.id,
-                book.describe(upstreams)
+                book.describe(upstreams, now)
             );
             return Err(CallRefusal::later(ErrorKind::Overloaded, RETURN_FULL));
         }
--- a/crates/gateway/src/front/quiet.rs
+++ b/crates/gateway/src/front/quiet.rs
@@ -1,10 +1,10 @@
 //! When an upstream counts as standing still.
 
 use bergamot_peer::QuietNotice;
+use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
 
 use super::FrontContext;
-use crate::view::RouteUpstream;
 
 /// Time without anything from an upstream after which requests there count as standing still.
 /// Engines answer in passes of some 50 ms; the longest prompt holds a pass for 120 ms.
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -199,7 +199,7 @@
         let objective = self.state.route.objective;
         let took = now.since(sent_at);
         let mut book = self.front.book.borrow_mut();
-        book.note_first(&upstream.id, upstream.slots, took, objective);
+        book.note_first(&upstream.id, upstream.slots, took, objective, now);
     }
 
     fn observe(&mut self) {
--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use bergamot_groups::{AskOutcome, GroupAction, GroupPlanner};
-use bergamot_peer::{PeerNotice, QuietNotice, frame};
 use bergamot_ports::{
     ControlError, KeyWrite, OrderOutcome, OrderRequest, StateStore, StoreError, StoreTxn,
     TxnOutcome, UpstreamControl,
@@ -169,23 +168,3 @@
         OrderOutcome::Unheard => "unheard",
     }
 }
-
-pub(crate) fn read_quiet(
-    buffer: &[u8],
-    received: std::io::Result<(usize, std::net::SocketAddr)>,
-) -> Option<QuietNotice> {
-    let (length, _) = match received {
-        Ok(received) => received,
-        Err(error) => {
-            log::debug!("event=notice_not_received reason={error:?}");
-            return None;
-        }
-    };
-    match frame::decode(&buffer[..length]) {
-        Ok(PeerNotice::Quiet(notice)) => Some(notice),
-        Err(error) => {
-            log::info!("event=notice_unreadable reason={error:?}");
-            None
-        }
-    }
-}
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bergamot_groups::{GroupAction, GroupOptions, GroupPlanner};
-use bergamot_peer::{MAX_DATAGRAM_BYTES, PeerNotice, QuietNotice, frame};
+use bergamot_peer::{PeerNotice, QuietNotice, frame};
 use bergamot_ports::{
     EngineSpec, KeyCondition, KeyWrite, StateStore, StoreTxn, TxnOutcome, UpstreamControl, VmSite,
 };
@@ -20,7 +20,7 @@
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant;
 
-use crate::group_actions::{DoneAction, MAX_CALLS, act, note_done, read_quiet};
+use crate::group_actions::{DoneAction, MAX_CALLS, act, note_done};
 use crate::own_keys::{COORDINATOR_KEY, EntryRecord, TERM_KEY};
 use crate::shared::SharedState;
 use crate::view::ClusterView;
@@ -52,7 +52,11 @@
     control: Rc<Control>,
     /// Bounds the calls to upstreams that are on their way.
     calls: Rc<Semaphore>,
+    /// Leaders from which nothing comes, as this VM sees it.
     quiet: mpsc::Receiver<QuietNotice>,
+    /// The same as other VMs see it.
+    doubts: mpsc::Receiver<QuietNotice>,
+    /// Where notices to the coordinator leave.
     socket: UdpSocket,
 }
 
@@ -82,6 +86,7 @@
         store: Rc<Store>,
         control: Rc<Control>,
         quiet: mpsc::Receiver<QuietNotice>,
+        doubts: mpsc::Receiver<QuietNotice>,
         socket: UdpSocket,
     ) -> Self {
         Self {
@@ -90,6 +95,7 @@
             control,
             calls: Rc::new(Semaphore::new(MAX_CALLS)),
             quiet,
+            doubts,
             socket,
         }
     }
@@ -119,6 +125,8 @@
             tokio::select! {
                 _ = changes.changed() => {}
                 notice = self.quiet.recv() => self.pass_on(notice).await,
+                // Meant for a coordinator; this VM is none any more.
+                Some(_) = self.doubts.recv() => {}
                 () = tokio::time::sleep(RENEW_PERIOD), if is_vacant => {}
             }
         }
@@ -213,7 +221,6 @@
         renewals.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut planner: Option<GroupPlanner> = None;
         let mut running = FuturesUnordered::new();
-        let mut buffer = [0_u8; MAX_DATAGRAM_BYTES];
         let mut soon = Instant::now();
         let mut step_at = soon;
         loop {
@@ -237,8 +244,7 @@
                     let questions = self.doubt(&term, planner.as_mut(), notice);
                     running.extend(questions.into_iter().map(|it| self.carry_out(it)));
                 }
-                received = self.socket.recv_from(&mut buffer) => {
-                    let notice = read_quiet(&buffer, received);
+                notice = self.doubts.recv() => {
                     let questions = self.doubt(&term, planner.as_mut(), notice);
                     running.extend(questions.into_iter().map(|it| self.carry_out(it)));
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,4 +21,4 @@
 pub mod view;
 
 pub use daemon::GatewayDaemon;
-pub use front::{book, budget, sharing};
+pub use front::{budget, flight};
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,31 +1,16 @@
 //! What requests are routed by: the configuration and the upstreams, as they were last read.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bergamot_ports::{MemberState, ServingConfig, UpstreamEntry, UpstreamState};
+use bergamot_ports::{EngineSpeed, MemberState, ServingConfig, UpstreamEntry, UpstreamState};
+use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
 use crate::own_keys::EntryRecord;
 
-/// An upstream that requests may be sent to.
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub struct RouteUpstream {
-    /// Which run of it.
-    pub id: UpstreamId,
-    /// Where it listens.
-    pub addr: SocketAddr,
-    /// Where it can be cut off.
-    pub failure_domain: FailureDomain,
-    /// Requests it runs at once.
-    pub slots: u32,
-    /// The group it leads, where it does.
-    pub group: Option<GroupId>,
-}
-
 /// The upstreams of one service.
-#[derive(Clone, PartialEq, Eq, Debug, Default)]
+#[derive(Clone, PartialEq, Debug, Default)]
 pub struct ServicePool {
     /// Instances of a plain service.
     pub plain: Vec<RouteUpstream>,
@@ -69,7 +54,7 @@
         };
         let pool = pools.entry(entry.service.clone()).or_default();
         let Some(engine) = &spec.engine else {
-            pool.plain.push(route_upstream(entry, entry.slots));
+            pool.plain.push(route_upstream(entry, entry.slots, None));
             continue;
         };
         let leads = entry
@@ -82,7 +67,9 @@
         let Some(model) = led_model(entry) else {
             continue;
         };
-        let upstream = route_upstream(entry, engine.slots);
+        let pace = engine.models.get(&model).map_or(1.0, |it| it.pace);
+        let speed = engine.speed.map(|speed| speed.paced(pace));
+        let upstream = route_upstream(entry, engine.slots, speed);
         pool.models.entry(model).or_default().push(upstream);
     }
     pools
@@ -97,12 +84,13 @@
     named.or_else(|| entry.models.first().cloned())
 }
 
-fn route_upstream(entry: &UpstreamEntry, slots: u32) -> RouteUpstream {
+fn route_upstream(entry: &UpstreamEntry, slots: u32, speed: Option<EngineSpeed>) -> RouteUpstream {
     RouteUpstream {
         id: entry.id.clone(),
         addr: entry.addr,
         failure_domain: entry.failure_domain.clone(),
         slots,
         group: entry.membership.as_ref().map(|it| it.group.clone()),
+        speed,
     }
 }
--- a/crates/gateway/tests/standstill.rs
+++ b/crates/gateway/tests/standstill.rs
@@ -3,14 +3,21 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use bergamot_gateway::book::{FlightGuard, UpstreamBook};
+use bergamot_gateway::flight::FlightGuard;
+use bergamot_news::PeerPlace;
+use bergamot_routing::UpstreamBook;
 use bergamot_types::prelude::*;
 
 #[test]
 fn a_request_that_only_waits_says_nothing_about_its_group() {
-    let book = Rc::new(RefCell::new(UpstreamBook::default()));
+    let place = PeerPlace {
+        vm: "vm-1".to_owned(),
+        failure_domain: FailureDomain::new("east"),
+        millicores: 250,
+    };
+    let book = Rc::new(RefCell::new(UpstreamBook::new(place)));
     let leader = UpstreamId::new("leader");
-    let enter = |at| FlightGuard::enter(&book, &leader, Millis(at));
+    let enter = |at| FlightGuard::enter(&book, &leader, 100, Millis(at));
     let has_begun = || book.borrow().load(&leader).has_begun();
 
     let mut streaming = enter(1_000);
--- a/crates/groups/tests/support/fleet.rs
+++ b/crates/groups/tests/support/fleet.rs
@@ -18,6 +18,7 @@
         loads_per_second: 18.0,
         parallel_loads: 27,
         open_time: Millis(300),
+        speed: None,
     }
 }
 
--- a/crates/groups/tests/support/short.rs
+++ b/crates/groups/tests/support/short.rs
@@ -32,6 +32,7 @@
         loads_per_second: 4.0,
         parallel_loads: 2,
         open_time: Millis(300),
+        speed: None,
     }
 }
 
--- a/crates/groups/tests/support/world.rs
+++ b/crates/groups/tests/support/world.rs
@@ -120,6 +120,7 @@
         loads_per_second: 10.0,
         parallel_loads: 6,
         open_time: Millis(300),
+        speed: None,
     }
 }
 
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -8,7 +8,9 @@
 pub mod placement;
 pub mod routing;
 pub mod runner_model;
+pub mod serving;
 pub mod tables;
 
 pub use placement::{PlacementCase, PlacementResult, run_placement};
 pub use routing::{RoutingCase, RoutingResult, run_routing};
+pub use serving::{ServingCase, ServingResult, run_serving};
--- a/crates/news/src/source.rs
+++ b/crates/news/src/source.rs
@@ -29,6 +29,16 @@
     pub millicores: u32,
 }
 
+impl PeerPlace {
+    /// The place in the order of duties within a failure domain; higher comes first. Those with the most
+    /// processor do, as the first one answers the others.
+    pub fn order(&self) -> (u32, u64, String) {
+        let key = hash_bytes(self.failure_domain.as_str().as_bytes());
+        let score = rendezvous_score(key, &self.vm);
+        (self.millicores, score, self.vm.clone())
+    }
+}
+
 /// Where the next changes come from.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum NewsSource {
@@ -56,13 +66,11 @@
     where
         Peers: IntoIterator<Item = PeerPlace>,
     {
-        let key = hash_bytes(own.failure_domain.as_str().as_bytes());
-        let order = |it: &PeerPlace| (it.millicores, rendezvous_score(key, &it.vm), it.vm.clone());
-        let own_order = order(own);
+        let own_order = own.order();
         let near = peers
             .into_iter()
             .filter(|it| it.failure_domain == own.failure_domain && it.vm != own.vm);
-        let mut ranked: Vec<_> = near.map(|it| order(&it)).collect();
+        let mut ranked: Vec<_> = near.map(|it| it.order()).collect();
         ranked.push(own_order.clone());
         ranked.sort_by(|a, b| b.cmp(a));
         let own_rank = ranked.iter().position(|it| *it == own_order).unwrap_or(0);
--- /dev/null
+++ b/crates/occupancy/src/state.rs
@@ -0,0 +1,241 @@
+//! Who tells whom, and what is known of the others.
+
+use bergamot_news::PeerPlace;
+use bergamot_peer::{LoadNotice, LoadScope};
+use bergamot_types::prelude::*;
+use indexmap::IndexMap;
+
+use crate::counts::{LeaderCounts, LeaderLoad};
+
+/// Time between two notices. A leader of a busy model gets 10 to 15 requests a second, so that one or two
+/// come between what happens and what is known of it.
+pub const TELL_PERIOD: Millis = Millis(50);
+/// Time for which what a VM or a collector told counts: a few lost datagrams.
+const TOLD_TIME: Millis = Millis(300);
+/// Time without an answer after which a collector is given up.
+const ANSWER_TIME: Millis = Millis(200);
+/// Time for which it is left alone then.
+const AVOIDANCE: Millis = Millis(1_500);
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum OccupancyEvent<'a> {
+    /// A period is over; what is in flight from here now.
+    Tick(LeaderCounts),
+    /// A notice came from a peer.
+    Received(&'a LoadNotice),
+}
+
+/// A notice to be sent.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct OccupancyAction {
+    /// The entry VM that it is for.
+    pub vm: String,
+    /// What it is told.
+    pub notice: LoadNotice,
+}
+
+/// Counts, and when they were told.
+#[derive(Clone, Debug)]
+struct ToldCounts {
+    /// Who told them.
+    vm: String,
+    counts: LeaderCounts,
+    at: Millis,
+}
+
+impl ToldCounts {
+    fn is_fresh(&self, now: Millis) -> bool {
+        now.since(self.at) < TOLD_TIME
+    }
+}
+
+/// What one entry VM knows of requests in flight from the others.
+#[derive(Debug)]
+pub struct OccupancyState {
+    own: PeerPlace,
+    /// The VMs of each failure domain in the order in which they collect, this one among them.
+    ranked: IndexMap<FailureDomain, Vec<String>>,
+    /// In flight from here, as of the last period.
+    in_flight: LeaderCounts,
+    /// What VMs told this one as their collector, by VM.
+    members: IndexMap<String, ToldCounts>,
+    /// Sums of the other failure domains.
+    domains: IndexMap<FailureDomain, ToldCounts>,
+    /// What the collector told of all others.
+    others: Option<ToldCounts>,
+    /// Since when the collector owes an answer.
+    asked_at: Option<Millis>,
+    /// VMs that did not answer, and until when they are left alone.
+    avoided: IndexMap<String, Millis>,
+}
+
+impl OccupancyState {
+    /// The state of an entry VM that knows of no other.
+    pub fn new(own: PeerPlace) -> Self {
+        Self {
+            ranked: IndexMap::new(),
+            in_flight: LeaderCounts::default(),
+            members: IndexMap::new(),
+            domains: IndexMap::new(),
+            others: None,
+            asked_at: None,
+            avoided: IndexMap::new(),
+            own,
+        }
+    }
+
+    /// Takes over which entry VMs there are. Those with the most processor collect.
+    pub fn set_peers<Peers>(&mut self, peers: Peers)
+    where
+        Peers: IntoIterator<Item = PeerPlace>,
+    {
+        let others = peers.into_iter().filter(|it| it.vm != self.own.vm);
+        let mut places: Vec<PeerPlace> = others.collect();
+        places.push(self.own.clone());
+        places.sort_by_cached_key(|it| std::cmp::Reverse(it.order()));
+        self.ranked.clear();
+        for place in places {
+            let vms = self.ranked.entry(place.failure_domain).or_default();
+            vms.push(place.vm);
+        }
+    }
+
+    /// Takes in what happened and says what to send.
+    pub fn handle(&mut self, now: Millis, event: OccupancyEvent<'_>) -> Vec<OccupancyAction> {
+        match event {
+            OccupancyEvent::Tick(in_flight) => {
+                self.in_flight = in_flight;
+                self.tick(now)
+            }
+            OccupancyEvent::Received(notice) => self.receive(now, notice),
+        }
+    }
+
+    /// Whether other VMs have this one collect for them.
+    pub fn is_asked(&self) -> bool {
+        !self.members.is_empty()
+    }
+
+    /// Whether it is known what the other VMs have in flight.
+    pub fn is_known(&self, now: Millis) -> bool {
+        let is_told = self.others.as_ref().is_some_and(|told| told.is_fresh(now));
+        is_told || self.collector(now).is_none()
+    }
+
+    /// What the other VMs have in flight at a leader, as far as known.
+    pub fn others_at(&self, leader: u32, now: Millis) -> LeaderLoad {
+        if let Some(told) = self.others.as_ref().filter(|told| told.is_fresh(now)) {
+            return told.counts.get(leader);
+        }
+        let told = self.members.values().chain(self.domains.values());
+        let fresh = told.filter(|told| told.is_fresh(now));
+        let loads = fresh.map(|told| told.counts.get(leader));
+        loads.fold(LeaderLoad::default(), LeaderLoad::plus)
+    }
+
+    /// The VM that collects for this one; none where it collects itself.
+    fn collector(&self, now: Millis) -> Option<&str> {
+        let vms = self.ranked.get(&self.own.failure_domain)?;
+        let is_avoided = |vm: &str| self.avoided.get(vm).is_some_and(|until| *until > now);
+        let first = vms.iter().find(|vm| !is_avoided(vm))?;
+        (*first != self.own.vm).then_some(first.as_str())
+    }
+
+    fn tick(&mut self, now: Millis) -> Vec<OccupancyAction> {
+        self.give_up_silent(now);
+        self.members.retain(|_, told| told.is_fresh(now));
+        let Some(collector) = self.collector(now).map(str::to_owned) else {
+            self.others = None;
+            return self.tell_domains(now);
+        };
+        self.asked_at.get_or_insert(now);
+        let notice = self.notice(LoadScope::Vm, &self.in_flight);
+        let action = OccupancyAction {
+            vm: collector,
+            notice,
+        };
+        vec![action]
+    }
+
+    /// Leaves a collector alone that owes an answer for too long.
+    fn give_up_silent(&mut self, now: Millis) {
+        let is_overdue = |at: Millis| now.since(at) >= ANSWER_TIME;
+        if !self.asked_at.is_some_and(is_overdue) {
+            return;
+        }
+        self.asked_at = None;
+        self.avoided.retain(|_, until| *until > now);
+        if let Some(silent) = self.collector(now).map(str::to_owned) {
+            self.avoided.insert(silent, now + AVOIDANCE);
+        }
+    }
+
+    /// Tells the collectors of the other failure domains the sum of this one.
+    fn tell_domains(&self, now: Millis) -> Vec<OccupancyAction> {
+        let mut sum = self.in_flight.clone();
+        for told in self.members.values() {
+            sum.add_all(&told.counts);
+        }
+        let others = self.ranked.iter();
+        let others = others.filter(|(domain, _)| **domain != self.own.failure_domain);
+        let collectors = others.filter_map(|(domain, vms)| {
+            let told = self.domains.get(domain).filter(|told| told.is_fresh(now));
+            told.map(|told| &told.vm).or(vms.first())
+        });
+        collectors
+            .map(|vm| OccupancyAction {
+                vm: vm.clone(),
+                notice: self.notice(LoadScope::FailureDomain, &sum),
+            })
+            .collect()
+    }
+
+    fn receive(&mut self, now: Millis, notice: &LoadNotice) -> Vec<OccupancyAction> {
+        let told = ToldCounts {
+            vm: notice.vm.clone(),
+            counts: LeaderCounts::from(notice.counts.as_slice()),
+            at: now,
+        };
+        match notice.scope {
+            LoadScope::Vm => {
+                self.members.insert(notice.vm.clone(), told);
+                vec![self.answer(now, &notice.vm)]
+            }
+            LoadScope::FailureDomain => {
+                if notice.failure_domain != self.own.failure_domain {
+                    self.domains.insert(notice.failure_domain.clone(), told);
+                }
+                Vec::new()
+            }
+            LoadScope::Others => {
+                self.asked_at = None;
+                self.others = Some(told);
+                Vec::new()
+            }
+        }
+    }
+
+    /// What a VM is told by this one as its collector: what all but itself have in flight.
+    fn answer(&self, now: Millis, vm: &str) -> OccupancyAction {
+        let mut sum = self.in_flight.clone();
+        let members = self.members.iter().filter(|(other, _)| *other != vm);
+        let told = members.map(|(_, told)| told).chain(self.domains.values());
+        for told in told.filter(|told| told.is_fresh(now)) {
+            sum.add_all(&told.counts);
+        }
+        OccupancyAction {
+            vm: vm.to_owned(),
+            notice: self.notice(LoadScope::Others, &sum),
+        }
+    }
+
+    fn notice(&self, scope: LoadScope, counts: &LeaderCounts) -> LoadNotice {
+        LoadNotice {
+            vm: self.own.vm.clone(),
+            failure_domain: self.own.failure_domain.clone(),
+            scope,
+            counts: counts.to_wire(),
+        }
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -15,4 +15,6 @@
 pub use frame::{Error, decode, encode, read_frame, write_frame};
 pub use message::{Answer, GroupsEntry, Question};
 pub use news::{NewsAnswer, NewsQuestion, StoreNews};
-pub use notice::{PeerNotice, QuietNotice};
+pub use notice::{
+    LeaderCount, LoadNotice, LoadScope, MAX_LEADER_COUNTS, PeerNotice, QuietNotice, UNREAD_UNIT,
+};
--- a/crates/peer/src/notice.rs
+++ b/crates/peer/src/notice.rs
@@ -9,6 +9,49 @@
 pub enum PeerNotice {
     /// Nothing comes from a leader of a group.
     Quiet(QuietNotice),
+    /// Requests in flight.
+    Load(LoadNotice),
+}
+
+/// Leaders that one notice names at most: more would not fit into a datagram.
+pub const MAX_LEADER_COUNTS: usize = 100;
+
+/// Prompt tokens that count as one in a notice: 65,535 of them are more than an engine reads in a minute.
+pub const UNREAD_UNIT: u32 = 32;
+
+/// Requests in flight at leaders of groups.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct LoadNotice {
+    /// The entry VM that tells it.
+    pub vm: String,
+    /// The VM's failure domain.
+    pub failure_domain: FailureDomain,
+    /// Whose requests they are.
+    pub scope: LoadScope,
+    /// The leaders that have any.
+    pub counts: Vec<LeaderCount>,
+}
+
+/// Whose requests a notice counts.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum LoadScope {
+    /// The sender's own. Answered with [`Self::Others`].
+    Vm,
+    /// Those of all VMs in the sender's failure domain.
+    FailureDomain,
+    /// Those of all VMs but the receiver.
+    Others,
+}
+
+/// Requests in flight at one leader.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct LeaderCount {
+    /// The leader's short name.
+    pub leader: u32,
+    /// Requests sent and not ended.
+    pub requests: u16,
+    /// Prompt tokens of those whose answers have not begun, in units of [`UNREAD_UNIT`].
+    pub unread: u16,
 }
 
 /// That nothing comes from the leader of a group while requests run there.
--- a/crates/ports/src/call.rs
+++ b/crates/ports/src/call.rs
@@ -27,6 +27,14 @@
     pub headers: HeaderMap,
 }
 
+impl CallerCall {
+    /// Tokens of the prompt; 0 where the call does not say.
+    pub fn prompt_tokens(&self) -> u32 {
+        let prompt = self.tokens.map_or(0, |(prompt, _)| prompt);
+        prompt.try_into().unwrap_or(u32::MAX)
+    }
+}
+
 /// What this system adds to a request it sends.
 #[derive(Clone, Debug)]
 pub struct OutgoingContext<'a> {
--- a/crates/ports/src/config.rs
+++ b/crates/ports/src/config.rs
@@ -90,6 +90,38 @@
     pub warmup_time: Millis,
 }
 
+/// How fast a replica is when its model has a pace of 1.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct EngineSpeed {
+    /// Time of one step, in which each running request gets a token, in milliseconds.
+    pub step_ms: f64,
+    /// Added to it for each running request, in milliseconds.
+    pub step_ms_per_request: f64,
+    /// Steps of a pass, after which events leave and new prompts are read.
+    pub steps_per_pass: u32,
+    /// Prompt tokens read in a millisecond.
+    pub tokens_per_ms: f64,
+}
+
+impl EngineSpeed {
+    /// The time of a pass with so many running requests that reads no prompt, in milliseconds.
+    pub fn pass_ms(&self, running: f64) -> f64 {
+        let step = self.step_ms + self.step_ms_per_request * running;
+        step * f64::from(self.steps_per_pass)
+    }
+
+    /// The speed of a model whose times are `pace` times as long.
+    #[must_use]
+    pub fn paced(self, pace: f64) -> Self {
+        Self {
+            step_ms: self.step_ms * pace,
+            step_ms_per_request: self.step_ms_per_request * pace,
+            tokens_per_ms: self.tokens_per_ms / pace.max(1e-3),
+            ..self
+        }
+    }
+}
+
 /// What the engines of a service can do.
 #[derive(Clone, PartialEq, Debug)]
 pub struct EngineSpec {
@@ -103,6 +135,8 @@
     pub parallel_loads: usize,
     /// Time a ready group takes to begin serving.
     pub open_time: Millis,
+    /// How fast they are, where it is known.
+    pub speed: Option<EngineSpeed>,
 }
 
 /// One service.
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -23,7 +23,8 @@
 pub use call::{CallerCall, CallerDialect, OutgoingContext, RefusalContext, ReplyFacts};
 pub use catalog::{CatalogError, StoreCatalog};
 pub use config::{
-    CallerLimits, EngineSpec, ModelSpec, Route, RouteKind, RouteTarget, ServiceSpec, ServingConfig,
+    CallerLimits, EngineSpec, EngineSpeed, ModelSpec, Route, RouteKind, RouteTarget, ServiceSpec,
+    ServingConfig,
 };
 pub use control::{
     ControlError, GroupOrder, OrderOutcome, OrderRequest, UpstreamControl, UpstreamReport,
--- /dev/null
+++ b/crates/routing/src/book.rs
@@ -0,0 +1,357 @@
+//! Which upstream a request is sent to, by load and trouble of all of them.
+
+use bergamot_news::PeerPlace;
+use bergamot_occupancy::{LeaderCounts, LeaderLoad, OccupancyState, leader_key};
+use bergamot_types::prelude::*;
+use indexmap::IndexMap;
+
+use crate::load::UpstreamLoad;
+use crate::sharing::LeaderSharing;
+use crate::upstream::RouteUpstream;
+
+/// What a request to another failure domain counts, in requests: with equal load the near one.
+const AWAY_PENALTY: f64 = 0.5;
+/// Factor on an equal part of the slots for the first limit.
+const FIRST_LIMIT_FACTOR: f64 = 1.5;
+/// The lowest first limit, in requests.
+const FIRST_LIMIT_FLOOR: f64 = 2.0;
+
+/// Unread prompt tokens that count as much as one request in flight, in the choice among leaders.
+const TOKENS_PER_REQUEST: f64 = 700.0;
+
+/// Passes of an engine, without the reading of prompts, until a first event: half of the one that runs and
+/// the one that reads the prompt.
+const FIRST_PASSES: f64 = 1.5;
+/// Part of the objective within which the first event must be expected. The rest is for the way, and for what
+/// others send meanwhile.
+const IN_TIME_PART: f64 = 0.75;
+
+/// Leaders of which the less busy one is taken. What is known of them is some 75 ms old; all that choose the least
+/// busy of all leaders meanwhile choose the same one. With two drawn ones 0.93 of a moderate load are in time,
+/// with the least busy of 40 leaders 0.28 (87 VMs, `experiment::serving`).
+const DRAWN_LEADERS: usize = 2;
+/// The most a leader may have to do, as a part of its limit and of the objective, to be taken when the drawn ones
+/// are full: then it is no accident of a moment, and others may come at the same time.
+const IDLE_PART: f64 = 0.6;
+
+/// What an upstream is chosen for.
+#[derive(Clone, Copy, Debug)]
+pub struct UpstreamAsk<'a> {
+    /// Where this VM is.
+    pub home: &'a FailureDomain,
+    /// Upstreams that the request was sent to already.
+    pub tried: &'a [UpstreamId],
+    /// Whether it was begun elsewhere and needs no room: what it got so far would be lost with it.
+    pub must_go_on: bool,
+    /// Tokens of its prompt.
+    pub prompt: u32,
+    /// The time within which its first event is in time.
+    pub objective: Millis,
+    /// A random number, for what is equal otherwise.
+    pub draw: u64,
+}
+
+/// What a choice came to.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum UpstreamChoice<'a> {
+    /// This one.
+    Chosen(&'a RouteUpstream),
+    /// All that are left have as many requests as they bear.
+    Full,
+    /// None is left.
+    None,
+}
+
+/// All upstreams that were sent to.
+#[derive(Debug)]
+pub struct UpstreamBook {
+    loads: IndexMap<UpstreamId, UpstreamLoad>,
+    sharing: LeaderSharing,
+    /// What the other entry VMs have in flight.
+    pub occupancy: OccupancyState,
+}
+
+impl UpstreamBook {
+    /// A book of the entry VM at `place` in which nothing was sent yet.
+    pub fn new(place: PeerPlace) -> Self {
+        Self {
+            loads: IndexMap::new(),
+            sharing: LeaderSharing::default(),
+            occupancy: OccupancyState::new(place),
+        }
+    }
+
+    /// Shares the leaders out over the entry VMs `vms`, of which `own` is this one.
+    pub fn share_leaders<'a, Leaders>(&mut self, leaders: Leaders, vms: &[&str], own: &str)
+    where
+        Leaders: Iterator<Item = &'a RouteUpstream>,
+    {
+        self.sharing.share(leaders, vms, own);
+    }
+
+    /// What is in flight from here.
+    pub fn in_flight(&self) -> LeaderCounts {
+        let mut counts = LeaderCounts::default();
+        for (id, load) in &self.loads {
+            counts.add(leader_key(id), load.own());
+        }
+        counts
+    }
+
+    /// The load of one upstream.
+    pub fn load(&self, id: &UpstreamId) -> UpstreamLoad {
+        self.loads.get(id).copied().unwrap_or_default()
+    }
+
+    fn load_mut(&mut self, id: &UpstreamId) -> &mut UpstreamLoad {
+        self.loads.entry(id.clone()).or_default()
+    }
+
+    /// What all entry VMs have in flight at a leader, as far as known.
+    fn total_at(&self, id: &UpstreamId, now: Millis) -> LeaderLoad {
+        let others = self.occupancy.others_at(leader_key(id), now);
+        others.plus(self.load(id).own())
+    }
+
+    /// The limit before an upstream has shown what it bears: somewhat more than an equal part of
+    /// its slots, as callers are spread unevenly. Without it every VM would fill a group that has
+    /// just opened by itself.
+    fn first_limit(&self, slots: u32) -> f64 {
+        let users = self.sharing.users(slots);
+        let part = f64::from(slots) / users as f64;
+        (part * FIRST_LIMIT_FACTOR).clamp(FIRST_LIMIT_FLOOR, f64::from(slots).max(1.0))
+    }
+
+    /// Counts a request with so many prompt tokens that is sent.
+    pub fn note_sent(&mut self, id: &UpstreamId, prompt: u32, now: Millis) {
+        self.load_mut(id).note_sent(prompt, now);
+    }
+
+    /// Counts the answer to such a request that begins.
+    pub fn note_begun(&mut self, id: &UpstreamId, prompt: u32) {
+        self.load_mut(id).note_begun(prompt);
+    }
+
+    /// Counts the end of such a request, whose answer may have begun.
+    pub fn note_ended(&mut self, id: &UpstreamId, has_begun: bool, prompt: u32) {
+        self.load_mut(id).note_ended(has_begun, prompt);
+    }
+
+    /// Notes that a connection is being set up.
+    pub fn note_connecting(&mut self, id: &UpstreamId, now: Millis) {
+        self.load_mut(id).connecting_since.get_or_insert(now);
+    }
+
+    /// Notes that a connection was set up, or was given up.
+    pub fn note_connected(&mut self, id: &UpstreamId) {
+        self.load_mut(id).connecting_since = None;
+    }
+
+    /// Notes that its group has changed: what was held against it no longer counts.
+    pub fn note_regrouped(&mut self, id: &UpstreamId) {
+        self.load_mut(id).note_regrouped();
+    }
+
+    /// Notes that something came from it.
+    pub fn note_progress(&mut self, id: &UpstreamId, now: Millis) {
+        self.load_mut(id).note_progress(now);
+    }
+
+    /// Notes how long the first event of a stream took, against its objective.
+    pub fn note_first(
+        &mut self,
+        id: &UpstreamId,
+        slots: u32,
+        took: Millis,
+        objective: Millis,
+        now: Millis,
+    ) {
+        let total = self.total_at(id, now).requests;
+        let first = self.first_limit(slots);
+        let load = self.load_mut(id);
+        match took > objective {
+            true => load.note_late(first),
+            false => load.increase(slots, first, total),
+        }
+    }
+
+    /// Notes that an upstream is full.
+    pub fn decrease(&mut self, id: &UpstreamId, slots: u32) {
+        let first = self.first_limit(slots);
+        self.load_mut(id).decrease(first);
+    }
+
+    /// Notes a whole answer.
+    pub fn note_success(&mut self, id: &UpstreamId) {
+        self.load_mut(id).note_success();
+    }
+
+    /// Notes a failure.
+    pub fn note_failure(&mut self, id: &UpstreamId, now: Millis) {
+        self.load_mut(id).note_failure(now);
+    }
+
+    /// Notes that requests stand still there.
+    pub fn note_quiet(&mut self, id: &UpstreamId, now: Millis) {
+        self.load_mut(id).note_quiet(now);
+    }
+
+    /// Forgets upstreams that are not listed any more and have nothing in flight.
+    pub fn retain<Keep>(&mut self, is_listed: Keep)
+    where
+        Keep: Fn(&UpstreamId) -> bool,
+    {
+        self.loads
+            .retain(|id, load| load.in_flight > 0 || is_listed(id));
+    }
+
+    /// What the limits of these upstreams are, and what is in flight, for the log.
+    pub fn describe(&self, pool: &[RouteUpstream], now: Millis) -> String {
+        let is_known = self.occupancy.is_known(now);
+        let loads = pool.iter().map(|upstream| {
+            let load = self.load(&upstream.id);
+            if !is_known {
+                let limit = load.limit(self.first_limit(upstream.slots));
+                return format!("{}/{limit:.1}", load.in_flight);
+            }
+            let total = self.total_at(&upstream.id, now);
+            let limit = load.common_limit(upstream.slots);
+            format!("{}/{limit:.1}:{}", total.requests, total.unread)
+        });
+        loads.collect::<Vec<_>>().join(",")
+    }
+
+    /// Whether one more request may be sent.
+    fn has_room(&self, upstream: &RouteUpstream) -> bool {
+        let load = self.load(&upstream.id);
+        // Plain services have no first events to learn from; they turn away what is too much.
+        let first = match upstream.group {
+            Some(_) => self.first_limit(upstream.slots),
+            None => f64::from(upstream.slots),
+        };
+        f64::from(load.in_flight) + 1.0 <= load.limit(first)
+    }
+
+    /// Whether a leader has a slot for one more request, whose first event can be expected in time.
+    ///
+    /// Against limits that each VM learns by itself it gains 0.03 of the worth of days with trouble (8 VMs before
+    /// 57 upstreams, five days, two plays before and after): 26 running requests are no bound on what waits to be
+    /// read, and where prompts are long a pass that reads several takes longer than the objective.
+    fn is_in_time(&self, upstream: &RouteUpstream, ask: &UpstreamAsk<'_>, now: Millis) -> bool {
+        let total = self.total_at(&upstream.id, now);
+        let limit = self.load(&upstream.id).common_limit(upstream.slots);
+        let in_time = ask.objective.0 as f64 * IN_TIME_PART;
+        let first = first_event_ms(upstream, total, ask.prompt);
+        let is_early = total.unread == 0 || first.is_none_or(|first| first <= in_time);
+        f64::from(total.requests) + 1.0 <= limit && is_early
+    }
+
+    /// Whether a leader has so little to do that others may send there at the same time.
+    fn is_idle(&self, upstream: &RouteUpstream, ask: &UpstreamAsk<'_>, now: Millis) -> bool {
+        let total = self.total_at(&upstream.id, now);
+        let limit = self.load(&upstream.id).common_limit(upstream.slots);
+        let first = first_event_ms(upstream, total, ask.prompt);
+        let early = ask.objective.0 as f64 * IDLE_PART;
+        let is_early = first.is_none_or(|first| first <= early);
+        f64::from(total.requests) <= limit * IDLE_PART && is_early
+    }
+
+    /// Those of `usable` that one more request may be sent to.
+    fn with_room<'a>(
+        &self,
+        mut usable: Vec<&'a RouteUpstream>,
+        ask: &UpstreamAsk<'_>,
+        now: Millis,
+    ) -> Vec<&'a RouteUpstream> {
+        if ask.must_go_on {
+            return usable;
+        }
+        let are_leaders = usable.iter().all(|it| it.group.is_some());
+        if !are_leaders || !self.occupancy.is_known(now) {
+            usable.retain(|upstream| self.has_room(upstream));
+            return usable;
+        }
+        usable.sort_by_cached_key(|upstream| {
+            let is_avoided = self.load(&upstream.id).is_avoided(now);
+            (is_avoided, rendezvous_score(ask.draw, upstream.id.as_str()))
+        });
+        let mut others = usable.split_off(DRAWN_LEADERS.min(usable.len()));
+        usable.retain(|upstream| self.is_in_time(upstream, ask, now));
+        if !usable.is_empty() {
+            return usable;
+        }
+        others.retain(|upstream| self.is_idle(upstream, ask, now));
+        others.truncate(DRAWN_LEADERS);
+        others
+    }
+
+    /// How much a leader has to do, in requests.
+    fn work_at(&self, upstream: &RouteUpstream, now: Millis) -> f64 {
+        if upstream.group.is_none() || !self.occupancy.is_known(now) {
+            return f64::from(self.load(&upstream.id).in_flight);
+        }
+        let total = self.total_at(&upstream.id, now);
+        f64::from(total.requests) + f64::from(total.unread) / TOKENS_PER_REQUEST
+    }
+
+    /// The least loaded upstream that was not tried and has room. Avoided ones are used when there
+    /// are no others.
+    pub fn choose<'a>(
+        &self,
+        pool: &'a [RouteUpstream],
+        ask: &UpstreamAsk<'_>,
+        now: Millis,
+    ) -> UpstreamChoice<'a> {
+        let score = |upstream: &RouteUpstream| {
+            let away = match upstream.failure_domain == *ask.home {
+                true => 0.0,
+                false => AWAY_PENALTY,
+            };
+            let work = self.work_at(upstream, now) + away;
+            let is_avoided = self.load(&upstream.id).is_avoided(now);
+            let is_shared = !self.sharing.is_own(&upstream.id);
+            (
+                is_avoided,
+                is_shared,
+                work / f64::from(upstream.slots.max(1)),
+            )
+        };
+        let mut fresh = pool
+            .iter()
+            .filter(|upstream| !ask.tried.contains(&upstream.id))
+            .peekable();
+        if fresh.peek().is_none() {
+            return UpstreamChoice::None;
+        }
+        let has_own = pool.iter().any(|upstream| {
+            self.sharing.is_own(&upstream.id) && !self.load(&upstream.id).is_avoided(now)
+        });
+        let usable = fresh.filter(|upstream| {
+            let is_plain = upstream.group.is_none();
+            ask.must_go_on || is_plain || self.sharing.is_own(&upstream.id) || !has_own
+        });
+        let roomy = self.with_room(usable.collect(), ask, now);
+        let scored = roomy
+            .into_iter()
+            .map(|upstream| (score(upstream), upstream));
+        let best = scored.min_by(|(a_score, a), (b_score, b)| {
+            let by_score = (a_score.0, a_score.1)
+                .cmp(&(b_score.0, b_score.1))
+                .then(a_score.2.total_cmp(&b_score.2));
+            let tie = |it: &RouteUpstream| rendezvous_score(ask.draw, it.id.as_str());
+            by_score.then_with(|| tie(a).cmp(&tie(b)))
+        });
+        best.map_or(UpstreamChoice::Full, |(_, chosen)| {
+            UpstreamChoice::Chosen(chosen)
+        })
+    }
+}
+
+/// When the first event of a prompt with so many tokens comes from a leader with a load, in milliseconds:
+/// the rest of the pass that runs, and one that reads all prompts which wait. None where its speed is not known.
+fn first_event_ms(upstream: &RouteUpstream, load: LeaderLoad, prompt: u32) -> Option<f64> {
+    let speed = upstream.speed?;
+    let running = load.requests.min(upstream.slots);
+    let reading = f64::from(load.unread + prompt) / speed.tokens_per_ms;
+    Some(speed.pass_ms(f64::from(running)) * FIRST_PASSES + reading)
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,17 +8,25 @@
 pub mod admission;
 pub mod attempt;
 pub mod balance;
+pub mod book;
 pub mod bucket;
+pub mod load;
 pub mod resume;
 pub mod retry;
 pub mod runner;
 pub mod share;
+pub mod sharing;
+pub mod upstream;
 
 pub use admission::{AdmissionOutcome, AdmissionQueue, AdmissionRequest, Admitted};
 pub use attempt::{Answered, Attempt, NotSent, Sent, SentOutcome};
 pub use balance::{BalanceOptions, BalancePolicy, Balancer, Choice, PickRequest};
+pub use book::{UpstreamAsk, UpstreamBook, UpstreamChoice};
 pub use bucket::TokenBucket;
+pub use load::UpstreamLoad;
 pub use resume::StreamResume;
 pub use retry::RetryBudget;
 pub use runner::{RunnerFact, RunnerLoad, RunnerTable};
 pub use share::{Borrow, Lend, LimitShares, ShareOptions};
+pub use sharing::LeaderSharing;
+pub use upstream::RouteUpstream;
--- /dev/null
+++ b/crates/routing/src/load.rs
@@ -0,0 +1,182 @@
+//! Load and trouble of one upstream as seen from one entry VM.
+
+use bergamot_occupancy::LeaderLoad;
+use bergamot_types::prelude::*;
+
+/// Time for which an upstream with a failure is avoided; doubled with each failure in a row.
+const FIRST_AVOIDANCE: Millis = Millis(300);
+/// The longest avoidance.
+const MAX_AVOIDANCE: Millis = Millis(5_000);
+/// Time for which an upstream is avoided at which requests stand still: the groups' coordinator
+/// ends the group by then, or it turns out to be sound.
+const QUIET_AVOIDANCE: Millis = Millis(2_000);
+/// Time that a connection takes at a sound upstream, several times over.
+const SLOW_CONNECT: Millis = Millis(40);
+/// Time without any event from a busy engine after which new requests go elsewhere, if they can.
+/// Engines answer in passes of some 50 ms.
+const SUSPECT_SILENCE: Millis = Millis(200);
+
+/// Added to the limit of requests in flight by a first event in time.
+const LIMIT_INCREASE: f64 = 0.3;
+/// Taken off the limit by a late first event, or when the upstream is full. With twice the
+/// increase, a third of the first events are late where the limit settles.
+const LIMIT_DECREASE: f64 = 0.6;
+/// The lowest limit.
+pub(crate) const MIN_LIMIT: f64 = 1.0;
+
+/// Requests of all entry VMs that a leader is given at first, as a part of its slots: as many as run at once.
+const FIRST_FILL: f64 = 1.0;
+/// The highest part: what waits there then begins within one or two passes.
+const MAX_FILL: f64 = 1.1;
+/// The lowest part, for a leader whose first events are late whatever runs there.
+const MIN_FILL: f64 = 0.1;
+/// Added to the part by a first event in time at a leader that is nearly full.
+const FILL_INCREASE: f64 = 0.02;
+/// Taken off it by a late first event.
+const FILL_DECREASE: f64 = 0.03;
+/// Free slots with which a leader counts as nearly full.
+const NEARLY_FULL: f64 = 2.0;
+
+/// One upstream.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct UpstreamLoad {
+    /// Part of its slots that requests of all entry VMs together may take; none before the first answer.
+    /// Used while it is known what the others have in flight.
+    fill: Option<f64>,
+    /// Requests that may be in flight from here; none before the first answer. It grows while
+    /// first events come in time and shrinks when they are late, so that all entry VMs together
+    /// keep an upstream's queue short while they do not know what the others have in flight.
+    limit: Option<f64>,
+    /// Requests sent from here and not ended.
+    pub in_flight: u32,
+    /// Of these, the ones whose answers have begun.
+    begun: u32,
+    /// Prompt tokens of the others.
+    unread: u32,
+    /// When anything last came from it.
+    progress_at: Millis,
+    /// Since when there has been a request in flight from here without a break.
+    busy_since: Millis,
+    /// Since when a connection has been on its way, if one is.
+    pub(crate) connecting_since: Option<Millis>,
+    /// Failures in a row.
+    failures: u32,
+    avoided_until: Millis,
+}
+
+impl UpstreamLoad {
+    /// What is in flight from here.
+    pub fn own(&self) -> LeaderLoad {
+        LeaderLoad {
+            requests: self.in_flight,
+            unread: self.unread,
+        }
+    }
+
+    /// Whether an answer from it has begun and goes on. Where none has, silence may only mean that
+    /// requests wait there behind those of other entry VMs.
+    pub fn has_begun(&self) -> bool {
+        self.begun > 0
+    }
+
+    /// How long it has been silent while it had something to do.
+    pub fn silence(&self, now: Millis) -> Millis {
+        match self.in_flight {
+            0 => Millis::ZERO,
+            _ => now.since(self.progress_at.max(self.busy_since)),
+        }
+    }
+
+    /// Whether others are better used now.
+    pub fn is_avoided(&self, now: Millis) -> bool {
+        let is_unreachable = self
+            .connecting_since
+            .is_some_and(|since| now.since(since) > SLOW_CONNECT);
+        self.avoided_until > now || is_unreachable || self.silence(now) > SUSPECT_SILENCE
+    }
+
+    /// Requests that may be in flight from here, where `first` holds before the first answer.
+    pub fn limit(&self, first: f64) -> f64 {
+        self.limit.unwrap_or(first).max(MIN_LIMIT)
+    }
+
+    /// Requests that all entry VMs together may have in flight at a leader with so many slots.
+    pub fn common_limit(&self, slots: u32) -> f64 {
+        (f64::from(slots) * self.fill.unwrap_or(FIRST_FILL)).max(MIN_LIMIT)
+    }
+
+    pub(crate) fn note_sent(&mut self, prompt: u32, now: Millis) {
+        if self.in_flight == 0 {
+            self.busy_since = now;
+        }
+        self.in_flight += 1;
+        self.unread += prompt;
+    }
+
+    pub(crate) fn note_begun(&mut self, prompt: u32) {
+        self.begun += 1;
+        self.unread = self.unread.saturating_sub(prompt);
+    }
+
+    pub(crate) fn note_ended(&mut self, has_begun: bool, prompt: u32) {
+        if !has_begun {
+            self.unread = self.unread.saturating_sub(prompt);
+        }
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.begun = self.begun.saturating_sub(u32::from(has_begun));
+    }
+
+    pub(crate) fn note_progress(&mut self, now: Millis) {
+        self.progress_at = now;
+    }
+
+    /// Forgets what was held against it.
+    pub(crate) fn note_regrouped(&mut self) {
+        self.avoided_until = Millis::ZERO;
+        self.failures = 0;
+        self.limit = None;
+        self.fill = None;
+    }
+
+    /// Raises its limits: a first event came in time while `total` requests of all VMs were there.
+    pub(crate) fn increase(&mut self, slots: u32, first: f64, total: u32) {
+        if f64::from(total) >= self.common_limit(slots) - NEARLY_FULL {
+            let fill = self.fill.unwrap_or(FIRST_FILL);
+            self.fill = Some((fill + FILL_INCREASE).min(MAX_FILL));
+        }
+        let limit = self.limit.unwrap_or(first);
+        if f64::from(self.in_flight) >= limit - 1.0 {
+            self.limit = Some((limit + LIMIT_INCREASE).min(f64::from(slots)));
+        }
+    }
+
+    /// Lowers its limits: a first event was late.
+    pub(crate) fn note_late(&mut self, first: f64) {
+        let fill = self.fill.unwrap_or(FIRST_FILL);
+        self.fill = Some((fill - FILL_DECREASE).max(MIN_FILL));
+        self.decrease(first);
+    }
+
+    /// Lowers the limit of requests from here.
+    pub(crate) fn decrease(&mut self, first: f64) {
+        let limit = self.limit.unwrap_or(first);
+        let limit = limit.min(f64::from(self.in_flight.max(1)) + 1.0);
+        self.limit = Some((limit - LIMIT_DECREASE).max(MIN_LIMIT));
+    }
+
+    pub(crate) fn note_success(&mut self) {
+        self.failures = 0;
+        self.avoided_until = Millis::ZERO;
+    }
+
+    pub(crate) fn note_failure(&mut self, now: Millis) {
+        let factor = 1_u64 << self.failures.min(6);
+        self.failures += 1;
+        let wait = Millis(FIRST_AVOIDANCE.0 * factor).min(MAX_AVOIDANCE);
+        self.avoided_until = self.avoided_until.max(now + wait);
+    }
+
+    pub(crate) fn note_quiet(&mut self, now: Millis) {
+        self.avoided_until = self.avoided_until.max(now + QUIET_AVOIDANCE);
+    }
+}
--- a/crates/gateway/src/front/sharing.rs
+++ b/crates/routing/src/sharing.rs
@@ -3,7 +3,7 @@
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 
-use crate::view::RouteUpstream;
+use crate::upstream::RouteUpstream;
 
 /// Entry VMs that use one leader at most, in parts of its slots. An entry VM may always have one request
 /// at a leader, so this bounds what waits there when all of them are full: twice as many as run. With a
--- a/crates/gateway/tests/sharing.rs
+++ b/crates/routing/tests/sharing.rs
@@ -1,7 +1,6 @@
 //! Leaders of groups are shared out over many entry VMs.
 
-use bergamot_gateway::sharing::LeaderSharing;
-use bergamot_gateway::view::RouteUpstream;
+use bergamot_routing::{LeaderSharing, RouteUpstream};
 use bergamot_types::prelude::*;
 
 fn leader(number: usize, slots: u32) -> RouteUpstream {
@@ -11,6 +10,7 @@
         failure_domain: FailureDomain::new("east"),
         slots,
         group: Some(GroupId::new(&format!("group-{number}"))),
+        speed: None,
     }
 }
 
