--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -275,6 +275,13 @@
             let is_avoided = self.load(&upstream.id).is_avoided(now);
             (is_avoided, rendezvous_score(ask.draw, upstream.id.as_str()))
         });
+        // One of the two is near: what goes to other failure domains is paid for.
+        let is_near = |it: &&RouteUpstream| {
+            it.failure_domain == *ask.home && !self.load(&it.id).is_avoided(now)
+        };
+        if let Some(near) = usable.iter().position(is_near) {
+            usable[..=near].rotate_right(1);
+        }
         let mut others = usable.split_off(DRAWN_LEADERS.min(usable.len()));
         usable.retain(|upstream| self.is_in_time(upstream, ask, now));
         if !usable.is_empty() {
