feat: refused callers are told to come back when answers may have ended

Ruled out: callers who came back go before new ones.

Test: callers_come_back_when_there_may_be_room.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -39,7 +39,7 @@
 use std::sync::Arc;
 
 use bergamot_news::PeerPlace;
-use bergamot_routing::UpstreamBook;
+use bergamot_routing::{ReturnTimes, UpstreamBook};
 use bergamot_types::prelude::*;
 
 use crate::shared::SharedState;
@@ -56,6 +56,8 @@
     pub pool: Rc<ConnectionPool>,
     /// Load and trouble of upstreams.
     pub book: Rc<RefCell<UpstreamBook>>,
+    /// When refused callers should come back.
+    pub returns: RefCell<ReturnTimes>,
     /// Repeats sent.
     pub budget: RefCell<RepeatBudget>,
     /// Requests in flight.
@@ -76,6 +78,7 @@
             dialect,
             pool: Rc::new(ConnectionPool::default()),
             book: Rc::new(RefCell::new(UpstreamBook::new(place))),
+            returns: RefCell::default(),
             budget: RefCell::new(budget),
             in_flight: Rc::new(Cell::new(0)),
         }
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -90,7 +90,9 @@
                 request.call.id,
                 book.describe(upstreams, now)
             );
-            return Err(CallRefusal::later(ErrorKind::Overloaded, RETURN_FULL));
+            let returns = front.returns.borrow();
+            let wait = returns.when_full(request.call.model.as_ref(), rand::random());
+            return Err(CallRefusal::later(ErrorKind::Overloaded, wait));
         }
         UpstreamChoice::None if state.tried.is_empty() => return Err(no_upstream),
         UpstreamChoice::None => return Err(refused),
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -224,6 +224,10 @@
     fn finish(&self, reply: OpenReply) {
         let id = reply.upstream.id.clone();
         self.front.book.borrow_mut().note_success(&id);
+        if let Some(model) = &self.request.call.model {
+            let took = self.front.now().since(reply.sent_at);
+            self.front.returns.borrow_mut().note_answer(model, took);
+        }
         let keep_alive = reply.facts.keep_alive;
         self.front.pool.give_back(&id, reply.connection, keep_alive);
     }
--- a/crates/load/src/experiment/serving/case.rs
+++ b/crates/load/src/experiment/serving/case.rs
@@ -41,6 +41,8 @@
     pub kinds: Vec<RequestKind>,
     /// Whether the VMs tell each other what they have in flight.
     pub is_told: bool,
+    /// When refused callers are told to come back; none: when the VM expects room.
+    pub return_time: Option<Millis>,
     /// Virtual time.
     pub length: Millis,
     /// The seed of the load.
@@ -75,6 +77,7 @@
                 kind("short answers", 25.0, 2_000.0, 3.0, 400),
             ],
             is_told: true,
+            return_time: None,
             length: Millis(30_000),
             seed: 1,
         }
--- a/crates/load/src/experiment/serving/run.rs
+++ b/crates/load/src/experiment/serving/run.rs
@@ -6,7 +6,7 @@
 use bergamot_news::PeerPlace;
 use bergamot_occupancy::{OccupancyAction, OccupancyEvent, TELL_PERIOD};
 use bergamot_peer::LoadNotice;
-use bergamot_routing::{RouteUpstream, UpstreamAsk, UpstreamBook, UpstreamChoice};
+use bergamot_routing::{ReturnTimes, RouteUpstream, UpstreamAsk, UpstreamBook, UpstreamChoice};
 use bergamot_types::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -16,8 +16,6 @@
 
 /// One way between two VMs or a VM and a leader, in milliseconds.
 const WAY: u64 = 1;
-/// What a refused caller is told, in milliseconds.
-const RETURN_TIME: u64 = 300;
 /// Times that a refused caller comes back.
 const RETURNS: u32 = 1;
 
@@ -52,6 +50,8 @@
     events: BinaryHeap<Reverse<(u64, u64, usize)>>,
     pending: Vec<Option<Event>>,
     books: Vec<UpstreamBook>,
+    returns: Vec<ReturnTimes>,
+    model: ModelName,
     domains: Vec<FailureDomain>,
     pool: Vec<RouteUpstream>,
     engines: Vec<EngineModel>,
@@ -119,6 +119,8 @@
             events: BinaryHeap::new(),
             pending: Vec::new(),
             books: books.collect(),
+            returns: (0..case.vms).map(|_| ReturnTimes::default()).collect(),
+            model: ModelName::new("model"),
             domains: (0..case.vms).map(domain_of).collect(),
             engines: vec![EngineModel::new(case.slots as usize, case.speed); case.leaders],
             requests: Vec::new(),
@@ -224,7 +226,13 @@
 
     fn refuse(&mut self, number: usize) {
         if self.requests[number].tries <= RETURNS {
-            return self.at(RETURN_TIME, Event::Try(number));
+            let vm = self.requests[number].vm;
+            let wait = self.returns[vm].when_full(Some(&self.model), self.random.random());
+            let wait = match self.case.return_time {
+                Some(fixed) => fixed,
+                None => wait,
+            };
+            return self.at(wait.0, Event::Try(number));
         }
         let name = self.kind(number).name;
         self.result.kinds[name].refused += 1;
@@ -274,6 +282,8 @@
             return;
         }
         book.note_ended(id, true, request.prompt);
+        let took = Millis(now - request.tried_at);
+        self.returns[request.vm].note_answer(&self.model, took);
         let result = &mut self.result.kinds[kind.name];
         match (request.is_late, request.tries) {
             (true, _) => result.late += 1,
--- a/crates/load/tests/serving.rs
+++ b/crates/load/tests/serving.rs
@@ -1,6 +1,7 @@
 //! What callers get under a heavy load.
 
 use bergamot_load::experiment::{ServingCase, run_serving};
+use bergamot_types::Millis;
 
 /// What became of requests, as parts of what was asked.
 #[derive(Debug, Default)]
@@ -114,6 +115,29 @@
     }
 }
 
+/// Callers that come back when about half of what ran has ended are refused again less often than those that come
+/// back after 0.3 s: 0.026 instead of 0.037 of a load as large as the leaders bear, 0.199 instead of 0.203 of one a
+/// third larger.
+#[test]
+fn callers_come_back_when_there_may_be_room() {
+    let expected = ServingCase::long_prompts();
+    let fixed = ServingCase {
+        return_time: Some(Millis(300)),
+        ..ServingCase::long_prompts()
+    };
+    for (leaders, factor) in [(3, 1.0), (4, 0.85)] {
+        let [expected, fixed] = [&expected, &fixed].map(|case| {
+            played(&ServingCase {
+                leaders,
+                ..case.clone()
+            })
+        });
+        println!("{leaders} leaders: {expected:.3?}, after 0.3 s {fixed:.3?}");
+        assert!(expected.refused < fixed.refused * factor, "{leaders}");
+        assert!(expected.in_time >= fixed.in_time, "{leaders}");
+    }
+}
+
 /// The same seed gives the same result.
 #[test]
 fn a_seed_plays_the_same_again() {
