perf: groups follow what is asked where that clearly differs from what is declared

Cause: the parts of the upstreams that models get were taken from the configuration alone.

Change: the coordinator's VM counts requests, prompt tokens and events by model over 20 s, and works out what each model needs from the engines' published speed; where that differs from the declared part by a quarter or more it decides which hosts load what.

Ruled out: following it always. Left: no serving group is taken apart for another model, so a wrong start is mended only as upstreams are replaced.

Test: the_next_group_is_of_the_model_that_needs_it (without the mechanism there is no such input).

--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -59,6 +59,10 @@
         .budget
         .borrow_mut()
         .note_request(arrived, &state.service);
+    if let Some(model) = &request.call.model {
+        let prompt = request.call.prompt_tokens();
+        front.demand.borrow_mut().note_asked(arrived, model, prompt);
+    }
     serve(front, request, state).await
 }
 
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -38,6 +38,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use bergamot_groups::DemandMeter;
 use bergamot_news::PeerPlace;
 use bergamot_routing::{ReturnTimes, UpstreamBook};
 use bergamot_types::prelude::*;
@@ -56,6 +57,8 @@
     pub pool: Rc<ConnectionPool>,
     /// Load and trouble of upstreams.
     pub book: Rc<RefCell<UpstreamBook>>,
+    /// What callers ask of each model.
+    pub demand: RefCell<DemandMeter>,
     /// When refused callers should come back.
     pub returns: RefCell<ReturnTimes>,
     /// Repeats sent.
@@ -78,6 +81,7 @@
             dialect,
             pool: Rc::new(ConnectionPool::default()),
             book: Rc::new(RefCell::new(UpstreamBook::new(place))),
+            demand: RefCell::default(),
             returns: RefCell::default(),
             budget: RefCell::new(budget),
             in_flight: Rc::new(Cell::new(0)),
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -227,6 +227,10 @@
         if let Some(model) = &self.request.call.model {
             let took = self.front.now().since(reply.sent_at);
             self.front.returns.borrow_mut().note_answer(model, took);
+            if self.request.call.resume_after.is_none() {
+                let mut demand = self.front.demand.borrow_mut();
+                demand.note_answered(model, self.delivered);
+            }
         }
         let keep_alive = reply.facts.keep_alive;
         self.front.pool.give_back(&id, reply.connection, keep_alive);
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bergamot_ports::CallerDialect;
@@ -206,5 +207,7 @@
         let is_listed = |id: &UpstreamId| view.upstreams.contains_key(id);
         front.pool.retain(is_listed);
         front.book.borrow_mut().retain(is_listed);
+        let uses = front.demand.borrow_mut().uses(front.now());
+        front.shared.demand.store(Arc::new(uses));
     }
 }
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -267,6 +267,7 @@
             if shared.has_traffic.load(Ordering::Relaxed) {
                 planner.note_traffic();
             }
+            planner.set_demand(shared.demand.load().as_ref().clone());
             for action in planner.step(now) {
                 running.push(self.carry_out(action));
             }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,9 +4,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
+use bergamot_groups::ModelUse;
 use bergamot_peer::QuietNotice;
 use bergamot_ports::{ServingBounds, VmSite};
 use bergamot_types::prelude::*;
+use indexmap::IndexMap;
 use tokio::sync::{mpsc, watch};
 
 use crate::clock::MonotonicClock;
@@ -45,6 +47,8 @@
     pub has_traffic: AtomicBool,
     /// When the signal to stop came, in milliseconds; 0: not yet.
     stop_began: AtomicU64,
+    /// What callers ask of each model here.
+    pub demand: ArcSwap<IndexMap<ModelName, ModelUse>>,
     /// Leaders from which nothing comes, for the coordinator.
     pub quiet: mpsc::Sender<QuietNotice>,
 }
@@ -63,6 +67,7 @@
             stopping: AtomicBool::new(false),
             has_traffic: AtomicBool::new(false),
             stop_began: AtomicU64::new(0),
+            demand: ArcSwap::default(),
             quiet,
         })
     }
--- a/crates/groups/src/assign.rs
+++ b/crates/groups/src/assign.rs
@@ -42,8 +42,9 @@
         }
         let staging = self.tracks.values();
         let mut loading = staging.filter(|track| track.staging.is_some()).count();
+        let spec = self.needed_spec();
         let context = AllocationContext {
-            spec: &self.spec,
+            spec: &spec,
             spare_divisor: self.options.spare_divisor,
             groups: counts,
         };
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod allocate;
 mod assign;
+pub mod demand;
 mod forming;
 mod give;
 pub mod options;
@@ -23,5 +24,6 @@
 mod track;
 mod view;
 
+pub use demand::{DemandMeter, ModelUse};
 pub use options::GroupOptions;
 pub use planner::{AskOutcome, GroupAction, GroupPlanner};
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -10,6 +10,7 @@
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 
+use crate::demand::{ModelUse, needed_shares};
 use crate::forming::FormingGroup;
 use crate::options::GroupOptions;
 use crate::track::UpstreamTrack;
@@ -56,6 +57,8 @@
 pub struct GroupPlanner {
     pub(crate) options: GroupOptions,
     pub(crate) spec: EngineSpec,
+    /// What is asked of each model.
+    uses: IndexMap<ModelName, ModelUse>,
     pub(crate) fence: u64,
     pub(crate) epoch: u64,
     pub(crate) is_fenced: bool,
@@ -106,6 +109,7 @@
             logged: String::new(),
             options,
             spec,
+            uses: IndexMap::new(),
             fence,
             epoch: fence,
             is_fenced: false,
@@ -127,6 +131,20 @@
         self.spec = spec;
     }
 
+    /// Takes over what callers ask of each model.
+    pub fn set_demand(&mut self, uses: IndexMap<ModelName, ModelUse>) {
+        self.uses = uses;
+    }
+
+    /// The configuration with the parts of the upstreams that the models need by what is asked.
+    pub(crate) fn needed_spec(&self) -> EngineSpec {
+        let mut spec = self.spec.clone();
+        for (name, share) in needed_shares(&spec, &self.uses).unwrap_or_default() {
+            spec.models[&name].demand_share = share;
+        }
+        spec
+    }
+
     /// Takes over the directory, read at the store's `revision`.
     pub fn set_directory<'a, Entries>(&mut self, entries: Entries, revision: u64, now: Millis)
     where
