--- a/crates/occupancy/src/counts.rs
+++ b/crates/occupancy/src/counts.rs
@@ -23,8 +23,17 @@
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
         Self {
-            requests: self.requests + other.requests,
-            unread: self.unread + other.unread,
+            requests: self.requests.saturating_add(other.requests),
+            unread: self.unread.saturating_add(other.unread),
+        }
+    }
+
+    /// What is left of it without the other one.
+    #[must_use]
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(other.requests),
+            unread: self.unread.saturating_sub(other.unread),
         }
     }
 }
@@ -56,6 +65,15 @@
         }
     }
 
+    /// Takes off what another one counts.
+    pub fn remove_all(&mut self, other: &Self) {
+        for (leader, load) in &other.loads {
+            if let Some(sum) = self.loads.get_mut(leader) {
+                *sum = sum.minus(*load);
+            }
+        }
+    }
+
     /// Whether nothing is in flight.
     pub fn is_empty(&self) -> bool {
         self.loads.is_empty()
@@ -66,6 +84,7 @@
         let mut counts: Vec<LeaderCount> = self
             .loads
             .iter()
+            .filter(|(_, load)| load.requests > 0)
             .map(|(leader, load)| LeaderCount {
                 leader: *leader,
                 requests: load.requests.try_into().unwrap_or(u16::MAX),
--- a/crates/occupancy/src/state.rs
+++ b/crates/occupancy/src/state.rs
@@ -64,6 +64,11 @@
     domains: IndexMap<FailureDomain, ToldCounts>,
     /// What the collector told of all others.
     others: Option<ToldCounts>,
+    /// Where this VM collects: what it and all that told it have in flight. Kept, as working it out for each answer
+    /// would cost the square of the VMs.
+    whole: LeaderCounts,
+    /// When that was last worked out anew.
+    whole_at: Millis,
     /// Since when the collector owes an answer.
     asked_at: Option<Millis>,
     /// VMs that did not answer, and until when they are left alone.
@@ -79,6 +84,8 @@
             members: IndexMap::new(),
             domains: IndexMap::new(),
             others: None,
+            whole: LeaderCounts::default(),
+            whole_at: Millis::ZERO,
             asked_at: None,
             avoided: IndexMap::new(),
             own,
@@ -128,10 +135,10 @@
         if let Some(told) = self.others.as_ref().filter(|told| told.is_fresh(now)) {
             return told.counts.get(leader);
         }
-        let told = self.members.values().chain(self.domains.values());
-        let fresh = told.filter(|told| told.is_fresh(now));
-        let loads = fresh.map(|told| told.counts.get(leader));
-        loads.fold(LeaderLoad::default(), LeaderLoad::plus)
+        match now.since(self.whole_at) < TOLD_TIME {
+            true => self.whole.get(leader).minus(self.in_flight.get(leader)),
+            false => LeaderLoad::default(),
+        }
     }
 
     /// The VM that collects for this one; none where it collects itself.
@@ -144,10 +151,10 @@
 
     fn tick(&mut self, now: Millis) -> Vec<OccupancyAction> {
         self.give_up_silent(now);
-        self.members.retain(|_, told| told.is_fresh(now));
+        self.add_up(now);
         let Some(collector) = self.collector(now).map(str::to_owned) else {
             self.others = None;
-            return self.tell_domains(now);
+            return self.tell_domains();
         };
         self.asked_at.get_or_insert(now);
         let notice = self.notice(LoadScope::Vm, &self.in_flight);
@@ -171,16 +178,27 @@
         }
     }
 
+    /// Works out what all have in flight.
+    fn add_up(&mut self, now: Millis) {
+        self.members.retain(|_, told| told.is_fresh(now));
+        self.domains.retain(|_, told| told.is_fresh(now));
+        self.whole = self.in_flight.clone();
+        for told in self.members.values().chain(self.domains.values()) {
+            self.whole.add_all(&told.counts);
+        }
+        self.whole_at = now;
+    }
+
     /// Tells the collectors of the other failure domains the sum of this one.
-    fn tell_domains(&self, now: Millis) -> Vec<OccupancyAction> {
-        let mut sum = self.in_flight.clone();
-        for told in self.members.values() {
-            sum.add_all(&told.counts);
+    fn tell_domains(&self) -> Vec<OccupancyAction> {
+        let mut sum = self.whole.clone();
+        for told in self.domains.values() {
+            sum.remove_all(&told.counts);
         }
         let others = self.ranked.iter();
         let others = others.filter(|(domain, _)| **domain != self.own.failure_domain);
         let collectors = others.filter_map(|(domain, vms)| {
-            let told = self.domains.get(domain).filter(|told| told.is_fresh(now));
+            let told = self.domains.get(domain);
             told.map(|told| &told.vm).or(vms.first())
         });
         collectors
@@ -198,14 +216,9 @@
             at: now,
         };
         match notice.scope {
-            LoadScope::Vm => {
-                self.members.insert(notice.vm.clone(), told);
-                vec![self.answer(now, &notice.vm)]
-            }
+            LoadScope::Vm => vec![self.take_member(now, told)],
             LoadScope::FailureDomain => {
-                if notice.failure_domain != self.own.failure_domain {
-                    self.domains.insert(notice.failure_domain.clone(), told);
-                }
+                self.take_domain(&notice.failure_domain, told);
                 Vec::new()
             }
             LoadScope::Others => {
@@ -216,18 +229,35 @@
         }
     }
 
-    /// What a VM is told by this one as its collector: what all but itself have in flight.
-    fn answer(&self, now: Millis, vm: &str) -> OccupancyAction {
-        let mut sum = self.in_flight.clone();
-        let members = self.members.iter().filter(|(other, _)| *other != vm);
-        let told = members.map(|(_, told)| told).chain(self.domains.values());
-        for told in told.filter(|told| told.is_fresh(now)) {
-            sum.add_all(&told.counts);
+    /// Takes over what a VM tells this one as its collector, and tells it what all but itself have in flight.
+    fn take_member(&mut self, now: Millis, told: ToldCounts) -> OccupancyAction {
+        let vm = told.vm.clone();
+        if now.since(self.whole_at) >= TOLD_TIME {
+            self.add_up(now);
         }
+        let mut others = self.whole.clone();
+        if let Some(before) = self.members.get(&vm) {
+            others.remove_all(&before.counts);
+        }
+        self.whole = others.clone();
+        self.whole.add_all(&told.counts);
+        self.members.insert(vm.clone(), told);
         OccupancyAction {
-            vm: vm.to_owned(),
-            notice: self.notice(LoadScope::Others, &sum),
+            vm,
+            notice: self.notice(LoadScope::Others, &others),
+        }
+    }
+
+    /// Takes over the sum of another failure domain.
+    fn take_domain(&mut self, domain: &FailureDomain, told: ToldCounts) {
+        if *domain == self.own.failure_domain {
+            return;
+        }
+        if let Some(before) = self.domains.get(domain) {
+            self.whole.remove_all(&before.counts);
         }
+        self.whole.add_all(&told.counts);
+        self.domains.insert(domain.clone(), told);
     }
 
     fn notice(&self, scope: LoadScope, counts: &LeaderCounts) -> LoadNotice {
