--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -99,22 +99,22 @@
     let sent_at = front.now();
     let flight = FlightGuard::enter(
         &front.book,
-        &upstream.id,
+        &upstream.life,
         request.call.prompt_tokens(),
         sent_at,
     );
     front
         .book
         .borrow_mut()
-        .note_connecting(&upstream.id, sent_at);
-    let connection = front.pool.connect(&upstream.id, upstream.addr).await;
-    front.book.borrow_mut().note_connected(&upstream.id);
+        .note_connecting(&upstream.life, sent_at);
+    let connection = front.pool.connect(&upstream.life, upstream.addr).await;
+    front.book.borrow_mut().note_connected(&upstream.life);
     let mut connection = connection.map_err(|error| match error {
         ConnectError::Refused(error) => AttemptError::NoListener(error.to_string()),
         ConnectError::Failed(reason) => AttemptError::NotSent(reason),
     })?;
     let context = OutgoingContext {
-        upstream: &upstream.id,
+        upstream: &upstream.life.id,
         account: request.account.as_ref(),
         time_left,
         priority: request.priority,
@@ -167,7 +167,7 @@
     keep_alive: Option<u64>,
 ) {
     let pool = std::rc::Rc::clone(&front.pool);
-    let id = upstream.id.clone();
+    let id = upstream.life.clone();
     tokio::task::spawn_local(async move {
         let rest = http_body_util::BodyExt::collect(body);
         let rest = tokio::time::timeout(REFUSAL_REST, rest).await;
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -102,7 +102,7 @@
                     "event=attempt_failed request={} route={} upstream={} attempt={} outcome={} reason=\"{error}\" waited={}",
                     request.call.id,
                     state.route.name,
-                    upstream.id,
+                    upstream.life,
                     state.sends(),
                     error.as_str(),
                     front.now().since(state.arrived),
@@ -167,7 +167,7 @@
     let began = front.now();
     let left = state.deadline.since(began);
     let is_engine = upstream.group.is_some();
-    state.tried.push(upstream.id.clone());
+    state.tried.push(upstream.life.clone());
     let sent = send(front, request, upstream, left, resume_after);
     tokio::pin!(sent);
     let outcome = loop {
@@ -198,20 +198,20 @@
     attempts.with_label_values(&[kind, name]).inc();
     let mut book = front.book.borrow_mut();
     match &outcome {
-        Ok(_) => book.note_progress(&upstream.id, now),
+        Ok(_) => book.note_progress(&upstream.life, now),
         Err(error) => {
             match error {
                 // Nothing answers there: others will wait as long in vain.
                 AttemptError::NotSent(_) | AttemptError::Misdirected if is_engine => {
-                    book.note_quiet(&upstream.id, now);
+                    book.note_quiet(&upstream.life, now);
                 }
-                _ => book.note_failure(&upstream.id, now),
+                _ => book.note_failure(&upstream.life, now),
             }
             if error.may_have_run() {
-                state.run_at.push(upstream.id.clone());
+                state.run_at.push(upstream.life.clone());
             }
             if matches!(error, AttemptError::Refused(_)) {
-                book.decrease(&upstream.id, upstream.slots);
+                book.decrease(&upstream.life, upstream.slots);
             }
             if matches!(
                 error,
@@ -222,7 +222,7 @@
         }
     }
     if outcome.is_ok() {
-        state.run_at.push(upstream.id.clone());
+        state.run_at.push(upstream.life.clone());
     }
     outcome
 }
@@ -245,7 +245,7 @@
         front
             .book
             .borrow_mut()
-            .note_failure(&reply.upstream.id, now);
+            .note_failure(&reply.upstream.life, now);
         TryOutcome::Failed(AttemptError::Broken(reason))
     };
     let body = match body {
@@ -253,7 +253,7 @@
         Ok(Err(error)) => return broken(error.to_string()),
         Err(_) => return broken("the answer did not end before the deadline".to_owned()),
     };
-    let (id, keep_alive) = (&reply.upstream.id, reply.facts.keep_alive);
+    let (id, keep_alive) = (&reply.upstream.life, reply.facts.keep_alive);
     front.pool.give_back(id, reply.connection, keep_alive);
     let is_failure = reply.head.status.is_server_error();
     if !is_failure && !reply.facts.is_signed && reply.head.status.is_success() {
--- a/crates/gateway/src/front/flight.rs
+++ b/crates/gateway/src/front/flight.rs
@@ -10,7 +10,7 @@
 #[derive(Debug)]
 pub struct FlightGuard {
     book: Rc<RefCell<UpstreamBook>>,
-    id: UpstreamId,
+    life: UpstreamLife,
     /// Tokens of its prompt.
     prompt: u32,
     has_begun: bool,
@@ -20,14 +20,14 @@
     /// Counts a request with so many prompt tokens that is about to be sent.
     pub fn enter(
         book: &Rc<RefCell<UpstreamBook>>,
-        id: &UpstreamId,
+        life: &UpstreamLife,
         prompt: u32,
         now: Millis,
     ) -> Self {
-        book.borrow_mut().note_sent(id, prompt, now);
+        book.borrow_mut().note_sent(life, prompt, now);
         Self {
             book: Rc::clone(book),
-            id: id.clone(),
+            life: life.clone(),
             prompt,
             has_begun: false,
         }
@@ -37,7 +37,7 @@
     pub fn note_begun(&mut self) {
         if !self.has_begun {
             self.has_begun = true;
-            self.book.borrow_mut().note_begun(&self.id, self.prompt);
+            self.book.borrow_mut().note_begun(&self.life, self.prompt);
         }
     }
 }
@@ -45,6 +45,6 @@
 impl Drop for FlightGuard {
     fn drop(&mut self) {
         let mut book = self.book.borrow_mut();
-        book.note_ended(&self.id, self.has_begun, self.prompt);
+        book.note_ended(&self.life, self.has_begun, self.prompt);
     }
 }
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -64,8 +64,8 @@
         _ => &pool.plain,
     };
     let refused = CallRefusal::later(ErrorKind::UpstreamRefused, RETURN_FULL);
-    // An upstream that is gone does not count against the most that a request may be sent to.
-    let is_listed = |id: &&UpstreamId| view.upstreams.contains_key(*id);
+    // A run that is gone does not count against the most that a request may be sent to.
+    let is_listed = |life: &&UpstreamLife| view.is_listed(life);
     let runs = state.run_at.iter().filter(is_listed).count();
     let is_spent = runs >= state.route.max_attempts as usize
         || state.tried.len() >= state.route.max_attempts as usize + MAX_REFUSED_SENDS;
--- a/crates/gateway/src/front/pool.rs
+++ b/crates/gateway/src/front/pool.rs
@@ -59,7 +59,7 @@
 /// Idle connections by upstream.
 #[derive(Default)]
 pub struct ConnectionPool {
-    idle: RefCell<IndexMap<UpstreamId, Vec<IdleConnection>>>,
+    idle: RefCell<IndexMap<UpstreamLife, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
@@ -69,10 +69,10 @@
     /// See [`ConnectError`]; nothing was sent.
     pub async fn connect(
         &self,
-        id: &UpstreamId,
+        life: &UpstreamLife,
         addr: SocketAddr,
     ) -> Result<UpstreamConnection, ConnectError> {
-        if let Some(connection) = self.take_idle(id) {
+        if let Some(connection) = self.take_idle(life) {
             return Ok(connection);
         }
         match tokio::time::timeout(CONNECT_TIMEOUT, open(addr)).await {
@@ -81,9 +81,9 @@
         }
     }
 
-    fn take_idle(&self, id: &UpstreamId) -> Option<UpstreamConnection> {
+    fn take_idle(&self, life: &UpstreamLife) -> Option<UpstreamConnection> {
         let mut pool = self.idle.borrow_mut();
-        let idle = pool.get_mut(id)?;
+        let idle = pool.get_mut(life)?;
         let now = Instant::now();
         while let Some(last) = idle.pop() {
             let is_usable = last.expires_at > now
@@ -100,7 +100,7 @@
     /// seconds.
     pub fn give_back(
         self: &Rc<Self>,
-        id: &UpstreamId,
+        life: &UpstreamLife,
         mut connection: UpstreamConnection,
         keep_alive: Option<u64>,
     ) {
@@ -108,7 +108,7 @@
         let idle = idle.saturating_sub(IDLE_MARGIN);
         let expires_at = Instant::now() + idle;
         let pool = Rc::clone(self);
-        let id = id.clone();
+        let life = life.clone();
         tokio::task::spawn_local(async move {
             // An upstream that closes after its answer, or sent bytes beyond it, never gets ready.
             if connection.sender.ready().await.is_err() {
@@ -118,20 +118,20 @@
                 connection,
                 expires_at,
             };
-            pool.idle.borrow_mut().entry(id).or_default().push(kept);
+            pool.idle.borrow_mut().entry(life).or_default().push(kept);
         });
     }
 
     /// Closes the connections to upstreams that are not listed any more, and those that expired.
     pub fn retain<Keep>(&self, is_listed: Keep)
     where
-        Keep: Fn(&UpstreamId) -> bool,
+        Keep: Fn(&UpstreamLife) -> bool,
     {
         let now = Instant::now();
         let mut pool = self.idle.borrow_mut();
-        pool.retain(|id, idle| {
+        pool.retain(|life, idle| {
             idle.retain(|it| it.expires_at > now);
-            is_listed(id) && !idle.is_empty()
+            is_listed(life) && !idle.is_empty()
         });
     }
 }
--- a/crates/gateway/src/front/quiet.rs
+++ b/crates/gateway/src/front/quiet.rs
@@ -31,7 +31,7 @@
     since: Millis,
 ) -> bool {
     let now = front.now();
-    let load = front.book.borrow().load(&upstream.id);
+    let load = front.book.borrow().load(&upstream.life);
     let silence = load.silence(now);
     let (doubt_time, quiet_time) = match load.has_begun() {
         true => (DOUBT_TIME, QUIET_TIME),
@@ -43,7 +43,7 @@
     // A request that came when the upstream had long been silent needs not wait all that time.
     let is_quiet = silence >= quiet_time && now.since(since) >= MIN_WAIT;
     if is_quiet {
-        front.book.borrow_mut().note_quiet(&upstream.id, now);
+        front.book.borrow_mut().note_quiet(&upstream.life, now);
     }
     is_quiet
 }
@@ -59,13 +59,13 @@
         return;
     }
     let notice = QuietNotice {
-        leader: upstream.id.clone(),
+        leader: upstream.life.clone(),
         is_certain,
     };
     if let Err(error) = front.shared.quiet.try_send(notice) {
         log::debug!(
             "event=quiet_not_passed_on upstream={} reason={error}",
-            upstream.id
+            upstream.life
         );
     }
 }
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -182,7 +182,7 @@
                 Ok(Some(Ok(frame))) => {
                     let now = self.front.now();
                     let mut book = self.front.book.borrow_mut();
-                    book.note_progress(&reply.upstream.id, now);
+                    book.note_progress(&reply.upstream.life, now);
                     drop(book);
                     if let Some(data) = frame.data_ref() {
                         reply.flight.note_begun();
@@ -199,7 +199,7 @@
         let objective = self.state.route.objective;
         let took = now.since(sent_at);
         let mut book = self.front.book.borrow_mut();
-        book.note_first(&upstream.id, upstream.slots, took, objective, now);
+        book.note_first(&upstream.life, upstream.slots, took, objective, now);
     }
 
     fn observe(&mut self) {
@@ -222,7 +222,7 @@
     }
 
     fn finish(&self, reply: OpenReply) {
-        let id = reply.upstream.id.clone();
+        let id = reply.upstream.life.clone();
         self.front.book.borrow_mut().note_success(&id);
         if let Some(model) = &self.request.call.model {
             let took = self.front.now().since(reply.sent_at);
@@ -241,12 +241,12 @@
         self.front
             .book
             .borrow_mut()
-            .note_failure(&reply.upstream.id, now);
+            .note_failure(&reply.upstream.life, now);
         log::info!(
             "event=stream_broken request={} route={} upstream={} group={} events={} last_event={} reason={reason:?}",
             self.request.call.id,
             self.state.route.name,
-            reply.upstream.id,
+            reply.upstream.life,
             reply
                 .upstream
                 .group
@@ -281,7 +281,7 @@
                     log::info!(
                         "event=stream_resumed request={} upstream={} after={}",
                         self.request.call.id,
-                        upstream.id,
+                        upstream.life,
                         self.last_event.unwrap_or_default()
                     );
                     return Some(reply);
@@ -293,7 +293,7 @@
                     "event=attempt_failed request={} route={} upstream={} attempt={} outcome={} reason=\"{error}\"",
                     self.request.call.id,
                     self.state.route.name,
-                    upstream.id,
+                    upstream.life,
                     self.state.sends(),
                     error.as_str(),
                 ),
--- a/crates/gateway/src/front/state.rs
+++ b/crates/gateway/src/front/state.rs
@@ -15,10 +15,10 @@
     pub arrived: Millis,
     /// When it must have its final answer.
     pub deadline: Millis,
-    /// Upstreams that it was sent to.
-    pub tried: Vec<UpstreamId>,
+    /// Runs of upstreams that it was sent to.
+    pub tried: Vec<UpstreamLife>,
     /// Of these, where it may have run.
-    pub run_at: Vec<UpstreamId>,
+    pub run_at: Vec<UpstreamLife>,
 }
 
 impl CallState {
@@ -34,7 +34,7 @@
 
     /// The upstream that it was last sent to.
     pub fn last_upstream(&self) -> &str {
-        self.tried.last().map_or("-", UpstreamId::as_str)
+        self.tried.last().map_or("-", UpstreamLife::as_str)
     }
 
     /// The refusal that is true given what was sent.
--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -28,7 +28,7 @@
 /// Something that came to an end.
 pub(crate) enum DoneAction {
     Ordered(OrderRequest, OrderOutcome),
-    Asked(UpstreamId, AskOutcome),
+    Asked(UpstreamLife, AskOutcome),
     Held(GroupId, Vec<UpstreamId>, bool),
 }
 
@@ -76,19 +76,19 @@
                 Err(ControlError::Silent(reason)) => {
                     log::info!(
                         "event=report_missing upstream={} reason={reason:?}",
-                        target.id
+                        target.life
                     );
                     AskOutcome::Silent
                 }
                 Err(ControlError::Malformed(reason)) => {
                     log::warn!(
                         "event=report_unreadable upstream={} reason={reason:?}",
-                        target.id
+                        target.life
                     );
                     AskOutcome::Silent
                 }
             };
-            DoneAction::Asked(target.id, outcome)
+            DoneAction::Asked(target.life, outcome)
         }
     }
 }
@@ -136,7 +136,7 @@
             let order = request.order.as_str();
             log::info!(
                 "event=order upstream={} order={order} group={} fence={} expected={:?} outcome={outcome:?}",
-                request.target.id,
+                request.target.life,
                 request.order.group().map_or("", |group| group.as_str()),
                 request.fence,
                 request.expected,
--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -28,6 +28,8 @@
     pub(crate) term: u64,
     /// Where to watch from; none when everything must be read anew.
     pub(crate) revision: Option<u64>,
+    /// Entries that cannot be read, by the revision that was logged.
+    pub(crate) unreadable: IndexMap<UpstreamId, u64>,
     /// Removed entries that may come back, and until when they are kept.
     pub(crate) lapsed: IndexMap<UpstreamId, Millis>,
     /// Whether the store did not answer the last call.
@@ -62,13 +64,10 @@
     {
         if item.key == catalog.config_key() {
             self.apply_config(catalog, item);
-        } else if catalog.upstream_id(&item.key).is_some() {
+        } else if let Some(id) = catalog.upstream_id(&item.key) {
             match catalog.read_upstream(item) {
-                Ok(entry) => {
-                    self.lapsed.shift_remove(&entry.id);
-                    self.upstreams.insert(entry.id.clone(), entry);
-                }
-                Err(error) => log::warn!("event=entry_unreadable reason={error:?}"),
+                Ok(entry) => self.apply_entry(entry, item.revision),
+                Err(error) => self.apply_unreadable(&id, item.revision, &error.reason),
             }
         } else if item.key == COORDINATOR_KEY {
             self.coordinator = EntryRecord::from_bytes(&item.value);
@@ -85,6 +84,37 @@
         }
     }
 
+    /// Takes over an upstream's entry, unless a later run of it is known: a write of the earlier one may arrive
+    /// late.
+    fn apply_entry(&mut self, entry: UpstreamEntry, revision: u64) {
+        let id = &entry.life.id;
+        let known = self.upstreams.get(id);
+        if let Some(known) = known.filter(|known| known.life.is_younger_than(&entry.life)) {
+            if entry.life.born.is_none() {
+                return self.apply_unreadable(&id.clone(), revision, "it says no birth any more");
+            }
+            log::info!(
+                "event=entry_outdated upstream={:?} known={:?}",
+                entry.life,
+                known.life
+            );
+            return;
+        }
+        self.lapsed.shift_remove(id);
+        self.unreadable.shift_remove(id);
+        self.upstreams.insert(id.clone(), entry);
+    }
+
+    /// Takes an upstream out whose entry cannot be read: it names none from now on.
+    fn apply_unreadable(&mut self, id: &UpstreamId, revision: u64, reason: &str) {
+        // An item is read again with every page that holds it.
+        if self.unreadable.insert(id.clone(), revision) != Some(revision) {
+            log::warn!("event=entry_unreadable upstream={id} reason={reason:?}");
+        }
+        self.lapsed.shift_remove(id);
+        self.upstreams.shift_remove(id);
+    }
+
     pub(crate) fn apply_config<Catalog>(&mut self, catalog: &Catalog, item: &StoreItem)
     where
         Catalog: StoreCatalog,
@@ -118,6 +148,7 @@
     /// Takes out the upstreams that are not among these.
     pub(crate) fn keep_listed(&mut self, listed: &[UpstreamId], now: Millis) {
         let listed: IndexSet<&UpstreamId> = listed.iter().collect();
+        self.unreadable.retain(|id, _| listed.contains(id));
         let missing = self.upstreams.keys().filter(|id| !listed.contains(id));
         let missing: Vec<UpstreamId> = missing.cloned().collect();
         for id in missing {
@@ -132,6 +163,7 @@
 
     /// Takes an entry out, at once or when it has had time to come back after an outage.
     pub(crate) fn remove_upstream(&mut self, id: &UpstreamId, now: Millis) {
+        self.unreadable.shift_remove(id);
         let grace_end = self.returned_at.map(|at| at + LAPSE_GRACE);
         let keeps_until = match self.is_away {
             true => Some(now + LAPSE_GRACE),
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -18,8 +18,8 @@
 
 use bergamot_news::{NewsSource, PeerRanking};
 use bergamot_ports::{
-    KeyCondition, StateStore, StoreCatalog, StoreError, StoreEvent, StoreTxn, TxnOutcome,
-    WatchOutcome,
+    KeyCondition, MAX_ENTRY_BYTES, StateStore, StoreCatalog, StoreError, StoreEvent, StoreTxn,
+    TxnOutcome, WatchOutcome,
 };
 use bergamot_types::prelude::*;
 use tokio::time::Instant;
@@ -51,6 +51,14 @@
 /// The largest configuration that is told to peers, in bytes; they read a larger one from the store.
 /// Below one slice of news (64 KiB), so that it comes with other changes; not tuned.
 const MAX_TOLD_CONFIG: usize = 48 << 10;
+/// The largest value that is told to peers as it is, in bytes.
+const fn most_told(is_config: bool) -> usize {
+    match is_config {
+        true => MAX_TOLD_CONFIG,
+        false => MAX_ENTRY_BYTES,
+    }
+}
+
 /// The name of the store among the sources of changes, in the log.
 const STORE_NAME: &str = "store";
 
@@ -218,11 +226,11 @@
     /// Takes a change over, and keeps it for peers.
     fn note_change(&mut self, change: StoreEvent, now: Millis) {
         let is_config = change.key() == self.catalog.config_key();
-        let is_told = !is_config || change.value_len() <= MAX_TOLD_CONFIG;
         if let Some(table) = &mut self.board.borrow_mut().table {
-            match is_told {
+            match change.value_len() <= most_told(is_config) {
                 true => table.note(&change),
-                false => table.forget(change.key()),
+                false if is_config => table.forget(change.key()),
+                false => table.note(&change.clone().without_value()),
             }
         }
         self.known.apply_event(&self.catalog, change, now);
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use super::peers::NewsError;
-use super::{MAX_TOLD_CONFIG, STORE_NAME, SyncDuty};
+use super::{STORE_NAME, SyncDuty, most_told};
 use crate::own_keys::ENTRY_PREFIX;
 
 /// Time in which peers that have just started may read the store: 3,000 upstreams take one of them
@@ -156,10 +156,14 @@
         }
         self.known.keep_listed(&listed, now);
         self.known.revision = Some(revision);
-        let is_told = |item: &StoreItem| {
-            item.key != self.catalog.config_key() || item.value.len() <= MAX_TOLD_CONFIG
-        };
-        let told = items.into_iter().filter(is_told);
+        let told = items.into_iter().filter_map(|mut item| {
+            let is_config = item.key == self.catalog.config_key();
+            if item.value.len() <= most_told(is_config) {
+                return Some(item);
+            }
+            item.value.clear();
+            (!is_config).then_some(item)
+        });
         let mut board = self.board.borrow_mut();
         board.table = Some(NewsTable::of(told, revision));
         board.freshness.note_fresh(fresh_at);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -39,6 +39,14 @@
     pub term: u64,
 }
 
+impl ClusterView {
+    /// Whether this run of an upstream is in the directory.
+    pub fn is_listed(&self, life: &UpstreamLife) -> bool {
+        let entry = self.upstreams.get(&life.id);
+        entry.is_some_and(|entry| entry.life == *life)
+    }
+}
+
 /// Sorts the upstreams that take new work by service. Costs one pass over the directory.
 pub fn build_pools(
     config: &ServingConfig,
@@ -86,7 +94,7 @@
 
 fn route_upstream(entry: &UpstreamEntry, slots: u32, speed: Option<EngineSpeed>) -> RouteUpstream {
     RouteUpstream {
-        id: entry.id.clone(),
+        life: entry.life.clone(),
         addr: entry.addr,
         failure_domain: entry.failure_domain.clone(),
         slots,
--- a/crates/groups/src/allocate.rs
+++ b/crates/groups/src/allocate.rs
@@ -135,7 +135,10 @@
             .iter()
             .map(|track| (readiness(track, &model.name), *track))
             .collect();
-        ranked.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.entry.id.cmp(&b.1.entry.id)));
+        ranked.sort_by(|a, b| {
+            a.0.cmp(&b.0)
+                .then_with(|| a.1.entry.life.id.cmp(&b.1.entry.life.id))
+        });
         ranked.truncate(model.group_size);
         let slowest = ranked.last().map_or(Readiness::Warm, |(it, _)| *it);
         let loads = ranked.iter().filter(|(it, _)| *it > Readiness::Staging);
@@ -154,7 +157,10 @@
         let candidate = Candidate {
             fabric: fabric.clone(),
             rank,
-            members: ranked.iter().map(|(_, it)| it.entry.id.clone()).collect(),
+            members: ranked
+                .iter()
+                .map(|(_, it)| it.entry.life.id.clone())
+                .collect(),
         };
         if !candidate.is_ready() && pool.free.len() < model.group_size + spares {
             continue;
@@ -258,7 +264,7 @@
 /// Warms what is staged and not about to join a group.
 fn warm_spares(free: &[&UpstreamTrack], allocation: &mut Allocation) {
     for track in free {
-        let id = &track.entry.id;
+        let id = &track.entry.life.id;
         let is_formed = allocation
             .form
             .iter()
@@ -294,7 +300,7 @@
     *together.entry(place).or_default() += candidate.members.len();
     *pool.models.entry(model.name.clone()).or_default() += candidate.rank.loads;
     for track in &pool.free {
-        let id = &track.entry.id;
+        let id = &track.entry.life.id;
         let lacks = readiness(track, &model.name) > Readiness::Staging;
         let can_stage = lacks && track.staging.is_none();
         if can_stage && candidate.members.contains(id) {
@@ -302,7 +308,7 @@
         }
     }
     pool.free
-        .retain(|track| !candidate.members.contains(&track.entry.id));
+        .retain(|track| !candidate.members.contains(&track.entry.life.id));
     if candidate.is_ready() {
         let form = (model.name.clone(), candidate.members.clone());
         allocation.form.push(form);
@@ -326,7 +332,7 @@
             .iter()
             .filter(|track| track.staging.is_none() && track.entry.staged.is_empty());
         for track in cold {
-            let stage = (track.entry.id.clone(), model.clone());
+            let stage = (track.entry.life.id.clone(), model.clone());
             allocation.stage.push(stage);
         }
     }
--- a/crates/groups/src/assign.rs
+++ b/crates/groups/src/assign.rs
@@ -36,7 +36,7 @@
             if let Some(model) = track.model() {
                 *pool.models.entry(model.clone()).or_default() += 1;
             }
-            if free.contains(&track.entry.id) && self.is_usable(track, now) {
+            if free.contains(&track.entry.life.id) && self.is_usable(track, now) {
                 pool.free.push(track);
             }
         }
@@ -116,14 +116,18 @@
 
     /// Whether a free upstream may join a group now.
     pub(crate) fn is_usable(&self, track: &UpstreamTrack, now: Millis) -> bool {
-        let id = &track.entry.id;
+        let id = &track.entry.life.id;
         let is_forming = self.forming.values().any(|it| it.members.contains(id));
         let is_inherited = now < self.inherited_until && self.inherited.contains(id);
+        let fabric = track.entry.fabric.as_ref();
+        let is_doubtful =
+            track.came_free && fabric.is_some_and(|fabric| self.standing.contains(fabric));
         track.entry.state == UpstreamState::Ready
             && !self.is_dead(id)
             && !track.is_ordered()
             && !is_forming
             && !is_inherited
+            && !is_doubtful
             && track.held_until <= now
     }
 
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -73,6 +73,8 @@
     /// Upstreams that an earlier coordinator held, and until when they are not used.
     pub(crate) inherited: IndexSet<UpstreamId>,
     pub(crate) inherited_until: Millis,
+    /// Fabric domains in which a group lacks members while its leader may stand open.
+    pub(crate) standing: IndexSet<FabricDomain>,
     /// When loads were ordered, within the window of the weight store's rate.
     pub(crate) load_starts: VecDeque<Millis>,
     /// Members that are held, by group.
@@ -103,6 +105,7 @@
             listed_at: now,
             inherited_until: now + options.hold_time(),
             inherited,
+            standing: IndexSet::new(),
             answers_heard: 0,
             load_starts: VecDeque::new(),
             holds: IndexMap::new(),
@@ -160,17 +163,26 @@
         let mut listed: IndexMap<SocketAddr, &UpstreamId> = IndexMap::new();
         let mut left: Vec<(UpstreamId, GroupKey)> = Vec::new();
         for entry in entries {
-            listed.insert(entry.addr, &entry.id);
+            let id = &entry.life.id;
+            listed.insert(entry.addr, id);
             let track = self
                 .tracks
-                .entry(entry.id.clone())
+                .entry(id.clone())
                 .or_insert_with(|| UpstreamTrack::new(entry.clone()));
             track.is_listed = true;
+            if track.entry.life.is_younger_than(&entry.life) {
+                // It reported its restart before its entry shows it.
+                continue;
+            }
             let before = track.entry.membership.as_ref();
+            let is_restarted = entry.life.is_younger_than(&track.entry.life);
             if let Some(before) = before.filter(|_| entry.membership.is_none()) {
-                left.push((entry.id.clone(), (before.group.clone(), before.epoch)));
+                left.push((id.clone(), (before.group.clone(), before.epoch)));
             }
-            if track.entry != *entry {
+            if is_restarted {
+                log::info!("event=upstream_restarted upstream={:?}", entry.life);
+                track.restart(entry.clone());
+            } else if track.entry != *entry {
                 track.silent = 0;
                 track.is_gone = false;
                 track.entry = entry.clone();
@@ -180,7 +192,7 @@
                 track.warm_model = Some(group_model(&membership.group));
                 if membership.rank == 0 {
                     let key = (membership.group.clone(), membership.epoch);
-                    self.leaders.insert(key, entry.id.clone());
+                    self.leaders.insert(key, id.clone());
                 }
             }
             let is_staged = |model: &ModelName| {
@@ -201,7 +213,7 @@
         for (id, key) in left {
             self.hold_if_standing(&id, &key, now);
         }
-        // An address belongs to one run at a time.
+        // An address belongs to one upstream at a time.
         for (id, track) in self.tracks.iter_mut().filter(|(_, track)| !track.is_listed) {
             let successor = listed.get(&track.entry.addr);
             track.is_gone |= successor.is_some_and(|successor| *successor != id);
@@ -237,11 +249,12 @@
     /// Asks all members; only certainty makes one that does not answer a lost one.
     pub fn note_quiet(
         &mut self,
-        leader: &UpstreamId,
+        leader: &UpstreamLife,
         is_certain: bool,
         now: Millis,
     ) -> Vec<GroupAction> {
-        let Some(track) = self.tracks.get_mut(leader) else {
+        let track = self.tracks.get_mut(&leader.id);
+        let Some(track) = track.filter(|track| track.entry.life == *leader) else {
             return Vec::new();
         };
         if is_certain {
@@ -263,7 +276,10 @@
 
     /// Hears what became of an order.
     pub fn note_order(&mut self, request: &OrderRequest, outcome: &OrderOutcome) {
-        let Some(track) = self.tracks.get_mut(&request.target.id) else {
+        let target = &request.target.life;
+        let track = self.tracks.get_mut(&target.id);
+        // What was meant for an earlier run says nothing of this one.
+        let Some(track) = track.filter(|track| track.entry.life == *target) else {
             return;
         };
         if let Some(given) = &mut track.given {
@@ -309,11 +325,27 @@
     }
 
     /// Hears what became of a question.
-    pub fn note_report(&mut self, id: &UpstreamId, outcome: &AskOutcome, now: Millis) {
-        let Some(track) = self.tracks.get_mut(id) else {
+    pub fn note_report(&mut self, asked: &UpstreamLife, outcome: &AskOutcome, now: Millis) {
+        let Some(track) = self.tracks.get_mut(&asked.id) else {
             return;
         };
-        track.is_asked = false;
+        let known = track.entry.life.born;
+        if asked.born == known {
+            track.is_asked = false;
+        }
+        match outcome {
+            AskOutcome::Answered(report) => match report.born {
+                Some(_) if report.born > known => {
+                    return self.note_restart(&asked.id, report, now);
+                }
+                // An answer of an earlier run that was on its way.
+                Some(_) if report.born < known => return,
+                _ => {}
+            },
+            // That an earlier run did not answer says nothing of this one.
+            _ if asked.born != known => return,
+            _ => {}
+        }
         match outcome {
             AskOutcome::Answered(report) => {
                 self.answers_heard += 1;
@@ -349,6 +381,21 @@
         }
     }
 
+    /// Hears from a later run of an upstream than the directory has.
+    fn note_restart(&mut self, id: &UpstreamId, report: &UpstreamReport, now: Millis) {
+        let Some(track) = self.tracks.get_mut(id) else {
+            return;
+        };
+        let before = track.entry.membership.clone();
+        track.restart_by_report(report);
+        let life = track.entry.life.clone();
+        log::info!("event=upstream_restarted upstream={life:?}");
+        if let Some(before) = before {
+            self.hold_if_standing(id, &(before.group, before.epoch), now);
+        }
+        self.note_report(&life, &AskOutcome::Answered(report.clone()), now);
+    }
+
     /// Hears whether members are held where a later coordinator finds it.
     pub fn note_hold(&mut self, group: &GroupId, members: &[UpstreamId], is_kept: bool) {
         let held = self.holds.entry(group.clone()).or_default();
--- a/crates/groups/src/step.rs
+++ b/crates/groups/src/step.rs
@@ -29,6 +29,7 @@
             return actions;
         }
         let groups = collect_groups(&self.tracks);
+        self.note_standing(now, &groups);
         self.step_forming(now, &mut actions);
         let mut counts: IndexMap<ModelName, usize> = IndexMap::new();
         let mut free: Vec<UpstreamId> = Vec::new();
@@ -52,6 +53,31 @@
         actions
     }
 
+    /// Notes where groups lack members while their leaders may stand open. An upstream that left such a group,
+    /// or started again, before this coordinator took over, shows nothing of it.
+    fn note_standing(&mut self, now: Millis, groups: &IndexMap<GroupKey, GroupView>) {
+        self.standing.clear();
+        if self.is_first || now >= self.inherited_until {
+            return;
+        }
+        for (key, group) in groups {
+            let leader = group.leader().map(|(_, state)| state);
+            let may_stand = matches!(
+                leader,
+                None | Some(MemberState::Open | MemberState::Closing)
+            );
+            let model = self.spec.models.get(&group_model(&key.0));
+            let is_full = model.is_some_and(|model| group.is_full(model.group_size));
+            if !may_stand || is_full || self.forming.contains_key(&key.0) {
+                continue;
+            }
+            let members = group.members.iter();
+            let tracks = members.filter_map(|(_, id, _)| self.tracks.get(id));
+            let fabrics = tracks.filter_map(|track| track.entry.fabric.clone());
+            self.standing.extend(fabrics);
+        }
+    }
+
     /// Logs how many groups and upstreams there are, when that changed.
     pub(crate) fn log_state(
         &mut self,
@@ -192,7 +218,7 @@
         // Those that fell out of the directory are members all the same, until they are lost.
         let unlisted = self.tracks.values();
         let unlisted = unlisted.filter(|it| !it.is_listed && it.is_in(&key.0, key.1));
-        let unlisted: Vec<&UpstreamId> = unlisted.map(|it| &it.entry.id).collect();
+        let unlisted: Vec<&UpstreamId> = unlisted.map(|it| &it.entry.life.id).collect();
         let mut all = members.chain(unlisted.iter().copied());
         let leader = group.leader().map(|(leader, _)| leader);
         let is_lost = |id: &&UpstreamId| self.is_lost(now, id, leader.unwrap_or(id));
--- a/crates/groups/src/track.rs
+++ b/crates/groups/src/track.rs
@@ -1,6 +1,6 @@
 //! What the coordinator knows of one upstream besides its entry.
 
-use bergamot_ports::{GroupOrder, UpstreamEntry, UpstreamTarget};
+use bergamot_ports::{GroupOrder, UpstreamEntry, UpstreamReport, UpstreamTarget};
 use bergamot_types::prelude::*;
 
 /// An order that was given and whose effect may not show yet.
@@ -47,11 +47,14 @@
     pub staging: Option<(ModelName, Millis)>,
     /// Not to be used before then: its old group may still stand open.
     pub held_until: Millis,
+    /// Whether it had no group when this coordinator first saw it: which one it was in before is not known.
+    pub came_free: bool,
 }
 
 impl UpstreamTrack {
     pub fn new(entry: UpstreamEntry) -> Self {
         Self {
+            came_free: entry.membership.is_none(),
             entry,
             is_listed: true,
             orders_begun: None,
@@ -73,11 +76,30 @@
 
     pub fn target(&self) -> UpstreamTarget {
         UpstreamTarget {
-            id: self.entry.id.clone(),
+            life: self.entry.life.clone(),
             addr: self.entry.addr,
         }
     }
 
+    /// Takes over the entry of a later run. Nothing that was known of the earlier one counts, but for the time in
+    /// which it is not to be used: that is for its old group, whose leader may still stand open.
+    pub fn restart(&mut self, entry: UpstreamEntry) {
+        *self = Self {
+            held_until: self.held_until,
+            came_free: self.came_free,
+            is_listed: self.is_listed,
+            ..Self::new(entry)
+        };
+    }
+
+    /// Takes over what a later run says of itself before its entry shows it.
+    pub fn restart_by_report(&mut self, report: &UpstreamReport) {
+        let mut entry = self.entry.clone();
+        entry.life.born = report.born;
+        entry.membership.clone_from(&report.membership);
+        self.restart(entry);
+    }
+
     /// Whether an order is on its way.
     pub fn is_ordered(&self) -> bool {
         self.given.as_ref().is_some_and(|given| !given.is_answered)
--- a/crates/groups/tests/decisions.rs
+++ b/crates/groups/tests/decisions.rs
@@ -252,9 +252,9 @@
     for id in ["u1", "u2"] {
         let report = UpstreamReport {
             orders_begun: 5,
-            ..UpstreamReport::default()
+            ..report()
         };
-        planner.note_report(&UpstreamId::new(id), &AskOutcome::Answered(report), NOW);
+        planner.note_report(&life(id), &AskOutcome::Answered(report), NOW);
     }
     let actions = planner.step(NOW + Millis(100));
     let expected: Vec<Option<u64>> = actions
--- a/crates/groups/tests/random.rs
+++ b/crates/groups/tests/random.rs
@@ -57,6 +57,30 @@
         seeds: 100,
         min_serving: 0.0,
     },
+    RunCase {
+        name: "restarts under the same id",
+        options: WorldOptions {
+            crash_chance: 0.02,
+            same_id_part: 1.0,
+            ..WorldOptions::CALM
+        },
+        seeds: 40,
+        min_serving: 0.4,
+    },
+    RunCase {
+        name: "restarts under the same id, behind cuts too, and new coordinators",
+        options: WorldOptions {
+            late_chance: 0.1,
+            lost_chance: 0.05,
+            crash_chance: 0.02,
+            same_id_part: 0.8,
+            cut_chance: 0.03,
+            takeover_chance: 0.03,
+            ..WorldOptions::CALM
+        },
+        seeds: 100,
+        min_serving: 0.0,
+    },
 ];
 
 /// The seeds of a case, or the one that `BERGAMOT_SEED` names.
--- a/crates/groups/tests/silence.rs
+++ b/crates/groups/tests/silence.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use bergamot_groups::{AskOutcome, GroupAction};
-use bergamot_ports::{MemberState, OrderOutcome, UpstreamReport};
+use bergamot_ports::{MemberState, OrderOutcome};
 use bergamot_types::prelude::*;
 
 use support::short::*;
@@ -19,9 +19,9 @@
     show(&ups, &mut planner);
     for round in 0..4 {
         let now = NOW + Millis(round * 1_000);
-        planner.note_quiet(&UpstreamId::new("u1"), true, now);
+        planner.note_quiet(&life("u1"), true, now);
         for id in ["u1", "u2"] {
-            planner.note_report(&UpstreamId::new(id), &AskOutcome::Unheard, now);
+            planner.note_report(&life(id), &AskOutcome::Unheard, now);
         }
         let actions = planner.step(now + Millis(60));
         let orders = actions
@@ -41,8 +41,8 @@
     let mut planner = planner();
     show(&ups, &mut planner);
     quiet(&mut planner, "u1", NOW);
-    let report = AskOutcome::Answered(UpstreamReport::default());
-    planner.note_report(&UpstreamId::new("u2"), &report, NOW);
+    let report = AskOutcome::Answered(report());
+    planner.note_report(&life("u2"), &report, NOW);
     let now = NOW + Millis(200);
     let actions = planner.step(now);
     let hold = GroupAction::Hold {
@@ -66,13 +66,15 @@
         1
     );
     let request = actions.iter().find_map(|action| match action {
-        GroupAction::Order(request) if request.target.id.as_str() == "u2" => Some(request.clone()),
+        GroupAction::Order(request) if request.target.life.as_str() == "u2" => {
+            Some(request.clone())
+        }
         _ => None,
     });
     planner.note_order(&request.expect("it was ordered"), &OrderOutcome::Holds);
     let left = [ups[0], up("u2", Some("a")), ups[2]];
     show(&left, &mut planner);
-    planner.note_report(&UpstreamId::new("u1"), &AskOutcome::Silent, now);
+    planner.note_report(&life("u1"), &AskOutcome::Silent, now);
     let actions = planner.step(now + Millis(4_000));
     assert!(
         !orders(&actions).iter().any(|order| order.starts_with("u2")),
@@ -93,8 +95,8 @@
         member("u1", "a.7", 0, MemberState::Open),
         member("u2", "a.7", 1, MemberState::Ready),
     ];
-    let (leader, other) = (UpstreamId::new("u1"), UpstreamId::new("u2"));
-    let report = AskOutcome::Answered(UpstreamReport::default());
+    let (leader, other) = (life("u1"), life("u2"));
+    let report = AskOutcome::Answered(report());
     let mut planner = planner();
     show(&ups, &mut planner);
     let mut ended_after = None;
@@ -166,19 +168,19 @@
         ];
         let mut planner = planner();
         show(&ups, &mut planner);
-        let report = AskOutcome::Answered(UpstreamReport::default());
-        planner.note_quiet(&UpstreamId::new("u1"), true, NOW);
-        planner.note_report(&UpstreamId::new("u1"), &report, NOW);
+        let report = AskOutcome::Answered(report());
+        planner.note_quiet(&life("u1"), true, NOW);
+        planner.note_report(&life("u1"), &report, NOW);
         for after in [1, 60] {
             let at = NOW + Millis(after);
-            planner.note_report(&UpstreamId::new("u2"), &AskOutcome::Silent, at);
+            planner.note_report(&life("u2"), &AskOutcome::Silent, at);
         }
         if !case.is_listed {
             show(&ups[..1], &mut planner);
         }
         if let Some(is_certain) = case.quiet {
-            planner.note_quiet(&UpstreamId::new("u1"), is_certain, NOW + Millis(200));
-            planner.note_report(&UpstreamId::new("u1"), &report, NOW + Millis(201));
+            planner.note_quiet(&life("u1"), is_certain, NOW + Millis(200));
+            planner.note_report(&life("u1"), &report, NOW + Millis(201));
         }
         let actions = planner.step(NOW + Millis(1 + case.after));
         let ends = orders(&actions).contains(&"u1: leave".to_owned());
@@ -193,7 +195,7 @@
         member("u1", "a.7", 0, MemberState::Open),
         member("u2", "a.7", 1, MemberState::Ready),
     ];
-    let (leader, other) = (UpstreamId::new("u1"), UpstreamId::new("u2"));
+    let (leader, other) = (life("u1"), life("u2"));
     let mut planner = planner();
     show(&ups, &mut planner);
     for id in [&leader, &other] {
@@ -206,9 +208,9 @@
     }
     // The member is heard of first: the leader is asked once more before anybody leaves.
     let now = NOW + Millis(12_000);
-    let report = AskOutcome::Answered(UpstreamReport::default());
+    let report = AskOutcome::Answered(report());
     planner.note_report(&other, &report, now);
-    planner.note_hold(&GroupId::new("a.7"), &[leader.clone(), other], true);
+    planner.note_hold(&GroupId::new("a.7"), &[leader.id.clone(), other.id], true);
     let actions = planner.step(now);
     assert_eq!(orders(&actions), Vec::<String>::new(), "{actions:?}");
     planner.note_report(&leader, &report, now + Millis(100));
--- a/crates/groups/tests/support/fleet.rs
+++ b/crates/groups/tests/support/fleet.rs
@@ -26,7 +26,10 @@
 pub fn entry(index: usize) -> UpstreamEntry {
     let fabric = index / FABRIC_SIZE;
     UpstreamEntry {
-        id: UpstreamId::from(format!("i-{index:08x}")),
+        life: UpstreamLife::new(
+            UpstreamId::from(format!("i-{index:08x}")),
+            Some(UnixMillis(1)),
+        ),
         service: ServiceName::new("engines"),
         addr: ([10, 1, (index / 200) as u8, (index % 200) as u8], 8_000).into(),
         failure_domain: FailureDomain::from(format!("fd-{}", fabric % 3)),
--- a/crates/groups/tests/support/short.rs
+++ b/crates/groups/tests/support/short.rs
@@ -3,7 +3,7 @@
 use bergamot_groups::{AskOutcome, GroupAction, GroupOptions, GroupPlanner};
 use bergamot_ports::{
     EngineSpec, GroupMembership, GroupOrder, MemberState, ModelSpec, OrderOutcome, UpstreamEntry,
-    UpstreamState,
+    UpstreamReport, UpstreamState,
 };
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
@@ -36,6 +36,19 @@
     }
 }
 
+/// The first run of an upstream.
+pub fn life(id: &str) -> UpstreamLife {
+    UpstreamLife::new(UpstreamId::new(id), Some(UnixMillis(1)))
+}
+
+/// What such a run reports that has begun no order.
+pub fn report() -> UpstreamReport {
+    UpstreamReport {
+        born: Some(UnixMillis(1)),
+        ..UpstreamReport::default()
+    }
+}
+
 /// An upstream in short: id, fabric domain, staged model, group with rank and state, draining.
 #[derive(Clone, Copy)]
 pub struct Up {
@@ -65,7 +78,7 @@
 
 pub fn entry(up: &Up, index: usize) -> UpstreamEntry {
     UpstreamEntry {
-        id: UpstreamId::new(up.id),
+        life: life(up.id),
         service: ServiceName::new("engines"),
         addr: ([10, 0, 0, 1], 9_000 + index as u16).into(),
         failure_domain: FailureDomain::new("east"),
@@ -121,7 +134,7 @@
                     GroupOrder::Stage { model } => format!("stage {model}"),
                     other => other.as_str().to_owned(),
                 };
-                Some(format!("{}: {what}", request.target.id))
+                Some(format!("{}: {what}", request.target.life))
             }
             GroupAction::Ask(_) | GroupAction::Hold { .. } => None,
         })
@@ -140,7 +153,7 @@
 }
 
 pub fn quiet(planner: &mut GroupPlanner, id: &str, now: Millis) {
-    let id = UpstreamId::new(id);
+    let id = life(id);
     planner.note_quiet(&id, true, now);
     planner.note_report(&id, &AskOutcome::Silent, now);
     let actions = planner.step(now + Millis(60));
--- a/crates/groups/tests/support/world.rs
+++ b/crates/groups/tests/support/world.rs
@@ -25,6 +25,8 @@
 pub struct WorldOptions {
     /// An upstream's process dies; another run comes back after some seconds.
     pub crash_chance: f64,
+    /// Part of the crashed upstreams that come back under their own id.
+    pub same_id_part: f64,
     /// An upstream is cut off from the coordinator, from the store, or from both.
     pub cut_chance: f64,
     /// Another coordinator takes over while orders of the old one are still on their way.
@@ -42,6 +44,7 @@
 impl WorldOptions {
     pub const CALM: Self = Self {
         crash_chance: 0.0,
+        same_id_part: 0.0,
         cut_chance: 0.0,
         takeover_chance: 0.0,
         late_chance: 0.0,
@@ -60,6 +63,8 @@
 
 struct ModelUpstream {
     id: UpstreamId,
+    /// When this run of it started.
+    born: Option<UnixMillis>,
     fabric: usize,
     addr: SocketAddr,
     down_until: u64,
@@ -75,6 +80,29 @@
     warm: Option<ModelName>,
     joined: Option<Joined>,
     broken_at: Option<u64>,
+    /// What its earlier run wrote, until this one writes.
+    old_entry: Option<UpstreamEntry>,
+}
+
+impl ModelUpstream {
+    fn life(&self) -> UpstreamLife {
+        UpstreamLife::new(self.id.clone(), self.born)
+    }
+
+    fn entry(&self) -> UpstreamEntry {
+        UpstreamEntry {
+            life: self.life(),
+            service: ServiceName::new("engines"),
+            addr: self.addr,
+            failure_domain: FailureDomain::new("fd"),
+            fabric: Some(FabricDomain::from(format!("fabric-{}", self.fabric))),
+            state: UpstreamState::Ready,
+            slots: 8,
+            staged: self.staged.iter().cloned().collect(),
+            models: Vec::new(),
+            membership: self.joined.as_ref().map(|it| it.membership.clone()),
+        }
+    }
 }
 
 /// An order on its way.
@@ -157,6 +185,7 @@
         self.revision += 1;
         ModelUpstream {
             id: UpstreamId::from(format!("i-{}", self.next_run)),
+            born: Some(UnixMillis(self.next_run)),
             fabric,
             addr,
             down_until: 0,
@@ -172,6 +201,7 @@
             warm: None,
             joined: None,
             broken_at: None,
+            old_entry: None,
         }
     }
 
@@ -236,20 +266,13 @@
 
     fn directory(&self) -> Vec<UpstreamEntry> {
         let listed = self.upstreams.iter().filter(|upstream| {
-            upstream.down_until <= self.now && self.now - upstream.beat_at < LAPSE
+            let is_written = upstream.down_until <= self.now || upstream.old_entry.is_some();
+            is_written && self.now - upstream.beat_at < LAPSE
         });
         listed
-            .map(|upstream| UpstreamEntry {
-                id: upstream.id.clone(),
-                service: ServiceName::new("engines"),
-                addr: upstream.addr,
-                failure_domain: FailureDomain::new("fd"),
-                fabric: Some(FabricDomain::from(format!("fabric-{}", upstream.fabric))),
-                state: UpstreamState::Ready,
-                slots: 8,
-                staged: upstream.staged.iter().cloned().collect(),
-                models: Vec::new(),
-                membership: upstream.joined.as_ref().map(|it| it.membership.clone()),
+            .map(|upstream| match &upstream.old_entry {
+                Some(entry) => entry.clone(),
+                None => upstream.entry(),
             })
             .collect()
     }
@@ -281,12 +304,12 @@
                 self.holds.insert(group, (members, self.now + 12_000));
             }
             GroupAction::Ask(target) => {
-                let outcome = self.ask(&target.id, target.addr);
-                self.trace(|| format!("{index} asks {}: {outcome:?}", target.id));
+                let outcome = self.ask(&target.life.id, target.addr);
+                self.trace(|| format!("{index} asks {:?}: {outcome:?}", target.life));
                 let now = Millis(self.now);
                 self.planners[index]
                     .0
-                    .note_report(&target.id, &outcome, now);
+                    .note_report(&target.life, &outcome, now);
             }
             GroupAction::Order(request) => {
                 let is_late = self.random.random_bool(self.options.late_chance);
@@ -325,6 +348,7 @@
             return AskOutcome::Gone;
         }
         AskOutcome::Answered(UpstreamReport {
+            born: upstream.born,
             orders_begun: upstream.begun,
             is_busy: upstream.loading.is_some(),
             waiting: 0,
@@ -343,7 +367,7 @@
             let outcome = self.apply(&order.request);
             self.trace(|| {
                 let request = &order.request;
-                let id = &request.target.id;
+                let id = &request.target.life;
                 format!("{} to {id}: {:?} {outcome:?}", order.planner, request.order)
             });
             if order.is_answered {
--- a/crates/groups/tests/support/world/trouble.rs
+++ b/crates/groups/tests/support/world/trouble.rs
@@ -12,6 +12,17 @@
                 let down = self.now + self.random.random_range(1_000..6_000);
                 let mut next = self.start(fabric, addr);
                 next.staged = staged;
+                let same_id = self.options.same_id_part;
+                if same_id > 0.0 && self.random.random_bool(same_id) {
+                    let before = &self.upstreams[index];
+                    next.id = before.id.clone();
+                    next.cut_until = before.cut_until;
+                    next.cut_from_store = before.cut_from_store;
+                    next.cut_from_coordinator = before.cut_from_coordinator;
+                    // Its old entry stands until it lapses, or is written over.
+                    next.beat_at = before.beat_at;
+                    next.old_entry = Some(before.entry());
+                }
                 next.down_until = down;
                 self.upstreams[index] = next;
             }
@@ -42,6 +53,7 @@
             }
             if upstream.down_until <= now && !upstream.cut_from_store {
                 upstream.beat_at = now;
+                upstream.old_entry = None;
             }
             if upstream
                 .loading
--- a/crates/load/src/experiment/serving/run.rs
+++ b/crates/load/src/experiment/serving/run.rs
@@ -91,7 +91,7 @@
             millicores: 250,
         };
         let pool = (0..case.leaders).map(|leader| RouteUpstream {
-            id: UpstreamId::from(format!("leader-{leader}")),
+            life: UpstreamLife::new(UpstreamId::from(format!("leader-{leader}")), None),
             addr: ([127, 0, 0, 1], 1).into(),
             failure_domain: domain_of(leader),
             slots: case.slots,
@@ -217,10 +217,10 @@
         let UpstreamChoice::Chosen(chosen) = choice else {
             return self.refuse(number);
         };
-        let id = chosen.id.clone();
-        let leader = self.pool.iter().position(|it| it.id == id);
+        let life = chosen.life.clone();
+        let leader = self.pool.iter().position(|it| it.life == life);
         request.leader = leader.unwrap_or(0);
-        self.books[vm].note_sent(&id, request.prompt, Millis(self.now));
+        self.books[vm].note_sent(&life, request.prompt, Millis(self.now));
         self.at(WAY, Event::Reach(number));
     }
 
@@ -265,7 +265,7 @@
         let kind = self.kind(number);
         let now = self.now;
         let request = &mut self.requests[number];
-        let id = &self.pool[request.leader].id;
+        let life = &self.pool[request.leader].life;
         let book = &mut self.books[request.vm];
         if request.has_begun {
             request.is_late |= now - request.last_at > kind.pause.0;
@@ -273,15 +273,15 @@
             request.has_begun = true;
             let took = Millis(now - request.tried_at);
             request.is_late |= took > kind.objective;
-            book.note_begun(id, request.prompt);
-            book.note_first(id, self.case.slots, took, kind.objective, Millis(now));
+            book.note_begun(life, request.prompt);
+            book.note_first(life, self.case.slots, took, kind.objective, Millis(now));
         }
         request.last_at = now;
-        book.note_progress(id, Millis(now));
+        book.note_progress(life, Millis(now));
         if !is_last {
             return;
         }
-        book.note_ended(id, true, request.prompt);
+        book.note_ended(life, true, request.prompt);
         let took = Millis(now - request.tried_at);
         self.returns[request.vm].note_answer(&self.model, took);
         let result = &mut self.result.kinds[kind.name];
--- a/crates/occupancy/src/counts.rs
+++ b/crates/occupancy/src/counts.rs
@@ -4,9 +4,10 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
-/// The short name of a leader in datagrams. Of 400 leaders two share one in 1 of 50,000 fleets.
-pub fn leader_key(leader: &UpstreamId) -> u32 {
-    hash_bytes(leader.as_str().as_bytes()) as u32
+/// The short name of a leader's run in datagrams. Of 400 leaders two share one in 1 of 50,000 fleets.
+pub fn leader_key(leader: &UpstreamLife) -> u32 {
+    let born = leader.born.unwrap_or_default();
+    rendezvous_score(born.0, leader.as_str()) as u32
 }
 
 /// What is in flight at one leader.
--- a/crates/occupancy/tests/told.rs
+++ b/crates/occupancy/tests/told.rs
@@ -72,8 +72,8 @@
     }
 }
 
-fn leader() -> UpstreamId {
-    UpstreamId::new("leader")
+fn leader() -> UpstreamLife {
+    UpstreamLife::new(UpstreamId::new("leader"), None)
 }
 
 struct ToldCase {
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -11,7 +11,7 @@
 /// The first two bytes of every message.
 const MAGIC: [u8; 2] = *b"BG";
 /// The version of all messages.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// The largest frame, in bytes: a bundle of a megabyte with room.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
--- a/crates/ports/src/call.rs
+++ b/crates/ports/src/call.rs
@@ -38,7 +38,7 @@
 /// What this system adds to a request it sends.
 #[derive(Clone, Debug)]
 pub struct OutgoingContext<'a> {
-    /// The run of the upstream that must take it.
+    /// The upstream that must take it.
     pub upstream: &'a UpstreamId,
     /// Whose request it is.
     pub account: Option<&'a ClientAccount>,
@@ -57,7 +57,7 @@
     pub is_own: bool,
     /// Whether the upstream says that the request did not run.
     pub is_not_run: bool,
-    /// Whether another run of the upstream took the connection.
+    /// Whether another upstream took the connection.
     pub is_misdirected: bool,
     /// Whether it bears the upstream's signature.
     pub is_signed: bool,
--- a/crates/ports/src/catalog.rs
+++ b/crates/ports/src/catalog.rs
@@ -6,6 +6,10 @@
 use crate::directory::UpstreamEntry;
 use crate::store::StoreItem;
 
+/// The largest value that may be an upstream's entry, in bytes: sixteen times what they write. A longer one is
+/// another writer's, and is not passed on between entry VMs.
+pub const MAX_ENTRY_BYTES: usize = 16 << 10;
+
 /// An item that cannot be read.
 #[derive(Clone, Debug, thiserror::Error)]
 #[error("{key} cannot be read: {reason}")]
--- a/crates/ports/src/control.rs
+++ b/crates/ports/src/control.rs
@@ -10,8 +10,9 @@
 /// The upstream a question or an order is meant for.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct UpstreamTarget {
-    /// Which run of it. Any other run refuses.
-    pub id: UpstreamId,
+    /// Which run of it. Another upstream at its address refuses; a later run of its own may take what was meant
+    /// for this one, and is told apart by the number of orders it has begun.
+    pub life: UpstreamLife,
     /// Where it listens.
     pub addr: SocketAddr,
 }
@@ -19,6 +20,8 @@
 /// What an upstream said of itself.
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
 pub struct UpstreamReport {
+    /// When the run that answers started, if it says so.
+    pub born: Option<UnixMillis>,
     /// Orders that it has begun since its start.
     pub orders_begun: u64,
     /// Whether an order is in progress, such as a load.
@@ -127,8 +130,8 @@
     Fenced,
     /// It does not know the order, or cannot read it.
     Refused(u16),
-    /// Another run of the upstream listens there: this one is gone. A refused connection does not
-    /// show that, as a partition may refuse connections too.
+    /// Another upstream listens there: this one is gone. A refused connection does not show that, as a
+    /// partition may refuse connections too.
     Gone,
     /// No answer: it may have begun, or may yet.
     Unknown(String),
@@ -139,8 +142,8 @@
 /// Why there is no report.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum ControlError {
-    /// Another run of the upstream listens there: this one is gone.
-    #[error("another run of the upstream listens there")]
+    /// Another upstream listens there: this one is gone.
+    #[error("another upstream listens there")]
     Gone,
     /// No answer in time.
     #[error("the upstream is silent: {0}")]
--- a/crates/ports/src/directory.rs
+++ b/crates/ports/src/directory.rs
@@ -44,8 +44,8 @@
 /// One upstream's own entry in the directory.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct UpstreamEntry {
-    /// Names this run of the upstream; a restart gets a new one.
-    pub id: UpstreamId,
+    /// Which run of the upstream wrote it.
+    pub life: UpstreamLife,
     /// The service it belongs to.
     pub service: ServiceName,
     /// Where it listens.
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod store;
 
 pub use call::{CallerCall, CallerDialect, OutgoingContext, RefusalContext, ReplyFacts};
-pub use catalog::{CatalogError, StoreCatalog};
+pub use catalog::{CatalogError, MAX_ENTRY_BYTES, StoreCatalog};
 pub use config::{
     CallerLimits, EngineSpec, EngineSpeed, ModelSpec, Route, RouteKind, RouteTarget, ServiceSpec,
     ServingConfig,
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -46,6 +46,18 @@
         }
     }
 
+    /// The same change without its value, for one that is too long to pass on.
+    #[must_use]
+    pub fn without_value(self) -> Self {
+        match self {
+            Self::Written(item) => Self::Written(StoreItem {
+                value: Vec::new(),
+                ..item
+            }),
+            removed @ Self::Removed { .. } => removed,
+        }
+    }
+
     /// Bytes of the value; a removal has none.
     pub fn value_len(&self) -> usize {
         match self {
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -40,7 +40,7 @@
     /// Where this VM is.
     pub home: &'a FailureDomain,
     /// Upstreams that the request was sent to already.
-    pub tried: &'a [UpstreamId],
+    pub tried: &'a [UpstreamLife],
     /// Whether it was begun elsewhere and needs no room: what it got so far would be lost with it.
     pub must_go_on: bool,
     /// Tokens of its prompt.
@@ -65,7 +65,7 @@
 /// All upstreams that were sent to.
 #[derive(Debug)]
 pub struct UpstreamBook {
-    loads: IndexMap<UpstreamId, UpstreamLoad>,
+    loads: IndexMap<UpstreamLife, UpstreamLoad>,
     sharing: LeaderSharing,
     /// What the other entry VMs have in flight.
     pub occupancy: OccupancyState,
@@ -92,25 +92,25 @@
     /// What is in flight from here.
     pub fn in_flight(&self) -> LeaderCounts {
         let mut counts = LeaderCounts::default();
-        for (id, load) in &self.loads {
-            counts.add(leader_key(id), load.own());
+        for (life, load) in &self.loads {
+            counts.add(leader_key(life), load.own());
         }
         counts
     }
 
     /// The load of one upstream.
-    pub fn load(&self, id: &UpstreamId) -> UpstreamLoad {
-        self.loads.get(id).copied().unwrap_or_default()
+    pub fn load(&self, life: &UpstreamLife) -> UpstreamLoad {
+        self.loads.get(life).copied().unwrap_or_default()
     }
 
-    fn load_mut(&mut self, id: &UpstreamId) -> &mut UpstreamLoad {
-        self.loads.entry(id.clone()).or_default()
+    fn load_mut(&mut self, life: &UpstreamLife) -> &mut UpstreamLoad {
+        self.loads.entry(life.clone()).or_default()
     }
 
     /// What all entry VMs have in flight at a leader, as far as known.
-    fn total_at(&self, id: &UpstreamId, now: Millis) -> LeaderLoad {
-        let others = self.occupancy.others_at(leader_key(id), now);
-        others.plus(self.load(id).own())
+    fn total_at(&self, life: &UpstreamLife, now: Millis) -> LeaderLoad {
+        let others = self.occupancy.others_at(leader_key(life), now);
+        others.plus(self.load(life).own())
     }
 
     /// The limit before an upstream has shown what it bears: somewhat more than an equal part of
@@ -123,52 +123,52 @@
     }
 
     /// Counts a request with so many prompt tokens that is sent.
-    pub fn note_sent(&mut self, id: &UpstreamId, prompt: u32, now: Millis) {
-        self.load_mut(id).note_sent(prompt, now);
+    pub fn note_sent(&mut self, life: &UpstreamLife, prompt: u32, now: Millis) {
+        self.load_mut(life).note_sent(prompt, now);
     }
 
     /// Counts the answer to such a request that begins.
-    pub fn note_begun(&mut self, id: &UpstreamId, prompt: u32) {
-        self.load_mut(id).note_begun(prompt);
+    pub fn note_begun(&mut self, life: &UpstreamLife, prompt: u32) {
+        self.load_mut(life).note_begun(prompt);
     }
 
     /// Counts the end of such a request, whose answer may have begun.
-    pub fn note_ended(&mut self, id: &UpstreamId, has_begun: bool, prompt: u32) {
-        self.load_mut(id).note_ended(has_begun, prompt);
+    pub fn note_ended(&mut self, life: &UpstreamLife, has_begun: bool, prompt: u32) {
+        self.load_mut(life).note_ended(has_begun, prompt);
     }
 
     /// Notes that a connection is being set up.
-    pub fn note_connecting(&mut self, id: &UpstreamId, now: Millis) {
-        self.load_mut(id).connecting_since.get_or_insert(now);
+    pub fn note_connecting(&mut self, life: &UpstreamLife, now: Millis) {
+        self.load_mut(life).connecting_since.get_or_insert(now);
     }
 
     /// Notes that a connection was set up, or was given up.
-    pub fn note_connected(&mut self, id: &UpstreamId) {
-        self.load_mut(id).connecting_since = None;
+    pub fn note_connected(&mut self, life: &UpstreamLife) {
+        self.load_mut(life).connecting_since = None;
     }
 
     /// Notes that its group has changed: what was held against it no longer counts.
-    pub fn note_regrouped(&mut self, id: &UpstreamId) {
-        self.load_mut(id).note_regrouped();
+    pub fn note_regrouped(&mut self, life: &UpstreamLife) {
+        self.load_mut(life).note_regrouped();
     }
 
     /// Notes that something came from it.
-    pub fn note_progress(&mut self, id: &UpstreamId, now: Millis) {
-        self.load_mut(id).note_progress(now);
+    pub fn note_progress(&mut self, life: &UpstreamLife, now: Millis) {
+        self.load_mut(life).note_progress(now);
     }
 
     /// Notes how long the first event of a stream took, against its objective.
     pub fn note_first(
         &mut self,
-        id: &UpstreamId,
+        life: &UpstreamLife,
         slots: u32,
         took: Millis,
         objective: Millis,
         now: Millis,
     ) {
-        let total = self.total_at(id, now).requests;
+        let total = self.total_at(life, now).requests;
         let first = self.first_limit(slots);
-        let load = self.load_mut(id);
+        let load = self.load_mut(life);
         match took > objective {
             true => load.note_late(first),
             false => load.increase(slots, first, total),
@@ -176,45 +176,45 @@
     }
 
     /// Notes that an upstream is full.
-    pub fn decrease(&mut self, id: &UpstreamId, slots: u32) {
+    pub fn decrease(&mut self, life: &UpstreamLife, slots: u32) {
         let first = self.first_limit(slots);
-        self.load_mut(id).decrease(first);
+        self.load_mut(life).decrease(first);
     }
 
     /// Notes a whole answer.
-    pub fn note_success(&mut self, id: &UpstreamId) {
-        self.load_mut(id).note_success();
+    pub fn note_success(&mut self, life: &UpstreamLife) {
+        self.load_mut(life).note_success();
     }
 
     /// Notes a failure.
-    pub fn note_failure(&mut self, id: &UpstreamId, now: Millis) {
-        self.load_mut(id).note_failure(now);
+    pub fn note_failure(&mut self, life: &UpstreamLife, now: Millis) {
+        self.load_mut(life).note_failure(now);
     }
 
     /// Notes that requests stand still there.
-    pub fn note_quiet(&mut self, id: &UpstreamId, now: Millis) {
-        self.load_mut(id).note_quiet(now);
+    pub fn note_quiet(&mut self, life: &UpstreamLife, now: Millis) {
+        self.load_mut(life).note_quiet(now);
     }
 
     /// Forgets upstreams that are not listed any more and have nothing in flight.
     pub fn retain<Keep>(&mut self, is_listed: Keep)
     where
-        Keep: Fn(&UpstreamId) -> bool,
+        Keep: Fn(&UpstreamLife) -> bool,
     {
         self.loads
-            .retain(|id, load| load.in_flight > 0 || is_listed(id));
+            .retain(|life, load| load.in_flight > 0 || is_listed(life));
     }
 
     /// What the limits of these upstreams are, and what is in flight, for the log.
     pub fn describe(&self, pool: &[RouteUpstream], now: Millis) -> String {
         let is_known = self.occupancy.is_known(now);
         let loads = pool.iter().map(|upstream| {
-            let load = self.load(&upstream.id);
+            let load = self.load(&upstream.life);
             if !is_known {
                 let limit = load.limit(self.first_limit(upstream.slots));
                 return format!("{}/{limit:.1}", load.in_flight);
             }
-            let total = self.total_at(&upstream.id, now);
+            let total = self.total_at(&upstream.life, now);
             let limit = load.common_limit(upstream.slots);
             format!("{}/{limit:.1}:{}", total.requests, total.unread)
         });
@@ -223,7 +223,7 @@
 
     /// Whether one more request may be sent.
     fn has_room(&self, upstream: &RouteUpstream) -> bool {
-        let load = self.load(&upstream.id);
+        let load = self.load(&upstream.life);
         // Plain services have no first events to learn from; they turn away what is too much.
         let first = match upstream.group {
             Some(_) => self.first_limit(upstream.slots),
@@ -238,8 +238,8 @@
     /// 57 upstreams; five days, five plays before and two after): 26 running requests are no bound on what waits
     /// to be read, and where prompts are long a pass that reads several takes longer than the objective.
     fn is_in_time(&self, upstream: &RouteUpstream, ask: &UpstreamAsk<'_>, now: Millis) -> bool {
-        let total = self.total_at(&upstream.id, now);
-        let limit = self.load(&upstream.id).common_limit(upstream.slots);
+        let total = self.total_at(&upstream.life, now);
+        let limit = self.load(&upstream.life).common_limit(upstream.slots);
         let in_time = ask.objective.0 as f64 * IN_TIME_PART;
         let first = first_event_ms(upstream, total, ask.prompt);
         let is_early = total.unread == 0 || first.is_none_or(|first| first <= in_time);
@@ -248,8 +248,8 @@
 
     /// Whether a leader has so little to do that others may send there at the same time.
     fn is_idle(&self, upstream: &RouteUpstream, ask: &UpstreamAsk<'_>, now: Millis) -> bool {
-        let total = self.total_at(&upstream.id, now);
-        let limit = self.load(&upstream.id).common_limit(upstream.slots);
+        let total = self.total_at(&upstream.life, now);
+        let limit = self.load(&upstream.life).common_limit(upstream.slots);
         let first = first_event_ms(upstream, total, ask.prompt);
         let early = ask.objective.0 as f64 * IDLE_PART;
         let is_early = first.is_none_or(|first| first <= early);
@@ -274,11 +274,11 @@
         // A leader that is silent or out of reach has little to do. While there are others it is left alone, also
         // when they are full: 245 requests waited 0.15 to 0.45 s for connections to dark leaders in 4 s in which
         // three of nine were dark.
-        let is_avoided = |it: &&RouteUpstream| self.load(&it.id).is_avoided(now);
+        let is_avoided = |it: &&RouteUpstream| self.load(&it.life).is_avoided(now);
         if !usable.iter().all(is_avoided) {
             usable.retain(|it| !is_avoided(it));
         }
-        usable.sort_by_cached_key(|it| rendezvous_score(ask.draw, it.id.as_str()));
+        usable.sort_by_cached_key(|it| rendezvous_score(ask.draw, it.life.as_str()));
         // One of the two is near: what goes to other failure domains is paid for.
         let near = usable.iter().position(|it| it.failure_domain == *ask.home);
         if let Some(near) = near {
@@ -297,9 +297,9 @@
     /// How much a leader has to do, in requests.
     fn work_at(&self, upstream: &RouteUpstream, now: Millis) -> f64 {
         if upstream.group.is_none() || !self.occupancy.is_known(now) {
-            return f64::from(self.load(&upstream.id).in_flight);
+            return f64::from(self.load(&upstream.life).in_flight);
         }
-        let total = self.total_at(&upstream.id, now);
+        let total = self.total_at(&upstream.life, now);
         f64::from(total.requests) + f64::from(total.unread) / TOKENS_PER_REQUEST
     }
 
@@ -317,8 +317,8 @@
                 false => AWAY_PENALTY,
             };
             let work = self.work_at(upstream, now) + away;
-            let is_avoided = self.load(&upstream.id).is_avoided(now);
-            let is_shared = !self.sharing.is_own(&upstream.id);
+            let is_avoided = self.load(&upstream.life).is_avoided(now);
+            let is_shared = !self.sharing.is_own(&upstream.life);
             (
                 is_avoided,
                 is_shared,
@@ -327,17 +327,17 @@
         };
         let mut fresh = pool
             .iter()
-            .filter(|upstream| !ask.tried.contains(&upstream.id))
+            .filter(|upstream| !ask.tried.contains(&upstream.life))
             .peekable();
         if fresh.peek().is_none() {
             return UpstreamChoice::None;
         }
         let has_own = pool.iter().any(|upstream| {
-            self.sharing.is_own(&upstream.id) && !self.load(&upstream.id).is_avoided(now)
+            self.sharing.is_own(&upstream.life) && !self.load(&upstream.life).is_avoided(now)
         });
         let usable = fresh.filter(|upstream| {
             let is_plain = upstream.group.is_none();
-            ask.must_go_on || is_plain || self.sharing.is_own(&upstream.id) || !has_own
+            ask.must_go_on || is_plain || self.sharing.is_own(&upstream.life) || !has_own
         });
         let roomy = self.with_room(usable.collect(), ask, now);
         let scored = roomy
@@ -347,7 +347,7 @@
             let by_score = (a_score.0, a_score.1)
                 .cmp(&(b_score.0, b_score.1))
                 .then(a_score.2.total_cmp(&b_score.2));
-            let tie = |it: &RouteUpstream| rendezvous_score(ask.draw, it.id.as_str());
+            let tie = |it: &RouteUpstream| rendezvous_score(ask.draw, it.life.as_str());
             by_score.then_with(|| tie(a).cmp(&tie(b)))
         });
         best.map_or(UpstreamChoice::Full, |(_, chosen)| {
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -9,7 +9,7 @@
 #[derive(Clone, PartialEq, Debug)]
 pub struct RouteUpstream {
     /// Which run of it.
-    pub id: UpstreamId,
+    pub life: UpstreamLife,
     /// Where it listens.
     pub addr: SocketAddr,
     /// Where it can be cut off.
--- a/crates/routing/tests/book.rs
+++ b/crates/routing/tests/book.rs
@@ -10,7 +10,7 @@
 
 fn leader(name: &str, domain: &str) -> RouteUpstream {
     RouteUpstream {
-        id: UpstreamId::new(name),
+        life: UpstreamLife::new(UpstreamId::new(name), None),
         addr: ([127, 0, 0, 1], 1).into(),
         failure_domain: FailureDomain::new(domain),
         slots: SLOTS,
@@ -141,14 +141,14 @@
         for state in &case.leaders {
             let leader = leader(state.name, state.domain);
             for _ in 0..state.running {
-                book.note_sent(&leader.id, 100, NOW);
-                book.note_begun(&leader.id, 100);
+                book.note_sent(&leader.life, 100, NOW);
+                book.note_begun(&leader.life, 100);
             }
             if state.unread > 0 {
-                book.note_sent(&leader.id, state.unread, NOW);
+                book.note_sent(&leader.life, state.unread, NOW);
             }
             if state.is_quiet {
-                book.note_quiet(&leader.id, NOW);
+                book.note_quiet(&leader.life, NOW);
             }
             pool.push(leader);
         }
@@ -163,7 +163,7 @@
                 draw: hash_bytes(&[draw]),
             };
             if let UpstreamChoice::Chosen(upstream) = book.choose(&pool, &ask, NOW) {
-                chosen.push(upstream.id.to_string());
+                chosen.push(upstream.life.to_string());
             }
         }
         chosen.sort();
--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -8,7 +8,7 @@
 
 use crate::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
 use crate::plan::FaultKind;
-use crate::site::{CHANGING_KEY, LASTING_KEY, RevokedKey, UpstreamRun};
+use crate::site::{CHANGING_KEY, LASTING_KEY, RevokedKey, UpstreamRole, UpstreamRun};
 
 /// Time after which a key that was taken away is good nowhere: the bound in the processes' settings,
 /// and 250 ms for a request on its way.
@@ -87,6 +87,13 @@
         /// How long after.
         after: Duration,
     },
+    /// An upstream got new work long after its entry had named none.
+    WorkWhileUnnamed {
+        /// The request.
+        id: String,
+        /// The upstream.
+        upstream: String,
+    },
     /// A planned stop cut a request off.
     CutByStop {
         /// The request.
@@ -163,7 +170,13 @@
             | FaultKind::EngineDies(_)
             | FaultKind::EngineBreaksOff(..)
             | FaultKind::EngineLeaves(_) => runs.iter().any(|(run, _)| run.is_engine()),
-            FaultKind::DeskLink(desk, _)
+            FaultKind::Restarts(UpstreamRole::Engine, _)
+            | FaultKind::RestartsCutOff(UpstreamRole::Engine, _) => {
+                runs.iter().any(|(run, _)| run.is_engine())
+            }
+            FaultKind::Restarts(UpstreamRole::Desk, desk)
+            | FaultKind::RestartsCutOff(UpstreamRole::Desk, desk)
+            | FaultKind::DeskLink(desk, _)
             | FaultKind::DeskDies(desk)
             | FaultKind::DeskLosesAnswers(desk, _) => runs.iter().any(|(run, _)| run.is_desk(desk)),
             _ => false,
@@ -193,6 +206,7 @@
             found.extend(self.check_key(record));
             found.extend(self.check_stop(record));
             found.extend(self.check_leaving(record));
+            found.extend(self.check_unnamed(record));
         }
         found.extend(self.check_order());
         found
@@ -302,6 +316,25 @@
         })
     }
 
+    /// An entry that cannot be read names no upstream, like one that is removed.
+    fn check_unnamed(&self, record: &CallRecord) -> Option<Violation> {
+        let runs = self.seen.get(&record.id)?;
+        runs.iter().find_map(|(run, seen)| {
+            let is_unnamed = self.troubles.iter().any(|trouble| {
+                let FaultKind::ForeignEntry(role, index, _) = trouble.kind else {
+                    return false;
+                };
+                let is_over = seen.at > trouble.until;
+                run.is_at(role, index) && seen.at > trouble.from + LEAVE_BOUND && !is_over
+            });
+            let is_excused = self.is_troubled(record.entry, seen.at - LEAVE_BOUND, seen.at);
+            (is_unnamed && !is_excused).then(|| Violation::WorkWhileUnnamed {
+                id: record.id.clone(),
+                upstream: run.upstream.id().to_owned(),
+            })
+        })
+    }
+
     /// A process must not take a key that was taken away after it has gone by a later configuration:
     /// it refused the key after having taken it, or took a later one.
     fn check_order(&self) -> Vec<Violation> {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -8,11 +8,17 @@
 use tokio::task::JoinSet;
 
 use crate::audit::{Trouble, Violation};
-use crate::plan::{FaultKind, FaultPlan, LinkState, TimedFault};
+use crate::plan::{FOREIGN_ENTRIES, FaultKind, FaultPlan, LinkState, TimedFault};
 use crate::proxy::LinkProxy;
 use crate::run::SoakRun;
 use crate::site::UpstreamRole;
 
+/// Time in which connections to an upstream that starts again are reset.
+const RESTART_TIME: Duration = Duration::from_millis(50);
+/// Time after which the entry of an upstream that does not reach the store is removed: three of the
+/// platform's heartbeats.
+const ENTRY_LAPSE: Duration = Duration::from_millis(3_600);
+
 /// Until when a fault counts that has not ended: longer than any run.
 const ENDLESS: Duration = Duration::from_secs(600);
 
@@ -89,6 +95,19 @@
                 self.leave(UpstreamRole::Engine, index, length).await?;
             }
             FaultKind::DeskLeaves(index) => self.leave(UpstreamRole::Desk, index, length).await?,
+            FaultKind::Restarts(role, index) => self.restart(role, index, None).await,
+            FaultKind::RestartsCutOff(role, index) => {
+                self.restart(role, index, Some(length)).await;
+            }
+            FaultKind::ForeignEntry(role, index, entry) => {
+                let Some(upstream) = self.site.staying(role, index) else {
+                    return Ok(());
+                };
+                upstream.mute(true);
+                self.site.write_entry(&upstream, FOREIGN_ENTRIES[entry]);
+                tokio::time::sleep(length).await;
+                upstream.mute(false);
+            }
             _ => self.switch(fault).await,
         }
         Ok(())
@@ -164,6 +183,29 @@
         self.site.replace(role, index).await
     }
 
+    /// Starts an upstream again under its id, cut off for a time or not. Its connections end.
+    async fn restart(&self, role: UpstreamRole, index: usize, cut_for: Option<Duration>) {
+        let Some(upstream) = self.site.staying(role, index) else {
+            return;
+        };
+        let link = self.site.places(role).lock()[index].link.clone();
+        upstream.mute(cut_for.is_some());
+        upstream.restart();
+        match cut_for {
+            None => strain(&link, LinkState::Reset, RESTART_TIME).await,
+            Some(length) => {
+                let lapse = tokio::time::sleep(ENTRY_LAPSE.min(length));
+                let strained = strain(&link, LinkState::Silent, length);
+                let lapsed = async {
+                    lapse.await;
+                    self.site.remove_entry(&upstream);
+                };
+                tokio::join!(strained, lapsed);
+                upstream.mute(false);
+            }
+        }
+    }
+
     async fn leave(
         &self,
         role: UpstreamRole,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,6 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::options::SoakOptions;
+use crate::site::UpstreamRole;
 
 /// What befalls the bytes of a link.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -68,10 +69,26 @@
     DeskSlow(usize, Duration),
     /// An engine breaks its next stream off after so many events.
     EngineBreaksOff(usize, u64),
+    /// An upstream starts again under its id.
+    Restarts(UpstreamRole, usize),
+    /// The same while nothing passes between it and the others, nor between it and the store.
+    RestartsCutOff(UpstreamRole, usize),
+    /// Another writer overwrites an upstream's entry with one of [`FOREIGN_ENTRIES`].
+    ForeignEntry(UpstreamRole, usize, usize),
     /// The operator takes a key away and gives out another.
     ChangeKeys,
 }
 
+/// Entries that name no upstream.
+pub const FOREIGN_ENTRIES: [&[u8]; 6] = [
+    b"",
+    b"\xff\x00\xfe",
+    b"[]",
+    b"{\"service\":\"desk\"}",
+    b"{\"service\":7,\"address\":\"127.0.0.1:1\",\"state\":\"ready\"}",
+    b"{\"service\":\"engines\",\"address\":\"127.0.0.1:1\",\"zone\":\"east\",\"version\":\"v1\",\"slots\":8,\"state\":\"warm\",\"coldLeftMs\":0,\"sequence\":1,\"born\":1}",
+];
+
 /// A fault with its time.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct TimedFault {
@@ -137,7 +154,12 @@
     let count = rng.random_range(1..6);
     let delay = Duration::from_millis(rng.random_range(20..1_500));
     let link = draw_link(rng);
-    match rng.random_range(0..22) {
+    let upstream = match rng.random_bool(0.7) {
+        true => (UpstreamRole::Engine, engine),
+        false => (UpstreamRole::Desk, desk),
+    };
+    let foreign = rng.random_range(0..FOREIGN_ENTRIES.len());
+    match rng.random_range(0..26) {
         0 => FaultKind::KillEntry(entry),
         1 | 2 => FaultKind::StopEntry(entry),
         3 => FaultKind::PauseEntry(entry),
@@ -162,6 +184,9 @@
             false => FaultKind::DeskSlow(desk, delay),
         },
         19 => FaultKind::EngineBreaksOff(engine, count),
+        20 | 21 => FaultKind::Restarts(upstream.0, upstream.1),
+        22 => FaultKind::RestartsCutOff(upstream.0, upstream.1),
+        23 => FaultKind::ForeignEntry(upstream.0, upstream.1, foreign),
         _ => FaultKind::ChangeKeys,
     }
 }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_adapter::sample::{CONFIG_KEY, config_with};
+use bergamot_adapter::sample::{CONFIG_KEY, UPSTREAM_PREFIX, config_with};
 use bergamot_site_standin::upstream::SeenRequest;
 use bergamot_site_standin::{
     GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
@@ -52,8 +52,13 @@
 
     /// Whether it is a run of the plain service's instance with this number.
     pub fn is_desk(&self, desk: usize) -> bool {
-        let id = self.upstream.id().strip_prefix(DESK);
-        id.is_some_and(|rest| rest.starts_with(&format!("-{desk}-")))
+        self.is_at(UpstreamRole::Desk, desk)
+    }
+
+    /// Whether it is a run at this place.
+    pub fn is_at(&self, role: UpstreamRole, index: usize) -> bool {
+        let id = self.upstream.id().strip_prefix(role.service());
+        id.is_some_and(|rest| rest.starts_with(&format!("-{index}-")))
     }
 }
 
@@ -102,6 +107,19 @@
     Desk,
 }
 
+impl UpstreamRole {
+    const fn service(self) -> &'static str {
+        match self {
+            Self::Engine => ENGINES,
+            Self::Desk => DESK,
+        }
+    }
+}
+
+fn entry_key(upstream: &SiteUpstream) -> String {
+    format!("{UPSTREAM_PREFIX}{}", upstream.id())
+}
+
 /// The store and the upstreams.
 pub struct SoakSite {
     /// The store.
@@ -213,6 +231,24 @@
         Ok(())
     }
 
+    /// The upstream at a place, unless it is leaving or silent.
+    pub fn staying(&self, role: UpstreamRole, index: usize) -> Option<Arc<SiteUpstream>> {
+        let places = self.places(role).lock();
+        let run = places[index].now()?;
+        let stays = run.leaving_since.is_none() && !run.upstream.is_dead();
+        stays.then(|| Arc::clone(&run.upstream))
+    }
+
+    /// Writes these bytes in the place of an upstream's entry.
+    pub fn write_entry(&self, upstream: &SiteUpstream, bytes: &[u8]) {
+        self.store.put(&entry_key(upstream), bytes);
+    }
+
+    /// Removes an upstream's entry.
+    pub fn remove_entry(&self, upstream: &SiteUpstream) {
+        self.store.remove(&entry_key(upstream));
+    }
+
     /// Lets the run at a place fall silent. False when it is leaving or silent already.
     pub fn kill(&self, role: UpstreamRole, index: usize) -> bool {
         let places = self.places(role).lock();
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -11,7 +11,7 @@
 use bergamot_soak::audit::{AuditBook, Trouble, Violation};
 use bergamot_soak::caller::{CallEnd, CallRecord, RequestKind};
 use bergamot_soak::plan::FaultKind;
-use bergamot_soak::site::{CHANGING_KEY, LASTING_KEY, RevokedKey, UpstreamRun};
+use bergamot_soak::site::{CHANGING_KEY, LASTING_KEY, RevokedKey, UpstreamRole, UpstreamRun};
 
 /// One request, told in milliseconds from a start.
 struct AuditCase {
@@ -33,6 +33,7 @@
     found: Option<&'static str>,
 }
 
+const FOREIGN: FaultKind = FaultKind::ForeignEntry(UpstreamRole::Desk, 0, 0);
 const SERVED: CallEnd = answered(200, true);
 
 const fn answered(status: u16, is_whole: bool) -> CallEnd {
@@ -234,6 +235,31 @@
             leaves: true,
             ..case()
         },
+        AuditCase {
+            name: "work at an upstream that no entry names",
+            sent: 3_000,
+            ended: 3_200,
+            runs: &[3_100],
+            other: Some((FOREIGN, 900, 4_000)),
+            found: Some("WorkWhileUnnamed"),
+            ..case()
+        },
+        AuditCase {
+            name: "work just after its entry was written over",
+            sent: 2_000,
+            ended: 2_200,
+            runs: &[2_100],
+            other: Some((FOREIGN, 900, 4_000)),
+            ..case()
+        },
+        AuditCase {
+            name: "work when it has written again",
+            sent: 4_100,
+            ended: 4_200,
+            runs: &[4_150],
+            other: Some((FOREIGN, 900, 4_000)),
+            ..case()
+        },
         AuditCase {
             name: "work while the store is away",
             sent: 3_000,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod id;
 pub mod invariant;
 pub mod kind;
+pub mod life;
 pub mod mutate;
 pub mod prelude;
 pub mod time;
@@ -19,4 +20,5 @@
 };
 pub use invariant::Invariant;
 pub use kind::{ErrorKind, RanState};
+pub use life::{UnixMillis, UpstreamLife};
 pub use time::Millis;
