perf: news is compressed, configurations come from peers, and one VM in 48 of a failure domain reads the store

Starting VMs waited 0.5 s for the directory. Ruled out: confirming by answers of watches (the promise on keys rests on it, and a watch may hear nothing for a second). Change: messages from 4 KiB on are compressed (1,100 entries: 340 KB to 45 KB); a VM asks the peer that has a newer configuration for it; one reader for 48 VMs instead of 24; a VM whose peers say that the store is away tries it each 4 s. The test of readers among a hundred VMs expects three instead of five for that reason, and how they share the others.

--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -41,6 +41,9 @@
 /// The same at those peers, who ask that VM four times a second meanwhile. With the time of a call that
 /// is in vain it stays below the three seconds after which a VM whose link is back must be up to date.
 const FOLLOWER_RETRY: Duration = Duration::from_millis(1_200);
+/// The same while a peer answers that it has nothing fresh either: the one that reads the store finds out sooner
+/// and tells. Each call counts also while it is in vain, 1,600 in an outage of 8 s with 195 VMs.
+const TOLD_RETRY: Duration = Duration::from_millis(4_000);
 /// The longest wait of one watch. A silent watch costs one call.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Time between a watch's answer and the next watch, so that changes that come together cost one
@@ -296,8 +299,10 @@
         }
         self.known.is_away = true;
         self.shared.set_store_away(true);
+        let are_peers_away = self.shared.are_peers_away(self.shared.clock.now());
         let pause = match self.ranking.is_first() {
             true => RETRY_PERIOD,
+            false if are_peers_away => TOLD_RETRY,
             false => FOLLOWER_RETRY,
         };
         self.confirm_at = Instant::now() + pause;
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -1,6 +1,5 @@
 //! Learns changes of the store from peers.
 
-use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -133,7 +132,7 @@
             has_changes: !news.changes.is_empty() || news.config.is_some(),
             has_more: news.has_more,
         };
-        self.take_news(news, asked_at).await;
+        self.take_news(news, asked_at, addr).await;
         Ok(told)
     }
 
@@ -169,7 +168,7 @@
 
     /// Takes over what a peer told when it was asked at `asked_at`. Its ages count from then, which
     /// makes them too old rather than too young.
-    async fn take_news(&mut self, mut news: StoreNews, asked_at: Millis) {
+    async fn take_news(&mut self, mut news: StoreNews, asked_at: Millis, addr: SocketAddr) {
         self.note_success();
         self.take_return(&news, asked_at);
         let now = self.shared.clock.now();
@@ -186,7 +185,7 @@
             self.known.apply_item(&self.catalog, item);
             self.has_failed_confirm = false;
         }
-        self.take_confirmation(&news, asked_at).await;
+        self.take_confirmation(&news, asked_at, addr).await;
     }
 
     /// Takes over when the store came back, as a peer saw it.
@@ -197,17 +196,53 @@
         }
     }
 
-    /// Takes over a peer's confirmation of the configuration, or reads the one that it has heard of.
-    pub(super) async fn take_confirmation(&mut self, news: &StoreNews, asked_at: Millis) {
-        match news.config_revision.cmp(&self.known.config_revision) {
-            Ordering::Greater => self.confirm_when_due().await,
-            Ordering::Equal if self.known.config.is_some() => {
-                let confirmed_at = asked_at.0.saturating_sub(news.config_age.0);
-                self.shared.note_confirmed(Millis(confirmed_at));
+    /// Takes over the confirmation of the configuration by the peer at `addr`, or reads the one that it has heard of.
+    pub(super) async fn take_confirmation(
+        &mut self,
+        news: &StoreNews,
+        asked_at: Millis,
+        addr: SocketAddr,
+    ) {
+        let known = self.known.config_revision;
+        if news.config_revision > known && !self.read_config_of(addr).await {
+            self.confirm_when_due().await;
+        }
+        // A peer that lags behind confirms nothing.
+        if news.config_revision == known && self.known.config.is_some() {
+            let confirmed_at = asked_at.0.saturating_sub(news.config_age.0);
+            self.shared.note_confirmed(Millis(confirmed_at));
+        }
+    }
+
+    /// Reads the configuration that the peer at `addr` has. False when it did not tell it.
+    ///
+    /// Read from the store by each VM, a configuration of 1,500 routes cost 195 calls and 80 MB a change.
+    async fn read_config_of(&mut self, addr: SocketAddr) -> bool {
+        let asked_at = self.shared.clock.now();
+        let known = self.known.revision.unwrap_or(0);
+        let question = NewsQuestion {
+            after: known,
+            unaffected_until: known,
+            lacks_config_after: Some(self.known.config_revision),
+        };
+        let news = match self.ask(addr, question).await {
+            Ok(news) => news,
+            Err(error) => {
+                log::info!("event=news_not_usable peer={addr} reason=\"{error}\"");
+                return false;
             }
-            // The peer lags behind: it confirms nothing.
-            _ => {}
+        };
+        let Some(item) = &news.config else {
+            return false;
+        };
+        self.known.apply_item(&self.catalog, item);
+        if self.known.config_revision != news.config_revision {
+            return false;
         }
+        let confirmed_at = asked_at.0.saturating_sub(news.config_age.0);
+        self.shared.note_confirmed(Millis(confirmed_at));
+        self.publish();
+        true
     }
 
     /// Reads a configuration that a peer has heard of.
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -110,7 +110,7 @@
             self.take_return(&news, asked_at);
             let fresh_at = Millis(asked_at.0.saturating_sub(news.age.0));
             self.take_all(items.into_values().collect(), after, fresh_at, vm);
-            self.take_confirmation(&news, asked_at).await;
+            self.take_confirmation(&news, asked_at, addr).await;
             self.publish();
             return Ok(());
         }
--- a/crates/news/src/source.rs
+++ b/crates/news/src/source.rs
@@ -6,10 +6,10 @@
 /// Peers that are asked in turn before the store is read.
 const PEERS_ASKED: usize = 2;
 
-/// Entry VMs of a failure domain for each that reads the store. Each reader sends every change to so
-/// many: with a hundred it sent 8.7 MB/s while 3,000 upstreams came up, more than a link of 20 Mbit/s
-/// carries.
-const VMS_PER_READER: usize = 24;
+/// Entry VMs of a failure domain for each that reads the store, which makes four calls a second. Each reader sends
+/// every change to so many: to a hundred 8.7 MB/s were sent while 3,000 upstreams came up, before news was
+/// compressed to an eighth; a link of 20 Mbit/s carries 2.5 MB/s.
+const VMS_PER_READER: usize = 48;
 
 /// Time for which a peer that did not answer, or knew nothing fresh, is not asked again. Without it
 /// each look would wait for it once more.
--- a/crates/news/tests/news.rs
+++ b/crates/news/tests/news.rs
@@ -190,8 +190,9 @@
             NewsSource::Peers(peers) => *asked.entry(peers[0].clone()).or_default() += 1,
         }
     }
-    assert_eq!(readers, 5);
-    assert_eq!(asked.values().copied().collect::<Vec<_>>(), [19; 5]);
+    assert_eq!(readers, 3);
+    let followers: Vec<usize> = asked.into_values().collect();
+    assert_eq!(followers, [32, 32, 33]);
 }
 
 #[test]
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -1,6 +1,6 @@
 //! How messages become bytes.
 //!
-//! Every message starts with a magic number and a version. A message of another version is
+//! Every message starts with a magic number, a version and how it is packed. A message of another version is
 //! refused as a whole: entry VMs are replaced often enough that two versions meet only for the
 //! length of a roll-out, in which they serve without each other's news.
 
@@ -12,6 +12,13 @@
 const MAGIC: [u8; 2] = *b"BG";
 /// The version of all messages.
 pub const VERSION: u8 = 2;
+/// The message follows as it is.
+const PLAIN: u8 = 0;
+/// The message follows compressed, after its size.
+const COMPRESSED: u8 = 1;
+/// Messages from this size on are compressed, in bytes: a datagram and the news of a calm moment are not. What a
+/// starting VM reads of 1,100 upstreams shrinks from 340 KB to 45 KB, 0.14 s to 0.02 s at 20 Mbit/s.
+const MIN_COMPRESSED: usize = 4 << 10;
 /// The largest frame, in bytes: a bundle of a megabyte with room.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
@@ -27,11 +34,13 @@
     TooLarge(usize),
     #[error("the message cannot be read: {0}")]
     Malformed(#[from] postcard::Error),
+    #[error("the message cannot be unpacked: {0}")]
+    Packing(#[from] lz4_flex::block::DecompressError),
     #[error("the connection failed: {0}")]
     Io(#[from] std::io::Error),
 }
 
-/// Encodes a message with magic number and version.
+/// Encodes a message with magic number, version and packing.
 ///
 /// # Errors
 /// [`Error::TooLarge`] over [`MAX_FRAME_BYTES`].
@@ -39,12 +48,17 @@
 where
     Message: Serialize,
 {
-    let start = vec![MAGIC[0], MAGIC[1], VERSION];
+    let start = vec![MAGIC[0], MAGIC[1], VERSION, PLAIN];
     let bytes = postcard::to_extend(message, start)?;
-    match bytes.len() <= MAX_FRAME_BYTES {
-        true => Ok(bytes),
-        false => Err(Error::TooLarge(bytes.len())),
+    if bytes.len() > MAX_FRAME_BYTES {
+        return Err(Error::TooLarge(bytes.len()));
     }
+    if bytes.len() < MIN_COMPRESSED {
+        return Ok(bytes);
+    }
+    let mut packed = vec![MAGIC[0], MAGIC[1], VERSION, COMPRESSED];
+    packed.extend(lz4_flex::compress_prepend_size(&bytes[packed.len()..]));
+    Ok(packed)
 }
 
 /// Decodes a message. Never panics, whatever the bytes.
@@ -55,7 +69,7 @@
 where
     Message: DeserializeOwned,
 {
-    let [first, second, version, rest @ ..] = bytes else {
+    let [first, second, version, packing, rest @ ..] = bytes else {
         return Err(Error::NotOurs);
     };
     if [*first, *second] != MAGIC {
@@ -64,7 +78,20 @@
     if *version != VERSION {
         return Err(Error::Version(*version));
     }
-    Ok(postcard::from_bytes(rest)?)
+    match *packing {
+        PLAIN => Ok(postcard::from_bytes(rest)?),
+        COMPRESSED => Ok(postcard::from_bytes(&unpack(rest)?)?),
+        _ => Err(Error::NotOurs),
+    }
+}
+
+/// Restores a compressed message, whose size is bounded before memory is taken for it.
+fn unpack(packed: &[u8]) -> Result<Vec<u8>, Error> {
+    let (size, _) = lz4_flex::block::uncompressed_size(packed)?;
+    if size > MAX_FRAME_BYTES {
+        return Err(Error::TooLarge(size));
+    }
+    Ok(lz4_flex::decompress_size_prepended(packed)?)
 }
 
 /// Reads one frame: a length of four bytes, then the message.
--- a/crates/peer/tests/frame.rs
+++ b/crates/peer/tests/frame.rs
@@ -1,7 +1,10 @@
 //! Bytes of any kind are read or refused, never a panic.
 
-use bergamot_peer::{Answer, Datagram, Question, decode, encode, read_frame};
-use bergamot_types::EntryId;
+use bergamot_peer::{
+    Answer, Datagram, NewsAnswer, Question, StoreNews, decode, encode, read_frame,
+};
+use bergamot_ports::{StoreEvent, StoreItem};
+use bergamot_types::prelude::*;
 
 const ITERATIONS: usize = 20_000;
 
@@ -14,12 +17,14 @@
             let _ = decode::<Datagram>(bytes);
             let _ = decode::<Question>(bytes);
             let _ = decode::<Answer>(bytes);
-            // With the right head, so that the body is reached.
-            let mut ours = b"BG\x01".to_vec();
-            ours.extend_from_slice(bytes);
-            let _ = decode::<Datagram>(&ours);
-            let _ = decode::<Question>(&ours);
-            let _ = decode::<Answer>(&ours);
+            // With the right heads, so that the body is reached, plain and compressed.
+            for head in [b"BG\x02\x00", b"BG\x02\x01"] {
+                let mut ours = head.to_vec();
+                ours.extend_from_slice(bytes);
+                let _ = decode::<Datagram>(&ours);
+                let _ = decode::<Question>(&ours);
+                let _ = decode::<Answer>(&ours);
+            }
         });
 }
 
@@ -55,7 +60,15 @@
         },
         HeadCase {
             name: "another version",
-            head: b"BG\x02",
+            head: b"BG\x01\x00",
+        },
+        HeadCase {
+            name: "another packing",
+            head: b"BG\x02\x02",
+        },
+        HeadCase {
+            name: "a compressed message that claims four gigabytes",
+            head: b"BG\x02\x01\xff\xff\xff\xff\x00",
         },
     ];
     for case in cases {
@@ -76,3 +89,44 @@
     let bytes = encode(&question).expect("it is small");
     assert_eq!(decode::<Question>(&bytes).expect("it is ours"), question);
 }
+
+/// What a starting VM reads of 1,100 upstreams takes 0.14 s at 20 Mbit/s as it is.
+#[test]
+fn the_whole_directory_is_told_in_a_sixth_of_its_bytes() {
+    let entry = |number: u64| {
+        let id = format!("i-{:010x}", hash_bytes(&number.to_le_bytes()) >> 24);
+        let value = format!(
+            r#"{{"service":"engines","address":"10.{}.{}.{}:8080","zone":"east-{}","version":"v1","slots":22,"state":"ready","coldLeftMs":0,"phase":"both","models":[{{"name":"large","version":1,"adapters":[]}}],"sequence":{number},"domain":"east-d{}","staged":["large"],"group":{{"name":"large.{}","epoch":{},"rank":{},"state":"ready"}}}}"#,
+            number % 5,
+            number % 200,
+            number % 250,
+            number % 5,
+            number / 73,
+            number / 32,
+            number / 32,
+            number % 32
+        );
+        StoreEvent::Written(StoreItem {
+            key: format!("servers/{id}"),
+            value: value.into_bytes(),
+            revision: number,
+        })
+    };
+    let news = NewsAnswer::Changes(StoreNews {
+        changes: (0..1_100).map(entry).collect(),
+        revision: 1_100,
+        has_more: false,
+        reached: 1_100,
+        is_relayed: false,
+        age: Millis::ZERO,
+        config_revision: 0,
+        config: None,
+        config_age: Millis::ZERO,
+        since_return: None,
+    });
+    let plain = 1_100 * 310;
+    let packed = encode(&news).expect("it is small");
+    println!("{} bytes", packed.len());
+    assert!(packed.len() * 6 < plain, "{} bytes", packed.len());
+    assert_eq!(decode::<NewsAnswer>(&packed).expect("it is ours"), news);
+}
