perf: one log line for all upstreams of a change, and for each change of why a peer's news does not count

Change: one line for all upstreams of a change; one for each change of the reason. Not measured by itself.

--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -30,6 +30,8 @@
     pub(crate) revision: Option<u64>,
     /// Entries that cannot be read, by the revision that was logged.
     pub(crate) unreadable: IndexMap<UpstreamId, u64>,
+    /// Upstreams that were taken out since [`Self::log_unlisted`].
+    unlisted: Vec<UpstreamId>,
     /// Removed entries that may come back, and until when they are kept.
     pub(crate) lapsed: IndexMap<UpstreamId, Millis>,
     /// Whether the store did not answer the last call.
@@ -174,12 +176,21 @@
                 self.lapsed.entry(id.clone()).or_insert(until);
             }
             None => {
-                log::info!("event=upstream_unlisted upstream={id}");
                 self.upstreams.shift_remove(id);
+                self.unlisted.push(id.clone());
             }
         }
     }
 
+    /// Logs which upstreams were taken out, in one line for all of one change: a line for each by each of 195 VMs
+    /// was a quarter of the log.
+    pub(crate) fn log_unlisted(&mut self) {
+        let unlisted = std::mem::take(&mut self.unlisted);
+        if !unlisted.is_empty() {
+            log::info!("event=upstream_unlisted upstreams={}", join(&unlisted));
+        }
+    }
+
     /// Time until an entry that lapsed has had its time to come back. None while the store is
     /// away: that time begins with its return.
     pub(crate) fn until_lapse(&self, now: Millis) -> Option<Duration> {
@@ -208,10 +219,18 @@
         let due = due.filter(|(_, until)| self.lapse_end(**until) <= now);
         let due: Vec<UpstreamId> = due.map(|(id, _)| id.clone()).collect();
         for id in &due {
-            log::info!("event=upstream_lapsed upstream={id}");
             self.lapsed.shift_remove(id);
             self.upstreams.shift_remove(id);
         }
+        if !due.is_empty() {
+            log::info!("event=upstream_lapsed upstreams={}", join(&due));
+        }
         !due.is_empty()
     }
 }
+
+/// Ids as a log line has them.
+fn join(ids: &[UpstreamId]) -> String {
+    let ids: Vec<&str> = ids.iter().map(UpstreamId::as_str).collect();
+    ids.join(",")
+}
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -12,6 +12,7 @@
 mod serve;
 
 use std::cell::RefCell;
+use std::mem::Discriminant;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,12 +23,13 @@
     TxnOutcome, WatchOutcome,
 };
 use bergamot_types::prelude::*;
+use indexmap::IndexMap;
 use tokio::time::Instant;
 
 use self::ask::NewsCaller;
 use self::board::NewsBoard;
 use self::own::keep_own_key;
-use self::peers::ASK_PERIOD;
+use self::peers::{ASK_PERIOD, NewsError};
 use self::serve::serve_news;
 use crate::known::KnownState;
 use crate::shared::SharedState;
@@ -77,6 +79,8 @@
     ranking: PeerRanking,
     caller: NewsCaller,
     board: Rc<RefCell<NewsBoard>>,
+    /// Peers whose last answer did not count, and why.
+    failures: IndexMap<String, Discriminant<NewsError>>,
     /// Where the last changes came from.
     source: String,
 }
@@ -98,6 +102,7 @@
             ranking: PeerRanking::default(),
             caller: NewsCaller::default(),
             board: Rc::default(),
+            failures: IndexMap::new(),
             source: STORE_NAME.to_owned(),
         }
     }
@@ -329,6 +334,7 @@
 
     fn publish(&mut self) {
         self.rank_peers();
+        self.known.log_unlisted();
         let known = &self.known;
         let mut board = self.board.borrow_mut();
         let told = board.config.as_ref().map(|item| item.revision);
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -76,11 +76,11 @@
     pub(super) async fn ask_peers(&mut self, peers: &[String]) -> bool {
         for vm in peers {
             let Err(error) = self.ask_peer(vm).await else {
+                self.failures.swap_remove(vm);
                 self.note_source(vm);
                 return true;
             };
-            log::info!("event=news_not_usable peer={vm} reason=\"{error}\"");
-            self.count_news("failed");
+            self.note_unusable(vm, &error);
             if matches!(error, NewsError::Forgotten) {
                 self.known.revision = None;
                 return true;
@@ -94,6 +94,17 @@
         false
     }
 
+    /// Logs and counts an answer of a peer that does not count. One line for each change of the reason: while the
+    /// store is away each VM hears the same four times a second.
+    pub(super) fn note_unusable(&mut self, vm: &str, error: &NewsError) {
+        let kind = std::mem::discriminant(error);
+        let before = self.failures.insert(vm.to_owned(), kind);
+        if before != Some(kind) {
+            log::info!("event=news_not_usable peer={vm} reason=\"{error}\"");
+        }
+        self.count_news("failed");
+    }
+
     /// Asks one peer until it has nothing more to tell. What it told counts also when it fails then.
     async fn ask_peer(&mut self, vm: &str) -> Result<(), NewsError> {
         let entry = self.known.entries.get(vm);
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -58,8 +58,7 @@
     }
 
     fn note_unread(&mut self, vm: &str, error: &NewsError) {
-        log::info!("event=news_not_usable peer={vm} reason=\"{error}\"");
-        self.count_news("failed");
+        self.note_unusable(vm, error);
         if matches!(error, NewsError::NotReady) {
             return;
         }
