--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -22,9 +22,6 @@
 /// Unread prompt tokens that count as much as one request in flight, in the choice among leaders.
 const TOKENS_PER_REQUEST: f64 = 700.0;
 
-/// Passes of an engine, without the reading of prompts, until a first event: half of the one that runs and
-/// the one that reads the prompt.
-const FIRST_PASSES: f64 = 1.5;
 /// Part of the objective within which the first event must be expected. The rest is for the way, and for what
 /// others send meanwhile.
 const IN_TIME_PART: f64 = 0.75;
@@ -253,7 +250,7 @@
         let total = self.total_at(&upstream.life, now);
         let limit = self.load(&upstream.life).common_limit(upstream.slots);
         let in_time = ask.objective.0 as f64 * IN_TIME_PART;
-        let first = first_event_ms(upstream, total, ask.prompt);
+        let first = upstream.first_event_ms(total, ask.prompt);
         let is_early = total.unread == 0 || first.is_none_or(|first| first <= in_time);
         f64::from(total.requests) + 1.0 <= limit && is_early
     }
@@ -262,7 +259,7 @@
     fn is_idle(&self, upstream: &RouteUpstream, ask: &UpstreamAsk<'_>, now: Millis) -> bool {
         let total = self.total_at(&upstream.life, now);
         let limit = self.load(&upstream.life).common_limit(upstream.slots);
-        let first = first_event_ms(upstream, total, ask.prompt);
+        let first = upstream.first_event_ms(total, ask.prompt);
         let early = ask.objective.0 as f64 * IDLE_PART;
         let is_early = first.is_none_or(|first| first <= early);
         f64::from(total.requests) <= limit * IDLE_PART && is_early
@@ -390,12 +387,3 @@
         })
     }
 }
-
-/// When the first event of a prompt with so many tokens comes from a leader with a load, in milliseconds:
-/// the rest of the pass that runs, and one that reads all prompts which wait. None where its speed is not known.
-fn first_event_ms(upstream: &RouteUpstream, load: LeaderLoad, prompt: u32) -> Option<f64> {
-    let speed = upstream.speed?;
-    let running = load.requests.min(upstream.slots);
-    let reading = f64::from(load.unread + prompt) / speed.tokens_per_ms;
-    Some(speed.pass_ms(f64::from(running)) * FIRST_PASSES + reading)
-}
