--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -6,7 +6,7 @@
 use bergamot_adapter::SiteDialect;
 use bergamot_adapter::sample::SampleRequest;
 use bergamot_ports::CallerDialect;
-use bergamot_site_standin::upstream::EVENT_TOKENS;
+use bergamot_site_standin::answers::EVENT_TOKENS;
 use bergamot_types::prelude::*;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
