feat: a request has a print that its repeats share, and the log says when an upstream ended under one

Cause: lines could not say that two attempts were the same request, nor that an upstream had ended rather than a connection. Ruled out as evidence: a broken connection alone (cuts, resets and pauses break them too). Result: unit tests of prints and of evidence; no decision goes by either yet.

--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -39,14 +39,20 @@
     let _ = tokio::time::timeout(wait.as_duration(), config).await;
 }
 
+/// Who calls, and how urgently.
+pub struct AdmittedCaller {
+    /// Whose call it is.
+    pub account: Option<ClientAccount>,
+    /// 0 is the most urgent.
+    pub priority: u8,
+}
+
 /// A call that has a route and an account.
 pub struct AdmittedCall {
     /// Where it stands.
     pub state: CallState,
-    /// Whose it is.
-    pub account: Option<ClientAccount>,
-    /// 0 is the most urgent.
-    pub priority: u8,
+    /// Who calls.
+    pub caller: AdmittedCaller,
     /// The largest body that is taken, in bytes.
     pub body_limit: usize,
 }
@@ -86,8 +92,10 @@
             arrivals: 0,
             run_at: Vec::new(),
         },
-        account,
-        priority: rank.unwrap_or(route.priority),
+        caller: AdmittedCaller {
+            account,
+            priority: rank.unwrap_or(route.priority),
+        },
         body_limit: config.caller_limits.body_bytes,
     })
 }
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -1,15 +1,20 @@
 //! One try at one upstream.
 
+use std::cell::OnceCell;
+
 use bergamot_ports::{CallerCall, CallerDialect, OutgoingContext, ReplyFacts};
+use bergamot_quarantine::RequestPrint;
 use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::http::request::Parts as RequestParts;
 use hyper::http::response::Parts as ReplyParts;
 use hyper::{Method, Request, Uri};
 
 use super::FrontContext;
+use super::admit::AdmittedCaller;
 use super::flight::FlightGuard;
 use super::pool::{ConnectError, UpstreamConnection};
 
@@ -27,6 +32,37 @@
     pub account: Option<ClientAccount>,
     /// 0 is the most urgent.
     pub priority: u8,
+    /// Its print, once that was asked for.
+    print: OnceCell<RequestPrint>,
+}
+
+impl SentRequest {
+    /// A request that was read whole.
+    pub fn new(
+        head: RequestParts,
+        body: Bytes,
+        call: CallerCall,
+        admitted: AdmittedCaller,
+    ) -> Self {
+        Self {
+            method: head.method,
+            uri: head.uri,
+            body,
+            call,
+            account: admitted.account,
+            priority: admitted.priority,
+            print: OnceCell::new(),
+        }
+    }
+
+    /// What is the same for this request however often it comes. Worked out when first asked for: most requests need
+    /// none.
+    pub fn print(&self) -> RequestPrint {
+        *self.print.get_or_init(|| {
+            let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+            RequestPrint::of(self.account.as_ref(), path, &self.body)
+        })
+    }
 }
 
 /// An answer whose body is still to be read. Closes its connection when dropped.
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use bergamot_ports::{CallerDialect, RouteKind};
+use bergamot_quarantine::BreakCause;
 use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
 use http_body_util::BodyExt;
@@ -14,6 +15,7 @@
 use super::admit::{admit, await_config, read_body};
 use super::answer::{CallerAnswer, whole_body};
 use super::attempt::{AttemptError, OpenReply, SentRequest, send};
+use super::breaks::note_break;
 use super::plan::plan;
 use super::quiet::{LOOK_PERIOD, look_quiet, report_quiet};
 use super::refusal::{log_refusal, refuse};
@@ -39,8 +41,8 @@
     await_config(&front, &call).await;
     let admitted = admit(&front, &call, head.uri.path(), arrived);
     let limit = admitted.as_ref().map_or(0, |admitted| admitted.body_limit);
-    let (state, account, priority) = match admitted {
-        Ok(admitted) => (admitted.state, admitted.account, admitted.priority),
+    let (state, caller) = match admitted {
+        Ok(admitted) => (admitted.state, admitted.caller),
         Err(refusal) => return log_refusal(&front, &id, None, refusal),
     };
     let left = state.deadline.since(arrived).as_duration();
@@ -48,14 +50,7 @@
         Ok(body) => body,
         Err(kind) => return log_refusal(&front, &id, Some(&state), kind.into()),
     };
-    let request = SentRequest {
-        method: head.method,
-        uri: head.uri,
-        body,
-        call,
-        account,
-        priority,
-    };
+    let request = SentRequest::new(head, body, call, caller);
     front
         .budget
         .borrow_mut()
@@ -100,8 +95,9 @@
             TryOutcome::OwnFailure(answer) => failed = Some(answer),
             TryOutcome::Failed(error) => {
                 log::info!(
-                    "event=attempt_failed request={} route={} upstream={} attempt={} outcome={} reason=\"{error}\" waited={}",
+                    "event=attempt_failed request={} print={} route={} upstream={} attempt={} outcome={} reason=\"{error}\" waited={}",
                     request.call.id,
+                    request.print(),
                     state.route.name,
                     upstream.life,
                     state.sends(),
@@ -156,14 +152,14 @@
 
 /// Sends a request once and waits for the head of its answer, with all the accounts kept.
 pub async fn open<Dialect>(
-    front: &FrontContext<Dialect>,
+    front: &Rc<FrontContext<Dialect>>,
     request: &SentRequest,
     state: &mut CallState,
     upstream: &RouteUpstream,
     resume_after: Option<u64>,
 ) -> Result<OpenReply, AttemptError>
 where
-    Dialect: CallerDialect,
+    Dialect: CallerDialect + 'static,
 {
     let began = front.now();
     let left = state.deadline.since(began);
@@ -171,6 +167,7 @@
     state.tried.push(upstream.life.clone());
     let sent = send(front, request, upstream, left, resume_after);
     tokio::pin!(sent);
+    let mut cause = BreakCause::Silent;
     let outcome = loop {
         let now = front.now();
         let pause = match is_engine {
@@ -178,7 +175,10 @@
             false => state.deadline.since(now),
         };
         match tokio::time::timeout(pause.as_duration(), &mut sent).await {
-            Ok(outcome) => break outcome,
+            Ok(outcome) => {
+                cause = BreakCause::Closed;
+                break outcome;
+            }
             Err(_) if front.now() >= state.deadline => {
                 break Err(AttemptError::Broken(
                     "no answer before the deadline".to_owned(),
@@ -222,6 +222,10 @@
             }
         }
     }
+    drop(book);
+    if outcome.as_ref().is_err_and(AttemptError::may_have_run) && now < state.deadline {
+        note_break(front, request, upstream, cause);
+    }
     let has_arrived = match &outcome {
         Ok(_) => true,
         Err(error) => error.may_have_arrived(),
@@ -235,13 +239,13 @@
 
 /// Reads the rest of an answer that is not a stream.
 async fn finish_whole<Dialect>(
-    front: &FrontContext<Dialect>,
+    front: &Rc<FrontContext<Dialect>>,
     request: &SentRequest,
     state: &CallState,
     reply: OpenReply,
 ) -> TryOutcome
 where
-    Dialect: CallerDialect,
+    Dialect: CallerDialect + 'static,
 {
     let left = state.deadline.since(front.now()).as_duration();
     let body = tokio::time::timeout(left, reply.body.collect()).await;
@@ -256,7 +260,10 @@
     };
     let body = match body {
         Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => return broken(error.to_string()),
+        Ok(Err(error)) => {
+            note_break(front, request, &reply.upstream, BreakCause::Closed);
+            return broken(error.to_string());
+        }
         Err(_) => return broken("the answer did not end before the deadline".to_owned()),
     };
     let (id, keep_alive) = (&reply.upstream.life, reply.facts.keep_alive);
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -10,6 +10,7 @@
 //! | [`plan`] | the next upstream for a request |
 //! | [`attempt`] | one try at one upstream |
 //! | [`relay`] | a stream of events, over several upstreams if need be |
+//! | [`breaks`] | whether an upstream ended when a request was broken off at it |
 //! | [`quiet`] | when an upstream counts as standing still |
 //! | [`refusal`] | answers of this system's own |
 //! | [`flight`] | counts of requests at upstreams |
@@ -20,6 +21,7 @@
 pub mod admit;
 pub mod answer;
 pub mod attempt;
+pub mod breaks;
 pub mod budget;
 pub mod call;
 pub mod events;
@@ -40,6 +42,7 @@
 
 use bergamot_groups::DemandMeter;
 use bergamot_news::PeerPlace;
+use bergamot_quarantine::EndWatch;
 use bergamot_routing::{ReturnTimes, ServingOutage, UpstreamBook};
 use bergamot_types::prelude::*;
 
@@ -63,6 +66,8 @@
     pub returns: RefCell<ReturnTimes>,
     /// Repeats sent.
     pub budget: RefCell<RepeatBudget>,
+    /// Requests that were broken off at upstreams that may have ended.
+    pub ends: RefCell<EndWatch>,
     /// Requests in flight.
     pub in_flight: Rc<Cell<usize>>,
 }
@@ -84,6 +89,7 @@
             demand: RefCell::default(),
             returns: RefCell::default(),
             budget: RefCell::new(budget),
+            ends: RefCell::default(),
             in_flight: Rc::new(Cell::new(0)),
         }
     }
--- a/crates/gateway/src/front/pool.rs
+++ b/crates/gateway/src/front/pool.rs
@@ -72,9 +72,17 @@
         life: &UpstreamLife,
         addr: SocketAddr,
     ) -> Result<UpstreamConnection, ConnectError> {
-        if let Some(connection) = self.take_idle(life) {
-            return Ok(connection);
+        match self.take_idle(life) {
+            Some(connection) => Ok(connection),
+            None => self.connect_new(addr).await,
         }
+    }
+
+    /// A new connection, whatever is idle.
+    ///
+    /// # Errors
+    /// See [`ConnectError`]; nothing was sent.
+    pub async fn connect_new(&self, addr: SocketAddr) -> Result<UpstreamConnection, ConnectError> {
         match tokio::time::timeout(CONNECT_TIMEOUT, open(addr)).await {
             Ok(outcome) => outcome,
             Err(_) => Err(ConnectError::Failed("no answer in time".to_owned())),
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use bergamot_ports::CallerDialect;
+use bergamot_quarantine::BreakCause;
 use bergamot_types::prelude::*;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
@@ -10,6 +11,7 @@
 use super::FrontContext;
 use super::answer::{AnswerPiece, BrokenAnswer, CallerAnswer, relayed_body};
 use super::attempt::{OpenReply, SentRequest};
+use super::breaks::note_break;
 use super::call::{count, open};
 use super::events::{EventSplitter, StreamEvent};
 use super::plan::plan;
@@ -26,7 +28,7 @@
 enum NextEvent {
     Event(StreamEvent),
     End,
-    Broken(String),
+    Broken(BreakCause, String),
     CallerLeft,
     DeadlinePassed,
 }
@@ -75,7 +77,7 @@
 
 impl<Dialect> EventRelay<Dialect>
 where
-    Dialect: CallerDialect,
+    Dialect: CallerDialect + 'static,
 {
     async fn run(mut self, reply: OpenReply) {
         let mut reply = reply;
@@ -88,8 +90,8 @@
                 }
                 NextEvent::CallerLeft => break "caller_left",
                 NextEvent::DeadlinePassed => break "deadline_exceeded_after_send",
-                NextEvent::Broken(reason) => {
-                    self.note_broken(&reply, &reason);
+                NextEvent::Broken(cause, reason) => {
+                    self.note_broken(&reply, cause, &reason);
                     drop(reply);
                     match self.resume().await {
                         Some(next) => reply = next,
@@ -152,12 +154,13 @@
         splitter: &mut EventSplitter,
         began: Millis,
     ) -> NextEvent {
+        let broken = |reason: &str| NextEvent::Broken(BreakCause::Closed, reason.to_owned());
         loop {
             if let Some(event) = splitter.next_event() {
                 return NextEvent::Event(event);
             }
             if splitter.is_overlong() {
-                return NextEvent::Broken("an event is too long".to_owned());
+                return broken("an event is too long");
             }
             let now = self.front.now();
             let left = self.state.deadline.since(now);
@@ -171,14 +174,15 @@
             };
             match frame {
                 Err(_) if look_quiet(&self.front, &reply.upstream, began) => {
-                    return NextEvent::Broken("nothing comes from it".to_owned());
+                    let reason = "nothing comes from it".to_owned();
+                    return NextEvent::Broken(BreakCause::Silent, reason);
                 }
                 Err(_) => {}
                 Ok(None) if splitter.has_partial() => {
-                    return NextEvent::Broken("it ended within an event".to_owned());
+                    return broken("it ended within an event");
                 }
                 Ok(None) => return NextEvent::End,
-                Ok(Some(Err(error))) => return NextEvent::Broken(error.to_string()),
+                Ok(Some(Err(error))) => return broken(&error.to_string()),
                 Ok(Some(Ok(frame))) => {
                     let now = self.front.now();
                     let mut book = self.front.book.borrow_mut();
@@ -236,15 +240,17 @@
         self.front.pool.give_back(&id, reply.connection, keep_alive);
     }
 
-    fn note_broken(&self, reply: &OpenReply, reason: &str) {
+    fn note_broken(&self, reply: &OpenReply, cause: BreakCause, reason: &str) {
+        note_break(&self.front, &self.request, &reply.upstream, cause);
         let now = self.front.now();
         self.front
             .book
             .borrow_mut()
             .note_failure(&reply.upstream.life, now);
         log::info!(
-            "event=stream_broken request={} route={} upstream={} group={} events={} last_event={} reason={reason:?}",
+            "event=stream_broken request={} print={} route={} upstream={} group={} events={} last_event={} reason={reason:?}",
             self.request.call.id,
+            self.request.print(),
             self.state.route.name,
             reply.upstream.life,
             reply
@@ -287,11 +293,13 @@
                     return Some(reply);
                 }
                 Ok(reply) => {
-                    self.note_broken(&reply, reply.head.status.as_str());
+                    let reason = reply.head.status.as_str();
+                    self.note_broken(&reply, BreakCause::Closed, reason);
                 }
                 Err(error) => log::info!(
-                    "event=attempt_failed request={} route={} upstream={} attempt={} outcome={} reason=\"{error}\"",
+                    "event=attempt_failed request={} print={} route={} upstream={} attempt={} outcome={} reason=\"{error}\"",
                     self.request.call.id,
+                    self.request.print(),
                     self.state.route.name,
                     upstream.life,
                     self.state.sends(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,8 @@
     pub news: IntCounterVec,
     /// Orders to upstreams by order and outcome.
     pub orders: IntCounterVec,
+    /// Upstreams that ended while requests from here ran there, by the evidence.
+    pub upstream_ends: IntCounterVec,
     /// Numbers of state by name.
     pub state: IntGaugeVec,
 }
@@ -92,6 +94,11 @@
                 "Orders to upstreams by order and outcome",
                 &["order", "outcome"],
             ),
+            upstream_ends: counter(
+                "bergamot_upstream_ends_total",
+                "Upstreams that ended while requests from here ran there, by the evidence",
+                &["evidence"],
+            ),
             state,
             registry,
         }
--- /dev/null
+++ b/crates/quarantine/tests/ends.rs
@@ -0,0 +1,108 @@
+//! What shows that an upstream ended under a request.
+
+use bergamot_quarantine::{BreakCause, BreakOutcome, EndEvidence, EndWatch, RequestPrint};
+use bergamot_types::prelude::*;
+
+fn print(number: u8) -> RequestPrint {
+    RequestPrint::of(None, "/history", &[number])
+}
+
+fn life(id: &str) -> UpstreamLife {
+    UpstreamLife::new(UpstreamId::new(id), Some(UnixMillis(7)))
+}
+
+struct EvidenceCase {
+    name: &'static str,
+    cause: BreakCause,
+    evidence: EndEvidence,
+    after: Millis,
+    is_struck: bool,
+}
+
+#[test]
+fn a_broken_connection_alone_is_no_end() {
+    let cases = [
+        EvidenceCase {
+            name: "closed, and nothing listens",
+            cause: BreakCause::Closed,
+            evidence: EndEvidence::NoListener,
+            after: Millis(2),
+            is_struck: true,
+        },
+        EvidenceCase {
+            name: "silent, and nothing listens",
+            cause: BreakCause::Silent,
+            evidence: EndEvidence::NoListener,
+            after: Millis(2),
+            is_struck: true,
+        },
+        EvidenceCase {
+            name: "closed, and the entry is gone some seconds later",
+            cause: BreakCause::Closed,
+            evidence: EndEvidence::Unlisted,
+            after: Millis(4_500),
+            is_struck: true,
+        },
+        EvidenceCase {
+            name: "silent, and the entry is gone: it may only be cut off",
+            cause: BreakCause::Silent,
+            evidence: EndEvidence::Unlisted,
+            after: Millis(4_500),
+            is_struck: false,
+        },
+        EvidenceCase {
+            name: "silent, and it started again",
+            cause: BreakCause::Silent,
+            evidence: EndEvidence::Restarted,
+            after: Millis(4_500),
+            is_struck: true,
+        },
+        EvidenceCase {
+            name: "closed, and it started again long after",
+            cause: BreakCause::Closed,
+            evidence: EndEvidence::Restarted,
+            after: Millis(20_000),
+            is_struck: false,
+        },
+    ];
+    for case in cases {
+        let mut ends = EndWatch::default();
+        let began = Millis(1_000);
+        let outcome = ends.note_break(began, &life("a"), print(1), case.cause);
+        assert_eq!(outcome, BreakOutcome::Probe, "{}", case.name);
+        let struck = ends.note_end(began + case.after, &life("a"), case.evidence);
+        let expected = case.is_struck.then(|| vec![print(1)]);
+        assert_eq!(struck, expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn all_requests_at_an_upstream_are_struck_and_it_is_asked_once() {
+    let mut ends = EndWatch::default();
+    let now = Millis(1_000);
+    let closed = BreakCause::Closed;
+    let first = ends.note_break(now, &life("a"), print(1), closed);
+    let second = ends.note_break(now, &life("a"), print(2), closed);
+    let other = ends.note_break(now, &life("b"), print(3), closed);
+    assert_eq!(
+        [first, second, other],
+        [
+            BreakOutcome::Probe,
+            BreakOutcome::Awaited,
+            BreakOutcome::Probe
+        ]
+    );
+    let struck = ends.note_end(now, &life("a"), EndEvidence::NoListener);
+    assert_eq!(struck, Some(vec![print(1), print(2)]));
+    // A break that is noticed after the end counts at once, and the same evidence again does not.
+    let late = ends.note_break(now + Millis(3), &life("a"), print(4), closed);
+    assert_eq!(late, BreakOutcome::Ended);
+    assert_eq!(
+        ends.note_end(now, &life("a"), EndEvidence::NoListener),
+        None
+    );
+    // Another run under the same id has not ended.
+    let reborn = UpstreamLife::new(UpstreamId::new("a"), Some(UnixMillis(8)));
+    let next = ends.note_break(now, &reborn, print(5), closed);
+    assert_eq!(next, BreakOutcome::Probe);
+}
