--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -122,6 +122,7 @@
             fabric: None,
             times: GroupTimes::default(),
             advertised: None,
+            crash: None,
         };
         let desk = SiteUpstream::start(options, Arc::clone(&store));
         let desk = runtime.block_on(desk).expect("an upstream starts");
--- a/crates/local/src/site.rs
+++ b/crates/local/src/site.rs
@@ -63,6 +63,7 @@
                 fabric: is_engine.then(|| "east-d0".to_owned()),
                 times: GroupTimes::default(),
                 advertised: None,
+                crash: None,
             };
             let started = SiteUpstream::start(options, Arc::clone(&store));
             upstreams.push(runtime.block_on(started)?);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -208,6 +208,7 @@
             fabric,
             times: GROUP_TIMES,
             advertised: Some(link.addr),
+            crash: None,
         };
         let upstream = SiteUpstream::start(options, Arc::clone(&self.store)).await?;
         link.lead_to(upstream.addr());
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -282,6 +282,7 @@
         fabric: None,
         times: GroupTimes::default(),
         advertised: None,
+        crash: None,
     };
     let upstream = SiteUpstream::start(options, store).await;
     let upstream = upstream.expect("an upstream starts");
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -24,7 +24,7 @@
 pub use fault::FaultSwitch;
 pub use kv::{KvOptions, KvStandin};
 pub use run_log::{RunItem, RunLog};
-pub use serve::{Abort, Answer, Question, StandinServer, serve_on};
+pub use serve::{Abort, Answer, Question, StandinServer, serve_abortable, serve_on};
 pub use service::ServiceStandin;
 pub use vm_list::VmListStandin;
 pub use weights::{WeightOptions, WeightStandin};
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto::Builder;
 use tokio::net::TcpListener;
+use tokio::task::{AbortHandle, JoinSet};
 
 /// The largest question, in bytes.
 const MAX_QUESTION_BYTES: usize = 8 << 20;
@@ -104,7 +105,7 @@
     match error {}
 }
 
-/// Serves `server` on `listener` until the task is dropped. Returns the address.
+/// Serves `server` on `listener` until the runtime ends. Returns the address.
 ///
 /// # Errors
 /// When the listener has no address.
@@ -113,14 +114,26 @@
     Server: StandinServer,
 {
     let addr = listener.local_addr()?;
-    tokio::spawn(async move {
+    serve_abortable(listener, server);
+    Ok(addr)
+}
+
+/// Serves `server` on `listener` until it is aborted: then the listener and all connections are closed, as when a
+/// process ends.
+pub fn serve_abortable<Server>(listener: TcpListener, server: Arc<Server>) -> AbortHandle
+where
+    Server: StandinServer,
+{
+    let task = tokio::spawn(async move {
+        let mut connections = JoinSet::new();
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 continue;
             };
+            while connections.try_join_next().is_some() {}
             let _ = stream.set_nodelay(true);
             let server = Arc::clone(&server);
-            tokio::spawn(async move {
+            connections.spawn(async move {
                 let service = service_fn(move |request| {
                     let server = Arc::clone(&server);
                     async move { answer_one(&*server, request).await }
@@ -133,7 +146,7 @@
             });
         }
     });
-    Ok(addr)
+    task.abort_handle()
 }
 
 async fn answer_one<Server>(server: &Server, request: Request<Incoming>) -> Answer
