fix: a request under which three upstreams have ended is refused by all VMs

Cause: each attempt of a request began without memory of the ones before, at its own VM or any other, and runs that were gone did not count against the most upstreams of a request. Class: a fault that follows the request and not the upstream, while all memory of faults was held by upstream. Ruled out: ends of groups for other reasons (the same request was at each), and members that end with their leader. VMs tell each other by records in the store, which also reach cut-off failure domains and VMs that start later.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -8,6 +8,7 @@
 use anyhow::Context;
 use bergamot_peer::QuietNotice;
 use bergamot_ports::{PortSet, VmSite};
+use bergamot_quarantine::QuarantineRecord;
 use hyper::Response;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -28,6 +29,9 @@
 
 /// Leaders at which requests stand still that wait for the groups' duty at most.
 const QUIET_RING: usize = 256;
+/// Records of requests under which upstreams ended that wait for the store at most: a minute of one leader that ends each
+/// second with 16 streams from here.
+const RECORD_RING: usize = 1_024;
 /// Time between two looks at what is in flight while stopping.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
@@ -43,6 +47,7 @@
     ports: Ports,
     reader: Option<SettingsReader>,
     quiet: mpsc::Receiver<QuietNotice>,
+    records: mpsc::Receiver<QuarantineRecord>,
 }
 
 impl<Ports> GatewayDaemon<Ports>
@@ -52,11 +57,13 @@
     /// A daemon for a site. Nothing is started yet.
     pub fn new(site: VmSite, ports: Ports) -> Self {
         let (quiet_sender, quiet) = mpsc::channel(QUIET_RING);
+        let (record_sender, records) = mpsc::channel(RECORD_RING);
         Self {
-            shared: SharedState::new(site, quiet_sender),
+            shared: SharedState::new(site, quiet_sender, record_sender),
             ports,
             reader: None,
             quiet,
+            records,
         }
     }
 
@@ -89,11 +96,11 @@
             site.caller_addr,
             site.peer_addr
         );
-        let (shared, ports) = (Arc::clone(&self.shared), self.ports.clone());
+        let (shared, ports, records) = (Arc::clone(&self.shared), self.ports.clone(), self.records);
         spawn_duty("store", move || async move {
             let store = Rc::new(ports.store());
             SyncDuty::new(shared, store, ports.catalog())
-                .run(news)
+                .run(news, records)
                 .await;
         })?;
         let (shared, ports, quiet) = (Arc::clone(&self.shared), self.ports.clone(), self.quiet);
--- a/crates/gateway/src/front/breaks.rs
+++ b/crates/gateway/src/front/breaks.rs
@@ -1,19 +1,26 @@
-//! Whether an upstream ended when a request was broken off at it.
+//! Whether an upstream ended when a request was broken off at it, and what that means for the request.
 
 use std::rc::Rc;
 
 use bergamot_ports::UpstreamState;
-use bergamot_quarantine::{BreakCause, BreakOutcome, EndEvidence, RequestPrint};
+use bergamot_quarantine::{
+    BreakCause, EndEvidence, QuarantineAction, QuarantineEvent, RequestStanding,
+};
 use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
 
 use super::FrontContext;
 use super::attempt::SentRequest;
 use super::pool::ConnectError;
+use super::refusal::{CallRefusal, RETURN_QUARANTINED};
+use super::state::CallState;
 use crate::view::ClusterView;
 
 /// Notes that a request was broken off after it was sent.
-pub fn note_break<Dialect>(
+///
+/// Returns at once for nearly all. Only where an upstream ended under this request before, it is found out first
+/// whether this one has too, so that the request is not sent on to a third.
+pub async fn note_break<Dialect>(
     front: &Rc<FrontContext<Dialect>>,
     request: &SentRequest,
     upstream: &RouteUpstream,
@@ -21,24 +28,69 @@
 ) where
     Dialect: 'static,
 {
-    if !is_staying(&front.shared.view.load(), &upstream.life) {
+    let life = &upstream.life;
+    if !is_staying(&front.shared.view.load(), life) {
         return;
     }
-    let now = front.now();
     let print = request.print();
-    let mut ends = front.ends.borrow_mut();
-    let outcome = ends.note_break(now, &upstream.life, print, cause);
-    drop(ends);
-    match outcome {
-        BreakOutcome::Ended => note_struck(front, &upstream.life, &[print]),
-        BreakOutcome::Probe => {
-            let (front, upstream) = (Rc::clone(front), upstream.clone());
-            tokio::task::spawn_local(async move { probe(&front, &upstream).await });
-        }
-        BreakOutcome::Awaited => {}
+    let is_on_edge = front.shared.quarantine.lock().is_on_edge(print);
+    let event = QuarantineEvent::Broken { life, print, cause };
+    let must_probe = handle(front, event);
+    if is_on_edge {
+        probe(front, upstream).await;
+    } else if must_probe {
+        let (front, upstream) = (Rc::clone(front), upstream.clone());
+        tokio::task::spawn_local(async move { probe(&front, &upstream).await });
+    }
+}
+
+/// Notes that one upstream alone answered a request whole. An answer that was put together from several proves nothing:
+/// the last of them ran a part of it only.
+pub fn note_whole<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    state: &CallState,
+) {
+    let is_by_one = state.run_at.len() == 1 && request.call.resume_after.is_none();
+    if is_by_one && !front.shared.quarantine.lock().is_empty() {
+        handle(front, QuarantineEvent::Answered(request.print()));
     }
 }
 
+/// Whether a request may be sent, for the first time or once more. Costs a digest of the body while anything is held
+/// against any request, and nothing otherwise.
+pub fn check_standing<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    state: &CallState,
+) -> Result<(), CallRefusal> {
+    let mut quarantine = front.shared.quarantine.lock();
+    if quarantine.is_empty() {
+        return Ok(());
+    }
+    let print = request.print();
+    let standing = quarantine.standing(print);
+    let is_refused = match standing {
+        RequestStanding::Good => false,
+        RequestStanding::Suspected => state.may_have_run(),
+        RequestStanding::Quarantined => true,
+    };
+    if !is_refused {
+        return Ok(());
+    }
+    quarantine.note_refused(front.now(), print);
+    drop(quarantine);
+    log::info!(
+        "event=request_held_back request={} print={print} standing={standing:?} sends={}",
+        request.call.id,
+        state.sends()
+    );
+    Err(CallRefusal::later(
+        ErrorKind::Quarantined,
+        RETURN_QUARANTINED,
+    ))
+}
+
 /// Whether an upstream is in the directory and has not said that it leaves: the end of one that leaves is planned.
 fn is_staying(view: &ClusterView, life: &UpstreamLife) -> bool {
     let entry = view.upstreams.get(&life.id);
@@ -51,56 +103,55 @@
     let life = &upstream.life;
     match front.pool.connect_new(upstream.addr).await {
         Ok(connection) => front.pool.give_back(life, connection, None),
-        Err(ConnectError::Refused(_)) => note_end(front, life, EndEvidence::NoListener),
+        Err(ConnectError::Refused(_)) => {
+            let evidence = EndEvidence::NoListener;
+            handle(front, QuarantineEvent::Ended { life, evidence });
+        }
         // Nobody answers: the directory may tell later.
         Err(ConnectError::Failed(_)) => {}
     }
 }
 
-/// Notes evidence that an upstream ended.
-pub fn note_end<Dialect>(
-    front: &FrontContext<Dialect>,
-    life: &UpstreamLife,
-    evidence: EndEvidence,
-) {
-    let now = front.now();
-    let prints = front.ends.borrow_mut().note_end(now, life, evidence);
-    let Some(prints) = prints else {
-        return;
-    };
-    let ends = &front.shared.metrics.upstream_ends;
-    ends.with_label_values(&[evidence.as_str()]).inc();
-    log::info!(
-        "event=upstream_ended upstream={life} evidence={evidence} requests={}",
-        prints.len()
-    );
-    note_struck(front, life, &prints);
-}
-
-fn note_struck<Dialect>(
-    _front: &FrontContext<Dialect>,
-    life: &UpstreamLife,
-    prints: &[RequestPrint],
-) {
-    for print in prints {
-        log::info!("event=request_struck print={print} upstream={life}");
-    }
-}
-
 /// Looks in the directory whether upstreams ended at which requests were broken off.
 pub async fn follow_ends<Dialect>(front: Rc<FrontContext<Dialect>>) {
     let mut changes = front.shared.view_changed.subscribe();
     while changes.changed().await.is_ok() {
         let view = front.shared.view.load_full();
-        let awaited = front.ends.borrow().awaited();
-        for life in awaited {
-            match view.upstreams.get(&life.id) {
-                None => note_end(&front, &life, EndEvidence::Unlisted),
-                Some(entry) if entry.life.is_younger_than(&life) => {
-                    note_end(&front, &life, EndEvidence::Restarted);
+        let awaited = front.shared.quarantine.lock().awaited();
+        for life in &awaited {
+            let evidence = match view.upstreams.get(&life.id) {
+                None => EndEvidence::Unlisted,
+                Some(entry) if entry.life.is_younger_than(life) => EndEvidence::Restarted,
+                Some(_) => continue,
+            };
+            handle(&front, QuarantineEvent::Ended { life, evidence });
+        }
+    }
+}
+
+/// Takes in what happened and does what follows, but for finding out whether an upstream ended: true where that is to
+/// be done.
+fn handle<Dialect>(front: &FrontContext<Dialect>, event: QuarantineEvent<'_>) -> bool {
+    let actions = front.shared.quarantine.lock().handle(front.now(), event);
+    let mut must_probe = false;
+    for action in actions {
+        match action {
+            QuarantineAction::Probe(_) => must_probe = true,
+            QuarantineAction::NoteEnd { life, evidence } => {
+                let ends = &front.shared.metrics.upstream_ends;
+                ends.with_label_values(&[evidence.as_str()]).inc();
+                log::info!("event=upstream_ended upstream={life} evidence={evidence}");
+            }
+            QuarantineAction::NoteStrike { print, life, ends } => {
+                log::info!("event=request_struck print={print} upstream={life} ends={ends}");
+            }
+            QuarantineAction::Keep(record) => {
+                if let Err(error) = front.shared.records.try_send(record) {
+                    log::error!("event=record_not_written reason=\"{error}\"");
                 }
-                Some(_) => {}
             }
+            QuarantineAction::Remove(_) => {}
         }
     }
+    must_probe
 }
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -15,7 +15,7 @@
 use super::admit::{admit, await_config, read_body};
 use super::answer::{CallerAnswer, whole_body};
 use super::attempt::{AttemptError, OpenReply, SentRequest, send};
-use super::breaks::note_break;
+use super::breaks::{note_break, note_whole};
 use super::plan::plan;
 use super::quiet::{LOOK_PERIOD, look_quiet, report_quiet};
 use super::refusal::{log_refusal, refuse};
@@ -224,7 +224,7 @@
     }
     drop(book);
     if outcome.as_ref().is_err_and(AttemptError::may_have_run) && now < state.deadline {
-        note_break(front, request, upstream, cause);
+        note_break(front, request, upstream, cause).await;
     }
     let has_arrived = match &outcome {
         Ok(_) => true,
@@ -261,7 +261,7 @@
     let body = match body {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
-            note_break(front, request, &reply.upstream, BreakCause::Closed);
+            note_break(front, request, &reply.upstream, BreakCause::Closed).await;
             return broken(error.to_string());
         }
         Err(_) => return broken("the answer did not end before the deadline".to_owned()),
@@ -295,6 +295,7 @@
         }
         false => {
             front.book.borrow_mut().note_success(id);
+            note_whole(front, request, state);
             TryOutcome::Answered(answer)
         }
     }
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -42,7 +42,6 @@
 
 use bergamot_groups::DemandMeter;
 use bergamot_news::PeerPlace;
-use bergamot_quarantine::EndWatch;
 use bergamot_routing::{ReturnTimes, ServingOutage, UpstreamBook};
 use bergamot_types::prelude::*;
 
@@ -66,8 +65,6 @@
     pub returns: RefCell<ReturnTimes>,
     /// Repeats sent.
     pub budget: RefCell<RepeatBudget>,
-    /// Requests that were broken off at upstreams that may have ended.
-    pub ends: RefCell<EndWatch>,
     /// Requests in flight.
     pub in_flight: Rc<Cell<usize>>,
 }
@@ -89,7 +86,6 @@
             demand: RefCell::default(),
             returns: RefCell::default(),
             budget: RefCell::new(budget),
-            ends: RefCell::default(),
             in_flight: Rc::new(Cell::new(0)),
         }
     }
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -9,6 +9,7 @@
 use super::FrontContext;
 use super::admit::authorize;
 use super::attempt::SentRequest;
+use super::breaks::check_standing;
 use super::refusal::{CallRefusal, RETURN_NO_UPSTREAM};
 use super::state::CallState;
 use crate::view::ClusterView;
@@ -61,6 +62,7 @@
     let view: Arc<ClusterView> = front.shared.view.load_full();
     let config = view.config.as_ref().ok_or(ErrorKind::NoBundle)?;
     check_key(front, config, request, state, now)?;
+    check_standing(front, request, state)?;
     let no_upstream = CallRefusal::later(ErrorKind::NoUpstream, RETURN_NO_UPSTREAM);
     let pool = view.pools.get(&state.service).ok_or(no_upstream)?;
     let upstreams = match &request.call.model {
--- a/crates/gateway/src/front/refusal.rs
+++ b/crates/gateway/src/front/refusal.rs
@@ -12,6 +12,10 @@
 /// When to come back where no upstream serves: about the time in which a group is repaired.
 pub const RETURN_NO_UPSTREAM: Millis = Millis(600);
 
+/// When to come back with a request under which upstreams ended: nothing changes before an operator has looked, or
+/// the model has another version. Callers that come sooner are refused at once.
+pub const RETURN_QUARANTINED: Millis = Millis::from_secs(600);
+
 /// When to come back where this VM is stopping: at once, as another VM takes the request.
 pub const RETURN_STOPPING: Millis = Millis(50);
 
@@ -57,8 +61,9 @@
     let left = state.map(|state| state.deadline.since(now));
     let refusal = CallRefusal {
         retry_after: refusal.retry_after.map(|wait| match left {
-            Some(left) => wait.min(patience(left)),
-            None => wait,
+            // Within its patience nothing changes for it.
+            Some(left) if refusal.kind != ErrorKind::Quarantined => wait.min(patience(left)),
+            _ => wait,
         }),
         ..refusal
     };
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -11,7 +11,7 @@
 use super::FrontContext;
 use super::answer::{AnswerPiece, BrokenAnswer, CallerAnswer, relayed_body};
 use super::attempt::{OpenReply, SentRequest};
-use super::breaks::note_break;
+use super::breaks::{note_break, note_whole};
 use super::call::{count, open};
 use super::events::{EventSplitter, StreamEvent};
 use super::plan::plan;
@@ -91,7 +91,7 @@
                 NextEvent::CallerLeft => break "caller_left",
                 NextEvent::DeadlinePassed => break "deadline_exceeded_after_send",
                 NextEvent::Broken(cause, reason) => {
-                    self.note_broken(&reply, cause, &reason);
+                    self.note_broken(&reply, cause, &reason).await;
                     drop(reply);
                     match self.resume().await {
                         Some(next) => reply = next,
@@ -228,6 +228,7 @@
     fn finish(&self, reply: OpenReply) {
         let id = reply.upstream.life.clone();
         self.front.book.borrow_mut().note_success(&id);
+        note_whole(&self.front, &self.request, &self.state);
         if let Some(model) = &self.request.call.model {
             let took = self.front.now().since(reply.sent_at);
             self.front.returns.borrow_mut().note_answer(model, took);
@@ -240,8 +241,7 @@
         self.front.pool.give_back(&id, reply.connection, keep_alive);
     }
 
-    fn note_broken(&self, reply: &OpenReply, cause: BreakCause, reason: &str) {
-        note_break(&self.front, &self.request, &reply.upstream, cause);
+    async fn note_broken(&self, reply: &OpenReply, cause: BreakCause, reason: &str) {
         let now = self.front.now();
         self.front
             .book
@@ -261,6 +261,7 @@
             self.delivered,
             self.last_event.unwrap_or_default(),
         );
+        note_break(&self.front, &self.request, &reply.upstream, cause).await;
     }
 
     /// Opens the rest of the stream at another upstream.
@@ -294,7 +295,7 @@
                 }
                 Ok(reply) => {
                     let reason = reply.head.status.as_str();
-                    self.note_broken(&reply, BreakCause::Closed, reason);
+                    self.note_broken(&reply, BreakCause::Closed, reason).await;
                 }
                 Err(error) => log::info!(
                     "event=attempt_failed request={} print={} route={} upstream={} attempt={} outcome={} reason=\"{error}\"",
--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -4,16 +4,26 @@
 use std::time::Duration;
 
 use bergamot_ports::{ServingConfig, StoreCatalog, StoreEvent, StoreItem, UpstreamEntry};
+use bergamot_quarantine::QuarantineRecord;
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 
 use crate::own_keys::{
-    COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, HOLD_PREFIX, TERM_KEY, hold_from_bytes,
+    COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, HOLD_PREFIX, QUARANTINE_PREFIX, TERM_KEY,
+    hold_from_bytes,
 };
 
 /// Time after the store's return in which entries that lapsed meanwhile come back.
 const LAPSE_GRACE: Millis = Millis(2_000);
 
+/// A change of the records of requests under which upstreams ended.
+pub(crate) enum CrashNews {
+    /// A record with this key is there.
+    Written(String, QuarantineRecord),
+    /// There is none with this key any more.
+    Removed(String),
+}
+
 /// What was read so far.
 #[derive(Default)]
 pub(crate) struct KnownState {
@@ -32,6 +42,8 @@
     pub(crate) unreadable: IndexMap<UpstreamId, u64>,
     /// Upstreams that were taken out since [`Self::log_unlisted`].
     unlisted: Vec<UpstreamId>,
+    /// Records of requests under which upstreams ended, since they were last taken: written ones and removed ones.
+    crash_news: Vec<CrashNews>,
     /// Removed entries that may come back, and until when they are kept.
     pub(crate) lapsed: IndexMap<UpstreamId, Millis>,
     /// Whether the store did not answer the last call.
@@ -55,6 +67,8 @@
                     self.entries.shift_remove(vm);
                 } else if let Some(group) = key.strip_prefix(HOLD_PREFIX) {
                     self.holds.shift_remove(group);
+                } else if key.starts_with(QUARANTINE_PREFIX) {
+                    self.crash_news.push(CrashNews::Removed(key));
                 }
             }
         }
@@ -83,9 +97,28 @@
             && let Some(members) = hold_from_bytes(&item.value)
         {
             self.holds.insert(group.to_owned(), members);
+        } else if item.key.starts_with(QUARANTINE_PREFIX) {
+            self.apply_crash_record(item);
         }
     }
 
+    fn apply_crash_record(&mut self, item: &StoreItem) {
+        match QuarantineRecord::from_bytes(&item.value) {
+            Ok(record) => {
+                let key = item.key.clone();
+                self.crash_news.push(CrashNews::Written(key, record));
+            }
+            Err(error) => {
+                log::warn!("event=value_unreadable key={} reason=\"{error}\"", item.key);
+            }
+        }
+    }
+
+    /// Takes what was heard of requests under which upstreams ended.
+    pub(crate) fn take_crash_news(&mut self) -> Vec<CrashNews> {
+        std::mem::take(&mut self.crash_news)
+    }
+
     /// Takes over an upstream's entry, unless a later run of it is known: a write of the earlier one may arrive
     /// late.
     fn apply_entry(&mut self, entry: UpstreamEntry, revision: u64) {
--- a/crates/gateway/src/own_keys.rs
+++ b/crates/gateway/src/own_keys.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bergamot_ports::VmSite;
+use bergamot_quarantine::RequestPrint;
 use bergamot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +20,19 @@
 /// Below it each group whose members are held has a key with their ids.
 pub const HOLD_PREFIX: &str = "bergamot/hold/";
 
+/// Below it are records of requests under which upstreams ended. A VM that does not know them leaves them out.
+pub const QUARANTINE_PREFIX: &str = "bergamot/quarantine/";
+
+/// The key of a quarantine's record, the same whoever writes it.
+pub fn quarantine_key(print: RequestPrint) -> String {
+    format!("{QUARANTINE_PREFIX}held/{print}")
+}
+
+/// The key of a record that a process writes once: its VM, a number drawn at its start, and a count.
+pub fn crash_key(vm: &VmId, start: u32, count: u64) -> String {
+    format!("{QUARANTINE_PREFIX}seen/{vm}-{start:08x}-{count}")
+}
+
 /// Writes the ids of held members.
 pub fn hold_to_bytes(members: &[UpstreamId]) -> Vec<u8> {
     postcard::to_stdvec(members).unwrap_or_else(|error| {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,8 +7,10 @@
 use bergamot_groups::ModelUse;
 use bergamot_peer::QuietNotice;
 use bergamot_ports::{ServingBounds, VmSite};
+use bergamot_quarantine::{QuarantineRecord, QuarantineState};
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
+use parking_lot::Mutex;
 use tokio::sync::{mpsc, watch};
 
 use crate::clock::MonotonicClock;
@@ -59,11 +61,19 @@
     pub demand: ArcSwap<IndexMap<ModelName, ModelUse>>,
     /// Leaders from which nothing comes, for the coordinator.
     pub quiet: mpsc::Sender<QuietNotice>,
+    /// Requests under which upstreams ended.
+    pub quarantine: Mutex<QuarantineState>,
+    /// Records of them that are to be written to the store.
+    pub records: mpsc::Sender<QuarantineRecord>,
 }
 
 impl SharedState {
     /// The state of a process that has just started.
-    pub fn new(site: VmSite, quiet: mpsc::Sender<QuietNotice>) -> Arc<Self> {
+    pub fn new(
+        site: VmSite,
+        quiet: mpsc::Sender<QuietNotice>,
+        records: mpsc::Sender<QuarantineRecord>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             bounds: ArcSwap::from_pointee(site.bounds),
             site,
@@ -79,6 +89,8 @@
             stop_began: AtomicU64::new(0),
             demand: ArcSwap::default(),
             quiet,
+            quarantine: Mutex::default(),
+            records,
         })
     }
 
@@ -144,6 +156,13 @@
         self.config_age(now) < bound.since(CONFIRM_MARGIN)
     }
 
+    /// Whether this VM coordinates the groups.
+    pub fn is_coordinator(&self) -> bool {
+        let view = self.view.load();
+        let coordinator = view.coordinator.as_ref();
+        coordinator.is_some_and(|record| record.vm == self.site.vm.as_str())
+    }
+
     /// Whether some VM coordinates the groups.
     pub fn has_coordinator(&self) -> bool {
         self.view.load().coordinator.is_some()
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -8,6 +8,7 @@
 mod board;
 mod own;
 mod peers;
+mod quarantine;
 mod read;
 mod serve;
 
@@ -22,14 +23,17 @@
     KeyCondition, MAX_ENTRY_BYTES, StateStore, StoreCatalog, StoreError, StoreEvent, StoreTxn,
     TxnOutcome, WatchOutcome,
 };
+use bergamot_quarantine::QuarantineRecord;
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use self::ask::NewsCaller;
 use self::board::NewsBoard;
 use self::own::keep_own_key;
 use self::peers::{ASK_PERIOD, NewsError};
+use self::quarantine::{keep_records, take_news};
 use self::serve::serve_news;
 use crate::known::KnownState;
 use crate::shared::SharedState;
@@ -107,12 +111,18 @@
         }
     }
 
-    /// Runs for as long as the process does, and answers peers on `listener`.
-    pub async fn run(mut self, listener: std::net::TcpListener) {
+    /// Runs for as long as the process does, answers peers on `listener` and writes `records`.
+    pub async fn run(
+        mut self,
+        listener: std::net::TcpListener,
+        records: mpsc::Receiver<QuarantineRecord>,
+    ) {
         let (shared, board) = (Arc::clone(&self.shared), Rc::clone(&self.board));
         tokio::task::spawn_local(serve_news(shared, board, listener));
         let (shared, store) = (Arc::clone(&self.shared), Rc::clone(&self.store));
         tokio::task::spawn_local(keep_own_key(shared, store));
+        let (shared, store) = (Arc::clone(&self.shared), Rc::clone(&self.store));
+        tokio::task::spawn_local(keep_records(shared, store, records));
         loop {
             while !self.read_all().await {
                 tokio::time::sleep(RETRY_PERIOD).await;
@@ -335,6 +345,7 @@
     fn publish(&mut self) {
         self.rank_peers();
         self.known.log_unlisted();
+        take_news(&self.shared, self.known.take_crash_news());
         let known = &self.known;
         let mut board = self.board.borrow_mut();
         let told = board.config.as_ref().map(|item| item.revision);
--- /dev/null
+++ b/crates/gateway/src/sync/quarantine.rs
@@ -0,0 +1,171 @@
+//! Records of requests under which upstreams ended: writes those of this VM, takes over those of the others, and keeps
+//! them in order where this VM coordinates.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bergamot_ports::{KeyWrite, StateStore, StoreTxn};
+use bergamot_quarantine::{QuarantineAction, QuarantineEvent, QuarantineRecord};
+use tokio::sync::mpsc;
+
+use super::count_call;
+use crate::known::CrashNews;
+use crate::own_keys::{crash_key, quarantine_key};
+use crate::shared::SharedState;
+
+/// Time in which records are gathered for one call: streams of one upstream break off within it. Small against the
+/// seconds in which the other VMs must know.
+const GATHER_TIME: Duration = Duration::from_millis(30);
+/// Records that one call writes at most: what one transaction of the store holds.
+const MAX_WRITES: usize = 32;
+/// Time between two tries while the store does not take them.
+const RETRY_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two looks at what is too old or too many.
+const HOUSEKEEPING_PERIOD: Duration = Duration::from_secs(1);
+
+/// Takes over what was heard from the store.
+pub(super) fn take_news(shared: &SharedState, news: Vec<CrashNews>) {
+    if news.is_empty() {
+        return;
+    }
+    let now = shared.clock.now();
+    let mut quarantine = shared.quarantine.lock();
+    for change in &news {
+        let event = match change {
+            CrashNews::Written(key, record) => QuarantineEvent::Told { key, record },
+            CrashNews::Removed(key) => QuarantineEvent::Removed(key),
+        };
+        quarantine.handle(now, event);
+    }
+    let known = quarantine.known();
+    let held = quarantine.quarantined().len();
+    drop(quarantine);
+    shared.metrics.set_state("suspected_requests", known as i64);
+    shared
+        .metrics
+        .set_state("quarantined_requests", held as i64);
+}
+
+/// Writes records until the process ends. One that the store does not take is tried again: the other VMs must learn of
+/// it as soon as the store is back.
+pub(super) async fn keep_records<Store>(
+    shared: Arc<SharedState>,
+    store: Rc<Store>,
+    mut records: mpsc::Receiver<QuarantineRecord>,
+) where
+    Store: StateStore,
+{
+    let mut writer = RecordWriter {
+        shared,
+        store,
+        start: rand::random(),
+        count: 0,
+    };
+    let mut looks = tokio::time::interval(HOUSEKEEPING_PERIOD);
+    looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            record = records.recv() => {
+                let Some(record) = record else {
+                    return;
+                };
+                tokio::time::sleep(GATHER_TIME).await;
+                let mut gathered = vec![record];
+                while gathered.len() < MAX_WRITES
+                    && let Ok(record) = records.try_recv()
+                {
+                    gathered.push(record);
+                }
+                writer.keep(&gathered).await;
+            }
+            _ = looks.tick() => writer.keep_house().await,
+        }
+    }
+}
+
+struct RecordWriter<Store> {
+    shared: Arc<SharedState>,
+    store: Rc<Store>,
+    /// Tells this process's keys from those of the VM's earlier ones.
+    start: u32,
+    count: u64,
+}
+
+impl<Store> RecordWriter<Store>
+where
+    Store: StateStore,
+{
+    /// Writes these records, however long the store takes.
+    async fn keep(&mut self, records: &[QuarantineRecord]) {
+        let writes = records.iter().filter_map(|record| self.write(record));
+        let txn = StoreTxn {
+            writes: writes.collect(),
+            ..StoreTxn::default()
+        };
+        // Written twice, a record says the same.
+        while !self.commit(&txn).await {
+            tokio::time::sleep(RETRY_PERIOD).await;
+        }
+    }
+
+    fn write(&mut self, record: &QuarantineRecord) -> Option<KeyWrite> {
+        let key = match record {
+            QuarantineRecord::Quarantined { print, .. } => quarantine_key(*print),
+            QuarantineRecord::End { .. } | QuarantineRecord::Cleared { .. } => {
+                self.count += 1;
+                crash_key(&self.shared.site.vm, self.start, self.count)
+            }
+        };
+        match record.to_bytes() {
+            Ok(value) => Some(KeyWrite {
+                key,
+                value,
+                lease: 0,
+            }),
+            Err(error) => {
+                log::error!("event=record_not_written reason=\"{error}\"");
+                None
+            }
+        }
+    }
+
+    async fn commit(&self, txn: &StoreTxn) -> bool {
+        let outcome = self.store.commit(txn).await;
+        count_call(&self.shared, "quarantine", outcome.as_ref().err());
+        if let Err(error) = &outcome {
+            log::info!("event=record_not_written reason=\"{error}\"");
+        }
+        outcome.is_ok()
+    }
+
+    /// What is too old goes. In the store, where a quarantine gets a record that outlives the ends that led to it, one VM
+    /// does it for all.
+    async fn keep_house(&mut self) {
+        let now = self.shared.clock.now();
+        let coordinates = self.shared.is_coordinator();
+        let event = QuarantineEvent::Housekeeping { coordinates };
+        let actions = self.shared.quarantine.lock().handle(now, event);
+        let mut txn = StoreTxn::default();
+        for action in actions {
+            match action {
+                QuarantineAction::Keep(record) => {
+                    if let QuarantineRecord::Quarantined { print, lives } = &record {
+                        log::warn!("event=request_quarantined print={print} upstreams={lives:?}");
+                    }
+                    txn.writes.extend(self.write(&record));
+                }
+                QuarantineAction::Remove(keys) => txn.removes.extend(keys),
+                QuarantineAction::Probe(_)
+                | QuarantineAction::NoteEnd { .. }
+                | QuarantineAction::NoteStrike { .. } => {}
+            }
+        }
+        txn.removes
+            .truncate(MAX_WRITES.saturating_sub(txn.writes.len()));
+        if !txn.writes.is_empty() || !txn.removes.is_empty() {
+            // The next look tries what failed once more.
+            self.commit(&txn).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/quarantine/src/state.rs
@@ -0,0 +1,259 @@
+//! What one VM knows, what it does about it, and what it tells the others.
+
+use bergamot_types::prelude::*;
+use indexmap::IndexSet;
+
+use crate::ends::{BreakCause, BreakOutcome, EndEvidence, EndWatch};
+use crate::kept::KeptRecords;
+use crate::ledger::{CrashLedger, QuarantinedRequest, RequestStanding};
+use crate::print::RequestPrint;
+use crate::record::QuarantineRecord;
+
+/// Changes that are made to the store at once: what one of its transactions holds.
+const MAX_CHANGES: usize = 32;
+
+/// Something that happened.
+#[derive(Clone, Copy, Debug)]
+pub enum QuarantineEvent<'a> {
+    /// A request was broken off at an upstream that had not said that it was leaving.
+    Broken {
+        /// The upstream.
+        life: &'a UpstreamLife,
+        /// The request.
+        print: RequestPrint,
+        /// How.
+        cause: BreakCause,
+    },
+    /// Something shows that an upstream has ended.
+    Ended {
+        /// The upstream.
+        life: &'a UpstreamLife,
+        /// What shows it.
+        evidence: EndEvidence,
+    },
+    /// One upstream alone answered a request whole.
+    Answered(RequestPrint),
+    /// A record is in the store.
+    Told {
+        /// Its key.
+        key: &'a str,
+        /// What it says.
+        record: &'a QuarantineRecord,
+    },
+    /// A record is not in the store any more.
+    Removed(&'a str),
+    /// Some time has passed.
+    Housekeeping {
+        /// Whether it is this VM's duty to keep the records in the store in order.
+        coordinates: bool,
+    },
+}
+
+/// What is to be done.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum QuarantineAction {
+    /// Find out whether anything listens at this upstream.
+    Probe(UpstreamLife),
+    /// Log and count that this upstream ended.
+    NoteEnd {
+        /// The upstream.
+        life: UpstreamLife,
+        /// What shows it.
+        evidence: EndEvidence,
+    },
+    /// Log that a request has one more end against it.
+    NoteStrike {
+        /// The request.
+        print: RequestPrint,
+        /// The upstream that ended.
+        life: UpstreamLife,
+        /// The ends against it.
+        ends: usize,
+    },
+    /// Keep a record for the other VMs.
+    Keep(QuarantineRecord),
+    /// Remove records, by their keys.
+    Remove(Vec<String>),
+}
+
+/// What one VM knows of requests under which upstreams end.
+#[derive(Clone, Debug, Default)]
+pub struct QuarantineState {
+    ends: EndWatch,
+    ledger: CrashLedger,
+    kept: KeptRecords,
+}
+
+impl QuarantineState {
+    /// Takes in what happened and says what to do.
+    pub fn handle(&mut self, now: Millis, event: QuarantineEvent<'_>) -> Vec<QuarantineAction> {
+        match event {
+            QuarantineEvent::Broken { life, print, cause } => {
+                self.note_break(now, life, print, cause)
+            }
+            QuarantineEvent::Ended { life, evidence } => self.note_end(now, life, evidence),
+            QuarantineEvent::Answered(print) => self.clear(now, print),
+            QuarantineEvent::Told { key, record } => {
+                self.kept.note(now, key, record);
+                self.join(now, record);
+                Vec::new()
+            }
+            QuarantineEvent::Removed(key) => {
+                self.kept.forget(key);
+                Vec::new()
+            }
+            QuarantineEvent::Housekeeping { coordinates } => {
+                self.ledger.expire(now);
+                match coordinates {
+                    true => self.keep_house(now),
+                    false => Vec::new(),
+                }
+            }
+        }
+    }
+
+    /// Whether nothing is held against any request.
+    pub fn is_empty(&self) -> bool {
+        self.ledger.is_empty()
+    }
+
+    /// What may be done with a request.
+    pub fn standing(&self, print: RequestPrint) -> RequestStanding {
+        self.ledger.standing(print)
+    }
+
+    /// Whether one more end would change what may be done with a request, so that it is to be known before it is
+    /// repeated.
+    pub fn is_on_edge(&self, print: RequestPrint) -> bool {
+        self.ledger.open_ends(print) > 0
+    }
+
+    /// Notes that a request was refused as one in quarantine.
+    pub fn note_refused(&mut self, now: Millis, print: RequestPrint) {
+        self.ledger.note_refused(now, print);
+    }
+
+    /// Upstreams of which it is to be found out whether they ended.
+    pub fn awaited(&self) -> IndexSet<UpstreamLife> {
+        self.ends.awaited()
+    }
+
+    /// Requests in quarantine.
+    pub fn quarantined(&self) -> Vec<QuarantinedRequest> {
+        self.ledger.quarantined()
+    }
+
+    /// Requests under which upstreams ended, in quarantine or not.
+    pub fn known(&self) -> usize {
+        self.ledger.len()
+    }
+
+    fn note_break(
+        &mut self,
+        now: Millis,
+        life: &UpstreamLife,
+        print: RequestPrint,
+        cause: BreakCause,
+    ) -> Vec<QuarantineAction> {
+        match self.ends.note_break(now, life, print, cause) {
+            BreakOutcome::Ended => self.strike(now, life, &[print]),
+            BreakOutcome::Probe => vec![QuarantineAction::Probe(life.clone())],
+            BreakOutcome::Awaited => Vec::new(),
+        }
+    }
+
+    fn note_end(
+        &mut self,
+        now: Millis,
+        life: &UpstreamLife,
+        evidence: EndEvidence,
+    ) -> Vec<QuarantineAction> {
+        let Some(prints) = self.ends.note_end(now, life, evidence) else {
+            return Vec::new();
+        };
+        let life = life.clone();
+        let mut actions = vec![QuarantineAction::NoteEnd {
+            life: life.clone(),
+            evidence,
+        }];
+        actions.extend(self.strike(now, &life, &prints));
+        actions
+    }
+
+    fn strike(
+        &mut self,
+        now: Millis,
+        life: &UpstreamLife,
+        prints: &[RequestPrint],
+    ) -> Vec<QuarantineAction> {
+        let mut actions = vec![QuarantineAction::Keep(QuarantineRecord::End {
+            life: life.clone(),
+            prints: prints.to_vec(),
+        })];
+        for print in prints {
+            self.ledger.note_own(now, *print, life);
+            actions.push(QuarantineAction::NoteStrike {
+                print: *print,
+                life: life.clone(),
+                ends: self.ledger.open_ends(*print),
+            });
+        }
+        actions
+    }
+
+    /// Clears a request of all ends that are known. Of one end only the VM tells the others that has told them of the
+    /// end: a request that every VM answers many times a second would be told of by each.
+    fn clear(&mut self, now: Millis, print: RequestPrint) -> Vec<QuarantineAction> {
+        let lives = self.ledger.ends(print);
+        if lives.is_empty() {
+            return Vec::new();
+        }
+        let is_told =
+            self.ledger.is_own(print) || self.ledger.standing(print) > RequestStanding::Good;
+        self.ledger.clear(now, print, lives.iter().cloned());
+        match is_told {
+            true => vec![QuarantineAction::Keep(QuarantineRecord::Cleared {
+                print,
+                lives,
+            })],
+            false => Vec::new(),
+        }
+    }
+
+    fn join(&mut self, now: Millis, record: &QuarantineRecord) {
+        match record {
+            QuarantineRecord::End { life, prints } => {
+                for print in prints {
+                    self.ledger.note_end(now, *print, life);
+                }
+            }
+            QuarantineRecord::Cleared { print, lives } => {
+                self.ledger.clear(now, *print, lives.iter().cloned());
+            }
+            QuarantineRecord::Quarantined { print, lives } => {
+                for life in lives {
+                    self.ledger.note_end(now, *print, life);
+                }
+            }
+        }
+    }
+
+    fn keep_house(&mut self, now: Millis) -> Vec<QuarantineAction> {
+        let held = self.ledger.quarantined().into_iter();
+        let unkept = held.filter(|request| !self.kept.has_quarantine(request.print));
+        let mut actions: Vec<QuarantineAction> = unkept
+            .take(MAX_CHANGES)
+            .map(|request| {
+                QuarantineAction::Keep(QuarantineRecord::Quarantined {
+                    print: request.print,
+                    lives: request.ends,
+                })
+            })
+            .collect();
+        let overdue = self.kept.overdue(now, MAX_CHANGES);
+        if !overdue.is_empty() {
+            actions.push(QuarantineAction::Remove(overdue));
+        }
+        actions
+    }
+}
--- a/crates/types/src/kind.rs
+++ b/crates/types/src/kind.rs
@@ -121,6 +121,8 @@
     ShuttingDown: "shutting_down", 503, No, 1, "this entry VM is stopping";
     /// A fault of ours before anything was sent.
     Internal: "internal", 500, No, 1, "an internal fault";
+    /// Upstreams ended under this request, so it is sent to none any more.
+    Quarantined: "request_quarantined", 503, No, 600, "upstreams ended while they ran this request, and it is not sent to another one for now";
 }
 
 impl ErrorKind {
