fix: ages, leases and deadlines count the time in which a VM was suspended

Cause: the clock of all decisions was the steady one, which stands still while a VM is suspended: keys would be trusted, the coordinator's lease believed, news taken for fresh and idle connections used for as much longer. Class: a time that others rely on, measured by a clock that may miss a part of it. Ruled out: pacing of calls and looks, and the time for a caller's head, which may stand still (a test holds the list). Not played: a suspension of a real process, for which this machine has no means.

--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -1,3 +1,3 @@
-//! The monotonic clock as the decision crates see it.
+//! The clock as the decision crates see it.
 
-pub use bergamot_gateway::clock::MonotonicClock;
+pub use bergamot_gateway::clock::BootClock;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -18,7 +18,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
 
-use crate::clock::MonotonicClock;
+use crate::clock::BootClock;
 use crate::control::{ControlEvent, ControlOptions, ControlState};
 use crate::duty::{SharedState, admin, claims, control, peer, platform, probe};
 use crate::front::{self, FrontContext};
@@ -88,7 +88,7 @@
         );
         let shared = Arc::new(SharedState {
             incarnation,
-            clock: MonotonicClock::default(),
+            clock: BootClock::default(),
             metrics: EntryMetrics::new(),
             view: ArcSwap::from_pointee(RouteView::default()),
             routing: Mutex::new(routing),
--- a/crates/entry/src/duty/shared.rs
+++ b/crates/entry/src/duty/shared.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
-use crate::clock::MonotonicClock;
+use crate::clock::BootClock;
 use crate::control::{ControlEvent, ProbeTarget};
 use crate::metrics::EntryMetrics;
 use crate::ring::RingSender;
@@ -100,7 +100,7 @@
     /// This run of the daemon.
     pub incarnation: u64,
     /// The clock.
-    pub clock: MonotonicClock,
+    pub clock: BootClock,
     /// The metrics.
     pub metrics: EntryMetrics,
     /// The newest snapshot of routes.
--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -1,7 +1,5 @@
 //! Finds the route and the account of a call, and reads its body.
 
-use std::time::Duration;
-
 use bergamot_ports::{CallerCall, Route, ServingConfig};
 use bergamot_routing::patience;
 use bergamot_types::prelude::*;
@@ -134,12 +132,11 @@
     None
 }
 
-pub async fn read_body(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, ErrorKind> {
-    let whole = tokio::time::timeout(time, Limited::new(body, limit).collect()).await;
-    match whole {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ErrorKind::TooLarge),
-        Ok(Err(_)) => Err(ErrorKind::BadRequest),
-        Err(_) => Err(ErrorKind::RequestTimeout),
+/// Reads a body of so many bytes at most.
+pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ErrorKind> {
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(ErrorKind::TooLarge),
+        Err(_) => Err(ErrorKind::BadRequest),
     }
 }
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -16,12 +16,17 @@
 use super::answer::{CallerAnswer, whole_body};
 use super::attempt::{AttemptError, OpenReply, SentRequest, send};
 use super::breaks::{note_break, note_no_listener, note_whole};
+use super::deadline::before;
 use super::plan::plan;
 use super::quiet::{LOOK_PERIOD, look_quiet, report_quiet};
 use super::refusal::{log_refusal, refuse};
 use super::relay::relay_events;
 use super::state::CallState;
 
+/// Time between two looks at the deadline of a request to a plain service: timers stand still while the VM is suspended,
+/// and its caller goes on.
+const PLAIN_LOOK: Millis = Millis(500);
+
 /// Answers a request.
 pub async fn answer<Dialect>(
     front: Rc<FrontContext<Dialect>>,
@@ -45,8 +50,9 @@
         Ok(admitted) => (admitted.state, admitted.caller),
         Err(refusal) => return log_refusal(&front, &id, None, refusal),
     };
-    let left = state.deadline.since(arrived).as_duration();
-    let body = match read_body(body, limit, left).await {
+    let read = read_body(body, limit);
+    let read = before(front.shared.clock, state.deadline, read).await;
+    let body = match read.unwrap_or(Err(ErrorKind::RequestTimeout)) {
         Ok(body) => body,
         Err(kind) => return log_refusal(&front, &id, Some(&state), kind.into()),
     };
@@ -172,7 +178,7 @@
         let now = front.now();
         let pause = match is_engine {
             true => LOOK_PERIOD.min(state.deadline.since(now)),
-            false => state.deadline.since(now),
+            false => PLAIN_LOOK.min(state.deadline.since(now)),
         };
         match tokio::time::timeout(pause.as_duration(), &mut sent).await {
             Ok(outcome) => {
@@ -262,8 +268,8 @@
 where
     Dialect: CallerDialect + 'static,
 {
-    let left = state.deadline.since(front.now()).as_duration();
-    let body = tokio::time::timeout(left, reply.body.collect()).await;
+    let clock = front.shared.clock;
+    let body = before(clock, state.deadline, reply.body.collect()).await;
     drop(reply.flight);
     let broken = |reason: String| {
         let now = front.now();
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -8,6 +8,7 @@
 //! | [`call`] | one request from its head to its answer |
 //! | [`state`] | where a request stands |
 //! | [`plan`] | the next upstream for a request |
+//! | [`deadline`] | waits that end at a deadline |
 //! | [`attempt`] | one try at one upstream |
 //! | [`relay`] | a stream of events, over several upstreams if need be |
 //! | [`breaks`] | whether an upstream ended when a request was broken off at it |
@@ -24,6 +25,7 @@
 pub mod breaks;
 pub mod budget;
 pub mod call;
+pub mod deadline;
 pub mod events;
 pub mod exchange;
 pub mod flight;
@@ -79,9 +81,9 @@
             millicores: shared.site.millicores,
         };
         Self {
+            pool: Rc::new(ConnectionPool::new(shared.clock)),
             shared,
             dialect,
-            pool: Rc::new(ConnectionPool::default()),
             book: Rc::new(RefCell::new(UpstreamBook::new(place))),
             demand: RefCell::default(),
             returns: RefCell::default(),
--- a/crates/gateway/src/front/pool.rs
+++ b/crates/gateway/src/front/pool.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bergamot_types::prelude::*;
 use bytes::Bytes;
@@ -15,6 +15,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::clock::BootClock;
+
 /// Time for a connection to be set up. A lost opening packet comes again after a second, by when
 /// another upstream would have answered; one that lives takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -53,16 +55,25 @@
 
 struct IdleConnection {
     connection: UpstreamConnection,
-    expires_at: Instant,
+    expires_at: Millis,
 }
 
 /// Idle connections by upstream.
-#[derive(Default)]
 pub struct ConnectionPool {
+    /// Upstreams go on closing idle connections while this VM is suspended.
+    clock: BootClock,
     idle: RefCell<IndexMap<UpstreamLife, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
+    /// A pool without connections.
+    pub fn new(clock: BootClock) -> Self {
+        Self {
+            clock,
+            idle: RefCell::default(),
+        }
+    }
+
     /// An idle connection, or a new one.
     ///
     /// # Errors
@@ -91,7 +102,7 @@
 
     /// Upstreams to which a connection is open that nobody uses.
     pub fn idle(&self) -> Vec<UpstreamLife> {
-        let now = Instant::now();
+        let now = self.clock.now();
         let pool = self.idle.borrow();
         let usable = pool
             .iter()
@@ -102,7 +113,7 @@
     fn take_idle(&self, life: &UpstreamLife) -> Option<UpstreamConnection> {
         let mut pool = self.idle.borrow_mut();
         let idle = pool.get_mut(life)?;
-        let now = Instant::now();
+        let now = self.clock.now();
         while let Some(last) = idle.pop() {
             let is_usable = last.expires_at > now
                 && last.connection.sender.is_ready()
@@ -124,7 +135,7 @@
     ) {
         let idle = keep_alive.map_or(DEFAULT_IDLE, Duration::from_secs);
         let idle = idle.saturating_sub(IDLE_MARGIN);
-        let expires_at = Instant::now() + idle;
+        let expires_at = self.clock.now() + Millis(idle.as_millis() as u64);
         let pool = Rc::clone(self);
         let life = life.clone();
         tokio::task::spawn_local(async move {
@@ -145,7 +156,7 @@
     where
         Keep: Fn(&UpstreamLife) -> bool,
     {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut pool = self.idle.borrow_mut();
         pool.retain(|life, idle| {
             idle.retain(|it| it.expires_at > now);
--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -1,7 +1,7 @@
 //! Carries out what the coordinator wants done, and tells it what became of it.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bergamot_groups::{AskOutcome, GroupAction, GroupPlanner};
 use bergamot_ports::{
@@ -11,6 +11,7 @@
 use bergamot_types::prelude::*;
 use tokio::sync::Semaphore;
 
+use crate::clock::BootClock;
 use crate::own_keys::{HOLD_PREFIX, hold_to_bytes};
 use crate::shared::SharedState;
 
@@ -36,6 +37,7 @@
     store: Rc<Store>,
     control: Rc<Control>,
     calls: Rc<Semaphore>,
+    clock: BootClock,
     action: GroupAction,
 ) -> DoneAction
 where
@@ -56,9 +58,9 @@
             DoneAction::Held(group, members, kept.is_ok())
         }
         GroupAction::Order(request) => {
-            let began = Instant::now();
+            let began = clock.now();
             let outcome = match control.order(&request).await {
-                OrderOutcome::Unknown(_) if stood_still(began, Control::ORDER_TIME) => {
+                OrderOutcome::Unknown(_) if stood_still(clock, began, Control::ORDER_TIME) => {
                     OrderOutcome::Unheard
                 }
                 outcome => outcome,
@@ -66,11 +68,11 @@
             DoneAction::Ordered(request, outcome)
         }
         GroupAction::Ask(target) => {
-            let began = Instant::now();
+            let began = clock.now();
             let outcome = match control.report(&target).await {
                 Ok(report) => AskOutcome::Answered(report),
                 Err(ControlError::Gone) => AskOutcome::Gone,
-                Err(ControlError::Silent(_)) if stood_still(began, Control::REPORT_TIME) => {
+                Err(ControlError::Silent(_)) if stood_still(clock, began, Control::REPORT_TIME) => {
                     AskOutcome::Unheard
                 }
                 Err(ControlError::Silent(reason)) => {
@@ -94,9 +96,9 @@
 }
 
 /// Whether a call that began at `began` and has `time` ran out late: then this process had no share
-/// of the processor, and the answer may have waited for it.
-fn stood_still(began: Instant, time: Duration) -> bool {
-    began.elapsed() > time + STALL_MARGIN
+/// of the processor or its VM was suspended, and the answer may have waited for it.
+fn stood_still(clock: BootClock, began: Millis, time: Duration) -> bool {
+    clock.now().since(began).as_duration() > time + STALL_MARGIN
 }
 
 /// Keeps held members in the store for longer than the time they are held.
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -304,7 +304,8 @@
         action: GroupAction,
     ) -> impl Future<Output = DoneAction> + use<Store, Control> {
         let (store, control) = (Rc::clone(&self.store), Rc::clone(&self.control));
-        act(store, control, Rc::clone(&self.calls), action)
+        let clock = self.shared.clock;
+        act(store, control, Rc::clone(&self.calls), clock, action)
     }
 
     /// Renews the lease. False when it is lost.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,4 +21,4 @@
 pub mod view;
 
 pub use daemon::GatewayDaemon;
-pub use front::{budget, flight};
+pub use front::{budget, deadline, flight};
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -13,7 +13,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, watch};
 
-use crate::clock::MonotonicClock;
+use crate::clock::BootClock;
 use crate::metrics::GatewayMetrics;
 use crate::view::ClusterView;
 
@@ -38,7 +38,7 @@
     /// The bounds in force; a reload changes them.
     bounds: ArcSwap<ServingBounds>,
     /// The clock of all times here.
-    pub clock: MonotonicClock,
+    pub clock: BootClock,
     /// The metrics.
     pub metrics: GatewayMetrics,
     /// What was read from the store.
@@ -73,11 +73,21 @@
         site: VmSite,
         quiet: mpsc::Sender<QuietNotice>,
         records: mpsc::Sender<QuarantineRecord>,
+    ) -> Arc<Self> {
+        Self::with_clock(site, quiet, records, BootClock::default())
+    }
+
+    /// The same with this clock.
+    pub fn with_clock(
+        site: VmSite,
+        quiet: mpsc::Sender<QuietNotice>,
+        records: mpsc::Sender<QuarantineRecord>,
+        clock: BootClock,
     ) -> Arc<Self> {
         Arc::new(Self {
             bounds: ArcSwap::from_pointee(site.bounds),
             site,
-            clock: MonotonicClock::default(),
+            clock,
             metrics: GatewayMetrics::new(),
             view: ArcSwap::from_pointee(ClusterView::default()),
             view_changed: watch::channel(0).0,
--- a/crates/quarantine/src/ends.rs
+++ b/crates/quarantine/src/ends.rs
@@ -5,7 +5,7 @@
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 
-use crate::print::RequestPrint;
+use crate::fingerprint::RequestPrint;
 
 /// Time after a break in which evidence that the upstream ended counts: the directory drops an entry 3.6 s after the
 /// last heartbeat and may be read a second later. After it, an end has nothing to do with the break.
--- a/crates/quarantine/src/kept.rs
+++ b/crates/quarantine/src/kept.rs
@@ -3,7 +3,7 @@
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 
-use crate::print::RequestPrint;
+use crate::fingerprint::RequestPrint;
 use crate::record::QuarantineRecord;
 
 /// Time after which a record of ends, or of what clears a request, is removed. A request that ends three upstreams in it
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -3,7 +3,7 @@
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 
-use crate::print::RequestPrint;
+use crate::fingerprint::RequestPrint;
 
 /// Upstreams that end under a request before it is refused. One end has other causes as a rule, and a request that
 /// stood beside a harmful one by chance has one or two: of 26 that stand beside it at one of seven leaders, four go on
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! | module | what it knows |
 //! | --- | --- |
-//! | [`print`] | which requests are the same one |
+//! | [`fingerprint`] | which requests are the same one |
 //! | [`ends`] | which upstreams ended under which requests, and by what evidence |
 //! | [`ledger`] | how many upstreams ended under a request, and when it is sent no more |
 //! | [`record`] | what entry VMs keep for each other in the store |
@@ -18,15 +18,16 @@
 #![forbid(unsafe_code)]
 
 pub mod ends;
+pub mod fingerprint;
 pub mod kept;
 pub mod ledger;
-pub mod print;
+
 pub mod record;
 pub mod state;
 
 pub use ends::{BreakCause, BreakOutcome, EndEvidence, EndWatch};
+pub use fingerprint::RequestPrint;
 pub use kept::KeptRecords;
 pub use ledger::{CrashLedger, RequestStanding};
-pub use print::RequestPrint;
 pub use record::{QuarantineRecord, RecordError};
 pub use state::{QuarantineAction, QuarantineEvent, QuarantineState};
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -3,7 +3,7 @@
 use bergamot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::print::RequestPrint;
+use crate::fingerprint::RequestPrint;
 
 /// A record, each under a key of its own that is written once.
 ///
--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -4,9 +4,9 @@
 use indexmap::IndexSet;
 
 use crate::ends::{BreakCause, BreakOutcome, EndEvidence, EndWatch};
+use crate::fingerprint::RequestPrint;
 use crate::kept::KeptRecords;
 use crate::ledger::{CrashLedger, QuarantinedRequest, RequestStanding};
-use crate::print::RequestPrint;
 use crate::record::QuarantineRecord;
 
 /// Changes that are made to the store at once: what one of its transactions holds.
