feat: operators list requests in quarantine and let one go

bergamotctl quarantine and release, by the records in the store; released with a mended runner it is sent again, and ends count anew.

--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod files;
 pub mod log_line;
 pub mod publish;
+pub mod quarantine;
 pub mod roll;
 pub mod status;
 pub mod story;
--- /dev/null
+++ b/crates/ctl/src/quarantine.rs
@@ -0,0 +1,82 @@
+//! Requests that are refused because upstreams ended while they ran them.
+
+use anyhow::{Context, bail};
+use bergamot_gateway::own_keys::{QUARANTINE_PREFIX, quarantine_key};
+use bergamot_ports::{KeyWrite, StateStore, StoreTxn, TxnOutcome};
+use bergamot_quarantine::{QuarantineRecord, RequestPrint};
+use bergamot_types::prelude::*;
+use serde::Serialize;
+
+/// A request in quarantine, as the coordinator wrote it down.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize)]
+pub struct HeldRequest {
+    /// Which; log lines name it too.
+    pub print: String,
+    /// Since when, in milliseconds since 1970.
+    pub since: UnixMillis,
+    /// The upstreams that ended under it.
+    pub upstreams: Vec<UpstreamLife>,
+}
+
+/// Requests in quarantine.
+///
+/// # Errors
+/// When the store does not answer.
+pub async fn list_held<Store>(store: &Store) -> anyhow::Result<Vec<HeldRequest>>
+where
+    Store: StateStore,
+{
+    let range = store.range(QUARANTINE_PREFIX).await?;
+    let records = range.items.iter().filter_map(|item| {
+        // One of a later version is not for this program.
+        QuarantineRecord::from_bytes(&item.value).ok()
+    });
+    let held = records.filter_map(|record| match record {
+        QuarantineRecord::Quarantined {
+            print,
+            lives,
+            since,
+        } => Some(HeldRequest {
+            print: print.to_string(),
+            since,
+            upstreams: lives,
+        }),
+        QuarantineRecord::End { .. } | QuarantineRecord::Cleared { .. } => None,
+    });
+    Ok(held.collect())
+}
+
+/// Lets a request go: it is sent again like any other, at all VMs within about a second. Upstreams that end under it from
+/// then on count anew.
+///
+/// # Errors
+/// When it is not in quarantine, or the store does not answer.
+pub async fn release<Store>(store: &Store, print: RequestPrint) -> anyhow::Result<()>
+where
+    Store: StateStore,
+{
+    let held = list_held(store).await?;
+    let name = print.to_string();
+    let Some(request) = held.into_iter().find(|it| it.print == name) else {
+        bail!("{print} is not in quarantine");
+    };
+    let cleared = QuarantineRecord::Cleared {
+        print,
+        lives: request.upstreams,
+    };
+    let drawn: u64 = rand::random();
+    let txn = StoreTxn {
+        writes: vec![KeyWrite {
+            key: format!("{QUARANTINE_PREFIX}seen/operator-{drawn:016x}"),
+            value: cleared.to_bytes()?,
+            lease: 0,
+        }],
+        removes: vec![quarantine_key(print)],
+        ..StoreTxn::default()
+    };
+    let outcome = store.commit(&txn).await;
+    match outcome.context("the outcome is not known; list what is in quarantine")? {
+        TxnOutcome::Done(_) => Ok(()),
+        other => bail!("nothing was changed: {other:?}"),
+    }
+}
--- a/crates/gateway/src/sync/quarantine.rs
+++ b/crates/gateway/src/sync/quarantine.rs
@@ -3,10 +3,11 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bergamot_ports::{KeyWrite, StateStore, StoreTxn};
 use bergamot_quarantine::{QuarantineAction, QuarantineEvent, QuarantineRecord};
+use bergamot_types::prelude::*;
 use tokio::sync::mpsc;
 
 use super::count_call;
@@ -84,6 +85,11 @@
     }
 }
 
+fn time_of_day() -> UnixMillis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    UnixMillis(since.map_or(0, |since| since.as_millis() as u64))
+}
+
 struct RecordWriter<Store> {
     shared: Arc<SharedState>,
     store: Rc<Store>,
@@ -143,14 +149,14 @@
     /// does it for all.
     async fn keep_house(&mut self) {
         let now = self.shared.clock.now();
-        let coordinates = self.shared.is_coordinator();
-        let event = QuarantineEvent::Housekeeping { coordinates };
+        let coordinates_at = self.shared.is_coordinator().then(time_of_day);
+        let event = QuarantineEvent::Housekeeping { coordinates_at };
         let actions = self.shared.quarantine.lock().handle(now, event);
         let mut txn = StoreTxn::default();
         for action in actions {
             match action {
                 QuarantineAction::Keep(record) => {
-                    if let QuarantineRecord::Quarantined { print, lives } = &record {
+                    if let QuarantineRecord::Quarantined { print, lives, .. } = &record {
                         log::warn!("event=request_quarantined print={print} upstreams={lives:?}");
                     }
                     txn.writes.extend(self.write(&record));
--- a/crates/quarantine/src/kept.rs
+++ b/crates/quarantine/src/kept.rs
@@ -1,7 +1,7 @@
 //! Which records in the store are too old or too many.
 
 use bergamot_types::prelude::*;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 use crate::fingerprint::RequestPrint;
 use crate::record::QuarantineRecord;
@@ -9,8 +9,6 @@
 /// Time after which a record of ends, or of what clears a request, is removed. A request that ends three upstreams in it
 /// is in quarantine, which has a record of its own.
 const RECORD_TIME: Millis = Millis::from_secs(3_600);
-/// Time after which a record of a quarantine is removed.
-const QUARANTINE_TIME: Millis = Millis::from_secs(24 * 3_600);
 /// Records of ends and clearings at most: 400 ends seen by ten VMs each. The oldest go first.
 const MAX_RECORDS: usize = 4_096;
 /// Records of quarantines at most: as many requests as a VM remembers in quarantine. Once there are so many no further
@@ -22,44 +20,49 @@
 pub struct KeptRecords {
     /// By key: when this VM first heard of it.
     records: IndexMap<String, Millis>,
-    quarantines: IndexMap<String, Millis>,
-    quarantined: IndexSet<RequestPrint>,
+    /// Requests in quarantine, and the keys of their records.
+    quarantines: IndexMap<RequestPrint, String>,
 }
 
 impl KeptRecords {
     /// Notes a record that is in the store.
     pub fn note(&mut self, now: Millis, key: &str, record: &QuarantineRecord) {
-        let kept = match record {
+        let key = key.to_owned();
+        match record {
             QuarantineRecord::Quarantined { print, .. } => {
-                self.quarantined.insert(*print);
-                &mut self.quarantines
+                self.quarantines.insert(*print, key);
             }
-            QuarantineRecord::End { .. } | QuarantineRecord::Cleared { .. } => &mut self.records,
-        };
-        kept.entry(key.to_owned()).or_insert(now);
+            QuarantineRecord::End { .. } | QuarantineRecord::Cleared { .. } => {
+                self.records.entry(key).or_insert(now);
+            }
+        }
     }
 
     /// Notes that a record is not in the store any more.
     pub fn forget(&mut self, key: &str) {
         self.records.shift_remove(key);
-        self.quarantines.shift_remove(key);
+        self.quarantines.retain(|_, kept| kept != key);
     }
 
     /// Whether a quarantine has a record, or there is no room for one.
     pub fn has_quarantine(&self, print: RequestPrint) -> bool {
-        self.quarantined.contains(&print) || self.quarantines.len() >= MAX_QUARANTINES
+        self.quarantines.contains_key(&print) || self.quarantines.len() >= MAX_QUARANTINES
     }
 
-    /// Keys of records to be removed, at most `most`, the oldest first.
-    pub fn overdue(&self, now: Millis, most: usize) -> Vec<String> {
+    /// Keys of records to be removed, at most `most`, the oldest first. `is_held` says whether a request is still in
+    /// quarantine.
+    pub fn overdue<Held>(&self, now: Millis, is_held: Held, most: usize) -> Vec<String>
+    where
+        Held: Fn(RequestPrint) -> bool,
+    {
         let surplus = self.records.len().saturating_sub(MAX_RECORDS);
         let records = self.records.iter().enumerate();
         let records =
             records.filter(|(place, (_, at))| *place < surplus || now.since(**at) >= RECORD_TIME);
         let records = records.map(|(_, (key, _))| key);
         let quarantines = self.quarantines.iter();
-        let quarantines = quarantines.filter(|(_, at)| now.since(**at) >= QUARANTINE_TIME);
-        let quarantines = quarantines.map(|(key, _)| key);
+        let quarantines = quarantines.filter(|(print, _)| !is_held(**print));
+        let quarantines = quarantines.map(|(_, key)| key);
         records.chain(quarantines).take(most).cloned().collect()
     }
 }
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -30,6 +30,8 @@
         print: RequestPrint,
         /// The upstreams that ended under it.
         lives: Vec<UpstreamLife>,
+        /// When it began by the writer's time of day. For people: nothing goes by it.
+        since: UnixMillis,
     },
 }
 
--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -44,8 +44,9 @@
     Removed(&'a str),
     /// Some time has passed.
     Housekeeping {
-        /// Whether it is this VM's duty to keep the records in the store in order.
-        coordinates: bool,
+        /// The time of day, where it is this VM's duty to keep the records in the store in order; for people who read
+        /// them.
+        coordinates_at: Option<UnixMillis>,
     },
 }
 
@@ -102,12 +103,10 @@
                 self.kept.forget(key);
                 Vec::new()
             }
-            QuarantineEvent::Housekeeping { coordinates } => {
+            QuarantineEvent::Housekeeping { coordinates_at } => {
                 self.ledger.expire(now);
-                match coordinates {
-                    true => self.keep_house(now),
-                    false => Vec::new(),
-                }
+                let coordinates = coordinates_at.map(|today| self.keep_house(now, today));
+                coordinates.unwrap_or_default()
             }
         }
     }
@@ -230,7 +229,7 @@
             QuarantineRecord::Cleared { print, lives } => {
                 self.ledger.clear(now, *print, lives.iter().cloned());
             }
-            QuarantineRecord::Quarantined { print, lives } => {
+            QuarantineRecord::Quarantined { print, lives, .. } => {
                 for life in lives {
                     self.ledger.note_end(now, *print, life);
                 }
@@ -238,7 +237,7 @@
         }
     }
 
-    fn keep_house(&mut self, now: Millis) -> Vec<QuarantineAction> {
+    fn keep_house(&self, now: Millis, today: UnixMillis) -> Vec<QuarantineAction> {
         let held = self.ledger.quarantined().into_iter();
         let unkept = held.filter(|request| !self.kept.has_quarantine(request.print));
         let mut actions: Vec<QuarantineAction> = unkept
@@ -247,10 +246,12 @@
                 QuarantineAction::Keep(QuarantineRecord::Quarantined {
                     print: request.print,
                     lives: request.ends,
+                    since: today,
                 })
             })
             .collect();
-        let overdue = self.kept.overdue(now, MAX_CHANGES);
+        let is_held = |print| self.standing(print) == RequestStanding::Quarantined;
+        let overdue = self.kept.overdue(now, is_held, MAX_CHANGES);
         if !overdue.is_empty() {
             actions.push(QuarantineAction::Remove(overdue));
         }
--- a/crates/quarantine/tests/state.rs
+++ b/crates/quarantine/tests/state.rs
@@ -8,8 +8,11 @@
 
 const NOW: Millis = Millis(10_000);
 const HOUR: Millis = Millis::from_secs(3_600);
+const TODAY: UnixMillis = UnixMillis(1_700_000_000_000);
 /// At the VM that coordinates.
-const HOUSEKEEPING: QuarantineEvent<'static> = QuarantineEvent::Housekeeping { coordinates: true };
+const HOUSEKEEPING: QuarantineEvent<'static> = QuarantineEvent::Housekeeping {
+    coordinates_at: Some(TODAY),
+};
 
 fn print(number: u64) -> RequestPrint {
     RequestPrint::of(None, "/history", &number.to_le_bytes())
@@ -268,7 +271,9 @@
         if case.is_refused_meanwhile {
             vm.note_refused(NOW + HOUR, print(7));
         }
-        let event = QuarantineEvent::Housekeeping { coordinates: false };
+        let event = QuarantineEvent::Housekeeping {
+            coordinates_at: None,
+        };
         vm.handle(NOW + case.age, event);
         assert_eq!(vm.is_on_edge(print(7)), case.is_known, "{}", case.name);
     }
@@ -287,6 +292,7 @@
     let expected = QuarantineRecord::Quarantined {
         print: print(7),
         lives: (1..=3).map(life).collect(),
+        since: TODAY,
     };
     assert_eq!(held, std::slice::from_ref(&expected));
     let key = "held";
@@ -299,8 +305,16 @@
     let keys = (0..3).map(|number| number.to_string()).collect();
     assert_eq!(removed, [QuarantineAction::Remove(keys)]);
     let mut started = QuarantineState::default();
-    tell(&mut started, later, &[expected]);
+    tell(&mut started, later, std::slice::from_ref(&expected));
     assert_eq!(started.standing(print(7)), RequestStanding::Quarantined);
+    // Once the request is cleared, its record goes.
+    let cleared = QuarantineRecord::Cleared {
+        print: print(7),
+        lives: (1..=3).map(life).collect(),
+    };
+    tell(&mut vm, NOW, &[cleared]);
+    let removed = vm.handle(NOW, HOUSEKEEPING);
+    assert_eq!(removed, [QuarantineAction::Remove(vec![key.to_owned()])]);
 }
 
 #[test]
