test: the soak sends requests that end each upstream that runs them, beside its other faults

The bound is checked from what upstreams saw: three runs at most later than 3 s after the third end, from processes whose links are whole. Faults of earlier seeds stay what they were.

--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -113,6 +113,13 @@
         /// Both leaders, or the leader and the other group.
         leaders: [String; 2],
     },
+    /// A request under which upstreams end reached more of them than it may.
+    NotBounded {
+        /// The number of the request.
+        number: usize,
+        /// How often it reached one after all could know.
+        late: usize,
+    },
     /// Some time after the last fault a process does not serve.
     NotBack {
         /// The process.
@@ -170,6 +177,12 @@
             | FaultKind::EngineDies(_)
             | FaultKind::EngineBreaksOff(..)
             | FaultKind::EngineLeaves(_) => runs.iter().any(|(run, _)| run.is_engine()),
+            FaultKind::HarmfulRequest(UpstreamRole::Engine, _) => {
+                runs.iter().any(|(run, _)| run.is_engine())
+            }
+            FaultKind::HarmfulRequest(UpstreamRole::Desk, _) => {
+                runs.iter().any(|(run, _)| !run.is_engine())
+            }
             FaultKind::Restarts(UpstreamRole::Engine, _)
             | FaultKind::RestartsCutOff(UpstreamRole::Engine, _) => {
                 runs.iter().any(|(run, _)| run.is_engine())
@@ -209,6 +222,7 @@
             found.extend(self.check_unnamed(record));
         }
         found.extend(self.check_order());
+        found.extend(self.check_harmful());
         found
     }
 
@@ -216,7 +230,7 @@
         self.seen.get(&record.id).map_or(0, Vec::len)
     }
 
-    fn is_troubled(&self, entry: usize, from: Instant, until: Instant) -> bool {
+    pub(crate) fn is_troubled(&self, entry: usize, from: Instant, until: Instant) -> bool {
         let mut troubles = self.troubles.iter();
         troubles.any(|trouble| trouble.befalls(entry) && trouble.overlaps(from, until))
     }
--- a/crates/soak/src/bin/bergamot-soak.rs
+++ b/crates/soak/src/bin/bergamot-soak.rs
@@ -32,6 +32,12 @@
     );
     options.optopt("", "entries", "processes (6)", "COUNT");
     options.optopt("", "faults", "faults in a run (16)", "COUNT");
+    options.optopt(
+        "",
+        "harmful",
+        "requests that end each upstream that runs them (1)",
+        "COUNT",
+    );
     options.optopt("", "seconds", "time in which faults begin (12)", "SECONDS");
     options.optopt(
         "",
@@ -101,6 +107,7 @@
     Ok(SoakOptions {
         entries: matches.opt_get_default("entries", usual.entries)?,
         faults: matches.opt_get_default("faults", usual.faults)?,
+        harmful: matches.opt_get_default("harmful", usual.harmful)?,
         length: Duration::from_secs(seconds),
         ..usual
     })
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -19,8 +19,9 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::TcpStream;
 
+use crate::harmful::MARKER;
 use crate::process::EntryPlace;
-use crate::site::{LASTING_KEY, SoakSite};
+use crate::site::{LASTING_KEY, SoakSite, UpstreamRole};
 
 /// The deadline of each request.
 pub const DEADLINE: Duration = Duration::from_millis(4_000);
@@ -33,6 +34,9 @@
 /// One request in so many goes with the key that changes, or with one that was taken away.
 const PROBE_SHARE: u32 = 6;
 
+/// Events of a harmful stream: more than there is time for before its upstream ends.
+const HARMFUL_EVENTS: u64 = 60;
+
 /// What a request is for.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum RequestKind {
@@ -42,6 +46,8 @@
     Bid,
     /// A stream that may be resumed, to a group; of so many events.
     Stream(u64),
+    /// Ends each upstream that runs it: a stream, or idempotent; the same number is the same request.
+    Harmful(UpstreamRole, usize),
 }
 
 /// How a request ended for its caller.
@@ -217,11 +223,13 @@
         RequestKind::Read => (Method::GET, format!("/read/{id}")),
         RequestKind::Bid => (Method::POST, format!("/bid/{id}")),
         RequestKind::Stream(_) => (Method::POST, format!("/stream/{id}")),
+        RequestKind::Harmful(role, number) => (Method::POST, harmful_path(role, number)),
     };
     let mut builder = Request::builder().method(method).uri(path);
     let answer_tokens = match kind {
         RequestKind::Stream(events) => Some(events * EVENT_TOKENS),
-        RequestKind::Read | RequestKind::Bid => None,
+        RequestKind::Harmful(UpstreamRole::Engine, _) => Some(HARMFUL_EVENTS * EVENT_TOKENS),
+        RequestKind::Harmful(UpstreamRole::Desk, _) | RequestKind::Read | RequestKind::Bid => None,
     };
     let sample = SampleRequest {
         id,
@@ -233,6 +241,7 @@
     }
     let body = match kind {
         RequestKind::Read => Bytes::new(),
+        RequestKind::Harmful(..) => Bytes::from_static(MARKER.as_bytes()),
         _ => Bytes::from(id.to_owned()),
     };
     builder.body(Full::new(body)).ok()
@@ -258,13 +267,27 @@
     }
 }
 
+fn harmful_path(role: UpstreamRole, number: usize) -> String {
+    match role {
+        UpstreamRole::Engine => format!("/stream/harmful-{number}"),
+        UpstreamRole::Desk => format!("/read/harmful-{number}"),
+    }
+}
+
+fn whole_stream(events: u64) -> String {
+    let events = (1..=events).map(|event| format!("id: {event}\ndata: piece {event}\n\n"));
+    events.collect()
+}
+
 /// What the stand-ins answer to this request.
 fn whole_answer(id: &str, kind: RequestKind) -> String {
     match kind {
         RequestKind::Read => format!("GET /read/{id} 0"),
         RequestKind::Bid => format!("POST /bid/{id} {}", id.len()),
-        RequestKind::Stream(events) => (1..=events)
-            .map(|event| format!("id: {event}\ndata: piece {event}\n\n"))
-            .collect(),
+        RequestKind::Stream(events) => whole_stream(events),
+        RequestKind::Harmful(UpstreamRole::Engine, _) => whole_stream(HARMFUL_EVENTS),
+        RequestKind::Harmful(role, number) => {
+            format!("POST {} {}", harmful_path(role, number), MARKER.len())
+        }
     }
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -100,6 +100,9 @@
             FaultKind::RestartsCutOff(role, index) => {
                 self.restart(role, index, Some(length)).await;
             }
+            FaultKind::HarmfulRequest(role, number) => {
+                self.send_harmful(fault, role, number).await;
+            }
             FaultKind::ForeignEntry(role, index, entry) => {
                 let Some(upstream) = self.site.staying(role, index) else {
                     return Ok(());
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod caller;
 mod faults;
 pub mod groups;
+pub mod harmful;
 pub mod options;
 pub mod plan;
 pub mod process;
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -22,6 +22,8 @@
     pub length: Duration,
     /// Faults in that time.
     pub faults: usize,
+    /// Requests in that time, besides, that end each upstream that runs them.
+    pub harmful: usize,
     /// The number of the first place for processes; runs that go on side by side need others.
     pub first_place: usize,
 }
@@ -38,6 +40,7 @@
             callers: 4,
             length: Duration::from_secs(12),
             faults: 16,
+            harmful: 1,
             first_place: 0,
         }
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -76,6 +76,9 @@
     RestartsCutOff(UpstreamRole, usize),
     /// Another writer overwrites an upstream's entry with one of [`FOREIGN_ENTRIES`].
     ForeignEntry(UpstreamRole, usize, usize),
+    /// A request that ends each upstream that runs it is sent again and again to all processes; the number tells such
+    /// requests of a run apart.
+    HarmfulRequest(UpstreamRole, usize),
     /// The operator takes a key away and gives out another.
     ChangeKeys,
 }
@@ -104,6 +107,9 @@
 /// key may be trusted without a confirmation.
 const LONGEST_MS: u64 = 9_000;
 
+/// How long a harmful request comes again, in milliseconds: past the time after which all processes must know it.
+const HARMFUL_MS: std::ops::Range<u64> = 4_000..9_000;
+
 impl FaultPlan {
     /// Draws a plan. Faults overlap, and may befall the same thing twice.
     pub fn draw(seed: u64, options: &SoakOptions) -> Self {
@@ -115,11 +121,26 @@
                 kind: draw_kind(&mut rng, options),
             })
             .collect();
+        faults.extend(draw_harmful(seed, options));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
 }
 
+/// Harmful requests have a source of their own, so that the other faults of a seed stay what they were.
+fn draw_harmful(seed: u64, options: &SoakOptions) -> Vec<TimedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+    let faults = (0..options.harmful).map(|number| TimedFault {
+        at: Duration::from_millis(rng.random_range(0..options.length.as_millis() as u64)),
+        length: Duration::from_millis(rng.random_range(HARMFUL_MS)),
+        kind: match rng.random_bool(0.7) {
+            true => FaultKind::HarmfulRequest(UpstreamRole::Engine, number),
+            false => FaultKind::HarmfulRequest(UpstreamRole::Desk, number),
+        },
+    });
+    faults.collect()
+}
+
 fn draw_link<Source>(rng: &mut Source) -> LinkState
 where
     Source: Rng,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -41,6 +41,7 @@
 pub(crate) struct EntrySlot {
     pub(crate) process: tokio::sync::Mutex<EntryProcess>,
     pub(crate) store_link: LinkProxy,
+    pub(crate) place: EntryPlace,
 }
 
 /// What the tasks of a run share.
@@ -49,6 +50,8 @@
     pub(crate) entries: Vec<EntrySlot>,
     pub(crate) troubles: Mutex<Vec<Trouble>>,
     pub(crate) violations: Arc<Mutex<Vec<Violation>>>,
+    /// Harmful requests that were sent.
+    pub(crate) harmful: Mutex<Vec<CallRecord>>,
 }
 
 /// Plays one seed.
@@ -83,7 +86,8 @@
     run.check_config().await;
     drop(callers);
     tokio::time::sleep(SETTLE).await;
-    let records = std::mem::take(&mut *records.lock());
+    let mut records = std::mem::take(&mut *records.lock());
+    records.extend(run.take_harmful());
     let outcome = run.judge(seed, records);
     let told: Vec<String> = outcome.violations.iter().map(ToString::to_string).collect();
     std::fs::write(options.folder.join("violations.txt"), told.join("\n"))?;
@@ -102,9 +106,11 @@
             store_link.lead_to(site.store_addr);
             let mut process = EntryProcess::prepare(number, options, store_link.addr)?;
             process.start()?;
+            let place = process.place;
             entries.push(EntrySlot {
                 process: tokio::sync::Mutex::new(process),
                 store_link,
+                place,
             });
         }
         Ok(Self {
@@ -112,6 +118,7 @@
             entries,
             troubles: Mutex::default(),
             violations: Arc::default(),
+            harmful: Mutex::default(),
         })
     }
 
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -13,6 +13,7 @@
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
 
+use crate::harmful::CRASH;
 use crate::options::SoakOptions;
 use crate::proxy::LinkProxy;
 
@@ -208,7 +209,7 @@
             fabric,
             times: GROUP_TIMES,
             advertised: Some(link.addr),
-            crash: None,
+            crash: Some(CRASH),
         };
         let upstream = SiteUpstream::start(options, Arc::clone(&self.store)).await?;
         link.lead_to(upstream.addr());
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -34,6 +34,7 @@
 }
 
 const FOREIGN: FaultKind = FaultKind::ForeignEntry(UpstreamRole::Desk, 0, 0);
+const HARMFUL: RequestKind = RequestKind::Harmful(UpstreamRole::Engine, 0);
 const SERVED: CallEnd = answered(200, true);
 
 const fn answered(status: u16, is_whole: bool) -> CallEnd {
@@ -218,6 +219,46 @@
             trouble: Some((FaultKind::KillEntry(0), 130, 200)),
             ..case()
         },
+        AuditCase {
+            name: "a harmful request that goes on and on",
+            kind: HARMFUL,
+            sent: 1_900,
+            ended: 1_950,
+            end: answered(502, false),
+            runs: &[2_000, 4_000, 6_000, 10_000, 12_000, 14_000, 16_000],
+            found: Some("NotBounded"),
+            ..case()
+        },
+        AuditCase {
+            name: "one that is bounded",
+            kind: HARMFUL,
+            sent: 1_900,
+            ended: 1_950,
+            end: answered(502, false),
+            runs: &[2_000, 4_000, 6_000, 7_000, 8_500, 10_000, 12_000, 14_000],
+            ..case()
+        },
+        AuditCase {
+            name: "one that goes on at a process that is cut off",
+            kind: HARMFUL,
+            sent: 1_900,
+            ended: 1_950,
+            end: answered(502, false),
+            runs: &[2_000, 4_000, 6_000, 10_000, 12_000, 14_000, 16_000],
+            trouble: Some((FaultKind::StoreOutage, 6_000, 16_000)),
+            ..case()
+        },
+        AuditCase {
+            name: "one that meets the same upstream while it is down",
+            kind: HARMFUL,
+            sent: 1_900,
+            ended: 1_950,
+            end: answered(502, false),
+            runs: &[
+                2_000, 2_010, 2_020, 2_030, 9_000, 15_000, 16_500, 18_000, 18_010,
+            ],
+            ..case()
+        },
         AuditCase {
             name: "work while it leaves",
             sent: 3_000,
