perf: what one VM saw of a harmful request is at the others within milliseconds; the soak's check of its bound has no shadow

Hypothesis: news of ends by the store alone (0.4 to 0.7 s) lets several VMs send the same request on meanwhile. Ruled out: more records (they are written at once already). One datagram for each VM and two for each failure domain a notice.

--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -3,7 +3,10 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use bergamot_soak::{FaultKind, FaultPlan, SoakOptions, SoakOutcome, TimedFault, run_plan};
+use bergamot_soak::site::UpstreamRole;
+use bergamot_soak::{
+    FaultKind, FaultPlan, LinkState, SoakOptions, SoakOutcome, TimedFault, run_plan,
+};
 
 /// Faults that are always played.
 struct SoakCase {
@@ -18,7 +21,7 @@
     Known(&'static [(u64, u64, FaultKind)]),
 }
 
-const CASES: [SoakCase; 3] = [
+const CASES: [SoakCase; 4] = [
     SoakCase {
         name: "any",
         faults: SoakFaults::Seed(1),
@@ -35,6 +38,15 @@
             (700, 100, FaultKind::ReloadEntry(4)),
         ]),
     },
+    SoakCase {
+        name: "requests that end upstreams, beside a killed process and one without the store",
+        faults: SoakFaults::Known(&[
+            (0, 9_000, FaultKind::HarmfulRequest(UpstreamRole::Engine, 0)),
+            (500, 9_000, FaultKind::HarmfulRequest(UpstreamRole::Desk, 1)),
+            (600, 1_000, FaultKind::KillEntry(1)),
+            (700, 2_500, FaultKind::StoreLink(2, LinkState::Silent)),
+        ]),
+    },
 ];
 
 /// Places of processes between one run and the next.
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -185,7 +185,9 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut reload = signal(SignalKind::hangup())?;
-    let front = Rc::new(FrontContext::new(Arc::clone(&shared), ports.dialect()));
+    let (crash_sender, crash_news) = mpsc::channel(RECORD_RING);
+    let front = FrontContext::new(Arc::clone(&shared), ports.dialect(), crash_sender);
+    let front = Rc::new(front);
     let (close_idle, closing) = watch::channel(false);
     let caller = TcpListener::from_std(sockets.caller)?;
     let ready = TcpListener::from_std(sockets.ready)?;
@@ -195,7 +197,7 @@
     tokio::task::spawn_local(sweep(Rc::clone(&front)));
     tokio::task::spawn_local(follow_groups(Rc::clone(&front)));
     tokio::task::spawn_local(follow_ends(Rc::clone(&front)));
-    tokio::task::spawn_local(exchange(Rc::clone(&front), peer, doubts));
+    tokio::task::spawn_local(exchange(Rc::clone(&front), peer, doubts, crash_news));
     let mut looks = tokio::time::interval(RELOAD_PERIOD);
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut known = shared.site.clone();
--- a/crates/gateway/src/front/breaks.rs
+++ b/crates/gateway/src/front/breaks.rs
@@ -149,6 +149,9 @@
                 log::info!("event=request_struck print={print} upstream={life} ends={ends}");
             }
             QuarantineAction::Keep(record) => {
+                if let Err(error) = front.crash_news.try_send(record.clone()) {
+                    log::info!("event=notice_not_sent reason=\"{error}\"");
+                }
                 if let Err(error) = front.shared.records.try_send(record) {
                     log::error!("event=record_not_written reason=\"{error}\"");
                 }
--- a/crates/gateway/src/front/exchange.rs
+++ b/crates/gateway/src/front/exchange.rs
@@ -1,11 +1,13 @@
-//! Datagrams between entry VMs: what each has in flight at leaders, and doubts for the groups' duty.
+//! Datagrams between entry VMs: what each has in flight at leaders, doubts for the groups' duty, and requests under
+//! which upstreams ended.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bergamot_news::PeerPlace;
-use bergamot_occupancy::{OccupancyAction, OccupancyEvent, TELL_PERIOD};
-use bergamot_peer::{MAX_DATAGRAM_BYTES, PeerNotice, QuietNotice, frame};
+use bergamot_occupancy::{OccupancyAction, OccupancyEvent, RelayHop, TELL_PERIOD};
+use bergamot_peer::{CrashNotice, MAX_DATAGRAM_BYTES, PeerNotice, QuietNotice, frame};
+use bergamot_quarantine::{QuarantineEvent, QuarantineRecord};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -15,12 +17,16 @@
 /// Periods in a row without anything in flight after which peers are told no more.
 const IDLE_PERIODS: u32 = 4;
 
-/// Tells peers what is in flight from here, and takes in what they tell, until the process ends. Doubts
+/// A notice and the entry VM that it is for.
+type AddressedNotice = (String, PeerNotice);
+
+/// Tells peers what is in flight from here and `crash_news`, and takes in what they tell, until the process ends. Doubts
 /// about leaders are passed on to the groups' duty by `doubts`.
 pub async fn exchange<Dialect>(
     front: Rc<FrontContext<Dialect>>,
     socket: UdpSocket,
     doubts: mpsc::Sender<QuietNotice>,
+    mut crash_news: mpsc::Receiver<QuarantineRecord>,
 ) {
     let mut periods = tokio::time::interval(TELL_PERIOD.as_duration());
     periods.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -28,11 +34,12 @@
     let mut buffer = [0_u8; MAX_DATAGRAM_BYTES];
     let mut idle = 0;
     loop {
-        let actions = tokio::select! {
+        let notices = tokio::select! {
             received = socket.recv_from(&mut buffer) => {
                 receive(&front, &buffer, received, &doubts)
             }
-            _ = periods.tick() => tick(&front, &mut idle),
+            _ = periods.tick() => to_notices(tick(&front, &mut idle)),
+            Some(record) = crash_news.recv() => tell_crash(&front, &record),
             changed = changes.changed() => {
                 if changed.is_err() {
                     return;
@@ -42,9 +49,9 @@
                 Vec::new()
             }
         };
-        if !actions.is_empty() {
+        if !notices.is_empty() {
             let view = front.shared.view.load();
-            send(&socket, &view, actions);
+            send(&socket, &view, notices);
         }
     }
 }
@@ -78,7 +85,7 @@
     buffer: &[u8],
     received: std::io::Result<(usize, SocketAddr)>,
     doubts: &mpsc::Sender<QuietNotice>,
-) -> Vec<OccupancyAction> {
+) -> Vec<AddressedNotice> {
     let length = match received {
         Ok((length, _)) => length,
         Err(error) => {
@@ -90,9 +97,10 @@
         Ok(PeerNotice::Load(notice)) => {
             let now = front.now();
             let mut book = front.book.borrow_mut();
-            book.occupancy
-                .handle(now, OccupancyEvent::Received(&notice))
+            let event = OccupancyEvent::Received(&notice);
+            to_notices(book.occupancy.handle(now, event))
         }
+        Ok(PeerNotice::Crash(notice)) => take_crash(front, &notice),
         Ok(PeerNotice::Quiet(notice)) => {
             if let Err(error) = doubts.try_send(notice) {
                 log::debug!("event=quiet_not_passed_on reason={error}");
@@ -106,14 +114,59 @@
     }
 }
 
+fn to_notices(actions: Vec<OccupancyAction>) -> Vec<AddressedNotice> {
+    let notices = actions.into_iter();
+    let notices = notices.map(|action| (action.vm, PeerNotice::Load(action.notice)));
+    notices.collect()
+}
+
+/// Tells the other VMs what this one saw.
+fn tell_crash<Dialect>(
+    front: &FrontContext<Dialect>,
+    record: &QuarantineRecord,
+) -> Vec<AddressedNotice> {
+    let hops = front.book.borrow().occupancy.relay_own(front.now());
+    address(front, hops, record)
+}
+
+/// Takes over what another VM saw, and passes it on.
+fn take_crash<Dialect>(
+    front: &FrontContext<Dialect>,
+    notice: &CrashNotice,
+) -> Vec<AddressedNotice> {
+    let now = front.now();
+    let mut quarantine = front.shared.quarantine.lock();
+    quarantine.handle(now, QuarantineEvent::Heard(&notice.record));
+    drop(quarantine);
+    let book = front.book.borrow();
+    let hops = book.occupancy.relay(&notice.vm, notice.scope);
+    address(front, hops, &notice.record)
+}
+
+fn address<Dialect>(
+    front: &FrontContext<Dialect>,
+    hops: Vec<RelayHop>,
+    record: &QuarantineRecord,
+) -> Vec<AddressedNotice> {
+    let notices = hops.into_iter().map(|hop| {
+        let notice = CrashNotice {
+            vm: front.shared.site.vm.to_string(),
+            scope: hop.scope,
+            record: record.clone(),
+        };
+        (hop.vm, PeerNotice::Crash(notice))
+    });
+    notices.collect()
+}
+
 /// Sends notices. One that cannot be sent at once is lost, like one that is lost on its way: the next
 /// period brings another.
-fn send(socket: &UdpSocket, view: &ClusterView, actions: Vec<OccupancyAction>) {
-    for action in actions {
-        let Some(entry) = view.entries.get(&action.vm) else {
+fn send(socket: &UdpSocket, view: &ClusterView, notices: Vec<AddressedNotice>) {
+    for (vm, notice) in notices {
+        let Some(entry) = view.entries.get(&vm) else {
             continue;
         };
-        let bytes = match frame::encode(&PeerNotice::Load(action.notice)) {
+        let bytes = match frame::encode(&notice) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!("event=notice_not_written reason={error:?}");
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -44,8 +44,10 @@
 
 use bergamot_groups::DemandMeter;
 use bergamot_news::PeerPlace;
+use bergamot_quarantine::QuarantineRecord;
 use bergamot_routing::{ReturnTimes, ServingOutage, UpstreamBook};
 use bergamot_types::prelude::*;
+use tokio::sync::mpsc;
 
 use crate::shared::SharedState;
 use budget::RepeatBudget;
@@ -69,11 +71,17 @@
     pub budget: RefCell<RepeatBudget>,
     /// Requests in flight.
     pub in_flight: Rc<Cell<usize>>,
+    /// What this VM saw of requests under which upstreams ended, for the other VMs.
+    pub crash_news: mpsc::Sender<QuarantineRecord>,
 }
 
 impl<Dialect> FrontContext<Dialect> {
     /// A context without any connection yet.
-    pub fn new(shared: Arc<SharedState>, dialect: Dialect) -> Self {
+    pub fn new(
+        shared: Arc<SharedState>,
+        dialect: Dialect,
+        crash_news: mpsc::Sender<QuarantineRecord>,
+    ) -> Self {
         let budget = RepeatBudget::new(shared.bounds());
         let place = PeerPlace {
             vm: shared.site.vm.to_string(),
@@ -89,6 +97,7 @@
             returns: RefCell::default(),
             budget: RefCell::new(budget),
             in_flight: Rc::new(Cell::new(0)),
+            crash_news,
         }
     }
 
--- a/crates/occupancy/src/lib.rs
+++ b/crates/occupancy/src/lib.rs
@@ -9,7 +9,9 @@
 #![forbid(unsafe_code)]
 
 pub mod counts;
+pub mod relay;
 pub mod state;
 
 pub use counts::{LeaderCounts, LeaderLoad, leader_key};
+pub use relay::RelayHop;
 pub use state::{OccupancyAction, OccupancyEvent, OccupancyState, TELL_PERIOD};
--- a/crates/occupancy/src/state.rs
+++ b/crates/occupancy/src/state.rs
@@ -142,7 +142,7 @@
     }
 
     /// The VM that collects for this one; none where it collects itself.
-    fn collector(&self, now: Millis) -> Option<&str> {
+    pub(crate) fn collector(&self, now: Millis) -> Option<&str> {
         let vms = self.ranked.get(&self.own.failure_domain)?;
         let is_avoided = |vm: &str| self.avoided.get(vm).is_some_and(|until| *until > now);
         let first = vms.iter().find(|vm| !is_avoided(vm))?;
@@ -195,13 +195,7 @@
         for told in self.domains.values() {
             sum.remove_all(&told.counts);
         }
-        let others = self.ranked.iter();
-        let others = others.filter(|(domain, _)| **domain != self.own.failure_domain);
-        let collectors = others.filter_map(|(domain, vms)| {
-            let told = self.domains.get(domain);
-            told.map(|told| &told.vm).or(vms.first())
-        });
-        collectors
+        self.other_collectors()
             .map(|vm| OccupancyAction {
                 vm: vm.clone(),
                 notice: self.notice(LoadScope::FailureDomain, &sum),
@@ -209,6 +203,27 @@
             .collect()
     }
 
+    /// The collectors of the other failure domains, as far as known.
+    pub(crate) fn other_collectors(&self) -> impl Iterator<Item = &String> {
+        let others = self.ranked.iter();
+        let others = others.filter(|(domain, _)| **domain != self.own.failure_domain);
+        others.filter_map(|(domain, vms)| {
+            let told = self.domains.get(domain);
+            told.map(|told| &told.vm).or(vms.first())
+        })
+    }
+
+    /// The VMs of this failure domain.
+    pub(crate) fn near(&self) -> &[String] {
+        let vms = self.ranked.get(&self.own.failure_domain);
+        vms.map_or(&[], Vec::as_slice)
+    }
+
+    /// This VM's name.
+    pub(crate) fn own_vm(&self) -> &str {
+        &self.own.vm
+    }
+
     fn receive(&mut self, now: Millis, notice: &LoadNotice) -> Vec<OccupancyAction> {
         let told = ToldCounts {
             vm: notice.vm.clone(),
--- a/crates/peer/src/notice.rs
+++ b/crates/peer/src/notice.rs
@@ -1,6 +1,7 @@
 //! Notices between entry VMs, one datagram each. What is lost is made up for by what each VM sees
 //! itself.
 
+use bergamot_quarantine::QuarantineRecord;
 use bergamot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -11,6 +12,30 @@
     Quiet(QuietNotice),
     /// Requests in flight.
     Load(LoadNotice),
+    /// Requests under which upstreams ended. A VM that does not know this kind leaves it out.
+    Crash(CrashNotice),
+}
+
+/// What one VM saw of requests under which upstreams ended, on its way to all others.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct CrashNotice {
+    /// The entry VM that passes it on.
+    pub vm: String,
+    /// Whom the receiver passes it on to.
+    pub scope: RelayScope,
+    /// What was seen. The store keeps it too: a datagram may be lost.
+    pub record: QuarantineRecord,
+}
+
+/// How far a notice has come on its way to all entry VMs.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum RelayScope {
+    /// From a VM to the collector of its failure domain, which tells everybody.
+    Vm,
+    /// From a collector to that of another failure domain, which tells its own.
+    FailureDomain,
+    /// From a collector to a VM of its failure domain.
+    Member,
 }
 
 /// Leaders that one notice names at most: more would not fit into a datagram.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -10,8 +10,8 @@
 //! | [`state`] | all of it for one VM |
 //!
 //! Everything is joined as sets: news that comes twice, late or in another order leads to the same sets. What one VM
-//! sees goes to the others by the store, and not from VM to VM: so it also reaches failure domains that are cut off
-//! from each other, and VMs that start later.
+//! sees goes to the others twice. A datagram is there within milliseconds, as a harmful request comes to several VMs at
+//! once. A record in the store also reaches failure domains that are cut off from each other, and VMs that start later.
 //!
 //! Decisions only: no sockets and no clock.
 #![deny(missing_docs)]
--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -40,6 +40,8 @@
         /// What it says.
         record: &'a QuarantineRecord,
     },
+    /// Another VM told what it saw. The store will have it too.
+    Heard(&'a QuarantineRecord),
     /// A record is not in the store any more.
     Removed(&'a str),
     /// Some time has passed.
@@ -99,6 +101,10 @@
                 self.join(now, record);
                 Vec::new()
             }
+            QuarantineEvent::Heard(record) => {
+                self.join(now, record);
+                Vec::new()
+            }
             QuarantineEvent::Removed(key) => {
                 self.kept.forget(key);
                 Vec::new()
--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -159,7 +159,7 @@
     }
 
     /// Whether a process can be late, cut off or gone because of it.
-    fn befalls(&self, entry: usize) -> bool {
+    pub(crate) fn befalls(&self, entry: usize) -> bool {
         match self.kind {
             FaultKind::KillEntry(it) | FaultKind::PauseEntry(it) | FaultKind::StoreLink(it, _) => {
                 it == entry
@@ -230,7 +230,7 @@
         self.seen.get(&record.id).map_or(0, Vec::len)
     }
 
-    pub(crate) fn is_troubled(&self, entry: usize, from: Instant, until: Instant) -> bool {
+    fn is_troubled(&self, entry: usize, from: Instant, until: Instant) -> bool {
         let mut troubles = self.troubles.iter();
         troubles.any(|trouble| trouble.befalls(entry) && trouble.overlaps(from, until))
     }
--- a/crates/soak/src/harmful.rs
+++ b/crates/soak/src/harmful.rs
@@ -93,7 +93,7 @@
             let late = runs.iter().filter(|run| {
                 let can_know = run.at.checked_sub(CONTACT_TIME);
                 let is_late = can_know.is_some_and(|known| known > third);
-                is_late && !self.is_troubled(run.entry, run.at - CONTACT_TIME, run.at)
+                is_late && !self.is_disturbed(run.entry, run.at - CONTACT_TIME, run.at)
             });
             let late = late.count();
             (late > LATE_RUNS).then_some(Violation::NotBounded { number, late })
@@ -120,6 +120,15 @@
     None
 }
 
+impl AuditBook {
+    /// Whether anything befell a process in this time. What ended before leaves no excuse: the time to know is long
+    /// enough for one whose links are whole again.
+    fn is_disturbed(&self, entry: usize, from: Instant, until: Instant) -> bool {
+        let mut troubles = self.troubles.iter();
+        troubles.any(|it| it.befalls(entry) && it.from <= until && it.until >= from)
+    }
+}
+
 impl SoakRun {
     /// The harmful requests sent so far.
     pub(crate) fn take_harmful(self: &Arc<Self>) -> Vec<CallRecord> {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -107,8 +107,8 @@
 /// key may be trusted without a confirmation.
 const LONGEST_MS: u64 = 9_000;
 
-/// How long a harmful request comes again, in milliseconds: past the time after which all processes must know it.
-const HARMFUL_MS: std::ops::Range<u64> = 4_000..9_000;
+/// How long a harmful request comes again, in milliseconds: well past the time after which all processes must know it.
+const HARMFUL_MS: std::ops::Range<u64> = 6_000..14_000;
 
 impl FaultPlan {
     /// Draws a plan. Faults overlap, and may befall the same thing twice.
