fix: the product's own interface refuses a request under which three upstreams have ended, at all entry VMs

Members tell each other; nothing is kept, so a VM that starts later, or is cut off, learns only what it sees itself.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -91,6 +91,7 @@
             clock: BootClock::default(),
             metrics: EntryMetrics::new(),
             view: ArcSwap::from_pointee(RouteView::default()),
+            quarantine: Mutex::default(),
             routing: Mutex::new(routing),
             stopping: AtomicBool::new(false),
             in_flight: AtomicI64::new(0),
--- a/crates/entry/src/duty/peer.rs
+++ b/crates/entry/src/duty/peer.rs
@@ -7,6 +7,7 @@
 use bergamot_peer::{
     Answer, Datagram, MAX_DATAGRAM_BYTES, Question, decode, encode, read_frame, write_frame,
 };
+use bergamot_quarantine::QuarantineEvent;
 use bergamot_routing::Borrow;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -225,6 +226,12 @@
                 loan: lend.loan,
             }
         }
+        Question::Crash(record) => {
+            let now = shared.clock.now();
+            let event = QuarantineEvent::Heard(&record);
+            shared.quarantine.lock().handle(now, event);
+            Answer::Noted
+        }
         question => {
             let (sender, receiver) = oneshot::channel();
             shared.claims.push(ClaimsFront::Peer(question, sender));
--- a/crates/entry/src/duty/shared.rs
+++ b/crates/entry/src/duty/shared.rs
@@ -8,6 +8,7 @@
 use bergamot_claims::{ClaimEvent, ClaimKey, FinishOutcome, Verdict};
 use bergamot_peer::{Answer, Datagram, GroupsEntry, Question};
 use bergamot_placement::VmOrder;
+use bergamot_quarantine::QuarantineState;
 use bergamot_types::prelude::*;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -105,6 +106,8 @@
     pub metrics: EntryMetrics,
     /// The newest snapshot of routes.
     pub view: ArcSwap<RouteView>,
+    /// Requests under which upstreams ended.
+    pub quarantine: Mutex<QuarantineState>,
     /// The state of routing.
     pub routing: Mutex<RoutingState>,
     /// Whether the daemon is stopping.
--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bergamot_quarantine::RequestPrint;
 use bergamot_routing::RunnerFact;
 use bergamot_routing::attempt::NextStep;
 use bergamot_routing::{Attempt, Choice, NotSent, PickRequest, SentOutcome};
@@ -40,6 +41,8 @@
     pub route: RouteName,
     /// Hash of the prompt's first part.
     pub prefix: u64,
+    /// What is the same however often the request comes.
+    pub print: RequestPrint,
     /// Whether it may run twice.
     pub is_idempotent: bool,
     /// When it came in.
@@ -196,6 +199,7 @@
             if self.attempts >= max {
                 return Err(ErrorKind::UpstreamRefused);
             }
+            self.check_standing()?;
             match self.pick(now) {
                 Choice::Upstream(fact) => {
                     let attempt = Attempt::plan(fact.id.clone(), self.spec.is_idempotent);
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! The callers' side: HTTP in, requests through admission, claims and attempts, answers out.
 
 mod answer;
+mod breaks;
 mod call;
 mod claimed;
 mod model;
--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -99,6 +99,7 @@
         priority: account.priority,
         route: RouteName::Model(model.name.clone()),
         prefix: prefix_of(&question),
+        print: request.print(&account.name),
         is_idempotent,
         arrived: request.arrived,
         deadline: request.deadline,
@@ -211,6 +212,7 @@
             StreamOutcome::Answered => {
                 attempt.answered();
                 call.note_ended(&fact, "ok");
+                call.note_whole();
                 return DriveOutcome::Answered;
             }
             StreamOutcome::CallerLeft => {
@@ -225,6 +227,9 @@
                     fact.id,
                     resume.next_offset()
                 );
+                if outcome == SentOutcome::Broken {
+                    call.note_break(&fact).await;
+                }
                 let next = attempt.failed(outcome);
                 if let Err(kind) = call.after_failure(&fact, FailedAttempt { outcome, next }) {
                     return DriveOutcome::Failed(call.truthful(kind));
--- a/crates/entry/src/front/request.rs
+++ b/crates/entry/src/front/request.rs
@@ -6,6 +6,7 @@
 use bergamot_bundle::roll::InForce;
 use bergamot_bundle::{AccountSpec, BundleDigest};
 use bergamot_engine::headers::{DEADLINE, IDEMPOTENCY_KEY, REQUEST_ID, RUN};
+use bergamot_quarantine::RequestPrint;
 use bergamot_types::prelude::*;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -44,6 +45,17 @@
     pub at_most_once: bool,
 }
 
+impl CallerRequest {
+    /// What is the same however often the request comes.
+    pub fn print(&self, account: &ClientAccount) -> RequestPrint {
+        let path = match &self.query {
+            Some(query) => format!("{}?{query}", self.path),
+            None => self.path.clone(),
+        };
+        RequestPrint::of(Some(account), &path, &self.body)
+    }
+}
+
 /// The request's name: the caller's own if it is fit to be one, else a new one.
 pub fn request_id(headers: &HeaderMap) -> RequestId {
     let given = text(headers, REQUEST_ID).filter(|id| is_name(id));
--- a/crates/entry/src/front/service.rs
+++ b/crates/entry/src/front/service.rs
@@ -64,6 +64,7 @@
         priority: account.priority,
         route,
         prefix: hash_bytes(request.id.as_str().as_bytes()),
+        print: request.print(&account.name),
         is_idempotent,
         arrived: request.arrived,
         deadline: request.deadline,
@@ -188,6 +189,7 @@
                 attempt.answered();
                 call.note_first(&fact, sent_at);
                 call.note_ended(&fact, "ok");
+                call.note_whole();
                 return Ok(reply);
             }
             Ok(Err(error)) => {
@@ -198,6 +200,9 @@
                     call.spec.id,
                     fact.id
                 );
+                if outcome == SentOutcome::Broken {
+                    call.note_break(&fact).await;
+                }
                 let next = attempt.failed(outcome);
                 call.after_failure(&fact, FailedAttempt { outcome, next })?;
             }
--- a/crates/local/src/fleet.rs
+++ b/crates/local/src/fleet.rs
@@ -13,11 +13,12 @@
 use bergamot_standin::engine::EngineServer;
 use bergamot_standin::{
     EngineStandin, FabricRegistry, KvOptions, KvStandin, ServiceStandin, StandinServer,
-    VmListStandin, WeightStandin, serve_on,
+    VmListStandin, WeightStandin, serve_abortable, serve_on,
 };
 use bergamot_types::prelude::*;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
+use tokio::task::AbortHandle;
 
 use crate::options::LocalOptions;
 use crate::ready::{ReadyAccount, ReadyFile, ReadyUpstream};
@@ -37,6 +38,8 @@
     pub fact: VmFact,
     /// The stand-in.
     pub service: Arc<ServiceStandin>,
+    /// Ends its process: nothing listens there any more.
+    pub process: AbortHandle,
 }
 
 /// The running fleet.
@@ -109,11 +112,15 @@
         for index in 0..options.services {
             const WORK: Duration = Duration::from_millis(2);
             let service = ServiceStandin::new(WORK);
-            let addr = serve(&runtime, Arc::clone(&service))?;
+            let (addr, process) = serve_process(&runtime, Arc::clone(&service))?;
             let vm = VmId::from(format!("vm-{}-{}", sample::SERVICE, index + 1));
             let kind = VmKind::Service(ServiceName::new(sample::SERVICE));
             let fact = fact(vm, kind, index % options.failure_domains, addr);
-            services.push(LocalService { fact, service });
+            services.push(LocalService {
+                fact,
+                service,
+                process,
+            });
         }
         let facts = engines.iter().map(|engine| engine.fact.clone());
         let facts = facts.chain(services.iter().map(|service| service.fact.clone()));
@@ -335,6 +342,23 @@
         .context("a stand-in cannot listen")
 }
 
+/// The same with a handle that ends it.
+fn serve_process<Server>(
+    runtime: &Runtime,
+    server: Arc<Server>,
+) -> anyhow::Result<(SocketAddr, AbortHandle)>
+where
+    Server: StandinServer,
+{
+    runtime
+        .block_on(async {
+            let listener = TcpListener::bind(local(0)).await?;
+            let addr = listener.local_addr()?;
+            std::io::Result::Ok((addr, serve_abortable(listener, server)))
+        })
+        .context("a stand-in cannot listen")
+}
+
 fn fact(vm: VmId, kind: VmKind, domain: usize, addr: SocketAddr) -> VmFact {
     VmFact {
         vm,
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -4,6 +4,7 @@
 use bergamot_claims::{
     ClaimAsk, ClaimAsker, ClaimKey, ClaimRecord, CopyChange, FinishOutcome, Verdict,
 };
+use bergamot_quarantine::QuarantineRecord;
 use bergamot_roster::RosterRecord;
 use bergamot_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -65,6 +66,9 @@
         /// The roll whose limits are meant.
         roll: u64,
     },
+    /// What the sender saw of requests under which upstreams ended. A member that does not know this kind of question
+    /// closes the connection.
+    Crash(QuarantineRecord),
 }
 
 /// One fabric domain's record as the key-value service holds it.
@@ -100,7 +104,7 @@
         /// How long, from when the question was asked.
         loan: Millis,
     },
-    /// To [`Question::Finish`].
+    /// To [`Question::Finish`] and [`Question::Crash`].
     Noted,
     /// The sender is not known here, or cannot be answered now.
     Refused,
