--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -19,7 +19,7 @@
 use tokio::task::LocalSet;
 
 use crate::front::FrontContext;
-use crate::front::breaks::follow_ends;
+use crate::front::breaks::{follow_ends, review_ends};
 use crate::front::exchange::exchange;
 use crate::front::server::{accept_callers, accept_ready, follow_groups, sweep};
 use crate::groups::GroupsDuty;
@@ -197,6 +197,7 @@
     tokio::task::spawn_local(sweep(Rc::clone(&front)));
     tokio::task::spawn_local(follow_groups(Rc::clone(&front)));
     tokio::task::spawn_local(follow_ends(Rc::clone(&front)));
+    tokio::task::spawn_local(review_ends(Rc::clone(&front)));
     tokio::task::spawn_local(exchange(Rc::clone(&front), peer, doubts, crash_news));
     let mut looks = tokio::time::interval(RELOAD_PERIOD);
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/crates/gateway/src/front/breaks.rs
+++ b/crates/gateway/src/front/breaks.rs
@@ -1,6 +1,7 @@
 //! Whether an upstream ended when a request was broken off at it, and what that means for the request.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bergamot_ports::UpstreamState;
 use bergamot_quarantine::{
@@ -16,6 +17,12 @@
 use super::state::CallState;
 use crate::view::ClusterView;
 
+/// Time between two looks at ends that are to be reviewed; not tuned.
+const REVIEW_PERIOD: Duration = Duration::from_secs(1);
+/// The oldest view of the directory that counts as up to date: the time between two confirmations, and what a peer
+/// adds to it.
+const MAX_VIEW_AGE: Millis = Millis(2_500);
+
 /// Notes that a request was broken off after it was sent.
 ///
 /// Returns at once for nearly all. Only where an upstream ended under this request before, it is found out first
@@ -132,6 +139,28 @@
     }
 }
 
+/// Looks once more at ends, some time after them. A partition may refuse connections as if nothing listened; the requests
+/// under which an upstream seemed to end are cleared of it then, as it has done nothing wrong but to be out of reach.
+pub async fn review_ends<Dialect>(front: Rc<FrontContext<Dialect>>) {
+    let mut fresh_since = front.now();
+    loop {
+        tokio::time::sleep(REVIEW_PERIOD).await;
+        let now = front.now();
+        if front.shared.is_store_away() || front.shared.config_age(now) > MAX_VIEW_AGE {
+            fresh_since = now;
+        }
+        let due = front.shared.quarantine.lock().to_review(now, fresh_since);
+        let view = front.shared.view.load_full();
+        for life in &due {
+            let is_named = is_staying(&view, life);
+            if is_named {
+                log::info!("event=upstream_not_ended upstream={life}");
+            }
+            handle(&front, QuarantineEvent::Reviewed { life, is_named });
+        }
+    }
+}
+
 /// Takes in what happened and does what follows, but for finding out whether an upstream ended: true where that is to
 /// be done.
 fn handle<Dialect>(front: &FrontContext<Dialect>, event: QuarantineEvent<'_>) -> bool {
--- a/crates/quarantine/src/ends.rs
+++ b/crates/quarantine/src/ends.rs
@@ -10,8 +10,12 @@
 /// Time after a break in which evidence that the upstream ended counts: the directory drops an entry 3.6 s after the
 /// last heartbeat and may be read a second later. After it, an end has nothing to do with the break.
 const EVIDENCE_TIME: Millis = Millis(8_000);
-/// Time for which an end is remembered, for breaks that are noticed after it; as long as evidence counts.
-const END_TIME: Millis = EVIDENCE_TIME;
+/// Time after an end at which it is looked at once more: the entry of an upstream that has ended is gone by then, as for
+/// [`EVIDENCE_TIME`]. Where a partition refuses connections, the entry is still there.
+const REVIEW_TIME: Millis = EVIDENCE_TIME;
+/// Time for which an end is remembered, for breaks that are noticed after it and for its review. Longer than that where
+/// the directory was not to be read meanwhile; an end that is not reviewed then stays.
+const END_TIME: Millis = Millis(60_000);
 /// Broken-off requests for one upstream that are kept at most: twice what runs and waits at one.
 const MAX_BREAKS: usize = 64;
 
@@ -27,7 +31,8 @@
 /// What shows that an upstream has ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum EndEvidence {
-    /// A new connection was refused: the VM is there, and the process is not.
+    /// A new connection was refused: nothing listens there. Partitions may refuse connections too, so this is looked at
+    /// again.
     NoListener,
     /// The directory has a younger run of it.
     Restarted,
@@ -85,7 +90,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndWatch {
     awaited: IndexMap<UpstreamLife, RunBreaks>,
-    ended: IndexMap<UpstreamLife, Millis>,
+    ended: IndexMap<UpstreamLife, RunEnd>,
+}
+
+/// An end, and the requests under which it was.
+#[derive(Clone, Debug)]
+struct RunEnd {
+    at: Millis,
+    prints: IndexSet<RequestPrint>,
 }
 
 impl EndWatch {
@@ -98,7 +110,8 @@
         cause: BreakCause,
     ) -> BreakOutcome {
         self.expire(now);
-        if self.ended.contains_key(life) {
+        if let Some(end) = self.ended.get_mut(life) {
+            end.prints.insert(print);
             return BreakOutcome::Ended;
         }
         let is_first = !self.awaited.contains_key(life);
@@ -131,10 +144,27 @@
         if prints.is_empty() {
             return None;
         }
-        self.ended.insert(life.clone(), now);
+        let end = RunEnd {
+            at: now,
+            prints: prints.iter().copied().collect(),
+        };
+        self.ended.insert(life.clone(), end);
         Some(prints)
     }
 
+    /// Ends that are to be looked at once more, where the directory has been up to date since `fresh_since`.
+    pub fn to_review(&self, now: Millis, fresh_since: Millis) -> Vec<UpstreamLife> {
+        let ends = self.ended.iter();
+        let due = ends.filter(|(_, end)| now.since(end.at.max(fresh_since)) >= REVIEW_TIME);
+        due.map(|(life, _)| life.clone()).collect()
+    }
+
+    /// Forgets an end that was looked at once more, and gives the requests under which it was.
+    pub fn take_reviewed(&mut self, life: &UpstreamLife) -> Vec<RequestPrint> {
+        let end = self.ended.shift_remove(life);
+        end.map_or_else(Vec::new, |end| end.prints.into_iter().collect())
+    }
+
     /// Upstreams at which requests were broken off, and of which it is not known whether they ended.
     pub fn awaited(&self) -> IndexSet<UpstreamLife> {
         self.awaited.keys().cloned().collect()
@@ -144,6 +174,6 @@
     fn expire(&mut self, now: Millis) {
         self.awaited
             .retain(|_, breaks| now.since(breaks.since) < EVIDENCE_TIME);
-        self.ended.retain(|_, at| now.since(*at) < END_TIME);
+        self.ended.retain(|_, end| now.since(end.at) < END_TIME);
     }
 }
--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -31,6 +31,13 @@
         /// What shows it.
         evidence: EndEvidence,
     },
+    /// An end was looked at once more, long after it.
+    Reviewed {
+        /// The upstream.
+        life: &'a UpstreamLife,
+        /// Whether the directory still names this run of it, so that it has not ended.
+        is_named: bool,
+    },
     /// One upstream alone answered a request whole.
     Answered(RequestPrint),
     /// A record is in the store.
@@ -95,6 +102,7 @@
                 self.note_break(now, life, print, cause)
             }
             QuarantineEvent::Ended { life, evidence } => self.note_end(now, life, evidence),
+            QuarantineEvent::Reviewed { life, is_named } => self.review(now, life, is_named),
             QuarantineEvent::Answered(print) => self.clear(now, print),
             QuarantineEvent::Told { key, record } => {
                 self.kept.note(now, key, record);
@@ -143,6 +151,11 @@
         self.ends.awaited()
     }
 
+    /// Ends that are to be looked at once more, where the directory has been up to date since `fresh_since`.
+    pub fn to_review(&self, now: Millis, fresh_since: Millis) -> Vec<UpstreamLife> {
+        self.ends.to_review(now, fresh_since)
+    }
+
     /// Requests in quarantine.
     pub fn quarantined(&self) -> Vec<QuarantinedRequest> {
         self.ledger.quarantined()
@@ -206,6 +219,25 @@
         actions
     }
 
+    /// Takes an end back that was none.
+    fn review(
+        &mut self,
+        now: Millis,
+        life: &UpstreamLife,
+        is_named: bool,
+    ) -> Vec<QuarantineAction> {
+        let prints = self.ends.take_reviewed(life);
+        if !is_named {
+            return Vec::new();
+        }
+        let records = prints.into_iter().map(|print| {
+            let lives = vec![life.clone()];
+            self.ledger.clear(now, print, lives.iter().cloned());
+            QuarantineAction::Keep(QuarantineRecord::Cleared { print, lives })
+        });
+        records.collect()
+    }
+
     /// Clears a request of all ends that are known. Of one end only the VM tells the others that has told them of the
     /// end: a request that every VM answers many times a second would be told of by each.
     fn clear(&mut self, now: Millis, print: RequestPrint) -> Vec<QuarantineAction> {
--- a/crates/quarantine/tests/ends.rs
+++ b/crates/quarantine/tests/ends.rs
@@ -106,3 +106,48 @@
     let next = ends.note_break(now, &reborn, print(5), closed);
     assert_eq!(next, BreakOutcome::Probe);
 }
+
+struct ReviewCase {
+    name: &'static str,
+    /// Time since the end, and since the directory has been up to date.
+    ended: Millis,
+    fresh: Millis,
+    is_due: bool,
+}
+
+#[test]
+fn an_end_is_looked_at_again_once_the_directory_must_show_it() {
+    let cases = [
+        ReviewCase {
+            name: "too soon: the entry of one that ended is still there",
+            ended: Millis(5_000),
+            fresh: Millis(30_000),
+            is_due: false,
+        },
+        ReviewCase {
+            name: "the directory was out of reach until lately",
+            ended: Millis(12_000),
+            fresh: Millis(3_000),
+            is_due: false,
+        },
+        ReviewCase {
+            name: "an entry that is still there is one of an upstream that lives",
+            ended: Millis(8_000),
+            fresh: Millis(30_000),
+            is_due: true,
+        },
+    ];
+    let now = Millis(100_000);
+    for case in cases {
+        let mut ends = EndWatch::default();
+        let at = now - case.ended;
+        ends.note_break(at, &life("a"), print(1), BreakCause::Closed);
+        ends.note_end(at, &life("a"), EndEvidence::NoListener);
+        ends.note_break(at, &life("a"), print(2), BreakCause::Closed);
+        let due = ends.to_review(now, now - case.fresh);
+        assert_eq!(due.len(), usize::from(case.is_due), "{}", case.name);
+        let prints = ends.take_reviewed(&life("a"));
+        assert_eq!(prints, [print(1), print(2)], "{}", case.name);
+        assert_eq!(ends.to_review(now, Millis::ZERO), []);
+    }
+}
