--- a/crates/gateway/tests/operations.rs
+++ b/crates/gateway/tests/operations.rs
@@ -1,18 +1,11 @@
 //! The operators' page names every event and metric that the code has.
 
+mod support;
+
 use std::collections::BTreeSet;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
-fn sources(dir: &Path, found: &mut Vec<PathBuf>) {
-    for entry in std::fs::read_dir(dir).expect("the folder is there") {
-        let path = entry.expect("it can be read").path();
-        if path.is_dir() {
-            sources(&path, found);
-        } else if path.extension().is_some_and(|end| end == "rs") {
-            found.push(path);
-        }
-    }
-}
+use support::sources;
 
 /// The words that follow `start` in the text.
 fn words(text: &str, start: &str) -> BTreeSet<String> {
--- a/crates/gateway/tests/suspended.rs
+++ b/crates/gateway/tests/suspended.rs
@@ -1,7 +1,9 @@
 //! A VM that is suspended for seconds while callers, peers and the store go on.
 
+mod support;
+
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -10,6 +12,7 @@
 use bergamot_gateway::shared::SharedState;
 use bergamot_ports::{ServingBounds, VmSite};
 use bergamot_types::prelude::*;
+use support::sources;
 use tokio::sync::mpsc;
 
 const REVOKE_TIME: Millis = Millis(5_000);
@@ -80,17 +83,6 @@
     assert_eq!(before(clock, deadline, async { 7 }).await, Ok(7));
 }
 
-fn sources(dir: &Path, found: &mut Vec<PathBuf>) {
-    for entry in std::fs::read_dir(dir).expect("the folder is there") {
-        let path = entry.expect("it can be read").path();
-        if path.is_dir() {
-            sources(&path, found);
-        } else if path.extension().is_some_and(|end| end == "rs") {
-            found.push(path);
-        }
-    }
-}
-
 /// Who may go by the clock that stands still while a VM is suspended, and why that harms nobody.
 const PACED: [(&str, &str); 5] = [
     (
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod faults;
 pub mod groups;
 pub mod harmful;
+mod keys;
 pub mod options;
 pub mod plan;
 pub mod process;
