--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -334,12 +334,19 @@
     fn check_unnamed(&self, record: &CallRecord) -> Option<Violation> {
         let runs = self.seen.get(&record.id)?;
         runs.iter().find_map(|(run, seen)| {
-            let is_unnamed = self.troubles.iter().any(|trouble| {
+            let written = self.troubles.iter().filter(|trouble| {
                 let FaultKind::ForeignEntry(role, index, _) = trouble.kind else {
                     return false;
                 };
-                let is_over = seen.at > trouble.until;
-                run.is_at(role, index) && seen.at > trouble.from + LEAVE_BOUND && !is_over
+                run.is_at(role, index)
+            });
+            // The upstream writes its entry at the end of each such fault, also while another one lasts.
+            let is_named_since = |from: Instant| {
+                let mut ends = written.clone().map(|trouble| trouble.until);
+                ends.any(|until| from < until && until < seen.at)
+            };
+            let is_unnamed = written.clone().any(|trouble| {
+                seen.at > trouble.from + LEAVE_BOUND && !is_named_since(trouble.from)
             });
             let is_excused = self.is_troubled(record.entry, seen.at - LEAVE_BOUND, seen.at);
             (is_unnamed && !is_excused).then(|| Violation::WorkWhileUnnamed {
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -301,6 +301,25 @@
             other: Some((FOREIGN, 900, 4_000)),
             ..case()
         },
+        AuditCase {
+            name: "work when it has written again, while an earlier fault of the same kind lasts",
+            sent: 4_100,
+            ended: 4_200,
+            runs: &[4_150],
+            trouble: Some((FOREIGN, 900, 6_000)),
+            other: Some((FOREIGN, 2_000, 4_000)),
+            ..case()
+        },
+        AuditCase {
+            name: "work while the second of two such faults lasts",
+            sent: 4_700,
+            ended: 4_800,
+            runs: &[4_750],
+            trouble: Some((FOREIGN, 900, 2_400)),
+            other: Some((FOREIGN, 2_500, 6_000)),
+            found: Some("WorkWhileUnnamed"),
+            ..case()
+        },
         AuditCase {
             name: "work while the store is away",
             sent: 3_000,
