--- a/crates/gateway/src/front/exchange.rs
+++ b/crates/gateway/src/front/exchange.rs
@@ -18,7 +18,10 @@
 const IDLE_PERIODS: u32 = 4;
 
 /// A notice and the entry VM that it is for.
-type AddressedNotice = (String, PeerNotice);
+struct AddressedNotice {
+    vm: String,
+    notice: PeerNotice,
+}
 
 /// Tells peers what is in flight from here and `crash_news`, and takes in what they tell, until the process ends. Doubts
 /// about leaders are passed on to the groups' duty by `doubts`.
@@ -116,7 +119,10 @@
 
 fn to_notices(actions: Vec<OccupancyAction>) -> Vec<AddressedNotice> {
     let notices = actions.into_iter();
-    let notices = notices.map(|action| (action.vm, PeerNotice::Load(action.notice)));
+    let notices = notices.map(|action| AddressedNotice {
+        vm: action.vm,
+        notice: PeerNotice::Load(action.notice),
+    });
     notices.collect()
 }
 
@@ -154,7 +160,10 @@
             scope: hop.scope,
             record: record.clone(),
         };
-        (hop.vm, PeerNotice::Crash(notice))
+        AddressedNotice {
+            vm: hop.vm,
+            notice: PeerNotice::Crash(notice),
+        }
     });
     notices.collect()
 }
@@ -162,7 +171,7 @@
 /// Sends notices. One that cannot be sent at once is lost, like one that is lost on its way: the next
 /// period brings another.
 fn send(socket: &UdpSocket, view: &ClusterView, notices: Vec<AddressedNotice>) {
-    for (vm, notice) in notices {
+    for AddressedNotice { vm, notice } in notices {
         let Some(entry) = view.entries.get(&vm) else {
             continue;
         };
--- a/crates/gateway/src/sync/quarantine.rs
+++ b/crates/gateway/src/sync/quarantine.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use bergamot_ports::{KeyWrite, StateStore, StoreTxn};
+use bergamot_ports::{KeyWrite, StateStore, StoreError, StoreTxn};
 use bergamot_quarantine::{QuarantineAction, QuarantineEvent, QuarantineRecord};
 use bergamot_types::prelude::*;
 use tokio::sync::mpsc;
@@ -85,6 +85,12 @@
     }
 }
 
+/// Whether the store refuses these records as such: it would at each try, and later ones would wait behind them.
+fn is_unfit(error: &StoreError) -> bool {
+    const OVER_RATE: u16 = 429;
+    matches!(error, StoreError::Refused(status) if (400..500).contains(status) && *status != OVER_RATE)
+}
+
 fn time_of_day() -> UnixMillis {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     UnixMillis(since.map_or(0, |since| since.as_millis() as u64))
@@ -110,7 +116,10 @@
             ..StoreTxn::default()
         };
         // Written twice, a record says the same.
-        while !self.commit(&txn).await {
+        while let Err(error) = self.commit(&txn).await {
+            if is_unfit(&error) {
+                return;
+            }
             tokio::time::sleep(RETRY_PERIOD).await;
         }
     }
@@ -136,13 +145,13 @@
         }
     }
 
-    async fn commit(&self, txn: &StoreTxn) -> bool {
+    async fn commit(&self, txn: &StoreTxn) -> Result<(), StoreError> {
         let outcome = self.store.commit(txn).await;
         count_call(&self.shared, "quarantine", outcome.as_ref().err());
         if let Err(error) = &outcome {
             log::info!("event=record_not_written reason=\"{error}\"");
         }
-        outcome.is_ok()
+        outcome.map(|_| ())
     }
 
     /// What is too old goes. In the store, where a quarantine gets a record that outlives the ends that led to it, one VM
@@ -170,8 +179,8 @@
         txn.removes
             .truncate(MAX_WRITES.saturating_sub(txn.writes.len()));
         if !txn.writes.is_empty() || !txn.removes.is_empty() {
-            // The next look tries what failed once more.
-            self.commit(&txn).await;
+            // What failed is logged, and the next look tries it once more.
+            let _ = self.commit(&txn).await;
         }
     }
 }
