--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -66,10 +66,12 @@
             FaultKind::StopEntry(index) => self.stop_entry(index, length).await?,
             FaultKind::PauseEntry(index) => {
                 // Held for the whole time: a process that stands still cannot stop in order.
-                let process = self.entries[index].process.lock().await;
+                let mut process = self.entries[index].process.lock().await;
+                let since = Instant::now();
                 process.signal(Signal::SIGSTOP);
                 tokio::time::sleep(length).await;
                 process.signal(Signal::SIGCONT);
+                process.note_paused(since);
             }
             FaultKind::ReloadEntry(index) => {
                 let process = self.entries[index].process.lock().await;
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -119,6 +119,14 @@
         tokio::time::sleep_until((self.started_at + SIGNAL_TIME).into()).await;
     }
 
+    /// Notes that it has stood still since then. One that was paused before it had taken its signals over has as much
+    /// longer to do so: it has run for none of that time.
+    pub fn note_paused(&mut self, since: Instant) {
+        if since < self.started_at + SIGNAL_TIME {
+            self.started_at += since.elapsed();
+        }
+    }
+
     /// Sends it a signal, by its id.
     pub fn signal(&self, signal: Signal) {
         let id = self.child.as_ref().and_then(Child::id);
