--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -19,7 +19,7 @@
 use tokio::task::LocalSet;
 
 use crate::front::FrontContext;
-use crate::front::breaks::{follow_ends, review_ends};
+use crate::front::ends::{follow_ends, review_ends};
 use crate::front::exchange::exchange;
 use crate::front::server::{accept_callers, accept_ready, follow_groups, sweep};
 use crate::groups::GroupsDuty;
--- a/crates/gateway/src/front/breaks.rs
+++ b/crates/gateway/src/front/breaks.rs
@@ -1,28 +1,18 @@
-//! Whether an upstream ended when a request was broken off at it, and what that means for the request.
+//! Notes requests that were broken off at upstreams, and finds out whether these have ended.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bergamot_ports::UpstreamState;
-use bergamot_quarantine::{
-    BreakCause, EndEvidence, QuarantineAction, QuarantineEvent, RequestStanding,
-};
+use bergamot_quarantine::{BreakCause, EndEvidence, QuarantineAction, QuarantineEvent};
 use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
 
 use super::FrontContext;
 use super::attempt::SentRequest;
 use super::pool::ConnectError;
-use super::refusal::{CallRefusal, RETURN_QUARANTINED};
 use super::state::CallState;
 use crate::view::ClusterView;
 
-/// Time between two looks at ends that are to be reviewed; not tuned.
-const REVIEW_PERIOD: Duration = Duration::from_secs(1);
-/// The oldest view of the directory that counts as up to date: the time between two confirmations, and what a peer
-/// adds to it.
-const MAX_VIEW_AGE: Millis = Millis(2_500);
-
 /// Notes that a request was broken off after it was sent.
 ///
 /// Returns at once for nearly all. Only where an upstream ended under this request before, it is found out first
@@ -114,42 +104,8 @@
     }
 }
 
-/// Whether a request may be sent, for the first time or once more. Costs a digest of the body while anything is held
-/// against any request, and nothing otherwise.
-pub fn check_standing<Dialect>(
-    front: &FrontContext<Dialect>,
-    request: &SentRequest,
-    state: &CallState,
-) -> Result<(), CallRefusal> {
-    let mut quarantine = front.shared.quarantine.lock();
-    if quarantine.is_empty() {
-        return Ok(());
-    }
-    let print = request.print();
-    let standing = quarantine.standing(print);
-    let is_refused = match standing {
-        RequestStanding::Good => false,
-        RequestStanding::Suspected => state.may_have_run(),
-        RequestStanding::Quarantined => true,
-    };
-    if !is_refused {
-        return Ok(());
-    }
-    quarantine.note_refused(front.now(), print);
-    drop(quarantine);
-    log::info!(
-        "event=request_held_back request={} print={print} standing={standing:?} sends={}",
-        request.call.id,
-        state.sends()
-    );
-    Err(CallRefusal::later(
-        ErrorKind::Quarantined,
-        RETURN_QUARANTINED,
-    ))
-}
-
 /// Whether an upstream is in the directory and has not said that it leaves: the end of one that leaves is planned.
-fn is_staying(view: &ClusterView, life: &UpstreamLife) -> bool {
+pub fn is_staying(view: &ClusterView, life: &UpstreamLife) -> bool {
     let entry = view.upstreams.get(&life.id);
     entry.is_some_and(|entry| entry.life == *life && entry.state != UpstreamState::Draining)
 }
@@ -172,52 +128,9 @@
     handle(front, QuarantineEvent::Ended { life, evidence });
 }
 
-/// Looks in the directory whether upstreams ended at which requests were broken off.
-pub async fn follow_ends<Dialect>(front: Rc<FrontContext<Dialect>>) {
-    let mut changes = front.shared.view_changed.subscribe();
-    while changes.changed().await.is_ok() {
-        let view = front.shared.view.load_full();
-        let awaited = front.shared.quarantine.lock().awaited();
-        for life in &awaited {
-            let evidence = match view.upstreams.get(&life.id) {
-                None => EndEvidence::Unlisted,
-                Some(entry) if entry.life.is_younger_than(life) => EndEvidence::Restarted,
-                Some(entry) if entry.state == UpstreamState::Draining => {
-                    handle(&front, QuarantineEvent::Leaving(life));
-                    continue;
-                }
-                Some(_) => continue,
-            };
-            handle(&front, QuarantineEvent::Ended { life, evidence });
-        }
-    }
-}
-
-/// Looks once more at ends, some time after them. A partition may refuse connections as if nothing listened; the requests
-/// under which an upstream seemed to end are cleared of it then, as it has done nothing wrong but to be out of reach.
-pub async fn review_ends<Dialect>(front: Rc<FrontContext<Dialect>>) {
-    let mut fresh_since = front.now();
-    loop {
-        tokio::time::sleep(REVIEW_PERIOD).await;
-        let now = front.now();
-        if front.shared.is_store_away() || front.shared.config_age(now) > MAX_VIEW_AGE {
-            fresh_since = now;
-        }
-        let due = front.shared.quarantine.lock().to_review(now, fresh_since);
-        let view = front.shared.view.load_full();
-        for life in &due {
-            let is_named = is_staying(&view, life);
-            if is_named {
-                log::info!("event=upstream_not_ended upstream={life}");
-            }
-            handle(&front, QuarantineEvent::Reviewed { life, is_named });
-        }
-    }
-}
-
 /// Takes in what happened and does what follows, but for finding out whether an upstream ended: true where that is to
 /// be done.
-fn handle<Dialect>(front: &FrontContext<Dialect>, event: QuarantineEvent<'_>) -> bool {
+pub fn handle<Dialect>(front: &FrontContext<Dialect>, event: QuarantineEvent<'_>) -> bool {
     let actions = front.shared.quarantine.lock().handle(front.now(), event);
     let mut must_probe = false;
     for action in actions {
--- /dev/null
+++ b/crates/gateway/src/front/ends.rs
@@ -0,0 +1,60 @@
+//! Looks in the directory whether upstreams have ended.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bergamot_ports::UpstreamState;
+use bergamot_quarantine::{EndEvidence, QuarantineEvent};
+use bergamot_types::prelude::*;
+
+use super::FrontContext;
+use super::breaks::{handle, is_staying};
+
+/// Time between two looks at ends that are to be reviewed; not tuned.
+const REVIEW_PERIOD: Duration = Duration::from_secs(1);
+/// The oldest view of the directory that counts as up to date: the time between two confirmations, and what a peer
+/// adds to it.
+const MAX_VIEW_AGE: Millis = Millis(2_500);
+
+/// Looks in the directory whether upstreams ended at which requests were broken off.
+pub async fn follow_ends<Dialect>(front: Rc<FrontContext<Dialect>>) {
+    let mut changes = front.shared.view_changed.subscribe();
+    while changes.changed().await.is_ok() {
+        let view = front.shared.view.load_full();
+        let awaited = front.shared.quarantine.lock().awaited();
+        for life in &awaited {
+            let evidence = match view.upstreams.get(&life.id) {
+                None => EndEvidence::Unlisted,
+                Some(entry) if entry.life.is_younger_than(life) => EndEvidence::Restarted,
+                Some(entry) if entry.state == UpstreamState::Draining => {
+                    handle(&front, QuarantineEvent::Leaving(life));
+                    continue;
+                }
+                Some(_) => continue,
+            };
+            handle(&front, QuarantineEvent::Ended { life, evidence });
+        }
+    }
+}
+
+/// Looks once more at ends, some time after them. A partition may refuse connections as if nothing listened; the requests
+/// under which an upstream seemed to end are cleared of it then, as it has done nothing wrong but to be out of reach.
+pub async fn review_ends<Dialect>(front: Rc<FrontContext<Dialect>>) {
+    let mut fresh_since = front.now();
+    loop {
+        tokio::time::sleep(REVIEW_PERIOD).await;
+        let now = front.now();
+        if front.shared.is_store_away() || front.shared.config_age(now) > MAX_VIEW_AGE {
+            fresh_since = now;
+        }
+        let due = front.shared.quarantine.lock().to_review(now, fresh_since);
+        let view = front.shared.view.load_full();
+        for life in &due {
+            let is_named = is_staying(&view, life);
+            if is_named {
+                log::info!("event=upstream_not_ended upstream={life}");
+            }
+            handle(&front, QuarantineEvent::Reviewed { life, is_named });
+        }
+    }
+}
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -11,7 +11,9 @@
 //! | [`deadline`] | waits that end at a deadline |
 //! | [`attempt`] | one try at one upstream |
 //! | [`relay`] | a stream of events, over several upstreams if need be |
-//! | [`breaks`] | whether an upstream ended when a request was broken off at it |
+//! | [`breaks`] | requests that were broken off at upstreams, and whether these have ended |
+//! | [`ends`] | the same by the directory |
+//! | [`standing`] | whether a request may be sent, by the upstreams that ended under it |
 //! | [`quiet`] | when an upstream counts as standing still |
 //! | [`refusal`] | answers of this system's own |
 //! | [`flight`] | counts of requests at upstreams |
@@ -26,6 +28,7 @@
 pub mod budget;
 pub mod call;
 pub mod deadline;
+pub mod ends;
 pub mod events;
 pub mod exchange;
 pub mod flight;
@@ -36,6 +39,7 @@
 pub mod refusal;
 pub mod relay;
 pub mod server;
+pub mod standing;
 pub mod state;
 
 use std::cell::{Cell, RefCell};
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -9,8 +9,8 @@
 use super::FrontContext;
 use super::admit::authorize;
 use super::attempt::SentRequest;
-use super::breaks::check_standing;
 use super::refusal::{CallRefusal, RETURN_NO_UPSTREAM};
+use super::standing::check_standing;
 use super::state::CallState;
 use crate::view::ClusterView;
 
