--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -167,35 +167,13 @@
 where
     Dialect: CallerDialect + 'static,
 {
-    let began = front.now();
-    let left = state.deadline.since(began);
-    let is_engine = upstream.group.is_some();
+    let left = state.deadline.since(front.now());
     state.tried.push(upstream.life.clone());
     let sent = send(front, request, upstream, left, resume_after);
-    tokio::pin!(sent);
     let guard = LeftGuard::new(front, request, &upstream.life);
-    let mut cause = BreakCause::Silent;
-    let outcome = loop {
-        let now = front.now();
-        let pause = match is_engine {
-            true => LOOK_PERIOD.min(state.deadline.since(now)),
-            false => PLAIN_LOOK.min(state.deadline.since(now)),
-        };
-        match tokio::time::timeout(pause.as_duration(), &mut sent).await {
-            Ok(outcome) => {
-                cause = BreakCause::Closed;
-                break outcome;
-            }
-            Err(_) if front.now() >= state.deadline => {
-                break Err(AttemptError::Broken(
-                    "no answer before the deadline".to_owned(),
-                ));
-            }
-            Err(_) if is_engine && look_quiet(front, upstream, began) => {
-                break Err(AttemptError::Broken("nothing comes from it".to_owned()));
-            }
-            Err(_) => {}
-        }
+    let (outcome, cause) = match await_head(front, state, upstream, sent).await {
+        Ok(outcome) => (outcome, BreakCause::Closed),
+        Err(reason) => (Err(AttemptError::Broken(reason)), BreakCause::Silent),
     };
     let now = front.now();
     // Past the deadline nobody waits for it, as if its caller had left.
@@ -228,6 +206,37 @@
     outcome
 }
 
+/// Waits for what comes of a request that is sent. The error says why it was given up.
+async fn await_head<Dialect, Sent>(
+    front: &FrontContext<Dialect>,
+    state: &CallState,
+    upstream: &RouteUpstream,
+    sent: Sent,
+) -> Result<Sent::Output, String>
+where
+    Sent: Future,
+{
+    let began = front.now();
+    let is_engine = upstream.group.is_some();
+    let look = match is_engine {
+        true => LOOK_PERIOD,
+        false => PLAIN_LOOK,
+    };
+    tokio::pin!(sent);
+    loop {
+        let pause = look.min(state.deadline.since(front.now()));
+        if let Ok(outcome) = tokio::time::timeout(pause.as_duration(), &mut sent).await {
+            return Ok(outcome);
+        }
+        if front.now() >= state.deadline {
+            return Err("no answer before the deadline".to_owned());
+        }
+        if is_engine && look_quiet(front, upstream, began) {
+            return Err("nothing comes from it".to_owned());
+        }
+    }
+}
+
 /// Keeps the accounts of an upstream after a try at it.
 fn note_tried<Dialect>(
     front: &FrontContext<Dialect>,
