--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -1,23 +1,18 @@
 //! Arguments, commands, exit codes.
 
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use anyhow::{Context, bail};
-use bergamot_adapter::{SitePorts, SiteStore};
 use bergamot_bundle::{BundleDigest, SignedBundle, SignerKey, check};
 use bergamot_platform::{CallBudget, HttpCaller, KvClient};
-use bergamot_ports::PortSet;
-use bergamot_quarantine::RequestPrint;
-use bergamot_types::prelude::*;
 use getopts::{Matches, Options};
 use serde_json::{Value, json};
 
 use crate::explain::explain;
 use crate::files::{read_document, read_key, read_signed};
 use crate::publish::publish;
-use crate::quarantine::{list_held, release};
+use crate::quarantine::{list, release};
 use crate::roll::{RollContext, RollOutcome, roll};
 use crate::status::{dump, fleet, wait_in_force};
 use crate::story::{StorySubject, tell};
@@ -49,7 +44,7 @@
 }
 
 impl CommandOutcome {
-    fn new(code: u8, text: impl Into<String>, json: Value) -> Self {
+    pub(crate) fn new(code: u8, text: impl Into<String>, json: Value) -> Self {
         Self {
             text: text.into(),
             json,
@@ -119,8 +114,8 @@
         ["explain", name] => explain_name(matches, name).await,
         ["explain", kind, name] => explain_by_logs(matches, kind, name),
         ["dump"] => dump_all(matches).await,
-        ["quarantine"] => quarantine(matches).await,
-        ["release", print] => release_print(matches, print).await,
+        ["quarantine"] => list(matches).await,
+        ["release", print] => release(matches, print).await,
         [] => bail!("a command is needed; --help lists them"),
         [command, ..] => bail!("{command}: no such command, or the wrong arguments; see --help"),
     }
@@ -228,7 +223,7 @@
     }
 }
 
-fn refused(error: &anyhow::Error) -> CommandOutcome {
+pub(crate) fn refused(error: &anyhow::Error) -> CommandOutcome {
     let text = format!("refused, nothing was changed: {error:#}");
     let json = json!({ "refused": format!("{error:#}") });
     CommandOutcome::new(EXIT_REFUSED, text, json)
@@ -366,47 +361,6 @@
     Ok(CommandOutcome::new(code, lines.join("\n"), json))
 }
 
-fn site_store(matches: &Matches) -> anyhow::Result<SiteStore> {
-    let Some(addr) = matches.opt_get::<SocketAddr>("store")? else {
-        bail!("--store HOST:PORT is needed");
-    };
-    Ok(SitePorts::new(addr).store())
-}
-
-async fn quarantine(matches: &Matches) -> anyhow::Result<CommandOutcome> {
-    let held = match list_held(&site_store(matches)?).await {
-        Ok(held) => held,
-        Err(error) => return Ok(refused(&error)),
-    };
-    let lines = held.iter().map(|request| {
-        let upstreams: Vec<&str> = request.upstreams.iter().map(UpstreamLife::as_str).collect();
-        let (print, since) = (&request.print, request.since.0);
-        format!("{print} since {since}: {}", upstreams.join(" "))
-    });
-    let lines: Vec<String> = lines.collect();
-    let text = match lines.is_empty() {
-        true => "no request is in quarantine".to_owned(),
-        false => lines.join("\n"),
-    };
-    let json = json!({ "quarantine": held });
-    Ok(CommandOutcome::new(EXIT_OK, text, json))
-}
-
-async fn release_print(matches: &Matches, print: &str) -> anyhow::Result<CommandOutcome> {
-    let print: RequestPrint = print.parse()?;
-    match release(&site_store(matches)?, print).await {
-        Ok(()) => {
-            let text = format!("{print} is sent again");
-            Ok(CommandOutcome::new(
-                EXIT_OK,
-                text,
-                json!({ "released": print.to_string() }),
-            ))
-        }
-        Err(error) => Ok(refused(&error)),
-    }
-}
-
 async fn dump_all(matches: &Matches) -> anyhow::Result<CommandOutcome> {
     let caller = HttpCaller::new(KV_TIMEOUT);
     let mut dumps = serde_json::Map::new();
--- a/crates/ctl/src/quarantine.rs
+++ b/crates/ctl/src/quarantine.rs
@@ -1,28 +1,35 @@
 //! Requests that are refused because upstreams ended while they ran them.
 
+use std::net::SocketAddr;
+
 use anyhow::{Context, bail};
+use bergamot_adapter::{SitePorts, SiteStore};
 use bergamot_gateway::own_keys::{QUARANTINE_PREFIX, quarantine_key};
-use bergamot_ports::{KeyWrite, StateStore, StoreTxn, TxnOutcome};
+use bergamot_ports::{KeyWrite, PortSet, StateStore, StoreTxn, TxnOutcome};
 use bergamot_quarantine::{QuarantineRecord, RequestPrint};
 use bergamot_types::prelude::*;
+use getopts::Matches;
 use serde::Serialize;
+use serde_json::json;
+
+use crate::cli::{CommandOutcome, EXIT_OK, refused};
 
 /// A request in quarantine, as the coordinator wrote it down.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize)]
-pub struct HeldRequest {
+struct HeldRequest {
     /// Which; log lines name it too.
-    pub print: String,
+    print: String,
     /// Since when, in milliseconds since 1970.
-    pub since: UnixMillis,
+    since: UnixMillis,
     /// The upstreams that ended under it.
-    pub upstreams: Vec<UpstreamLife>,
+    upstreams: Vec<UpstreamLife>,
 }
 
 /// Requests in quarantine.
 ///
 /// # Errors
 /// When the store does not answer.
-pub async fn list_held<Store>(store: &Store) -> anyhow::Result<Vec<HeldRequest>>
+async fn list_held<Store>(store: &Store) -> anyhow::Result<Vec<HeldRequest>>
 where
     Store: StateStore,
 {
@@ -51,7 +58,7 @@
 ///
 /// # Errors
 /// When it is not in quarantine, or the store does not answer.
-pub async fn release<Store>(store: &Store, print: RequestPrint) -> anyhow::Result<()>
+async fn clear<Store>(store: &Store, print: RequestPrint) -> anyhow::Result<()>
 where
     Store: StateStore,
 {
@@ -80,3 +87,52 @@
         other => bail!("nothing was changed: {other:?}"),
     }
 }
+
+fn site_store(matches: &Matches) -> anyhow::Result<SiteStore> {
+    let Some(addr) = matches.opt_get::<SocketAddr>("store")? else {
+        bail!("--store HOST:PORT is needed");
+    };
+    Ok(SitePorts::new(addr).store())
+}
+
+/// Lists them.
+///
+/// # Errors
+/// When the arguments are unfit.
+pub async fn list(matches: &Matches) -> anyhow::Result<CommandOutcome> {
+    let held = match list_held(&site_store(matches)?).await {
+        Ok(held) => held,
+        Err(error) => return Ok(refused(&error)),
+    };
+    let lines = held.iter().map(|request| {
+        let upstreams: Vec<&str> = request.upstreams.iter().map(UpstreamLife::as_str).collect();
+        let (print, since) = (&request.print, request.since.0);
+        format!("{print} since {since}: {}", upstreams.join(" "))
+    });
+    let lines: Vec<String> = lines.collect();
+    let text = match lines.is_empty() {
+        true => "no request is in quarantine".to_owned(),
+        false => lines.join("\n"),
+    };
+    let json = json!({ "quarantine": held });
+    Ok(CommandOutcome::new(EXIT_OK, text, json))
+}
+
+/// Lets one go.
+///
+/// # Errors
+/// When the arguments are unfit.
+pub async fn release(matches: &Matches, print: &str) -> anyhow::Result<CommandOutcome> {
+    let print: RequestPrint = print.parse()?;
+    match clear(&site_store(matches)?, print).await {
+        Ok(()) => {
+            let text = format!("{print} is sent again");
+            Ok(CommandOutcome::new(
+                EXIT_OK,
+                text,
+                json!({ "released": print.to_string() }),
+            ))
+        }
+        Err(error) => Ok(refused(&error)),
+    }
+}
