feat: lines on requests that are read while the process stops, and that end without an answer

After the signal to stop nothing told which requests were still taken, and after `stopped` nothing was logged at all: what the end of the process cut left no line. A trace follows each request until its answer has left; while the process stops it says that a request was read, and that one ended unanswered, with the upstream it was sent to. No logic of the stop has changed.

--- a/crates/entry/src/bin/bergamot-entry.rs
+++ b/crates/entry/src/bin/bergamot-entry.rs
@@ -25,13 +25,14 @@
         println!("{}: ok", Path::new(&path).display());
         return Ok(ExitCode::SUCCESS);
     }
-    bergamot_gateway::logs::start()?;
+    let logs = bergamot_gateway::logs::start()?;
     let ports = SitePorts::new(settings.store_addr());
     let reader = move || Ok(SiteSettings::load(Path::new(&path))?.site(port));
-    GatewayDaemon::new(settings.site(port), ports)
+    let ended = GatewayDaemon::new(settings.site(port), ports)
         .with_reader(Box::new(reader))
-        .run()?;
-    Ok(ExitCode::SUCCESS)
+        .run();
+    logs.flush();
+    ended.map(|()| ExitCode::SUCCESS)
 }
 
 fn main() -> ExitCode {
--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -1,5 +1,7 @@
 //! Finds the route and the account of a call, and reads its body.
 
+use std::rc::Rc;
+
 use bergamot_ports::{CallerCall, Route, ServingConfig};
 use bergamot_routing::patience;
 use bergamot_types::prelude::*;
@@ -10,6 +12,7 @@
 use super::FrontContext;
 use super::refusal::{CallRefusal, RETURN_STOPPING};
 use super::state::CallState;
+use super::trace::RequestTrace;
 
 /// The time a caller is taken to wait that does not say it; not tuned.
 const ASSUMED_DEADLINE: Millis = Millis(3_000);
@@ -61,6 +64,7 @@
     call: &CallerCall,
     path: &str,
     arrived: Millis,
+    trace: Rc<RequestTrace>,
 ) -> Result<AdmittedCall, CallRefusal> {
     let view = front.shared.view.load();
     let Some(config) = &view.config else {
@@ -89,6 +93,7 @@
             tried: Vec::new(),
             arrivals: 0,
             run_at: Vec::new(),
+            trace,
         },
         caller: AdmittedCaller {
             account,
--- a/crates/gateway/src/front/answer.rs
+++ b/crates/gateway/src/front/answer.rs
@@ -24,22 +24,35 @@
 /// An answer to a caller.
 pub type CallerAnswer = Response<AnswerBody>;
 
+/// What lasts until an answer has left, and is told when that was the whole one.
+pub trait AnswerHold {
+    /// Every piece of the answer was handed to the caller's connection.
+    fn note_whole(&mut self);
+}
+
 /// A body that holds something until it was sent, or dropped.
 pub struct HeldBody<Held> {
     body: AnswerBody,
-    _held: Held,
+    held: Held,
 }
 
-impl<Held> HeldBody<Held> {
+impl<Held> HeldBody<Held>
+where
+    Held: AnswerHold,
+{
     /// Holds `held` for as long as `body` lasts.
-    pub fn new(body: AnswerBody, held: Held) -> Self {
-        Self { body, _held: held }
+    pub fn new(body: AnswerBody, mut held: Held) -> Self {
+        // A body without bytes is never asked for a piece.
+        if body.is_end_stream() {
+            held.note_whole();
+        }
+        Self { body, held }
     }
 }
 
 impl<Held> Body for HeldBody<Held>
 where
-    Held: Unpin,
+    Held: AnswerHold + Unpin,
 {
     type Data = Bytes;
     type Error = BrokenAnswer;
@@ -48,7 +61,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if matches!(polled, Poll::Ready(None)) || self.body.is_end_stream() {
+            self.held.note_whole();
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -22,11 +22,13 @@
 use super::refusal::{log_refusal, refuse};
 use super::relay::relay_events;
 use super::state::CallState;
+use super::trace::RequestTrace;
 
 /// Answers a request.
 pub async fn answer<Dialect>(
     front: Rc<FrontContext<Dialect>>,
     request: Request<Incoming>,
+    trace: Rc<RequestTrace>,
 ) -> CallerAnswer
 where
     Dialect: CallerDialect + 'static,
@@ -39,8 +41,9 @@
         Err(kind) => return refuse(&front, None, kind.into()),
     };
     let id = call.id.clone();
+    trace.note_id(&id);
     await_config(&front, &call).await;
-    let admitted = admit(&front, &call, head.uri.path(), arrived);
+    let admitted = admit(&front, &call, head.uri.path(), arrived, trace);
     let limit = admitted.as_ref().map_or(0, |admitted| admitted.body_limit);
     let (state, caller) = match admitted {
         Ok(admitted) => (admitted.state, admitted.caller),
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -7,6 +7,7 @@
 //! | [`head_timer`] | the time that a request's head may take |
 //! | [`call`] | one request from its head to its answer |
 //! | [`state`] | where a request stands |
+//! | [`trace`] | what is known of a request until its answer has left |
 //! | [`plan`] | the next upstream for a request |
 //! | [`deadline`] | waits that end at a deadline |
 //! | [`attempt`] | one try at one upstream |
@@ -42,6 +43,7 @@
 pub mod server;
 pub mod standing;
 pub mod state;
+pub mod trace;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -31,6 +31,7 @@
 {
     let left = state.deadline.since(front.now());
     state.tried.push(upstream.life.clone());
+    state.trace.note_sent(&upstream.life);
     let run = sent_run(front, request, state, upstream);
     let sent = send(front, request, upstream, run, left, resume_after);
     let guard = LeftGuard::new(front, request, &upstream.life);
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -22,6 +22,7 @@
 use super::answer::{HeldBody, whole_body};
 use super::call::answer;
 use super::head_timer::{HeadTimer, TimedStream};
+use super::trace::{RequestTrace, TracedAnswer};
 use crate::listen::next_connection;
 
 /// Time between two looks at idle connections and at what is not listed any more.
@@ -70,12 +71,13 @@
         async move {
             let arrived = timer.arrived();
             let in_flight = InFlight::enter(&front);
-            let mut response = answer(Rc::clone(&front), request).await;
+            let trace = Rc::new(RequestTrace::begin(&front.shared));
+            let mut response = answer(Rc::clone(&front), request, Rc::clone(&trace)).await;
             if front.shared.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            let held = (arrived, in_flight);
+            let held = TracedAnswer::new(trace, (arrived, in_flight));
             Ok::<_, Infallible>(response.map(|body| HeldBody::new(body, held)))
         }
     });
--- a/crates/gateway/src/front/state.rs
+++ b/crates/gateway/src/front/state.rs
@@ -1,8 +1,12 @@
 //! Where a request stands.
 
+use std::rc::Rc;
+
 use bergamot_ports::Route;
 use bergamot_types::prelude::*;
 
+use super::trace::RequestTrace;
+
 /// Where a request stands.
 pub struct CallState {
     /// Its route.
@@ -19,6 +23,8 @@
     pub arrivals: usize,
     /// Of these, where it may have run.
     pub run_at: Vec<UpstreamLife>,
+    /// Follows it to the end of its answer.
+    pub trace: Rc<RequestTrace>,
 }
 
 impl CallState {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -190,6 +190,12 @@
         self.view_changed.send_modify(|count| *count += 1);
     }
 
+    /// How long ago the signal to stop came. None before it.
+    pub fn stop_age(&self, now: Millis) -> Option<Millis> {
+        let began = Millis(self.stop_began.load(Ordering::SeqCst));
+        self.is_stopping().then(|| now.since(began))
+    }
+
     /// When the process ends at the latest, once callers have had time to learn of the stop. None
     /// before: until then every request is taken.
     pub fn stop_end(&self, now: Millis) -> Option<Millis> {
