fix: a process that stops closes its listener before it ends

Callers saw a request run and its connection close without an answer some seconds after the signal to stop. Cause: the end was decided from a sample, no connection open at a look each 50 ms, while the listener went on accepting; 50 ms later the process was gone with whatever had come meanwhile. The count was a metric's gauge, and was raised only when the connection's task first ran.

The life cycle (serving, notified, closing, draining, ended) is a crate of its own, pure: each phase is taken to make the next, connections are counted when they are accepted, and the end follows only the close of the listener, or the end of the grace. What waits in the accept queue is accepted before the close. In the last phase nothing is sent on. A second signal or a hang-up changes nothing. The bound on requests taken late, the notice and the margins moved there. With the listener closed, connections on which nothing comes are closed after a second.

Ruled out: the close of idle connections (cuts would come 2.6 s after the signal), the bound on the grace (7.5 s), and connections accepted but not counted yet (all eight lost requests were read after `stopped` was logged).

--- a/crates/entry/tests/stop.rs
+++ b/crates/entry/tests/stop.rs
@@ -1,7 +1,10 @@
 //! What callers get who come around the end of a planned stop.
 //!
 //! What they saw: a request was run by its upstream, and its connection was closed without an answer 41 ms after it had
-//! been sent, 3.7 s after the signal to stop.
+//! been sent, 3.7 s after the signal to stop. Order of events: signal; idle connections are closed; at a look no
+//! connection is open; a caller connects, its request is sent on; the process ends. Cause: the end was decided from a
+//! sample of open connections while the listener went on accepting. Evidence: in eight of eight lost requests the log
+//! said that the process had stopped with no connection open 20 to 66 ms before the request was read.
 
 mod support;
 
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
 use crate::front::FrontContext;
@@ -24,7 +24,7 @@
 use crate::front::server::{accept_callers, accept_ready, follow_groups, sweep};
 use crate::groups::GroupsDuty;
 use crate::listen::next_connection;
-use crate::shared::{STOP_MARGIN, STOP_NOTICE, SharedState};
+use crate::shared::SharedState;
 use crate::sync::SyncDuty;
 
 /// Leaders at which requests stand still that wait for the groups' duty at most.
@@ -32,9 +32,6 @@
 /// Records of requests under which upstreams ended that wait for the store at most: a minute of one leader that ends each
 /// second with 16 streams from here.
 const RECORD_RING: usize = 1_024;
-/// Time between two looks at what is in flight while stopping.
-const STOP_LOOK: Duration = Duration::from_millis(50);
-
 /// Time between two looks at the settings, which may change without a signal.
 const RELOAD_PERIOD: Duration = Duration::from_secs(5);
 
@@ -194,11 +191,10 @@
         still_sender,
     );
     let front = Rc::new(front);
-    let (close_idle, closing) = watch::channel(false);
     let caller = TcpListener::from_std(sockets.caller)?;
     let ready = TcpListener::from_std(sockets.ready)?;
     let peer = UdpSocket::from_std(sockets.peer)?;
-    tokio::task::spawn_local(accept_callers(Rc::clone(&front), caller, closing));
+    tokio::task::spawn_local(accept_callers(Rc::clone(&front), caller));
     tokio::task::spawn_local(accept_ready(Rc::clone(&front), ready));
     tokio::task::spawn_local(sweep(Rc::clone(&front)));
     tokio::task::spawn_local(follow_groups(Rc::clone(&front)));
@@ -233,24 +229,20 @@
             Err(error) => log::error!("event=reload outcome=unreadable reason={error:?}"),
         }
     }
-    shared.begin_stop();
-    log::info!("event=stopping in_flight={}", front.in_flight.get());
-    let grace = shared.bounds().stop_grace;
-    tokio::time::sleep(STOP_NOTICE.as_duration()).await;
-    let _ = close_idle.send(true);
-    let left = grace.since(STOP_NOTICE + STOP_MARGIN).as_duration();
-    let quiet = async {
-        while front.open_connections() > 0 {
-            tokio::time::sleep(STOP_LOOK).await;
+    front.stop.signal();
+    let signals = async {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => front.stop.signal(),
+                _ = interrupt.recv() => front.stop.signal(),
+                _ = reload.recv() => log::info!("event=reload outcome=stopping"),
+            }
         }
     };
-    let is_quiet = tokio::time::timeout(left, quiet).await.is_ok();
-    log::info!(
-        "event=stopped is_quiet={is_quiet} connections={}",
-        front.open_connections()
-    );
-    // The writer of the log empties its ring meanwhile.
-    tokio::time::sleep(STOP_LOOK).await;
+    tokio::select! {
+        () = front.stop.wait_end() => {}
+        () = signals => {}
+    }
     Ok(())
 }
 
--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -78,8 +78,8 @@
     let timeout = call
         .deadline
         .map_or(route.timeout, |it| it.min(route.timeout));
-    let stop_end = front.shared.stop_end(arrived);
-    if stop_end.is_some_and(|end| arrived + timeout > end) {
+    let answer_end = front.stop.answer_end(arrived);
+    if answer_end.is_some_and(|end| arrived + timeout > end) {
         // It could be cut before its end.
         let kind = ErrorKind::ShuttingDown;
         return Err(CallRefusal::later(kind, RETURN_STOPPING));
--- a/crates/gateway/src/front/head_timer.rs
+++ b/crates/gateway/src/front/head_timer.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Whether no byte of a head has come since the last answer.
+    pub fn is_silent(&self) -> bool {
+        matches!(self.state.get(), HeadState::Idle)
+    }
+
     /// Notes that a head has arrived. Bytes that come before the end of the answer belong to no
     /// head yet.
     pub fn arrived(&self) -> HeadGuard {
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -45,7 +45,7 @@
 pub mod state;
 pub mod trace;
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -59,6 +59,7 @@
 use tokio::sync::mpsc;
 
 use crate::shared::SharedState;
+use crate::stop::StopControl;
 use budget::RepeatBudget;
 use pool::ConnectionPool;
 
@@ -78,8 +79,8 @@
     pub returns: RefCell<ReturnTimes>,
     /// Repeats sent.
     pub budget: RefCell<RepeatBudget>,
-    /// Requests in flight.
-    pub in_flight: Rc<Cell<usize>>,
+    /// The life cycle of the process.
+    pub stop: Rc<StopControl>,
     /// What this VM saw of requests under which upstreams ended, for the other VMs.
     pub crash_news: mpsc::Sender<QuarantineRecord>,
     /// Leaders whose streams stand still, for the other VMs.
@@ -102,15 +103,15 @@
         };
         Self {
             pool: Rc::new(ConnectionPool::new(shared.clock)),
-            shared,
             dialect,
             book: Rc::new(RefCell::new(UpstreamBook::new(place))),
             demand: RefCell::default(),
             returns: RefCell::default(),
             budget: RefCell::new(budget),
-            in_flight: Rc::new(Cell::new(0)),
+            stop: Rc::new(StopControl::new(Arc::clone(&shared))),
             crash_news,
             still_news,
+            shared,
         }
     }
 
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -9,7 +9,7 @@
 use super::FrontContext;
 use super::admit::authorize;
 use super::attempt::SentRequest;
-use super::refusal::{CallRefusal, RETURN_NO_UPSTREAM};
+use super::refusal::{CallRefusal, RETURN_NO_UPSTREAM, RETURN_STOPPING};
 use super::standing::check_standing;
 use super::state::CallState;
 use crate::view::ClusterView;
@@ -59,6 +59,10 @@
     if now >= state.deadline {
         return Err(ErrorKind::DeadlineBeforeSend.into());
     }
+    // Nobody is left to pass its answer on.
+    if front.stop.has_ended() {
+        return Err(CallRefusal::later(ErrorKind::ShuttingDown, RETURN_STOPPING));
+    }
     let view: Arc<ClusterView> = front.shared.view.load_full();
     let config = view.config.as_ref().ok_or(ErrorKind::NoBundle)?;
     check_key(front, config, request, state, now)?;
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -1,6 +1,5 @@
 //! Connections of callers, readiness, and the stop.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -16,40 +15,53 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use indexmap::IndexMap;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 use super::FrontContext;
 use super::answer::{HeldBody, whole_body};
 use super::call::answer;
 use super::head_timer::{HeadTimer, TimedStream};
 use super::trace::{RequestTrace, TracedAnswer};
-use crate::listen::next_connection;
+use crate::listen::{close, next_connection};
 
 /// Time between two looks at idle connections and at what is not listed any more.
 const SWEEP_PERIOD: Duration = Duration::from_secs(2);
 /// The smallest buffer that the library takes for a request's head, in bytes.
 const MIN_HEAD_BUFFER: usize = 8_192;
 
-/// Takes in callers until the process ends.
-pub async fn accept_callers<Dialect>(
-    front: Rc<FrontContext<Dialect>>,
-    listener: TcpListener,
-    close_idle: watch::Receiver<bool>,
-) where
+/// Takes in callers until the listener is to be closed, and then those who wait to be accepted.
+pub async fn accept_callers<Dialect>(front: Rc<FrontContext<Dialect>>, listener: TcpListener)
+where
     Dialect: CallerDialect + 'static,
 {
+    let mut orders = front.stop.orders();
     loop {
-        let stream = next_connection(&listener).await;
-        let front = Rc::clone(&front);
-        tokio::task::spawn_local(serve_caller(front, stream, close_idle.clone()));
+        tokio::select! {
+            stream = next_connection(&listener) => take_caller(&front, stream),
+            _ = orders.wait_for(|orders| orders.listener) => break,
+        }
+    }
+    for stream in close(listener) {
+        take_caller(&front, stream);
     }
+    front.stop.note_listener_closed();
 }
 
-async fn serve_caller<Dialect>(
-    front: Rc<FrontContext<Dialect>>,
-    stream: TcpStream,
-    mut close_idle: watch::Receiver<bool>,
-) where
+/// Counts a connection before its task first runs, so that a stop waits for it.
+fn take_caller<Dialect>(front: &Rc<FrontContext<Dialect>>, stream: TcpStream)
+where
+    Dialect: CallerDialect + 'static,
+{
+    if let Some(guard) = front.stop.accept() {
+        let front = Rc::clone(front);
+        tokio::task::spawn_local(async move {
+            serve_caller(front, stream).await;
+            drop(guard);
+        });
+    }
+}
+
+async fn serve_caller<Dialect>(front: Rc<FrontContext<Dialect>>, stream: TcpStream)
+where
     Dialect: CallerDialect + 'static,
 {
     if let Err(error) = stream.set_nodelay(true) {
@@ -70,14 +82,13 @@
         let timer = timer.clone();
         async move {
             let arrived = timer.arrived();
-            let in_flight = InFlight::enter(&front);
             let trace = Rc::new(RequestTrace::begin(&front.shared));
             let mut response = answer(Rc::clone(&front), request, Rc::clone(&trace)).await;
             if front.shared.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            let held = TracedAnswer::new(trace, (arrived, in_flight));
+            let held = TracedAnswer::new(trace, arrived);
             Ok::<_, Infallible>(response.map(|body| HeldBody::new(body, held)))
         }
     });
@@ -89,59 +100,28 @@
         .serve_connection(TokioIo::new(TimedStream::new(stream, timer.clone())), service);
     let overdue = timer.overdue();
     tokio::pin!(connection, overdue);
-    front.in_flight_connections(1);
+    let mut orders = front.stop.orders();
+    orders.mark_changed();
     let ended = loop {
         tokio::select! {
             ended = connection.as_mut() => break ended,
             () = overdue.as_mut() => break Ok(()),
-            changed = close_idle.changed() => {
-                if changed.is_err() || *close_idle.borrow() {
+            Ok(()) = orders.changed() => {
+                let told = *orders.borrow_and_update();
+                if told.silent && timer.is_silent() {
+                    break Ok(());
+                }
+                if told.idle {
                     connection.as_mut().graceful_shutdown();
-                    break connection.as_mut().await;
                 }
             }
         }
     };
-    front.in_flight_connections(-1);
     if let Err(error) = ended {
         log::debug!("event=caller_connection_ended reason={error:?}");
     }
 }
 
-impl<Dialect> FrontContext<Dialect> {
-    fn in_flight_connections(&self, change: i64) {
-        let connections = &self.shared.metrics.state;
-        connections
-            .with_label_values(&["caller_connections"])
-            .add(change);
-    }
-
-    /// Connections of callers that are open.
-    pub fn open_connections(&self) -> i64 {
-        let connections = &self.shared.metrics.state;
-        connections.with_label_values(&["caller_connections"]).get()
-    }
-}
-
-/// Counts a request in flight until dropped.
-struct InFlight {
-    count: Rc<Cell<usize>>,
-}
-
-impl InFlight {
-    fn enter<Dialect>(front: &FrontContext<Dialect>) -> Self {
-        let count = Rc::clone(&front.in_flight);
-        count.set(count.get() + 1);
-        Self { count }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.count.set(self.count.get() - 1);
-    }
-}
-
 /// Answers the balancer.
 pub async fn accept_ready<Dialect>(front: Rc<FrontContext<Dialect>>, listener: TcpListener)
 where
--- a/crates/gateway/src/front/trace.rs
+++ b/crates/gateway/src/front/trace.rs
@@ -7,6 +7,7 @@
 use bergamot_types::prelude::*;
 
 use super::answer::AnswerHold;
+use super::head_timer::HeadGuard;
 use crate::shared::SharedState;
 
 /// Follows one request until its answer has left. While the process stops, a line says that a request was read, and
@@ -73,20 +74,23 @@
     }
 }
 
-/// Holds what lasts as long as an answer: its trace, and `Rest`.
-pub struct TracedAnswer<Rest> {
+/// Holds what lasts as long as an answer.
+pub struct TracedAnswer {
     trace: Rc<RequestTrace>,
-    _rest: Rest,
+    _arrived: HeadGuard,
 }
 
-impl<Rest> TracedAnswer<Rest> {
-    /// Holds a request's trace and what else ends with its answer.
-    pub fn new(trace: Rc<RequestTrace>, rest: Rest) -> Self {
-        Self { trace, _rest: rest }
+impl TracedAnswer {
+    /// Holds a request's trace, and the time of its head.
+    pub fn new(trace: Rc<RequestTrace>, arrived: HeadGuard) -> Self {
+        Self {
+            trace,
+            _arrived: arrived,
+        }
     }
 }
 
-impl<Rest> AnswerHold for TracedAnswer<Rest> {
+impl AnswerHold for TracedAnswer {
     fn note_whole(&mut self) {
         self.trace.note_whole();
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod own_keys;
 pub mod shared;
 pub mod signals;
+mod stop;
 mod sync;
 pub mod view;
 
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -1,4 +1,4 @@
-//! Accepts connections.
+//! Accepts connections, and closes listeners.
 
 use std::time::Duration;
 
@@ -19,3 +19,22 @@
         }
     }
 }
+
+/// Closes a listener, and gives the connections that waited to be accepted: closed with it, their callers would see a reset
+/// where they can be served.
+pub(crate) fn close(listener: TcpListener) -> Vec<TcpStream> {
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::warn!("event=accept_failed reason={error:?}");
+            return Vec::new();
+        }
+    };
+    // The kernel is asked until its queue is empty: readiness as the runtime knows it may lag behind.
+    let waiting = std::iter::from_fn(|| listener.accept().ok());
+    let streams = waiting.filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    });
+    streams.collect()
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -25,12 +25,6 @@
 /// second, two of them in turn.
 const PEER_AWAY_TIME: Millis = Millis(1_500);
 
-/// Time after the signal to stop in which the balancer learns of it, by two missed questions a
-/// second apart, and new callers still come.
-pub const STOP_NOTICE: Millis = Millis(2_600);
-/// Time before the end of the grace in which the process ends whatever is in flight.
-pub const STOP_MARGIN: Millis = Millis(500);
-
 /// State that every duty reads.
 pub struct SharedState {
     /// Where this process runs.
@@ -196,18 +190,6 @@
         self.is_stopping().then(|| now.since(began))
     }
 
-    /// When the process ends at the latest, once callers have had time to learn of the stop. None
-    /// before: until then every request is taken.
-    pub fn stop_end(&self, now: Millis) -> Option<Millis> {
-        if !self.is_stopping() {
-            return None;
-        }
-        let began = Millis(self.stop_began.load(Ordering::SeqCst));
-        let is_noticed = now.since(began) >= STOP_NOTICE;
-        let end = began + self.bounds().stop_grace;
-        is_noticed.then_some(end.since(STOP_MARGIN))
-    }
-
     /// Publishes a new view.
     pub fn publish(&self, view: ClusterView) {
         self.view.store(Arc::new(view));
--- /dev/null
+++ b/crates/shutdown/src/state.rs
@@ -0,0 +1,249 @@
+//! What moves a process from one phase to the next.
+
+use bergamot_types::prelude::*;
+
+use crate::options::{CloseRule, ShutdownOptions};
+use crate::phase::{
+    ClosingPhase, DrainingPhase, EndedPhase, NotifiedPhase, PhaseName, PhaseState, ServingPhase,
+};
+
+/// What befell a process.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ShutdownEvent {
+    /// It was told to stop. Only the first signal counts: a second one neither cuts what is in flight nor gives it longer.
+    Signalled(ShutdownOptions),
+    /// A caller's connection was accepted. Told before anything is read from it.
+    Accepted,
+    /// A connection that was accepted has ended: its last answer has left, or its caller.
+    Released,
+    /// The listener is closed, and all that it had accepted was told.
+    ListenerClosed,
+    /// Time has passed.
+    Looked,
+}
+
+/// What the process has to do.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ShutdownAction {
+    /// Tell the balancer and the other duties of the stop.
+    Announce,
+    /// Close the connections whose callers wait for no answer.
+    CloseIdle,
+    /// Accept who waits to be accepted, and close the listener.
+    CloseListener,
+    /// Close the connections on which no request has begun.
+    CloseSilent,
+    /// Close a connection that was accepted too late, unread.
+    Reject,
+    /// End the process; so many connections are cut.
+    End {
+        /// Connections that are still open.
+        cut: usize,
+    },
+}
+
+#[derive(Debug)]
+enum CurrentPhase {
+    Serving(PhaseState<ServingPhase>),
+    Notified(PhaseState<NotifiedPhase>),
+    Closing(PhaseState<ClosingPhase>),
+    Draining(PhaseState<DrainingPhase>),
+    Ended(PhaseState<EndedPhase>),
+}
+
+/// The life cycle of one process.
+#[derive(Debug)]
+pub struct ShutdownState {
+    phase: CurrentPhase,
+    has_closed_idle: bool,
+    has_closed_silent: bool,
+}
+
+impl Default for ShutdownState {
+    fn default() -> Self {
+        Self {
+            phase: CurrentPhase::Serving(PhaseState::default()),
+            has_closed_idle: false,
+            has_closed_silent: false,
+        }
+    }
+}
+
+impl ShutdownState {
+    /// Takes in what befell the process, and says what it has to do, in this order.
+    pub fn handle(&mut self, now: Millis, event: ShutdownEvent) -> Vec<ShutdownAction> {
+        let mut actions = Vec::new();
+        match event {
+            ShutdownEvent::Signalled(options) => self.notify(now, options, &mut actions),
+            ShutdownEvent::Accepted => self.accept(now, &mut actions),
+            ShutdownEvent::Released => self.release(),
+            ShutdownEvent::ListenerClosed => self.drain(now),
+            ShutdownEvent::Looked => {}
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// The phase that the process is in.
+    pub fn phase(&self) -> PhaseName {
+        match &self.phase {
+            CurrentPhase::Serving(_) => PhaseName::Serving,
+            CurrentPhase::Notified(_) => PhaseName::Notified,
+            CurrentPhase::Closing(_) => PhaseName::Closing,
+            CurrentPhase::Draining(_) => PhaseName::Draining,
+            CurrentPhase::Ended(_) => PhaseName::Ended,
+        }
+    }
+
+    /// Connections of callers that are open.
+    pub fn connections(&self) -> usize {
+        match &self.phase {
+            CurrentPhase::Serving(state) => state.connections(),
+            CurrentPhase::Notified(state) => state.connections(),
+            CurrentPhase::Closing(state) => state.connections(),
+            CurrentPhase::Draining(state) => state.connections(),
+            CurrentPhase::Ended(state) => state.connections(),
+        }
+    }
+
+    /// When a request that is read now must be over, so that the end of the process cannot cut it. None while every
+    /// request is taken: callers who have not heard of a stop may send requests that outlast its grace.
+    pub fn answer_end(&self, now: Millis) -> Option<Millis> {
+        match &self.phase {
+            CurrentPhase::Serving(_) => None,
+            CurrentPhase::Notified(state) => {
+                let NotifiedPhase { began, options, .. } = state.phase();
+                let is_noticed = now.since(*began) >= options.notice;
+                is_noticed.then(|| *began + options.answer_end)
+            }
+            CurrentPhase::Closing(state) => {
+                Some(state.phase().began + state.phase().options.answer_end)
+            }
+            CurrentPhase::Draining(state) => {
+                Some(state.phase().began + state.phase().options.answer_end)
+            }
+            CurrentPhase::Ended(_) => Some(Millis::ZERO),
+        }
+    }
+
+    fn notify(&mut self, now: Millis, options: ShutdownOptions, actions: &mut Vec<ShutdownAction>) {
+        self.replace(|phase| match phase {
+            CurrentPhase::Serving(state) => {
+                actions.push(ShutdownAction::Announce);
+                CurrentPhase::Notified(state.notify(now, options))
+            }
+            other => other,
+        });
+    }
+
+    fn accept(&mut self, now: Millis, actions: &mut Vec<ShutdownAction>) {
+        match &mut self.phase {
+            CurrentPhase::Serving(state) => state.accept(now),
+            CurrentPhase::Notified(state) => state.accept(now),
+            CurrentPhase::Closing(state) => state.accept(now),
+            CurrentPhase::Draining(_) | CurrentPhase::Ended(_) => {
+                actions.push(ShutdownAction::Reject);
+            }
+        }
+    }
+
+    fn release(&mut self) {
+        match &mut self.phase {
+            CurrentPhase::Serving(state) => state.release(),
+            CurrentPhase::Notified(state) => state.release(),
+            CurrentPhase::Closing(state) => state.release(),
+            CurrentPhase::Draining(state) => state.release(),
+            CurrentPhase::Ended(state) => state.release(),
+        }
+    }
+
+    fn drain(&mut self, now: Millis) {
+        self.replace(|phase| match phase {
+            CurrentPhase::Closing(state) => CurrentPhase::Draining(state.drain(now)),
+            other => other,
+        });
+    }
+
+    /// Moves on as far as the time and the open connections allow.
+    fn advance(&mut self, now: Millis, actions: &mut Vec<ShutdownAction>) {
+        self.close_idle(now, actions);
+        self.replace(|phase| match phase {
+            CurrentPhase::Notified(state) if may_close(&state, now) => {
+                actions.push(ShutdownAction::CloseListener);
+                CurrentPhase::Closing(state.close())
+            }
+            other => other,
+        });
+        self.replace(|phase| match phase {
+            // The bound on the grace holds also where the listener's end is not told in time.
+            CurrentPhase::Closing(state)
+                if is_over(state.phase().began, state.phase().options, now) =>
+            {
+                CurrentPhase::Draining(state.drain(now))
+            }
+            other => other,
+        });
+        self.close_silent(now, actions);
+        self.replace(|phase| match phase {
+            CurrentPhase::Draining(state) if may_end(&state, now) => {
+                let cut = state.connections();
+                actions.push(ShutdownAction::End { cut });
+                CurrentPhase::Ended(state.end())
+            }
+            other => other,
+        });
+    }
+
+    fn close_idle(&mut self, now: Millis, actions: &mut Vec<ShutdownAction>) {
+        let CurrentPhase::Notified(state) = &self.phase else {
+            return;
+        };
+        let is_noticed = now.since(state.phase().began) >= state.phase().options.notice;
+        if is_noticed && !self.has_closed_idle {
+            self.has_closed_idle = true;
+            actions.push(ShutdownAction::CloseIdle);
+        }
+    }
+
+    fn close_silent(&mut self, now: Millis, actions: &mut Vec<ShutdownAction>) {
+        let CurrentPhase::Draining(state) = &self.phase else {
+            return;
+        };
+        let is_silent = now.since(state.phase().closed_at) >= state.phase().options.silent_time;
+        if is_silent && !self.has_closed_silent {
+            self.has_closed_silent = true;
+            actions.push(ShutdownAction::CloseSilent);
+        }
+    }
+
+    fn replace<Step>(&mut self, step: Step)
+    where
+        Step: FnOnce(CurrentPhase) -> CurrentPhase,
+    {
+        let placeholder = CurrentPhase::Serving(PhaseState::default());
+        self.phase = step(std::mem::replace(&mut self.phase, placeholder));
+    }
+}
+
+fn may_close(state: &PhaseState<NotifiedPhase>, now: Millis) -> bool {
+    let NotifiedPhase {
+        began,
+        options,
+        accepted_at,
+    } = state.phase();
+    let age = now.since(*began);
+    let is_idle = match options.rule {
+        CloseRule::AtNotice => true,
+        CloseRule::WhenIdle(quiet) => state.connections() == 0 && now.since(*accepted_at) >= quiet,
+        CloseRule::AtGrace => false,
+    };
+    age >= options.listen_end || age >= options.notice && is_idle
+}
+
+fn may_end(state: &PhaseState<DrainingPhase>, now: Millis) -> bool {
+    state.connections() == 0 || is_over(state.phase().began, state.phase().options, now)
+}
+
+fn is_over(began: Millis, options: ShutdownOptions, now: Millis) -> bool {
+    now.since(began) >= options.end
+}
