test: the time of a stop counts from before its signal

The check that a stop lasts for its notice of 2.6 s failed in one run with 2.593 s: the clock was read after the program that sends the signal had ended, some milliseconds after the process had got it. Read before, the measured time is never shorter than the real one; both bounds stay as they are.

--- a/crates/entry/tests/stop.rs
+++ b/crates/entry/tests/stop.rs
@@ -287,8 +287,8 @@
     });
     let callers: Vec<_> = callers.collect();
     std::thread::sleep(Duration::from_millis(100));
-    entry.signal("TERM");
     let began = Instant::now();
+    entry.signal("TERM");
     for (after, name) in case.signals {
         let at = Duration::from_millis(*after);
         std::thread::sleep(at.saturating_sub(began.elapsed()));
