fix: a connection that stays silent does not hold up a stop

Since connections whose first request is still to come are left open, one on which nothing ever came kept the listener open until 1 s before the end of the grace, and its process with it. Such a connection is closed once the process stops and it has been silent for a second since it was opened; the phase for it after the listener's end is gone. The stop's cases run side by side.

--- a/crates/gateway/src/front/head_timer.rs
+++ b/crates/gateway/src/front/head_timer.rs
@@ -46,9 +46,9 @@
         }
     }
 
-    /// Whether no byte of a head has come since the last answer.
-    pub fn is_silent(&self) -> bool {
-        matches!(self.state.get(), HeadState::Fresh | HeadState::Idle)
+    /// Whether no byte has come since the connection was opened.
+    pub fn is_fresh(&self) -> bool {
+        matches!(self.state.get(), HeadState::Fresh)
     }
 
     /// Whether a request was read whole, so that the library closes the connection no sooner than after its answer.
@@ -81,7 +81,7 @@
     }
 
     fn note_bytes(&self) {
-        if self.is_silent() {
+        if matches!(self.state.get(), HeadState::Fresh | HeadState::Idle) {
             self.state.set(HeadState::Arriving(Instant::now()));
         }
     }
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use indexmap::IndexMap;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep_until};
 
 use super::FrontContext;
 use super::answer::{HeldBody, whole_body};
@@ -25,6 +26,9 @@
 
 /// Time between two looks at idle connections and at what is not listed any more.
 const SWEEP_PERIOD: Duration = Duration::from_secs(2);
+/// How long a connection may stay silent after it was opened, once the process stops. Callers send their request with the
+/// connection, and one that has got no attention for a second leaves by itself.
+const SILENT_TIME: Duration = Duration::from_millis(1_000);
 /// The smallest buffer that the library takes for a request's head, in bytes.
 const MIN_HEAD_BUFFER: usize = 8_192;
 
@@ -102,6 +106,8 @@
     tokio::pin!(connection, overdue);
     let mut orders = front.stop.orders();
     orders.mark_changed();
+    let silent_end = Instant::now() + SILENT_TIME;
+    let mut is_told = false;
     let ended = loop {
         tokio::select! {
             // What has arrived is read before an order to close is looked at.
@@ -109,15 +115,13 @@
             ended = connection.as_mut() => break ended,
             () = overdue.as_mut() => break Ok(()),
             Ok(()) = orders.changed() => {
-                let told = *orders.borrow_and_update();
-                if told.silent && timer.is_silent() {
-                    break Ok(());
-                }
+                is_told = orders.borrow_and_update().idle;
                 // One whose first request is still to come would be closed unread. The answer to that closes it.
-                if told.idle && timer.has_request() {
+                if is_told && timer.has_request() {
                     connection.as_mut().graceful_shutdown();
                 }
             }
+            () = sleep_until(silent_end), if is_told && timer.is_fresh() => break Ok(()),
         }
     };
     if let Err(error) = ended {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -21,8 +21,6 @@
     pub idle: bool,
     /// The listener is to be closed.
     pub listener: bool,
-    /// Connections on which no request has begun are to be closed.
-    pub silent: bool,
 }
 
 /// The life cycle of this process, with the means to carry it out. Lives on the callers' thread, so that nothing can be
@@ -119,7 +117,6 @@
             }
             ShutdownAction::CloseIdle => self.order(|orders| orders.idle = true),
             ShutdownAction::CloseListener => self.order(|orders| orders.listener = true),
-            ShutdownAction::CloseSilent => self.order(|orders| orders.silent = true),
             ShutdownAction::Reject => log::debug!("event=caller_lost reason=stopping"),
             ShutdownAction::End { cut } => {
                 let since = self.shared.stop_age(now).unwrap_or_default();
--- a/crates/shutdown/src/options.rs
+++ b/crates/shutdown/src/options.rs
@@ -12,9 +12,6 @@
 const LISTEN_MARGIN: Millis = Millis(500);
 /// Time for an answer to leave once its request's deadline has passed.
 const ANSWER_MARGIN: Millis = Millis(100);
-/// How long a connection may stay silent once the listener is closed. Callers send their request with the connection,
-/// and one that has got no attention for a second leaves by itself.
-const SILENT_TIME: Millis = Millis(1_000);
 
 /// When the listener is closed, once callers have had the time to hear of the stop.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -38,8 +35,6 @@
     pub end: Millis,
     /// When requests must be over that are taken after the notice.
     pub answer_end: Millis,
-    /// How long a connection may stay silent once the listener is closed.
-    pub silent_time: Millis,
     /// When the listener is closed.
     pub rule: CloseRule,
 }
@@ -55,7 +50,6 @@
             listen_end,
             end,
             answer_end: end.since(ANSWER_MARGIN),
-            silent_time: SILENT_TIME,
             rule: CloseRule::WhenIdle(Millis::ZERO),
         }
     }
--- a/crates/shutdown/src/phase.rs
+++ b/crates/shutdown/src/phase.rs
@@ -42,8 +42,6 @@
     pub began: Millis,
     /// The times of this stop.
     pub options: ShutdownOptions,
-    /// When the listener was closed.
-    pub closed_at: Millis,
 }
 
 /// The process ends. Nothing is sent on any more.
@@ -150,13 +148,9 @@
 
 impl PhaseState<ClosingPhase> {
     /// Notes that the listener is closed.
-    pub fn drain(self, now: Millis) -> PhaseState<DrainingPhase> {
+    pub fn drain(self) -> PhaseState<DrainingPhase> {
         let ClosingPhase { began, options } = self.phase;
-        self.follow(DrainingPhase {
-            began,
-            options,
-            closed_at: now,
-        })
+        self.follow(DrainingPhase { began, options })
     }
 }
 
--- a/crates/shutdown/src/state.rs
+++ b/crates/shutdown/src/state.rs
@@ -31,8 +31,6 @@
     CloseIdle,
     /// Accept who waits to be accepted, and close the listener.
     CloseListener,
-    /// Close the connections on which no request has begun.
-    CloseSilent,
     /// Close a connection that was accepted too late, unread.
     Reject,
     /// End the process; so many connections are cut.
@@ -56,7 +54,6 @@
 pub struct ShutdownState {
     phase: CurrentPhase,
     has_closed_idle: bool,
-    has_closed_silent: bool,
 }
 
 impl Default for ShutdownState {
@@ -64,7 +61,6 @@
         Self {
             phase: CurrentPhase::Serving(PhaseState::default()),
             has_closed_idle: false,
-            has_closed_silent: false,
         }
     }
 }
@@ -77,7 +73,7 @@
             ShutdownEvent::Signalled(options) => self.notify(now, options, &mut actions),
             ShutdownEvent::Accepted => self.accept(now, &mut actions),
             ShutdownEvent::Released => self.release(),
-            ShutdownEvent::ListenerClosed => self.drain(now),
+            ShutdownEvent::ListenerClosed => self.drain(),
             ShutdownEvent::Looked => {}
         }
         self.advance(now, &mut actions);
@@ -157,9 +153,9 @@
         }
     }
 
-    fn drain(&mut self, now: Millis) {
+    fn drain(&mut self) {
         self.replace(|phase| match phase {
-            CurrentPhase::Closing(state) => CurrentPhase::Draining(state.drain(now)),
+            CurrentPhase::Closing(state) => CurrentPhase::Draining(state.drain()),
             other => other,
         });
     }
@@ -179,11 +175,10 @@
             CurrentPhase::Closing(state)
                 if is_over(state.phase().began, state.phase().options, now) =>
             {
-                CurrentPhase::Draining(state.drain(now))
+                CurrentPhase::Draining(state.drain())
             }
             other => other,
         });
-        self.close_silent(now, actions);
         self.replace(|phase| match phase {
             CurrentPhase::Draining(state) if may_end(&state, now) => {
                 let cut = state.connections();
@@ -205,17 +200,6 @@
         }
     }
 
-    fn close_silent(&mut self, now: Millis, actions: &mut Vec<ShutdownAction>) {
-        let CurrentPhase::Draining(state) = &self.phase else {
-            return;
-        };
-        let is_silent = now.since(state.phase().closed_at) >= state.phase().options.silent_time;
-        if is_silent && !self.has_closed_silent {
-            self.has_closed_silent = true;
-            actions.push(ShutdownAction::CloseSilent);
-        }
-    }
-
     fn replace<Step>(&mut self, step: Step)
     where
         Step: FnOnce(CurrentPhase) -> CurrentPhase,
