fix: a refusal reaches callers who still send their body

What callers saw: a connection reset in place of the refusal that a stopping process gave them, when their body came in pieces. Cause: the answer closes the connection, and one that is closed with bytes unread is reset, whatever was written on it. Before an admission is refused the rest of the body is read, for a second and up to 1 MB; a body that is there already takes no time.

--- a/crates/entry/tests/stop.rs
+++ b/crates/entry/tests/stop.rs
@@ -66,9 +66,9 @@
             .iter()
             .filter(|(_, end)| *end == RequestEnd::Unanswered);
         match self {
-            Self::ConnectEachTime => unanswered.count().saturating_sub(1),
-            // It goes on with connections that it was told would be closed, or sends on after its answer.
-            Self::KeepConnection | Self::Dawdle | Self::SayNothing => 0,
+            Self::ConnectEachTime | Self::Dawdle => unanswered.count().saturating_sub(1),
+            // It goes on with connections that it was told would be closed.
+            Self::KeepConnection | Self::SayNothing => 0,
         }
     }
 }
--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -14,6 +14,10 @@
 use super::state::CallState;
 use super::trace::RequestTrace;
 
+/// How long the rest of a refused request's body is waited for, and how much of it is read: callers who send it in pieces
+/// get its end out within that.
+const REFUSED_BODY_TIME: Millis = Millis(1_000);
+const REFUSED_BODY_BYTES: usize = 1 << 20;
 /// The time a caller is taken to wait that does not say it; not tuned.
 const ASSUMED_DEADLINE: Millis = Millis(3_000);
 /// The longest that a request waits for the first configuration of a VM that has just started. Half of 195 VMs that
@@ -137,6 +141,14 @@
     None
 }
 
+/// Reads the rest of a refused request. A connection that is closed with bytes unread is reset, and its caller never sees
+/// the refusal.
+pub async fn discard_body(body: Incoming) {
+    let whole = Limited::new(body, REFUSED_BODY_BYTES).collect();
+    // Whatever comes of it, the refusal stands.
+    let _ = tokio::time::timeout(REFUSED_BODY_TIME.as_duration(), whole).await;
+}
+
 /// Reads a body of so many bytes at most.
 pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ErrorKind> {
     match Limited::new(body, limit).collect().await {
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 
 use super::FrontContext;
-use super::admit::{admit, await_config, read_body};
+use super::admit::{admit, await_config, discard_body, read_body};
 use super::answer::{CallerAnswer, whole_body};
 use super::attempt::{AttemptError, OpenReply, SentRequest};
 use super::breaks::{LeftGuard, note_break, note_whole};
@@ -47,7 +47,10 @@
     let limit = admitted.as_ref().map_or(0, |admitted| admitted.body_limit);
     let (state, caller) = match admitted {
         Ok(admitted) => (admitted.state, admitted.caller),
-        Err(refusal) => return log_refusal(&front, &id, None, refusal),
+        Err(refusal) => {
+            discard_body(body).await;
+            return log_refusal(&front, &id, None, refusal);
+        }
     };
     let read = read_body(body, limit);
     let read = before(front.shared.clock, state.deadline, read).await;
