--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -14,7 +14,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
@@ -25,6 +24,8 @@
 use crate::groups::GroupsDuty;
 use crate::listen::next_connection;
 use crate::shared::SharedState;
+use crate::signals::{ProcessSignal, SignalSet};
+use crate::stop::StopControl;
 use crate::sync::SyncDuty;
 
 /// Leaders at which requests stand still that wait for the groups' duty at most.
@@ -179,9 +180,7 @@
 where
     Ports: PortSet,
 {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
+    let mut signals = SignalSet::take()?;
     let (crash_sender, crash_news) = mpsc::channel(RECORD_RING);
     let (still_sender, still_news) = mpsc::channel(RECORD_RING);
     let front = FrontContext::new(
@@ -207,14 +206,30 @@
         crash_news,
         still_news,
     ));
+    follow_settings(&shared, reader, &mut signals).await;
+    front.stop.signal();
+    tokio::select! {
+        () = front.stop.wait_end() => {}
+        () = ignore_signals(&front.stop, &mut signals) => {}
+    }
+    Ok(())
+}
+
+/// Reads the settings again on a hang-up signal, and now and then, until the process is told to stop.
+async fn follow_settings(
+    shared: &SharedState,
+    reader: Option<SettingsReader>,
+    signals: &mut SignalSet,
+) {
     let mut looks = tokio::time::interval(RELOAD_PERIOD);
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut known = shared.site.clone();
     loop {
         let is_told = tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = reload.recv() => true,
+            told = signals.next() => match told {
+                ProcessSignal::Stop => return,
+                ProcessSignal::Reload => true,
+            },
             _ = looks.tick() => false,
         };
         let Some(reader) = &reader else {
@@ -229,21 +244,16 @@
             Err(error) => log::error!("event=reload outcome=unreadable reason={error:?}"),
         }
     }
-    front.stop.signal();
-    let signals = async {
-        loop {
-            tokio::select! {
-                _ = terminate.recv() => front.stop.signal(),
-                _ = interrupt.recv() => front.stop.signal(),
-                _ = reload.recv() => log::info!("event=reload outcome=stopping"),
-            }
+}
+
+/// Notes signals during a stop, which change nothing.
+async fn ignore_signals(stop: &StopControl, signals: &mut SignalSet) {
+    loop {
+        match signals.next().await {
+            ProcessSignal::Stop => stop.signal(),
+            ProcessSignal::Reload => log::info!("event=reload outcome=stopping"),
         }
-    };
-    tokio::select! {
-        () = front.stop.wait_end() => {}
-        () = signals => {}
     }
-    Ok(())
 }
 
 async fn serve_metrics(shared: Arc<SharedState>, listener: std::net::TcpListener) {
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -8,9 +8,10 @@
 use bergamot_ports::CallerDialect;
 use bergamot_types::prelude::*;
 use bytes::Bytes;
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use indexmap::IndexMap;
@@ -23,6 +24,7 @@
 use super::head_timer::{HeadTimer, TimedStream};
 use super::trace::{RequestTrace, TracedAnswer};
 use crate::listen::{close, next_connection};
+use crate::stop::StopControl;
 
 /// Time between two looks at idle connections and at what is not listed any more.
 const SWEEP_PERIOD: Duration = Duration::from_secs(2);
@@ -81,7 +83,7 @@
         .map(|config| config.caller_limits);
     let limits = limits.unwrap_or_default();
     let timer = HeadTimer::new(limits.header_timeout.as_duration());
-    let service = service_fn(|request: Request<hyper::body::Incoming>| {
+    let service = service_fn(|request: Request<Incoming>| {
         let front = Rc::clone(&front);
         let timer = timer.clone();
         async move {
@@ -102,18 +104,34 @@
         .header_read_timeout(limits.idle_timeout.as_duration())
         .max_buf_size(limits.header_bytes.max(MIN_HEAD_BUFFER))
         .serve_connection(TokioIo::new(TimedStream::new(stream, timer.clone())), service);
+    let ended = drive(&front.stop, connection, &timer).await;
+    if let Err(error) = ended {
+        log::debug!("event=caller_connection_ended reason={error:?}");
+    }
+}
+
+/// Drives a connection to its end, and closes it in time where the process stops.
+async fn drive<Service>(
+    stop: &StopControl,
+    connection: http1::Connection<TokioIo<TimedStream>, Service>,
+    timer: &HeadTimer,
+) -> hyper::Result<()>
+where
+    Service: HttpService<Incoming, ResBody = HeldBody<TracedAnswer>>,
+    Service::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let overdue = timer.overdue();
     tokio::pin!(connection, overdue);
-    let mut orders = front.stop.orders();
+    let mut orders = stop.orders();
     orders.mark_changed();
     let silent_end = Instant::now() + SILENT_TIME;
     let mut is_told = false;
-    let ended = loop {
+    loop {
         tokio::select! {
             // What has arrived is read before an order to close is looked at.
             biased;
-            ended = connection.as_mut() => break ended,
-            () = overdue.as_mut() => break Ok(()),
+            ended = connection.as_mut() => return ended,
+            () = overdue.as_mut() => return Ok(()),
             Ok(()) = orders.changed() => {
                 is_told = orders.borrow_and_update().idle;
                 // One whose first request is still to come would be closed unread. The answer to that closes it.
@@ -121,11 +139,8 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
-            () = sleep_until(silent_end), if is_told && timer.is_fresh() => break Ok(()),
+            () = sleep_until(silent_end), if is_told && timer.is_fresh() => return Ok(()),
         }
-    };
-    if let Err(error) = ended {
-        log::debug!("event=caller_connection_ended reason={error:?}");
     }
 }
 
