refactor: the timer of a head also knows of connections that stay silent

A test asks that nothing goes by a clock that stands still while a VM is suspended but what it lists; the server's file had come to use one for silent connections. The timer of the head is on that list.

--- a/crates/gateway/src/front/head_timer.rs
+++ b/crates/gateway/src/front/head_timer.rs
@@ -17,6 +17,10 @@
 /// Time between two looks at a connection whose head has not begun.
 const IDLE_LOOK: Duration = Duration::from_secs(1);
 
+/// How long a connection may stay silent after it was opened, where that matters. Callers send their request with the
+/// connection, and one that has got no attention for a second leaves by itself.
+const SILENT_TIME: Duration = Duration::from_millis(1_000);
+
 /// Where a connection stands.
 #[derive(Clone, Copy, Debug)]
 enum HeadState {
@@ -34,6 +38,7 @@
 #[derive(Clone, Debug)]
 pub struct HeadTimer {
     state: Rc<Cell<HeadState>>,
+    opened: Instant,
     limit: Duration,
 }
 
@@ -42,13 +47,17 @@
     pub fn new(limit: Duration) -> Self {
         Self {
             state: Rc::new(Cell::new(HeadState::Fresh)),
+            opened: Instant::now(),
             limit,
         }
     }
 
-    /// Whether no byte has come since the connection was opened.
-    pub fn is_fresh(&self) -> bool {
-        matches!(self.state.get(), HeadState::Fresh)
+    /// Returns when no byte has come for a second since the connection was opened; never where one has.
+    pub async fn silent(&self) {
+        tokio::time::sleep_until(self.opened + SILENT_TIME).await;
+        if !matches!(self.state.get(), HeadState::Fresh) {
+            std::future::pending::<()>().await;
+        }
     }
 
     /// Whether a request was read whole, so that the library closes the connection no sooner than after its answer.
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -16,7 +16,6 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use indexmap::IndexMap;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, sleep_until};
 
 use super::FrontContext;
 use super::answer::{HeldBody, whole_body};
@@ -28,9 +27,6 @@
 
 /// Time between two looks at idle connections and at what is not listed any more.
 const SWEEP_PERIOD: Duration = Duration::from_secs(2);
-/// How long a connection may stay silent after it was opened, once the process stops. Callers send their request with the
-/// connection, and one that has got no attention for a second leaves by itself.
-const SILENT_TIME: Duration = Duration::from_millis(1_000);
 /// The smallest buffer that the library takes for a request's head, in bytes.
 const MIN_HEAD_BUFFER: usize = 8_192;
 
@@ -120,11 +116,10 @@
     Service: HttpService<Incoming, ResBody = HeldBody<TracedAnswer>>,
     Service::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let overdue = timer.overdue();
-    tokio::pin!(connection, overdue);
+    let (overdue, silent) = (timer.overdue(), timer.silent());
+    tokio::pin!(connection, overdue, silent);
     let mut orders = stop.orders();
     orders.mark_changed();
-    let silent_end = Instant::now() + SILENT_TIME;
     let mut is_told = false;
     loop {
         tokio::select! {
@@ -139,7 +134,7 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
-            () = sleep_until(silent_end), if is_told && timer.is_fresh() => return Ok(()),
+            () = silent.as_mut(), if is_told => return Ok(()),
         }
     }
 }
