test: repeats of all VMs when their own keys lapse (red)

The number of entry VMs that share the reserve of repeats is the number of keys that are known at the moment of a repeat. Keys lapse with an outage of the store in which leases run out, and none is known in the first moment; the VMs serve on, and each takes the parts of those whose keys are missing.

Seen with 8 VMs that would all like to repeat and a reserve of 100 in 10 s: 640 repeats in 10 s where no key is known at first, 640 where all keys lapse and are written anew, 640 where each VM knows of its own new key first. Half of the VMs leaving for good stays within the bound.

--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -74,3 +74,89 @@
         assert!(most >= bound * 0.5, "{}: {most} of {bound}", case.name);
     }
 }
+
+/// How many entry VMs are known from some moment on.
+struct KnownCount {
+    /// Milliseconds from the start.
+    from: u64,
+    vms: usize,
+}
+
+const fn known(from: u64, vms: usize) -> KnownCount {
+    KnownCount { from, vms }
+}
+
+struct LapseCase {
+    name: &'static str,
+    /// Entry VMs that repeat requests, from the start on and from the middle on.
+    serving: (usize, usize),
+    counts: Vec<KnownCount>,
+}
+
+#[test]
+fn keys_that_lapse_while_their_vms_serve_give_nobody_a_larger_part() {
+    const LENGTH: u64 = 60_000;
+    let cases = [
+        LapseCase {
+            name: "no key is known in the first moment",
+            serving: (8, 8),
+            counts: vec![known(0, 0), known(1_500, 8)],
+        },
+        LapseCase {
+            name: "all keys lapse in an outage and are written anew",
+            serving: (8, 8),
+            counts: vec![known(0, 8), known(30_000, 0), known(37_000, 8)],
+        },
+        LapseCase {
+            name: "each VM knows of its own new key first",
+            serving: (8, 8),
+            counts: vec![
+                known(0, 8),
+                known(30_000, 1),
+                known(33_000, 3),
+                known(36_000, 8),
+            ],
+        },
+        LapseCase {
+            name: "half of the VMs leave for good",
+            serving: (8, 4),
+            counts: vec![known(0, 8), known(30_000, 4)],
+        },
+    ];
+    let service = ServiceName::new("s");
+    let mut broken: Vec<String> = Vec::new();
+    for case in cases {
+        let (at_first, later) = case.serving;
+        let mut budgets: Vec<RepeatBudget> =
+            (0..at_first).map(|_| RepeatBudget::new(BOUNDS)).collect();
+        let mut repeats: Vec<u64> = Vec::new();
+        for at in (0..LENGTH).step_by(10) {
+            let mut passed = case.counts.iter().filter(|count| count.from <= at);
+            let vms = passed.next_back().map_or(0, |count| count.vms);
+            if at >= LENGTH / 2 {
+                budgets.truncate(later);
+            }
+            for budget in &mut budgets {
+                budget.set_bounds(BOUNDS, vms);
+                if budget.take(Millis(100_000 + at), &service) {
+                    repeats.push(at);
+                }
+            }
+        }
+        let in_window = |start: u64| {
+            let window = start..start + BOUNDS.retry_window.0;
+            repeats.iter().filter(|at| window.contains(at)).count() as f64
+        };
+        let most = repeats.iter().map(|start| in_window(*start));
+        let most = most.fold(0.0, f64::max);
+        let bound = BOUNDS.retry_reserve;
+        let last = in_window(LENGTH - BOUNDS.retry_window.0);
+        if most > bound || last < bound * 0.5 {
+            broken.push(format!(
+                "{}: {most} of {bound}, {last} at the end",
+                case.name
+            ));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
