--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -27,23 +27,38 @@
 const STALL_MARGIN: Duration = Duration::from_millis(40);
 
 /// Something that came to an end.
-pub(crate) enum DoneAction {
+#[derive(Debug)]
+pub enum DoneAction {
+    /// An order, and what became of it.
     Ordered(OrderRequest, OrderOutcome),
+    /// A question to an upstream, and what became of it.
     Asked(UpstreamLife, AskOutcome),
+    /// Members of a group that were to be held, and whether they are.
     Held(GroupId, Vec<UpstreamId>, bool),
 }
 
-pub(crate) async fn act<Store, Control>(
+/// Until when orders may be sent, and by which clock.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderWindow {
+    /// The clock.
+    pub clock: BootClock,
+    /// The end: another coordinator may give orders soon after it.
+    pub until: Millis,
+}
+
+/// Carries one action out once `calls` has room for it.
+pub async fn act<Store, Control>(
     store: Rc<Store>,
     control: Rc<Control>,
     calls: Rc<Semaphore>,
-    clock: BootClock,
+    window: OrderWindow,
     action: GroupAction,
 ) -> DoneAction
 where
     Store: StateStore,
     Control: UpstreamControl,
 {
+    let clock = window.clock;
     // Never closed, so this only waits. A hold is a call to the store and waits for nobody.
     let _permit = match &action {
         GroupAction::Hold { .. } => None,
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -20,7 +20,7 @@
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant;
 
-use crate::group_actions::{DoneAction, MAX_CALLS, act, note_done};
+use crate::group_actions::{DoneAction, MAX_CALLS, OrderWindow, act, note_done};
 use crate::own_keys::{COORDINATOR_KEY, EntryRecord, TERM_KEY};
 use crate::shared::SharedState;
 use crate::view::ClusterView;
@@ -69,9 +69,14 @@
 }
 
 impl LeadTerm {
+    /// Until when the lease was confirmed recently enough for an order that is sent.
+    fn orders_until(&self) -> Millis {
+        self.confirmed_at + LEASE_TTL.since(LEASE_MARGIN)
+    }
+
     /// Whether the lease was confirmed recently enough for an order that is given now.
     fn allows_orders(&self, now: Millis) -> bool {
-        now.since(self.confirmed_at) < LEASE_TTL.since(LEASE_MARGIN)
+        now < self.orders_until()
     }
 }
 
@@ -242,11 +247,11 @@
                 }
                 notice = self.quiet.recv() => {
                     let questions = self.doubt(&term, planner.as_mut(), notice);
-                    running.extend(questions.into_iter().map(|it| self.carry_out(it)));
+                    running.extend(questions.into_iter().map(|it| self.carry_out(&term, it)));
                 }
                 notice = self.doubts.recv() => {
                     let questions = self.doubt(&term, planner.as_mut(), notice);
-                    running.extend(questions.into_iter().map(|it| self.carry_out(it)));
+                    running.extend(questions.into_iter().map(|it| self.carry_out(&term, it)));
                 }
                 () = tokio::time::sleep_until(step_at) => {}
             }
@@ -269,7 +274,7 @@
             }
             planner.set_demand(shared.demand.load().as_ref().clone());
             for action in planner.step(now) {
-                running.push(self.carry_out(action));
+                running.push(self.carry_out(&term, action));
             }
             let gap = STEP_GAP.max(began.elapsed() * STEP_SHARE);
             soon = Instant::now() + gap;
@@ -301,11 +306,15 @@
 
     fn carry_out(
         &self,
+        term: &LeadTerm,
         action: GroupAction,
     ) -> impl Future<Output = DoneAction> + use<Store, Control> {
         let (store, control) = (Rc::clone(&self.store), Rc::clone(&self.control));
-        let clock = self.shared.clock;
-        act(store, control, Rc::clone(&self.calls), clock, action)
+        let window = OrderWindow {
+            clock: self.shared.clock,
+            until: term.orders_until(),
+        };
+        act(store, control, Rc::clone(&self.calls), window, action)
     }
 
     /// Renews the lease. False when it is lost.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod clock;
 pub mod daemon;
 mod front;
-mod group_actions;
+pub mod group_actions;
 mod groups;
 mod known;
 mod listen;
