fix: an order is sent only while the lease allows it

Cause: the lease was looked at when orders are decided on, and not again when they are sent. Between the two lie the wait for one of 64 calls, behind questions to upstreams that do not answer, and a renewal at a store that hangs, 0.9 s: longer than the 0.3 s that are left of the lease then.

An order whose time is over is not sent, and counts as one that was not answered as this process stood still: its upstream is asked how many orders it has begun before the next. No caller was seen to be harmed by it: late orders are borne by the number of orders that they expect, and by holds.

--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -72,6 +72,10 @@
             }
             DoneAction::Held(group, members, kept.is_ok())
         }
+        // The lease allowed it when it was decided on, and it has waited since.
+        GroupAction::Order(request) if clock.now() >= window.until => {
+            DoneAction::Ordered(request, OrderOutcome::Unheard)
+        }
         GroupAction::Order(request) => {
             let began = clock.now();
             let outcome = match control.order(&request).await {
--- a/crates/ports/src/control.rs
+++ b/crates/ports/src/control.rs
@@ -135,7 +135,8 @@
     Gone,
     /// No answer: it may have begun, or may yet.
     Unknown(String),
-    /// The same, but this process stood still while it waited: that says nothing of the upstream.
+    /// The same, but this process stood still while it waited, or before it could send the order: that says nothing of
+    /// the upstream.
     Unheard,
 }
 
