test: members that leave by a note that has ended (red)

Before members leave a group whose leader does not answer, the coordinator has them held in the store, so that one that takes over does not use them while that leader may stand open. The note ends after 12 s; the planner takes it to last for its whole term. A leader that was silent for a moment, and is so again a minute later: its members are told to leave with nothing in the store, and a coordinator that takes over within 4.4 s sends them into another group.

Red: the order to leave is given at once, no hold before it.

--- a/crates/groups/tests/silence.rs
+++ b/crates/groups/tests/silence.rs
@@ -217,3 +217,46 @@
     let actions = planner.step(now + Millis(100));
     assert_eq!(orders(&actions), Vec::<String>::new(), "{actions:?}");
 }
+
+/// A note of held members ends some seconds after it was kept, whether they left by it or not.
+#[test]
+fn members_are_held_anew_when_their_leader_is_silent_once_more() {
+    let ups = [
+        member("u1", "a.7", 0, MemberState::Open),
+        member("u2", "a.7", 1, MemberState::Ready),
+    ];
+    let group = GroupId::new("a.7");
+    let held = [UpstreamId::new("u1"), UpstreamId::new("u2")];
+    let hold = GroupAction::Hold {
+        group: group.clone(),
+        members: held.to_vec(),
+    };
+    let is_u2 = |order: &String| order.starts_with("u2");
+    let answer = AskOutcome::Answered(report());
+    let mut planner = planner();
+    show(&ups, &mut planner);
+    quiet(&mut planner, "u1", NOW);
+    planner.note_report(&life("u2"), &answer, NOW);
+    let actions = planner.step(NOW + Millis(200));
+    assert!(actions.contains(&hold), "{actions:?}");
+    obey(&mut planner, &actions);
+    planner.note_hold(&group, &held, true);
+    // The leader is back before anybody was told to leave.
+    planner.note_report(&life("u1"), &answer, NOW + Millis(300));
+    let actions = planner.step(NOW + Millis(400));
+    assert_eq!(orders(&actions).iter().filter(|it| is_u2(it)).count(), 0);
+    // A minute later no VM that took over would find what was kept.
+    let later = NOW + Millis(60_000);
+    quiet(&mut planner, "u1", later);
+    planner.note_report(&life("u2"), &answer, later);
+    let actions = planner.step(later + Millis(200));
+    assert!(actions.contains(&hold), "{actions:?}");
+    assert_eq!(orders(&actions).iter().filter(|it| is_u2(it)).count(), 0);
+    obey(&mut planner, &actions);
+    planner.note_hold(&group, &held, true);
+    let actions = planner.step(later + Millis(300));
+    assert!(
+        orders(&actions).contains(&"u2: leave".to_owned()),
+        "{actions:?}"
+    );
+}
