fix: members are held anew before they leave by a note that is about to end

Cause: the planner takes a hold that was kept to last for its whole term; in the store it ends after 12 s.

Members may be told to leave for 3 s after they were asked to be held; then they are held anew, together with those that left by the note before, as one note takes the place of the other. A hold that could not be kept is asked for with all of them as well.

The random runs of the groups end holds after 12 s too and had not shown it; why was not looked into.

--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -15,7 +15,8 @@
 use crate::own_keys::{HOLD_PREFIX, hold_to_bytes};
 use crate::shared::SharedState;
 
-/// How long a note of held members lasts: the hold itself and a change of the coordinator.
+/// How long a note of held members lasts: the time in which they may be told to leave by it (3 s), the hold itself (4.4 s) and a
+/// change of the coordinator.
 const HOLD_TTL: Duration = Duration::from_secs(12);
 
 /// Orders and questions on their way at once, at most. Three thousand at once, as at the first start of
--- a/crates/groups/src/options.rs
+++ b/crates/groups/src/options.rs
@@ -26,6 +26,9 @@
     pub settle_limit: Millis,
     /// Time after which an incomplete group that is being formed is given up.
     pub forming_limit: Millis,
+    /// Time for which members may be told to leave after they were asked to be held. Several times what the store takes to
+    /// keep a hold; the hold lasts for this and [`Self::hold_time`] and for the change of the coordinator.
+    pub hold_use: Millis,
 }
 
 impl GroupOptions {
@@ -47,6 +50,7 @@
             settle_time: Millis(700),
             settle_limit: Millis(4_000),
             forming_limit: Millis(8_000),
+            hold_use: Millis(3_000),
         }
     }
 }
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -22,8 +22,8 @@
     Order(OrderRequest),
     /// Ask for a report and tell [`GroupPlanner::note_report`].
     Ask(UpstreamTarget),
-    /// Keep these where a later coordinator finds them, for at least [`GroupOptions::hold_time`],
-    /// and tell [`GroupPlanner::note_hold`]: they are about to leave a group whose leader may
+    /// Keep these where a later coordinator finds them, for at least [`GroupOptions::hold_use`] and then
+    /// [`GroupOptions::hold_time`], and tell [`GroupPlanner::note_hold`]: they are about to leave a group whose leader may
     /// still stand open.
     Hold {
         /// The group.
@@ -275,7 +275,7 @@
         let held = self.holds.entry(group.clone()).or_default();
         match is_kept {
             true => held.kept.extend(members.iter().cloned()),
-            false => held.asked = held.kept.clone(),
+            false => held.forget_kept(),
         }
     }
 }
@@ -283,8 +283,18 @@
 /// The members of a group that are held.
 #[derive(Debug, Default)]
 pub(crate) struct GroupHold {
-    /// Those that were to be kept.
+    /// Those that were to be kept, at any time.
     pub(crate) asked: IndexSet<UpstreamId>,
     /// Those that are kept: only they are ordered to leave.
     pub(crate) kept: IndexSet<UpstreamId>,
+    /// When the first of them were to be kept; none where all are to be kept anew.
+    pub(crate) asked_at: Option<Millis>,
+}
+
+impl GroupHold {
+    /// Goes by nothing that was kept: all are to be kept anew before anybody leaves.
+    pub(crate) fn forget_kept(&mut self) {
+        self.kept.clear();
+        self.asked_at = None;
+    }
 }
--- a/crates/groups/src/step.rs
+++ b/crates/groups/src/step.rs
@@ -294,7 +294,7 @@
         if reached.is_empty() {
             return;
         }
-        self.keep_hold(&key.0, &members, actions);
+        self.keep_hold(now, &key.0, &members, actions);
         // The leader may be back as well, if one of them was heard of after it was last silent.
         let is_outdated = |id: &UpstreamId| {
             let heard_at = self.tracks.get(id).map(|it| it.heard_at);
@@ -322,15 +322,23 @@
     /// Has the members of a group held where a later coordinator finds them.
     fn keep_hold(
         &mut self,
+        now: Millis,
         group: &GroupId,
         members: &[UpstreamId],
         actions: &mut Vec<GroupAction>,
     ) {
         let held = self.holds.entry(group.clone()).or_default();
+        // What is kept in the store ends, whether members left by it or not. Those that did stay in what is kept next.
+        let is_over = |at: Millis| now.since(at) >= self.options.hold_use;
+        if held.asked_at.is_some_and(is_over) {
+            held.forget_kept();
+        }
         // A member may come back to the directory when others were held already.
-        if members.iter().all(|id| held.asked.contains(id)) {
+        let is_asked = members.iter().all(|id| held.asked.contains(id));
+        if is_asked && held.asked_at.is_some() {
             return;
         }
+        held.asked_at.get_or_insert(now);
         held.asked.extend(members.iter().cloned());
         // What is kept now takes the place of what an earlier coordinator kept of the group, whose members may have
         // left it meanwhile.
