fix: an entry VM writes its key anew when it has ended

Cause: a VM renewed a lease and took its key to be there. Now it looks, before each renewal, whether what it knows of the store has the key, once it knows of the revision at which it was written; if not, it registers anew under a lease of its own.

--- a/crates/gateway/src/sync/own.rs
+++ b/crates/gateway/src/sync/own.rs
@@ -18,18 +18,35 @@
 /// Time after which a key that could not be written is tried again.
 const RETRY_PERIOD: Duration = Duration::from_millis(1_500);
 
+/// A key that was written.
+#[derive(Clone, Copy)]
+struct WrittenKey {
+    lease: u64,
+    /// The store's revision with it.
+    revision: u64,
+}
+
+impl WrittenKey {
+    /// Whether it has ended although its lease may go on: an earlier write, carried out late, takes its place and ends with a
+    /// lease of its own.
+    fn has_ended(self, shared: &SharedState) -> bool {
+        let view = shared.view.load();
+        view.revision >= self.revision && !view.entries.contains_key(shared.site.vm.as_str())
+    }
+}
+
 /// Writes the key and renews its lease until the process stops.
 pub(crate) async fn keep_own_key<Store>(shared: Arc<SharedState>, store: Rc<Store>)
 where
     Store: StateStore,
 {
-    let mut lease = None;
+    let mut written: Option<WrittenKey> = None;
     while !shared.is_stopping() {
-        lease = match lease {
-            Some(id) => renew(&shared, store.as_ref(), id).await,
-            None => register(&shared, store.as_ref()).await,
+        written = match written {
+            Some(key) if !key.has_ended(&shared) => renew(&shared, store.as_ref(), key).await,
+            _ => register(&shared, store.as_ref()).await,
         };
-        let pause = match lease {
+        let pause = match written {
             Some(_) => RENEW_PERIOD,
             None => RETRY_PERIOD,
         };
@@ -38,17 +55,17 @@
 }
 
 /// Renews the lease. None when it has ended.
-async fn renew<Store>(shared: &SharedState, store: &Store, lease: u64) -> Option<u64>
+async fn renew<Store>(shared: &SharedState, store: &Store, key: WrittenKey) -> Option<WrittenKey>
 where
     Store: StateStore,
 {
-    let outcome = store.renew_lease(lease).await;
+    let outcome = store.renew_lease(key.lease).await;
     count_call(shared, "renew", outcome.as_ref().err());
-    (!matches!(outcome, Ok(false))).then_some(lease)
+    (!matches!(outcome, Ok(false))).then_some(key)
 }
 
 /// Writes the key under a new lease. None when that failed.
-async fn register<Store>(shared: &SharedState, store: &Store) -> Option<u64>
+async fn register<Store>(shared: &SharedState, store: &Store) -> Option<WrittenKey>
 where
     Store: StateStore,
 {
@@ -67,7 +84,7 @@
     let outcome = store.commit(&txn).await;
     count_call(shared, "register", outcome.as_ref().err());
     match outcome {
-        Ok(TxnOutcome::Done(_)) => Some(lease),
+        Ok(TxnOutcome::Done(revision)) => Some(WrittenKey { lease, revision }),
         other => {
             log::info!("event=not_registered outcome={other:?}");
             None
