--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -10,9 +10,7 @@
 use arc_swap::ArcSwap;
 use bergamot_claims::{ClaimOptions, ClaimState};
 use bergamot_engine::EngineClient;
-use bergamot_peer::{Answer, Question};
 use bergamot_roster::{Member, RosterOptions};
-use bergamot_routing::Lend;
 use bergamot_types::prelude::*;
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, UdpSocket};
@@ -20,7 +18,7 @@
 
 use crate::clock::BootClock;
 use crate::control::{ControlEvent, ControlOptions, ControlState};
-use crate::duty::{SharedState, admin, claims, control, peer, platform, probe};
+use crate::duty::{SharedState, admin, claims, control, limits, peer, platform, probe};
 use crate::front::{self, FrontContext};
 use crate::metrics::EntryMetrics;
 use crate::ring::ring;
@@ -33,8 +31,6 @@
 const CONTROL_RING: usize = 8_192;
 /// Items any other ring holds.
 const DUTY_RING: usize = 4_096;
-/// Time between two ticks of routing.
-const ROUTING_TICK: Duration = Duration::from_millis(50);
 /// Time between two looks at the certificate files.
 const TLS_CHECK: Duration = Duration::from_secs(5);
 /// Time in which peers and balancer learn of a stop before callers are refused.
@@ -137,7 +133,7 @@
                 admin::run(shared, listener).await;
             }
         })?;
-        daemon.spawn("limits", limits)?;
+        daemon.spawn("limits", limits::run)?;
         daemon.start_front(caller, tls.map(Arc::new))?;
         log::info!(
             "event=entry_started entry={} caller={caller_addr} peer={peer_addr} admin={admin_addr}",
@@ -355,44 +351,3 @@
     };
     ClaimState::new(shared.settings.entry.clone(), options)
 }
-
-/// The limits duty: samples demand and borrows from peers.
-async fn limits(shared: Arc<SharedState>) {
-    let mut ticks = tokio::time::interval(ROUTING_TICK);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        let now = shared.clock.now();
-        let (questions, slack) = {
-            let mut routing = shared.routing.lock();
-            (routing.tick(now), routing.slack(now))
-        };
-        shared.tell_control(ControlEvent::Slack(slack));
-        for (lender, question) in questions {
-            let Some(addr) = shared.peer_addr(&lender) else {
-                continue;
-            };
-            let shared = Arc::clone(&shared);
-            tokio::spawn(async move {
-                let (account, serial) = (question.account.clone(), question.serial);
-                let question = Question::Borrow {
-                    account: question.account,
-                    wanted: question.wanted,
-                    epoch: question.epoch,
-                    roll: question.roll,
-                };
-                let asked = shared.clock.now();
-                if let Some(Answer::Lent { lent, loan }) = shared.ask_peer(addr, question).await {
-                    let now = shared.clock.now();
-                    let answer = Lend {
-                        account,
-                        serial,
-                        lent,
-                        loan,
-                    };
-                    shared.routing.lock().take_lend(now, asked, &answer);
-                }
-            });
-        }
-    }
-}
--- a/crates/entry/src/duty/mod.rs
+++ b/crates/entry/src/duty/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod claims;
 pub mod control;
+pub mod limits;
 pub mod peer;
 pub mod platform;
 pub mod probe;
