fix: a claimed request whose caller has left outlasts a planned stop

What callers saw: a request with a key whose caller had left was cut at the end of a planned stop while its service or engine ran it, though the stop reported that everything had ended by itself. A repeat got idempotency_key_outcome_unknown instead of the first answer. Cause: the callers' side took 'no connection is open' for 'nothing runs'; with its last connection its runtime was dropped, and with that the request's task, which by design goes on without its caller. The count of requests in flight then fell to zero by the cut itself. Why it holds: the runtime stays until the count of requests is zero. The listener and all connections are gone by then, so the count only falls; the stop's deadline and a second signal bound it as before.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -33,6 +33,8 @@
 const DUTY_RING: usize = 4_096;
 /// Time between two looks at the certificate files.
 const TLS_CHECK: Duration = Duration::from_secs(5);
+/// Time between two looks at what a stop waits for. An answer that was just given delays the end by this at most.
+const STOP_LOOK: Duration = Duration::from_millis(10);
 /// Time in which peers and balancer learn of a stop before callers are refused.
 const STOP_NOTICE: Duration = Duration::from_millis(500);
 
@@ -184,6 +186,7 @@
             shared: Arc::clone(&self.shared),
         });
         let stop = self.stop.subscribe();
+        let shared = Arc::clone(&self.shared);
         let thread = std::thread::Builder::new()
             .name("duty-front".to_owned())
             .spawn(move || {
@@ -199,6 +202,11 @@
                     if let Ok(listener) = listen(listener) {
                         front::serve(context, listener, tls, stop).await;
                     }
+                    // A claimed request goes on when its caller has left, and would end with this runtime. No request can
+                    // come any more, so the count only falls.
+                    while shared.in_flight.load(Ordering::SeqCst) > 0 {
+                        tokio::time::sleep(STOP_LOOK).await;
+                    }
                 });
                 runtime.shutdown_background();
             })?;
@@ -261,7 +269,7 @@
             front_done && in_flight() == 0
         };
         while !is_done(&self.front) && started.elapsed() < most && !is_urgent() {
-            std::thread::sleep(Duration::from_millis(10));
+            std::thread::sleep(STOP_LOOK);
         }
         let cut = in_flight();
         let is_planned = !is_urgent() && started.elapsed() < most;
