fix: a connection that was taken before the end of listening gets an answer to its first request

What callers saw: a connection that was open, and on which nothing or only a handshake had been sent, was closed without a word as listening ended; also one that still stood in the kernel's queue. Nothing of it ran, but its caller could not know. Cause: the word to close came to all connections in the same moment, and one that has read nothing yet is dropped by it; a TLS handshake that ended later found the word already said. The queue was reset with the listener. Why it holds: what stands in the queue is accepted before the listener is dropped, and a connection is told to close once its first request is there, or after 0.5 s. While stopping each such request gets its refusal, which says that it was not run.

--- a/crates/entry/src/front/server.rs
+++ b/crates/entry/src/front/server.rs
@@ -1,6 +1,7 @@
 //! Connections of callers and the first look at each request.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -11,10 +12,10 @@
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, watch};
+use tokio_rustls::TlsAcceptor;
 
 use super::answer::{CallerAnswer, Refusal, name_request, refuse, whole};
 use super::request::{authenticate, bundle, read, request_id};
@@ -26,6 +27,11 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Streams at once on one HTTP/2 connection.
 const MAX_STREAMS: u32 = 1_024;
+/// How long a connection that has sent no request is waited for once nothing is accepted any more. A caller that has just connected sends
+/// within a round trip or two, three with TLS; the stop takes longer by this where callers connect in advance.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+/// Connections taken from the kernel's queue at the end of listening: more than it holds.
+const MAX_QUEUED: usize = 8_192;
 
 /// Serves callers until `stop` says so, then until every connection has ended.
 pub async fn serve(
@@ -34,7 +40,16 @@
     tls: Option<Arc<TlsKeeper>>,
     mut stop: watch::Receiver<bool>,
 ) {
-    let graceful = GracefulShutdown::new();
+    let closing = watch::Sender::new(false);
+    let accept = |stream: TcpStream| {
+        let _ = stream.set_nodelay(true);
+        let connection = CallerConnection {
+            context: Arc::clone(&context),
+            closing: closing.subscribe(),
+        };
+        let acceptor = tls.as_ref().map(|keeper| keeper.acceptor());
+        tokio::spawn(connection.run(stream, acceptor));
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -43,50 +58,84 @@
         let Ok((stream, _)) = accepted else {
             continue;
         };
-        let _ = stream.set_nodelay(true);
-        let watcher = graceful.watcher();
-        let context = Arc::clone(&context);
-        let acceptor = tls.as_ref().map(|keeper| keeper.acceptor());
-        tokio::spawn(async move {
-            match acceptor {
-                None => serve_connection(context, TokioIo::new(stream), watcher).await,
-                Some(acceptor) => {
-                    let accepted = acceptor.accept(stream);
-                    let accepted = tokio::time::timeout(HEADER_TIMEOUT, accepted).await;
-                    if let Ok(Ok(stream)) = accepted {
-                        serve_connection(context, TokioIo::new(stream), watcher).await;
-                    }
-                }
-            }
-        });
+        accept(stream);
     }
-    drop(listener);
-    graceful.shutdown().await;
+    take_queued(listener).into_iter().for_each(accept);
+    // A connection that is told late, as its handshake goes on, finds the word already there.
+    closing.send_replace(true);
+    closing.closed().await;
 }
 
-async fn serve_connection<Stream>(
-    context: Arc<FrontContext>,
-    io: TokioIo<Stream>,
-    watcher: hyper_util::server::graceful::Watcher,
-) where
-    Stream: AsyncRead + AsyncWrite + Unpin + Send + 'static,
-{
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT);
-    builder
-        .http2()
-        .timer(TokioTimer::new())
-        .max_concurrent_streams(MAX_STREAMS);
-    let service = service_fn(move |request| {
-        let context = Arc::clone(&context);
-        async move { Ok::<_, Infallible>(answer(context, request).await) }
+/// Ends listening, and returns the connections that callers count as open and nobody had accepted.
+fn take_queued(listener: TcpListener) -> Vec<TcpStream> {
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::warn!("event=queue_not_taken reason={error:?}");
+            return Vec::new();
+        }
+    };
+    let queued = std::iter::from_fn(|| listener.accept().ok()).take(MAX_QUEUED);
+    let streams = queued.filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
     });
-    let connection = builder.serve_connection(io, service).into_owned();
-    if let Err(error) = watcher.watch(connection).await {
-        log::trace!("event=caller_connection_ended reason={error:?}");
+    streams.collect()
+}
+
+/// One connection of a caller. The side of the callers ends once all of them are dropped.
+struct CallerConnection {
+    context: Arc<FrontContext>,
+    closing: watch::Receiver<bool>,
+}
+
+impl CallerConnection {
+    async fn run(self, stream: TcpStream, acceptor: Option<Arc<TlsAcceptor>>) {
+        let Some(acceptor) = acceptor else {
+            return self.serve(TokioIo::new(stream)).await;
+        };
+        let accepted = acceptor.accept(stream);
+        let accepted = tokio::time::timeout(HEADER_TIMEOUT, accepted).await;
+        if let Ok(Ok(stream)) = accepted {
+            self.serve(TokioIo::new(stream)).await;
+        }
+    }
+
+    async fn serve<Stream>(mut self, io: TokioIo<Stream>)
+    where
+        Stream: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let mut builder = Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_TIMEOUT);
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .max_concurrent_streams(MAX_STREAMS);
+        let first = Arc::new(Notify::new());
+        let service = service_fn(|request| {
+            first.notify_one();
+            let context = Arc::clone(&self.context);
+            async move { Ok::<_, Infallible>(answer(context, request).await) }
+        });
+        let mut connection = pin!(builder.serve_connection(io, service));
+        let told = async {
+            let _ = self.closing.wait_for(|is_closing| *is_closing).await;
+            // Ended before its first request, it would leave its caller without a word on whether that ran.
+            let _ = tokio::time::timeout(FIRST_REQUEST_TIME, first.notified()).await;
+        };
+        let ended = tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = told => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(error) = ended {
+            log::trace!("event=caller_connection_ended reason={error:?}");
+        }
     }
 }
 
