fix: an answer over HTTP/1 on a VM that stops says that its connection ends

What callers saw: a caller that keeps its connection sent again right as the VM closed it, and got no answer. Nothing ran, but over HTTP/1 the caller cannot tell. Cause: for 0.5 s after the signal answers kept the connection open, and then all idle ones were closed at once. Why it holds: each answer of a VM that stops carries connection: close, so whoever was answered in that time sends on another connection. HTTP/2 says with its farewell which streams were taken. A caller that sent nothing in those 0.5 s can still cross the close, as HTTP/1 has it.

--- a/crates/entry/src/front/answer.rs
+++ b/crates/entry/src/front/answer.rs
@@ -76,8 +76,7 @@
         refusal.kind,
         ErrorKind::TooLarge | ErrorKind::RequestTimeout
     ) {
-        let headers = answer.headers_mut();
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        end_connection(&mut answer);
     }
     name_request(&mut answer, request_id);
     answer
@@ -109,6 +108,12 @@
     answer
 }
 
+/// Says that no request is taken on this connection after the answer.
+pub fn end_connection(answer: &mut CallerAnswer) {
+    let close = HeaderValue::from_static("close");
+    answer.headers_mut().insert(CONNECTION, close);
+}
+
 /// Says that the request ran.
 pub fn mark_ran(answer: &mut CallerAnswer) {
     let yes = HeaderValue::from_static(RanState::Yes.as_str());
--- a/crates/entry/src/front/server.rs
+++ b/crates/entry/src/front/server.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, StatusCode, Version};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -17,7 +17,7 @@
 use tokio::sync::{Notify, watch};
 use tokio_rustls::TlsAcceptor;
 
-use super::answer::{CallerAnswer, Refusal, name_request, refuse, whole};
+use super::answer::{CallerAnswer, Refusal, end_connection, name_request, refuse, whole};
 use super::request::{authenticate, bundle, read, request_id};
 use super::{FrontContext, model, service};
 use crate::tls::TlsKeeper;
@@ -141,9 +141,16 @@
 
 async fn answer(context: Arc<FrontContext>, request: Request<Incoming>) -> CallerAnswer {
     let id = request_id(request.headers());
+    let is_http2 = request.version() == Version::HTTP_2;
     let in_flight = InFlight::new(&context);
     let outcome = route(&context, request, id.clone(), in_flight).await;
-    outcome.unwrap_or_else(|refusal| refuse(refusal, &id))
+    let mut answer = outcome.unwrap_or_else(|refusal| refuse(refusal, &id));
+    // An idle connection is closed soon, and HTTP/1 can't say whether a request that crosses the close was taken. Said with the answer
+    // that comes before, no caller sends one there.
+    if context.shared.is_stopping() && !is_http2 {
+        end_connection(&mut answer);
+    }
+    answer
 }
 
 async fn route(
