fix: a VM that stops closes to claims, and ends once its last words on them are out

What callers saw: while a VM stops that owns claims, a caller of another VM was refused with claim_unavailable, 'not run'; its repeats got idempotency_key_in_progress for as long as the request may run, and then idempotency_key_outcome_unknown, though nothing had ever run. Cause: for the last 0.1 s, and up to the end, the VM granted claims to peers. The grant was copied to the other holders, and the process ended before its verdict had left; the asker's word that it would not use it went to a process that was gone. The 0.1 s also stood for the time that word of ended requests takes, which may be told again for 3.5 s. Why it holds: claims are closed first, and a question that comes later is refused without a trace. Only then is the count of words read: of verdicts until they are written to the peer, of ends until the owner and the other holders know. What is counted after the close leaves nothing open, so zero stays true.

--- a/crates/entry/src/duty/claims.rs
+++ b/crates/entry/src/duty/claims.rs
@@ -4,6 +4,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bergamot_claims::{
@@ -15,7 +16,7 @@
 use tokio::sync::oneshot;
 
 use self::owner::{ask_owner, tell_owner};
-use super::shared::{ClaimsFront, SharedState};
+use super::shared::{ClaimWord, ClaimsFront, SharedState};
 use crate::control::ControlEvent;
 use crate::ring::RingReceiver;
 
@@ -104,7 +105,8 @@
                 key,
                 attempt,
                 outcome,
-            } => self.finish(key, attempt, outcome),
+                word,
+            } => self.finish(key, attempt, outcome, word),
             ClaimsFront::Peer(question, reply) => self.take_question(question, reply),
             ClaimsFront::Event(event) => {
                 if matches!(event, ClaimEvent::Roster(_)) {
@@ -188,11 +190,12 @@
             .map(|ended| (ended.key, ended.asker.clone(), ended.outcome.clone()))
             .collect();
         for (key, asker, outcome) in again {
-            self.tell(key, asker, outcome);
+            let word = self.shared.claim_word();
+            self.tell(key, asker, outcome, word);
         }
     }
 
-    fn finish(&mut self, key: ClaimKey, attempt: u64, outcome: FinishOutcome) {
+    fn finish(&mut self, key: ClaimKey, attempt: u64, outcome: FinishOutcome, word: ClaimWord) {
         let asker = self.asker(attempt);
         // The owner may be lost before it has passed this on; its successor is told again.
         self.ended.push_back(EndedRequest {
@@ -201,10 +204,10 @@
             asker: asker.clone(),
             outcome: outcome.clone(),
         });
-        self.tell(key, asker, outcome);
+        self.tell(key, asker, outcome, word);
     }
 
-    fn tell(&mut self, key: ClaimKey, asker: ClaimAsker, outcome: FinishOutcome) {
+    fn tell(&mut self, key: ClaimKey, asker: ClaimAsker, outcome: FinishOutcome, word: ClaimWord) {
         let Some((owner, _)) = self.state.owner(key) else {
             return;
         };
@@ -225,11 +228,15 @@
                 outcome,
             };
             tell_owner(&shared, &owner, question).await;
+            drop(word);
         });
     }
 
     fn take_question(&mut self, question: Question, reply: oneshot::Sender<Answer>) {
         match question {
+            Question::Claim(_) if self.shared.are_claims_closed.load(Ordering::SeqCst) => {
+                let _ = reply.send(Answer::Claim(Verdict::Unavailable));
+            }
             Question::Claim(question) => {
                 let ask = self.wait_for(Waiting::Peer(reply));
                 self.feed(ClaimEvent::Ask(ClaimAsk { ask, ..question }));
@@ -320,7 +327,9 @@
                     owner,
                     change,
                 };
+                let word = self.shared.claim_word();
                 self.ask_holder(to, question, move |holder, answer| {
+                    drop(word);
                     let is_held = answer == Some(Answer::Held(true));
                     Some(ClaimEvent::Copied {
                         op,
--- a/crates/entry/src/duty/mod.rs
+++ b/crates/entry/src/duty/mod.rs
@@ -9,4 +9,6 @@
 pub mod probe;
 pub mod shared;
 
-pub use shared::{ClaimsFront, ControlInbox, PeerTask, PlatformTask, ProbeTask, SharedState};
+pub use shared::{
+    ClaimWord, ClaimsFront, ControlInbox, PeerTask, PlatformTask, ProbeTask, SharedState,
+};
--- a/crates/entry/src/duty/shared.rs
+++ b/crates/entry/src/duty/shared.rs
@@ -85,6 +85,8 @@
         attempt: u64,
         /// How.
         outcome: FinishOutcome,
+        /// Held until its owner knows.
+        word: ClaimWord,
     },
     /// A peer's question, with where its answer goes.
     Peer(Question, oneshot::Sender<Answer>),
@@ -94,6 +96,18 @@
     Dump(oneshot::Sender<serde_json::Value>),
 }
 
+/// A word on a claim that the process must not end before: a verdict for a peer, or how a request ended. Without it a claim stays granted
+/// that nobody uses, and its key cannot be decided.
+pub struct ClaimWord {
+    count: Arc<AtomicI64>,
+}
+
+impl Drop for ClaimWord {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// Everything the duties share.
 pub struct SharedState {
     /// The settings.
@@ -114,6 +128,10 @@
     pub stopping: AtomicBool,
     /// Callers' requests that have not been answered in full.
     pub in_flight: AtomicI64,
+    /// Words on claims that are on their way; see [`ClaimWord`].
+    pub claim_words: Arc<AtomicI64>,
+    /// Whether no claim is granted any more, as the process is about to end.
+    pub are_claims_closed: AtomicBool,
     /// To the control duty.
     pub control: RingSender<ControlInbox>,
     /// To the platform duty.
@@ -139,6 +157,14 @@
         }
     }
 
+    /// Counts a word on a claim until the guard is dropped.
+    pub fn claim_word(&self) -> ClaimWord {
+        self.claim_words.fetch_add(1, Ordering::SeqCst);
+        ClaimWord {
+            count: Arc::clone(&self.claim_words),
+        }
+    }
+
     /// Whether the daemon is stopping.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/local/tests/support/mod.rs
+++ b/crates/local/tests/support/mod.rs
@@ -7,6 +7,7 @@
 use bergamot_local::{LocalFleet, LocalOptions, sample};
 use bergamot_platform::HttpReply;
 use bergamot_standin::EngineOptions;
+use bergamot_standin::fault::FaultSet;
 use hyper::Method;
 
 /// A fleet whose groups serve.
@@ -83,3 +84,13 @@
         .filter(|run| run.idempotency_key == key)
         .count()
 }
+
+/// Services take so many times as long as their 2 ms.
+pub fn slow_services(fleet: &LocalFleet, slow_factor: u64) {
+    for service in &fleet.services {
+        service.service.faults.set(FaultSet {
+            slow_factor,
+            ..FaultSet::default()
+        });
+    }
+}
