fix: signals are taken before callers can connect

What callers saw: a process that was told to stop right after its start ended at once, by the signal's default, with whatever it had taken. Cause: the program took signals only after the duties had been started and the listeners were open. Why it holds: taking signals comes first; one that comes during the start is counted, and is the planned stop's. A second signal while a caller is waited for, and a request before the first bundle while stopping, were right before too.

--- a/crates/entry/src/bin/bergamot-entry.rs
+++ b/crates/entry/src/bin/bergamot-entry.rs
@@ -89,9 +89,10 @@
         println!("{file}: ok");
         return Ok(ExitCode::SUCCESS);
     }
-    let daemon = EntryDaemon::start(settings)?;
+    // Before callers can connect: until signals are taken, one ends the process at once, with all that it has taken.
     let signals = Arc::new(AtomicU32::new(0));
     count_signals(Arc::clone(&signals))?;
+    let daemon = EntryDaemon::start(settings)?;
     while signals.load(Ordering::Relaxed) == 0 {
         std::thread::sleep(std::time::Duration::from_millis(50));
     }
