--- a/crates/local/tests/stopping.rs
+++ b/crates/local/tests/stopping.rs
@@ -125,7 +125,7 @@
                 WireEnd::NotSent if has_run => lost.push((record.id, "not sent".to_owned())),
                 WireEnd::Unanswered(reason) if has_run => lost.push((record.id, reason)),
                 WireEnd::Unanswered(reason) if record.is_kept => {
-                    kept_unanswered.push((record.id, reason))
+                    kept_unanswered.push((record.id, reason));
                 }
                 WireEnd::Unanswered(reason) => unanswered.push((record.id, reason)),
                 WireEnd::NotSent => {}
