refactor: one function closes a listener, on both interfaces

Both had come to empty the kernel's queue before the listener is dropped; the bound on what is taken from it holds for both.

--- a/crates/entry/src/front/server.rs
+++ b/crates/entry/src/front/server.rs
@@ -30,8 +30,6 @@
 /// How long a connection that has sent no request is waited for once nothing is accepted any more. A caller that has just connected sends
 /// within a round trip or two, three with TLS; the stop takes longer by this where callers connect in advance.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
-/// Connections taken from the kernel's queue at the end of listening: more than it holds.
-const MAX_QUEUED: usize = 8_192;
 
 /// Serves callers until `stop` says so, then until every connection has ended.
 pub async fn serve(
@@ -60,29 +58,14 @@
         };
         accept(stream);
     }
-    take_queued(listener).into_iter().for_each(accept);
+    bergamot_gateway::listen::close(listener)
+        .into_iter()
+        .for_each(accept);
     // A connection that is told late, as its handshake goes on, finds the word already there.
     closing.send_replace(true);
     closing.closed().await;
 }
 
-/// Ends listening, and returns the connections that callers count as open and nobody had accepted.
-fn take_queued(listener: TcpListener) -> Vec<TcpStream> {
-    let listener = match listener.into_std() {
-        Ok(listener) => listener,
-        Err(error) => {
-            log::warn!("event=queue_not_taken reason={error:?}");
-            return Vec::new();
-        }
-    };
-    let queued = std::iter::from_fn(|| listener.accept().ok()).take(MAX_QUEUED);
-    let streams = queued.filter_map(|(stream, _)| {
-        stream.set_nonblocking(true).ok()?;
-        TcpStream::from_std(stream).ok()
-    });
-    streams.collect()
-}
-
 /// One connection of a caller. The side of the callers ends once all of them are dropped.
 struct CallerConnection {
     context: Arc<FrontContext>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod group_actions;
 mod groups;
 mod known;
-mod listen;
+pub mod listen;
 pub mod logs;
 pub mod metrics;
 pub mod own_keys;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -20,9 +20,12 @@
     }
 }
 
+/// Connections that are taken from the kernel's queue at the end of listening at most: more than it holds.
+const MAX_WAITING: usize = 8_192;
+
 /// Closes a listener, and gives the connections that waited to be accepted: closed with it, their callers would see a reset
 /// where they can be served.
-pub(crate) fn close(listener: TcpListener) -> Vec<TcpStream> {
+pub fn close(listener: TcpListener) -> Vec<TcpStream> {
     let listener = match listener.into_std() {
         Ok(listener) => listener,
         Err(error) => {
@@ -31,7 +34,7 @@
         }
     };
     // The kernel is asked until its queue is empty: readiness as the runtime knows it may lag behind.
-    let waiting = std::iter::from_fn(|| listener.accept().ok());
+    let waiting = std::iter::from_fn(|| listener.accept().ok()).take(MAX_WAITING);
     let streams = waiting.filter_map(|(stream, _)| {
         stream.set_nonblocking(true).ok()?;
         TcpStream::from_std(stream).ok()
