perf: a stop closes its listener as soon as callers have had time to hear of it

Hypothesis: a caller who connects to a VM that is about to end is better served by another one, at once. The rule for it and the time of the last accept are gone from the life cycle.

--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -35,11 +35,11 @@
 where
     Dialect: CallerDialect + 'static,
 {
-    let mut orders = front.stop.orders();
+    let mut closing = front.stop.closing();
     loop {
         tokio::select! {
             stream = next_connection(&listener) => take_caller(&front, stream),
-            _ = orders.wait_for(|orders| orders.listener) => break,
+            _ = closing.wait_for(|is_closing| *is_closing) => break,
         }
     }
     for stream in close(listener) {
@@ -118,8 +118,7 @@
 {
     let (overdue, silent) = (timer.overdue(), timer.silent());
     tokio::pin!(connection, overdue, silent);
-    let mut orders = stop.orders();
-    orders.mark_changed();
+    let mut closing = stop.closing();
     let mut is_told = false;
     loop {
         tokio::select! {
@@ -127,10 +126,10 @@
             biased;
             ended = connection.as_mut() => return ended,
             () = overdue.as_mut() => return Ok(()),
-            Ok(()) = orders.changed() => {
-                is_told = orders.borrow_and_update().idle;
+            _ = closing.wait_for(|is_closing| *is_closing), if !is_told => {
+                is_told = true;
                 // One whose first request is still to come would be closed unread. The answer to that closes it.
-                if is_told && timer.has_request() {
+                if timer.has_request() {
                     connection.as_mut().graceful_shutdown();
                 }
             }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -14,21 +14,13 @@
 /// Time between two looks at the clock during a stop. Timers stand still while a VM is suspended, its grace does not.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
-/// What the callers' connections and their listener are told during a stop.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
-pub struct CloseOrders {
-    /// Connections whose callers wait for no answer are to be closed.
-    pub idle: bool,
-    /// The listener is to be closed.
-    pub listener: bool,
-}
-
 /// The life cycle of this process, with the means to carry it out. Lives on the callers' thread, so that nothing can be
 /// accepted between a decision and what it does.
 pub struct StopControl {
     shared: Arc<SharedState>,
     state: RefCell<ShutdownState>,
-    orders: watch::Sender<CloseOrders>,
+    /// Whether the listener and idle connections are to be closed.
+    closing: watch::Sender<bool>,
     has_ended: Cell<bool>,
     ended: Notify,
 }
@@ -39,7 +31,7 @@
         Self {
             shared,
             state: RefCell::default(),
-            orders: watch::channel(CloseOrders::default()).0,
+            closing: watch::channel(false).0,
             has_ended: Cell::new(false),
             ended: Notify::new(),
         }
@@ -82,9 +74,9 @@
         self.has_ended.get()
     }
 
-    /// Tells of what is to be closed.
-    pub fn orders(&self) -> watch::Receiver<CloseOrders> {
-        self.orders.subscribe()
+    /// Tells when the listener and idle connections are to be closed.
+    pub fn closing(&self) -> watch::Receiver<bool> {
+        self.closing.subscribe()
     }
 
     /// Returns when the process is to end.
@@ -115,8 +107,9 @@
                 let connections = self.state.borrow().connections();
                 log::info!("event=stopping connections={connections}");
             }
-            ShutdownAction::CloseIdle => self.order(|orders| orders.idle = true),
-            ShutdownAction::CloseListener => self.order(|orders| orders.listener = true),
+            ShutdownAction::Close => {
+                self.closing.send_replace(true);
+            }
             ShutdownAction::Reject => log::debug!("event=caller_lost reason=stopping"),
             ShutdownAction::End { cut } => {
                 let since = self.shared.stop_age(now).unwrap_or_default();
@@ -126,13 +119,6 @@
             }
         }
     }
-
-    fn order<Change>(&self, change: Change)
-    where
-        Change: FnOnce(&mut CloseOrders),
-    {
-        self.orders.send_modify(change);
-    }
 }
 
 /// Counts a connection of a caller until dropped.
--- a/crates/shutdown/src/lib.rs
+++ b/crates/shutdown/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod phase;
 pub mod state;
 
-pub use options::{CloseRule, ShutdownOptions};
+pub use options::ShutdownOptions;
 pub use phase::{
     ClosingPhase, DrainingPhase, EndedPhase, NotifiedPhase, PhaseName, PhaseState, ServingPhase,
 };
--- a/crates/shutdown/src/phase.rs
+++ b/crates/shutdown/src/phase.rs
@@ -22,8 +22,6 @@
     pub began: Millis,
     /// The times of this stop.
     pub options: ShutdownOptions,
-    /// When the last caller was accepted since then.
-    pub accepted_at: Millis,
 }
 
 /// The listener is to be closed; callers that wait to be accepted are taken in.
@@ -64,24 +62,11 @@
 }
 
 /// A phase in which callers are taken in.
-pub trait ListeningPhase {
-    /// Notes that a caller was accepted.
-    fn note_accepted(&mut self, now: Millis);
-}
-
-impl ListeningPhase for ServingPhase {
-    fn note_accepted(&mut self, _now: Millis) {}
-}
+pub trait ListeningPhase {}
 
-impl ListeningPhase for NotifiedPhase {
-    fn note_accepted(&mut self, now: Millis) {
-        self.accepted_at = now;
-    }
-}
-
-impl ListeningPhase for ClosingPhase {
-    fn note_accepted(&mut self, _now: Millis) {}
-}
+impl ListeningPhase for ServingPhase {}
+impl ListeningPhase for NotifiedPhase {}
+impl ListeningPhase for ClosingPhase {}
 
 impl<Phase> PhaseState<Phase> {
     /// Connections that are open.
@@ -112,9 +97,8 @@
     Phase: ListeningPhase,
 {
     /// Counts a connection that was accepted.
-    pub fn accept(&mut self, now: Millis) {
+    pub fn accept(&mut self) {
         self.connections += 1;
-        self.phase.note_accepted(now);
     }
 }
 
@@ -133,7 +117,6 @@
         self.follow(NotifiedPhase {
             began: now,
             options,
-            accepted_at: now,
         })
     }
 }
@@ -141,7 +124,7 @@
 impl PhaseState<NotifiedPhase> {
     /// Asks for the listener to be closed.
     pub fn close(self) -> PhaseState<ClosingPhase> {
-        let NotifiedPhase { began, options, .. } = self.phase;
+        let NotifiedPhase { began, options } = self.phase;
         self.follow(ClosingPhase { began, options })
     }
 }
--- a/crates/shutdown/src/state.rs
+++ b/crates/shutdown/src/state.rs
@@ -2,7 +2,7 @@
 
 use bergamot_types::prelude::*;
 
-use crate::options::{CloseRule, ShutdownOptions};
+use crate::options::ShutdownOptions;
 use crate::phase::{
     ClosingPhase, DrainingPhase, EndedPhase, NotifiedPhase, PhaseName, PhaseState, ServingPhase,
 };
@@ -27,10 +27,8 @@
 pub enum ShutdownAction {
     /// Tell the balancer and the other duties of the stop.
     Announce,
-    /// Close the connections whose callers wait for no answer.
-    CloseIdle,
-    /// Accept who waits to be accepted, and close the listener.
-    CloseListener,
+    /// Accept who waits to be accepted, and close the listener; close the connections whose callers wait for no answer.
+    Close,
     /// Close a connection that was accepted too late, unread.
     Reject,
     /// End the process; so many connections are cut.
@@ -49,20 +47,16 @@
     Ended(PhaseState<EndedPhase>),
 }
 
+impl Default for CurrentPhase {
+    fn default() -> Self {
+        Self::Serving(PhaseState::default())
+    }
+}
+
 /// The life cycle of one process.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct ShutdownState {
     phase: CurrentPhase,
-    has_closed_idle: bool,
-}
-
-impl Default for ShutdownState {
-    fn default() -> Self {
-        Self {
-            phase: CurrentPhase::Serving(PhaseState::default()),
-            has_closed_idle: false,
-        }
-    }
 }
 
 impl ShutdownState {
@@ -71,7 +65,7 @@
         let mut actions = Vec::new();
         match event {
             ShutdownEvent::Signalled(options) => self.notify(now, options, &mut actions),
-            ShutdownEvent::Accepted => self.accept(now, &mut actions),
+            ShutdownEvent::Accepted => self.accept(&mut actions),
             ShutdownEvent::Released => self.release(),
             ShutdownEvent::ListenerClosed => self.drain(),
             ShutdownEvent::Looked => {}
@@ -108,7 +102,7 @@
         match &self.phase {
             CurrentPhase::Serving(_) => None,
             CurrentPhase::Notified(state) => {
-                let NotifiedPhase { began, options, .. } = state.phase();
+                let NotifiedPhase { began, options } = state.phase();
                 let is_noticed = now.since(*began) >= options.notice;
                 is_noticed.then(|| *began + options.answer_end)
             }
@@ -132,11 +126,11 @@
         });
     }
 
-    fn accept(&mut self, now: Millis, actions: &mut Vec<ShutdownAction>) {
+    fn accept(&mut self, actions: &mut Vec<ShutdownAction>) {
         match &mut self.phase {
-            CurrentPhase::Serving(state) => state.accept(now),
-            CurrentPhase::Notified(state) => state.accept(now),
-            CurrentPhase::Closing(state) => state.accept(now),
+            CurrentPhase::Serving(state) => state.accept(),
+            CurrentPhase::Notified(state) => state.accept(),
+            CurrentPhase::Closing(state) => state.accept(),
             CurrentPhase::Draining(_) | CurrentPhase::Ended(_) => {
                 actions.push(ShutdownAction::Reject);
             }
@@ -162,10 +156,9 @@
 
     /// Moves on as far as the time and the open connections allow.
     fn advance(&mut self, now: Millis, actions: &mut Vec<ShutdownAction>) {
-        self.close_idle(now, actions);
         self.replace(|phase| match phase {
             CurrentPhase::Notified(state) if may_close(&state, now) => {
-                actions.push(ShutdownAction::CloseListener);
+                actions.push(ShutdownAction::Close);
                 CurrentPhase::Closing(state.close())
             }
             other => other,
@@ -189,39 +182,16 @@
         });
     }
 
-    fn close_idle(&mut self, now: Millis, actions: &mut Vec<ShutdownAction>) {
-        let CurrentPhase::Notified(state) = &self.phase else {
-            return;
-        };
-        let is_noticed = now.since(state.phase().began) >= state.phase().options.notice;
-        if is_noticed && !self.has_closed_idle {
-            self.has_closed_idle = true;
-            actions.push(ShutdownAction::CloseIdle);
-        }
-    }
-
     fn replace<Step>(&mut self, step: Step)
     where
         Step: FnOnce(CurrentPhase) -> CurrentPhase,
     {
-        let placeholder = CurrentPhase::Serving(PhaseState::default());
-        self.phase = step(std::mem::replace(&mut self.phase, placeholder));
+        self.phase = step(std::mem::take(&mut self.phase));
     }
 }
 
 fn may_close(state: &PhaseState<NotifiedPhase>, now: Millis) -> bool {
-    let NotifiedPhase {
-        began,
-        options,
-        accepted_at,
-    } = state.phase();
-    let age = now.since(*began);
-    let is_idle = match options.rule {
-        CloseRule::AtNotice => true,
-        CloseRule::WhenIdle(quiet) => state.connections() == 0 && now.since(*accepted_at) >= quiet,
-        CloseRule::AtGrace => false,
-    };
-    age >= options.listen_end || age >= options.notice && is_idle
+    now.since(state.phase().began) >= state.phase().options.notice
 }
 
 fn may_end(state: &PhaseState<DrainingPhase>, now: Millis) -> bool {
