fix: signals are taken before callers can connect

What callers saw: a process that was told to stop right after its start ended at once, by the signal's default, with whatever waited in its queue. Cause: signals were taken over by the callers' duty, after the ports were bound and the other duties started. They are taken before the ports are bound now; one that comes meanwhile is the planned stop's.

--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
@@ -122,3 +123,35 @@
         began.elapsed()
     );
 }
+
+/// The log says that the process has started once callers can connect.
+#[test]
+fn a_signal_right_after_the_start_is_a_planned_stop() {
+    const STARTS: u8 = 12;
+    let starts = (0..STARTS).map(|number| {
+        std::thread::spawn(move || {
+            let ip = Ipv4Addr::new(127, 77, 10, number + 1);
+            let store = SocketAddr::from(([127, 0, 0, 1], 9));
+            let settings = write_settings(&ip.to_string(), &sample_settings(ip, store));
+            let mut process = program(&settings)
+                .stdout(Stdio::piped())
+                .spawn()
+                .expect("it starts");
+            let log = process.stdout.take().expect("it logs");
+            let mut lines = BufReader::new(log).lines().map_while(Result::ok);
+            let started = lines.any(|line| line.contains("event=started"));
+            let id = process.id().to_string();
+            let sent = Command::new("kill").args(["-s", "TERM", &id]).status();
+            // The rest is read, so that the process can write it.
+            let rest = lines.count();
+            let status = process.wait().expect("it ends");
+            std::fs::remove_file(&settings).expect("it was written");
+            assert!(started && sent.is_ok_and(|status| status.success()));
+            (status, rest)
+        })
+    });
+    let starts: Vec<_> = starts.collect();
+    let ends = starts.into_iter().map(|start| start.join().expect("ends"));
+    let ends: Vec<_> = ends.collect();
+    assert!(ends.iter().all(|(status, _)| status.success()), "{ends:?}");
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -78,6 +78,14 @@
     /// When an address cannot be bound or a thread cannot be started.
     pub fn run(self) -> anyhow::Result<()> {
         let site = self.shared.site.clone();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        // Before callers can connect: until signals are taken over, one ends the process at once.
+        let signals = {
+            let _entered = runtime.enter();
+            SignalSet::take()?
+        };
         let caller = bind(site.caller_addr)?;
         let ready = bind(site.ready_addr)?;
         let metrics = bind(site.metrics_addr)?;
@@ -118,9 +126,6 @@
         })?;
         let shared = Arc::clone(&self.shared);
         spawn_duty("metrics", move || serve_metrics(shared, metrics))?;
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()?;
         let local = LocalSet::new();
         local.block_on(
             &runtime,
@@ -128,6 +133,7 @@
                 self.shared,
                 self.ports,
                 self.reader,
+                signals,
                 FrontSockets {
                     caller,
                     ready,
@@ -174,13 +180,13 @@
     shared: Arc<SharedState>,
     ports: Ports,
     reader: Option<SettingsReader>,
+    mut signals: SignalSet,
     sockets: FrontSockets,
     doubts: mpsc::Sender<QuietNotice>,
 ) -> anyhow::Result<()>
 where
     Ports: PortSet,
 {
-    let mut signals = SignalSet::take()?;
     let (crash_sender, crash_news) = mpsc::channel(RECORD_RING);
     let (still_sender, still_news) = mpsc::channel(RECORD_RING);
     let front = FrontContext::new(
