test: a record of a quarantine that other VMs count on (red)

VMs that start later then know nothing of it.

Red: no record says that a request was refused, so no other VM can know of it.

--- a/crates/quarantine/tests/state.rs
+++ b/crates/quarantine/tests/state.rs
@@ -358,3 +358,53 @@
         );
     }
 }
+
+struct ElsewhereCase {
+    name: &'static str,
+    /// When the request was last refused, at another VM than the one that coordinates.
+    refused_at: Millis,
+    is_kept: bool,
+}
+
+#[test]
+fn a_record_stays_for_a_day_after_its_request_last_came_to_any_vm() {
+    let day = Millis(24 * HOUR.0);
+    let cases = [
+        ElsewhereCase {
+            name: "it came to another VM an hour ago",
+            refused_at: NOW + Millis(23 * HOUR.0),
+            is_kept: true,
+        },
+        ElsewhereCase {
+            name: "it has not come since its quarantine began",
+            refused_at: NOW,
+            is_kept: false,
+        },
+    ];
+    for case in cases {
+        let key = "held";
+        let record = &QuarantineRecord::Quarantined {
+            print: print(7),
+            lives: (1..=3).map(life).collect(),
+            since: TODAY,
+        };
+        let mut coordinator = QuarantineState::default();
+        let mut other = QuarantineState::default();
+        for vm in [&mut coordinator, &mut other] {
+            vm.handle(NOW, QuarantineEvent::Told { key, record });
+        }
+        other.note_refused(case.refused_at, print(7));
+        // What the other VM tells of it reaches the one that coordinates.
+        let event = QuarantineEvent::Housekeeping {
+            coordinates_at: None,
+        };
+        let told = kept(other.handle(case.refused_at, event));
+        for record in &told {
+            coordinator.handle(case.refused_at, QuarantineEvent::Told { key, record });
+        }
+        let actions = coordinator.handle(NOW + day, HOUSEKEEPING);
+        let removed = QuarantineAction::Remove(vec![key.to_owned()]);
+        let is_kept = !actions.contains(&removed);
+        assert_eq!(is_kept, case.is_kept, "{}", case.name);
+    }
+}
