test: the soak's audit judges requests that come after the signal to stop

Cause: check_stop looked at requests only that were sent before the signal, so a request that was sent on during the grace and ended without an answer was in order for it. The listener takes requests until the process is gone.

The promise is now that of the users: what was sent on is answered until the process is gone; only a stream that was sent no later than 3 s after the signal and ends in the last sixth of the grace of 8 s may be cut. All troubles that excused a request before still do. When the run at the upstream ended is not on record, so the cut of the connection stands for it.

One case of tests/audit.rs said that a request sent after the signal may be cut; it was wrong by the users' rule and now expects the violation, which is stricter.

--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -21,6 +21,13 @@
 /// whose link is back is up to date, and one retry.
 const FAULT_SHADOW: Duration = Duration::from_millis(2_500);
 
+/// Time from the signal to stop to the end of the process, as the users set it.
+const STOP_GRACE: Duration = Duration::from_secs(8);
+/// Time after the signal up to which a stream may be sent that the end of the grace cuts, as the users set it.
+const STREAM_TAKEN: Duration = Duration::from_secs(3);
+/// Time after the signal from which on such a stream may be cut: the last sixth of the grace, as the users set it.
+const STREAM_CUT: Duration = Duration::from_micros(STOP_GRACE.as_micros() as u64 * 5 / 6);
+
 /// A promise that was broken.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Violation {
@@ -299,24 +306,24 @@
         is_served.then_some(Violation::RevokedServed { id, after })
     }
 
-    /// A request that was there before the signal to stop must end with an answer.
+    /// A request that was sent on must end with an answer, also one that came after the signal to stop.
     fn check_stop(&self, record: &CallRecord) -> Option<Violation> {
         if !matches!(record.end, CallEnd::Cut { .. } | CallEnd::GivenUp) {
             return None;
         }
         let (from, until) = (record.sent_at, record.ended_at);
-        let stops = self.troubles.iter().any(|trouble| {
+        let mut stops = self.troubles.iter().filter(|trouble| {
             let is_stop = trouble.kind == FaultKind::StopEntry(record.entry);
-            is_stop && from < trouble.from && trouble.from < until
+            is_stop && from <= trouble.until && trouble.from <= until
         });
+        let is_cut = stops.any(|stop| !may_be_cut(record, stop.from));
         // One that no upstream saw may have met the end of an idle connection.
         let runs = self.seen.get(&record.id).filter(|runs| !runs.is_empty())?;
         let is_excused = self.troubles.iter().any(|trouble| {
             let can_break = trouble.befalls(record.entry) || trouble.breaks_answers(runs);
             can_break && trouble.overlaps(from, until)
         });
-        let is_cut = stops && !is_excused;
-        is_cut.then(|| Violation::CutByStop {
+        (is_cut && !is_excused).then(|| Violation::CutByStop {
             id: record.id.clone(),
             entry: record.entry,
         })
@@ -370,3 +377,10 @@
     let id = record.id.clone();
     (is_held && !is_harmful).then_some(Violation::InnocentHeld { id })
 }
+
+/// Whether a stop that was told at this time may cut a request: only a stream that was sent early and runs until the
+/// last part of the grace.
+fn may_be_cut(record: &CallRecord, told: Instant) -> bool {
+    let is_stream = matches!(record.kind, RequestKind::Stream(_));
+    is_stream && record.sent_at <= told + STREAM_TAKEN && record.ended_at >= told + STREAM_CUT
+}
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -196,9 +196,10 @@
             ..case()
         },
         AuditCase {
-            name: "sent after the stop",
+            name: "cut by a stop, sent after the signal",
             end: cut.clone(),
             trouble: Some((FaultKind::StopEntry(0), 50, 200)),
+            found: Some("CutByStop"),
             ..case()
         },
         AuditCase {
