feat: callers around the end of a planned stop in the soak

Cause: each caller of the soak keeps one connection with one call at a time, so little comes in the moments in which a process that stops decides that nothing is left.

What: from 150 ms before the signal until the process is gone, some callers of the stopped process open a connection for each request at short pauses, send again on a kept connection at once or after a long idle time, connect and send nothing for a while, or hold back half a head or the end of a body. A process that stops can now be paused, killed, told to read its settings and signalled once more meanwhile; before, all of these waited until it was back. It has as much longer to end as it stood still. A fault that waited for its turn counts from its real begin, so it excuses less than before.

--- /dev/null
+++ b/crates/soak/src/around_stop.rs
@@ -0,0 +1,175 @@
+//! Callers that come around the end of a planned stop.
+//!
+//! Other callers keep their connections, so a process that stops seldom sees a moment without one. These come and go at
+//! short pauses, send on connections that are about to be closed, and leave requests half sent.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
+
+use crate::caller::{CallRecord, CallerConnection, RequestKind, call_on, connect, connect_slowly};
+use crate::process::EntryPlace;
+use crate::site::LASTING_KEY;
+use crate::slow_stream::HeldPart;
+
+/// Time before the signal from which on they call, so that connections are open and idle at the signal.
+pub(crate) const LEAD_TIME: Duration = Duration::from_millis(150);
+/// The longest pause between two calls on a connection each, in milliseconds: about the time between two looks of a
+/// process that stops, so that some looks find no connection and some calls come right after one.
+const SHORT_PAUSE_MS: u64 = 60;
+/// The longest time for which a connection stays idle or a request half sent, in milliseconds: past the time after which
+/// a process that stops closes idle connections.
+const LONG_PAUSE_MS: u64 = 3_000;
+/// The longest streams that they ask for, in events: short, as long ones leave no moment without a connection.
+const MAX_EVENTS: u64 = 10;
+/// Callers of one habit at one stop at most.
+const MAX_CALLERS: usize = 2;
+
+/// How a caller uses its connections.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum CallHabit {
+    /// A connection for each call.
+    OneEach,
+    /// Keeps its connection, idle for a while or not at all.
+    Keeps,
+    /// Connects and sends nothing for a while.
+    Silent,
+    /// Sends a part of the request and the rest after a while.
+    Halting(HeldPart),
+}
+
+const HABITS: [CallHabit; 5] = [
+    CallHabit::OneEach,
+    CallHabit::Keeps,
+    CallHabit::Silent,
+    CallHabit::Halting(HeldPart::HalfHead),
+    CallHabit::Halting(HeldPart::BodyEnd),
+];
+
+/// One planned stop, as its callers know it.
+#[derive(Clone)]
+pub(crate) struct StopScene {
+    /// Begins the ids of their requests.
+    pub(crate) name: String,
+    /// The process that stops.
+    pub(crate) entry: usize,
+    /// Where it listens.
+    pub(crate) place: EntryPlace,
+    /// What they draw from.
+    pub(crate) seed: u64,
+    /// Whether the process is gone: they end then.
+    pub(crate) is_gone: Arc<AtomicBool>,
+    /// Where requests are noted.
+    pub(crate) records: Arc<Mutex<Vec<CallRecord>>>,
+}
+
+impl StopScene {
+    /// Starts a caller with a connection for each call, and some of drawn habits: few at one stop, many at another.
+    pub(crate) fn start_callers(&self, callers: &mut JoinSet<()>) {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed);
+        let counts = HABITS.map(|habit| (habit, rng.random_range(0..=MAX_CALLERS)));
+        let habits = counts
+            .into_iter()
+            .flat_map(|(habit, count)| std::iter::repeat_n(habit, count));
+        for (number, habit) in std::iter::once(CallHabit::OneEach)
+            .chain(habits)
+            .enumerate()
+        {
+            let caller = StopCaller {
+                name: format!("{}-{number}", self.name),
+                habit,
+                rng: ChaCha8Rng::seed_from_u64(self.seed ^ (number as u64 + 1)),
+                scene: self.clone(),
+            };
+            callers.spawn(caller.run());
+        }
+    }
+}
+
+struct StopCaller {
+    name: String,
+    habit: CallHabit,
+    rng: ChaCha8Rng,
+    scene: StopScene,
+}
+
+impl StopCaller {
+    /// Calls until the process is gone.
+    async fn run(mut self) {
+        let mut kept = None;
+        for count in 0_u64.. {
+            self.pause().await;
+            if self.scene.is_gone.load(Ordering::Relaxed) {
+                return;
+            }
+            let id = format!("{}-{count}", self.name);
+            let record = self.call(&mut kept, id).await;
+            self.scene.records.lock().push(record);
+            if self.habit != CallHabit::Keeps {
+                kept = None;
+            }
+        }
+    }
+
+    async fn pause(&mut self) {
+        let is_long = self.habit == CallHabit::Keeps && self.rng.random_ratio(1, 4);
+        let longest = match (self.habit, is_long) {
+            (_, true) => LONG_PAUSE_MS,
+            // Sends again at once, while the other end may be closing.
+            (CallHabit::Keeps, false) => 2,
+            _ => SHORT_PAUSE_MS,
+        };
+        let pause = self.rng.random_range(0..longest);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+
+    async fn call(&mut self, kept: &mut Option<CallerConnection>, id: String) -> CallRecord {
+        let kind = self.draw_kind();
+        let pause = Duration::from_millis(self.rng.random_range(0..LONG_PAUSE_MS));
+        let place = self.scene.place;
+        let mut sent_at = Instant::now();
+        match self.habit {
+            CallHabit::OneEach | CallHabit::Keeps => {}
+            CallHabit::Silent => {
+                *kept = connect(place).await;
+                tokio::time::sleep(pause).await;
+                sent_at = Instant::now();
+            }
+            CallHabit::Halting(part) => {
+                *kept = connect_slowly(place, part, pause).await;
+                // Nobody can begin on a request before its head has come.
+                if part == HeldPart::HalfHead {
+                    sent_at += pause;
+                }
+            }
+        }
+        let end = call_on(kept, place, &id, kind, LASTING_KEY).await;
+        CallRecord {
+            id,
+            kind,
+            entry: self.scene.entry,
+            key: LASTING_KEY.to_owned(),
+            sent_at,
+            ended_at: Instant::now(),
+            end,
+        }
+    }
+
+    /// A request whose end is held back has a body.
+    fn draw_kind(&mut self) -> RequestKind {
+        let first = match self.habit {
+            CallHabit::Halting(HeldPart::BodyEnd) => 1,
+            _ => 0,
+        };
+        match self.rng.random_range(first..4) {
+            0 => RequestKind::Read,
+            1 | 2 => RequestKind::Bid,
+            _ => RequestKind::Stream(self.rng.random_range(1..=MAX_EVENTS)),
+        }
+    }
+}
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -17,11 +17,13 @@
 use parking_lot::Mutex;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 
 use crate::harmful::MARKER;
 use crate::process::EntryPlace;
 use crate::site::{LASTING_KEY, SoakSite, UpstreamRole};
+use crate::slow_stream::{HeldPart, SlowStream};
 
 /// The deadline of each request.
 pub const DEADLINE: Duration = Duration::from_millis(4_000);
@@ -37,6 +39,9 @@
 /// Events of a harmful stream: more than there is time for before its upstream ends.
 const HARMFUL_EVENTS: u64 = 60;
 
+/// A connection of a caller.
+pub(crate) type CallerConnection = SendRequest<Full<Bytes>>;
+
 /// What a request is for.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum RequestKind {
@@ -150,16 +155,13 @@
 
     async fn call(
         &self,
-        kept: &mut Option<SendRequest<Full<Bytes>>>,
+        kept: &mut Option<CallerConnection>,
         id: String,
         kind: RequestKind,
         key: String,
     ) -> CallRecord {
         let sent_at = Instant::now();
-        let limit = DEADLINE + PATIENCE;
-        let exchange = exchange(kept, self.place, &id, kind, &key);
-        let end = tokio::time::timeout(limit, exchange).await;
-        let end = end.unwrap_or(CallEnd::GivenUp);
+        let end = call_on(kept, self.place, &id, kind, &key).await;
         if !matches!(end, CallEnd::Answered { .. }) {
             *kept = None;
         }
@@ -177,14 +179,24 @@
 
 /// One call on a connection of its own.
 pub async fn call_once(place: EntryPlace, id: &str, kind: RequestKind, key: &str) -> CallEnd {
-    let mut kept = None;
-    let call = exchange(&mut kept, place, id, kind, key);
+    call_on(&mut None, place, id, kind, key).await
+}
+
+/// One call on the connection that is kept, or on a new one where that is closed.
+pub(crate) async fn call_on(
+    kept: &mut Option<CallerConnection>,
+    place: EntryPlace,
+    id: &str,
+    kind: RequestKind,
+    key: &str,
+) -> CallEnd {
+    let call = exchange(kept, place, id, kind, key);
     let end = tokio::time::timeout(DEADLINE + PATIENCE, call).await;
     end.unwrap_or(CallEnd::GivenUp)
 }
 
 async fn exchange(
-    kept: &mut Option<SendRequest<Full<Bytes>>>,
+    kept: &mut Option<CallerConnection>,
     place: EntryPlace,
     id: &str,
     kind: RequestKind,
@@ -212,8 +224,27 @@
     end
 }
 
-async fn connect(place: EntryPlace) -> Option<SendRequest<Full<Bytes>>> {
+/// A new connection.
+pub(crate) async fn connect(place: EntryPlace) -> Option<CallerConnection> {
     let stream = TcpStream::connect(place.front()).await.ok()?;
+    open(stream).await
+}
+
+/// A new connection that holds a part of its first request back for a time.
+pub(crate) async fn connect_slowly(
+    place: EntryPlace,
+    part: HeldPart,
+    pause: Duration,
+) -> Option<CallerConnection> {
+    let stream = TcpStream::connect(place.front()).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    open(SlowStream::new(stream, part, pause)).await
+}
+
+async fn open<Stream>(stream: Stream) -> Option<CallerConnection>
+where
+    Stream: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
     let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
     // How the connection ended shows in the call on it.
     tokio::spawn(async move { connection.await.is_ok() });
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,15 +1,19 @@
 //! Faults as they begin and end.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use bergamot_adapter::sample::FOREIGN_ENTRIES;
 use bergamot_standin::fault::FaultSet;
 use nix::sys::signal::Signal;
+use tokio::sync::MutexGuard;
 use tokio::task::JoinSet;
 
+use crate::around_stop::{LEAD_TIME, StopScene};
 use crate::audit::{Trouble, Violation};
 use crate::plan::{FaultKind, FaultPlan, LinkState, TimedFault};
+use crate::process::{EntryProcess, StopState};
 use crate::proxy::LinkProxy;
 use crate::run::SoakRun;
 use crate::site::UpstreamRole;
@@ -20,6 +24,9 @@
 /// platform's heartbeats.
 const ENTRY_LAPSE: Duration = Duration::from_millis(3_600);
 
+/// Time between two looks whether a process has stopped: short against the pauses of its callers.
+const STOP_LOOK: Duration = Duration::from_millis(10);
+
 /// Until when a fault counts that has not ended: longer than any run.
 const ENDLESS: Duration = Duration::from_secs(600);
 
@@ -42,7 +49,7 @@
     async fn befall(self: Arc<Self>, fault: TimedFault) -> anyhow::Result<()> {
         let from = Instant::now();
         let noted = self.note(fault.kind, from);
-        self.apply(fault).await?;
+        self.apply(fault, noted).await?;
         self.troubles.lock()[noted].until = Instant::now();
         Ok(())
     }
@@ -54,20 +61,27 @@
         troubles.len() - 1
     }
 
-    async fn apply(&self, fault: TimedFault) -> anyhow::Result<()> {
+    /// Notes that a fault which waited for its turn begins now: it is no excuse for what was before.
+    fn note_begun(&self, noted: usize, from: Instant) {
+        self.troubles.lock()[noted].from = from;
+    }
+
+    async fn apply(&self, fault: TimedFault, noted: usize) -> anyhow::Result<()> {
         let length = fault.length;
         match fault.kind {
             FaultKind::KillEntry(index) => {
                 let mut process = self.entries[index].process.lock().await;
+                self.note_begun(noted, Instant::now());
                 process.kill().await;
                 tokio::time::sleep(length).await;
                 process.start()?;
             }
-            FaultKind::StopEntry(index) => self.stop_entry(index, length).await?,
+            FaultKind::StopEntry(index) => self.stop_entry(index, fault, noted).await?,
             FaultKind::PauseEntry(index) => {
-                // Held for the whole time: a process that stands still cannot stop in order.
+                // Held for the whole time: nobody ends it while it stands still.
                 let mut process = self.entries[index].process.lock().await;
                 let since = Instant::now();
+                self.note_begun(noted, since);
                 process.signal(Signal::SIGSTOP);
                 tokio::time::sleep(length).await;
                 process.signal(Signal::SIGCONT);
@@ -170,17 +184,55 @@
         }
     }
 
-    async fn stop_entry(&self, index: usize, length: Duration) -> anyhow::Result<()> {
-        let mut process = self.entries[index].process.lock().await;
-        process.signal(Signal::SIGTERM);
-        if process.wait_stopped().await.is_none() {
-            let violation = Violation::DidNotStop { entry: index };
-            self.violations.lock().push(violation);
+    /// Stops a process among callers that come around its end. Others may pause, kill or signal it meanwhile.
+    async fn stop_entry(
+        &self,
+        index: usize,
+        fault: TimedFault,
+        noted: usize,
+    ) -> anyhow::Result<()> {
+        let slot = &self.entries[index];
+        let mut process = slot.process.lock().await;
+        let scene = StopScene {
+            name: format!("s{noted}"),
+            entry: index,
+            place: slot.place,
+            seed: self.seed ^ (index as u64) << 48 ^ (fault.at.as_millis() as u64) << 16,
+            is_gone: Arc::default(),
+            records: Arc::clone(&self.records),
+        };
+        scene.start_callers(&mut self.around.lock());
+        tokio::time::sleep(LEAD_TIME).await;
+        let notice = process.tell_stop();
+        self.note_begun(noted, notice.at);
+        drop(process);
+        let mut process = self.wait_stopped(index, notice.run).await;
+        scene.is_gone.store(true, Ordering::Relaxed);
+        if process.is_started() {
+            return Ok(());
         }
-        tokio::time::sleep(length).await;
+        tokio::time::sleep(fault.length).await;
         process.start()
     }
 
+    /// Waits for the end of a run that was told to stop, and holds the process from then on.
+    async fn wait_stopped(&self, index: usize, run: usize) -> MutexGuard<'_, EntryProcess> {
+        loop {
+            tokio::time::sleep(STOP_LOOK).await;
+            let mut process = self.entries[index].process.lock().await;
+            match process.stop_state(run) {
+                StopState::Running => {}
+                StopState::Ended => return process,
+                StopState::Overdue => {
+                    let violation = Violation::DidNotStop { entry: index };
+                    self.violations.lock().push(violation);
+                    process.kill().await;
+                    return process;
+                }
+            }
+        }
+    }
+
     async fn lose(&self, role: UpstreamRole, index: usize, length: Duration) -> anyhow::Result<()> {
         if !self.site.kill(role, index) {
             return Ok(());
--- a/crates/soak/src/harmful.rs
+++ b/crates/soak/src/harmful.rs
@@ -1,7 +1,6 @@
 //! A request that ends each upstream that runs it, sent again and again to all processes, and the bound on that.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bergamot_site_standin::CrashOptions;
@@ -59,7 +58,7 @@
             tokio::time::sleep(SEND_PERIOD).await;
         }
         let records = calls.join_all().await;
-        self.harmful.lock().extend(records);
+        self.records.lock().extend(records);
     }
 }
 
@@ -128,10 +127,3 @@
         troubles.any(|it| it.befalls(entry) && it.from <= until && it.until >= from)
     }
 }
-
-impl SoakRun {
-    /// The harmful requests sent so far.
-    pub(crate) fn take_harmful(self: &Arc<Self>) -> Vec<CallRecord> {
-        std::mem::take(&mut *self.harmful.lock())
-    }
-}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+mod around_stop;
 pub mod audit;
 pub mod caller;
 mod faults;
@@ -22,6 +23,7 @@
 pub mod proxy;
 pub mod run;
 pub mod site;
+mod slow_stream;
 
 pub use audit::{AuditBook, Violation};
 pub use options::SoakOptions;
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -45,6 +45,28 @@
     }
 }
 
+/// A signal to stop that a process got.
+#[derive(Clone, Copy, Debug)]
+pub struct StopNotice {
+    /// When it got the first one.
+    pub at: Instant,
+    /// Which run of the process got it.
+    pub run: usize,
+    /// When it must have ended.
+    until: Instant,
+}
+
+/// How far the stop of a run has come.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum StopState {
+    /// It has not ended yet.
+    Running,
+    /// It has ended, or another run has begun.
+    Ended,
+    /// It has not ended, and should have.
+    Overdue,
+}
+
 /// A process, running or not.
 #[derive(Debug)]
 pub struct EntryProcess {
@@ -55,6 +77,10 @@
     program: PathBuf,
     child: Option<Child>,
     started_at: Instant,
+    /// How often it was started.
+    run: usize,
+    /// The signal to stop that this run got.
+    notice: Option<StopNotice>,
 }
 
 impl EntryProcess {
@@ -88,6 +114,8 @@
             program: options.program.clone(),
             child: None,
             started_at: Instant::now(),
+            run: 0,
+            notice: None,
         })
     }
 
@@ -111,6 +139,8 @@
             .with_context(|| format!("{} cannot be started", self.program.display()))?;
         self.child = Some(child);
         self.started_at = Instant::now();
+        self.run += 1;
+        self.notice = None;
         Ok(())
     }
 
@@ -119,9 +149,12 @@
         tokio::time::sleep_until((self.started_at + SIGNAL_TIME).into()).await;
     }
 
-    /// Notes that it has stood still since then. One that was paused before it had taken its signals over has as much
-    /// longer to do so: it has run for none of that time.
+    /// Notes that it has stood still since then. One that was paused before it had taken its signals over, or while it
+    /// stops, has as much longer to do so: it has run for none of that time.
     pub fn note_paused(&mut self, since: Instant) {
+        if let Some(notice) = &mut self.notice {
+            notice.until += since.elapsed();
+        }
         if since < self.started_at + SIGNAL_TIME {
             self.started_at += since.elapsed();
         }
@@ -147,18 +180,40 @@
         }
     }
 
-    /// Waits until it has ended after a signal to stop. How long that took; none when it had to be
-    /// killed.
-    pub async fn wait_stopped(&mut self) -> Option<Duration> {
-        let mut child = self.child.take()?;
-        let began = Instant::now();
-        let ended = tokio::time::timeout(STOP_PATIENCE, child.wait()).await;
-        if ended.is_ok() {
-            return Some(began.elapsed());
+    /// Tells it to stop. A run that was told before is told again, and must end as early as before.
+    pub fn tell_stop(&mut self) -> StopNotice {
+        self.signal(Signal::SIGTERM);
+        let at = Instant::now();
+        *self.notice.get_or_insert(StopNotice {
+            at,
+            run: self.run,
+            until: at + STOP_PATIENCE,
+        })
+    }
+
+    /// How far the stop of a run has come.
+    pub fn stop_state(&mut self, run: usize) -> StopState {
+        let is_next = self.run != run;
+        let Some(child) = self.child.as_mut().filter(|_| !is_next) else {
+            return StopState::Ended;
+        };
+        match child.try_wait() {
+            Ok(None) => {}
+            Ok(Some(_)) => {
+                self.child = None;
+                return StopState::Ended;
+            }
+            Err(error) => eprintln!("process not waited for: {error}"),
         }
-        if let Err(error) = child.kill().await {
-            eprintln!("process not killed: {error}");
+        let is_overdue = self.notice.is_some_and(|it| Instant::now() > it.until);
+        match is_overdue {
+            true => StopState::Overdue,
+            false => StopState::Running,
         }
-        None
+    }
+
+    /// Whether it was started and not seen to end since.
+    pub const fn is_started(&self) -> bool {
+        self.child.is_some()
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,7 +10,7 @@
 use crate::caller::{CallEnd, CallRecord, CallerLoop, RequestKind, call_once};
 use crate::groups::GroupWatch;
 use crate::options::SoakOptions;
-use crate::plan::FaultPlan;
+use crate::plan::{FaultKind, FaultPlan};
 use crate::process::{EntryPlace, EntryProcess};
 use crate::proxy::LinkProxy;
 use crate::site::{LASTING_KEY, SoakSite};
@@ -27,6 +27,8 @@
 pub struct SoakOutcome {
     /// Its seed.
     pub seed: u64,
+    /// Planned stops.
+    pub stops: usize,
     /// Requests.
     pub requests: usize,
     /// Requests with their whole answers.
@@ -50,8 +52,12 @@
     pub(crate) entries: Vec<EntrySlot>,
     pub(crate) troubles: Mutex<Vec<Trouble>>,
     pub(crate) violations: Arc<Mutex<Vec<Violation>>>,
-    /// Harmful requests that were sent.
-    pub(crate) harmful: Mutex<Vec<CallRecord>>,
+    /// All requests that were sent.
+    pub(crate) records: Arc<Mutex<Vec<CallRecord>>>,
+    /// Callers around planned stops.
+    pub(crate) around: Mutex<JoinSet<()>>,
+    /// What callers draw from.
+    pub(crate) seed: u64,
 }
 
 /// Plays one seed.
@@ -73,22 +79,21 @@
 ) -> anyhow::Result<SoakOutcome> {
     std::fs::create_dir_all(&options.folder)?;
     std::fs::write(options.folder.join("plan.txt"), format!("{plan:#?}"))?;
-    let run = SoakRun::start(options).await?;
+    let run = SoakRun::start(seed, options).await?;
     let run = Arc::new(run);
     let mut background = JoinSet::new();
     let watch = GroupWatch::default();
     background.spawn(watch.run(Arc::clone(&run.site), Arc::clone(&run.violations)));
     run.check_back("start").await;
-    let records = Arc::new(Mutex::new(Vec::new()));
-    let callers = run.start_callers(seed, options, &records).await;
+    let callers = run.start_callers(options).await;
     run.play(plan).await?;
     run.check_back("end").await;
     run.check_config().await;
     drop(callers);
+    let around = std::mem::take(&mut *run.around.lock());
+    around.join_all().await;
     tokio::time::sleep(SETTLE).await;
-    let mut records = std::mem::take(&mut *records.lock());
-    records.extend(run.take_harmful());
-    let outcome = run.judge(seed, records);
+    let outcome = run.judge();
     let told: Vec<String> = outcome.violations.iter().map(ToString::to_string).collect();
     std::fs::write(options.folder.join("violations.txt"), told.join("\n"))?;
     for entry in &run.entries {
@@ -98,7 +103,7 @@
 }
 
 impl SoakRun {
-    async fn start(options: &SoakOptions) -> anyhow::Result<Self> {
+    async fn start(seed: u64, options: &SoakOptions) -> anyhow::Result<Self> {
         let site = SoakSite::start(options).await?;
         let mut entries = Vec::new();
         for number in 0..options.entries {
@@ -118,17 +123,14 @@
             entries,
             troubles: Mutex::default(),
             violations: Arc::default(),
-            harmful: Mutex::default(),
+            records: Arc::default(),
+            around: Mutex::default(),
+            seed,
         })
     }
 
     /// Starts the callers; they end when the set is dropped.
-    async fn start_callers(
-        &self,
-        seed: u64,
-        options: &SoakOptions,
-        records: &Arc<Mutex<Vec<CallRecord>>>,
-    ) -> JoinSet<()> {
+    async fn start_callers(&self, options: &SoakOptions) -> JoinSet<()> {
         let mut callers = JoinSet::new();
         for (index, entry) in self.entries.iter().enumerate() {
             let place = entry.process.lock().await.place;
@@ -138,8 +140,8 @@
                     entry: index,
                     place,
                     site: Arc::clone(&self.site),
-                    records: Arc::clone(records),
-                    seed,
+                    records: Arc::clone(&self.records),
+                    seed: self.seed,
                 };
                 callers.spawn(caller.run());
             }
@@ -186,9 +188,9 @@
         }
     }
 
-    fn judge(&self, seed: u64, records: Vec<CallRecord>) -> SoakOutcome {
+    fn judge(&self) -> SoakOutcome {
         let book = AuditBook {
-            records,
+            records: std::mem::take(&mut *self.records.lock()),
             seen: self.site.requests_seen(),
             troubles: self.troubles.lock().clone(),
             revoked: self.site.keys.lock().revoked.clone(),
@@ -200,8 +202,11 @@
             let records = book.records.iter();
             records.filter(|record| holds(&record.end)).count()
         };
+        let stops = book.troubles.iter();
+        let stops = stops.filter(|trouble| matches!(trouble.kind, FaultKind::StopEntry(_)));
         SoakOutcome {
-            seed,
+            seed: self.seed,
+            stops: stops.count(),
             requests: book.records.len(),
             served: count(is_served),
             refused: count(|end| {
