feat: the soak draws planned stops of their own, half of them after all other faults

Cause: of 16 faults of a run one or two are planned stops, and what befalls the store or the link excuses most of what they cut.

What: `--stops` (8) planned stops from a source of their own, so that the other faults of a seed stay as they were. Every other one begins once all other faults are over. Callers around a stop have deadlines of 0.5 to 2.5 s, as a process that stops refuses what could outlast its grace, and at half of the stops none of them holds a connection open, as the process runs into the bound of its grace otherwise.

--- a/crates/soak/src/around_stop.rs
+++ b/crates/soak/src/around_stop.rs
@@ -12,7 +12,9 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinSet;
 
-use crate::caller::{CallRecord, CallerConnection, RequestKind, call_on, connect, connect_slowly};
+use crate::caller::{
+    CallOrder, CallRecord, CallerConnection, RequestKind, call_on, connect, connect_slowly,
+};
 use crate::process::EntryPlace;
 use crate::site::LASTING_KEY;
 use crate::slow_stream::HeldPart;
@@ -27,7 +29,13 @@
 const LONG_PAUSE_MS: u64 = 3_000;
 /// The longest streams that they ask for, in events: short, as long ones leave no moment without a connection.
 const MAX_EVENTS: u64 = 10;
-/// Callers of one habit at one stop at most.
+/// Their deadlines: short, as a process that stops refuses what could outlast its grace.
+const DEADLINES: std::ops::Range<Duration> =
+    Duration::from_millis(500)..Duration::from_millis(2_500);
+/// Callers with a connection for each call at one stop: so many that some come in the time between two looks of a process
+/// that stops, and so few that they leave moments without a connection.
+const COMING: std::ops::RangeInclusive<usize> = 2..=4;
+/// Callers of each other habit at one stop at most.
 const MAX_CALLERS: usize = 2;
 
 /// How a caller uses its connections.
@@ -43,14 +51,29 @@
     Halting(HeldPart),
 }
 
-const HABITS: [CallHabit; 5] = [
-    CallHabit::OneEach,
-    CallHabit::Keeps,
+/// Habits that leave a connection open without a whole request.
+const HOLDING: [CallHabit; 3] = [
     CallHabit::Silent,
     CallHabit::Halting(HeldPart::HalfHead),
     CallHabit::Halting(HeldPart::BodyEnd),
 ];
 
+/// Draws the habits of the callers at one stop. At half of the stops none holds connections open, as a process that
+/// waits for those ends at the bound of its grace only.
+fn draw_habits<Source>(rng: &mut Source) -> Vec<CallHabit>
+where
+    Source: Rng,
+{
+    let mut habits = vec![CallHabit::OneEach; rng.random_range(COMING)];
+    habits.extend(vec![CallHabit::Keeps; rng.random_range(0..=MAX_CALLERS)]);
+    if rng.random_bool(0.5) {
+        for habit in HOLDING {
+            habits.extend(vec![habit; rng.random_range(0..=MAX_CALLERS)]);
+        }
+    }
+    habits
+}
+
 /// One planned stop, as its callers know it.
 #[derive(Clone)]
 pub(crate) struct StopScene {
@@ -69,17 +92,10 @@
 }
 
 impl StopScene {
-    /// Starts a caller with a connection for each call, and some of drawn habits: few at one stop, many at another.
+    /// Starts callers of drawn habits.
     pub(crate) fn start_callers(&self, callers: &mut JoinSet<()>) {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed);
-        let counts = HABITS.map(|habit| (habit, rng.random_range(0..=MAX_CALLERS)));
-        let habits = counts
-            .into_iter()
-            .flat_map(|(habit, count)| std::iter::repeat_n(habit, count));
-        for (number, habit) in std::iter::once(CallHabit::OneEach)
-            .chain(habits)
-            .enumerate()
-        {
+        for (number, habit) in draw_habits(&mut rng).into_iter().enumerate() {
             let caller = StopCaller {
                 name: format!("{}-{number}", self.name),
                 habit,
@@ -117,11 +133,10 @@
     }
 
     async fn pause(&mut self) {
-        let is_long = self.habit == CallHabit::Keeps && self.rng.random_ratio(1, 4);
-        let longest = match (self.habit, is_long) {
-            (_, true) => LONG_PAUSE_MS,
+        let longest = match self.habit {
+            CallHabit::Keeps if self.rng.random_bool(0.25) => LONG_PAUSE_MS,
             // Sends again at once, while the other end may be closing.
-            (CallHabit::Keeps, false) => 2,
+            CallHabit::Keeps => 2,
             _ => SHORT_PAUSE_MS,
         };
         let pause = self.rng.random_range(0..longest);
@@ -148,7 +163,14 @@
                 }
             }
         }
-        let end = call_on(kept, place, &id, kind, LASTING_KEY).await;
+        let deadline = self.rng.random_range(DEADLINES);
+        let order = CallOrder {
+            id: &id,
+            kind,
+            key: LASTING_KEY,
+            deadline,
+        };
+        let end = call_on(kept, place, order).await;
         CallRecord {
             id,
             kind,
--- a/crates/soak/src/bin/bergamot-soak.rs
+++ b/crates/soak/src/bin/bergamot-soak.rs
@@ -38,6 +38,7 @@
         "requests that end each upstream that runs them (1)",
         "COUNT",
     );
+    options.optopt("", "stops", "planned stops besides (8)", "COUNT");
     options.optopt("", "seconds", "time in which faults begin (12)", "SECONDS");
     options.optopt(
         "",
@@ -108,6 +109,7 @@
         entries: matches.opt_get_default("entries", usual.entries)?,
         faults: matches.opt_get_default("faults", usual.faults)?,
         harmful: matches.opt_get_default("harmful", usual.harmful)?,
+        stops: matches.opt_get_default("stops", usual.stops)?,
         length: Duration::from_secs(seconds),
         ..usual
     })
@@ -115,8 +117,9 @@
 
 fn print_outcome(outcome: &SoakOutcome) {
     println!(
-        "seed {}: {} requests, {} served, {} refused as not run, {} violations",
+        "seed {}: {} planned stops, {} requests, {} served, {} refused as not run, {} violations",
         outcome.seed,
+        outcome.stops,
         outcome.requests,
         outcome.served,
         outcome.refused,
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -25,7 +25,9 @@
 use crate::site::{LASTING_KEY, SoakSite, UpstreamRole};
 use crate::slow_stream::{HeldPart, SlowStream};
 
-/// The deadline of each request.
+/// The header of a request's deadline, in milliseconds.
+const DEADLINE_HEADER: &str = "deadline-ms";
+/// The longest deadline of a request.
 pub const DEADLINE: Duration = Duration::from_millis(4_000);
 /// Time past the deadline after which a caller gives up: as long again, so that a late answer shows as late.
 const PATIENCE: Duration = Duration::from_millis(4_000);
@@ -101,6 +103,19 @@
     pub end: CallEnd,
 }
 
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallOrder<'a> {
+    /// The request's id.
+    pub(crate) id: &'a str,
+    /// What it is for.
+    pub(crate) kind: RequestKind,
+    /// The key it carries.
+    pub(crate) key: &'a str,
+    /// Its deadline.
+    pub(crate) deadline: Duration,
+}
+
 /// One caller.
 pub struct CallerLoop {
     /// Its number.
@@ -161,7 +176,13 @@
         key: String,
     ) -> CallRecord {
         let sent_at = Instant::now();
-        let end = call_on(kept, self.place, &id, kind, &key).await;
+        let order = CallOrder {
+            id: &id,
+            kind,
+            key: &key,
+            deadline: DEADLINE,
+        };
+        let end = call_on(kept, self.place, order).await;
         if !matches!(end, CallEnd::Answered { .. }) {
             *kept = None;
         }
@@ -179,18 +200,22 @@
 
 /// One call on a connection of its own.
 pub async fn call_once(place: EntryPlace, id: &str, kind: RequestKind, key: &str) -> CallEnd {
-    call_on(&mut None, place, id, kind, key).await
+    let order = CallOrder {
+        id,
+        kind,
+        key,
+        deadline: DEADLINE,
+    };
+    call_on(&mut None, place, order).await
 }
 
 /// One call on the connection that is kept, or on a new one where that is closed.
 pub(crate) async fn call_on(
     kept: &mut Option<CallerConnection>,
     place: EntryPlace,
-    id: &str,
-    kind: RequestKind,
-    key: &str,
+    order: CallOrder<'_>,
 ) -> CallEnd {
-    let call = exchange(kept, place, id, kind, key);
+    let call = exchange(kept, place, order);
     let end = tokio::time::timeout(DEADLINE + PATIENCE, call).await;
     end.unwrap_or(CallEnd::GivenUp)
 }
@@ -198,9 +223,7 @@
 async fn exchange(
     kept: &mut Option<CallerConnection>,
     place: EntryPlace,
-    id: &str,
-    kind: RequestKind,
-    key: &str,
+    order: CallOrder<'_>,
 ) -> CallEnd {
     let usable = kept.take().filter(|sender| !sender.is_closed());
     let sender = match usable {
@@ -210,7 +233,7 @@
     let Some(mut sender) = sender else {
         return CallEnd::NotSent;
     };
-    let Some(request) = request(id, kind, key) else {
+    let Some(request) = request(order) else {
         return CallEnd::NotSent;
     };
     if sender.ready().await.is_err() {
@@ -219,7 +242,7 @@
     let Ok(response) = sender.send_request(request).await else {
         return CallEnd::Cut { had_head: false };
     };
-    let end = read_answer(id, kind, response).await;
+    let end = read_answer(order.id, order.kind, response).await;
     *kept = Some(sender);
     end
 }
@@ -251,7 +274,13 @@
     Some(sender)
 }
 
-fn request(id: &str, kind: RequestKind, key: &str) -> Option<Request<Full<Bytes>>> {
+fn request(order: CallOrder<'_>) -> Option<Request<Full<Bytes>>> {
+    let CallOrder {
+        id,
+        kind,
+        key,
+        deadline,
+    } = order;
     let (method, path) = match kind {
         RequestKind::Read => (Method::GET, format!("/read/{id}")),
         RequestKind::Bid => (Method::POST, format!("/bid/{id}")),
@@ -270,6 +299,10 @@
         answer_tokens,
     };
     for (name, value) in sample.headers() {
+        let value = match name {
+            DEADLINE_HEADER => deadline.as_millis().to_string(),
+            _ => value,
+        };
         builder = builder.header(name, value);
     }
     let body = match kind {
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -24,6 +24,8 @@
     pub faults: usize,
     /// Requests in that time, besides, that end each upstream that runs them.
     pub harmful: usize,
+    /// Planned stops, besides those among the faults: half of them while faults begin, half once all are over.
+    pub stops: usize,
     /// The number of the first place for processes; runs that go on side by side need others.
     pub first_place: usize,
 }
@@ -41,6 +43,7 @@
             length: Duration::from_secs(12),
             faults: 16,
             harmful: 1,
+            stops: 8,
             first_place: 0,
         }
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -110,6 +110,14 @@
 /// How long a harmful request comes again, in milliseconds: well past the time after which all processes must know it.
 const HARMFUL_MS: std::ops::Range<u64> = 6_000..14_000;
 
+/// Time from the end of a process that was stopped besides to its next start, in milliseconds: short, so that one
+/// process can be stopped again and again.
+const STOPPED_MS: std::ops::Range<u64> = 100..1_000;
+/// Time in which the late ones of them come, in milliseconds: short against the grace, so that they overlap.
+const LATE_STOPS_MS: u64 = 3_000;
+/// Tells the source of planned stops from those of other faults.
+const STOP_SOURCE: u64 = 0x5354_4f50;
+
 impl FaultPlan {
     /// Draws a plan. Faults overlap, and may befall the same thing twice.
     pub fn draw(seed: u64, options: &SoakOptions) -> Self {
@@ -122,11 +130,29 @@
             })
             .collect();
         faults.extend(draw_harmful(seed, options));
+        faults.extend(draw_stops(seed, options));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
 }
 
+/// Planned stops have a source of their own too. Every other one comes once all other faults are over, as what a stop cuts
+/// is told apart from what a fault cuts only where no fault befalls the process.
+fn draw_stops(seed: u64, options: &SoakOptions) -> Vec<TimedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32) ^ STOP_SOURCE);
+    let length = options.length.as_millis() as u64;
+    let late = length + LONGEST_MS..length + LONGEST_MS + LATE_STOPS_MS;
+    let stops = (0..options.stops).map(|number| TimedFault {
+        at: Duration::from_millis(match number.is_multiple_of(2) {
+            true => rng.random_range(0..length),
+            false => rng.random_range(late.clone()),
+        }),
+        length: Duration::from_millis(rng.random_range(STOPPED_MS)),
+        kind: FaultKind::StopEntry(rng.random_range(0..options.entries)),
+    });
+    stops.collect()
+}
+
 /// Harmful requests have a source of their own, so that the other faults of a seed stay what they were.
 fn draw_harmful(seed: u64, options: &SoakOptions) -> Vec<TimedFault> {
     let mut rng = ChaCha8Rng::seed_from_u64(!seed);
