fix: a soak caller's request ends when its connection does

What: the call also ends, as cut off, when the task that drives its connection has ended. Whether a stop cut it is judged as before: it is a broken promise if an upstream saw the request.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -19,6 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 use crate::harmful::MARKER;
 use crate::process::EntryPlace;
@@ -42,7 +43,11 @@
 const HARMFUL_EVENTS: u64 = 60;
 
 /// A connection of a caller.
-pub(crate) type CallerConnection = SendRequest<Full<Bytes>>;
+pub(crate) struct CallerConnection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Drives it until it ends.
+    driver: JoinHandle<()>,
+}
 
 /// What a request is for.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -225,25 +230,31 @@
     place: EntryPlace,
     order: CallOrder<'_>,
 ) -> CallEnd {
-    let usable = kept.take().filter(|sender| !sender.is_closed());
-    let sender = match usable {
-        Some(sender) => Some(sender),
+    let usable = kept.take().filter(|it| !it.sender.is_closed());
+    let connection = match usable {
+        Some(connection) => Some(connection),
         None => connect(place).await,
     };
-    let Some(mut sender) = sender else {
+    let Some(mut connection) = connection else {
         return CallEnd::NotSent;
     };
     let Some(request) = request(order) else {
         return CallEnd::NotSent;
     };
-    if sender.ready().await.is_err() {
+    if connection.sender.ready().await.is_err() {
         return CallEnd::NotSent;
     }
-    let Ok(response) = sender.send_request(request).await else {
+    let response = tokio::select! {
+        biased;
+        response = connection.sender.send_request(request) => response.ok(),
+        // The library tells nothing of a request that it takes while the connection ends.
+        _ = &mut connection.driver => None,
+    };
+    let Some(response) = response else {
         return CallEnd::Cut { had_head: false };
     };
     let end = read_answer(order.id, order.kind, response).await;
-    *kept = Some(sender);
+    *kept = Some(connection);
     end
 }
 
@@ -269,9 +280,11 @@
     Stream: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
     let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
-    // How the connection ended shows in the call on it.
-    tokio::spawn(async move { connection.await.is_ok() });
-    Some(sender)
+    let driver = tokio::spawn(async move {
+        // How the connection ended shows in the call on it.
+        let _ = connection.await;
+    });
+    Some(CallerConnection { sender, driver })
 }
 
 fn request(order: CallOrder<'_>) -> Option<Request<Full<Bytes>>> {
