test: the soak's case of planned stops in series, known red

Twelve planned stops of six processes overlap, beside a pause that spans part of a grace, new settings, a second signal and a store outage.

The case drawn by seed 21203 begins with a kill instead of a stop: a pause now befalls a process that stops at once, and the case is about one that stands still from its first moment on.

--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -21,7 +21,10 @@
     Known(&'static [(u64, u64, FaultKind)]),
 }
 
-const CASES: [SoakCase; 6] = [
+/// How late the answers of a slow desk are.
+const SLOW_ANSWER: Duration = Duration::from_millis(45);
+
+const CASES: [SoakCase; 7] = [
     SoakCase {
         name: "any",
         faults: SoakFaults::Seed(1),
@@ -39,11 +42,12 @@
         ]),
     },
     // Drawn by seed 21203: the process stood still from its first moment on, and was told before it had taken its
-    // signals over.
+    // signals over. A kill holds the process until it has been started again, so that the pause waits for the start; one
+    // that stops in order is paused while it stops.
     SoakCase {
         name: "paused right after a start, and told to read its settings right after that",
         faults: SoakFaults::Known(&[
-            (0, 300, FaultKind::StopEntry(4)),
+            (0, 300, FaultKind::KillEntry(4)),
             (50, 1_000, FaultKind::PauseEntry(4)),
             (100, 100, FaultKind::ReloadEntry(4)),
         ]),
@@ -69,6 +73,32 @@
             (700, 2_500, FaultKind::StoreLink(2, LinkState::Silent)),
         ]),
     },
+    // The faults beside the stops are early, as what they befall is excused until 2.5 s after their end.
+    SoakCase {
+        name: "planned stops one upon another, beside a pause, new settings, a second signal and a store outage",
+        faults: SoakFaults::Known(&[
+            // Answers take time, so that the end of a process falls into them.
+            (0, 19_000, FaultKind::DeskSlow(0, SLOW_ANSWER)),
+            (0, 19_000, FaultKind::DeskSlow(1, SLOW_ANSWER)),
+            (0, 19_000, FaultKind::DeskSlow(2, SLOW_ANSWER)),
+            (0, 200, FaultKind::StopEntry(0)),
+            (300, 200, FaultKind::StopEntry(1)),
+            (600, 200, FaultKind::StopEntry(2)),
+            (900, 1_500, FaultKind::PauseEntry(1)),
+            (1_200, 100, FaultKind::ReloadEntry(2)),
+            (1_500, 800, FaultKind::StoreOutage),
+            (1_800, 200, FaultKind::StopEntry(2)),
+            (2_800, 200, FaultKind::StopEntry(3)),
+            (3_100, 200, FaultKind::StopEntry(4)),
+            (3_400, 200, FaultKind::StopEntry(5)),
+            (4_500, 100, FaultKind::ReloadEntry(3)),
+            (5_500, 200, FaultKind::StopEntry(4)),
+            (8_500, 200, FaultKind::StopEntry(0)),
+            (9_500, 200, FaultKind::StopEntry(2)),
+            (10_000, 200, FaultKind::StopEntry(3)),
+            (10_300, 200, FaultKind::StopEntry(5)),
+        ]),
+    },
 ];
 
 /// Places of processes between one run and the next.
