test: the soak's case of seed 21203 stays as it was, beside one of what it was about

A pause now befalls a process that stops at once, so the case of seed 21203 plays a pause while it stops; it is kept, and the one with a kill stands beside it.

--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -24,7 +24,7 @@
 /// How late the answers of a slow desk are.
 const SLOW_ANSWER: Duration = Duration::from_millis(45);
 
-const CASES: [SoakCase; 7] = [
+const CASES: [SoakCase; 8] = [
     SoakCase {
         name: "any",
         faults: SoakFaults::Seed(1),
@@ -41,9 +41,17 @@
             (700, 100, FaultKind::ReloadEntry(4)),
         ]),
     },
-    // Drawn by seed 21203: the process stood still from its first moment on, and was told before it had taken its
-    // signals over. A kill holds the process until it has been started again, so that the pause waits for the start; one
-    // that stops in order is paused while it stops.
+    // Drawn by seed 21203.
+    SoakCase {
+        name: "paused while it stops, and told to read its settings right after that",
+        faults: SoakFaults::Known(&[
+            (0, 300, FaultKind::StopEntry(4)),
+            (50, 1_000, FaultKind::PauseEntry(4)),
+            (100, 100, FaultKind::ReloadEntry(4)),
+        ]),
+    },
+    // What seed 21203 drew: the process stood still from its first moment on, and was told before it had taken its
+    // signals over. A kill holds the process until it has been started again, so that the pause waits for the start.
     SoakCase {
         name: "paused right after a start, and told to read its settings right after that",
         faults: SoakFaults::Known(&[
