--- a/crates/soak/src/around_stop.rs
+++ b/crates/soak/src/around_stop.rs
@@ -13,7 +13,8 @@
 use tokio::task::JoinSet;
 
 use crate::caller::{
-    CallOrder, CallRecord, CallerConnection, RequestKind, call_on, connect, connect_slowly,
+    CallOrder, CallRecord, CallerConnection, DEADLINE, RequestKind, call_on, connect,
+    connect_slowly,
 };
 use crate::process::EntryPlace;
 use crate::site::LASTING_KEY;
@@ -29,7 +30,8 @@
 const LONG_PAUSE_MS: u64 = 3_000;
 /// The longest streams that they ask for, in events: short, as long ones leave no moment without a connection.
 const MAX_EVENTS: u64 = 10;
-/// Their deadlines: short, as a process that stops refuses what could outlast its grace.
+/// The deadlines of all but streams: short, as a process that stops refuses what could outlast its grace. A stream is
+/// broken off at its deadline, and the caller cannot tell that from what a stop breaks off.
 const DEADLINES: std::ops::Range<Duration> =
     Duration::from_millis(500)..Duration::from_millis(2_500);
 /// Callers with a connection for each call at one stop: so many that some come in the time between two looks of a process
@@ -163,7 +165,10 @@
                 }
             }
         }
-        let deadline = self.rng.random_range(DEADLINES);
+        let deadline = match kind {
+            RequestKind::Stream(_) => DEADLINE,
+            _ => self.rng.random_range(DEADLINES),
+        };
         let order = CallOrder {
             id: &id,
             kind,
