--- a/crates/gateway/src/sync/quarantine.rs
+++ b/crates/gateway/src/sync/quarantine.rs
@@ -167,7 +167,10 @@
         for action in actions {
             match action {
                 QuarantineAction::Keep(record) => {
-                    if let QuarantineRecord::Quarantined { print, lives, .. } = &record {
+                    // Other VMs only write such a record once more.
+                    if let QuarantineRecord::Quarantined { print, lives, .. } = &record
+                        && coordinates_at.is_some()
+                    {
                         log::warn!("event=request_quarantined print={print} upstreams={lives:?}");
                     }
                     txn.writes.extend(self.write(&record));
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -61,6 +61,8 @@
     pub since: Millis,
     /// When an upstream last ended under it, as far as this VM knows.
     pub struck_at: Millis,
+    /// When it last came, as far as this VM knows.
+    pub used_at: Millis,
 }
 
 /// Requests under which upstreams ended.
@@ -192,6 +194,7 @@
                 ends: entry.ends.keys().cloned().collect(),
                 since: entry.since,
                 struck_at: entry.struck_at,
+                used_at: entry.used_at,
             })
             .collect()
     }
--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -126,8 +126,12 @@
             }
             QuarantineEvent::Housekeeping { coordinates_at } => {
                 self.ledger.expire(now);
-                let coordinates = coordinates_at.map(|today| self.keep_house(now, today));
-                coordinates.unwrap_or_default()
+                let held = self.ledger.quarantined();
+                let mut actions = self.renew(now, &held);
+                if let Some(today) = coordinates_at {
+                    actions.extend(self.keep_house(now, today, held));
+                }
+                actions
             }
         }
     }
@@ -293,12 +297,29 @@
                 for life in lives {
                     self.ledger.note_end(now, life, whole_blame(*print));
                 }
+                // Written once more, it says that the request has come to the VM that writes it.
+                self.ledger.note_refused(now, *print);
             }
         }
     }
 
-    fn keep_house(&mut self, now: Millis, today: UnixMillis) -> Vec<QuarantineAction> {
-        let held = self.ledger.quarantined();
+    /// Tells the others of requests in quarantine that came here.
+    fn renew(&mut self, now: Millis, held: &[QuarantinedRequest]) -> Vec<QuarantineAction> {
+        let renewed = held
+            .iter()
+            .filter_map(|request| self.kept.renew(now, request));
+        renewed
+            .take(MAX_CHANGES)
+            .map(QuarantineAction::Keep)
+            .collect()
+    }
+
+    fn keep_house(
+        &mut self,
+        now: Millis,
+        today: UnixMillis,
+        held: Vec<QuarantinedRequest>,
+    ) -> Vec<QuarantineAction> {
         let prints: IndexSet<RequestPrint> = held.iter().map(|request| request.print).collect();
         let unkept = held.into_iter().filter(|request| {
             let is_settled = now.since(request.struck_at) >= KEEP_DELAY;
