--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -2,6 +2,7 @@
 
 mod events;
 mod pieces;
+mod question;
 
 use std::sync::Arc;
 
@@ -15,12 +16,12 @@
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{Method, StatusCode};
-use serde::Deserialize;
 use serde_json::Value;
 use tokio::sync::mpsc;
 
 use self::events::EventReader;
 use self::pieces::{kept_answer, stream_answer, whole_answer};
+use self::question::ModelQuestion;
 use super::FrontContext;
 use super::answer::{CallerAnswer, Refusal};
 use super::call::{CallContext, CallSpec, FailedAttempt};
@@ -32,33 +33,11 @@
 
 /// Pieces of an answer that wait for a slow caller.
 const PIECES: usize = 64;
-/// Characters of a prompt that decide its affinity.
-const PREFIX_CHARS: usize = 64;
 /// Content type of a stream.
 const EVENT_STREAM: &str = "text/event-stream";
 /// The end of a stream.
 const DONE: &str = "data: [DONE]\n\n";
 
-/// The fields of a request that matter here.
-#[derive(Deserialize)]
-struct Question {
-    model: ModelName,
-    #[serde(default)]
-    stream: bool,
-    #[serde(default)]
-    messages: Vec<Value>,
-    #[serde(default)]
-    prompt: Value,
-    /// The most tokens of the answer. Read here so that a negative or fractional number is the
-    /// caller's error rather than an upstream's.
-    #[serde(default)]
-    #[expect(
-        dead_code,
-        reason = "only checked; the upstream reads it from the body"
-    )]
-    max_tokens: Option<u64>,
-}
-
 /// A piece of an answer on its way to the caller.
 enum Piece {
     /// One token's chunk, as JSON text.
@@ -81,7 +60,7 @@
     is_chat: bool,
     in_flight: InFlight,
 ) -> Result<CallerAnswer, Refusal> {
-    let (question, body) = read_question(&request, is_chat)?;
+    let (question, body) = ModelQuestion::read(&request, is_chat)?;
     let model = force
         .document
         .model(question.model.as_str())
@@ -98,7 +77,7 @@
         account: account.name.clone(),
         priority: account.priority,
         route: RouteName::Model(model.name.clone()),
-        prefix: prefix_of(&question),
+        prefix: question.prefix(),
         print: request.print(&account.name),
         is_idempotent,
         arrived: request.arrived,
@@ -134,29 +113,6 @@
     }
 }
 
-fn read_question(request: &CallerRequest, is_chat: bool) -> Result<(Question, Bytes), ErrorKind> {
-    let mut body: Value =
-        serde_json::from_slice(&request.body).map_err(|_| ErrorKind::BadRequest)?;
-    let question: Question =
-        serde_json::from_value(body.clone()).map_err(|_| ErrorKind::BadRequest)?;
-    if is_chat && question.messages.is_empty() {
-        return Err(ErrorKind::BadRequest);
-    }
-    // Replicas always stream to us: it is what makes an answer resumable.
-    body["stream"] = Value::Bool(true);
-    Ok((question, Bytes::from(body.to_string())))
-}
-
-fn prefix_of(question: &Question) -> u64 {
-    let contents = question.messages.iter();
-    let contents = contents.filter_map(|message| message["content"].as_str());
-    let text: Vec<&str> = contents.chain(question.prompt.as_str()).collect();
-    let text = text.join("\n");
-    let start = text.char_indices().nth(PREFIX_CHARS);
-    let end = start.map_or(text.len(), |(index, _)| index);
-    hash_bytes(&text.as_bytes()[..end])
-}
-
 /// Where pieces go.
 struct PieceSink {
     sender: mpsc::Sender<Piece>,
