fix: a request that is ready to be sent only late in a stop is refused, not sent on and cut

What callers saw: no answer to a request that an upstream had run, as its body ended shortly before the end of the grace. Cause: the deadline was compared with the end of the stop once, at the head's arrival, and acted on when the body had come. Why it holds: compared once more right before the first send; what was not sent is truthfully refused. Measured: a_request_whose_body_comes_late_is_not_sent_on_to_be_cut failed before, passes after (one run each).

--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -63,6 +63,11 @@
     if front.stop.has_ended() {
         return Err(CallRefusal::later(ErrorKind::ShuttingDown, RETURN_STOPPING));
     }
+    // Since it was admitted its body was waited for, or an upstream: sent on this late, it could be cut.
+    let answer_end = front.stop.answer_end(now);
+    if state.sends() == 0 && answer_end.is_some_and(|end| state.deadline > end) {
+        return Err(CallRefusal::later(ErrorKind::ShuttingDown, RETURN_STOPPING));
+    }
     let view: Arc<ClusterView> = front.shared.view.load_full();
     let config = view.config.as_ref().ok_or(ErrorKind::NoBundle)?;
     check_key(front, config, request, state, now)?;
