fix: what has arrived on a kept connection is read before a stop closes it

What callers saw: requests that waited in the kernel while the process was suspended over the end of its notice were closed unread. Cause: a connection counts as idle by what the runtime has read, and it is closed on the word of a timer that may be first. Why it holds: the connection is driven for 5 ms before it is told to close.

--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -30,6 +30,9 @@
 /// The smallest buffer that the library takes for a request's head, in bytes.
 const MIN_HEAD_BUFFER: usize = 8_192;
 
+/// Time for what has arrived on idle connections to be read before they are closed: the runtime may not know of it yet.
+const LATE_READ_TIME: Duration = Duration::from_millis(5);
+
 /// Takes in callers until the listener is to be closed, and then those who wait to be accepted.
 pub async fn accept_callers<Dialect>(front: Rc<FrontContext<Dialect>>, listener: TcpListener)
 where
@@ -128,6 +131,12 @@
             () = overdue.as_mut() => return Ok(()),
             _ = closing.wait_for(|is_closing| *is_closing), if !is_told => {
                 is_told = true;
+                // What has arrived meanwhile, as after a suspension, is read first.
+                tokio::select! {
+                    biased;
+                    ended = connection.as_mut() => return ended,
+                    () = tokio::time::sleep(LATE_READ_TIME) => {}
+                }
                 // One whose first request is still to come would be closed unread. The answer to that closes it.
                 if timer.has_request() {
                     connection.as_mut().graceful_shutdown();
