fix: one failed accept does not leave the rest of the queue to be reset

Found by reading: the queue of a listener that is closed was emptied up to the first error of any kind, so where descriptors had run out for a moment each caller in it saw a reset, and nothing was logged. It ends where nobody waits any more; other errors are logged, and the next one is tried. Not played with descriptors that run out. The function and the timer's state have plainer names.

--- a/crates/entry/src/front/server.rs
+++ b/crates/entry/src/front/server.rs
@@ -58,7 +58,7 @@
         };
         accept(stream);
     }
-    bergamot_gateway::listen::close(listener)
+    bergamot_gateway::listen::close_listener(listener)
         .into_iter()
         .for_each(accept);
     // A connection that is told late, as its handshake goes on, finds the word already there.
--- a/crates/gateway/src/front/head_timer.rs
+++ b/crates/gateway/src/front/head_timer.rs
@@ -60,8 +60,8 @@
         }
     }
 
-    /// Whether a request was read whole, so that the library closes the connection no sooner than after its answer.
-    pub fn has_request(&self) -> bool {
+    /// Whether a request has been read on this connection, so that the library closes it no sooner than after the answer.
+    pub fn has_been_used(&self) -> bool {
         matches!(self.state.get(), HeadState::Idle | HeadState::Answering)
     }
 
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -22,7 +22,7 @@
 use super::call::answer;
 use super::head_timer::{HeadTimer, TimedStream};
 use super::trace::{RequestTrace, TracedAnswer};
-use crate::listen::{close, next_connection};
+use crate::listen::{close_listener, next_connection};
 use crate::stop::StopControl;
 
 /// Time between two looks at idle connections and at what is not listed any more.
@@ -45,7 +45,7 @@
             _ = closing.wait_for(|is_closing| *is_closing) => break,
         }
     }
-    for stream in close(listener) {
+    for stream in close_listener(listener) {
         take_caller(&front, stream);
     }
     front.stop.note_listener_closed();
@@ -138,7 +138,7 @@
                     () = tokio::time::sleep(LATE_READ_TIME) => {}
                 }
                 // One whose first request is still to come would be closed unread. The answer to that closes it.
-                if timer.has_request() {
+                if timer.has_been_used() {
                     connection.as_mut().graceful_shutdown();
                 }
             }
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -1,11 +1,14 @@
 //! Accepts connections, and closes listeners.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
 
 /// Pause after a failed accept: descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Tries to take a connection from the kernel's queue at the end of listening, at most: more than it holds.
+const MAX_WAITING: usize = 8_192;
 
 /// The next connection. Failures to accept one are logged and tried again.
 pub(crate) async fn next_connection(listener: &TcpListener) -> TcpStream {
@@ -20,12 +23,9 @@
     }
 }
 
-/// Connections that are taken from the kernel's queue at the end of listening at most: more than it holds.
-const MAX_WAITING: usize = 8_192;
-
 /// Closes a listener, and gives the connections that waited to be accepted: closed with it, their callers would see a reset
 /// where they can be served.
-pub fn close(listener: TcpListener) -> Vec<TcpStream> {
+pub fn close_listener(listener: TcpListener) -> Vec<TcpStream> {
     let listener = match listener.into_std() {
         Ok(listener) => listener,
         Err(error) => {
@@ -33,11 +33,21 @@
             return Vec::new();
         }
     };
+    let mut waiting = Vec::new();
     // The kernel is asked until its queue is empty: readiness as the runtime knows it may lag behind.
-    let waiting = std::iter::from_fn(|| listener.accept().ok()).take(MAX_WAITING);
-    let streams = waiting.filter_map(|(stream, _)| {
-        stream.set_nonblocking(true).ok()?;
-        TcpStream::from_std(stream).ok()
-    });
-    streams.collect()
+    for _ in 0..MAX_WAITING {
+        match accept_waiting(&listener) {
+            Ok(stream) => waiting.push(stream),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+            // One caller has left, or descriptors have run out; the next may be luckier.
+            Err(error) => log::warn!("event=accept_failed reason={error:?}"),
+        }
+    }
+    waiting
+}
+
+fn accept_waiting(listener: &std::net::TcpListener) -> std::io::Result<TcpStream> {
+    let (stream, _) = listener.accept()?;
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
 }
