--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -38,9 +38,9 @@
 /// Time in which peers and balancer learn of a stop before callers are refused.
 const STOP_NOTICE: Duration = Duration::from_millis(500);
 
-/// How long a stop waits for words on claims at most: an owner that doesn't answer is told five times in 3.5 s. Callers have been answered
-/// by then; a word that is lost costs a repeat its answer.
-const LAST_WORDS: Duration = Duration::from_secs(4);
+/// How long a stop waits for notes on claims at most: an owner that doesn't answer is told five times in 3.5 s. Callers have been answered
+/// by then; a note that is lost costs a repeat its answer.
+const CLAIM_FLUSH_TIME: Duration = Duration::from_secs(4);
 
 /// How a stop ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -97,7 +97,7 @@
             routing: Mutex::new(routing),
             stopping: AtomicBool::new(false),
             in_flight: AtomicI64::new(0),
-            claim_words: Arc::default(),
+            claim_notes: Arc::default(),
             are_claims_closed: AtomicBool::new(false),
             control: control_ring,
             platform: platform_ring,
@@ -288,12 +288,12 @@
             // First nothing is granted any more, then the count is read: what comes later is refused and leaves nothing open.
             shared.are_claims_closed.store(true, Ordering::SeqCst);
             let closed = std::time::Instant::now();
-            let words = || shared.claim_words.load(Ordering::SeqCst);
-            while words() > 0 && closed.elapsed() < LAST_WORDS && !is_urgent() {
+            let notes = || shared.claim_notes.load(Ordering::SeqCst);
+            while notes() > 0 && closed.elapsed() < CLAIM_FLUSH_TIME && !is_urgent() {
                 std::thread::sleep(STOP_LOOK);
             }
-            if words() > 0 {
-                log::warn!("event=claim_words_cut words={}", words());
+            if notes() > 0 {
+                log::warn!("event=claim_notes_cut notes={}", notes());
             }
         }
         // What else was said to peers is on its way for a moment yet.
--- a/crates/entry/src/duty/claims.rs
+++ b/crates/entry/src/duty/claims.rs
@@ -16,7 +16,7 @@
 use tokio::sync::oneshot;
 
 use self::owner::{ask_owner, tell_owner};
-use super::shared::{ClaimWord, ClaimsFront, SharedState};
+use super::shared::{ClaimNote, ClaimsFront, SharedState};
 use crate::control::ControlEvent;
 use crate::ring::RingReceiver;
 
@@ -105,8 +105,8 @@
                 key,
                 attempt,
                 outcome,
-                word,
-            } => self.finish(key, attempt, outcome, word),
+                note,
+            } => self.finish(key, attempt, outcome, note),
             ClaimsFront::Peer(question, reply) => self.take_question(question, reply),
             ClaimsFront::Event(event) => {
                 if matches!(event, ClaimEvent::Roster(_)) {
@@ -190,12 +190,12 @@
             .map(|ended| (ended.key, ended.asker.clone(), ended.outcome.clone()))
             .collect();
         for (key, asker, outcome) in again {
-            let word = self.shared.claim_word();
-            self.tell(key, asker, outcome, word);
+            let note = self.shared.claim_note();
+            self.tell(key, asker, outcome, note);
         }
     }
 
-    fn finish(&mut self, key: ClaimKey, attempt: u64, outcome: FinishOutcome, word: ClaimWord) {
+    fn finish(&mut self, key: ClaimKey, attempt: u64, outcome: FinishOutcome, note: ClaimNote) {
         let asker = self.asker(attempt);
         // The owner may be lost before it has passed this on; its successor is told again.
         self.ended.push_back(EndedRequest {
@@ -204,10 +204,10 @@
             asker: asker.clone(),
             outcome: outcome.clone(),
         });
-        self.tell(key, asker, outcome, word);
+        self.tell(key, asker, outcome, note);
     }
 
-    fn tell(&mut self, key: ClaimKey, asker: ClaimAsker, outcome: FinishOutcome, word: ClaimWord) {
+    fn tell(&mut self, key: ClaimKey, asker: ClaimAsker, outcome: FinishOutcome, note: ClaimNote) {
         let Some((owner, _)) = self.state.owner(key) else {
             return;
         };
@@ -228,7 +228,7 @@
                 outcome,
             };
             tell_owner(&shared, &owner, question).await;
-            drop(word);
+            drop(note);
         });
     }
 
@@ -327,9 +327,9 @@
                     owner,
                     change,
                 };
-                let word = self.shared.claim_word();
+                let note = self.shared.claim_note();
                 self.ask_holder(to, question, move |holder, answer| {
-                    drop(word);
+                    drop(note);
                     let is_held = answer == Some(Answer::Held(true));
                     Some(ClaimEvent::Copied {
                         op,
--- a/crates/entry/src/duty/mod.rs
+++ b/crates/entry/src/duty/mod.rs
@@ -10,5 +10,5 @@
 pub mod shared;
 
 pub use shared::{
-    ClaimWord, ClaimsFront, ControlInbox, PeerTask, PlatformTask, ProbeTask, SharedState,
+    ClaimNote, ClaimsFront, ControlInbox, PeerTask, PlatformTask, ProbeTask, SharedState,
 };
--- a/crates/entry/src/duty/peer.rs
+++ b/crates/entry/src/duty/peer.rs
@@ -186,10 +186,10 @@
         };
         count_message(shared, "question", "in");
         // A grant that its asker doesn't hear of would leave the key in progress: the process outlasts the answer.
-        let word = matches!(question, Question::Claim(_)).then(|| shared.claim_word());
+        let note = matches!(question, Question::Claim(_)).then(|| shared.claim_note());
         let answer = answer(shared, question).await;
         write_frame(&mut stream, &answer).await?;
-        drop(word);
+        drop(note);
     }
 }
 
--- a/crates/entry/src/duty/shared.rs
+++ b/crates/entry/src/duty/shared.rs
@@ -86,7 +86,7 @@
         /// How.
         outcome: FinishOutcome,
         /// Held until its owner knows.
-        word: ClaimWord,
+        note: ClaimNote,
     },
     /// A peer's question, with where its answer goes.
     Peer(Question, oneshot::Sender<Answer>),
@@ -96,13 +96,13 @@
     Dump(oneshot::Sender<serde_json::Value>),
 }
 
-/// A word on a claim that the process must not end before: a verdict for a peer, or how a request ended. Without it a claim stays granted
+/// A note on a claim that the process must not end before: a verdict for a peer, or how a request ended. Without it a claim stays granted
 /// that nobody uses, and its key cannot be decided.
-pub struct ClaimWord {
+pub struct ClaimNote {
     count: Arc<AtomicI64>,
 }
 
-impl Drop for ClaimWord {
+impl Drop for ClaimNote {
     fn drop(&mut self) {
         self.count.fetch_sub(1, Ordering::SeqCst);
     }
@@ -128,8 +128,8 @@
     pub stopping: AtomicBool,
     /// Callers' requests that have not been answered in full.
     pub in_flight: AtomicI64,
-    /// Words on claims that are on their way; see [`ClaimWord`].
-    pub claim_words: Arc<AtomicI64>,
+    /// Notes on claims that are on their way; see [`ClaimNote`].
+    pub claim_notes: Arc<AtomicI64>,
     /// Whether no claim is granted any more, as the process is about to end.
     pub are_claims_closed: AtomicBool,
     /// To the control duty.
@@ -157,11 +157,11 @@
         }
     }
 
-    /// Counts a word on a claim until the guard is dropped.
-    pub fn claim_word(&self) -> ClaimWord {
-        self.claim_words.fetch_add(1, Ordering::SeqCst);
-        ClaimWord {
-            count: Arc::clone(&self.claim_words),
+    /// Counts a note on a claim until the guard is dropped.
+    pub fn claim_note(&self) -> ClaimNote {
+        self.claim_notes.fetch_add(1, Ordering::SeqCst);
+        ClaimNote {
+            count: Arc::clone(&self.claim_notes),
         }
     }
 
--- a/crates/entry/src/front/claimed.rs
+++ b/crates/entry/src/front/claimed.rs
@@ -11,7 +11,7 @@
 use super::FrontContext;
 use super::answer::{CallerAnswer, Refusal, mark_ran, mark_replayed, name_request, whole};
 use super::request::CallerRequest;
-use crate::duty::{ClaimWord, ClaimsFront};
+use crate::duty::{ClaimNote, ClaimsFront};
 
 /// What is added to a request's own time before its claim counts as lost.
 const GRANT_MARGIN: Millis = Millis(5_000);
@@ -28,7 +28,7 @@
     key: ClaimKey,
     attempt: u64,
     outcome: Option<FinishOutcome>,
-    _word: ClaimWord,
+    _note: ClaimNote,
 }
 
 impl GrantedClaim {
@@ -65,7 +65,7 @@
             key: self.key,
             attempt: self.attempt,
             outcome,
-            word: self.front.shared.claim_word(),
+            note: self.front.shared.claim_note(),
         };
         if !self.front.shared.claims.push(item) {
             log::warn!("event=claim_outcome_dropped key={:032x}", self.key.0);
@@ -112,7 +112,7 @@
             key,
             attempt,
             outcome: None,
-            _word: shared.claim_word(),
+            _note: shared.claim_note(),
         }));
     };
     Ok(ClaimOutcome::Replay(replay(&kept, &request.id)))
--- a/crates/entry/tests/stop.rs
+++ b/crates/entry/tests/stop.rs
@@ -25,8 +25,9 @@
 const ANSWER_DELAY_MS: u64 = 45;
 /// The longest pause of a caller between two requests, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 60;
-/// The grace in the processes' settings.
-const GRACE: Duration = Duration::from_secs(8);
+/// How long a stop takes where answers take moments: the notice, a second for silent connections, another for slow bodies,
+/// and a busy machine.
+const PROMPT: Duration = Duration::from_millis(6_000);
 /// Time after the signal in which the balancer learns of the stop.
 const NOTICE_TIME: Duration = Duration::from_millis(2_600);
 
@@ -298,7 +299,7 @@
     assert!(status.success(), "{}: {status}", case.name);
     let took = began.elapsed();
     assert!(
-        (NOTICE_TIME..GRACE).contains(&took),
+        (NOTICE_TIME..PROMPT).contains(&took),
         "{}: {took:?}",
         case.name
     );
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::EXPECT;
 
 use super::FrontContext;
 use super::admit::{admit, await_config, discard_body, read_body};
@@ -48,7 +49,10 @@
     let (state, caller) = match admitted {
         Ok(admitted) => (admitted.state, admitted.caller),
         Err(refusal) => {
-            discard_body(body).await;
+            // A caller who asks first whether to send it learns of the refusal instead.
+            if !head.headers.contains_key(EXPECT) {
+                discard_body(body).await;
+            }
             return log_refusal(&front, &id, None, refusal);
         }
     };
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -39,6 +39,7 @@
 
     /// Begins a stop. Later signals change nothing.
     pub fn signal(&self) {
+        // Announcing the stop sets it.
         let is_first = !self.shared.is_stopping();
         let options = ShutdownOptions::within(self.shared.bounds().stop_grace);
         self.handle(ShutdownEvent::Signalled(options));
@@ -69,7 +70,7 @@
         self.state.borrow().answer_end(now)
     }
 
-    /// Whether the process ends, so that nothing may be sent on any more.
+    /// Whether the end is decided, so that nothing may be sent on any more.
     pub fn has_ended(&self) -> bool {
         self.has_ended.get()
     }
@@ -84,7 +85,7 @@
         while !self.has_ended() {
             // A wake-up that is missed is made up for by the next look.
             let _ = tokio::time::timeout(STOP_LOOK, self.ended.notified()).await;
-            self.handle(ShutdownEvent::Looked);
+            self.handle(ShutdownEvent::TimePassed);
         }
     }
 
--- a/crates/shutdown/src/lib.rs
+++ b/crates/shutdown/src/lib.rs
@@ -19,6 +19,6 @@
 
 pub use options::ShutdownOptions;
 pub use phase::{
-    ClosingPhase, DrainingPhase, EndedPhase, NotifiedPhase, PhaseName, PhaseState, ServingPhase,
+    ClosingPhase, CountedPhase, DrainingPhase, EndedPhase, NotifiedPhase, PhaseName, ServingPhase,
 };
 pub use state::{ShutdownAction, ShutdownEvent, ShutdownState};
--- a/crates/shutdown/src/options.rs
+++ b/crates/shutdown/src/options.rs
@@ -6,8 +6,10 @@
 /// callers still come who have not heard of it. The listener is closed then: most of what comes later could outlast the
 /// grace, and a caller who cannot connect goes elsewhere at once, where one that is refused has lost a try.
 const NOTICE_TIME: Millis = Millis(2_600);
-/// Time before the end of the grace in which the process ends whatever is in flight: it is killed at that end.
+/// Time before the end of the grace in which the process ends whatever is in flight: it is killed at that end. A sixth of a
+/// short grace, so that callers have the rest.
 const END_MARGIN: Millis = Millis(500);
+const END_MARGIN_PART: u64 = 6;
 /// Time for an answer to leave once its request's deadline has passed.
 const ANSWER_MARGIN: Millis = Millis(100);
 
@@ -26,7 +28,7 @@
     /// The times of a stop after which the process is killed when `grace` is over. Where that is short, the notice takes a
     /// half of it at most.
     pub fn within(grace: Millis) -> Self {
-        let end = grace.since(END_MARGIN);
+        let end = grace.since(END_MARGIN.min(Millis(grace.0 / END_MARGIN_PART)));
         Self {
             notice: NOTICE_TIME.min(Millis(grace.0 / 2)).min(end),
             end,
--- a/crates/shutdown/src/phase.rs
+++ b/crates/shutdown/src/phase.rs
@@ -6,7 +6,7 @@
 
 /// A process in one of its phases, with the connections of callers that are open.
 #[derive(Debug)]
-pub struct PhaseState<Phase> {
+pub struct CountedPhase<Phase> {
     connections: usize,
     phase: Phase,
 }
@@ -68,7 +68,7 @@
 impl ListeningPhase for NotifiedPhase {}
 impl ListeningPhase for ClosingPhase {}
 
-impl<Phase> PhaseState<Phase> {
+impl<Phase> CountedPhase<Phase> {
     /// Connections that are open.
     pub fn connections(&self) -> usize {
         self.connections
@@ -84,15 +84,15 @@
         self.connections = self.connections.saturating_sub(1);
     }
 
-    fn follow<Next>(self, phase: Next) -> PhaseState<Next> {
-        PhaseState {
+    fn follow<Next>(self, phase: Next) -> CountedPhase<Next> {
+        CountedPhase {
             connections: self.connections,
             phase,
         }
     }
 }
 
-impl<Phase> PhaseState<Phase>
+impl<Phase> CountedPhase<Phase>
 where
     Phase: ListeningPhase,
 {
@@ -102,7 +102,7 @@
     }
 }
 
-impl Default for PhaseState<ServingPhase> {
+impl Default for CountedPhase<ServingPhase> {
     fn default() -> Self {
         Self {
             connections: 0,
@@ -111,9 +111,9 @@
     }
 }
 
-impl PhaseState<ServingPhase> {
+impl CountedPhase<ServingPhase> {
     /// Begins a stop.
-    pub fn notify(self, now: Millis, options: ShutdownOptions) -> PhaseState<NotifiedPhase> {
+    pub fn notify(self, now: Millis, options: ShutdownOptions) -> CountedPhase<NotifiedPhase> {
         self.follow(NotifiedPhase {
             began: now,
             options,
@@ -121,25 +121,25 @@
     }
 }
 
-impl PhaseState<NotifiedPhase> {
+impl CountedPhase<NotifiedPhase> {
     /// Asks for the listener to be closed.
-    pub fn close(self) -> PhaseState<ClosingPhase> {
+    pub fn close(self) -> CountedPhase<ClosingPhase> {
         let NotifiedPhase { began, options } = self.phase;
         self.follow(ClosingPhase { began, options })
     }
 }
 
-impl PhaseState<ClosingPhase> {
+impl CountedPhase<ClosingPhase> {
     /// Notes that the listener is closed.
-    pub fn drain(self) -> PhaseState<DrainingPhase> {
+    pub fn drain(self) -> CountedPhase<DrainingPhase> {
         let ClosingPhase { began, options } = self.phase;
         self.follow(DrainingPhase { began, options })
     }
 }
 
-impl PhaseState<DrainingPhase> {
+impl CountedPhase<DrainingPhase> {
     /// Ends the process.
-    pub fn end(self) -> PhaseState<EndedPhase> {
+    pub fn end(self) -> CountedPhase<EndedPhase> {
         self.follow(EndedPhase)
     }
 }
--- a/crates/shutdown/src/state.rs
+++ b/crates/shutdown/src/state.rs
@@ -4,7 +4,7 @@
 
 use crate::options::ShutdownOptions;
 use crate::phase::{
-    ClosingPhase, DrainingPhase, EndedPhase, NotifiedPhase, PhaseName, PhaseState, ServingPhase,
+    ClosingPhase, CountedPhase, DrainingPhase, EndedPhase, NotifiedPhase, PhaseName, ServingPhase,
 };
 
 /// What befell a process.
@@ -19,7 +19,7 @@
     /// The listener is closed, and all that it had accepted was told.
     ListenerClosed,
     /// Time has passed.
-    Looked,
+    TimePassed,
 }
 
 /// What the process has to do.
@@ -40,16 +40,16 @@
 
 #[derive(Debug)]
 enum CurrentPhase {
-    Serving(PhaseState<ServingPhase>),
-    Notified(PhaseState<NotifiedPhase>),
-    Closing(PhaseState<ClosingPhase>),
-    Draining(PhaseState<DrainingPhase>),
-    Ended(PhaseState<EndedPhase>),
+    Serving(CountedPhase<ServingPhase>),
+    Notified(CountedPhase<NotifiedPhase>),
+    Closing(CountedPhase<ClosingPhase>),
+    Draining(CountedPhase<DrainingPhase>),
+    Ended(CountedPhase<EndedPhase>),
 }
 
 impl Default for CurrentPhase {
     fn default() -> Self {
-        Self::Serving(PhaseState::default())
+        Self::Serving(CountedPhase::default())
     }
 }
 
@@ -68,7 +68,7 @@
             ShutdownEvent::Accepted => self.accept(&mut actions),
             ShutdownEvent::Released => self.release(),
             ShutdownEvent::ListenerClosed => self.drain(),
-            ShutdownEvent::Looked => {}
+            ShutdownEvent::TimePassed => {}
         }
         self.advance(now, &mut actions);
         actions
@@ -190,11 +190,11 @@
     }
 }
 
-fn may_close(state: &PhaseState<NotifiedPhase>, now: Millis) -> bool {
+fn may_close(state: &CountedPhase<NotifiedPhase>, now: Millis) -> bool {
     now.since(state.phase().began) >= state.phase().options.notice
 }
 
-fn may_end(state: &PhaseState<DrainingPhase>, now: Millis) -> bool {
+fn may_end(state: &CountedPhase<DrainingPhase>, now: Millis) -> bool {
     state.connections() == 0 || is_over(state.phase().began, state.phase().options, now)
 }
 
--- a/crates/shutdown/tests/random.rs
+++ b/crates/shutdown/tests/random.rs
@@ -33,7 +33,7 @@
             4..8 if self.open > 0 => ShutdownEvent::Released,
             8 if self.is_closing && !self.is_closed => ShutdownEvent::ListenerClosed,
             9 if rng.random_ratio(1, 20) => ShutdownEvent::Signalled(options),
-            _ => ShutdownEvent::Looked,
+            _ => ShutdownEvent::TimePassed,
         }
     }
 
@@ -49,7 +49,7 @@
             }
             ShutdownEvent::Released => self.open -= 1,
             ShutdownEvent::ListenerClosed => self.is_closed = true,
-            ShutdownEvent::Looked => {}
+            ShutdownEvent::TimePassed => {}
         }
         for action in actions {
             self.check(now, *action);
--- a/crates/shutdown/tests/state.rs
+++ b/crates/shutdown/tests/state.rs
@@ -1,7 +1,7 @@
 //! What a stop does, step by step.
 
 use bergamot_shutdown::ShutdownAction::{Announce, Close, End, Reject};
-use bergamot_shutdown::ShutdownEvent::{Accepted, ListenerClosed, Looked, Released, Signalled};
+use bergamot_shutdown::ShutdownEvent::{Accepted, ListenerClosed, Released, Signalled, TimePassed};
 use bergamot_shutdown::{PhaseName, ShutdownAction, ShutdownEvent, ShutdownOptions, ShutdownState};
 use bergamot_types::prelude::*;
 
@@ -25,8 +25,8 @@
         name: "nobody is there: the listener is closed before the process ends",
         steps: &[
             (0, SIGNAL, &[Announce]),
-            (2_599, Looked, &[]),
-            (2_600, Looked, &[Close]),
+            (2_599, TimePassed, &[]),
+            (2_600, TimePassed, &[Close]),
             (2_601, ListenerClosed, &[End { cut: 0 }]),
         ],
         phase: PhaseName::Ended,
@@ -35,10 +35,10 @@
         name: "a caller who waits to be accepted while the listener is closed is served",
         steps: &[
             (0, SIGNAL, &[Announce]),
-            (2_600, Looked, &[Close]),
+            (2_600, TimePassed, &[Close]),
             (2_600, Accepted, &[]),
             (2_601, ListenerClosed, &[]),
-            (2_700, Looked, &[]),
+            (2_700, TimePassed, &[]),
             (2_750, Released, &[End { cut: 0 }]),
         ],
         phase: PhaseName::Ended,
@@ -48,11 +48,11 @@
         steps: &[
             (0, SIGNAL, &[Announce]),
             (10, Accepted, &[]),
-            (2_600, Looked, &[Close]),
+            (2_600, TimePassed, &[Close]),
             (2_600, Released, &[]),
             (2_600, Accepted, &[]),
             (2_601, ListenerClosed, &[]),
-            (2_650, Looked, &[]),
+            (2_650, TimePassed, &[]),
             (2_660, Released, &[End { cut: 0 }]),
         ],
         phase: PhaseName::Ended,
@@ -61,8 +61,8 @@
         name: "without a word from the listener the process goes on",
         steps: &[
             (0, SIGNAL, &[Announce]),
-            (2_600, Looked, &[Close]),
-            (5_000, Looked, &[]),
+            (2_600, TimePassed, &[Close]),
+            (5_000, TimePassed, &[]),
         ],
         phase: PhaseName::Closing,
     },
@@ -70,9 +70,9 @@
         name: "but not past its grace",
         steps: &[
             (0, SIGNAL, &[Announce]),
-            (2_600, Looked, &[Close]),
+            (2_600, TimePassed, &[Close]),
             (2_650, Accepted, &[]),
-            (7_500, Looked, &[End { cut: 1 }]),
+            (7_500, TimePassed, &[End { cut: 1 }]),
         ],
         phase: PhaseName::Ended,
     },
@@ -94,7 +94,7 @@
         steps: &[
             (0, Accepted, &[]),
             (0, SIGNAL, &[Announce]),
-            (60_000, Looked, &[Close, End { cut: 1 }]),
+            (60_000, TimePassed, &[Close, End { cut: 1 }]),
         ],
         phase: PhaseName::Ended,
     },
@@ -103,7 +103,7 @@
         steps: &[
             (0, SIGNAL, &[Announce]),
             (0, Accepted, &[]),
-            (2_600, Looked, &[Close]),
+            (2_600, TimePassed, &[Close]),
             (2_601, ListenerClosed, &[]),
             (2_602, Accepted, &[Reject]),
             (2_610, Released, &[End { cut: 0 }]),
@@ -117,7 +117,7 @@
             (0, Accepted, &[]),
             (10, Released, &[]),
             (20, ListenerClosed, &[]),
-            (99_000, Looked, &[]),
+            (99_000, TimePassed, &[]),
         ],
         phase: PhaseName::Serving,
     },
@@ -126,9 +126,9 @@
         steps: &[
             (0, Accepted, &[]),
             (100, SIGNAL, &[Announce]),
-            (2_700, Looked, &[Close]),
+            (2_700, TimePassed, &[Close]),
             (2_701, ListenerClosed, &[]),
-            (5_000, Looked, &[]),
+            (5_000, TimePassed, &[]),
             (5_100, Released, &[End { cut: 0 }]),
         ],
         phase: PhaseName::Ended,
@@ -178,7 +178,7 @@
         steps: &[
             (1_000, Accepted),
             (1_000, SIGNAL),
-            (3_600, Looked),
+            (3_600, TimePassed),
             (3_601, ListenerClosed),
         ],
         at: 8_010,
@@ -186,7 +186,7 @@
     },
     AnswerCase {
         name: "the process ends: nothing is taken",
-        steps: &[(1_000, Accepted), (1_000, SIGNAL), (8_500, Looked)],
+        steps: &[(1_000, Accepted), (1_000, SIGNAL), (8_500, TimePassed)],
         at: 8_500,
         end: Some(0),
     },
@@ -225,8 +225,8 @@
         },
         GraceCase {
             grace: 300,
-            notice: 0,
-            end: 0,
+            notice: 150,
+            end: 250,
         },
     ];
     for case in cases {
