--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -14,9 +14,9 @@
 use super::state::CallState;
 use super::trace::RequestTrace;
 
-/// How long the rest of a refused request's body is waited for, and how much of it is read: callers who send it in pieces
-/// get its end out within that.
+/// How long the rest of a refused request's body is waited for: callers who send it in pieces get its end out within that.
 const REFUSED_BODY_TIME: Millis = Millis(1_000);
+/// How much of it is read at most.
 const REFUSED_BODY_BYTES: usize = 1 << 20;
 /// The time a caller is taken to wait that does not say it; not tuned.
 const ASSUMED_DEADLINE: Millis = Millis(3_000);
--- a/crates/shutdown/src/options.rs
+++ b/crates/shutdown/src/options.rs
@@ -6,9 +6,9 @@
 /// callers still come who have not heard of it. The listener is closed then: most of what comes later could outlast the
 /// grace, and a caller who cannot connect goes elsewhere at once, where one that is refused has lost a try.
 const NOTICE_TIME: Millis = Millis(2_600);
-/// Time before the end of the grace in which the process ends whatever is in flight: it is killed at that end. A sixth of a
-/// short grace, so that callers have the rest.
+/// Time before the end of the grace in which the process ends whatever is in flight: it is killed at that end.
 const END_MARGIN: Millis = Millis(500);
+/// The same is at most one part in so many of a short grace, so that callers have the rest.
 const END_MARGIN_PART: u64 = 6;
 /// Time for an answer to leave once its request's deadline has passed.
 const ANSWER_MARGIN: Millis = Millis(100);
