fix: a stand-in that ends closes its listener before its connections

Cause: the connections were ended first. Whoever saw one end and looked at once found the listener for a moment, so a VM took the upstream to be alive, and looked no more: where something listens is found out once for each upstream.

--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -126,6 +126,8 @@
 {
     let task = tokio::spawn(async move {
         let mut connections = JoinSet::new();
+        // Dropped before the connections: whoever sees one end finds nothing that listens.
+        let listener = listener;
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 continue;
