feat: a line says why a request is sent to no other upstream

Cause: refused or not gone on with, the kind is upstream_refused, whether it had run often enough, no other upstream was left, or the VM had no repeat left.

--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -82,10 +82,8 @@
     let when_full = || front.returns.borrow().when_full(model, rand::random());
     let refused = CallRefusal::later(ErrorKind::UpstreamRefused, when_full());
     let runs = runs_that_count(front, &view, state);
-    let is_spent = runs >= state.route.max_attempts as usize
-        || state.arrivals >= state.route.max_attempts as usize + MAX_REFUSED_SENDS
-        || state.vain_sends() >= MAX_VAIN_SENDS;
-    if is_spent {
+    if let Some(reason) = spent_by(state, runs) {
+        note_not_sent_on(request, state, runs, reason);
         return Err(refused);
     }
     let home = &front.shared.site.failure_domain;
@@ -111,7 +109,10 @@
             return Err(CallRefusal::later(ErrorKind::Overloaded, when_full()));
         }
         UpstreamChoice::None if state.tried.is_empty() => return Err(no_upstream),
-        UpstreamChoice::None => return Err(refused),
+        UpstreamChoice::None => {
+            note_not_sent_on(request, state, runs, "no other upstream");
+            return Err(refused);
+        }
     };
     // What never reached an upstream was no try of it: the next send is the first. Counted as repeats, such sends
     // used the budget up in a failure domain that was cut off, and 332 requests were refused after one of them in
@@ -120,12 +121,35 @@
         let mut budget = front.budget.borrow_mut();
         budget.set_bounds(front.shared.bounds(), view.entries.len());
         if !budget.take(now, &state.service) {
+            note_not_sent_on(request, state, runs, "no repeat left");
             return Err(refused);
         }
     }
     Ok(chosen.clone())
 }
 
+/// Why a request has been sent often enough, if it has.
+fn spent_by(state: &CallState, runs: usize) -> Option<&'static str> {
+    let most = state.route.max_attempts as usize;
+    if runs >= most {
+        return Some("runs");
+    }
+    if state.arrivals >= most + MAX_REFUSED_SENDS {
+        return Some("sends that arrived");
+    }
+    (state.vain_sends() >= MAX_VAIN_SENDS).then_some("sends in vain")
+}
+
+/// Logs what a refusal or a stream that breaks off alone does not tell: which bound a request met.
+fn note_not_sent_on(request: &SentRequest, state: &CallState, runs: usize, reason: &str) {
+    log::info!(
+        "event=not_sent_on request={} reason=\"{reason}\" sends={} arrivals={} runs={runs}",
+        request.call.id,
+        state.sends(),
+        state.arrivals,
+    );
+}
+
 /// Runs that count against the most upstreams that a request may be sent to: none of those that have ended. The directory
 /// names these for some seconds more; going by it alone, 21 streams in half a second were not gone on with for which a
 /// third upstream had ended (8 VMs before 54 upstreams; counted from the logs of a day).
