fix: a VM that stops does not take the coordinator's place

Cause: whether the process stops was looked at before the wait for the place (80 ms for each VM that goes before), and acted on after it: a decision taken from a sample that is false by then. The wait did not end with the signal either. The same between opening the lease and taking the place, and before a renewal at the head of a term.

Ruled out: a signal during the commit or a renewal; the term ended at the next look before as well. That a renewal is not sent any more once the signal has come is not shown by a case of its own: the order of two timers draws it.

--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -114,12 +114,13 @@
             let has_groups = engine_service(&view).is_some();
             if is_vacant && has_groups && !self.shared.is_stopping() {
                 let wait = takeover_wait(&view, &self.shared.site);
-                let is_taken = async {
-                    let taken = |count: &u64| *count > 0 && self.shared.has_coordinator();
-                    let _ = changes.wait_for(taken).await;
+                let is_over = async {
+                    let is_taken = |count: &u64| *count > 0 && self.shared.has_coordinator();
+                    let is_over = |count: &u64| is_taken(count) || self.shared.is_stopping();
+                    let _ = changes.wait_for(is_over).await;
                 };
-                let is_taken = tokio::time::timeout(wait.as_duration(), is_taken).await;
-                if is_taken.is_ok() {
+                let is_over = tokio::time::timeout(wait.as_duration(), is_over).await;
+                if is_over.is_ok() {
                     continue;
                 }
                 if let Some(term) = self.take_over(&view).await {
@@ -160,7 +161,7 @@
         }
     }
 
-    /// Tries to become the coordinator.
+    /// Tries to become the coordinator, and gives it up where the process is told to stop meanwhile.
     async fn take_over(&self, view: &ClusterView) -> Option<LeadTerm> {
         let confirmed_at = self.shared.clock.now();
         let ttl = LEASE_TTL.as_duration();
@@ -171,6 +172,10 @@
                 return None;
             }
         };
+        if self.shared.is_stopping() {
+            self.end_lease(lease).await;
+            return None;
+        }
         let record = EntryRecord::of(&self.shared.site);
         let write = |key: &str, lease: u64| KeyWrite {
             key: key.to_owned(),
@@ -232,7 +237,8 @@
             tokio::select! {
                 biased;
                 _ = renewals.tick() => {
-                    if !self.renew(&mut term).await {
+                    // The place is given up next, however long the store takes for a renewal.
+                    if !shared.is_stopping() && !self.renew(&mut term).await {
                         break;
                     }
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod daemon;
 mod front;
 pub mod group_actions;
-mod groups;
+pub mod groups;
 mod known;
 pub mod listen;
 pub mod logs;
--- a/crates/gateway/tests/suspended.rs
+++ b/crates/gateway/tests/suspended.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -10,13 +9,10 @@
 use bergamot_gateway::clock::BootClock;
 use bergamot_gateway::deadline::{DeadlinePassed, before};
 use bergamot_gateway::shared::SharedState;
-use bergamot_ports::{ServingBounds, VmSite};
 use bergamot_types::prelude::*;
-use support::sources;
+use support::{REVOKE_TIME, site, sources};
 use tokio::sync::mpsc;
 
-const REVOKE_TIME: Millis = Millis(5_000);
-
 /// Time since the machine started, in milliseconds: what the process's timers do not see while it is suspended.
 static BOOT: AtomicU64 = AtomicU64::new(70_000);
 
@@ -28,28 +24,6 @@
     BOOT.fetch_add(time.0, Ordering::SeqCst);
 }
 
-fn site() -> VmSite {
-    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
-    VmSite {
-        vm: VmId::new("entry-1"),
-        failure_domain: FailureDomain::new("east"),
-        caller_addr: addr,
-        ready_addr: addr,
-        metrics_addr: addr,
-        millicores: 250,
-        peer_addr: addr,
-        bounds: ServingBounds {
-            drain_time: Millis(2_000),
-            stop_grace: Millis(8_000),
-            revoke_time: Some(REVOKE_TIME),
-            retry_ratio: 0.2,
-            retry_window: Millis(10_000),
-            retry_reserve: 100.0,
-            stall_time: Millis(4_000),
-        },
-    }
-}
-
 /// A key may have been taken away while the VM was suspended.
 #[test]
 fn a_key_is_not_trusted_over_the_time_in_which_the_vm_was_suspended() {
