fix: a broken-off stream is not sent on for a caller who has left

Cause: the relay runs in a task of its own, which outlives the caller's connection. Whether the caller was there was looked at while events came, not while another upstream was chosen and waited for; if that one refused or broke, the next was sent the request. The way to resume ends with the caller now, and the caller is looked at before anything is sent.

--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -119,9 +119,9 @@
                 NextEvent::Broken(cause, reason) => {
                     self.note_broken(&reply, cause, &reason).await;
                     drop(reply);
-                    match self.resume().await {
-                        Some(next) => reply = next,
-                        None => break "upstream_lost",
+                    match self.resume_for_caller().await {
+                        Ok(next) => reply = next,
+                        Err(outcome) => break outcome,
                     }
                 }
                 NextEvent::Event(_) => {}
@@ -334,7 +334,18 @@
         note_left(&self.front, &self.request, life, self.run_events);
     }
 
-    /// Opens the rest of the stream at another upstream.
+    /// Opens the rest of the stream at another upstream, for as long as its caller is there. The error is how it ended.
+    async fn resume_for_caller(&mut self) -> Result<OpenReply, &'static str> {
+        let caller = self.sender.clone();
+        tokio::select! {
+            // A caller who has left is noticed before anything is sent.
+            biased;
+            () = caller.closed() => Err("caller_left"),
+            resumed = self.resume() => resumed.ok_or("upstream_lost"),
+        }
+    }
+
+    /// The same without regard to the caller.
     async fn resume(&mut self) -> Option<OpenReply> {
         if !self.state.route.is_resumable {
             return None;
