--- a/crates/quarantine/tests/kept.rs
+++ b/crates/quarantine/tests/kept.rs
@@ -3,10 +3,12 @@
 //! The promise is a day after the request last came, wherever that was. Cause: the VM that coordinates went by the refusals
 //! that it gave itself, a sample of what all VMs see, and removed the record for all of them.
 
-use bergamot_quarantine::{
-    QuarantineAction, QuarantineEvent, QuarantineRecord, QuarantineState, RequestPrint,
-};
+#[path = "support/records.rs"]
+mod records;
+
+use bergamot_quarantine::{QuarantineAction, QuarantineEvent, QuarantineRecord, QuarantineState};
 use bergamot_types::prelude::*;
+use records::{kept, life, print};
 
 const NOW: Millis = Millis(10_000);
 const HOUR: Millis = Millis::from_secs(3_600);
@@ -16,24 +18,6 @@
     coordinates_at: Some(TODAY),
 };
 
-fn print(number: u64) -> RequestPrint {
-    RequestPrint::of(None, "/history", &number.to_le_bytes())
-}
-
-fn life(number: u64) -> UpstreamLife {
-    let id = UpstreamId::new(&format!("u{number}"));
-    UpstreamLife::new(id, Some(UnixMillis(number)))
-}
-
-/// Records that are to be kept for the others.
-fn kept(actions: Vec<QuarantineAction>) -> Vec<QuarantineRecord> {
-    let kept = actions.into_iter().filter_map(|action| match action {
-        QuarantineAction::Keep(record) => Some(record),
-        _ => None,
-    });
-    kept.collect()
-}
-
 struct ElsewhereCase {
     name: &'static str,
     /// When the request was last refused, at another VM than the one that coordinates.
--- a/crates/quarantine/tests/state.rs
+++ b/crates/quarantine/tests/state.rs
@@ -1,10 +1,14 @@
 //! When a request is sent no more, over all VMs.
 
+#[path = "support/records.rs"]
+mod records;
+
 use bergamot_quarantine::{
     BreakCause, BrokenRun, EndEvidence, QuarantineAction, QuarantineEvent, QuarantineRecord,
-    QuarantineState, RequestPrint, RequestStanding,
+    QuarantineState, RequestStanding,
 };
 use bergamot_types::prelude::*;
+use records::{kept, life, print};
 
 const NOW: Millis = Millis(10_000);
 const HOUR: Millis = Millis::from_secs(3_600);
@@ -14,15 +18,6 @@
     coordinates_at: Some(TODAY),
 };
 
-fn print(number: u64) -> RequestPrint {
-    RequestPrint::of(None, "/history", &number.to_le_bytes())
-}
-
-fn life(number: u64) -> UpstreamLife {
-    let id = UpstreamId::new(&format!("u{number}"));
-    UpstreamLife::new(id, Some(UnixMillis(number)))
-}
-
 /// An upstream ends under a request: what this VM keeps for the others.
 fn end(state: &mut QuarantineState, now: Millis, at: u64, request: u64) -> Vec<QuarantineRecord> {
     let life = life(at);
@@ -43,14 +38,6 @@
     kept(actions)
 }
 
-fn kept(actions: Vec<QuarantineAction>) -> Vec<QuarantineRecord> {
-    let records = actions.into_iter().filter_map(|action| match action {
-        QuarantineAction::Keep(record) => Some(record),
-        _ => None,
-    });
-    records.collect()
-}
-
 /// Whether a request is sent, but not repeated.
 fn is_suspected(state: &mut QuarantineState, request: u64) -> bool {
     matches!(state.standing(print(request)), RequestStanding::Suspected(place) if place.is_alone)
--- a/crates/quarantine/tests/support/mod.rs
+++ b/crates/quarantine/tests/support/mod.rs
@@ -1,12 +1,15 @@
 //! A fleet in virtual time: streams at the leaders of one model, and requests that end each leader that runs them.
 
+mod records;
+
 use bergamot_quarantine::{
     BreakCause, BrokenRun, EndEvidence, QuarantineAction, QuarantineEvent, QuarantineRecord,
-    QuarantineState, RequestPrint, RequestStanding,
+    QuarantineState, RequestStanding,
 };
 use bergamot_types::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use records::print;
 
 /// Time between two steps.
 const STEP: Millis = Millis(10);
@@ -121,10 +124,6 @@
     lives: u64,
 }
 
-fn print(number: u64) -> RequestPrint {
-    RequestPrint::of(None, "/history", &number.to_le_bytes())
-}
-
 /// Plays a case.
 pub fn play(case: &'static FleetCase, seed: u64) -> FleetOutcome {
     let mut fleet = Fleet {
--- /dev/null
+++ b/crates/quarantine/tests/support/records.rs
@@ -0,0 +1,23 @@
+//! Requests, upstreams and records, by number.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use bergamot_quarantine::{QuarantineAction, QuarantineRecord, RequestPrint};
+use bergamot_types::prelude::*;
+
+pub fn print(number: u64) -> RequestPrint {
+    RequestPrint::of(None, "/history", &number.to_le_bytes())
+}
+
+pub fn life(number: u64) -> UpstreamLife {
+    let id = UpstreamId::new(&format!("u{number}"));
+    UpstreamLife::new(id, Some(UnixMillis(number)))
+}
+
+/// Records that are to be kept for the others.
+pub fn kept(actions: Vec<QuarantineAction>) -> Vec<QuarantineRecord> {
+    let kept = actions.into_iter().filter_map(|action| match action {
+        QuarantineAction::Keep(record) => Some(record),
+        _ => None,
+    });
+    kept.collect()
+}
