--- a/crates/entry/tests/stop_edges.rs
+++ b/crates/entry/tests/stop_edges.rs
@@ -137,6 +137,26 @@
     assert!(sent.is_ok_and(|status| status.success()), "{name}");
 }
 
+/// Callers send on another connection once they are told that this one ends.
+#[test]
+fn an_answer_of_a_stop_says_that_its_connection_ends() {
+    let entry = RunningEntry::start(Ipv4Addr::new(127, 78, 7, 1));
+    let says_close = |id: &str| {
+        let mut stream = connect(entry.front);
+        let request = text(id, "GET", 0);
+        stream.write_all(request.as_bytes()).expect("it is sent");
+        let mut buffer = [0_u8; 4_096];
+        let count = stream.read(&mut buffer).expect("an answer");
+        let answer = String::from_utf8_lossy(&buffer[..count]).to_ascii_lowercase();
+        let (head, _) = answer.split_once("\r\n\r\n").expect("a whole head");
+        head.contains("\r\nconnection: close")
+    };
+    assert!(!says_close("before"));
+    entry.signal("TERM");
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(says_close("after"));
+}
+
 /// Three requests sent at once on one connection, around the signal and around the end of the notice.
 #[test]
 fn a_pipelined_request_that_was_sent_on_is_answered() {
