perf: other VMs are told of a leader only once its streams stand still

Cause: at twice the usual longest pause a VM told all others that a leader may stand still, and all left it alone for 0.3 s.

Now: doubt goes to the coordinator alone; a VM leaves the leader alone that it doubts itself. What VMs tell each other is that streams stand still. The decision is one of the book, without a network: told as before, the first case of the new test fails.

--- a/crates/gateway/src/front/exchange.rs
+++ b/crates/gateway/src/front/exchange.rs
@@ -168,7 +168,6 @@
     let told = ToldSilence {
         leader: silence.leader,
         witness: silence.witness,
-        is_stalled: silence.is_stalled,
     };
     if !book.note_told(told, front.now()) {
         return Vec::new();
--- a/crates/gateway/src/front/quiet.rs
+++ b/crates/gateway/src/front/quiet.rs
@@ -1,6 +1,5 @@
 //! When an upstream counts as standing still.
 
-use bergamot_occupancy::leader_key;
 use bergamot_peer::{LeaderStill, QuietNotice};
 use bergamot_routing::{RouteUpstream, SentRun, SilenceVerdict, ToldSilence};
 use bergamot_types::prelude::*;
@@ -12,7 +11,7 @@
 pub const LOOK_PERIOD: Millis = Millis(40);
 
 /// Whether a request for this model goes on elsewhere, as nothing comes from its upstream.
-/// Tells the coordinator and the other VMs when that is in doubt.
+/// Tells the coordinator when that is in doubt, and the other VMs when streams there stand still.
 pub fn look_quiet<Dialect>(
     front: &FrontContext<Dialect>,
     upstream: &RouteUpstream,
@@ -25,22 +24,11 @@
     if verdict == SilenceVerdict::Sound {
         return false;
     }
-    let is_still = verdict == SilenceVerdict::Still;
-    if is_still {
-        book.note_quiet(&upstream.life, now);
-    }
-    let leader = leader_key(&upstream.life);
-    // Without a stream that has begun, it may only be that the first event takes long.
-    let load = book.load(&upstream.life);
     let witness = hash_bytes(front.shared.site.vm.as_str().as_bytes()) as u32;
-    let told = ToldSilence {
-        leader,
-        witness,
-        is_stalled: verdict >= SilenceVerdict::Stalled,
-    };
-    let must_tell = load.has_begun() && book.told.note(now, told);
+    let news = book.note_silence(&upstream.life, verdict, witness, now);
+    let load = book.load(&upstream.life);
     drop(book);
-    if must_tell {
+    if news.is_for_coordinator {
         log::info!(
             "event=leader_silent upstream={} verdict={verdict:?} silence={} in_flight={} waited={} expected={}",
             upstream.life,
@@ -49,24 +37,31 @@
             now.since(run.at),
             run.expected,
         );
-        let silence = LeaderStill {
-            leader,
-            witness,
-            is_stalled: told.is_stalled,
-        };
-        if let Err(error) = front.still_news.try_send(silence) {
-            log::debug!(
-                "event=silence_not_told upstream={} reason={error}",
-                upstream.life
-            );
-        }
     }
-    if must_tell || is_still {
+    if let Some(told) = news.for_vms {
+        tell_still(front, upstream, told);
+    }
+    let is_still = verdict == SilenceVerdict::Still;
+    if news.is_for_coordinator || is_still {
         report_quiet(front, upstream, is_still);
     }
     is_still
 }
 
+/// Tells the other entry VMs that streams of a leader stand still.
+fn tell_still<Dialect>(front: &FrontContext<Dialect>, upstream: &RouteUpstream, told: ToldSilence) {
+    let silence = LeaderStill {
+        leader: told.leader,
+        witness: told.witness,
+    };
+    if let Err(error) = front.still_news.try_send(silence) {
+        log::debug!(
+            "event=silence_not_told upstream={} reason={error}",
+            upstream.life
+        );
+    }
+}
+
 /// Tells the coordinator that nothing comes from an upstream, and whether its requests stand still for
 /// `is_certain`.
 pub fn report_quiet<Dialect>(
--- a/crates/peer/src/notice.rs
+++ b/crates/peer/src/notice.rs
@@ -18,7 +18,7 @@
     Silent(SilentNotice),
 }
 
-/// That streams of a leader have had no event for longer than its model's usually do, on its way to all other VMs.
+/// That streams of a leader stand still by all appearances, on its way to all other VMs.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct SilentNotice {
     /// The entry VM that passes it on.
@@ -36,8 +36,6 @@
     pub leader: u32,
     /// The short name of the VM that saw it.
     pub witness: u32,
-    /// Whether its streams stand still by all appearances. Before that there is only doubt.
-    pub is_stalled: bool,
 }
 
 /// What one VM saw of requests under which upstreams ended, on its way to all others.
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -8,7 +8,7 @@
 use crate::load::UpstreamLoad;
 use crate::pace::{LeaderSilence, ModelPaces, SentRun, SilenceVerdict};
 use crate::sharing::LeaderSharing;
-use crate::told::{ToldSilence, ToldSilences};
+use crate::told::{SilenceNews, ToldSilence, ToldSilences};
 use crate::upstream::RouteUpstream;
 
 /// Factor on an equal part of the slots for the first limit.
@@ -121,7 +121,7 @@
             run,
             has_begun: load.has_begun(),
             has_queue: !self.occupancy.is_known(now) || total.requests > upstream.slots,
-            is_stalled: self.told.is_stalled(now, leader_key(&upstream.life)),
+            is_stalled: self.told.has(now, leader_key(&upstream.life)),
         };
         self.paces.judge(model, silence)
     }
@@ -166,8 +166,33 @@
         self.load_mut(life).note_progress(now);
     }
 
-    /// Notes that another VM tells that nothing comes from a leader, and whether its streams go on elsewhere. Says whether
-    /// to pass that on. What came from there to this VM a moment ago says more.
+    /// Notes what the silence of a leader was found to mean by the VM whose short name is `witness`, which is this one.
+    pub fn note_silence(
+        &mut self,
+        life: &UpstreamLife,
+        verdict: SilenceVerdict,
+        witness: u32,
+        now: Millis,
+    ) -> SilenceNews {
+        if verdict == SilenceVerdict::Still {
+            self.note_quiet(life, now);
+        }
+        // Without a stream that has begun, it may only be that the first event takes long.
+        if verdict == SilenceVerdict::Sound || !self.load(life).has_begun() {
+            return SilenceNews::default();
+        }
+        let leader = leader_key(life);
+        let is_fresh = !self.told.has(now, leader) && self.load_mut(life).note_doubt(now);
+        let told = ToldSilence { leader, witness };
+        let is_told = verdict >= SilenceVerdict::Stalled && self.told.note(now, told);
+        SilenceNews {
+            is_for_coordinator: is_fresh || is_told,
+            for_vms: is_told.then_some(told),
+        }
+    }
+
+    /// Notes that another VM tells that streams of a leader stand still. Says whether to pass that on. What came from there
+    /// to this VM a moment ago says more.
     pub fn note_told(&mut self, told: ToldSilence, now: Millis) -> bool {
         let mut loads = self.loads.iter();
         let load = loads.find(|(life, _)| leader_key(life) == told.leader);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -37,5 +37,5 @@
 pub use runner::{RunnerFact, RunnerLoad, RunnerTable};
 pub use share::{Borrow, Lend, LimitShares, ShareOptions};
 pub use sharing::LeaderSharing;
-pub use told::{ToldSilence, ToldSilences};
+pub use told::{SilenceNews, ToldSilence, ToldSilences};
 pub use upstream::RouteUpstream;
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -12,6 +12,8 @@
 /// Time for which an upstream is avoided at which requests stand still: the groups' coordinator
 /// ends the group by then, or it turns out to be sound.
 const QUIET_AVOIDANCE: Millis = Millis(2_000);
+/// Time between two doubts in an upstream that the coordinator hears of: it asks the group once for each.
+const DOUBT_PERIOD: Millis = Millis(100);
 /// Time that a connection takes at a sound upstream, several times over.
 const SLOW_CONNECT: Millis = Millis(40);
 
@@ -60,6 +62,8 @@
     patience: LeaderPatience,
     /// Since when a connection has been on its way, if one is.
     pub(crate) connecting_since: Option<Millis>,
+    /// When it was last doubted that it goes on.
+    doubted_at: Option<Millis>,
     /// When a connection to it was last not set up.
     unreached_at: Option<Millis>,
     /// Failures in a row.
@@ -117,6 +121,17 @@
         failed.or_else(|| self.slow_connect_since(now))
     }
 
+    /// Notes that it is doubted to go on. Says whether that was not noted a moment ago.
+    pub(crate) fn note_doubt(&mut self, now: Millis) -> bool {
+        let is_due = self
+            .doubted_at
+            .is_none_or(|at| now.since(at) >= DOUBT_PERIOD);
+        if is_due {
+            self.doubted_at = Some(now);
+        }
+        is_due
+    }
+
     /// When anything last came from it.
     pub(crate) const fn progress_at(&self) -> Millis {
         self.progress_at
--- a/crates/routing/src/told.rs
+++ b/crates/routing/src/told.rs
@@ -3,25 +3,31 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
-/// Time for which a leader counts as silent that another VM suspects. It tells again while that goes on.
-const SUSPECTED_TIME: Millis = Millis(300);
-/// The same where its streams stand still: they go on elsewhere, and nobody is left there who would tell again. One VM
-/// alone may have lost its way to a sound leader.
+/// Time for which a leader counts as silent whose streams one VM finds to stand still: they go on elsewhere, and nobody is
+/// left there who would tell again. One VM alone may have lost its way to a sound leader.
 const STALLED_TIME: Millis = Millis(1_000);
 /// The same where the streams of several VMs do: a group that stands still is ended by then, or breaks by itself.
 const CONFIRMED_TIME: Millis = Millis(5_000);
 /// Time between two notices of the same leader.
 const TELL_PERIOD: Millis = Millis(100);
 
-/// What was told of a leader.
+/// That the streams which one entry VM has at a leader stand still. Doubt is not told: most leaders that are only suspected
+/// go on, and all VMs that left them alone would crowd the others.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct ToldSilence {
     /// The leader's short name.
     pub leader: u32,
     /// The short name of the entry VM that saw it.
     pub witness: u32,
-    /// Whether its streams there stand still by all appearances. Before that there is only doubt.
-    pub is_stalled: bool,
+}
+
+/// Who is to hear of a silence: nobody of what was told a moment ago.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub struct SilenceNews {
+    /// Whether the coordinator is, which asks the group.
+    pub is_for_coordinator: bool,
+    /// What the other entry VMs are told.
+    pub for_vms: Option<ToldSilence>,
 }
 
 /// What entry VMs told of leaders.
@@ -35,31 +41,24 @@
     until: Millis,
     told_at: Millis,
     /// Whose streams stand still, two at most.
-    first: Option<u32>,
+    first: u32,
     second: Option<u32>,
 }
 
 impl KnownSilence {
+    /// Whether the VM has not told of the leader before, and is the second one.
     fn note_witness(&mut self, witness: u32) -> bool {
-        match (self.first, self.second) {
-            (Some(first), _) if first == witness => false,
-            (None, _) => {
-                self.first = Some(witness);
-                true
-            }
-            (Some(_), None) => {
-                self.second = Some(witness);
-                true
-            }
-            (Some(_), Some(_)) => false,
+        if self.first == witness || self.second.is_some() {
+            return false;
         }
+        self.second = Some(witness);
+        true
     }
 
-    fn time(&self) -> Millis {
-        match (self.first, self.second) {
-            (None, _) => SUSPECTED_TIME,
-            (Some(_), None) => STALLED_TIME,
-            (Some(_), Some(_)) => CONFIRMED_TIME,
+    const fn time(&self) -> Millis {
+        match self.second {
+            None => STALLED_TIME,
+            Some(_) => CONFIRMED_TIME,
         }
     }
 }
@@ -68,19 +67,23 @@
     /// Notes what was told. Says whether that is to be passed on: not what was told a moment ago.
     pub fn note(&mut self, now: Millis, told: ToldSilence) -> bool {
         self.silences.retain(|_, known| known.until > now);
-        let known = self.silences.entry(told.leader).or_insert(KnownSilence {
-            until: Millis::ZERO,
-            told_at: Millis::ZERO,
-            first: None,
-            second: None,
+        let mut is_new = false;
+        let known = self.silences.entry(told.leader).or_insert_with(|| {
+            is_new = true;
+            KnownSilence {
+                until: now,
+                told_at: now,
+                first: told.witness,
+                second: None,
+            }
         });
-        let is_witness = told.is_stalled && known.note_witness(told.witness);
-        let is_due = known.until == Millis::ZERO || now.since(known.told_at) >= TELL_PERIOD;
+        let is_witness = known.note_witness(told.witness);
+        let is_due = is_new || is_witness || now.since(known.told_at) >= TELL_PERIOD;
         known.until = known.until.max(now + known.time());
-        if is_due || is_witness {
+        if is_due {
             known.told_at = now;
         }
-        is_due || is_witness
+        is_due
     }
 
     /// Notes that something came from a leader.
@@ -95,13 +98,7 @@
         self.silences.is_empty()
     }
 
-    /// Whether streams of a leader stand still, and are not only suspected to.
-    pub fn is_stalled(&self, now: Millis, leader: u32) -> bool {
-        let known = self.silences.get(&leader);
-        known.is_some_and(|known| known.until > now && known.first.is_some())
-    }
-
-    /// Whether a leader counts as silent.
+    /// Whether streams of a leader stand still.
     pub fn has(&self, now: Millis, leader: u32) -> bool {
         let known = self.silences.get(&leader);
         known.is_some_and(|known| known.until > now)
--- a/crates/routing/tests/book.rs
+++ b/crates/routing/tests/book.rs
@@ -2,7 +2,7 @@
 
 use bergamot_news::PeerPlace;
 use bergamot_ports::EngineSpeed;
-use bergamot_routing::{RouteUpstream, UpstreamAsk, UpstreamBook, UpstreamChoice};
+use bergamot_routing::{RouteUpstream, SilenceVerdict, UpstreamAsk, UpstreamBook, UpstreamChoice};
 use bergamot_types::prelude::*;
 
 const NOW: Millis = Millis(10_000);
@@ -219,3 +219,82 @@
         assert_eq!(chosen, case.chosen, "{}", case.name);
     }
 }
+
+struct NewsCase {
+    name: &'static str,
+    /// What another VM finds the silence of leader `a` to mean.
+    verdict: SilenceVerdict,
+    /// Whether a stream from there has begun.
+    has_begun: bool,
+    /// Whether the coordinator hears of it at once, and again within a moment.
+    for_coordinator: (bool, bool),
+    /// Where this VM sends its next request.
+    chosen: &'static str,
+}
+
+/// A leader that is only suspected goes on in three cases of five; callers of all VMs would crowd the others meanwhile.
+#[test]
+fn a_leader_is_left_alone_by_all_vms_once_its_streams_stand_still() {
+    let cases = [
+        NewsCase {
+            name: "its pause is longer than usual",
+            verdict: SilenceVerdict::Suspected,
+            has_begun: true,
+            for_coordinator: (true, false),
+            chosen: "a",
+        },
+        NewsCase {
+            name: "its streams stand still by all appearances",
+            verdict: SilenceVerdict::Stalled,
+            has_begun: true,
+            for_coordinator: (true, false),
+            chosen: "b",
+        },
+        NewsCase {
+            name: "they go on elsewhere",
+            verdict: SilenceVerdict::Still,
+            has_begun: true,
+            for_coordinator: (true, false),
+            chosen: "b",
+        },
+        NewsCase {
+            name: "only a first event is due",
+            verdict: SilenceVerdict::Still,
+            has_begun: false,
+            for_coordinator: (false, false),
+            chosen: "a",
+        },
+    ];
+    for case in cases {
+        let (mut other, mut own) = (book(), book());
+        let pool = [leader("a", "east"), leader("b", "east")];
+        let life = &pool[0].life;
+        other.note_sent(life, None, 100, NOW);
+        if case.has_begun {
+            other.note_begun(life, 100);
+        }
+        // So that the other one is taken only if this one is left alone.
+        own.note_sent(&pool[1].life, None, 100, NOW);
+        let news = other.note_silence(life, case.verdict, 7, NOW);
+        let again = other.note_silence(life, case.verdict, 7, NOW + Millis(40));
+        let for_coordinator = (news.is_for_coordinator, again.is_for_coordinator);
+        assert_eq!(for_coordinator, case.for_coordinator, "{}", case.name);
+        if let Some(told) = news.for_vms {
+            own.note_told(told, NOW);
+        }
+        let ask = UpstreamAsk {
+            home: &FailureDomain::new("east"),
+            tried: &[],
+            idle: &[],
+            must_go_on: false,
+            prompt: 100,
+            objective: Millis(300),
+            draw: 3,
+            apart: None,
+        };
+        let UpstreamChoice::Chosen(chosen) = own.choose(&pool, &ask, NOW + Millis(40)) else {
+            panic!("{}: none is chosen", case.name);
+        };
+        assert_eq!(chosen.life, self::life(case.chosen), "{}", case.name);
+    }
+}
--- a/crates/routing/tests/pace.rs
+++ b/crates/routing/tests/pace.rs
@@ -197,23 +197,17 @@
 
 #[test]
 fn one_witness_counts_for_a_second_and_two_for_longer() {
-    let told = |witness, is_stalled| ToldSilence {
-        leader: 7,
-        witness,
-        is_stalled,
-    };
+    let told = |witness| ToldSilence { leader: 7, witness };
     let mut silences = ToldSilences::default();
-    // Suspicion alone, told again a moment later.
-    assert!(silences.note(Millis(0), told(1, false)));
-    assert!(!silences.note(Millis(50), told(2, false)));
-    assert!(silences.has(Millis(299), 7) && !silences.is_stalled(Millis(299), 7));
-    assert!(!silences.has(Millis(400), 7));
-    // One VM's streams stand still, then another one's.
-    assert!(silences.note(Millis(1_000), told(1, true)));
-    assert!(!silences.note(Millis(1_020), told(1, true)));
-    assert!(silences.is_stalled(Millis(1_900), 7) && !silences.has(Millis(2_050), 7));
-    assert!(silences.note(Millis(3_000), told(1, true)));
-    assert!(silences.note(Millis(3_010), told(2, true)));
+    // One VM's streams stand still, told again a moment later.
+    assert!(silences.note(Millis(1_000), told(1)));
+    assert!(!silences.note(Millis(1_020), told(1)));
+    assert!(silences.note(Millis(1_110), told(1)));
+    assert!(silences.has(Millis(2_100), 7) && !silences.has(Millis(2_150), 7));
+    // Then another one's.
+    assert!(silences.note(Millis(3_000), told(1)));
+    assert!(silences.note(Millis(3_010), told(2)));
+    assert!(!silences.note(Millis(3_020), told(3)));
     assert!(silences.has(Millis(8_000), 7));
     // Something came from it.
     silences.forget(7);
