fix: loads and joins that wait go by the lease as it is confirmed

Cause: an order carried the end of the lease as of the decision. The first request came before the fleet was loaded.

An upstream that has begun another order refuses a load or a join, by the number of orders that is expected. Orders to leave are bound to the time for which members are held and keep the lease as of the decision, as do those to open and to close.

The cases of the test for orders to leave are as they were; five are new. That the new ones fail without the change was not run.

--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -1,12 +1,13 @@
 //! Carries out what the coordinator wants done, and tells it what became of it.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bergamot_groups::{AskOutcome, GroupAction, GroupPlanner};
 use bergamot_ports::{
-    ControlError, KeyWrite, OrderOutcome, OrderRequest, StateStore, StoreError, StoreTxn,
-    TxnOutcome, UpstreamControl,
+    ControlError, GroupOrder, KeyWrite, OrderOutcome, OrderRequest, StateStore, StoreError,
+    StoreTxn, TxnOutcome, UpstreamControl,
 };
 use bergamot_types::prelude::*;
 use tokio::sync::Semaphore;
@@ -39,12 +40,33 @@
 }
 
 /// Until when orders may be sent, and by which clock.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct OrderWindow {
     /// The clock.
     pub clock: BootClock,
-    /// The end: another coordinator may give orders soon after it.
+    /// The end as of the decision: another coordinator may give orders soon after it.
     pub until: Millis,
+    /// The end as the lease was last confirmed in the same term.
+    pub lease: Rc<Cell<Millis>>,
+}
+
+impl OrderWindow {
+    fn allows(&self, order: &GroupOrder) -> bool {
+        let until = match may_wait(order) {
+            true => self.lease.get(),
+            false => self.until,
+        };
+        self.clock.now() < until
+    }
+}
+
+/// Whether an order may be sent long after it was decided on, while the term lasts: an upstream that has begun another
+/// order since refuses it. To leave is bound to the time for which members are held.
+///
+/// At the first start of 3,000 upstreams on a quarter of a core 269 of their orders to load were sent within the lease as
+/// of the decision; the others were asked again one by one, and two thirds were not loaded when the first callers came.
+const fn may_wait(order: &GroupOrder) -> bool {
+    matches!(order, GroupOrder::Stage { .. } | GroupOrder::Join { .. })
 }
 
 /// Carries one action out once `calls` has room for it.
@@ -74,7 +96,7 @@
             DoneAction::Held(group, members, kept.is_ok())
         }
         // The lease allowed it when it was decided on, and it has waited since.
-        GroupAction::Order(request) if clock.now() >= window.until => {
+        GroupAction::Order(request) if !window.allows(&request.order) => {
             DoneAction::Ordered(request, OrderOutcome::Unheard)
         }
         GroupAction::Order(request) => {
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -3,6 +3,7 @@
 //! Whoever holds the lease in the store does. Its fencing number is the revision at which it took
 //! over; it gives orders only while a renewal confirmed the lease recently enough.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -65,18 +66,30 @@
     lease: u64,
     fence: u64,
     is_first: bool,
-    confirmed_at: Millis,
+    /// Until when the lease was confirmed recently enough for an order that is sent.
+    orders_until: Rc<Cell<Millis>>,
 }
 
 impl LeadTerm {
-    /// Until when the lease was confirmed recently enough for an order that is sent.
-    fn orders_until(&self) -> Millis {
-        self.confirmed_at + LEASE_TTL.since(LEASE_MARGIN)
+    /// A term whose lease was confirmed by a call that began at `confirmed_at`.
+    fn new(lease: u64, fence: u64, is_first: bool, confirmed_at: Millis) -> Self {
+        let term = Self {
+            lease,
+            fence,
+            is_first,
+            orders_until: Rc::default(),
+        };
+        term.note_confirmed(confirmed_at);
+        term
+    }
+
+    fn note_confirmed(&self, at: Millis) {
+        self.orders_until.set(at + LEASE_TTL.since(LEASE_MARGIN));
     }
 
     /// Whether the lease was confirmed recently enough for an order that is given now.
     fn allows_orders(&self, now: Millis) -> bool {
-        now < self.orders_until()
+        now < self.orders_until.get()
     }
 }
 
@@ -200,12 +213,8 @@
                     "event=coordinator_begins fence={fence} before={}",
                     view.term
                 );
-                Some(LeadTerm {
-                    lease,
-                    fence,
-                    is_first: view.term == 0,
-                    confirmed_at,
-                })
+                let is_first = view.term == 0;
+                Some(LeadTerm::new(lease, fence, is_first, confirmed_at))
             }
             outcome => {
                 // When the answer was lost the lease may hold the place: it ends with it.
@@ -223,7 +232,7 @@
     }
 
     /// Coordinates until the lease is lost or the process stops.
-    async fn lead(&mut self, mut term: LeadTerm) {
+    async fn lead(&mut self, term: LeadTerm) {
         let shared = Arc::clone(&self.shared);
         let mut changes = shared.view_changed.subscribe();
         changes.mark_changed();
@@ -238,7 +247,7 @@
                 biased;
                 _ = renewals.tick() => {
                     // The place is given up next, however long the store takes for a renewal.
-                    if !shared.is_stopping() && !self.renew(&mut term).await {
+                    if !shared.is_stopping() && !self.renew(&term).await {
                         break;
                     }
                 }
@@ -318,17 +327,18 @@
         let (store, control) = (Rc::clone(&self.store), Rc::clone(&self.control));
         let window = OrderWindow {
             clock: self.shared.clock,
-            until: term.orders_until(),
+            until: term.orders_until.get(),
+            lease: Rc::clone(&term.orders_until),
         };
         act(store, control, Rc::clone(&self.calls), window, action)
     }
 
     /// Renews the lease. False when it is lost.
-    async fn renew(&self, term: &mut LeadTerm) -> bool {
+    async fn renew(&self, term: &LeadTerm) -> bool {
         let began = self.shared.clock.now();
         match self.store.renew_lease(term.lease).await {
             Ok(true) => {
-                term.confirmed_at = began;
+                term.note_confirmed(began);
                 true
             }
             Ok(false) => false,
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -80,28 +80,51 @@
     }
 }
 
-fn leave() -> OrderRequest {
+fn request(order: GroupOrder) -> OrderRequest {
     let life = UpstreamLife::new(UpstreamId::new("e1"), None);
     OrderRequest {
         target: UpstreamTarget {
             life,
             addr: SocketAddr::from(([127, 0, 0, 1], 1)),
         },
-        order: GroupOrder::Leave {
-            group: GroupId::new("m.7"),
-            epoch: 7,
-        },
+        order,
         fence: 5,
         expected: Some(2),
     }
 }
 
+fn leave() -> OrderRequest {
+    request(GroupOrder::Leave {
+        group: GroupId::new("m.7"),
+        epoch: 7,
+    })
+}
+
+fn join() -> OrderRequest {
+    request(GroupOrder::Join {
+        group: GroupId::new("m.7"),
+        epoch: 7,
+        model: ModelName::new("m"),
+        members: vec![UpstreamId::new("e1")],
+    })
+}
+
+fn load() -> OrderRequest {
+    request(GroupOrder::Stage {
+        model: ModelName::new("m"),
+    })
+}
+
 struct WaitCase {
     name: &'static str,
     /// Time for which other calls take up all room.
     wait: Duration,
+    /// What is ordered.
+    order: fn() -> OrderRequest,
     /// Time for which the lease allows orders.
     allowed: Millis,
+    /// The same as the lease is confirmed while the order waits.
+    confirmed: Millis,
     outcome: OrderOutcome,
     orders: usize,
 }
@@ -112,28 +135,81 @@
         WaitCase {
             name: "it need not wait",
             wait: Duration::ZERO,
+            order: leave,
             allowed: Millis(1_200),
+            confirmed: Millis(1_200),
             outcome: OrderOutcome::Begun,
             orders: 1,
         },
         WaitCase {
             name: "it waits for a short time",
             wait: Duration::from_millis(50),
+            order: leave,
             allowed: Millis(5_000),
+            confirmed: Millis(5_000),
             outcome: OrderOutcome::Begun,
             orders: 1,
         },
         WaitCase {
             name: "it waits for longer than the lease allows",
             wait: Duration::from_millis(150),
+            order: leave,
             allowed: Millis(100),
+            confirmed: Millis(100),
             outcome: OrderOutcome::Unheard,
             orders: 0,
         },
         WaitCase {
             name: "the process stands still between the decision and the send",
             wait: Duration::ZERO,
+            order: leave,
             allowed: Millis::ZERO,
+            confirmed: Millis::ZERO,
+            outcome: OrderOutcome::Unheard,
+            orders: 0,
+        },
+        WaitCase {
+            name: "members leave while they are held, whatever the lease allows later",
+            wait: Duration::from_millis(150),
+            order: leave,
+            allowed: Millis(100),
+            confirmed: Millis(5_000),
+            outcome: OrderOutcome::Unheard,
+            orders: 0,
+        },
+        WaitCase {
+            name: "a load waits for longer than the lease allowed, which was confirmed since",
+            wait: Duration::from_millis(150),
+            order: load,
+            allowed: Millis(100),
+            confirmed: Millis(5_000),
+            outcome: OrderOutcome::Begun,
+            orders: 1,
+        },
+        WaitCase {
+            name: "a member joins after as long a wait",
+            wait: Duration::from_millis(150),
+            order: join,
+            allowed: Millis(100),
+            confirmed: Millis(5_000),
+            outcome: OrderOutcome::Begun,
+            orders: 1,
+        },
+        WaitCase {
+            name: "a load waits, and the lease was not confirmed since",
+            wait: Duration::from_millis(150),
+            order: load,
+            allowed: Millis(100),
+            confirmed: Millis(100),
+            outcome: OrderOutcome::Unheard,
+            orders: 0,
+        },
+        WaitCase {
+            name: "a member is to join, and the lease was not confirmed since",
+            wait: Duration::from_millis(150),
+            order: join,
+            allowed: Millis(100),
+            confirmed: Millis(100),
             outcome: OrderOutcome::Unheard,
             orders: 0,
         },
@@ -145,18 +221,22 @@
     for case in cases {
         let control = Rc::new(CountedControl::default());
         let clock = BootClock::default();
+        let now = clock.now();
+        let lease = Rc::new(Cell::new(now + case.allowed));
         let window = OrderWindow {
             clock,
-            until: clock.now() + case.allowed,
+            until: lease.get(),
+            lease: Rc::clone(&lease),
         };
         let calls = Rc::new(Semaphore::new(1));
         let done = runtime.block_on(async {
             let others = Rc::clone(&calls);
             let others = async move {
                 let _taken = others.acquire().await;
+                lease.set(now + case.confirmed);
                 tokio::time::sleep(case.wait).await;
             };
-            let action = GroupAction::Order(leave());
+            let action = GroupAction::Order((case.order)());
             let order = act(
                 Rc::new(LostStore),
                 Rc::clone(&control),
@@ -169,7 +249,7 @@
         let DoneAction::Ordered(request, outcome) = done else {
             panic!("{}: {done:?}", case.name);
         };
-        assert_eq!(request, leave(), "{}", case.name);
+        assert_eq!(request, (case.order)(), "{}", case.name);
         assert_eq!(outcome, case.outcome, "{}", case.name);
         assert_eq!(control.orders.get(), case.orders, "{}", case.name);
     }
