--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -51,6 +51,7 @@
 }
 
 impl OrderWindow {
+    /// Whether an order may be sent now.
     fn allows(&self, order: &GroupOrder) -> bool {
         let until = match may_wait(order) {
             true => self.lease.get(),
@@ -95,7 +96,7 @@
             }
             DoneAction::Held(group, members, kept.is_ok())
         }
-        // The lease allowed it when it was decided on, and it has waited since.
+        // It was allowed when it was decided on, and it has waited since.
         GroupAction::Order(request) if !window.allows(&request.order) => {
             DoneAction::Ordered(request, OrderOutcome::Unheard)
         }
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -3,7 +3,6 @@
 //! Whoever holds the lease in the store does. Its fencing number is the revision at which it took
 //! over; it gives orders only while a renewal confirmed the lease recently enough.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -22,17 +21,13 @@
 use tokio::time::Instant;
 
 use crate::group_actions::{DoneAction, MAX_CALLS, OrderWindow, act, note_done};
+use crate::lead_term::{LEASE_TTL, LeadTerm};
 use crate::own_keys::{COORDINATOR_KEY, EntryRecord, TERM_KEY};
 use crate::shared::SharedState;
 use crate::view::ClusterView;
 
-/// How long the coordinator's lease outlives its last renewal. The time without a coordinator
-/// after a loss; the store takes one second and more.
-const LEASE_TTL: Millis = Millis(1_500);
 /// Time between two renewals: two may fail.
 const RENEW_PERIOD: Duration = Duration::from_millis(400);
-/// Taken off the lease's time, for the way of an order to its upstream.
-const LEASE_MARGIN: Millis = Millis(300);
 /// Time between two looks while there is work, for what no change announces.
 const STEP_PERIOD: Duration = Duration::from_millis(100);
 /// The least time between two looks. On an eighth of a core a look at 296 upstreams takes up to 8 ms;
@@ -61,38 +56,6 @@
     socket: UdpSocket,
 }
 
-/// A term as coordinator.
-struct LeadTerm {
-    lease: u64,
-    fence: u64,
-    is_first: bool,
-    /// Until when the lease was confirmed recently enough for an order that is sent.
-    orders_until: Rc<Cell<Millis>>,
-}
-
-impl LeadTerm {
-    /// A term whose lease was confirmed by a call that began at `confirmed_at`.
-    fn new(lease: u64, fence: u64, is_first: bool, confirmed_at: Millis) -> Self {
-        let term = Self {
-            lease,
-            fence,
-            is_first,
-            orders_until: Rc::default(),
-        };
-        term.note_confirmed(confirmed_at);
-        term
-    }
-
-    fn note_confirmed(&self, at: Millis) {
-        self.orders_until.set(at + LEASE_TTL.since(LEASE_MARGIN));
-    }
-
-    /// Whether the lease was confirmed recently enough for an order that is given now.
-    fn allows_orders(&self, now: Millis) -> bool {
-        now < self.orders_until.get()
-    }
-}
-
 impl<Store, Control> GroupsDuty<Store, Control>
 where
     Store: StateStore,
@@ -327,8 +290,8 @@
         let (store, control) = (Rc::clone(&self.store), Rc::clone(&self.control));
         let window = OrderWindow {
             clock: self.shared.clock,
-            until: term.orders_until.get(),
-            lease: Rc::clone(&term.orders_until),
+            until: term.orders_until(),
+            lease: term.confirmed_window(),
         };
         act(store, control, Rc::clone(&self.calls), window, action)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod group_actions;
 pub mod groups;
 mod known;
+mod lead_term;
 pub mod listen;
 pub mod logs;
 pub mod metrics;
