fix: only loads wait, only until requests come in, and nothing waits behind them

As they wait for their call as long as the term lasts, hundreds could have been sent after it, over the rate. Questions and other orders stood behind them in one queue, for 13 s at 3,000 upstreams, *worked out*. A member could have been told to join a group that had been given up meanwhile.

Now a load waits for as long as no request has come; other orders go by the lease as of the decision, as they did before. Loads take 48 of the 64 places for calls at most.

--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -2,6 +2,8 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bergamot_groups::{AskOutcome, GroupAction, GroupPlanner};
@@ -10,7 +12,7 @@
     StoreTxn, TxnOutcome, UpstreamControl,
 };
 use bergamot_types::prelude::*;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use crate::clock::BootClock;
 use crate::own_keys::{HOLD_PREFIX, hold_to_bytes};
@@ -22,7 +24,50 @@
 
 /// Orders and questions on their way at once, at most. Three thousand at once, as at the first start of
 /// that many upstreams, would all run out of time for want of processor here.
-pub(crate) const MAX_CALLS: usize = 64;
+const MAX_CALLS: usize = 64;
+/// Orders to load among them, at most. As many loads wait then, and nothing else is to wait behind them: groups open, and
+/// upstreams that are gone are found out, meanwhile.
+const MAX_LOADS: usize = 48;
+
+/// Bounds the calls to upstreams that are on their way.
+#[derive(Debug)]
+pub struct CallLimits {
+    calls: Semaphore,
+    loads: Semaphore,
+}
+
+impl Default for CallLimits {
+    fn default() -> Self {
+        Self::new(MAX_CALLS, MAX_LOADS)
+    }
+}
+
+impl CallLimits {
+    /// Limits of so many calls, and so many orders to load among them.
+    pub fn new(calls: usize, loads: usize) -> Self {
+        Self {
+            calls: Semaphore::new(calls),
+            loads: Semaphore::new(loads),
+        }
+    }
+
+    /// Waits until one more call may be on its way, for as long as what is returned is kept.
+    ///
+    /// The limits are never closed, so this only waits.
+    pub async fn enter(&self, action: &GroupAction) -> [Option<SemaphorePermit<'_>>; 2] {
+        let is_load = match action {
+            // A call to the store waits for nobody.
+            GroupAction::Hold { .. } => return [None, None],
+            GroupAction::Order(request) => is_load(&request.order),
+            GroupAction::Ask(_) => false,
+        };
+        let load = match is_load {
+            true => self.loads.acquire().await.ok(),
+            false => None,
+        };
+        [load, self.calls.acquire().await.ok()]
+    }
+}
 
 /// How late a timer may fire in a process that is not short of processor: several times the few
 /// milliseconds that were seen.
@@ -48,33 +93,34 @@
     pub until: Millis,
     /// The end as the lease was last confirmed in the same term.
     pub lease: Rc<Cell<Millis>>,
+    /// Whether requests come in.
+    pub has_traffic: Arc<AtomicBool>,
 }
 
 impl OrderWindow {
     /// Whether an order may be sent now.
     fn allows(&self, order: &GroupOrder) -> bool {
-        let until = match may_wait(order) {
-            true => self.lease.get(),
-            false => self.until,
-        };
-        self.clock.now() < until
+        let now = self.clock.now();
+        now < self.until || self.may_wait(order) && now < self.lease.get()
+    }
+
+    /// Whether an order may be sent long after it was decided on, while the term lasts. Loads may before the first request:
+    /// an upstream that has begun another order since refuses them, and no rate bounds them yet. Decided on anew in the
+    /// lease's time, most of 3,000 upstreams were not loaded when the first callers came.
+    fn may_wait(&self, order: &GroupOrder) -> bool {
+        is_load(order) && !self.has_traffic.load(Ordering::Relaxed)
     }
 }
 
-/// Whether an order may be sent long after it was decided on, while the term lasts: an upstream that has begun another
-/// order since refuses it. To leave is bound to the time for which members are held.
-///
-/// At the first start of 3,000 upstreams on a quarter of a core 269 of their orders to load were sent within the lease as
-/// of the decision; the others were asked again one by one, and two thirds were not loaded when the first callers came.
-const fn may_wait(order: &GroupOrder) -> bool {
-    matches!(order, GroupOrder::Stage { .. } | GroupOrder::Join { .. })
+const fn is_load(order: &GroupOrder) -> bool {
+    matches!(order, GroupOrder::Stage { .. })
 }
 
 /// Carries one action out once `calls` has room for it.
 pub async fn act<Store, Control>(
     store: Rc<Store>,
     control: Rc<Control>,
-    calls: Rc<Semaphore>,
+    calls: Rc<CallLimits>,
     window: OrderWindow,
     action: GroupAction,
 ) -> DoneAction
@@ -83,11 +129,7 @@
     Control: UpstreamControl,
 {
     let clock = window.clock;
-    // Never closed, so this only waits. A hold is a call to the store and waits for nobody.
-    let _permit = match &action {
-        GroupAction::Hold { .. } => None,
-        GroupAction::Order(_) | GroupAction::Ask(_) => calls.acquire().await.ok(),
-    };
+    let _permits = calls.enter(&action).await;
     match action {
         GroupAction::Hold { group, members } => {
             let kept = keep_hold(store.as_ref(), &group, &members).await;
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -17,10 +17,10 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use rand::Rng;
 use tokio::net::UdpSocket;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::group_actions::{DoneAction, MAX_CALLS, OrderWindow, act, note_done};
+use crate::group_actions::{CallLimits, DoneAction, OrderWindow, act, note_done};
 use crate::lead_term::{LEASE_TTL, LeadTerm};
 use crate::own_keys::{COORDINATOR_KEY, EntryRecord, TERM_KEY};
 use crate::shared::SharedState;
@@ -47,7 +47,7 @@
     store: Rc<Store>,
     control: Rc<Control>,
     /// Bounds the calls to upstreams that are on their way.
-    calls: Rc<Semaphore>,
+    calls: Rc<CallLimits>,
     /// Leaders from which nothing comes, as this VM sees it.
     quiet: mpsc::Receiver<QuietNotice>,
     /// The same as other VMs see it.
@@ -74,7 +74,7 @@
             shared,
             store,
             control,
-            calls: Rc::new(Semaphore::new(MAX_CALLS)),
+            calls: Rc::default(),
             quiet,
             doubts,
             socket,
@@ -90,13 +90,13 @@
             let has_groups = engine_service(&view).is_some();
             if is_vacant && has_groups && !self.shared.is_stopping() {
                 let wait = takeover_wait(&view, &self.shared.site);
-                let is_over = async {
+                let given_up = async {
                     let is_taken = |count: &u64| *count > 0 && self.shared.has_coordinator();
-                    let is_over = |count: &u64| is_taken(count) || self.shared.is_stopping();
-                    let _ = changes.wait_for(is_over).await;
+                    let must_not = |count: &u64| is_taken(count) || self.shared.is_stopping();
+                    let _ = changes.wait_for(must_not).await;
                 };
-                let is_over = tokio::time::timeout(wait.as_duration(), is_over).await;
-                if is_over.is_ok() {
+                let waited = tokio::time::timeout(wait.as_duration(), given_up).await;
+                if waited.is_ok() {
                     continue;
                 }
                 if let Some(term) = self.take_over(&view).await {
@@ -292,6 +292,7 @@
             clock: self.shared.clock,
             until: term.orders_until(),
             lease: term.confirmed_window(),
+            has_traffic: Arc::clone(&self.shared.has_traffic),
         };
         act(store, control, Rc::clone(&self.calls), window, action)
     }
