fix: an upstream does not count as slow for good once a caller has left while it was connected to

Dropped in between, as its caller left, the upstream counted as slow until another connection came about, and no new request went there while there were others. Red without the mend: the case "its caller has left meanwhile" of the new test.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -15,7 +15,7 @@
 
 use super::FrontContext;
 use super::admit::AdmittedCaller;
-use super::flight::FlightGuard;
+use super::flight::{ConnectGuard, FlightGuard};
 use super::pool::{ConnectError, UpstreamConnection};
 
 /// What stays the same over all attempts of a request.
@@ -150,11 +150,9 @@
         request.call.prompt_tokens(),
         sent_at,
     );
-    front
-        .book
-        .borrow_mut()
-        .note_connecting(&upstream.life, sent_at);
+    let connecting = ConnectGuard::enter(&front.book, &upstream.life, sent_at);
     let connection = front.pool.connect(&upstream.life, upstream.addr).await;
+    drop(connecting);
     let connected = front.now().since(sent_at);
     match &connection {
         Ok(_) => front.book.borrow_mut().note_connected(&upstream.life),
--- a/crates/gateway/src/front/breaks.rs
+++ b/crates/gateway/src/front/breaks.rs
@@ -47,7 +47,11 @@
     let run = BrokenRun { print, events };
     let must_probe = handle(front, QuarantineEvent::Broken { life, run, cause });
     if is_on_edge {
-        probe(front, upstream).await;
+        let (front_of_probe, upstream) = (Rc::clone(front), upstream.clone());
+        // On a task of its own, as it is to be found out also where the caller leaves meanwhile.
+        let probing =
+            tokio::task::spawn_local(async move { probe(&front_of_probe, &upstream).await });
+        let _ = probing.await;
         let standing = front.shared.quarantine.lock().standing(print);
         if standing != RequestStanding::Good {
             tokio::time::sleep(NEWS_TIME).await;
--- a/crates/gateway/src/front/exchange.rs
+++ b/crates/gateway/src/front/exchange.rs
@@ -164,6 +164,9 @@
     notice: &SilentNotice,
 ) -> Vec<AddressedNotice> {
     let silence = notice.silence;
+    if !silence.is_stalled {
+        return Vec::new();
+    }
     let mut book = front.book.borrow_mut();
     let told = ToldSilence {
         leader: silence.leader,
--- a/crates/gateway/src/front/flight.rs
+++ b/crates/gateway/src/front/flight.rs
@@ -6,6 +6,27 @@
 use bergamot_routing::UpstreamBook;
 use bergamot_types::prelude::*;
 
+/// Counts a connection to an upstream that is being set up until dropped.
+#[derive(Debug)]
+pub struct ConnectGuard<'a> {
+    book: &'a RefCell<UpstreamBook>,
+    life: &'a UpstreamLife,
+}
+
+impl<'a> ConnectGuard<'a> {
+    /// Counts one that is about to be set up.
+    pub fn enter(book: &'a RefCell<UpstreamBook>, life: &'a UpstreamLife, now: Millis) -> Self {
+        book.borrow_mut().note_connecting(life, now);
+        Self { book, life }
+    }
+}
+
+impl Drop for ConnectGuard<'_> {
+    fn drop(&mut self) {
+        self.book.borrow_mut().note_connect_ended(self.life);
+    }
+}
+
 /// Counts a request at an upstream until dropped.
 #[derive(Debug)]
 pub struct FlightGuard {
--- a/crates/gateway/src/front/quiet.rs
+++ b/crates/gateway/src/front/quiet.rs
@@ -53,6 +53,7 @@
     let silence = LeaderStill {
         leader: told.leader,
         witness: told.witness,
+        is_stalled: true,
     };
     if let Err(error) = front.still_news.try_send(silence) {
         log::debug!(
--- a/crates/gateway/src/front/state.rs
+++ b/crates/gateway/src/front/state.rs
@@ -23,7 +23,7 @@
     pub arrivals: usize,
     /// Of these, where it may have run.
     pub run_at: Vec<UpstreamLife>,
-    /// When the repeat was taken from the budget as which it is being sent; none for the first send.
+    /// When the repeat that is being sent was taken from the budget; none for the first send.
     pub repeat_taken: Option<Millis>,
     /// Follows it to the end of its answer.
     pub trace: Rc<RequestTrace>,
--- a/crates/peer/src/notice.rs
+++ b/crates/peer/src/notice.rs
@@ -36,6 +36,9 @@
     pub leader: u32,
     /// The short name of the VM that saw it.
     pub witness: u32,
+    /// Whether its streams stand still by all appearances. Where it is only suspected to, others are not to know: a notice
+    /// of that is left out.
+    pub is_stalled: bool,
 }
 
 /// What one VM saw of requests under which upstreams ended, on its way to all others.
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -103,7 +103,7 @@
 
     /// What it means that nothing has come from a leader, for a request for this model that was sent there.
     ///
-    /// Where it may stand still all entry VMs know within some 150 ms, not only those with a stream there: of 13,000
+    /// Where its streams stand still all entry VMs know within some 150 ms, not only those with a stream there: of 13,000
     /// streams on a day on which two upstreams go dark every 3 s, 252 had their first event only after 1.3 s there and
     /// another send (87 VMs; counted from the logs of a day).
     pub fn judge_silence(
@@ -138,7 +138,12 @@
 
     /// Notes that a connection is being set up.
     pub fn note_connecting(&mut self, life: &UpstreamLife, now: Millis) {
-        self.load_mut(life).connecting_since.get_or_insert(now);
+        self.load_mut(life).note_connecting(now);
+    }
+
+    /// Notes that a connection is no longer being set up, whatever became of it.
+    pub fn note_connect_ended(&mut self, life: &UpstreamLife) {
+        self.load_mut(life).note_connect_ended();
     }
 
     /// Notes that a connection was set up.
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -12,8 +12,8 @@
 /// Time for which an upstream is avoided at which requests stand still: the groups' coordinator
 /// ends the group by then, or it turns out to be sound.
 const QUIET_AVOIDANCE: Millis = Millis(2_000);
-/// Time between two doubts in an upstream that the coordinator hears of: it asks the group once for each.
-const DOUBT_PERIOD: Millis = Millis(100);
+/// Time between two doubts in an upstream that the coordinator hears of: it asks a member no sooner again.
+const DOUBT_PERIOD: Millis = Millis(300);
 /// Time that a connection takes at a sound upstream, several times over.
 const SLOW_CONNECT: Millis = Millis(40);
 
@@ -60,7 +60,9 @@
     busy_since: Millis,
     /// Silences after which others are better used, by the model of the last request.
     patience: LeaderPatience,
-    /// Since when a connection has been on its way, if one is.
+    /// Connections that are on their way.
+    connecting: u32,
+    /// Since when one has been, if one is.
     pub(crate) connecting_since: Option<Millis>,
     /// When it was last doubted that it goes on.
     doubted_at: Option<Millis>,
@@ -137,6 +139,19 @@
         self.progress_at
     }
 
+    pub(crate) fn note_connecting(&mut self, now: Millis) {
+        self.connecting += 1;
+        self.connecting_since.get_or_insert(now);
+    }
+
+    /// Without this, one whose caller left while it was being set up would count as slow for good.
+    pub(crate) fn note_connect_ended(&mut self) {
+        self.connecting = self.connecting.saturating_sub(1);
+        if self.connecting == 0 {
+            self.connecting_since = None;
+        }
+    }
+
     pub(crate) fn note_unreached(&mut self, now: Millis) {
         self.unreached_at = Some(now);
     }
--- a/crates/routing/src/pace.rs
+++ b/crates/routing/src/pace.rs
@@ -229,7 +229,7 @@
     pub has_begun: bool,
     /// Whether requests may wait there behind others.
     pub has_queue: bool,
-    /// Whether another VM tells that its streams there stand still, and does not only suspect it.
+    /// Whether another VM tells that its streams there stand still.
     pub is_stalled: bool,
 }
 
@@ -238,9 +238,10 @@
 pub enum SilenceVerdict {
     /// Nothing: events come in passes.
     Sound,
-    /// It may stand still: new requests go elsewhere, and the other VMs are told.
+    /// It may stand still: new requests of this VM go elsewhere, and the coordinator is told.
     Suspected,
-    /// It stands still by all appearances: requests that wait there for their first event go on elsewhere.
+    /// It stands still by all appearances: requests that wait there for their first event go on elsewhere, and the other VMs
+    /// are told.
     Stalled,
     /// It stands still: requests go on elsewhere.
     Still,
--- a/crates/routing/tests/book.rs
+++ b/crates/routing/tests/book.rs
@@ -220,14 +220,83 @@
     }
 }
 
+/// A short request with nothing special about it.
+fn short_ask(home: &FailureDomain) -> UpstreamAsk<'_> {
+    UpstreamAsk {
+        home,
+        tried: &[],
+        idle: &[],
+        must_go_on: false,
+        prompt: 100,
+        objective: Millis(300),
+        draw: 3,
+        apart: None,
+    }
+}
+
+/// What becomes of a connection, and whether its upstream is left alone 0.1 s after it began.
+struct ConnectCase {
+    name: &'static str,
+    /// Connections that are being set up, and those that have ended.
+    begun: u32,
+    ended: u32,
+    is_avoided: bool,
+}
+
+#[test]
+fn an_upstream_is_left_alone_only_while_connections_to_it_are_slow() {
+    let cases = [
+        ConnectCase {
+            name: "none",
+            begun: 0,
+            ended: 0,
+            is_avoided: false,
+        },
+        ConnectCase {
+            name: "it is on its way",
+            begun: 1,
+            ended: 0,
+            is_avoided: true,
+        },
+        ConnectCase {
+            name: "its caller has left meanwhile",
+            begun: 1,
+            ended: 1,
+            is_avoided: false,
+        },
+        ConnectCase {
+            name: "one of two callers has",
+            begun: 2,
+            ended: 1,
+            is_avoided: true,
+        },
+    ];
+    for case in cases {
+        let mut book = book();
+        let pool = [leader("a", "east"), leader("b", "east")];
+        // So that the other one is taken only if this one is left alone.
+        book.note_sent(&pool[1].life, None, 100, NOW);
+        for _ in 0..case.begun {
+            book.note_connecting(&pool[0].life, NOW);
+        }
+        for _ in 0..case.ended {
+            book.note_connect_ended(&pool[0].life);
+        }
+        let east = FailureDomain::new("east");
+        let choice = book.choose(&pool, &short_ask(&east), NOW + Millis(100));
+        let chosen = &pool[usize::from(case.is_avoided)];
+        assert_eq!(choice, UpstreamChoice::Chosen(chosen), "{}", case.name);
+    }
+}
+
 struct NewsCase {
     name: &'static str,
     /// What another VM finds the silence of leader `a` to mean.
     verdict: SilenceVerdict,
     /// Whether a stream from there has begun.
     has_begun: bool,
-    /// Whether the coordinator hears of it at once, and again within a moment.
-    for_coordinator: (bool, bool),
+    /// Whether the coordinator hears of it at once, again within a moment, and later.
+    for_coordinator: [bool; 3],
     /// Where this VM sends its next request.
     chosen: &'static str,
 }
@@ -240,28 +309,28 @@
             name: "its pause is longer than usual",
             verdict: SilenceVerdict::Suspected,
             has_begun: true,
-            for_coordinator: (true, false),
+            for_coordinator: [true, false, true],
             chosen: "a",
         },
         NewsCase {
             name: "its streams stand still by all appearances",
             verdict: SilenceVerdict::Stalled,
             has_begun: true,
-            for_coordinator: (true, false),
+            for_coordinator: [true, false, true],
             chosen: "b",
         },
         NewsCase {
             name: "they go on elsewhere",
             verdict: SilenceVerdict::Still,
             has_begun: true,
-            for_coordinator: (true, false),
+            for_coordinator: [true, false, true],
             chosen: "b",
         },
         NewsCase {
             name: "only a first event is due",
             verdict: SilenceVerdict::Still,
             has_begun: false,
-            for_coordinator: (false, false),
+            for_coordinator: [false; 3],
             chosen: "a",
         },
     ];
@@ -277,21 +346,14 @@
         own.note_sent(&pool[1].life, None, 100, NOW);
         let news = other.note_silence(life, case.verdict, 7, NOW);
         let again = other.note_silence(life, case.verdict, 7, NOW + Millis(40));
-        let for_coordinator = (news.is_for_coordinator, again.is_for_coordinator);
+        let later = other.note_silence(life, case.verdict, 7, NOW + Millis(400));
+        let for_coordinator = [news, again, later].map(|it| it.is_for_coordinator);
         assert_eq!(for_coordinator, case.for_coordinator, "{}", case.name);
         if let Some(told) = news.for_vms {
             own.note_told(told, NOW);
         }
-        let ask = UpstreamAsk {
-            home: &FailureDomain::new("east"),
-            tried: &[],
-            idle: &[],
-            must_go_on: false,
-            prompt: 100,
-            objective: Millis(300),
-            draw: 3,
-            apart: None,
-        };
+        let east = FailureDomain::new("east");
+        let ask = short_ask(&east);
         let UpstreamChoice::Chosen(chosen) = own.choose(&pool, &ask, NOW + Millis(40)) else {
             panic!("{}: none is chosen", case.name);
         };
