--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -1,18 +1,15 @@
 //! Carries out what the coordinator wants done, and tells it what became of it.
 
-use std::cell::Cell;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bergamot_groups::{AskOutcome, GroupAction, GroupPlanner};
 use bergamot_ports::{
-    ControlError, GroupOrder, KeyWrite, OrderOutcome, OrderRequest, StateStore, StoreError,
-    StoreTxn, TxnOutcome, UpstreamControl,
+    ControlError, KeyWrite, OrderOutcome, OrderRequest, StateStore, StoreError, StoreTxn,
+    TxnOutcome, UpstreamControl,
 };
 use bergamot_types::prelude::*;
-use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::sync::Semaphore;
 
 use crate::clock::BootClock;
 use crate::own_keys::{HOLD_PREFIX, hold_to_bytes};
@@ -24,50 +21,7 @@
 
 /// Orders and questions on their way at once, at most. Three thousand at once, as at the first start of
 /// that many upstreams, would all run out of time for want of processor here.
-const MAX_CALLS: usize = 64;
-/// Orders to load among them, at most. As many loads wait then, and nothing else is to wait behind them: groups open, and
-/// upstreams that are gone are found out, meanwhile.
-const MAX_LOADS: usize = 48;
-
-/// Bounds the calls to upstreams that are on their way.
-#[derive(Debug)]
-pub struct CallLimits {
-    calls: Semaphore,
-    loads: Semaphore,
-}
-
-impl Default for CallLimits {
-    fn default() -> Self {
-        Self::new(MAX_CALLS, MAX_LOADS)
-    }
-}
-
-impl CallLimits {
-    /// Limits of so many calls, and so many orders to load among them.
-    pub fn new(calls: usize, loads: usize) -> Self {
-        Self {
-            calls: Semaphore::new(calls),
-            loads: Semaphore::new(loads),
-        }
-    }
-
-    /// Waits until one more call may be on its way, for as long as what is returned is kept.
-    ///
-    /// The limits are never closed, so this only waits.
-    pub async fn enter(&self, action: &GroupAction) -> [Option<SemaphorePermit<'_>>; 2] {
-        let is_load = match action {
-            // A call to the store waits for nobody.
-            GroupAction::Hold { .. } => return [None, None],
-            GroupAction::Order(request) => is_load(&request.order),
-            GroupAction::Ask(_) => false,
-        };
-        let load = match is_load {
-            true => self.loads.acquire().await.ok(),
-            false => None,
-        };
-        [load, self.calls.acquire().await.ok()]
-    }
-}
+pub(crate) const MAX_CALLS: usize = 64;
 
 /// How late a timer may fire in a process that is not short of processor: several times the few
 /// milliseconds that were seen.
@@ -85,42 +39,19 @@
 }
 
 /// Until when orders may be sent, and by which clock.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct OrderWindow {
     /// The clock.
     pub clock: BootClock,
-    /// The end as of the decision: another coordinator may give orders soon after it.
+    /// The end: another coordinator may give orders soon after it.
     pub until: Millis,
-    /// The end as the lease was last confirmed in the same term.
-    pub lease: Rc<Cell<Millis>>,
-    /// Whether requests come in.
-    pub has_traffic: Arc<AtomicBool>,
-}
-
-impl OrderWindow {
-    /// Whether an order may be sent now.
-    fn allows(&self, order: &GroupOrder) -> bool {
-        let now = self.clock.now();
-        now < self.until || self.may_wait(order) && now < self.lease.get()
-    }
-
-    /// Whether an order may be sent long after it was decided on, while the term lasts. Loads may before the first request:
-    /// an upstream that has begun another order since refuses them, and no rate bounds them yet. Decided on anew in the
-    /// lease's time, most of 3,000 upstreams were not loaded when the first callers came.
-    fn may_wait(&self, order: &GroupOrder) -> bool {
-        is_load(order) && !self.has_traffic.load(Ordering::Relaxed)
-    }
-}
-
-const fn is_load(order: &GroupOrder) -> bool {
-    matches!(order, GroupOrder::Stage { .. })
 }
 
 /// Carries one action out once `calls` has room for it.
 pub async fn act<Store, Control>(
     store: Rc<Store>,
     control: Rc<Control>,
-    calls: Rc<CallLimits>,
+    calls: Rc<Semaphore>,
     window: OrderWindow,
     action: GroupAction,
 ) -> DoneAction
@@ -129,7 +60,11 @@
     Control: UpstreamControl,
 {
     let clock = window.clock;
-    let _permits = calls.enter(&action).await;
+    // Never closed, so this only waits. A hold is a call to the store and waits for nobody.
+    let _permit = match &action {
+        GroupAction::Hold { .. } => None,
+        GroupAction::Order(_) | GroupAction::Ask(_) => calls.acquire().await.ok(),
+    };
     match action {
         GroupAction::Hold { group, members } => {
             let kept = keep_hold(store.as_ref(), &group, &members).await;
@@ -138,8 +73,8 @@
             }
             DoneAction::Held(group, members, kept.is_ok())
         }
-        // It was allowed when it was decided on, and it has waited since.
-        GroupAction::Order(request) if !window.allows(&request.order) => {
+        // The lease allowed it when it was decided on, and it has waited since.
+        GroupAction::Order(request) if clock.now() >= window.until => {
             DoneAction::Ordered(request, OrderOutcome::Unheard)
         }
         GroupAction::Order(request) => {
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -17,10 +17,10 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use rand::Rng;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant;
 
-use crate::group_actions::{CallLimits, DoneAction, OrderWindow, act, note_done};
+use crate::group_actions::{DoneAction, MAX_CALLS, OrderWindow, act, note_done};
 use crate::lead_term::{LEASE_TTL, LeadTerm};
 use crate::own_keys::{COORDINATOR_KEY, EntryRecord, TERM_KEY};
 use crate::shared::SharedState;
@@ -47,7 +47,7 @@
     store: Rc<Store>,
     control: Rc<Control>,
     /// Bounds the calls to upstreams that are on their way.
-    calls: Rc<CallLimits>,
+    calls: Rc<Semaphore>,
     /// Leaders from which nothing comes, as this VM sees it.
     quiet: mpsc::Receiver<QuietNotice>,
     /// The same as other VMs see it.
@@ -74,7 +74,7 @@
             shared,
             store,
             control,
-            calls: Rc::default(),
+            calls: Rc::new(Semaphore::new(MAX_CALLS)),
             quiet,
             doubts,
             socket,
@@ -195,7 +195,7 @@
     }
 
     /// Coordinates until the lease is lost or the process stops.
-    async fn lead(&mut self, term: LeadTerm) {
+    async fn lead(&mut self, mut term: LeadTerm) {
         let shared = Arc::clone(&self.shared);
         let mut changes = shared.view_changed.subscribe();
         changes.mark_changed();
@@ -210,7 +210,7 @@
                 biased;
                 _ = renewals.tick() => {
                     // The place is given up next, however long the store takes for a renewal.
-                    if !shared.is_stopping() && !self.renew(&term).await {
+                    if !shared.is_stopping() && !self.renew(&mut term).await {
                         break;
                     }
                 }
@@ -291,14 +291,12 @@
         let window = OrderWindow {
             clock: self.shared.clock,
             until: term.orders_until(),
-            lease: term.confirmed_window(),
-            has_traffic: Arc::clone(&self.shared.has_traffic),
         };
         act(store, control, Rc::clone(&self.calls), window, action)
     }
 
     /// Renews the lease. False when it is lost.
-    async fn renew(&self, term: &LeadTerm) -> bool {
+    async fn renew(&self, term: &mut LeadTerm) -> bool {
         let began = self.shared.clock.now();
         match self.store.renew_lease(term.lease).await {
             Ok(true) => {
--- a/crates/gateway/src/lead_term.rs
+++ b/crates/gateway/src/lead_term.rs
@@ -1,8 +1,5 @@
 //! A term as coordinator, and until when it allows orders.
 
-use std::cell::Cell;
-use std::rc::Rc;
-
 use bergamot_types::prelude::*;
 
 /// How long the coordinator's lease outlives its last renewal. The time without a coordinator
@@ -19,36 +16,29 @@
     pub fence: u64,
     /// Whether nobody coordinated before.
     pub is_first: bool,
-    /// Until when the lease was confirmed recently enough for an order that is sent.
-    orders_until: Rc<Cell<Millis>>,
+    /// When the call began by which the lease was last confirmed.
+    confirmed_at: Millis,
 }
 
 impl LeadTerm {
     /// A term whose lease was confirmed by a call that began at `confirmed_at`.
     pub fn new(lease: u64, fence: u64, is_first: bool, confirmed_at: Millis) -> Self {
-        let term = Self {
+        Self {
             lease,
             fence,
             is_first,
-            orders_until: Rc::default(),
-        };
-        term.note_confirmed(confirmed_at);
-        term
+            confirmed_at,
+        }
     }
 
     /// Notes that the lease was confirmed by a call that began at `at`.
-    pub fn note_confirmed(&self, at: Millis) {
-        self.orders_until.set(at + LEASE_TTL.since(LEASE_MARGIN));
+    pub fn note_confirmed(&mut self, at: Millis) {
+        self.confirmed_at = at;
     }
 
-    /// Until when orders may be sent, as the lease was last confirmed.
+    /// Until when the lease was confirmed recently enough for an order that is sent.
     pub fn orders_until(&self) -> Millis {
-        self.orders_until.get()
-    }
-
-    /// The same, as it goes on to be confirmed.
-    pub fn confirmed_window(&self) -> Rc<Cell<Millis>> {
-        Rc::clone(&self.orders_until)
+        self.confirmed_at + LEASE_TTL.since(LEASE_MARGIN)
     }
 
     /// Whether the lease was confirmed recently enough for an order that is given now.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -48,7 +48,7 @@
     /// Whether the process is stopping.
     pub stopping: AtomicBool,
     /// Whether a caller's request has come in since the start.
-    pub has_traffic: Arc<AtomicBool>,
+    pub has_traffic: AtomicBool,
     /// When the signal to stop came, in milliseconds; 0: not yet.
     stop_began: AtomicU64,
     /// What callers ask of each model here.
@@ -89,7 +89,7 @@
             peer_away_at: AtomicU64::new(0),
             store_away: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
-            has_traffic: Arc::default(),
+            has_traffic: AtomicBool::new(false),
             stop_began: AtomicU64::new(0),
             demand: ArcSwap::default(),
             quiet,
