feat: limits that upstreams name are read and logged

The header is read into a type (thousandths of a request a second; anything but a plain decimal number is an error, is logged once and leaves the word before it), and upstream_limited, upstream_unlimited and limit_unreadable are logged when something changes. Nothing acts on it yet.

Which of two words holds is decided by when their requests were sent and their answers came, as answers overtake each other: a word ends an earlier one only if its request was sent after that one was heard, and the lower limit holds where the order is not known. Tests: quota/tests/limit.rs, types/tests/rate.rs, a case in platform/tests/decode.rs.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -16,6 +16,7 @@
 use super::FrontContext;
 use super::admit::AdmittedCaller;
 use super::flight::{ConnectGuard, FlightGuard};
+use super::limits::note_limit;
 use super::pool::{ConnectError, UpstreamConnection};
 
 /// What stays the same over all attempts of a request.
@@ -191,6 +192,10 @@
             "an answer to another request".to_owned(),
         ));
     }
+    // Another upstream may have answered that another one was meant.
+    if !facts.is_misdirected {
+        note_limit(front, &upstream.life, &facts, sent_at + connected);
+    }
     let error = match (facts.is_misdirected, facts.is_not_run) {
         (true, _) => AttemptError::Misdirected,
         (false, true) => AttemptError::Refused(head.status.as_u16()),
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -18,6 +18,7 @@
 //! | [`quiet`] | when an upstream counts as standing still |
 //! | [`refusal`] | answers of this system's own |
 //! | [`flight`] | counts of requests at upstreams |
+//! | [`limits`] | limits that upstreams name in their answers |
 //! | [`exchange`] | what all entry VMs have in flight, told between them |
 //! | [`budget`] | how many repeats may be sent |
 //! | [`pool`] | connections to upstreams |
@@ -34,6 +35,7 @@
 pub mod exchange;
 pub mod flight;
 pub mod head_timer;
+pub mod limits;
 pub mod open;
 pub mod plan;
 pub mod pool;
@@ -54,6 +56,7 @@
 use bergamot_peer::LeaderStill;
 use bergamot_ports::RouteKind;
 use bergamot_quarantine::QuarantineRecord;
+use bergamot_quota::LimitTable;
 use bergamot_routing::{ReturnTimes, ServingOutage, UpstreamBook};
 use bergamot_types::prelude::*;
 use tokio::sync::mpsc;
@@ -79,6 +82,8 @@
     pub returns: RefCell<ReturnTimes>,
     /// Repeats sent.
     pub budget: RefCell<RepeatBudget>,
+    /// Limits that upstreams name.
+    pub limits: RefCell<LimitTable>,
     /// The life cycle of the process.
     pub stop: Rc<StopControl>,
     /// What this VM saw of requests under which upstreams ended, for the other VMs.
@@ -108,6 +113,7 @@
             demand: RefCell::default(),
             returns: RefCell::default(),
             budget: RefCell::new(budget),
+            limits: RefCell::default(),
             stop: Rc::new(StopControl::new(Arc::clone(&shared))),
             crash_news,
             still_news,
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -214,6 +214,7 @@
         let is_listed = |life: &UpstreamLife| view.is_listed(life);
         front.pool.retain(is_listed);
         front.book.borrow_mut().retain(is_listed);
+        front.limits.borrow_mut().retain(is_listed);
         let uses = front.demand.borrow_mut().uses(front.now());
         front.shared.demand.store(Arc::new(uses));
     }
--- a/crates/ports/src/call.rs
+++ b/crates/ports/src/call.rs
@@ -63,6 +63,8 @@
     pub is_signed: bool,
     /// Seconds the upstream keeps an idle connection, if it says so.
     pub keep_alive: Option<u64>,
+    /// Requests a second that the upstream takes from all entry VMs together; none where it names no limit.
+    pub send_limit: Result<Option<SendRate>, RateError>,
 }
 
 /// An answer of this system's own.
--- /dev/null
+++ b/crates/quota/src/limit.rs
@@ -0,0 +1,108 @@
+//! What upstreams say of how much they take.
+
+use bergamot_types::prelude::*;
+use indexmap::IndexMap;
+
+/// An upstream's word on its limit, and when it held.
+///
+/// The upstream made its answer at some moment between the send and the arrival. Answers on different connections overtake
+/// each other, so only words whose spans do not overlap have a known order.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct LimitSight {
+    /// Requests that it takes from all entry VMs together; none where it names no limit.
+    pub rate: Option<SendRate>,
+    /// When the request was sent whose answer said so.
+    pub sent_at: Millis,
+    /// When that answer came.
+    pub heard_at: Millis,
+}
+
+impl LimitSight {
+    /// What holds after `next` was seen as well. Where their order is not known it is the lower limit, which the next answer
+    /// corrects.
+    fn followed_by(self, next: Self) -> Self {
+        if next.sent_at >= self.heard_at {
+            return next;
+        }
+        if next.heard_at <= self.sent_at {
+            return self;
+        }
+        match (self.rate, next.rate) {
+            (None, Some(_)) => next,
+            (Some(_), None) => self,
+            (Some(known), Some(named)) if named < known => next,
+            (Some(known), Some(named)) if named > known => self,
+            _ => Self {
+                rate: self.rate,
+                sent_at: self.sent_at.max(next.sent_at),
+                heard_at: self.heard_at.max(next.heard_at),
+            },
+        }
+    }
+}
+
+/// What a sight changed.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum LimitChange {
+    /// The upstream takes so many requests from now on.
+    Named(SendRate),
+    /// It names no limit any more.
+    Ended,
+}
+
+/// The limits that upstreams name, by their runs: a later run of an upstream has none until it names one.
+#[derive(Debug, Default)]
+pub struct LimitTable {
+    sights: IndexMap<UpstreamLife, LimitSight>,
+    /// Upstreams whose last word could not be read, and why.
+    unreadable: IndexMap<UpstreamLife, RateError>,
+}
+
+impl LimitTable {
+    /// The limit that holds for an upstream.
+    pub fn rate(&self, life: &UpstreamLife) -> Option<SendRate> {
+        self.sights.get(life).and_then(|sight| sight.rate)
+    }
+
+    /// Takes in what an upstream said. Costs nothing for the many that never named a limit.
+    pub fn note(&mut self, life: &UpstreamLife, sight: LimitSight) -> Option<LimitChange> {
+        let Some(known) = self.sights.get_mut(life) else {
+            let rate = sight.rate?;
+            self.sights.insert(life.clone(), sight);
+            return Some(LimitChange::Named(rate));
+        };
+        let before = known.rate;
+        *known = known.followed_by(sight);
+        match known.rate {
+            rate if rate == before => None,
+            Some(rate) => Some(LimitChange::Named(rate)),
+            None => Some(LimitChange::Ended),
+        }
+    }
+
+    /// Notes a word that could not be read: the one before it holds. Says whether that is to be logged, which it is once for
+    /// each run and reason.
+    pub fn note_unreadable(&mut self, life: &UpstreamLife, error: RateError) -> bool {
+        self.unreadable.insert(life.clone(), error) != Some(error)
+    }
+
+    /// Upstreams that name a limit now.
+    pub fn len(&self) -> usize {
+        let limited = self.sights.values().filter(|sight| sight.rate.is_some());
+        limited.count()
+    }
+
+    /// Whether no upstream names a limit.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Forgets the upstreams that are not to be kept.
+    pub fn retain<Keep>(&mut self, is_kept: Keep)
+    where
+        Keep: Fn(&UpstreamLife) -> bool,
+    {
+        self.sights.retain(|life, _| is_kept(life));
+        self.unreadable.retain(|life, _| is_kept(life));
+    }
+}
--- /dev/null
+++ b/crates/quota/tests/limit.rs
@@ -0,0 +1,119 @@
+//! Which of two words of an upstream holds.
+
+use bergamot_quota::{LimitChange, LimitSight, LimitTable};
+use bergamot_types::prelude::*;
+
+fn life(born: u64) -> UpstreamLife {
+    UpstreamLife::new(UpstreamId::new("u"), Some(UnixMillis(born)))
+}
+
+const fn sight(sent_at: u64, heard_at: u64, milli: Option<u32>) -> LimitSight {
+    LimitSight {
+        rate: match milli {
+            Some(milli) => Some(SendRate::from_milli(milli)),
+            None => None,
+        },
+        sent_at: Millis(sent_at),
+        heard_at: Millis(heard_at),
+    }
+}
+
+struct OrderCase {
+    name: &'static str,
+    sights: Vec<LimitSight>,
+    expected: Option<u32>,
+}
+
+#[test]
+fn the_younger_word_holds_and_the_lower_one_where_the_order_is_not_known() {
+    let cases = [
+        OrderCase {
+            name: "an answer to a request that was sent after the limit was heard ends it",
+            sights: vec![sight(0, 10, Some(2_000)), sight(10, 30, None)],
+            expected: None,
+        },
+        OrderCase {
+            name: "an answer that was overtaken does not end a limit",
+            sights: vec![sight(20, 30, Some(2_000)), sight(0, 40, None)],
+            expected: Some(2_000),
+        },
+        OrderCase {
+            name: "a limit that was heard before its end was sent for is old",
+            sights: vec![
+                sight(0, 5, Some(9_000)),
+                sight(50, 60, None),
+                sight(10, 40, Some(2_000)),
+            ],
+            expected: None,
+        },
+        OrderCase {
+            name: "raised",
+            sights: vec![sight(0, 10, Some(2_000)), sight(11, 30, Some(5_000))],
+            expected: Some(5_000),
+        },
+        OrderCase {
+            name: "raised by an answer that was overtaken",
+            sights: vec![sight(0, 10, Some(2_000)), sight(5, 30, Some(5_000))],
+            expected: Some(2_000),
+        },
+        OrderCase {
+            name: "lowered by an answer that was overtaken",
+            sights: vec![sight(0, 10, Some(5_000)), sight(5, 30, Some(2_000))],
+            expected: Some(2_000),
+        },
+        OrderCase {
+            name: "lowered to nothing",
+            sights: vec![sight(0, 10, Some(5_000)), sight(20, 30, Some(0))],
+            expected: Some(0),
+        },
+        OrderCase {
+            name: "named again meanwhile, so that an answer sent for before does not end it",
+            sights: vec![
+                sight(0, 10, Some(2_000)),
+                sight(5, 50, Some(2_000)),
+                sight(20, 60, None),
+            ],
+            expected: Some(2_000),
+        },
+    ];
+    for case in cases {
+        let mut table = LimitTable::default();
+        for sight in case.sights {
+            table.note(&life(1), sight);
+        }
+        let expected = case.expected.map(SendRate::from_milli);
+        assert_eq!(table.rate(&life(1)), expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_change_is_told_once() {
+    let mut table = LimitTable::default();
+    let named = LimitChange::Named(SendRate::from_milli(2_000));
+    assert_eq!(table.note(&life(1), sight(0, 10, None)), None);
+    assert_eq!(table.note(&life(1), sight(0, 10, Some(2_000))), Some(named));
+    assert_eq!(table.note(&life(1), sight(11, 20, Some(2_000))), None);
+    let ended = Some(LimitChange::Ended);
+    assert_eq!(table.note(&life(1), sight(21, 30, None)), ended);
+    assert_eq!(table.note(&life(1), sight(31, 40, None)), None);
+}
+
+#[test]
+fn a_limit_ends_with_the_run_that_named_it() {
+    let mut table = LimitTable::default();
+    table.note(&life(1), sight(0, 10, Some(2_000)));
+    assert_eq!(table.rate(&life(2)), None);
+    assert_eq!(table.len(), 1);
+    table.retain(|kept| *kept == life(2));
+    assert!(table.is_empty());
+}
+
+#[test]
+fn a_word_that_cannot_be_read_leaves_the_one_before_it_and_is_logged_once() {
+    let mut table = LimitTable::default();
+    table.note(&life(1), sight(0, 10, Some(2_000)));
+    assert!(table.note_unreadable(&life(1), RateError::Empty));
+    assert!(!table.note_unreadable(&life(1), RateError::Empty));
+    assert!(table.note_unreadable(&life(1), RateError::Repeated));
+    assert_eq!(table.rate(&life(1)), Some(SendRate::from_milli(2_000)));
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod life;
 pub mod mutate;
 pub mod prelude;
+pub mod rate;
 pub mod time;
 
 pub use hash::{hash_bytes, rendezvous_rank, rendezvous_score};
@@ -21,4 +22,5 @@
 pub use invariant::Invariant;
 pub use kind::{ErrorKind, RanState};
 pub use life::{UnixMillis, UpstreamLife};
+pub use rate::{RateError, SendRate};
 pub use time::Millis;
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -8,4 +8,5 @@
 pub use crate::invariant::Invariant;
 pub use crate::kind::{ErrorKind, RanState};
 pub use crate::life::{UnixMillis, UpstreamLife};
+pub use crate::rate::{RateError, SendRate};
 pub use crate::time::Millis;
