fix: each request to an upstream with a limit has a permit of the one VM that owns its quota

What callers saw: nothing yet; two upstreams that had named 2.4 and 2.3 requests a second got 23 and 21 in 4 s where 19 are allowed. Cause: the limit was not read, and had it been, each VM counts its own sends alone. Class: a bound on a sum over all VMs, kept where each sees only its own part.

The sum is now kept at one place. Each upstream with a limit has an owner among the entry VMs, by rendezvous over those of its own failure domain; a VM asks it for each request (one datagram each way, 50 ms at most) and sends nothing without an answer. A new owner waits for 2 s, until no VM goes by the list before it. Permits go to the more urgent first, then to the account that got fewer; who is turned away is told a time of its own, which is the caller's Retry-After where no upstream is left (upstreams_paused). The permit is looked at once more after the connection was set up, as the limit may have been named meanwhile. Sends that go on elsewhere, repeats and suspected requests take the same way: all of them are planned.

Worst case of the owner in T seconds: T times the limit, and the larger of one second's worth and one.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -189,11 +189,13 @@
 {
     let (crash_sender, crash_news) = mpsc::channel(RECORD_RING);
     let (still_sender, still_news) = mpsc::channel(RECORD_RING);
+    let (quota_sender, quota_news) = mpsc::channel(RECORD_RING);
     let front = FrontContext::new(
         Arc::clone(&shared),
         ports.dialect(),
         crash_sender,
         still_sender,
+        quota_sender,
     );
     let front = Rc::new(front);
     let caller = TcpListener::from_std(sockets.caller)?;
@@ -211,6 +213,7 @@
         doubts,
         crash_news,
         still_news,
+        quota_news,
     ));
     follow_settings(&shared, reader, &mut signals).await;
     front.stop.signal();
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -17,6 +17,7 @@
 use super::admit::AdmittedCaller;
 use super::flight::{ConnectGuard, FlightGuard};
 use super::limits::note_limit;
+use super::permits::{SendPermit, may_send};
 use super::pool::{ConnectError, UpstreamConnection};
 
 /// What stays the same over all attempts of a request.
@@ -94,6 +95,9 @@
     /// Nothing was sent.
     #[error("nothing was sent: {0}")]
     NotSent(String),
+    /// The upstream took no more requests once it was connected to, so nothing was sent.
+    #[error("nothing was sent, the upstream takes no more for now")]
+    HeldBack,
     /// Nothing listens there, so nothing was sent.
     #[error("nothing was sent, the connection was refused: {0}")]
     NoListener(String),
@@ -116,13 +120,17 @@
 
     /// Whether the request may have reached the upstream, run or not.
     pub fn may_have_arrived(&self) -> bool {
-        !matches!(self, Self::NotSent(_) | Self::NoListener(_))
+        !matches!(
+            self,
+            Self::NotSent(_) | Self::NoListener(_) | Self::HeldBack
+        )
     }
 
     /// The outcome's name in logs and metrics.
     pub fn as_str(&self) -> &'static str {
         match self {
             Self::NotSent(_) => "not_sent",
+            Self::HeldBack => "held_back",
             Self::NoListener(_) => "no_listener",
             Self::Refused(_) => "refused",
             Self::Misdirected => "misdirected",
@@ -136,6 +144,7 @@
     front: &FrontContext<Dialect>,
     request: &SentRequest,
     upstream: &RouteUpstream,
+    permit: SendPermit,
     run: SentRun,
     time_left: Millis,
     resume_after: Option<u64>,
@@ -166,6 +175,10 @@
         ConnectError::Refused(error) => AttemptError::NoListener(error.to_string()),
         ConnectError::Failed(reason) => AttemptError::NotSent(reason),
     })?;
+    if !may_send(front, upstream, permit) {
+        front.pool.give_back(&upstream.life, connection, None);
+        return Err(AttemptError::HeldBack);
+    }
     let context = OutgoingContext {
         upstream: &upstream.life.id,
         account: request.account.as_ref(),
@@ -194,7 +207,7 @@
     }
     // Another upstream may have answered that another one was meant.
     if !facts.is_misdirected {
-        note_limit(front, &upstream.life, &facts, sent_at + connected);
+        note_limit(front, upstream, &facts, sent_at + connected);
     }
     let error = match (facts.is_misdirected, facts.is_not_run) {
         (true, _) => AttemptError::Misdirected,
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -5,7 +5,6 @@
 
 use bergamot_ports::{CallerDialect, RouteKind};
 use bergamot_quarantine::BreakCause;
-use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
 use http_body_util::BodyExt;
 use hyper::Request;
@@ -19,7 +18,7 @@
 use super::breaks::{LeftGuard, note_break, note_whole};
 use super::deadline::{DeadlinePassed, before};
 use super::open::open;
-use super::plan::plan;
+use super::plan::{PlannedSend, plan};
 use super::refusal::{log_refusal, refuse};
 use super::relay::relay_events;
 use super::state::CallState;
@@ -86,8 +85,8 @@
     let mut failed: Option<CallerAnswer> = None;
     loop {
         let planned = plan(&front, &request, &mut state).await;
-        let upstream = match planned {
-            Ok(upstream) => upstream,
+        let planned = match planned {
+            Ok(planned) => planned,
             Err(refusal) => {
                 let refusal = refusal.truthful(&state);
                 // The upstream's own failure says more than ours.
@@ -97,7 +96,7 @@
                 };
             }
         };
-        let tried = try_once(&front, &request, &mut state, &upstream).await;
+        let tried = try_once(&front, &request, &mut state, &planned).await;
         match tried {
             TryOutcome::Opened(reply) => {
                 return relay_events(front, request, state, *reply).await;
@@ -111,7 +110,7 @@
                     request.call.id,
                     request.print(),
                     state.route.name,
-                    upstream.life,
+                    planned.upstream.life,
                     state.sends(),
                     error.as_str(),
                     front.now().since(state.arrived),
@@ -145,12 +144,12 @@
     front: &Rc<FrontContext<Dialect>>,
     request: &SentRequest,
     state: &mut CallState,
-    upstream: &RouteUpstream,
+    planned: &PlannedSend,
 ) -> TryOutcome
 where
     Dialect: CallerDialect + 'static,
 {
-    match open(front, request, state, upstream, request.call.resume_after).await {
+    match open(front, request, state, planned, request.call.resume_after).await {
         Ok(reply) => {
             let is_stream = state.route.kind == RouteKind::Streaming;
             if is_stream && reply.head.status.is_success() {
--- a/crates/gateway/src/front/exchange.rs
+++ b/crates/gateway/src/front/exchange.rs
@@ -7,14 +7,18 @@
 use bergamot_news::PeerPlace;
 use bergamot_occupancy::{OccupancyAction, OccupancyEvent, RelayHop, TELL_PERIOD};
 use bergamot_peer::{
-    CrashNotice, LeaderStill, MAX_DATAGRAM_BYTES, PeerNotice, QuietNotice, SilentNotice, frame,
+    CrashNotice, LeaderStill, LimitNotice, MAX_DATAGRAM_BYTES, PeerNotice, QuietNotice,
+    SilentNotice, frame,
 };
 use bergamot_quarantine::{QuarantineEvent, QuarantineRecord};
+use bergamot_quota::{LimitWord, QuotaAction, QuotaEvent};
 use bergamot_routing::ToldSilence;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use super::FrontContext;
+use super::limits::act;
+use super::permits::{QuotaNews, settle};
 use crate::view::ClusterView;
 
 /// Periods in a row without anything in flight after which peers are told no more.
@@ -34,6 +38,7 @@
     doubts: mpsc::Sender<QuietNotice>,
     mut crash_news: mpsc::Receiver<QuarantineRecord>,
     mut still_news: mpsc::Receiver<LeaderStill>,
+    mut quota_news: mpsc::Receiver<QuotaNews>,
 ) {
     let mut periods = tokio::time::interval(TELL_PERIOD.as_duration());
     periods.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -51,12 +56,15 @@
                 let hops = front.book.borrow().occupancy.relay_own(front.now());
                 address_silence(&front, hops, silence)
             }
+            Some(news) = quota_news.recv() => tell_quota(&front, news),
             changed = changes.changed() => {
                 if changed.is_err() {
                     return;
                 }
                 let view = front.shared.view.load();
                 front.book.borrow_mut().occupancy.set_peers(places(&view));
+                let vms = places(&view).map(|place| (place.failure_domain, place.vm));
+                front.quota.borrow_mut().set_vms(front.now(), vms);
                 Vec::new()
             }
         };
@@ -113,6 +121,14 @@
         }
         Ok(PeerNotice::Crash(notice)) => take_crash(front, &notice),
         Ok(PeerNotice::Silent(notice)) => take_silence(front, &notice),
+        Ok(PeerNotice::Limit(notice)) => take_limit(front, &notice),
+        Ok(PeerNotice::PermitQuestion(question)) => {
+            answer_quota(front, QuotaEvent::Asked(&question))
+        }
+        Ok(PeerNotice::PermitAnswer(answer)) => {
+            settle(front, &answer);
+            Vec::new()
+        }
         Ok(PeerNotice::Quiet(notice)) => {
             if let Err(error) = doubts.try_send(notice) {
                 log::debug!("event=quiet_not_passed_on reason={error}");
@@ -179,6 +195,68 @@
     address_silence(front, hops, silence)
 }
 
+/// What this VM tells or asks about limits.
+fn tell_quota<Dialect>(front: &FrontContext<Dialect>, news: QuotaNews) -> Vec<AddressedNotice> {
+    match news {
+        QuotaNews::Word(word) => {
+            let hops = front.book.borrow().occupancy.relay_own(front.now());
+            address_limit(front, hops, &word)
+        }
+        QuotaNews::Question { vm, question } => {
+            let notice = PeerNotice::PermitQuestion(question);
+            vec![AddressedNotice { vm, notice }]
+        }
+    }
+}
+
+/// Takes over what another VM heard of an upstream's limit, and passes it on.
+fn take_limit<Dialect>(
+    front: &FrontContext<Dialect>,
+    notice: &LimitNotice,
+) -> Vec<AddressedNotice> {
+    let event = QuotaEvent::Told(&notice.word);
+    let actions = front.quota.borrow_mut().handle(front.now(), event);
+    act(front, actions);
+    let hops = {
+        let book = front.book.borrow();
+        book.occupancy.relay(&notice.vm, notice.scope)
+    };
+    address_limit(front, hops, &notice.word)
+}
+
+/// Answers another VM that asks for a permit.
+fn answer_quota<Dialect>(
+    front: &FrontContext<Dialect>,
+    event: QuotaEvent<'_>,
+) -> Vec<AddressedNotice> {
+    let actions = front.quota.borrow_mut().handle(front.now(), event);
+    let answers = act(front, actions).into_iter();
+    let notices = answers.filter_map(|action| match action {
+        QuotaAction::Answer { vm, answer } => Some(AddressedNotice {
+            vm,
+            notice: PeerNotice::PermitAnswer(answer),
+        }),
+        _ => None,
+    });
+    notices.collect()
+}
+
+fn address_limit<Dialect>(
+    front: &FrontContext<Dialect>,
+    hops: Vec<RelayHop>,
+    word: &LimitWord,
+) -> Vec<AddressedNotice> {
+    let notices = hops.into_iter().map(|hop| AddressedNotice {
+        notice: PeerNotice::Limit(LimitNotice {
+            vm: front.shared.site.vm.to_string(),
+            scope: hop.scope,
+            word: word.clone(),
+        }),
+        vm: hop.vm,
+    });
+    notices.collect()
+}
+
 fn address_silence<Dialect>(
     front: &FrontContext<Dialect>,
     hops: Vec<RelayHop>,
--- a/crates/gateway/src/front/limits.rs
+++ b/crates/gateway/src/front/limits.rs
@@ -1,42 +1,98 @@
 //! Limits that upstreams name in their answers.
 
 use bergamot_ports::ReplyFacts;
-use bergamot_quota::{LimitChange, LimitSight};
+use bergamot_quota::{LimitChange, LimitSight, QuotaAction, QuotaEvent, QuotaPlace};
+use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
 
 use super::FrontContext;
+use super::permits::QuotaNews;
 
 /// Takes in what an upstream's answer to a request that was sent at `sent_at` says of its limit.
 pub fn note_limit<Dialect>(
     front: &FrontContext<Dialect>,
-    life: &UpstreamLife,
+    upstream: &RouteUpstream,
     facts: &ReplyFacts,
     sent_at: Millis,
 ) {
-    let mut limits = front.limits.borrow_mut();
+    let life = &upstream.life;
     let rate = match facts.send_limit {
         Ok(rate) => rate,
         Err(error) => {
-            if limits.note_unreadable(life, error) {
+            let mut quota = front.quota.borrow_mut();
+            if quota.limits_mut().note_unreadable(life, error) {
                 log::warn!("event=limit_unreadable upstream={life} reason=\"{error}\"");
             }
             return;
         }
     };
+    let now = front.now();
     let sight = LimitSight {
         rate,
         sent_at,
-        heard_at: front.now(),
-    };
-    let Some(change) = limits.note(life, sight) else {
-        return;
+        heard_at: now,
     };
+    let actions = front
+        .quota
+        .borrow_mut()
+        .handle(now, QuotaEvent::Answered(place_of(upstream), sight));
+    act(front, actions);
+}
+
+/// An upstream as its quota goes by it.
+pub fn place_of(upstream: &RouteUpstream) -> QuotaPlace<'_> {
+    QuotaPlace {
+        life: &upstream.life,
+        failure_domain: &upstream.failure_domain,
+    }
+}
+
+/// Does what follows from an event, but for answers to other VMs, which are given back.
+pub fn act<Dialect>(front: &FrontContext<Dialect>, actions: Vec<QuotaAction>) -> Vec<QuotaAction> {
+    let mut answers = Vec::new();
+    for action in actions {
+        match action {
+            QuotaAction::NoteChange(life, change) => note_change(front, &life, change),
+            QuotaAction::Tell(word) => front.tell_quota(QuotaNews::Word(word)),
+            QuotaAction::HoldBack {
+                life,
+                priority,
+                wait,
+            } => hold_back(front, &life, priority, wait),
+            QuotaAction::Answer { .. } => answers.push(action),
+        }
+    }
+    answers
+}
+
+/// Sends nothing there for a while that is no more urgent.
+pub fn hold_back<Dialect>(
+    front: &FrontContext<Dialect>,
+    life: &UpstreamLife,
+    priority: u8,
+    wait: Millis,
+) {
+    let now = front.now();
+    let gates = &mut front.book.borrow_mut().gates;
+    gates.hold_back(life, priority, now + wait, now);
+}
+
+fn note_change<Dialect>(front: &FrontContext<Dialect>, life: &UpstreamLife, change: LimitChange) {
     match change {
         LimitChange::Named(rate) => {
             log::info!("event=upstream_limited upstream={life} rate={rate}");
         }
-        LimitChange::Ended => log::info!("event=upstream_unlimited upstream={life}"),
+        LimitChange::Ended => {
+            front.book.borrow_mut().gates.release(life);
+            log::info!("event=upstream_unlimited upstream={life}");
+        }
     }
+    note_limited(front);
+}
+
+/// Shows how many upstreams name a limit.
+pub fn note_limited<Dialect>(front: &FrontContext<Dialect>) {
+    let limited = front.quota.borrow().limits().len();
     let metrics = &front.shared.metrics;
-    metrics.set_state("limited_upstreams", limits.len() as i64);
+    metrics.set_state("limited_upstreams", limited as i64);
 }
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -19,6 +19,7 @@
 //! | [`refusal`] | answers of this system's own |
 //! | [`flight`] | counts of requests at upstreams |
 //! | [`limits`] | limits that upstreams name in their answers |
+//! | [`permits`] | permits to send to an upstream that names a limit |
 //! | [`exchange`] | what all entry VMs have in flight, told between them |
 //! | [`budget`] | how many repeats may be sent |
 //! | [`pool`] | connections to upstreams |
@@ -37,6 +38,7 @@
 pub mod head_timer;
 pub mod limits;
 pub mod open;
+pub mod permits;
 pub mod plan;
 pub mod pool;
 pub mod quiet;
@@ -56,7 +58,7 @@
 use bergamot_peer::LeaderStill;
 use bergamot_ports::RouteKind;
 use bergamot_quarantine::QuarantineRecord;
-use bergamot_quota::LimitTable;
+use bergamot_quota::QuotaState;
 use bergamot_routing::{ReturnTimes, ServingOutage, UpstreamBook};
 use bergamot_types::prelude::*;
 use tokio::sync::mpsc;
@@ -64,6 +66,7 @@
 use crate::shared::SharedState;
 use crate::stop::StopControl;
 use budget::RepeatBudget;
+use permits::{PermitQueue, QuotaNews};
 use pool::ConnectionPool;
 
 /// What every request needs. Lives on one thread.
@@ -82,14 +85,18 @@
     pub returns: RefCell<ReturnTimes>,
     /// Repeats sent.
     pub budget: RefCell<RepeatBudget>,
-    /// Limits that upstreams name.
-    pub limits: RefCell<LimitTable>,
+    /// Limits that upstreams name, and what is sent there by all VMs.
+    pub quota: RefCell<QuotaState>,
+    /// Requests that wait for a permit.
+    pub permits: PermitQueue,
     /// The life cycle of the process.
     pub stop: Rc<StopControl>,
     /// What this VM saw of requests under which upstreams ended, for the other VMs.
     pub crash_news: mpsc::Sender<QuarantineRecord>,
     /// Leaders whose streams stand still, for the other VMs.
     pub still_news: mpsc::Sender<LeaderStill>,
+    /// Words on limits and questions for permits, for the other VMs.
+    pub quota_news: mpsc::Sender<QuotaNews>,
 }
 
 impl<Dialect> FrontContext<Dialect> {
@@ -99,8 +106,10 @@
         dialect: Dialect,
         crash_news: mpsc::Sender<QuarantineRecord>,
         still_news: mpsc::Sender<LeaderStill>,
+        quota_news: mpsc::Sender<QuotaNews>,
     ) -> Self {
         let budget = RepeatBudget::new(shared.bounds());
+        let quota = QuotaState::new(shared.site.vm.to_string(), rand::random());
         let place = PeerPlace {
             vm: shared.site.vm.to_string(),
             failure_domain: shared.site.failure_domain.clone(),
@@ -113,10 +122,12 @@
             demand: RefCell::default(),
             returns: RefCell::default(),
             budget: RefCell::new(budget),
-            limits: RefCell::default(),
+            quota: RefCell::new(quota),
+            permits: PermitQueue::default(),
             stop: Rc::new(StopControl::new(Arc::clone(&shared))),
             crash_news,
             still_news,
+            quota_news,
             shared,
         }
     }
--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -10,7 +10,7 @@
 use super::FrontContext;
 use super::attempt::{AttemptError, OpenReply, SentRequest, send};
 use super::breaks::{LeftGuard, note_break, note_no_listener};
-use super::plan::runs_that_count;
+use super::plan::{PlannedSend, give_repeat_back, runs_that_count};
 use super::quiet::{LOOK_PERIOD, look_quiet, report_quiet};
 use super::state::CallState;
 
@@ -23,17 +23,19 @@
     front: &Rc<FrontContext<Dialect>>,
     request: &SentRequest,
     state: &mut CallState,
-    upstream: &RouteUpstream,
+    planned: &PlannedSend,
     resume_after: Option<u64>,
 ) -> Result<OpenReply, AttemptError>
 where
     Dialect: CallerDialect + 'static,
 {
+    let upstream = &planned.upstream;
     let left = state.deadline.since(front.now());
     state.tried.push(upstream.life.clone());
     state.trace.note_sent(&upstream.life);
     let run = sent_run(front, request, state, upstream);
-    let sent = send(front, request, upstream, run, left, resume_after);
+    let permit = planned.permit;
+    let sent = send(front, request, upstream, permit, run, left, resume_after);
     let guard = LeftGuard::new(front, request, &upstream.life);
     let (outcome, cause) = match await_head(front, request, state, run, upstream, sent).await {
         Ok(outcome) => (outcome, BreakCause::Closed),
@@ -52,10 +54,9 @@
         Err(error) => error.may_have_arrived(),
     };
     state.arrivals += usize::from(has_arrived);
-    let repeat_taken = state.repeat_taken.take();
-    if let Some(taken_at) = repeat_taken.filter(|_| !has_arrived) {
-        let mut budget = front.budget.borrow_mut();
-        budget.give_back(taken_at, &state.service);
+    match has_arrived {
+        true => state.repeat_taken = None,
+        false => give_repeat_back(front, state),
     }
     if outcome.is_ok() {
         state.run_at.push(upstream.life.clone());
@@ -162,6 +163,8 @@
         Ok(_) => book.note_progress(&upstream.life, now),
         Err(error) => {
             match error {
+                // It is sound, and said so.
+                AttemptError::HeldBack => return,
                 // Nothing answers there: others will wait as long in vain.
                 AttemptError::NotSent(_) | AttemptError::Misdirected if is_engine => {
                     book.note_quiet(&upstream.life, now);
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -9,7 +9,8 @@
 use super::FrontContext;
 use super::admit::authorize;
 use super::attempt::SentRequest;
-use super::refusal::{CallRefusal, RETURN_NO_UPSTREAM, RETURN_STOPPING};
+use super::permits::{SendPermit, obtain};
+use super::refusal::{CallRefusal, LEAST_RETURN, RETURN_NO_UPSTREAM, RETURN_STOPPING};
 use super::standing::check_standing;
 use super::state::CallState;
 use crate::view::ClusterView;
@@ -26,18 +27,36 @@
 /// they stay within the pause of two seconds after which callers of streams leave.
 pub const MAX_VAIN_SENDS: usize = 8;
 
+/// Where a request is sent next.
+pub struct PlannedSend {
+    /// The upstream.
+    pub upstream: RouteUpstream,
+    /// That it takes one more request.
+    pub permit: SendPermit,
+}
+
 /// Chooses the next upstream, or says why there is none.
 pub async fn plan<Dialect>(
     front: &FrontContext<Dialect>,
     request: &SentRequest,
     state: &mut CallState,
-) -> Result<RouteUpstream, CallRefusal> {
+) -> Result<PlannedSend, CallRefusal> {
     let wait_end = state.arrived + Millis(state.route.objective.0 / WAIT_DIVISOR);
     let mut changes = front.shared.view_changed.subscribe();
     loop {
         changes.mark_unchanged();
         let refusal = match plan_now(front, request, state) {
-            Ok(upstream) => return Ok(upstream),
+            Ok(upstream) => match obtain(front, request, &upstream).await {
+                Some(permit) => return Ok(PlannedSend { upstream, permit }),
+                None => {
+                    give_repeat_back(front, state);
+                    // It is held back now, so another one is chosen, in time for its answer to be in time.
+                    match front.now() < wait_end {
+                        true => continue,
+                        false => paused(None, front.now()),
+                    }
+                }
+            },
             Err(refusal) => refusal,
         };
         let now = front.now();
@@ -93,6 +112,7 @@
         tried: &state.tried,
         idle: &front.pool.idle(),
         must_go_on: state.may_have_run(),
+        priority: request.priority,
         prompt: request.call.prompt_tokens(),
         objective: state.route.objective,
         draw: rand::random(),
@@ -108,6 +128,7 @@
             );
             return Err(CallRefusal::later(ErrorKind::Overloaded, when_full()));
         }
+        UpstreamChoice::Closed(opens_at) => return Err(paused(opens_at, now)),
         UpstreamChoice::None if state.tried.is_empty() => return Err(no_upstream),
         UpstreamChoice::None => {
             note_not_sent_on(request, state, runs, "no other upstream");
@@ -129,6 +150,20 @@
     Ok(chosen.clone())
 }
 
+/// Gives a repeat back that is not sent.
+pub fn give_repeat_back<Dialect>(front: &FrontContext<Dialect>, state: &mut CallState) {
+    if let Some(taken_at) = state.repeat_taken.take() {
+        let mut budget = front.budget.borrow_mut();
+        budget.give_back(taken_at, &state.service);
+    }
+}
+
+/// That no upstream takes the request for now, the first one again at this moment, if that is known.
+fn paused(opens_at: Option<Millis>, now: Millis) -> CallRefusal {
+    let wait = opens_at.map_or(RETURN_NO_UPSTREAM, |at| at.since(now));
+    CallRefusal::later(ErrorKind::UpstreamsPaused, wait.max(LEAST_RETURN))
+}
+
 /// Why a request has been sent often enough, if it has.
 fn spent_by(state: &CallState, runs: usize) -> Option<&'static str> {
     let most = state.route.max_attempts as usize;
--- a/crates/gateway/src/front/refusal.rs
+++ b/crates/gateway/src/front/refusal.rs
@@ -16,6 +16,9 @@
 /// the model has another version. Callers that come sooner are refused at once.
 pub const RETURN_QUARANTINED: Millis = Millis::from_secs(600);
 
+/// The shortest time after which a caller is told to come back: what its new connection takes.
+pub const LEAST_RETURN: Millis = Millis(20);
+
 /// When to come back where this VM is stopping: at once, as another VM takes the request.
 pub const RETURN_STOPPING: Millis = Millis(50);
 
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -351,8 +351,8 @@
             return None;
         }
         loop {
-            let upstream = match plan(&self.front, &self.request, &mut self.state).await {
-                Ok(upstream) => upstream,
+            let planned = match plan(&self.front, &self.request, &mut self.state).await {
+                Ok(planned) => planned,
                 Err(refusal) => {
                     log::info!(
                         "event=stream_not_resumed request={} kind={}",
@@ -363,7 +363,8 @@
                 }
             };
             let (front, request) = (&self.front, &self.request);
-            let opened = open(front, request, &mut self.state, &upstream, self.last_event).await;
+            let opened = open(front, request, &mut self.state, &planned, self.last_event).await;
+            let upstream = &planned.upstream;
             match opened {
                 Ok(reply) if reply.head.status.is_success() => {
                     log::info!(
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -21,6 +21,7 @@
 use super::answer::{HeldBody, whole_body};
 use super::call::answer;
 use super::head_timer::{HeadTimer, TimedStream};
+use super::limits::note_limited;
 use super::trace::{RequestTrace, TracedAnswer};
 use crate::listen::{close_listener, next_connection};
 use crate::stop::StopControl;
@@ -213,8 +214,10 @@
         let view = front.shared.view.load_full();
         let is_listed = |life: &UpstreamLife| view.is_listed(life);
         front.pool.retain(is_listed);
-        front.book.borrow_mut().retain(is_listed);
-        front.limits.borrow_mut().retain(is_listed);
+        let now = front.now();
+        front.book.borrow_mut().retain(is_listed, now);
+        front.quota.borrow_mut().retain(is_listed);
+        note_limited(&front);
         let uses = front.demand.borrow_mut().uses(front.now());
         front.shared.demand.store(Arc::new(uses));
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub orders: IntCounterVec,
     /// Upstreams that ended while requests from here ran there, by the evidence.
     pub upstream_ends: IntCounterVec,
+    /// Permits asked for to send to upstreams that name a limit, by what came of it.
+    pub permits: IntCounterVec,
     /// Numbers of state by name.
     pub state: IntGaugeVec,
 }
@@ -99,6 +101,11 @@
                 "Upstreams that ended while requests from here ran there, by the evidence",
                 &["evidence"],
             ),
+            permits: counter(
+                "bergamot_permits_total",
+                "Permits asked for to send to upstreams that name a limit, by outcome",
+                &["outcome"],
+            ),
             state,
             registry,
         }
--- a/crates/load/src/experiment/serving/run.rs
+++ b/crates/load/src/experiment/serving/run.rs
@@ -206,6 +206,7 @@
         request.tried_at = self.now;
         request.tries += 1;
         let ask = UpstreamAsk {
+            priority: 0,
             home: &self.domains[vm],
             tried: &[],
             idle: &[],
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -16,6 +16,6 @@
 pub use message::{Answer, GroupsEntry, Question};
 pub use news::{NewsAnswer, NewsQuestion, StoreNews};
 pub use notice::{
-    CrashNotice, LeaderCount, LeaderStill, LoadNotice, LoadScope, MAX_LEADER_COUNTS, PeerNotice,
-    QuietNotice, RelayScope, SilentNotice, UNREAD_UNIT,
+    CrashNotice, LeaderCount, LeaderStill, LimitNotice, LoadNotice, LoadScope, MAX_LEADER_COUNTS,
+    PeerNotice, QuietNotice, RelayScope, SilentNotice, UNREAD_UNIT,
 };
--- a/crates/peer/src/notice.rs
+++ b/crates/peer/src/notice.rs
@@ -2,6 +2,7 @@
 //! itself.
 
 use bergamot_quarantine::QuarantineRecord;
+use bergamot_quota::{LimitWord, PermitAnswer, PermitQuestion};
 use bergamot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -16,6 +17,23 @@
     Crash(CrashNotice),
     /// Streams of a leader stand still. A VM that does not know this kind leaves it out.
     Silent(SilentNotice),
+    /// What an upstream says of its limit. A VM that does not know this kind leaves it out.
+    Limit(LimitNotice),
+    /// Asks for a permit to send. A VM that does not know this kind leaves it out, and nothing is sent.
+    PermitQuestion(PermitQuestion),
+    /// The answer.
+    PermitAnswer(PermitAnswer),
+}
+
+/// What an upstream says of its limit, on its way to all other VMs.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct LimitNotice {
+    /// The entry VM that passes it on.
+    pub vm: String,
+    /// Whom the receiver passes it on to.
+    pub scope: RelayScope,
+    /// What was heard.
+    pub word: LimitWord,
 }
 
 /// That streams of a leader stand still by all appearances, on its way to all other VMs.
--- a/crates/routing/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -14,8 +14,16 @@
     /// A bucket of `rate` tokens per second, full.
     pub fn new(rate: f64, now: Millis) -> Self {
         Self {
-            rate,
             tokens: rate.max(1.0),
+            ..Self::empty(rate, now)
+        }
+    }
+
+    /// The same without a token yet.
+    pub const fn empty(rate: f64, now: Millis) -> Self {
+        Self {
+            rate,
+            tokens: 0.0,
             filled_at: now,
         }
     }
@@ -29,8 +37,13 @@
 
     /// Takes one token if there is one.
     pub fn take(&mut self, now: Millis) -> bool {
+        self.take_above(now, 0.0)
+    }
+
+    /// Takes one token if `reserve` are left after it.
+    pub fn take_above(&mut self, now: Millis, reserve: f64) -> bool {
         self.fill(now);
-        if self.tokens < 1.0 {
+        if self.tokens < 1.0 + reserve {
             return false;
         }
         self.tokens -= 1.0;
@@ -39,7 +52,12 @@
 
     /// Time until the next token.
     pub fn wait(&self) -> Millis {
-        let lacking = (1.0 - self.tokens).max(0.0);
+        self.wait_for(1.0)
+    }
+
+    /// Time until so many tokens have come in all, as of the last fill.
+    pub fn wait_for(&self, tokens: f64) -> Millis {
+        let lacking = (tokens - self.tokens).max(0.0);
         let seconds = lacking / self.rate.max(1e-6);
         Millis((seconds * 1_000.0).ceil().min(3_600_000.0) as u64)
     }
--- a/crates/quota/src/limit.rs
+++ b/crates/quota/src/limit.rs
@@ -64,6 +64,12 @@
         self.sights.get(life).and_then(|sight| sight.rate)
     }
 
+    /// The same with the word that it comes from.
+    pub(crate) fn limit(&self, life: &UpstreamLife) -> Option<(LimitSight, SendRate)> {
+        let sight = self.sights.get(life)?;
+        sight.rate.map(|rate| (*sight, rate))
+    }
+
     /// Takes in what an upstream said. Costs nothing for the many that never named a limit.
     pub fn note(&mut self, life: &UpstreamLife, sight: LimitSight) -> Option<LimitChange> {
         let Some(known) = self.sights.get_mut(life) else {
--- /dev/null
+++ b/crates/quota/src/state.rs
@@ -0,0 +1,303 @@
+//! What one VM knows of limits, and its part in keeping to them.
+
+use bergamot_types::prelude::*;
+use indexmap::IndexMap;
+
+use crate::allowance::SendAllowance;
+use crate::fleet::QuotaFleet;
+use crate::limit::{LimitChange, LimitSight, LimitTable};
+use crate::word::{LimitWord, PermitAnswer, PermitClaim, PermitQuestion, PermitVerdict};
+
+/// Time between two notices of one upstream's limit to all VMs, as each answer may name another one. Questions for permits
+/// carry the newest one to the owner in any case.
+const TELL_PERIOD: Millis = Millis(500);
+/// Time for which an upstream is left alone whose quota's owner does not answer, or is not known.
+const SILENT_TIME: Millis = Millis(500);
+/// Questions without an answer that are remembered at most.
+const MAX_ASKED: usize = 1_024;
+
+/// An upstream with a limit, or without.
+#[derive(Clone, Copy, Debug)]
+pub struct QuotaPlace<'a> {
+    /// Which run of it.
+    pub life: &'a UpstreamLife,
+    /// Where it is.
+    pub failure_domain: &'a FailureDomain,
+}
+
+/// Something that happened.
+#[derive(Clone, Copy, Debug)]
+pub enum QuotaEvent<'a> {
+    /// An upstream answered this VM.
+    Answered(QuotaPlace<'a>, LimitSight),
+    /// Another VM tells of a limit.
+    Told(&'a LimitWord),
+    /// Another VM asks for a permit.
+    Asked(&'a PermitQuestion),
+    /// The owner answered a question of this VM.
+    Settled(&'a PermitAnswer),
+    /// No answer came in time to the question of this number.
+    Unanswered(u64),
+}
+
+/// What is to be done.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum QuotaAction {
+    /// Log what an upstream names now.
+    NoteChange(UpstreamLife, LimitChange),
+    /// Tell all other VMs.
+    Tell(LimitWord),
+    /// Answer the VM that asked.
+    Answer {
+        /// The VM.
+        vm: String,
+        /// What it is told.
+        answer: PermitAnswer,
+    },
+    /// Send nothing more there for a while that is no more urgent.
+    HoldBack {
+        /// The upstream.
+        life: UpstreamLife,
+        /// The rank of the request that was turned away.
+        priority: u8,
+        /// For how long.
+        wait: Millis,
+    },
+}
+
+/// How a request gets its permit.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum PermitStep {
+    /// None is needed.
+    Free,
+    /// It has one.
+    Granted,
+    /// There is none for this time.
+    Later(Millis),
+    /// The owner is to be asked.
+    Ask {
+        /// The VM that owns the quota.
+        owner: String,
+        /// What it is asked.
+        question: PermitQuestion,
+    },
+}
+
+/// A question that is on its way.
+#[derive(Clone, Debug)]
+struct AskedPermit {
+    life: UpstreamLife,
+    priority: u8,
+    asked_at: Millis,
+}
+
+/// Permits of one upstream that this VM gives out.
+#[derive(Debug)]
+struct OwnedQuota {
+    failure_domain: FailureDomain,
+    allowance: SendAllowance,
+}
+
+/// The state of one VM.
+#[derive(Debug)]
+pub struct QuotaState {
+    fleet: QuotaFleet,
+    limits: LimitTable,
+    owned: IndexMap<UpstreamLife, OwnedQuota>,
+    asked: IndexMap<u64, AskedPermit>,
+    told_at: IndexMap<UpstreamLife, Millis>,
+    next_number: u64,
+}
+
+impl QuotaState {
+    /// The state of the VM of this name, which numbers its questions from `first_number`: another one at each start, so that
+    /// no answer to an earlier process is taken for one to this.
+    pub fn new(own: String, first_number: u64) -> Self {
+        Self {
+            fleet: QuotaFleet::new(own),
+            limits: LimitTable::default(),
+            owned: IndexMap::new(),
+            asked: IndexMap::new(),
+            told_at: IndexMap::new(),
+            next_number: first_number,
+        }
+    }
+
+    /// The limits that upstreams name.
+    pub fn limits(&self) -> &LimitTable {
+        &self.limits
+    }
+
+    /// The same, to note what cannot be read.
+    pub fn limits_mut(&mut self) -> &mut LimitTable {
+        &mut self.limits
+    }
+
+    /// Takes over which entry VMs there are, by failure domain.
+    pub fn set_vms<Vms>(&mut self, now: Millis, vms: Vms)
+    where
+        Vms: IntoIterator<Item = (FailureDomain, String)>,
+    {
+        self.fleet.set(now, vms);
+        let fleet = &self.fleet;
+        self.owned
+            .retain(|life, owned| fleet.owner(life, &owned.failure_domain) == Some(fleet.own()));
+    }
+
+    /// Forgets the upstreams that are not to be kept.
+    pub fn retain<Keep>(&mut self, is_kept: Keep)
+    where
+        Keep: Fn(&UpstreamLife) -> bool,
+    {
+        self.limits.retain(&is_kept);
+        self.owned.retain(|life, _| is_kept(life));
+        self.told_at.retain(|life, _| is_kept(life));
+    }
+
+    /// How a request that is to be sent to an upstream gets its permit.
+    pub fn ask(&mut self, now: Millis, place: QuotaPlace<'_>, claim: PermitClaim) -> PermitStep {
+        let Some((sight, rate)) = self.limits.limit(place.life) else {
+            return PermitStep::Free;
+        };
+        let Some(owner) = self.fleet.owner(place.life, place.failure_domain) else {
+            return PermitStep::Later(SILENT_TIME);
+        };
+        if owner == self.fleet.own() {
+            return match self.deal(now, place, rate, claim) {
+                PermitVerdict::Granted => PermitStep::Granted,
+                PermitVerdict::Later(wait) => PermitStep::Later(wait),
+                PermitVerdict::Unlimited => PermitStep::Free,
+            };
+        }
+        let owner = owner.to_owned();
+        let number = self.next_number;
+        self.next_number = number.wrapping_add(1);
+        let asked = AskedPermit {
+            life: place.life.clone(),
+            priority: claim.priority,
+            asked_at: now,
+        };
+        if self.asked.len() >= MAX_ASKED {
+            self.asked.shift_remove_index(0);
+        }
+        self.asked.insert(number, asked);
+        PermitStep::Ask {
+            owner,
+            question: PermitQuestion {
+                vm: self.fleet.own().to_owned(),
+                number,
+                word: LimitWord::of(place.life, place.failure_domain, sight, now),
+                claim,
+            },
+        }
+    }
+
+    /// Takes in what happened and says what to do.
+    pub fn handle(&mut self, now: Millis, event: QuotaEvent<'_>) -> Vec<QuotaAction> {
+        match event {
+            QuotaEvent::Answered(place, sight) => self.hear(now, place, sight),
+            QuotaEvent::Told(word) => self.take_word(now, word).into_iter().collect(),
+            QuotaEvent::Asked(question) => self.answer(now, question),
+            QuotaEvent::Settled(answer) => self.settle(now, answer),
+            QuotaEvent::Unanswered(number) => self.give_up(number),
+        }
+    }
+
+    fn hear(&mut self, now: Millis, place: QuotaPlace<'_>, sight: LimitSight) -> Vec<QuotaAction> {
+        let Some(change) = self.limits.note(place.life, sight) else {
+            return Vec::new();
+        };
+        let mut actions = vec![QuotaAction::NoteChange(place.life.clone(), change)];
+        let told_at = self.told_at.get(place.life);
+        if told_at.is_none_or(|at| now.since(*at) >= TELL_PERIOD) {
+            self.told_at.insert(place.life.clone(), now);
+            let word = LimitWord::of(place.life, place.failure_domain, sight, now);
+            actions.push(QuotaAction::Tell(word));
+        }
+        actions
+    }
+
+    fn take_word(&mut self, now: Millis, word: &LimitWord) -> Option<QuotaAction> {
+        let change = self.limits.note(&word.life, word.sight(now))?;
+        Some(QuotaAction::NoteChange(word.life.clone(), change))
+    }
+
+    fn answer(&mut self, now: Millis, question: &PermitQuestion) -> Vec<QuotaAction> {
+        let word = &question.word;
+        let mut actions: Vec<QuotaAction> = self.take_word(now, word).into_iter().collect();
+        let place = QuotaPlace {
+            life: &word.life,
+            failure_domain: &word.failure_domain,
+        };
+        let is_own = self.fleet.owner(place.life, place.failure_domain) == Some(self.fleet.own());
+        let verdict = match (self.limits.rate(place.life), is_own) {
+            (None, _) => PermitVerdict::Unlimited,
+            (Some(rate), true) => self.deal(now, place, rate, question.claim),
+            // By a list of VMs that is not this one's; one of the two is old.
+            (Some(_), false) => PermitVerdict::Later(SILENT_TIME),
+        };
+        actions.push(QuotaAction::Answer {
+            vm: question.vm.clone(),
+            answer: PermitAnswer {
+                number: question.number,
+                verdict,
+            },
+        });
+        actions
+    }
+
+    /// Gives out a permit of a quota that this VM owns.
+    fn deal(
+        &mut self,
+        now: Millis,
+        place: QuotaPlace<'_>,
+        rate: SendRate,
+        claim: PermitClaim,
+    ) -> PermitVerdict {
+        let fleet = &self.fleet;
+        let owned = self.owned.entry(place.life.clone()).or_insert_with(|| {
+            let opens_at = fleet.owns_from(place.life, place.failure_domain);
+            OwnedQuota {
+                failure_domain: place.failure_domain.clone(),
+                allowance: SendAllowance::new(rate, opens_at.max(now)),
+            }
+        });
+        owned.allowance.ask(now, rate, claim)
+    }
+
+    fn settle(&mut self, now: Millis, answer: &PermitAnswer) -> Vec<QuotaAction> {
+        let Some(asked) = self.asked.shift_remove(&answer.number) else {
+            return Vec::new();
+        };
+        match answer.verdict {
+            PermitVerdict::Granted => Vec::new(),
+            PermitVerdict::Later(wait) => vec![asked.hold_back(wait)],
+            PermitVerdict::Unlimited => {
+                let sight = LimitSight {
+                    rate: None,
+                    sent_at: asked.asked_at,
+                    heard_at: now,
+                };
+                let change = self.limits.note(&asked.life, sight);
+                let note = change.map(|change| QuotaAction::NoteChange(asked.life, change));
+                note.into_iter().collect()
+            }
+        }
+    }
+
+    fn give_up(&mut self, number: u64) -> Vec<QuotaAction> {
+        let asked = self.asked.shift_remove(&number);
+        let held = asked.map(|asked| asked.hold_back(SILENT_TIME));
+        held.into_iter().collect()
+    }
+}
+
+impl AskedPermit {
+    fn hold_back(self, wait: Millis) -> QuotaAction {
+        QuotaAction::HoldBack {
+            life: self.life,
+            priority: self.priority,
+            wait,
+        }
+    }
+}
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use std::collections::VecDeque;
 
-use crate::bucket::TokenBucket;
+use bergamot_quota::TokenBucket;
 
 /// Bounds of one pool.
 #[derive(Clone, Debug)]
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -5,6 +5,7 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
+use crate::gate::GateTable;
 use crate::load::UpstreamLoad;
 use crate::pace::{LeaderSilence, ModelPaces, SentRun, SilenceVerdict};
 use crate::sharing::LeaderSharing;
@@ -27,6 +28,8 @@
     pub paces: ModelPaces,
     /// Leaders of whose silence entry VMs tell each other.
     pub told: ToldSilences,
+    /// Upstreams that do not take all requests.
+    pub gates: GateTable,
 }
 
 impl UpstreamBook {
@@ -38,6 +41,7 @@
             occupancy: OccupancyState::new(place),
             paces: ModelPaces::default(),
             told: ToldSilences::default(),
+            gates: GateTable::default(),
         }
     }
 
@@ -245,10 +249,11 @@
     }
 
     /// Forgets upstreams that are not listed any more and have nothing in flight.
-    pub fn retain<Keep>(&mut self, is_listed: Keep)
+    pub fn retain<Keep>(&mut self, is_listed: Keep, now: Millis)
     where
         Keep: Fn(&UpstreamLife) -> bool,
     {
+        self.gates.retain(&is_listed, now);
         self.loads
             .retain(|life, load| load.in_flight > 0 || is_listed(life));
     }
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -44,6 +44,8 @@
     pub prompt: u32,
     /// The time within which its first event is in time.
     pub objective: Millis,
+    /// Its rank; 0 is the most urgent.
+    pub priority: u8,
     /// A random number, for what is equal otherwise.
     pub draw: u64,
     /// Its place among the upstreams, where it is to be kept apart from other requests: those with other places go to
@@ -58,6 +60,8 @@
     Chosen(&'a RouteUpstream),
     /// All that are left have as many requests as they bear.
     Full,
+    /// None of those that are left takes requests now; the first one may at this moment, where that is known.
+    Closed(Option<Millis>),
     /// None is left.
     None,
 }
@@ -202,13 +206,19 @@
         if fresh.peek().is_none() {
             return UpstreamChoice::None;
         }
+        let gate = |it: &RouteUpstream| self.gates.state(&it.life, ask.priority, now);
+        let (fresh, closed): (Vec<_>, Vec<_>) = fresh.partition(|it| gate(it).is_open());
+        if fresh.is_empty() {
+            let opens = closed.into_iter().filter_map(|it| gate(it).opens_at());
+            return UpstreamChoice::Closed(opens.min());
+        }
         if let Some(place) = ask.apart {
-            return at_place(fresh.collect(), &is_avoided, place);
+            return at_place(fresh, &is_avoided, place);
         }
         let has_own = pool
             .iter()
-            .any(|upstream| self.sharing.is_own(&upstream.life) && !is_avoided(upstream));
-        let usable = fresh.filter(|upstream| {
+            .any(|it| self.sharing.is_own(&it.life) && !is_avoided(it) && gate(it).is_open());
+        let usable = fresh.into_iter().filter(|upstream| {
             let is_plain = upstream.group.is_none();
             ask.must_go_on || is_plain || self.sharing.is_own(&upstream.life) || !has_own
         });
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,8 +9,9 @@
 pub mod attempt;
 pub mod balance;
 pub mod book;
-pub mod bucket;
+
 pub mod choose;
+pub mod gate;
 pub mod load;
 pub mod pace;
 mod reach;
@@ -27,8 +28,9 @@
 pub use attempt::{Answered, Attempt, NotSent, Sent, SentOutcome};
 pub use balance::{BalanceOptions, BalancePolicy, Balancer, Choice, PickRequest};
 pub use book::UpstreamBook;
-pub use bucket::TokenBucket;
+
 pub use choose::{UpstreamAsk, UpstreamChoice};
+pub use gate::{GateState, GateTable};
 pub use load::UpstreamLoad;
 pub use pace::{LeaderPatience, LeaderSilence, ModelPace, ModelPaces, SentRun, SilenceVerdict};
 pub use resume::StreamResume;
--- a/crates/routing/tests/book.rs
+++ b/crates/routing/tests/book.rs
@@ -201,6 +201,7 @@
         for draw in 0..200 {
             let idle: Vec<_> = case.idle.iter().map(|name| life(name)).collect();
             let ask = UpstreamAsk {
+                priority: 0,
                 idle: &idle,
                 home: &FailureDomain::new("east"),
                 tried: &[],
@@ -223,6 +224,7 @@
 /// A short request with nothing special about it.
 fn short_ask(home: &FailureDomain) -> UpstreamAsk<'_> {
     UpstreamAsk {
+        priority: 0,
         home,
         tried: &[],
         idle: &[],
--- a/crates/routing/tests/reach.rs
+++ b/crates/routing/tests/reach.rs
@@ -152,6 +152,7 @@
     let home = FailureDomain::new(HOME);
     let choices = (0..400_u64).map(|draw| {
         let ask = UpstreamAsk {
+            priority: 0,
             home: &home,
             tried: &[],
             idle: &[],
--- a/crates/types/src/kind.rs
+++ b/crates/types/src/kind.rs
@@ -123,6 +123,8 @@
     Internal: "internal", 500, No, 1, "an internal fault";
     /// Upstreams ended under this request, so it is sent to none any more.
     Quarantined: "request_quarantined", 503, No, 600, "upstreams ended while they ran this request, and it is not sent to another one for now";
+    /// None of the upstreams takes requests for the moment.
+    UpstreamsPaused: "upstreams_paused", 503, No, 1, "the upstreams take no more requests for a moment";
 }
 
 impl ErrorKind {
