feat: rests that upstreams ask for, and their leaving, are read and logged

Retry-After of a 503 is read as a span of seconds (rounded up; a date, a sign or a word is an error, which is logged), Server-Leaving as a fact. Nothing acts on either yet.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -16,6 +16,7 @@
 use super::FrontContext;
 use super::admit::AdmittedCaller;
 use super::flight::{ConnectGuard, FlightGuard};
+use super::gates::note_gate;
 use super::limits::note_limit;
 use super::permits::{SendPermit, may_send};
 use super::pool::{ConnectError, UpstreamConnection};
@@ -208,6 +209,7 @@
     // Another upstream may have answered that another one was meant.
     if !facts.is_misdirected {
         note_limit(front, upstream, &facts, sent_at + connected);
+        note_gate(front, &upstream.life, &facts);
     }
     let error = match (facts.is_misdirected, facts.is_not_run) {
         (true, _) => AttemptError::Misdirected,
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -18,6 +18,7 @@
 //! | [`quiet`] | when an upstream counts as standing still |
 //! | [`refusal`] | answers of this system's own |
 //! | [`flight`] | counts of requests at upstreams |
+//! | [`gates`] | upstreams that ask for rest, or say that they leave |
 //! | [`limits`] | limits that upstreams name in their answers |
 //! | [`permits`] | permits to send to an upstream that names a limit |
 //! | [`exchange`] | what all entry VMs have in flight, told between them |
@@ -35,6 +36,7 @@
 pub mod events;
 pub mod exchange;
 pub mod flight;
+pub mod gates;
 pub mod head_timer;
 pub mod limits;
 pub mod open;
--- a/crates/ports/src/call.rs
+++ b/crates/ports/src/call.rs
@@ -65,6 +65,10 @@
     pub keep_alive: Option<u64>,
     /// Requests a second that the upstream takes from all entry VMs together; none where it names no limit.
     pub send_limit: Result<Option<SendRate>, RateError>,
+    /// Time for which the upstream, which turned the request away, wants none from this VM; none where it names no time.
+    pub rest: Result<Option<Millis>, SpanError>,
+    /// Whether the upstream says that it leaves.
+    pub is_leaving: bool,
 }
 
 /// An answer of this system's own.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -23,4 +23,4 @@
 pub use kind::{ErrorKind, RanState};
 pub use life::{UnixMillis, UpstreamLife};
 pub use rate::{RateError, SendRate};
-pub use time::Millis;
+pub use time::{Millis, SpanError};
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -9,4 +9,4 @@
 pub use crate::kind::{ErrorKind, RanState};
 pub use crate::life::{UnixMillis, UpstreamLife};
 pub use crate::rate::{RateError, SendRate};
-pub use crate::time::Millis;
+pub use crate::time::{Millis, SpanError};
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -37,6 +37,43 @@
     }
 }
 
+/// Why a text names no time span.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, thiserror::Error)]
+pub enum SpanError {
+    /// There is nothing to read.
+    #[error("it is empty")]
+    Empty,
+    /// Other than digits with at most one point: a date, a sign or a word.
+    #[error("it is no number of seconds")]
+    NotSeconds,
+    /// Named more than once.
+    #[error("it is named twice")]
+    Repeated,
+}
+
+impl Millis {
+    /// Reads a decimal number of seconds, rounded up, so that a span is never read as shorter than was named. One that is too
+    /// long to be kept is read as the longest.
+    ///
+    /// # Errors
+    /// See [`SpanError`].
+    pub fn from_decimal_secs(text: &str) -> Result<Self, SpanError> {
+        let text = text.trim();
+        if text.is_empty() {
+            return Err(SpanError::Empty);
+        }
+        let has_digit = text.bytes().any(|byte| byte.is_ascii_digit());
+        let is_plain = text
+            .bytes()
+            .all(|byte| byte.is_ascii_digit() || byte == b'.');
+        if !has_digit || !is_plain {
+            return Err(SpanError::NotSeconds);
+        }
+        let seconds: f64 = text.parse().map_err(|_| SpanError::NotSeconds)?;
+        Ok(Self((seconds * 1_000.0).ceil() as u64))
+    }
+}
+
 impl Add for Millis {
     type Output = Self;
 
