fix: an upstream that asks a VM for rest gets nothing from it for that time

What callers saw: a send in vain, and a repeat, for each request that was sent to an upstream at rest. Cause: Retry-After of a 503 was not read; a 503 counted as one failure, for which an upstream is left alone for 0.3 s, and any whole answer in between made that good again. Ruled out: requests on their way (they came up to 3 s later).

Whether an upstream takes a request now is one state with a clock that is handed in (routing::gate: open, limited, resting), and the choice asks it before all else: first sends, repeats, streams that go on elsewhere and suspected requests. It is looked at once more after the connection was set up. Of several rests the latest end holds, as each was asked for; there is no bound of ours on it, and it ends with the run. A rest is no failure: it leaves no mark on the upstream's failures or its learned limit. Where all upstreams rest, callers are refused at once and told when the first one is back, spread over 0.2 s.

Telling the other VMs was not measured and is not done: the word is to one VM.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -105,6 +105,9 @@
     /// The upstream said that it did not run the request.
     #[error("refused unrun with status {0}")]
     Refused(u16),
+    /// The same, and that it wants no more from this VM for a time.
+    #[error("refused unrun, to rest for {0} ms")]
+    Resting(Millis),
     /// Another run of the upstream listens there, or it leads no group.
     #[error("another upstream was meant")]
     Misdirected,
@@ -134,6 +137,7 @@
             Self::HeldBack => "held_back",
             Self::NoListener(_) => "no_listener",
             Self::Refused(_) => "refused",
+            Self::Resting(_) => "resting",
             Self::Misdirected => "misdirected",
             Self::Broken(_) => "broken",
         }
@@ -176,7 +180,7 @@
         ConnectError::Refused(error) => AttemptError::NoListener(error.to_string()),
         ConnectError::Failed(reason) => AttemptError::NotSent(reason),
     })?;
-    if !may_send(front, upstream, permit) {
+    if !may_send(front, request, upstream, permit) {
         front.pool.give_back(&upstream.life, connection, None);
         return Err(AttemptError::HeldBack);
     }
@@ -211,10 +215,16 @@
         note_limit(front, upstream, &facts, sent_at + connected);
         note_gate(front, &upstream.life, &facts);
     }
-    let error = match (facts.is_misdirected, facts.is_not_run) {
-        (true, _) => AttemptError::Misdirected,
-        (false, true) => AttemptError::Refused(head.status.as_u16()),
-        (false, false) => {
+    let rest = facts
+        .rest
+        .ok()
+        .flatten()
+        .filter(|time| *time > Millis::ZERO);
+    let error = match (facts.is_misdirected, facts.is_not_run, rest) {
+        (true, _, _) => AttemptError::Misdirected,
+        (false, true, Some(time)) => AttemptError::Resting(time),
+        (false, true, None) => AttemptError::Refused(head.status.as_u16()),
+        (false, false, _) => {
             return Ok(OpenReply {
                 upstream: upstream.clone(),
                 head,
--- a/crates/gateway/src/front/gates.rs
+++ b/crates/gateway/src/front/gates.rs
@@ -5,14 +5,27 @@
 
 use super::FrontContext;
 
-/// Takes in what an upstream's answer says of that.
-pub fn note_gate<Dialect>(_front: &FrontContext<Dialect>, life: &UpstreamLife, facts: &ReplyFacts) {
+/// Takes in what an upstream's answer says of that. The VM's own clock goes on while it is suspended, as the rest does.
+pub fn note_gate<Dialect>(front: &FrontContext<Dialect>, life: &UpstreamLife, facts: &ReplyFacts) {
     match facts.rest {
-        Ok(Some(time)) => log::info!("event=upstream_rests upstream={life} time={time}"),
         Ok(None) => {}
+        Ok(Some(time)) => note_rest(front, life, time),
         Err(error) => log::warn!("event=rest_unreadable upstream={life} reason=\"{error}\""),
     }
     if facts.is_leaving {
         log::info!("event=upstream_leaves upstream={life}");
     }
 }
+
+fn note_rest<Dialect>(front: &FrontContext<Dialect>, life: &UpstreamLife, time: Millis) {
+    if time == Millis::ZERO {
+        return;
+    }
+    let now = front.now();
+    let gates = &mut front.book.borrow_mut().gates;
+    if gates.rest(life, now + time, now) {
+        log::info!("event=upstream_rests upstream={life} time={time}");
+    }
+    let metrics = &front.shared.metrics;
+    metrics.set_state("resting_upstreams", gates.resting(now) as i64);
+}
--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -163,8 +163,8 @@
         Ok(_) => book.note_progress(&upstream.life, now),
         Err(error) => {
             match error {
-                // It is sound, and said so.
-                AttemptError::HeldBack => return,
+                // It is sound, and says itself when to come back.
+                AttemptError::HeldBack | AttemptError::Resting(_) => return,
                 // Nothing answers there: others will wait as long in vain.
                 AttemptError::NotSent(_) | AttemptError::Misdirected if is_engine => {
                     book.note_quiet(&upstream.life, now);
--- a/crates/gateway/src/front/permits.rs
+++ b/crates/gateway/src/front/permits.rs
@@ -6,7 +6,7 @@
 use bergamot_quota::{
     LimitWord, PermitAnswer, PermitClaim, PermitQuestion, PermitStep, PermitVerdict, QuotaEvent,
 };
-use bergamot_routing::RouteUpstream;
+use bergamot_routing::{GateState, RouteUpstream};
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
@@ -151,14 +151,23 @@
     }
 }
 
-/// Whether a request may still be sent: its upstream may have named a limit since it was chosen.
+/// Whether a request may still be sent: its upstream may have named a limit since it was chosen, or asked for rest. Its permit
+/// stands above the limit's gate, which others may have closed meanwhile.
 pub fn may_send<Dialect>(
     front: &FrontContext<Dialect>,
+    request: &SentRequest,
     upstream: &RouteUpstream,
     permit: SendPermit,
 ) -> bool {
+    let now = front.now();
     let is_limited = front.quota.borrow().limits().rate(&upstream.life).is_some();
-    permit.holds(is_limited, front.now())
+    let gate = front
+        .book
+        .borrow()
+        .gates
+        .state(&upstream.life, request.priority, now);
+    let is_closed = !matches!(gate, GateState::Open | GateState::Limited(_));
+    permit.holds(is_limited, now) && !is_closed
 }
 
 impl<Dialect> FrontContext<Dialect> {
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -10,7 +10,9 @@
 use super::admit::authorize;
 use super::attempt::SentRequest;
 use super::permits::{SendPermit, obtain};
-use super::refusal::{CallRefusal, LEAST_RETURN, RETURN_NO_UPSTREAM, RETURN_STOPPING};
+use super::refusal::{
+    CallRefusal, LEAST_RETURN, RETURN_NO_UPSTREAM, RETURN_SPREAD, RETURN_STOPPING,
+};
 use super::standing::check_standing;
 use super::state::CallState;
 use crate::view::ClusterView;
@@ -161,7 +163,8 @@
 /// That no upstream takes the request for now, the first one again at this moment, if that is known.
 fn paused(opens_at: Option<Millis>, now: Millis) -> CallRefusal {
     let wait = opens_at.map_or(RETURN_NO_UPSTREAM, |at| at.since(now));
-    CallRefusal::later(ErrorKind::UpstreamsPaused, wait.max(LEAST_RETURN))
+    let spread = Millis(rand::random_range(0..=RETURN_SPREAD.0));
+    CallRefusal::later(ErrorKind::UpstreamsPaused, wait.max(LEAST_RETURN) + spread)
 }
 
 /// Why a request has been sent often enough, if it has.
--- a/crates/gateway/src/front/refusal.rs
+++ b/crates/gateway/src/front/refusal.rs
@@ -19,6 +19,10 @@
 /// The shortest time after which a caller is told to come back: what its new connection takes.
 pub const LEAST_RETURN: Millis = Millis(20);
 
+/// Drawn on top of the time until an upstream takes requests again: callers who were refused together do not come back to it in
+/// the same moment.
+pub const RETURN_SPREAD: Millis = Millis(200);
+
 /// When to come back where this VM is stopping: at once, as another VM takes the request.
 pub const RETURN_STOPPING: Millis = Millis(50);
 
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -10,6 +10,8 @@
     Open,
     /// It names a limit, and there is no permit for a request of this rank before this moment.
     Limited(Millis),
+    /// It asked this VM for rest until this moment.
+    Resting(Millis),
 }
 
 impl GateState {
@@ -22,7 +24,7 @@
     pub const fn opens_at(self) -> Option<Millis> {
         match self {
             Self::Open => None,
-            Self::Limited(until) => Some(until),
+            Self::Limited(until) | Self::Resting(until) => Some(until),
         }
     }
 }
@@ -38,10 +40,14 @@
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
 struct UpstreamGate {
     held: Vec<HeldRank>,
+    rests_until: Millis,
 }
 
 impl UpstreamGate {
     fn state(&self, priority: u8, now: Millis) -> GateState {
+        if self.rests_until > now {
+            return GateState::Resting(self.rests_until);
+        }
         let held = self.held.iter();
         // Where the more urgent wait the less urgent do.
         let held = held.filter(|it| it.priority <= priority && it.until > now);
@@ -50,7 +56,7 @@
     }
 
     fn is_idle(&self, now: Millis) -> bool {
-        self.held.iter().all(|it| it.until <= now)
+        self.rests_until <= now && self.held.iter().all(|it| it.until <= now)
     }
 }
 
@@ -77,6 +83,21 @@
         gate.held.push(HeldRank { priority, until });
     }
 
+    /// Sends nothing to an upstream until then, whatever its rank. Of several such times the latest holds, as each was asked
+    /// for. Says whether it had not asked for a rest that goes on.
+    pub fn rest(&mut self, life: &UpstreamLife, until: Millis, now: Millis) -> bool {
+        let gate = self.gates.entry(life.clone()).or_default();
+        let is_new = gate.rests_until <= now;
+        gate.rests_until = gate.rests_until.max(until);
+        is_new
+    }
+
+    /// Upstreams that rest now.
+    pub fn resting(&self, now: Millis) -> usize {
+        let gates = self.gates.values();
+        gates.filter(|gate| gate.rests_until > now).count()
+    }
+
     /// Forgets that requests were held back, as the upstream names no limit any more.
     pub fn release(&mut self, life: &UpstreamLife) {
         if let Some(gate) = self.gates.get_mut(life) {
--- a/crates/routing/tests/gate.rs
+++ b/crates/routing/tests/gate.rs
@@ -37,3 +37,73 @@
     gates.release(&life());
     assert_eq!(gates.state(&life(), 0, Millis(0)), GateState::Open);
 }
+
+struct RestCase {
+    name: &'static str,
+    /// Ends of the rests that were asked for, one after the other.
+    ends: &'static [u64],
+    at: u64,
+    expected: GateState,
+}
+
+#[test]
+fn an_upstream_rests_until_the_latest_of_the_times_that_it_asked_for() {
+    let cases = [
+        RestCase {
+            name: "within it",
+            ends: &[3_000],
+            at: 2_999,
+            expected: GateState::Resting(Millis(3_000)),
+        },
+        RestCase {
+            name: "at its end",
+            ends: &[3_000],
+            at: 3_000,
+            expected: GateState::Open,
+        },
+        RestCase {
+            name: "a shorter one that was asked for later does not end it",
+            ends: &[3_000, 1_000],
+            at: 2_000,
+            expected: GateState::Resting(Millis(3_000)),
+        },
+        RestCase {
+            name: "a longer one goes on from it",
+            ends: &[3_000, 5_000],
+            at: 4_000,
+            expected: GateState::Resting(Millis(5_000)),
+        },
+        RestCase {
+            name: "however long",
+            ends: &[u64::MAX],
+            at: 100_000_000,
+            expected: GateState::Resting(Millis(u64::MAX)),
+        },
+    ];
+    for case in cases {
+        let mut gates = GateTable::default();
+        for end in case.ends {
+            gates.rest(&life(), Millis(*end), Millis(0));
+        }
+        let state = gates.state(&life(), 0, Millis(case.at));
+        assert_eq!(state, case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_rest_outlasts_the_end_of_a_limit_and_ends_with_the_run() {
+    let mut gates = GateTable::default();
+    gates.rest(&life(), Millis(3_000), Millis(0));
+    gates.hold_back(&life(), 0, Millis(5_000), Millis(0));
+    gates.release(&life());
+    assert_eq!(
+        gates.state(&life(), 0, Millis(1)),
+        GateState::Resting(Millis(3_000))
+    );
+    gates.retain(|_| true, Millis(1));
+    assert_eq!(gates.resting(Millis(1)), 1);
+    let next = UpstreamLife::new(UpstreamId::new("u"), Some(UnixMillis(2)));
+    assert_eq!(gates.state(&next, 0, Millis(1)), GateState::Open);
+    gates.retain(|kept| *kept == next, Millis(1));
+    assert_eq!(gates.resting(Millis(1)), 0);
+}
