fix: an upstream that says in an answer that it leaves gets nothing more from that VM

What callers saw: nothing yet; new work went on to an upstream that had said that it leaves, for as long as the directory named it ready. Cause: the header was not read; leaving was known from the directory alone, which lags or is away.

Leaving is a state of the gate of this run of the upstream: neither the directory nor the end of a limit undoes it, a later run under the same id starts without it, and it is kept for ten minutes while the directory does not name the run, as one that was cut off comes back in the same run. What breaks off at its end counts as planned, for the account of requests under which upstreams end. Streams that run go on. Where all upstreams of a service leave it is as if there were none.

--- a/crates/gateway/src/front/breaks.rs
+++ b/crates/gateway/src/front/breaks.rs
@@ -15,7 +15,6 @@
 use super::attempt::SentRequest;
 use super::pool::ConnectError;
 use super::state::CallState;
-use crate::view::ClusterView;
 
 /// Other upstreams that are asked whether a failure domain is within reach. One harmful request ends several of a small
 /// domain in a second, but hardly just these.
@@ -39,7 +38,7 @@
     Dialect: 'static,
 {
     let life = &upstream.life;
-    if !is_staying(&front.shared.view.load(), life) {
+    if !is_staying(front, life) {
         return;
     }
     let print = request.print();
@@ -70,7 +69,7 @@
     life: &UpstreamLife,
     events: u32,
 ) {
-    if is_staying(&front.shared.view.load(), life) {
+    if is_staying(front, life) {
         let print = request.print();
         let (run, cause) = (BrokenRun { print, events }, BreakCause::Left);
         handle(front, QuarantineEvent::Broken { life, run, cause });
@@ -128,10 +127,13 @@
     }
 }
 
-/// Whether an upstream is in the directory and has not said that it leaves: the end of one that leaves is planned.
-pub fn is_staying(view: &ClusterView, life: &UpstreamLife) -> bool {
+/// Whether an upstream is in the directory and has said neither there nor in an answer that it leaves: the end of one that leaves is planned.
+pub fn is_staying<Dialect>(front: &FrontContext<Dialect>, life: &UpstreamLife) -> bool {
+    let view = front.shared.view.load();
     let entry = view.upstreams.get(&life.id);
-    entry.is_some_and(|entry| entry.life == *life && entry.state != UpstreamState::Draining)
+    let is_listed =
+        entry.is_some_and(|entry| entry.life == *life && entry.state != UpstreamState::Draining);
+    is_listed && !front.book.borrow().gates.is_leaving(life)
 }
 
 /// Finds out whether anything listens where a request was broken off. One connection for each end that is
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -48,9 +48,8 @@
             fresh_since = now;
         }
         let due = front.shared.quarantine.lock().to_review(now, fresh_since);
-        let view = front.shared.view.load_full();
         for life in &due {
-            let is_named = is_staying(&view, life);
+            let is_named = is_staying(&front, life);
             if is_named {
                 log::info!("event=upstream_not_ended upstream={life}");
             }
--- a/crates/gateway/src/front/gates.rs
+++ b/crates/gateway/src/front/gates.rs
@@ -1,9 +1,11 @@
 //! What upstreams say in their answers of whether they take more requests.
 
 use bergamot_ports::ReplyFacts;
+use bergamot_quarantine::QuarantineEvent;
 use bergamot_types::prelude::*;
 
 use super::FrontContext;
+use super::breaks::handle;
 
 /// Takes in what an upstream's answer says of that. The VM's own clock goes on while it is suspended, as the rest does.
 pub fn note_gate<Dialect>(front: &FrontContext<Dialect>, life: &UpstreamLife, facts: &ReplyFacts) {
@@ -13,7 +15,16 @@
         Err(error) => log::warn!("event=rest_unreadable upstream={life} reason=\"{error}\""),
     }
     if facts.is_leaving {
+        note_leaving(front, life);
+    }
+}
+
+fn note_leaving<Dialect>(front: &FrontContext<Dialect>, life: &UpstreamLife) {
+    let now = front.now();
+    if front.book.borrow_mut().gates.leave(life, now) {
         log::info!("event=upstream_leaves upstream={life}");
+        // What is cut at its end is cut by the end of a planned stop.
+        handle(front, QuarantineEvent::Leaving(life));
     }
 }
 
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -130,7 +130,8 @@
             );
             return Err(CallRefusal::later(ErrorKind::Overloaded, when_full()));
         }
-        UpstreamChoice::Closed(opens_at) => return Err(paused(opens_at, now)),
+        UpstreamChoice::Closed(Some(opens_at)) => return Err(paused(Some(opens_at), now)),
+        UpstreamChoice::Closed(None) => return Err(no_upstream),
         UpstreamChoice::None if state.tried.is_empty() => return Err(no_upstream),
         UpstreamChoice::None => {
             note_not_sent_on(request, state, runs, "no other upstream");
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -3,6 +3,10 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
+/// Time for which what an upstream said is kept after the directory last named it: one that was cut off from the directory
+/// comes back in the same run.
+const KEPT_TIME: Millis = Millis::from_secs(600);
+
 /// Whether an upstream takes a request.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub enum GateState {
@@ -12,6 +16,8 @@
     Limited(Millis),
     /// It asked this VM for rest until this moment.
     Resting(Millis),
+    /// It says that it leaves: this run of it takes nothing any more.
+    Leaving,
 }
 
 impl GateState {
@@ -23,7 +29,7 @@
     /// When it may take requests again, where that is known.
     pub const fn opens_at(self) -> Option<Millis> {
         match self {
-            Self::Open => None,
+            Self::Open | Self::Leaving => None,
             Self::Limited(until) | Self::Resting(until) => Some(until),
         }
     }
@@ -41,10 +47,16 @@
 struct UpstreamGate {
     held: Vec<HeldRank>,
     rests_until: Millis,
+    is_leaving: bool,
+    /// When the directory last named it, as far as was looked.
+    listed_at: Millis,
 }
 
 impl UpstreamGate {
     fn state(&self, priority: u8, now: Millis) -> GateState {
+        if self.is_leaving {
+            return GateState::Leaving;
+        }
         if self.rests_until > now {
             return GateState::Resting(self.rests_until);
         }
@@ -56,7 +68,7 @@
     }
 
     fn is_idle(&self, now: Millis) -> bool {
-        self.rests_until <= now && self.held.iter().all(|it| it.until <= now)
+        !self.is_leaving && self.rests_until <= now && self.held.iter().all(|it| it.until <= now)
     }
 }
 
@@ -77,7 +89,7 @@
 
     /// Sends nothing to an upstream until then that is no more urgent than this.
     pub fn hold_back(&mut self, life: &UpstreamLife, priority: u8, until: Millis, now: Millis) {
-        let gate = self.gates.entry(life.clone()).or_default();
+        let gate = self.gate_mut(life, now);
         gate.held
             .retain(|it| it.until > now && it.priority != priority);
         gate.held.push(HeldRank { priority, until });
@@ -86,12 +98,29 @@
     /// Sends nothing to an upstream until then, whatever its rank. Of several such times the latest holds, as each was asked
     /// for. Says whether it had not asked for a rest that goes on.
     pub fn rest(&mut self, life: &UpstreamLife, until: Millis, now: Millis) -> bool {
-        let gate = self.gates.entry(life.clone()).or_default();
+        let gate = self.gate_mut(life, now);
         let is_new = gate.rests_until <= now;
         gate.rests_until = gate.rests_until.max(until);
         is_new
     }
 
+    /// Sends nothing to this run of an upstream any more. Says whether it had not said so before.
+    pub fn leave(&mut self, life: &UpstreamLife, now: Millis) -> bool {
+        let gate = self.gate_mut(life, now);
+        !std::mem::replace(&mut gate.is_leaving, true)
+    }
+
+    /// Whether an upstream says that it leaves.
+    pub fn is_leaving(&self, life: &UpstreamLife) -> bool {
+        self.gates.get(life).is_some_and(|gate| gate.is_leaving)
+    }
+
+    fn gate_mut(&mut self, life: &UpstreamLife, now: Millis) -> &mut UpstreamGate {
+        let gate = self.gates.entry(life.clone()).or_default();
+        gate.listed_at = gate.listed_at.max(now);
+        gate
+    }
+
     /// Upstreams that rest now.
     pub fn resting(&self, now: Millis) -> usize {
         let gates = self.gates.values();
@@ -105,12 +134,16 @@
         }
     }
 
-    /// Forgets upstreams that are not to be kept, and what has passed.
-    pub fn retain<Keep>(&mut self, is_kept: Keep, now: Millis)
+    /// Forgets what has passed, and upstreams that the directory has not named for long.
+    pub fn retain<Keep>(&mut self, is_listed: Keep, now: Millis)
     where
         Keep: Fn(&UpstreamLife) -> bool,
     {
-        self.gates
-            .retain(|life, gate| is_kept(life) && !gate.is_idle(now));
+        self.gates.retain(|life, gate| {
+            if is_listed(life) {
+                gate.listed_at = now;
+            }
+            !gate.is_idle(now) && now.since(gate.listed_at) < KEPT_TIME
+        });
     }
 }
--- a/crates/routing/tests/gate.rs
+++ b/crates/routing/tests/gate.rs
@@ -104,6 +104,30 @@
     assert_eq!(gates.resting(Millis(1)), 1);
     let next = UpstreamLife::new(UpstreamId::new("u"), Some(UnixMillis(2)));
     assert_eq!(gates.state(&next, 0, Millis(1)), GateState::Open);
-    gates.retain(|kept| *kept == next, Millis(1));
-    assert_eq!(gates.resting(Millis(1)), 0);
+    gates.retain(|_| false, Millis(2_999));
+    assert_eq!(gates.resting(Millis(2_999)), 1, "it may come back");
+    gates.retain(|_| true, Millis(3_000));
+    assert_eq!(
+        gates.state(&life(), 0, Millis(1)),
+        GateState::Open,
+        "it was forgotten"
+    );
+}
+
+#[test]
+fn an_upstream_that_leaves_does_so_until_its_next_run() {
+    let mut gates = GateTable::default();
+    assert!(gates.leave(&life(), Millis(0)));
+    assert!(!gates.leave(&life(), Millis(5)), "it is told once");
+    gates.rest(&life(), Millis(10), Millis(5));
+    gates.release(&life());
+    assert_eq!(gates.state(&life(), 0, Millis(20)), GateState::Leaving);
+    // Out of the directory and back again.
+    gates.retain(|_| false, Millis(60_000));
+    gates.retain(|_| true, Millis(90_000));
+    assert!(gates.is_leaving(&life()));
+    let next = UpstreamLife::new(UpstreamId::new("u"), Some(UnixMillis(2)));
+    assert_eq!(gates.state(&next, 0, Millis(90_000)), GateState::Open);
+    gates.retain(|kept| *kept == next, Millis(700_000));
+    assert!(!gates.is_leaving(&life()), "it is gone");
 }
