fix: the limit of an upstream that was out of the directory for a while still holds

One that is cut off from the store comes back in the same run, and each VM would have sent to it without a permit until its first answer. Found by reading the code beside the gate of leaving upstreams, which keeps what it knows for ten minutes; limits do so too.

--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -216,7 +216,7 @@
         front.pool.retain(is_listed);
         let now = front.now();
         front.book.borrow_mut().retain(is_listed, now);
-        front.quota.borrow_mut().retain(is_listed);
+        front.quota.borrow_mut().retain(is_listed, now);
         note_limited(&front);
         let uses = front.demand.borrow_mut().uses(front.now());
         front.shared.demand.store(Arc::new(uses));
--- a/crates/quota/src/limit.rs
+++ b/crates/quota/src/limit.rs
@@ -3,6 +3,10 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
+/// Time for which a limit is kept after the directory last named its upstream: one that was cut off from the directory comes back
+/// in the same run, and all VMs would send to it at once.
+const KEPT_TIME: Millis = Millis::from_secs(600);
+
 /// An upstream's word on its limit, and when it held.
 ///
 /// The upstream made its answer at some moment between the send and the arrival. Answers on different connections overtake
@@ -50,10 +54,18 @@
     Ended,
 }
 
+/// What is known of one upstream.
+#[derive(Clone, Copy, Debug)]
+struct KnownLimit {
+    sight: LimitSight,
+    /// When the directory last named it, as far as was looked.
+    listed_at: Millis,
+}
+
 /// The limits that upstreams name, by their runs: a later run of an upstream has none until it names one.
 #[derive(Debug, Default)]
 pub struct LimitTable {
-    sights: IndexMap<UpstreamLife, LimitSight>,
+    sights: IndexMap<UpstreamLife, KnownLimit>,
     /// Upstreams whose last word could not be read, and why.
     unreadable: IndexMap<UpstreamLife, RateError>,
 }
@@ -61,25 +73,27 @@
 impl LimitTable {
     /// The limit that holds for an upstream.
     pub fn rate(&self, life: &UpstreamLife) -> Option<SendRate> {
-        self.sights.get(life).and_then(|sight| sight.rate)
+        self.sights.get(life).and_then(|known| known.sight.rate)
     }
 
     /// The same with the word that it comes from.
     pub(crate) fn limit(&self, life: &UpstreamLife) -> Option<(LimitSight, SendRate)> {
-        let sight = self.sights.get(life)?;
-        sight.rate.map(|rate| (*sight, rate))
+        let sight = self.sights.get(life)?.sight;
+        sight.rate.map(|rate| (sight, rate))
     }
 
     /// Takes in what an upstream said. Costs nothing for the many that never named a limit.
     pub fn note(&mut self, life: &UpstreamLife, sight: LimitSight) -> Option<LimitChange> {
         let Some(known) = self.sights.get_mut(life) else {
             let rate = sight.rate?;
-            self.sights.insert(life.clone(), sight);
+            let listed_at = sight.heard_at;
+            self.sights
+                .insert(life.clone(), KnownLimit { sight, listed_at });
             return Some(LimitChange::Named(rate));
         };
-        let before = known.rate;
-        *known = known.followed_by(sight);
-        match known.rate {
+        let before = known.sight.rate;
+        known.sight = known.sight.followed_by(sight);
+        match known.sight.rate {
             rate if rate == before => None,
             Some(rate) => Some(LimitChange::Named(rate)),
             None => Some(LimitChange::Ended),
@@ -94,7 +108,8 @@
 
     /// Upstreams that name a limit now.
     pub fn len(&self) -> usize {
-        let limited = self.sights.values().filter(|sight| sight.rate.is_some());
+        let limited = self.sights.values();
+        let limited = limited.filter(|known| known.sight.rate.is_some());
         limited.count()
     }
 
@@ -103,12 +118,17 @@
         self.len() == 0
     }
 
-    /// Forgets the upstreams that are not to be kept.
-    pub fn retain<Keep>(&mut self, is_kept: Keep)
+    /// Forgets the upstreams that the directory has not named for long.
+    pub fn retain<Keep>(&mut self, is_listed: Keep, now: Millis)
     where
         Keep: Fn(&UpstreamLife) -> bool,
     {
-        self.sights.retain(|life, _| is_kept(life));
-        self.unreadable.retain(|life, _| is_kept(life));
+        self.sights.retain(|life, known| {
+            if is_listed(life) {
+                known.listed_at = now;
+            }
+            now.since(known.listed_at) < KEPT_TIME
+        });
+        self.unreadable.retain(|life, _| is_listed(life));
     }
 }
--- a/crates/quota/src/state.rs
+++ b/crates/quota/src/state.rs
@@ -144,14 +144,14 @@
             .retain(|life, owned| fleet.owner(life, &owned.failure_domain) == Some(fleet.own()));
     }
 
-    /// Forgets the upstreams that are not to be kept.
-    pub fn retain<Keep>(&mut self, is_kept: Keep)
+    /// Forgets the upstreams that the directory does not name any more, their limits some time later.
+    pub fn retain<Keep>(&mut self, is_listed: Keep, now: Millis)
     where
         Keep: Fn(&UpstreamLife) -> bool,
     {
-        self.limits.retain(&is_kept);
-        self.owned.retain(|life, _| is_kept(life));
-        self.told_at.retain(|life, _| is_kept(life));
+        self.limits.retain(&is_listed, now);
+        self.owned.retain(|life, _| is_listed(life));
+        self.told_at.retain(|life, _| is_listed(life));
     }
 
     /// How a request that is to be sent to an upstream gets its permit.
