test: the soak draws limits, rests and leavings that upstreams say, and audits them

Upstreams name a limit, ask for rest with one in three requests, or say that they leave, drawn from a source of their own so that the other faults of a seed stay what they were (--said, three a run). The audit goes by what reached each run of an upstream and what its callers got: a limit over all processes that had passed it on, a rest and a leaving for each process; a restart, pause or cut excuses that process. Each check has cases that it finds and that it leaves alone (soak/tests/said.rs).

--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
+use bergamot_site_standin::ArrivedRequest;
 use bergamot_site_standin::upstream::SeenRequest;
 
 use crate::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
@@ -132,6 +133,27 @@
         /// How often it reached one after all could know.
         late: usize,
     },
+    /// An upstream got more than the limit that it had named allows, over all processes.
+    OverLimit {
+        /// Requests a second that it takes.
+        limit: String,
+        /// Requests in one span.
+        requests: usize,
+    },
+    /// An upstream that had asked a process for rest got more from it than it may.
+    RestBroken {
+        /// The process.
+        entry: usize,
+        /// Requests in that time.
+        requests: usize,
+    },
+    /// An upstream got new work from a process long after it had answered it that it leaves.
+    WorkWhileSaidLeaving {
+        /// The request.
+        id: String,
+        /// How long after.
+        after: Duration,
+    },
     /// Some time after the last fault a process does not serve.
     NotBack {
         /// The process.
@@ -219,6 +241,8 @@
     pub troubles: Vec<Trouble>,
     /// Keys that were taken away.
     pub revoked: Vec<RevokedKey>,
+    /// What reached each upstream, run or not.
+    pub arrived: Vec<Vec<ArrivedRequest>>,
 }
 
 impl AuditBook {
@@ -236,6 +260,7 @@
         }
         found.extend(self.check_order());
         found.extend(self.check_harmful());
+        found.extend(self.check_said());
         found
     }
 
--- a/crates/soak/src/bin/bergamot-soak.rs
+++ b/crates/soak/src/bin/bergamot-soak.rs
@@ -38,6 +38,12 @@
         "requests that end each upstream that runs them (1)",
         "COUNT",
     );
+    options.optopt(
+        "",
+        "said",
+        "limits, rests and leavings that upstreams say in their answers (3)",
+        "COUNT",
+    );
     options.optopt("", "stops", "planned stops besides (8)", "COUNT");
     options.optopt("", "seconds", "time in which faults begin (12)", "SECONDS");
     options.optopt(
@@ -108,6 +114,7 @@
     Ok(SoakOptions {
         entries: matches.opt_get_default("entries", usual.entries)?,
         faults: matches.opt_get_default("faults", usual.faults)?,
+        said: matches.opt_get_default("said", usual.said)?,
         harmful: matches.opt_get_default("harmful", usual.harmful)?,
         stops: matches.opt_get_default("stops", usual.stops)?,
         length: Duration::from_secs(seconds),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -119,6 +119,7 @@
             FaultKind::HarmfulRequest(role, number) => {
                 self.send_harmful(fault, role, number).await;
             }
+            FaultKind::Says(role, index, said) => self.say(role, index, said, length).await,
             FaultKind::ForeignEntry(role, index, entry) => {
                 let Some(upstream) = self.site.staying(role, index) else {
                     return Ok(());
@@ -242,7 +243,12 @@
     }
 
     /// Starts an upstream again under its id, cut off for a time or not. Its connections end.
-    async fn restart(&self, role: UpstreamRole, index: usize, cut_for: Option<Duration>) {
+    pub(crate) async fn restart(
+        &self,
+        role: UpstreamRole,
+        index: usize,
+        cut_for: Option<Duration>,
+    ) {
         let Some(upstream) = self.site.staying(role, index) else {
             return;
         };
--- a/crates/soak/src/harmful.rs
+++ b/crates/soak/src/harmful.rs
@@ -122,7 +122,7 @@
 impl AuditBook {
     /// Whether anything befell a process in this time. What ended before leaves no excuse: the time to know is long
     /// enough for one whose links are whole again.
-    fn is_disturbed(&self, entry: usize, from: Instant, until: Instant) -> bool {
+    pub(crate) fn is_disturbed(&self, entry: usize, from: Instant, until: Instant) -> bool {
         let mut troubles = self.troubles.iter();
         troubles.any(|it| it.befalls(entry) && it.from <= until && it.until >= from)
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod process;
 pub mod proxy;
 pub mod run;
+pub mod said;
 pub mod site;
 mod slow_stream;
 
@@ -31,4 +32,5 @@
 pub use process::EntryProcess;
 pub use proxy::LinkProxy;
 pub use run::{SoakOutcome, run_plan, run_seed};
+pub use said::SaidFault;
 pub use site::SoakSite;
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -24,6 +24,8 @@
     pub faults: usize,
     /// Requests in that time, besides, that end each upstream that runs them.
     pub harmful: usize,
+    /// Limits, rests and leavings that upstreams say in their answers, besides.
+    pub said: usize,
     /// Planned stops, besides those among the faults: half of them while faults begin, half once all are over.
     pub stops: usize,
     /// The number of the first place for processes; runs that go on side by side need others.
@@ -43,6 +45,7 @@
             length: Duration::from_secs(12),
             faults: 16,
             harmful: 1,
+            said: 3,
             stops: 8,
             first_place: 0,
         }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::options::SoakOptions;
+use crate::said::SaidFault;
 use crate::site::UpstreamRole;
 
 /// What befalls the bytes of a link.
@@ -79,6 +80,8 @@
     /// A request that ends each upstream that runs it is sent again and again to all processes; the number tells such
     /// requests of a run apart.
     HarmfulRequest(UpstreamRole, usize),
+    /// An upstream says something of itself in its answers.
+    Says(UpstreamRole, usize, SaidFault),
     /// The operator takes a key away and gives out another.
     ChangeKeys,
 }
@@ -115,6 +118,11 @@
 const STOPPED_MS: std::ops::Range<u64> = 100..1_000;
 /// Time in which the late ones of them come, in milliseconds: short against the grace, so that they overlap.
 const LATE_STOPS_MS: u64 = 3_000;
+/// How long an upstream says something of itself, in milliseconds: past the time after which all processes must go by it, and
+/// the span over which requests are counted.
+const SAID_MS: std::ops::Range<u64> = 5_000..12_000;
+/// Tells the source of what upstreams say from those of other faults.
+const SAID_SOURCE: u64 = 0x5341_4944;
 /// Tells the source of planned stops from those of other faults.
 const STOP_SOURCE: u64 = 0x5354_4f50;
 
@@ -131,6 +139,7 @@
             .collect();
         faults.extend(draw_harmful(seed, options));
         faults.extend(draw_stops(seed, options));
+        faults.extend(draw_said(seed, options));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
@@ -153,6 +162,32 @@
     stops.collect()
 }
 
+/// What upstreams say has a source of its own as well.
+fn draw_said(seed: u64, options: &SoakOptions) -> Vec<TimedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(16) ^ SAID_SOURCE);
+    let faults = (0..options.said).map(|_| {
+        let said = match rng.random_range(0..4) {
+            0 | 1 => SaidFault::Limit(rng.random_range(0..8_000)),
+            2 => SaidFault::Rest(rng.random_range(200..4_000)),
+            _ => SaidFault::Leaving,
+        };
+        let kind = match rng.random_bool(0.5) {
+            true => FaultKind::Says(
+                UpstreamRole::Engine,
+                rng.random_range(0..options.engines),
+                said,
+            ),
+            false => FaultKind::Says(UpstreamRole::Desk, rng.random_range(0..options.desks), said),
+        };
+        TimedFault {
+            at: Duration::from_millis(rng.random_range(0..options.length.as_millis() as u64)),
+            length: Duration::from_millis(rng.random_range(SAID_MS)),
+            kind,
+        }
+    });
+    faults.collect()
+}
+
 /// Harmful requests have a source of their own, so that the other faults of a seed stay what they were.
 fn draw_harmful(seed: u64, options: &SoakOptions) -> Vec<TimedFault> {
     let mut rng = ChaCha8Rng::seed_from_u64(!seed);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -194,6 +194,7 @@
             seen: self.site.requests_seen(),
             troubles: self.troubles.lock().clone(),
             revoked: self.site.keys.lock().revoked.clone(),
+            arrived: self.site.requests_arrived(),
         };
         let mut violations = book.check();
         violations.extend(self.violations.lock().iter().cloned());
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -8,7 +8,7 @@
 use bergamot_adapter::sample::{CONFIG_KEY, UPSTREAM_PREFIX, config_with};
 use bergamot_site_standin::upstream::SeenRequest;
 use bergamot_site_standin::{
-    GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
+    ArrivedRequest, GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
 };
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
@@ -301,6 +301,12 @@
         places.flat_map(|place| place.runs.clone()).collect()
     }
 
+    /// What reached each upstream, run or not.
+    pub fn requests_arrived(&self) -> Vec<Vec<ArrivedRequest>> {
+        let runs = self.all_runs().into_iter();
+        runs.map(|run| run.upstream.arrived()).collect()
+    }
+
     /// What upstreams began to run, by the request's id.
     pub fn requests_seen(&self) -> BTreeMap<String, Vec<(UpstreamRun, SeenRequest)>> {
         let mut seen: BTreeMap<String, Vec<_>> = BTreeMap::new();
