fix: a run counts against a route's most upstreams until its upstream has ended

What callers saw: nothing; a stream ran at more upstreams than its route allows. Cause: runs_that_count left out whatever the directory no longer names. An upstream that leaves without a word is taken out of the directory and goes on serving, and one that is cut off from the store lapses there; neither has ended. Ruled out: a wrong count of attempts (each is in run_at), a later run under the same id (lives differ).

A run is left out only where its upstream is known to have ended, or its connection ended and the directory does not name it any more. One that was left because it was silent counts, in the directory or not.

--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -97,6 +97,7 @@
             tried: Vec::new(),
             arrivals: 0,
             run_at: Vec::new(),
+            closed_at: Vec::new(),
             repeat_taken: None,
             trace,
         },
--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -48,6 +48,13 @@
     }
     count_attempt(front, state, &outcome);
     note_tried(front, state, upstream, &outcome);
+    let is_closed = matches!(
+        (&outcome, cause),
+        (Err(AttemptError::Broken(_)), BreakCause::Closed)
+    );
+    if is_closed {
+        state.closed_at.push(upstream.life.clone());
+    }
     look_for_end(front, request, state, upstream, &outcome, cause).await;
     let has_arrived = match &outcome {
         Ok(_) => true,
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -198,9 +198,12 @@
     view: &ClusterView,
     state: &CallState,
 ) -> usize {
-    let listed = state.run_at.iter().filter(|life| view.is_listed(life));
     let quarantine = front.shared.quarantine.lock();
-    listed.filter(|life| !quarantine.has_ended(life)).count()
+    // One that only left the directory may run on: it leaves without a word, or is cut off from the store.
+    let is_gone = |life: &UpstreamLife| state.closed_at.contains(life) && !view.is_listed(life);
+    let runs = state.run_at.iter();
+    let counted = runs.filter(|life| !quarantine.has_ended(life) && !is_gone(life));
+    counted.count()
 }
 
 /// Checks the caller's key once more, by the newest configuration, right before sending.
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -305,8 +305,11 @@
         self.front.pool.give_back(&id, reply.connection, keep_alive);
     }
 
-    async fn note_broken(&self, reply: &OpenReply, cause: BreakCause, reason: &str) {
+    async fn note_broken(&mut self, reply: &OpenReply, cause: BreakCause, reason: &str) {
         let now = self.front.now();
+        if cause == BreakCause::Closed {
+            self.state.closed_at.push(reply.upstream.life.clone());
+        }
         self.front
             .book
             .borrow_mut()
--- a/crates/gateway/src/front/state.rs
+++ b/crates/gateway/src/front/state.rs
@@ -23,6 +23,8 @@
     pub arrivals: usize,
     /// Of these, where it may have run.
     pub run_at: Vec<UpstreamLife>,
+    /// Of these, where the connection ended before the answer did.
+    pub closed_at: Vec<UpstreamLife>,
     /// When the repeat that is being sent was taken from the budget; none for the first send.
     pub repeat_taken: Option<Millis>,
     /// Follows it to the end of its answer.
