fix: a refusal that names no limit does not end one

Found by asking which answers may lack the header. An upstream that turns every other request away without naming its limit in those got 26 and 31 requests in 4 s where 23 are allowed: each refusal ended the limit at its VM, and the next requests needed no permit. A request may be turned away before it comes to where limits are named, so only an answer to one that ran ends a limit.

Evidence: a_refusal_that_names_no_limit_does_not_end_it, failed twice before, passes twice.

--- a/crates/gateway/src/front/limits.rs
+++ b/crates/gateway/src/front/limits.rs
@@ -26,6 +26,10 @@
             return;
         }
     };
+    // A request may be turned away before it comes to where limits are named.
+    if facts.is_not_run && rate.is_none() {
+        return;
+    }
     let now = front.now();
     let sight = LimitSight {
         rate,
