--- a/crates/load/src/bin/bergamot-load.rs
+++ b/crates/load/src/bin/bergamot-load.rs
@@ -7,6 +7,7 @@
 use anyhow::{Context, bail};
 use bergamot_load::capacity::{full_size, slopes};
 use bergamot_load::datapath::{DatapathOptions, datapath};
+use bergamot_load::experiment::limits::limits_table;
 use bergamot_load::experiment::tables::{placement_table, routing_table};
 use bergamot_load::rolls::rolls;
 use bergamot_load::traffic::{TrafficOptions, TrafficReport, audit, plot, run_traffic};
@@ -53,6 +54,7 @@
   run                      send load to entry VMs and check every answer
   experiment placement     both users' fleets under failures, against a rebuild from scratch
   experiment routing       policies for choosing replicas, against each other
+  experiment limits        ways to keep to an upstream's limit over all entry VMs
   rolls                    how soon a roll is in force on nine entry VMs
   datapath                 what one entry VM adds to a request
   capacity                 what each role costs as the fleet grows
@@ -71,6 +73,7 @@
         ["run"] => return traffic(&matches),
         ["experiment", "placement"] => print(&placement_table()),
         ["experiment", "routing"] => print(&routing_table()),
+        ["experiment", "limits"] => print(&limits_table()),
         ["datapath"] => print(&datapath(&DatapathOptions::default())?),
         ["rolls"] => print(&rolls()?),
         ["capacity"] => {
--- a/crates/quota/tests/support/mod.rs
+++ b/crates/load/src/experiment/limits.rs
@@ -1,5 +1,4 @@
 //! A fleet of entry VMs before one upstream that names a limit, in virtual time.
-#![allow(dead_code, reason = "each test file uses a part")]
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -24,10 +23,26 @@
     Owner,
 }
 
+impl LimitPolicy {
+    /// All ways.
+    pub const ALL: [Self; 4] = [Self::Ignored, Self::Alone, Self::EqualParts, Self::Owner];
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ignored => "ignored",
+            Self::Alone => "alone",
+            Self::EqualParts => "parts",
+            Self::Owner => "owner",
+        }
+    }
+}
+
 /// A fleet, its callers and what befalls it.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetPlan {
+    /// Entry VMs.
     pub vms: usize,
+    /// Failure domains that they are spread over.
     pub domains: usize,
     /// Requests a second that the upstream takes.
     pub limit: f64,
@@ -35,14 +50,17 @@
     pub demand: f64,
     /// How unevenly these come to the VMs: 0 is evenly.
     pub skew: f64,
-    /// Part of the datagrams that are lost, and that come twice.
+    /// Part of the datagrams that are lost.
     pub lost: f64,
+    /// Part of the others that come twice.
     pub doubled: f64,
-    /// Time that one takes at most.
+    /// Time that one takes at most, in milliseconds.
     pub delay: u64,
-    /// Time between two changes of the list of VMs, and between two VMs that are suspended; 0: none.
+    /// Time between two changes of the list of VMs, in milliseconds; 0: none.
     pub churn: u64,
+    /// Time between two VMs that are suspended, in milliseconds; 0: none.
     pub suspensions: u64,
+    /// How long it is played.
     pub seconds: u64,
     /// Whether VMs tell each other of the limit. Where not, each hears of it by its own answers alone.
     pub tells: bool,
@@ -81,8 +99,9 @@
 
 /// When the upstream names its limit, in milliseconds.
 pub const NAMED_AT: u64 = 3_000;
-/// Time after that from which it is to be kept, as the users set it.
+/// Time after that from which it is to be kept, in milliseconds, as the users set it.
 pub const CONTACT_TIME: u64 = 3_000;
+/// The span over which requests are counted, in milliseconds, as the users set it.
 const WINDOW: u64 = 4_000;
 
 impl FleetTally {
@@ -138,7 +157,8 @@
     weight: f64,
 }
 
-pub struct Fleet {
+/// The fleet as it is played.
+pub struct LimitedFleet {
     plan: FleetPlan,
     policy: LimitPolicy,
     random: ChaCha8Rng,
@@ -147,7 +167,7 @@
     messages: BTreeMap<(u64, u64), (usize, Message)>,
     count: u64,
     settled: BTreeSet<u64>,
-    pub tally: FleetTally,
+    tally: FleetTally,
     life: UpstreamLife,
     domain: FailureDomain,
 }
@@ -156,7 +176,8 @@
     format!("vm-{vm}")
 }
 
-impl Fleet {
+impl LimitedFleet {
+    /// A fleet that keeps to the limit in one way.
     pub fn new(plan: FleetPlan, policy: LimitPolicy, seed: u64) -> Self {
         let vms = (0..plan.vms).map(|vm| Vm {
             quota: QuotaState::new(name(vm), vm as u64 * 1_000_000),
@@ -372,3 +393,80 @@
         }
     }
 }
+
+/// A fleet that is played in each way.
+#[derive(Clone, Copy, Debug)]
+pub struct NamedFleet {
+    /// What it is.
+    pub name: &'static str,
+    /// Its plan.
+    pub plan: FleetPlan,
+    /// Plays of it.
+    pub plays: u64,
+}
+
+/// Small and large fleets with small and large limits, and nothing that befalls them.
+pub const CALM_FLEETS: [NamedFleet; 4] = [
+    NamedFleet {
+        name: "9 VMs, 1.9 a second",
+        plan: FleetPlan::calm(9, 3, 1.9, 8.0),
+        plays: 3,
+    },
+    NamedFleet {
+        name: "9 VMs, 20 a second",
+        plan: FleetPlan::calm(9, 3, 20.0, 60.0),
+        plays: 3,
+    },
+    NamedFleet {
+        name: "195 VMs, 1.9 a second",
+        plan: FleetPlan::calm(195, 5, 1.9, 30.0),
+        plays: 1,
+    },
+    NamedFleet {
+        name: "195 VMs, 20 a second",
+        plan: FleetPlan::calm(195, 5, 20.0, 60.0),
+        plays: 1,
+    },
+];
+
+/// What came of a fleet in one way.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct PlayedFleet {
+    /// The most requests in 4 s over all plays.
+    pub most: usize,
+    /// The mean part of the limit that was used.
+    pub used: f64,
+}
+
+/// Plays a fleet in one way.
+pub fn play_fleets(fleet: &NamedFleet, policy: LimitPolicy) -> PlayedFleet {
+    let plan = fleet.plan;
+    let tallies = (0..fleet.plays).map(|seed| LimitedFleet::new(plan, policy, seed).play());
+    let tallies: Vec<FleetTally> = tallies.collect();
+    let most = tallies.iter().map(FleetTally::most_in_window).max();
+    let used: f64 = tallies.iter().map(|it| it.used_part(&plan)).sum();
+    PlayedFleet {
+        most: most.unwrap_or(0),
+        used: used / tallies.len().max(1) as f64,
+    }
+}
+
+/// A table of all ways, a line each.
+pub fn limits_table() -> Vec<String> {
+    let mut lines = vec![format!(
+        "{:<22} {:>10} {:>12} {:>10} {:>10}",
+        "fleet", "policy", "most in 4 s", "allowed", "used part"
+    )];
+    for fleet in CALM_FLEETS {
+        for policy in LimitPolicy::ALL {
+            let PlayedFleet { most, used } = play_fleets(&fleet, policy);
+            let allowed = allowed(fleet.plan.limit);
+            lines.push(format!(
+                "{:<22} {:>10} {most:>12} {allowed:>10} {used:>10.2}",
+                fleet.name,
+                policy.as_str()
+            ));
+        }
+    }
+    lines
+}
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -5,12 +5,14 @@
 
 pub mod events;
 pub mod fabric;
+pub mod limits;
 pub mod placement;
 pub mod routing;
 pub mod runner_model;
 pub mod serving;
 pub mod tables;
 
+pub use limits::{FleetPlan, FleetTally, LimitPolicy, LimitedFleet};
 pub use placement::{PlacementCase, PlacementResult, run_placement};
 pub use routing::{RoutingCase, RoutingResult, run_routing};
 pub use serving::{ServingCase, ServingResult, run_serving};
--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -1,7 +1,6 @@
 //! The promises, checked from what callers and upstreams saw.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::time::{Duration, Instant};
 
 use bergamot_site_standin::ArrivedRequest;
@@ -10,6 +9,7 @@
 use crate::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
 use crate::plan::FaultKind;
 use crate::site::{LASTING_KEY, RevokedKey, UpstreamRole, UpstreamRun};
+use crate::violation::Violation;
 
 /// Time after which a key that was taken away is good nowhere: the bound in the processes' settings,
 /// and 250 ms for a request on its way.
@@ -29,153 +29,6 @@
 /// Time after the signal from which on such a stream may be cut: the last sixth of the grace, as the users set it.
 const STREAM_CUT: Duration = Duration::from_micros(STOP_GRACE.as_micros() as u64 * 5 / 6);
 
-/// A promise that was broken.
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub enum Violation {
-    /// A request that is not idempotent ran more than once.
-    RanTwice {
-        /// The request.
-        id: String,
-        /// How often it ran.
-        runs: usize,
-    },
-    /// A request that ends no upstream was refused as one that does.
-    InnocentHeld {
-        /// The request.
-        id: String,
-    },
-    /// A request was said not to have run, and had, or did later.
-    FalselyNotRun {
-        /// The request.
-        id: String,
-        /// What was answered.
-        status: u16,
-    },
-    /// An answer was not the whole one to its own request.
-    WrongAnswer {
-        /// The request.
-        id: String,
-    },
-    /// A request that was given up on without a word on when to come back.
-    NoRetryAfter {
-        /// The request.
-        id: String,
-        /// What was answered.
-        status: u16,
-    },
-    /// A request had no answer for longer than its deadline.
-    HeldTooLong {
-        /// The request.
-        id: String,
-        /// For how long.
-        took: Duration,
-    },
-    /// A good key was refused.
-    Denied {
-        /// The request.
-        id: String,
-        /// What was answered.
-        status: u16,
-    },
-    /// A key was good long after it had been taken away.
-    RevokedServed {
-        /// The request.
-        id: String,
-        /// How long after.
-        after: Duration,
-    },
-    /// A process went by an older configuration than before.
-    Reverted {
-        /// The request.
-        id: String,
-        /// The process.
-        entry: usize,
-    },
-    /// An upstream got new work long after it had said that it was leaving.
-    WorkWhileLeaving {
-        /// The request.
-        id: String,
-        /// The upstream.
-        upstream: String,
-        /// How long after.
-        after: Duration,
-    },
-    /// An upstream got new work long after its entry had named none.
-    WorkWhileUnnamed {
-        /// The request.
-        id: String,
-        /// The upstream.
-        upstream: String,
-    },
-    /// A planned stop cut a request off.
-    CutByStop {
-        /// The request.
-        id: String,
-        /// The process.
-        entry: usize,
-    },
-    /// A process did not end within its grace.
-    DidNotStop {
-        /// The process.
-        entry: usize,
-    },
-    /// An upstream is a member of two groups that serve.
-    TwoGroups {
-        /// The upstream.
-        member: String,
-        /// Both leaders, or the leader and the other group.
-        leaders: [String; 2],
-    },
-    /// A request under which upstreams end reached more of them than it may.
-    NotBounded {
-        /// The number of the request.
-        number: usize,
-        /// How often it reached one after all could know.
-        late: usize,
-    },
-    /// An upstream got more than the limit that it had named allows, over all processes.
-    OverLimit {
-        /// Requests a second that it takes.
-        limit: String,
-        /// Requests in one span.
-        requests: usize,
-    },
-    /// An upstream that had asked a process for rest got more from it than it may.
-    RestBroken {
-        /// The process.
-        entry: usize,
-        /// Requests in that time.
-        requests: usize,
-    },
-    /// An upstream got new work from a process long after it had answered it that it leaves.
-    WorkWhileSaidLeaving {
-        /// The request.
-        id: String,
-        /// How long after.
-        after: Duration,
-    },
-    /// Some time after the last fault a process does not serve.
-    NotBack {
-        /// The process.
-        entry: usize,
-        /// What it does not serve.
-        kind: RequestKind,
-        /// How the last try ended.
-        end: CallEnd,
-    },
-    /// Some time after the last fault a process does not go by the newest configuration.
-    OldConfig {
-        /// The process.
-        entry: usize,
-    },
-}
-
-impl fmt::Display for Violation {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{self:?}")
-    }
-}
-
 /// Something that befell processes or upstreams for a time.
 #[derive(Clone, Copy, Debug)]
 pub struct Trouble {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -11,12 +11,13 @@
 use tokio::task::JoinSet;
 
 use crate::around_stop::{LEAD_TIME, StopScene};
-use crate::audit::{Trouble, Violation};
+use crate::audit::Trouble;
 use crate::plan::{FaultKind, FaultPlan, LinkState, TimedFault};
 use crate::process::{EntryProcess, StopState};
 use crate::proxy::LinkProxy;
 use crate::run::SoakRun;
 use crate::site::UpstreamRole;
+use crate::violation::Violation;
 
 /// Time in which connections to an upstream that starts again are reset.
 const RESTART_TIME: Duration = Duration::from_millis(50);
--- a/crates/soak/src/groups.rs
+++ b/crates/soak/src/groups.rs
@@ -8,8 +8,8 @@
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 
-use crate::audit::Violation;
 use crate::site::SoakSite;
+use crate::violation::Violation;
 
 /// Time between two looks: a third of the time in which the stand-in's groups can be re-formed.
 const LOOK: Duration = Duration::from_millis(20);
--- a/crates/soak/src/harmful.rs
+++ b/crates/soak/src/harmful.rs
@@ -6,11 +6,12 @@
 use bergamot_site_standin::CrashOptions;
 use tokio::task::JoinSet;
 
-use crate::audit::{AuditBook, Violation};
+use crate::audit::AuditBook;
 use crate::caller::{CallRecord, RequestKind, call_once};
 use crate::plan::TimedFault;
 use crate::run::SoakRun;
 use crate::site::{LASTING_KEY, UpstreamRole};
+use crate::violation::Violation;
 
 /// What the bodies of such requests contain.
 pub const MARKER: &str = "ends its upstream";
--- a/crates/soak/src/keys.rs
+++ b/crates/soak/src/keys.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use crate::audit::{AuditBook, Violation};
+use crate::audit::AuditBook;
 use crate::caller::CallEnd;
 use crate::site::CHANGING_KEY;
+use crate::violation::Violation;
 
 impl AuditBook {
     /// A process must not take a key that was taken away after it has gone by a later configuration:
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -25,8 +25,9 @@
 pub mod said;
 pub mod site;
 mod slow_stream;
+pub mod violation;
 
-pub use audit::{AuditBook, Violation};
+pub use audit::AuditBook;
 pub use options::SoakOptions;
 pub use plan::{FaultKind, FaultPlan, LinkState, TimedFault};
 pub use process::EntryProcess;
@@ -34,3 +35,4 @@
 pub use run::{SoakOutcome, run_plan, run_seed};
 pub use said::SaidFault;
 pub use site::SoakSite;
+pub use violation::Violation;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,7 +6,7 @@
 use parking_lot::Mutex;
 use tokio::task::JoinSet;
 
-use crate::audit::{AuditBook, Trouble, Violation};
+use crate::audit::{AuditBook, Trouble};
 use crate::caller::{CallEnd, CallRecord, CallerLoop, RequestKind, call_once};
 use crate::groups::GroupWatch;
 use crate::options::SoakOptions;
@@ -14,6 +14,7 @@
 use crate::process::{EntryPlace, EntryProcess};
 use crate::proxy::LinkProxy;
 use crate::site::{LASTING_KEY, SoakSite};
+use crate::violation::Violation;
 
 /// Time after the last fault in which all must serve again: the bound that the users' deployments set.
 const RECOVERY: Duration = Duration::from_secs(12);
--- a/crates/soak/src/said.rs
+++ b/crates/soak/src/said.rs
@@ -5,11 +5,12 @@
 
 use bergamot_site_standin::{ArrivedRequest, SaidWords};
 
-use crate::audit::{AuditBook, Violation};
+use crate::audit::AuditBook;
 use crate::caller::{CallEnd, CallRecord};
 use crate::plan::FaultKind;
 use crate::run::SoakRun;
 use crate::site::UpstreamRole;
+use crate::violation::Violation;
 
 /// Time after which a process whose links are whole must go by a limit, as the users set it.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
--- a/crates/soak/tests/held.rs
+++ b/crates/soak/tests/held.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use bergamot_soak::audit::{AuditBook, Violation};
 use bergamot_soak::caller::{CallEnd, CallRecord, RequestKind};
 use bergamot_soak::site::{LASTING_KEY, UpstreamRole};
+use bergamot_soak::{AuditBook, Violation};
 
 struct HeldCase {
     name: &'static str,
--- a/crates/soak/tests/keys.rs
+++ b/crates/soak/tests/keys.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use bergamot_soak::audit::{AuditBook, Violation};
 use bergamot_soak::caller::{CallEnd, CallRecord, RequestKind};
 use bergamot_soak::site::CHANGING_KEY;
+use bergamot_soak::{AuditBook, Violation};
 
 /// Answers of one process to requests with keys of versions, in order.
 struct OrderCase {
