--- a/crates/gateway/src/front/gates.rs
+++ b/crates/gateway/src/front/gates.rs
@@ -33,10 +33,16 @@
         return;
     }
     let now = front.now();
-    let gates = &mut front.book.borrow_mut().gates;
-    if gates.rest(life, now + time, now) {
+    let is_new = front.book.borrow_mut().gates.rest(life, now + time, now);
+    if is_new {
         log::info!("event=upstream_rests upstream={life} time={time}");
     }
+    show_resting(front);
+}
+
+/// Shows how many upstreams rest now.
+pub fn show_resting<Dialect>(front: &FrontContext<Dialect>) {
+    let resting = front.book.borrow().gates.resting(front.now());
     let metrics = &front.shared.metrics;
-    metrics.set_state("resting_upstreams", gates.resting(now) as i64);
+    metrics.set_state("resting_upstreams", resting as i64);
 }
--- a/crates/gateway/src/front/limits.rs
+++ b/crates/gateway/src/front/limits.rs
@@ -91,11 +91,11 @@
             log::info!("event=upstream_unlimited upstream={life}");
         }
     }
-    note_limited(front);
+    show_limited(front);
 }
 
 /// Shows how many upstreams name a limit.
-pub fn note_limited<Dialect>(front: &FrontContext<Dialect>) {
+pub fn show_limited<Dialect>(front: &FrontContext<Dialect>) {
     let limited = front.quota.borrow().limits().len();
     let metrics = &front.shared.metrics;
     metrics.set_state("limited_upstreams", limited as i64);
--- a/crates/gateway/src/front/permits.rs
+++ b/crates/gateway/src/front/permits.rs
@@ -117,6 +117,8 @@
     question: PermitQuestion,
 ) -> Option<SendPermit> {
     let number = question.number;
+    let life = question.word.life.clone();
+    let asked_of = owner.clone();
     // The owner gave it at some moment from now on; the process may be suspended before it sees the answer.
     let asked_at = front.now();
     let answer = front.permits.enter(number);
@@ -134,7 +136,7 @@
             let event = QuotaEvent::Unanswered(number);
             let actions = front.quota.borrow_mut().handle(front.now(), event);
             act(front, actions);
-            log::info!("event=permit_unanswered number={number}");
+            log::info!("event=permit_unanswered upstream={life} owner={asked_of}");
             None
         }
     }
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -130,7 +130,14 @@
             );
             return Err(CallRefusal::later(ErrorKind::Overloaded, when_full()));
         }
-        UpstreamChoice::Closed(Some(opens_at)) => return Err(paused(Some(opens_at), now)),
+        UpstreamChoice::Closed(Some(opens_at)) => {
+            log::info!(
+                "event=none_open request={} gates={}",
+                request.call.id,
+                book.describe_gates(upstreams, request.priority, now)
+            );
+            return Err(paused(Some(opens_at), now));
+        }
         UpstreamChoice::Closed(None) => return Err(no_upstream),
         UpstreamChoice::None if state.tried.is_empty() => return Err(no_upstream),
         UpstreamChoice::None => {
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -20,8 +20,9 @@
 use super::FrontContext;
 use super::answer::{HeldBody, whole_body};
 use super::call::answer;
+use super::gates::show_resting;
 use super::head_timer::{HeadTimer, TimedStream};
-use super::limits::note_limited;
+use super::limits::show_limited;
 use super::trace::{RequestTrace, TracedAnswer};
 use crate::listen::{close_listener, next_connection};
 use crate::stop::StopControl;
@@ -217,7 +218,8 @@
         let now = front.now();
         front.book.borrow_mut().retain(is_listed, now);
         front.quota.borrow_mut().retain(is_listed, now);
-        note_limited(&front);
+        show_limited(&front);
+        show_resting(&front);
         let uses = front.demand.borrow_mut().uses(front.now());
         front.shared.demand.store(Arc::new(uses));
     }
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -258,6 +258,17 @@
             .retain(|life, load| load.in_flight > 0 || is_listed(life));
     }
 
+    /// Why these upstreams take no request of this rank now, for the log.
+    pub fn describe_gates(&self, pool: &[RouteUpstream], priority: u8, now: Millis) -> String {
+        let gates = pool.iter().map(|upstream| {
+            let life = &upstream.life;
+            let state = self.gates.state(life, priority, now);
+            let wait = state.opens_at().map_or(Millis::ZERO, |at| at.since(now));
+            format!("{life}:{}:{wait}", state.as_str())
+        });
+        gates.collect::<Vec<_>>().join(",")
+    }
+
     /// What the limits of these upstreams are, and what is in flight, for the log.
     pub fn describe(&self, pool: &[RouteUpstream], now: Millis) -> String {
         let is_known = self.occupancy.is_known(now);
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -26,6 +26,16 @@
         matches!(self, Self::Open)
     }
 
+    /// Its name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Limited(_) => "limited",
+            Self::Resting(_) => "resting",
+            Self::Leaving => "leaving",
+        }
+    }
+
     /// When it may take requests again, where that is known.
     pub const fn opens_at(self) -> Option<Millis> {
         match self {
