--- a/crates/peer/tests/frame.rs
+++ b/crates/peer/tests/frame.rs
@@ -1,9 +1,10 @@
 //! Bytes of any kind are read or refused, never a panic.
 
 use bergamot_peer::{
-    Answer, Datagram, NewsAnswer, Question, StoreNews, decode, encode, read_frame,
+    Answer, Datagram, NewsAnswer, PeerNotice, Question, StoreNews, decode, encode, read_frame,
 };
 use bergamot_ports::{StoreEvent, StoreItem};
+use bergamot_quota::{LimitWord, PermitAnswer, PermitClaim, PermitQuestion, PermitVerdict};
 use bergamot_types::prelude::*;
 
 const ITERATIONS: usize = 20_000;
@@ -130,3 +131,38 @@
     assert!(packed.len() * 6 < plain, "{} bytes", packed.len());
     assert_eq!(decode::<NewsAnswer>(&packed).expect("it is ours"), news);
 }
+
+/// A question before each request to an upstream with a limit must stay small against the request itself.
+#[test]
+fn a_permit_is_asked_for_and_given_in_two_small_datagrams() {
+    const MOST_BYTES: usize = 200;
+    let question = PeerNotice::PermitQuestion(PermitQuestion {
+        vm: "front-hodmezo-ring-39".to_owned(),
+        number: u64::MAX,
+        word: LimitWord {
+            life: UpstreamLife::new(
+                UpstreamId::new("i-0d194598d5"),
+                Some(UnixMillis(1_777_805_977_011)),
+            ),
+            failure_domain: FailureDomain::new("hodmezo-ring"),
+            rate: Some(SendRate::from_milli(1_900)),
+            sent_age: Millis(600_000),
+            heard_age: Millis(600_000),
+        },
+        claim: PermitClaim {
+            priority: 9,
+            account: u32::MAX,
+        },
+    });
+    let answer = PeerNotice::PermitAnswer(PermitAnswer {
+        number: u64::MAX,
+        verdict: PermitVerdict::Later(Millis(2_000)),
+    });
+    let question = encode(&question).expect("it is small").len();
+    let answer = encode(&answer).expect("it is small").len();
+    println!("{question} and {answer} bytes");
+    assert!(
+        question + answer <= MOST_BYTES,
+        "{question} and {answer} bytes"
+    );
+}
