--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -105,9 +105,9 @@
     /// The upstream said that it did not run the request.
     #[error("refused unrun with status {0}")]
     Refused(u16),
-    /// The same, and that it wants no more from this VM for a time.
-    #[error("refused unrun, to rest for {0} ms")]
-    Resting(Millis),
+    /// The same, and that this VM is to back off for a time.
+    #[error("refused unrun, to back off for {0} ms")]
+    BackingOff(Millis),
     /// Another run of the upstream listens there, or it leads no group.
     #[error("another upstream was meant")]
     Misdirected,
@@ -137,7 +137,7 @@
             Self::HeldBack => "held_back",
             Self::NoListener(_) => "no_listener",
             Self::Refused(_) => "refused",
-            Self::Resting(_) => "resting",
+            Self::BackingOff(_) => "back_off",
             Self::Misdirected => "misdirected",
             Self::Broken(_) => "broken",
         }
@@ -215,14 +215,14 @@
         note_limit(front, upstream, &facts, sent_at + connected);
         note_gate(front, &upstream.life, &facts);
     }
-    let rest = facts
-        .rest
+    let back_off = facts
+        .back_off
         .ok()
         .flatten()
         .filter(|time| *time > Millis::ZERO);
-    let error = match (facts.is_misdirected, facts.is_not_run, rest) {
+    let error = match (facts.is_misdirected, facts.is_not_run, back_off) {
         (true, _, _) => AttemptError::Misdirected,
-        (false, true, Some(time)) => AttemptError::Resting(time),
+        (false, true, Some(time)) => AttemptError::BackingOff(time),
         (false, true, None) => AttemptError::Refused(head.status.as_u16()),
         (false, false, _) => {
             return Ok(OpenReply {
--- a/crates/gateway/src/front/exchange.rs
+++ b/crates/gateway/src/front/exchange.rs
@@ -11,7 +11,7 @@
     SilentNotice, frame,
 };
 use bergamot_quarantine::{QuarantineEvent, QuarantineRecord};
-use bergamot_quota::{LimitWord, QuotaAction, QuotaEvent};
+use bergamot_quota::{LimitReport, QuotaAction, QuotaEvent};
 use bergamot_routing::ToldSilence;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -198,9 +198,9 @@
 /// What this VM tells or asks about limits.
 fn tell_quota<Dialect>(front: &FrontContext<Dialect>, news: QuotaNews) -> Vec<AddressedNotice> {
     match news {
-        QuotaNews::Word(word) => {
+        QuotaNews::Report(report) => {
             let hops = front.book.borrow().occupancy.relay_own(front.now());
-            address_limit(front, hops, &word)
+            address_limit(front, hops, &report)
         }
         QuotaNews::Question { vm, question } => {
             let notice = PeerNotice::PermitQuestion(question);
@@ -214,14 +214,14 @@
     front: &FrontContext<Dialect>,
     notice: &LimitNotice,
 ) -> Vec<AddressedNotice> {
-    let event = QuotaEvent::Told(&notice.word);
+    let event = QuotaEvent::Told(&notice.report);
     let actions = front.quota.borrow_mut().handle(front.now(), event);
     act(front, actions);
     let hops = {
         let book = front.book.borrow();
         book.occupancy.relay(&notice.vm, notice.scope)
     };
-    address_limit(front, hops, &notice.word)
+    address_limit(front, hops, &notice.report)
 }
 
 /// Answers another VM that asks for a permit.
@@ -244,13 +244,13 @@
 fn address_limit<Dialect>(
     front: &FrontContext<Dialect>,
     hops: Vec<RelayHop>,
-    word: &LimitWord,
+    report: &LimitReport,
 ) -> Vec<AddressedNotice> {
     let notices = hops.into_iter().map(|hop| AddressedNotice {
         notice: PeerNotice::Limit(LimitNotice {
             vm: front.shared.site.vm.to_string(),
             scope: hop.scope,
-            word: word.clone(),
+            report: report.clone(),
         }),
         vm: hop.vm,
     });
--- a/crates/gateway/src/front/gates.rs
+++ b/crates/gateway/src/front/gates.rs
@@ -7,12 +7,12 @@
 use super::FrontContext;
 use super::breaks::handle;
 
-/// Takes in what an upstream's answer says of that. The VM's own clock goes on while it is suspended, as the rest does.
+/// Takes in what an upstream's answer says of that. The VM's own clock goes on while it is suspended, as that time does.
 pub fn note_gate<Dialect>(front: &FrontContext<Dialect>, life: &UpstreamLife, facts: &ReplyFacts) {
-    match facts.rest {
+    match facts.back_off {
         Ok(None) => {}
-        Ok(Some(time)) => note_rest(front, life, time),
-        Err(error) => log::warn!("event=rest_unreadable upstream={life} reason=\"{error}\""),
+        Ok(Some(time)) => note_back_off(front, life, time),
+        Err(error) => log::warn!("event=back_off_unreadable upstream={life} reason=\"{error}\""),
     }
     if facts.is_leaving {
         note_leaving(front, life);
@@ -28,21 +28,25 @@
     }
 }
 
-fn note_rest<Dialect>(front: &FrontContext<Dialect>, life: &UpstreamLife, time: Millis) {
+fn note_back_off<Dialect>(front: &FrontContext<Dialect>, life: &UpstreamLife, time: Millis) {
     if time == Millis::ZERO {
         return;
     }
     let now = front.now();
-    let is_new = front.book.borrow_mut().gates.rest(life, now + time, now);
+    let is_new = front
+        .book
+        .borrow_mut()
+        .gates
+        .back_off(life, now + time, now);
     if is_new {
-        log::info!("event=upstream_rests upstream={life} time={time}");
+        log::info!("event=upstream_backs_off upstream={life} time={time}");
     }
-    show_resting(front);
+    show_backing_off(front);
 }
 
-/// Shows how many upstreams rest now.
-pub fn show_resting<Dialect>(front: &FrontContext<Dialect>) {
-    let resting = front.book.borrow().gates.resting(front.now());
+/// Shows from how many upstreams this VM backs off now.
+pub fn show_backing_off<Dialect>(front: &FrontContext<Dialect>) {
+    let resting = front.book.borrow().gates.backing_off(front.now());
     let metrics = &front.shared.metrics;
-    metrics.set_state("resting_upstreams", resting as i64);
+    metrics.set_state("backing_off_upstreams", resting as i64);
 }
--- a/crates/gateway/src/front/limits.rs
+++ b/crates/gateway/src/front/limits.rs
@@ -1,7 +1,7 @@
-//! Limits that upstreams name in their answers.
+//! Limits that upstreams advertise in their answers.
 
 use bergamot_ports::ReplyFacts;
-use bergamot_quota::{LimitChange, LimitSight, QuotaAction, QuotaEvent, QuotaPlace};
+use bergamot_quota::{LimitChange, LimitObservation, QuotaAction, QuotaEvent, QuotaPlace};
 use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
 
@@ -31,7 +31,7 @@
         return;
     }
     let now = front.now();
-    let sight = LimitSight {
+    let observation = LimitObservation {
         rate,
         sent_at,
         heard_at: now,
@@ -39,7 +39,7 @@
     let actions = front
         .quota
         .borrow_mut()
-        .handle(now, QuotaEvent::Answered(place_of(upstream), sight));
+        .handle(now, QuotaEvent::Answered(place_of(upstream), observation));
     act(front, actions);
 }
 
@@ -57,7 +57,7 @@
     for action in actions {
         match action {
             QuotaAction::NoteChange(life, change) => note_change(front, &life, change),
-            QuotaAction::Tell(word) => front.tell_quota(QuotaNews::Word(word)),
+            QuotaAction::Tell(report) => front.tell_quota(QuotaNews::Report(report)),
             QuotaAction::HoldBack {
                 life,
                 priority,
@@ -94,7 +94,7 @@
     show_limited(front);
 }
 
-/// Shows how many upstreams name a limit.
+/// Shows how many upstreams advertise a limit.
 pub fn show_limited<Dialect>(front: &FrontContext<Dialect>) {
     let limited = front.quota.borrow().limits().len();
     let metrics = &front.shared.metrics;
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -18,9 +18,9 @@
 //! | [`quiet`] | when an upstream counts as standing still |
 //! | [`refusal`] | answers of this system's own |
 //! | [`flight`] | counts of requests at upstreams |
-//! | [`gates`] | upstreams that ask for rest, or say that they leave |
-//! | [`limits`] | limits that upstreams name in their answers |
-//! | [`permits`] | permits to send to an upstream that names a limit |
+//! | [`gates`] | upstreams that ask VMs to back off, or say that they leave |
+//! | [`limits`] | limits that upstreams advertise in their answers |
+//! | [`permits`] | permits to send to an upstream that advertises a limit |
 //! | [`exchange`] | what all entry VMs have in flight, told between them |
 //! | [`budget`] | how many repeats may be sent |
 //! | [`pool`] | connections to upstreams |
@@ -87,7 +87,7 @@
     pub returns: RefCell<ReturnTimes>,
     /// Repeats sent.
     pub budget: RefCell<RepeatBudget>,
-    /// Limits that upstreams name, and what is sent there by all VMs.
+    /// Limits that upstreams advertise, and what is sent there by all VMs.
     pub quota: RefCell<QuotaState>,
     /// Requests that wait for a permit.
     pub permits: PermitQueue,
--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -171,7 +171,7 @@
         Err(error) => {
             match error {
                 // It is sound, and says itself when to come back.
-                AttemptError::HeldBack | AttemptError::Resting(_) => return,
+                AttemptError::HeldBack | AttemptError::BackingOff(_) => return,
                 // Nothing answers there: others will wait as long in vain.
                 AttemptError::NotSent(_) | AttemptError::Misdirected if is_engine => {
                     book.note_quiet(&upstream.life, now);
--- a/crates/gateway/src/front/permits.rs
+++ b/crates/gateway/src/front/permits.rs
@@ -1,10 +1,10 @@
-//! Permits to send to an upstream that names a limit.
+//! Permits to send to an upstream that advertises a limit.
 
 use std::cell::RefCell;
 use std::time::Duration;
 
 use bergamot_quota::{
-    LimitWord, PermitAnswer, PermitClaim, PermitQuestion, PermitStep, PermitVerdict, QuotaEvent,
+    LimitReport, PermitAnswer, PermitClaim, PermitQuestion, PermitStep, PermitVerdict, QuotaEvent,
 };
 use bergamot_routing::{GateState, RouteUpstream};
 use bergamot_types::prelude::*;
@@ -26,7 +26,7 @@
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum QuotaNews {
     /// What an upstream says of its limit, for all.
-    Word(LimitWord),
+    Report(LimitReport),
     /// A question for the owner of a quota.
     Question {
         /// The owner.
@@ -39,14 +39,14 @@
 /// That a request may be sent to an upstream as far as its limit goes.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum SendPermit {
-    /// The upstream named no limit.
+    /// The upstream advertised no limit.
     Free,
     /// The owner of its quota gave a permit at this moment.
     Given(Millis),
 }
 
 impl SendPermit {
-    /// Whether it still holds for an upstream that names a limit now or does not.
+    /// Whether it still holds for an upstream that advertises a limit now or does not.
     fn holds(self, is_limited: bool, now: Millis) -> bool {
         match self {
             Self::Free => !is_limited,
@@ -117,7 +117,7 @@
     question: PermitQuestion,
 ) -> Option<SendPermit> {
     let number = question.number;
-    let life = question.word.life.clone();
+    let life = question.report.life.clone();
     let asked_of = owner.clone();
     // The owner gave it at some moment from now on; the process may be suspended before it sees the answer.
     let asked_at = front.now();
@@ -153,7 +153,7 @@
     }
 }
 
-/// Whether a request may still be sent: its upstream may have named a limit since it was chosen, or asked for rest. Its permit
+/// Whether a request may still be sent: its upstream may have advertised a limit since it was chosen, or asked to back off. Its permit
 /// stands above the limit's gate, which others may have closed meanwhile.
 pub fn may_send<Dialect>(
     front: &FrontContext<Dialect>,
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -20,7 +20,7 @@
 use super::FrontContext;
 use super::answer::{HeldBody, whole_body};
 use super::call::answer;
-use super::gates::show_resting;
+use super::gates::show_backing_off;
 use super::head_timer::{HeadTimer, TimedStream};
 use super::limits::show_limited;
 use super::trace::{RequestTrace, TracedAnswer};
@@ -219,7 +219,7 @@
         front.book.borrow_mut().retain(is_listed, now);
         front.quota.borrow_mut().retain(is_listed, now);
         show_limited(&front);
-        show_resting(&front);
+        show_backing_off(&front);
         let uses = front.demand.borrow_mut().uses(front.now());
         front.shared.demand.store(Arc::new(uses));
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,7 +28,7 @@
     pub orders: IntCounterVec,
     /// Upstreams that ended while requests from here ran there, by the evidence.
     pub upstream_ends: IntCounterVec,
-    /// Permits asked for to send to upstreams that name a limit, by what came of it.
+    /// Permits asked for to send to upstreams that advertise a limit, by what came of it.
     pub permits: IntCounterVec,
     /// Numbers of state by name.
     pub state: IntGaugeVec,
@@ -103,7 +103,7 @@
             ),
             permits: counter(
                 "bergamot_permits_total",
-                "Permits asked for to send to upstreams that name a limit, by outcome",
+                "Permits asked for to send to upstreams that advertise a limit, by outcome",
                 &["outcome"],
             ),
             state,
--- a/crates/load/src/experiment/limits.rs
+++ b/crates/load/src/experiment/limits.rs
@@ -1,10 +1,10 @@
-//! A fleet of entry VMs before one upstream that names a limit, in virtual time.
+//! A fleet of entry VMs before one upstream that advertises a limit, in virtual time.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use bergamot_quota::{
-    LimitSight, LimitWord, PermitAnswer, PermitClaim, PermitQuestion, PermitStep, PermitVerdict,
-    QuotaAction, QuotaEvent, QuotaPlace, QuotaState, TokenBucket,
+    LimitObservation, LimitReport, PermitAnswer, PermitClaim, PermitQuestion, PermitStep,
+    PermitVerdict, QuotaAction, QuotaEvent, QuotaPlace, QuotaState, TokenBucket,
 };
 use bergamot_types::prelude::*;
 use rand::{Rng, SeedableRng};
@@ -97,7 +97,7 @@
     pub excused: Vec<(u64, u64, usize)>,
 }
 
-/// When the upstream names its limit, in milliseconds.
+/// When the upstream advertises its limit, in milliseconds.
 pub const NAMED_AT: u64 = 3_000;
 /// Time after that from which it is to be kept, in milliseconds, as the users set it.
 pub const CONTACT_TIME: u64 = 3_000;
@@ -144,7 +144,7 @@
 enum Message {
     Question(PermitQuestion),
     Answer(PermitAnswer),
-    Word(LimitWord),
+    Word(LimitReport),
 }
 
 struct Vm {
@@ -332,8 +332,8 @@
 
     fn take_in(&mut self, vm: usize, now: u64, message: &Message) {
         let actions = match message {
-            Message::Word(word) => {
-                let event = QuotaEvent::Told(word);
+            Message::Word(report) => {
+                let event = QuotaEvent::Told(report);
                 self.vms[vm].quota.handle(Millis(now), event)
             }
             Message::Question(question) => {
@@ -370,7 +370,7 @@
         }
         self.tally.told.entry(vm).or_insert(now);
         let milli = (self.plan.limit * 1_000.0) as u32;
-        let sight = LimitSight {
+        let observation = LimitObservation {
             rate: Some(SendRate::from_milli(milli)),
             sent_at: Millis(now),
             heard_at: Millis(now),
@@ -380,14 +380,14 @@
             life: &life,
             failure_domain: &failure_domain,
         };
-        let event = QuotaEvent::Answered(place, sight);
+        let event = QuotaEvent::Answered(place, observation);
         let actions = self.vms[vm].quota.handle(Millis(now), event);
         for action in actions {
-            if let QuotaAction::Tell(word) = action
+            if let QuotaAction::Tell(report) = action
                 && self.plan.tells
             {
                 for to in (0..self.vms.len()).filter(|to| *to != vm) {
-                    self.post(now, to, || Message::Word(word.clone()));
+                    self.post(now, to, || Message::Word(report.clone()));
                 }
             }
         }
--- a/crates/peer/src/notice.rs
+++ b/crates/peer/src/notice.rs
@@ -2,7 +2,7 @@
 //! itself.
 
 use bergamot_quarantine::QuarantineRecord;
-use bergamot_quota::{LimitWord, PermitAnswer, PermitQuestion};
+use bergamot_quota::{LimitReport, PermitAnswer, PermitQuestion};
 use bergamot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -33,7 +33,7 @@
     /// Whom the receiver passes it on to.
     pub scope: RelayScope,
     /// What was heard.
-    pub word: LimitWord,
+    pub report: LimitReport,
 }
 
 /// That streams of a leader stand still by all appearances, on its way to all other VMs.
--- a/crates/peer/tests/frame.rs
+++ b/crates/peer/tests/frame.rs
@@ -4,7 +4,7 @@
     Answer, Datagram, NewsAnswer, PeerNotice, Question, StoreNews, decode, encode, read_frame,
 };
 use bergamot_ports::{StoreEvent, StoreItem};
-use bergamot_quota::{LimitWord, PermitAnswer, PermitClaim, PermitQuestion, PermitVerdict};
+use bergamot_quota::{LimitReport, PermitAnswer, PermitClaim, PermitQuestion, PermitVerdict};
 use bergamot_types::prelude::*;
 
 const ITERATIONS: usize = 20_000;
@@ -139,7 +139,7 @@
     let question = PeerNotice::PermitQuestion(PermitQuestion {
         vm: "front-hodmezo-ring-39".to_owned(),
         number: u64::MAX,
-        word: LimitWord {
+        report: LimitReport {
             life: UpstreamLife::new(
                 UpstreamId::new("i-0d194598d5"),
                 Some(UnixMillis(1_777_805_977_011)),
--- a/crates/ports/src/call.rs
+++ b/crates/ports/src/call.rs
@@ -63,10 +63,10 @@
     pub is_signed: bool,
     /// Seconds the upstream keeps an idle connection, if it says so.
     pub keep_alive: Option<u64>,
-    /// Requests a second that the upstream takes from all entry VMs together; none where it names no limit.
+    /// Requests a second that the upstream takes from all entry VMs together; none where it advertises no limit.
     pub send_limit: Result<Option<SendRate>, RateError>,
-    /// Time for which the upstream, which turned the request away, wants none from this VM; none where it names no time.
-    pub rest: Result<Option<Millis>, SpanError>,
+    /// Time for which this VM is to back off from the upstream, which refused the request; none where it says no time.
+    pub back_off: Result<Option<Millis>, SpanError>,
     /// Whether the upstream says that it leaves.
     pub is_leaving: bool,
 }
--- a/crates/quota/src/allowance.rs
+++ b/crates/quota/src/allowance.rs
@@ -5,7 +5,7 @@
 use bergamot_types::prelude::*;
 
 use crate::bucket::TokenBucket;
-use crate::word::{PermitClaim, PermitVerdict};
+use crate::message::{PermitClaim, PermitVerdict};
 
 /// The lowest rate that is given out, in requests a second. An upstream that takes none says nothing either: now and then one
 /// request finds out whether it takes some again.
--- a/crates/quota/src/limit.rs
+++ b/crates/quota/src/limit.rs
@@ -7,13 +7,13 @@
 /// in the same run, and all VMs would send to it at once.
 const KEPT_TIME: Millis = Millis::from_secs(600);
 
-/// An upstream's word on its limit, and when it held.
+/// An upstream's report on its limit, and when it held.
 ///
 /// The upstream made its answer at some moment between the send and the arrival. Answers on different connections overtake
 /// each other, so only words whose spans do not overlap have a known order.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct LimitSight {
-    /// Requests that it takes from all entry VMs together; none where it names no limit.
+pub struct LimitObservation {
+    /// Requests that it takes from all entry VMs together; none where it advertises no limit.
     pub rate: Option<SendRate>,
     /// When the request was sent whose answer said so.
     pub sent_at: Millis,
@@ -21,7 +21,7 @@
     pub heard_at: Millis,
 }
 
-impl LimitSight {
+impl LimitObservation {
     /// What holds after `next` was seen as well. Where their order is not known it is the lower limit, which the next answer
     /// corrects.
     fn followed_by(self, next: Self) -> Self {
@@ -45,75 +45,86 @@
     }
 }
 
-/// What a sight changed.
+/// What a observation changed.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum LimitChange {
     /// The upstream takes so many requests from now on.
     Named(SendRate),
-    /// It names no limit any more.
+    /// It advertises no limit any more.
     Ended,
 }
 
 /// What is known of one upstream.
 #[derive(Clone, Copy, Debug)]
 struct KnownLimit {
-    sight: LimitSight,
+    observation: LimitObservation,
     /// When the directory last named it, as far as was looked.
     listed_at: Millis,
 }
 
-/// The limits that upstreams name, by their runs: a later run of an upstream has none until it names one.
+/// The limits that upstreams advertise, by their runs: a later run of an upstream has none until it names one.
 #[derive(Debug, Default)]
 pub struct LimitTable {
-    sights: IndexMap<UpstreamLife, KnownLimit>,
-    /// Upstreams whose last word could not be read, and why.
+    observations: IndexMap<UpstreamLife, KnownLimit>,
+    /// Upstreams whose last report could not be read, and why.
     unreadable: IndexMap<UpstreamLife, RateError>,
 }
 
 impl LimitTable {
     /// The limit that holds for an upstream.
     pub fn rate(&self, life: &UpstreamLife) -> Option<SendRate> {
-        self.sights.get(life).and_then(|known| known.sight.rate)
+        self.observations
+            .get(life)
+            .and_then(|known| known.observation.rate)
     }
 
-    /// The same with the word that it comes from.
-    pub(crate) fn limit(&self, life: &UpstreamLife) -> Option<(LimitSight, SendRate)> {
-        let sight = self.sights.get(life)?.sight;
-        sight.rate.map(|rate| (sight, rate))
+    /// The same with the report that it comes from.
+    pub(crate) fn limit(&self, life: &UpstreamLife) -> Option<(LimitObservation, SendRate)> {
+        let observation = self.observations.get(life)?.observation;
+        observation.rate.map(|rate| (observation, rate))
     }
 
-    /// Takes in what an upstream said. Costs nothing for the many that never named a limit.
-    pub fn note(&mut self, life: &UpstreamLife, sight: LimitSight) -> Option<LimitChange> {
-        let Some(known) = self.sights.get_mut(life) else {
-            let rate = sight.rate?;
-            let listed_at = sight.heard_at;
-            self.sights
-                .insert(life.clone(), KnownLimit { sight, listed_at });
+    /// Takes in what an upstream said. Costs nothing for the many that never advertised a limit.
+    pub fn note(
+        &mut self,
+        life: &UpstreamLife,
+        observation: LimitObservation,
+    ) -> Option<LimitChange> {
+        let Some(known) = self.observations.get_mut(life) else {
+            let rate = observation.rate?;
+            let listed_at = observation.heard_at;
+            self.observations.insert(
+                life.clone(),
+                KnownLimit {
+                    observation,
+                    listed_at,
+                },
+            );
             return Some(LimitChange::Named(rate));
         };
-        let before = known.sight.rate;
-        known.sight = known.sight.followed_by(sight);
-        match known.sight.rate {
+        let before = known.observation.rate;
+        known.observation = known.observation.followed_by(observation);
+        match known.observation.rate {
             rate if rate == before => None,
             Some(rate) => Some(LimitChange::Named(rate)),
             None => Some(LimitChange::Ended),
         }
     }
 
-    /// Notes a word that could not be read: the one before it holds. Says whether that is to be logged, which it is once for
+    /// Notes a report that could not be read: the one before it holds. Says whether that is to be logged, which it is once for
     /// each run and reason.
     pub fn note_unreadable(&mut self, life: &UpstreamLife, error: RateError) -> bool {
         self.unreadable.insert(life.clone(), error) != Some(error)
     }
 
-    /// Upstreams that name a limit now.
+    /// Upstreams that advertise a limit now.
     pub fn len(&self) -> usize {
-        let limited = self.sights.values();
-        let limited = limited.filter(|known| known.sight.rate.is_some());
+        let limited = self.observations.values();
+        let limited = limited.filter(|known| known.observation.rate.is_some());
         limited.count()
     }
 
-    /// Whether no upstream names a limit.
+    /// Whether no upstream advertises a limit.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
@@ -123,7 +134,7 @@
     where
         Keep: Fn(&UpstreamLife) -> bool,
     {
-        self.sights.retain(|life, known| {
+        self.observations.retain(|life, known| {
             if is_listed(life) {
                 known.listed_at = now;
             }
--- a/crates/quota/src/word.rs
+++ b/crates/quota/src/message.rs
@@ -3,7 +3,7 @@
 use bergamot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::limit::LimitSight;
+use crate::limit::LimitObservation;
 
 /// Time that a message between entry VMs takes at most as a rule: three datagrams, each through a process on an eighth of a core.
 /// One that takes longer may end a limit too early, until the next answer names it again.
@@ -11,12 +11,12 @@
 
 /// What one VM heard of an upstream's limit. Moments are told as ages, as VMs share no clock.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub struct LimitWord {
+pub struct LimitReport {
     /// The upstream.
     pub life: UpstreamLife,
     /// Where it is.
     pub failure_domain: FailureDomain,
-    /// Its limit; none where it names none any more.
+    /// Its limit; none where it advertises none any more.
     pub rate: Option<SendRate>,
     /// Time since the request was sent whose answer said so.
     pub sent_age: Millis,
@@ -24,27 +24,27 @@
     pub heard_age: Millis,
 }
 
-impl LimitWord {
-    /// The word as of `now`.
+impl LimitReport {
+    /// The report as of `now`.
     pub(crate) fn of(
         life: &UpstreamLife,
         failure_domain: &FailureDomain,
-        sight: LimitSight,
+        observation: LimitObservation,
         now: Millis,
     ) -> Self {
         Self {
             life: life.clone(),
             failure_domain: failure_domain.clone(),
-            rate: sight.rate,
-            sent_age: now.since(sight.sent_at),
-            heard_age: now.since(sight.heard_at),
+            rate: observation.rate,
+            sent_age: now.since(observation.sent_at),
+            heard_age: now.since(observation.heard_at),
         }
     }
 
-    /// The sight by the clock of the VM that it has come to. The time on the way is not known, so the span is the longest
+    /// The observation by the clock of the VM that it has come to. The time on the way is not known, so the span is the longest
     /// that it may have been.
-    pub(crate) fn sight(&self, now: Millis) -> LimitSight {
-        LimitSight {
+    pub(crate) fn observation(&self, now: Millis) -> LimitObservation {
+        LimitObservation {
             rate: self.rate,
             sent_at: now.since(self.sent_age + NEWS_TIME),
             heard_at: now.since(self.heard_age),
@@ -69,7 +69,7 @@
     /// Tells its questions apart.
     pub number: u64,
     /// The limit as it knows it, for an owner that has not heard of it.
-    pub word: LimitWord,
+    pub report: LimitReport,
     /// Whose request it is.
     pub claim: PermitClaim,
 }
@@ -90,6 +90,6 @@
     Granted,
     /// Not now; to be asked again after this time.
     Later(Millis),
-    /// The upstream names no limit any more.
+    /// The upstream advertises no limit any more.
     Unlimited,
 }
--- a/crates/quota/src/state.rs
+++ b/crates/quota/src/state.rs
@@ -5,8 +5,8 @@
 
 use crate::allowance::SendAllowance;
 use crate::fleet::QuotaFleet;
-use crate::limit::{LimitChange, LimitSight, LimitTable};
-use crate::word::{LimitWord, PermitAnswer, PermitClaim, PermitQuestion, PermitVerdict};
+use crate::limit::{LimitChange, LimitObservation, LimitTable};
+use crate::message::{LimitReport, PermitAnswer, PermitClaim, PermitQuestion, PermitVerdict};
 
 /// Time between two notices of one upstream's limit to all VMs, as each answer may name another one. Questions for permits
 /// carry the newest one to the owner in any case.
@@ -29,9 +29,9 @@
 #[derive(Clone, Copy, Debug)]
 pub enum QuotaEvent<'a> {
     /// An upstream answered this VM.
-    Answered(QuotaPlace<'a>, LimitSight),
+    Answered(QuotaPlace<'a>, LimitObservation),
     /// Another VM tells of a limit.
-    Told(&'a LimitWord),
+    Told(&'a LimitReport),
     /// Another VM asks for a permit.
     Asked(&'a PermitQuestion),
     /// The owner answered a question of this VM.
@@ -43,10 +43,10 @@
 /// What is to be done.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum QuotaAction {
-    /// Log what an upstream names now.
+    /// Log the limit an upstream advertises now.
     NoteChange(UpstreamLife, LimitChange),
     /// Tell all other VMs.
-    Tell(LimitWord),
+    Tell(LimitReport),
     /// Answer the VM that asked.
     Answer {
         /// The VM.
@@ -123,7 +123,7 @@
         }
     }
 
-    /// The limits that upstreams name.
+    /// The limits that upstreams advertise.
     pub fn limits(&self) -> &LimitTable {
         &self.limits
     }
@@ -156,7 +156,7 @@
 
     /// How a request that is to be sent to an upstream gets its permit.
     pub fn ask(&mut self, now: Millis, place: QuotaPlace<'_>, claim: PermitClaim) -> PermitStep {
-        let Some((sight, rate)) = self.limits.limit(place.life) else {
+        let Some((observation, rate)) = self.limits.limit(place.life) else {
             return PermitStep::Free;
         };
         let Some(owner) = self.fleet.owner(place.life, place.failure_domain) else {
@@ -186,7 +186,7 @@
             question: PermitQuestion {
                 vm: self.fleet.own().to_owned(),
                 number,
-                word: LimitWord::of(place.life, place.failure_domain, sight, now),
+                report: LimitReport::of(place.life, place.failure_domain, observation, now),
                 claim,
             },
         }
@@ -195,39 +195,44 @@
     /// Takes in what happened and says what to do.
     pub fn handle(&mut self, now: Millis, event: QuotaEvent<'_>) -> Vec<QuotaAction> {
         match event {
-            QuotaEvent::Answered(place, sight) => self.hear(now, place, sight),
-            QuotaEvent::Told(word) => self.take_word(now, word).into_iter().collect(),
+            QuotaEvent::Answered(place, observation) => self.hear(now, place, observation),
+            QuotaEvent::Told(report) => self.take_report(now, report).into_iter().collect(),
             QuotaEvent::Asked(question) => self.answer(now, question),
             QuotaEvent::Settled(answer) => self.settle(now, answer),
             QuotaEvent::Unanswered(number) => self.give_up(number),
         }
     }
 
-    fn hear(&mut self, now: Millis, place: QuotaPlace<'_>, sight: LimitSight) -> Vec<QuotaAction> {
-        let Some(change) = self.limits.note(place.life, sight) else {
+    fn hear(
+        &mut self,
+        now: Millis,
+        place: QuotaPlace<'_>,
+        observation: LimitObservation,
+    ) -> Vec<QuotaAction> {
+        let Some(change) = self.limits.note(place.life, observation) else {
             return Vec::new();
         };
         let mut actions = vec![QuotaAction::NoteChange(place.life.clone(), change)];
         let told_at = self.told_at.get(place.life);
         if told_at.is_none_or(|at| now.since(*at) >= TELL_PERIOD) {
             self.told_at.insert(place.life.clone(), now);
-            let word = LimitWord::of(place.life, place.failure_domain, sight, now);
-            actions.push(QuotaAction::Tell(word));
+            let report = LimitReport::of(place.life, place.failure_domain, observation, now);
+            actions.push(QuotaAction::Tell(report));
         }
         actions
     }
 
-    fn take_word(&mut self, now: Millis, word: &LimitWord) -> Option<QuotaAction> {
-        let change = self.limits.note(&word.life, word.sight(now))?;
-        Some(QuotaAction::NoteChange(word.life.clone(), change))
+    fn take_report(&mut self, now: Millis, report: &LimitReport) -> Option<QuotaAction> {
+        let change = self.limits.note(&report.life, report.observation(now))?;
+        Some(QuotaAction::NoteChange(report.life.clone(), change))
     }
 
     fn answer(&mut self, now: Millis, question: &PermitQuestion) -> Vec<QuotaAction> {
-        let word = &question.word;
-        let mut actions: Vec<QuotaAction> = self.take_word(now, word).into_iter().collect();
+        let report = &question.report;
+        let mut actions: Vec<QuotaAction> = self.take_report(now, report).into_iter().collect();
         let place = QuotaPlace {
-            life: &word.life,
-            failure_domain: &word.failure_domain,
+            life: &report.life,
+            failure_domain: &report.failure_domain,
         };
         let is_own = self.fleet.owner(place.life, place.failure_domain) == Some(self.fleet.own());
         let verdict = match (self.limits.rate(place.life), is_own) {
@@ -273,12 +278,12 @@
             PermitVerdict::Granted => Vec::new(),
             PermitVerdict::Later(wait) => vec![asked.hold_back(wait)],
             PermitVerdict::Unlimited => {
-                let sight = LimitSight {
+                let observation = LimitObservation {
                     rate: None,
                     sent_at: asked.asked_at,
                     heard_at: now,
                 };
-                let change = self.limits.note(&asked.life, sight);
+                let change = self.limits.note(&asked.life, observation);
                 let note = change.map(|change| QuotaAction::NoteChange(asked.life, change));
                 note.into_iter().collect()
             }
--- a/crates/quota/tests/limit.rs
+++ b/crates/quota/tests/limit.rs
@@ -1,14 +1,14 @@
 //! Which of two words of an upstream holds.
 
-use bergamot_quota::{LimitChange, LimitSight, LimitTable};
+use bergamot_quota::{LimitChange, LimitObservation, LimitTable};
 use bergamot_types::prelude::*;
 
 fn life(born: u64) -> UpstreamLife {
     UpstreamLife::new(UpstreamId::new("u"), Some(UnixMillis(born)))
 }
 
-const fn sight(sent_at: u64, heard_at: u64, milli: Option<u32>) -> LimitSight {
-    LimitSight {
+const fn observation(sent_at: u64, heard_at: u64, milli: Option<u32>) -> LimitObservation {
+    LimitObservation {
         rate: match milli {
             Some(milli) => Some(SendRate::from_milli(milli)),
             None => None,
@@ -20,7 +20,7 @@
 
 struct OrderCase {
     name: &'static str,
-    sights: Vec<LimitSight>,
+    observations: Vec<LimitObservation>,
     expected: Option<u32>,
 }
 
@@ -29,57 +29,69 @@
     let cases = [
         OrderCase {
             name: "an answer to a request that was sent after the limit was heard ends it",
-            sights: vec![sight(0, 10, Some(2_000)), sight(10, 30, None)],
+            observations: vec![observation(0, 10, Some(2_000)), observation(10, 30, None)],
             expected: None,
         },
         OrderCase {
             name: "an answer that was overtaken does not end a limit",
-            sights: vec![sight(20, 30, Some(2_000)), sight(0, 40, None)],
+            observations: vec![observation(20, 30, Some(2_000)), observation(0, 40, None)],
             expected: Some(2_000),
         },
         OrderCase {
             name: "a limit that was heard before its end was sent for is old",
-            sights: vec![
-                sight(0, 5, Some(9_000)),
-                sight(50, 60, None),
-                sight(10, 40, Some(2_000)),
+            observations: vec![
+                observation(0, 5, Some(9_000)),
+                observation(50, 60, None),
+                observation(10, 40, Some(2_000)),
             ],
             expected: None,
         },
         OrderCase {
             name: "raised",
-            sights: vec![sight(0, 10, Some(2_000)), sight(11, 30, Some(5_000))],
+            observations: vec![
+                observation(0, 10, Some(2_000)),
+                observation(11, 30, Some(5_000)),
+            ],
             expected: Some(5_000),
         },
         OrderCase {
             name: "raised by an answer that was overtaken",
-            sights: vec![sight(0, 10, Some(2_000)), sight(5, 30, Some(5_000))],
+            observations: vec![
+                observation(0, 10, Some(2_000)),
+                observation(5, 30, Some(5_000)),
+            ],
             expected: Some(2_000),
         },
         OrderCase {
             name: "lowered by an answer that was overtaken",
-            sights: vec![sight(0, 10, Some(5_000)), sight(5, 30, Some(2_000))],
+            observations: vec![
+                observation(0, 10, Some(5_000)),
+                observation(5, 30, Some(2_000)),
+            ],
             expected: Some(2_000),
         },
         OrderCase {
             name: "lowered to nothing",
-            sights: vec![sight(0, 10, Some(5_000)), sight(20, 30, Some(0))],
+            observations: vec![
+                observation(0, 10, Some(5_000)),
+                observation(20, 30, Some(0)),
+            ],
             expected: Some(0),
         },
         OrderCase {
             name: "named again meanwhile, so that an answer sent for before does not end it",
-            sights: vec![
-                sight(0, 10, Some(2_000)),
-                sight(5, 50, Some(2_000)),
-                sight(20, 60, None),
+            observations: vec![
+                observation(0, 10, Some(2_000)),
+                observation(5, 50, Some(2_000)),
+                observation(20, 60, None),
             ],
             expected: Some(2_000),
         },
     ];
     for case in cases {
         let mut table = LimitTable::default();
-        for sight in case.sights {
-            table.note(&life(1), sight);
+        for observation in case.observations {
+            table.note(&life(1), observation);
         }
         let expected = case.expected.map(SendRate::from_milli);
         assert_eq!(table.rate(&life(1)), expected, "{}", case.name);
@@ -90,18 +102,21 @@
 fn a_change_is_told_once() {
     let mut table = LimitTable::default();
     let named = LimitChange::Named(SendRate::from_milli(2_000));
-    assert_eq!(table.note(&life(1), sight(0, 10, None)), None);
-    assert_eq!(table.note(&life(1), sight(0, 10, Some(2_000))), Some(named));
-    assert_eq!(table.note(&life(1), sight(11, 20, Some(2_000))), None);
+    assert_eq!(table.note(&life(1), observation(0, 10, None)), None);
+    assert_eq!(
+        table.note(&life(1), observation(0, 10, Some(2_000))),
+        Some(named)
+    );
+    assert_eq!(table.note(&life(1), observation(11, 20, Some(2_000))), None);
     let ended = Some(LimitChange::Ended);
-    assert_eq!(table.note(&life(1), sight(21, 30, None)), ended);
-    assert_eq!(table.note(&life(1), sight(31, 40, None)), None);
+    assert_eq!(table.note(&life(1), observation(21, 30, None)), ended);
+    assert_eq!(table.note(&life(1), observation(31, 40, None)), None);
 }
 
 #[test]
 fn a_limit_ends_with_the_run_that_named_it() {
     let mut table = LimitTable::default();
-    table.note(&life(1), sight(0, 10, Some(2_000)));
+    table.note(&life(1), observation(0, 10, Some(2_000)));
     assert_eq!(table.rate(&life(2)), None);
     assert_eq!(table.len(), 1);
     table.retain(|kept| *kept == life(2), Millis(700_000));
@@ -111,7 +126,7 @@
 #[test]
 fn a_word_that_cannot_be_read_leaves_the_one_before_it_and_is_logged_once() {
     let mut table = LimitTable::default();
-    table.note(&life(1), sight(0, 10, Some(2_000)));
+    table.note(&life(1), observation(0, 10, Some(2_000)));
     assert!(table.note_unreadable(&life(1), RateError::Empty));
     assert!(!table.note_unreadable(&life(1), RateError::Empty));
     assert!(table.note_unreadable(&life(1), RateError::Repeated));
@@ -121,7 +136,7 @@
 #[test]
 fn an_upstream_that_was_out_of_the_directory_for_a_while_has_its_limit_still() {
     let mut table = LimitTable::default();
-    table.note(&life(1), sight(0, 10, Some(2_000)));
+    table.note(&life(1), observation(0, 10, Some(2_000)));
     table.retain(|_| false, Millis(60_000));
     assert_eq!(table.rate(&life(1)), Some(SendRate::from_milli(2_000)));
     table.retain(|_| true, Millis(90_000));
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -12,10 +12,10 @@
 pub enum GateState {
     /// Nothing speaks against it.
     Open,
-    /// It names a limit, and there is no permit for a request of this rank before this moment.
+    /// It advertises a limit, and there is no permit for a request of this rank before this moment.
     Limited(Millis),
-    /// It asked this VM for rest until this moment.
-    Resting(Millis),
+    /// It asked this VM to back off until this moment.
+    BackingOff(Millis),
     /// It says that it leaves: this run of it takes nothing any more.
     Leaving,
 }
@@ -31,7 +31,7 @@
         match self {
             Self::Open => "open",
             Self::Limited(_) => "limited",
-            Self::Resting(_) => "resting",
+            Self::BackingOff(_) => "backing_off",
             Self::Leaving => "leaving",
         }
     }
@@ -40,7 +40,7 @@
     pub const fn opens_at(self) -> Option<Millis> {
         match self {
             Self::Open | Self::Leaving => None,
-            Self::Limited(until) | Self::Resting(until) => Some(until),
+            Self::Limited(until) | Self::BackingOff(until) => Some(until),
         }
     }
 }
@@ -56,7 +56,7 @@
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
 struct UpstreamGate {
     held: Vec<HeldRank>,
-    rests_until: Millis,
+    backs_off_until: Millis,
     is_leaving: bool,
     /// When the directory last named it, as far as was looked.
     listed_at: Millis,
@@ -67,8 +67,8 @@
         if self.is_leaving {
             return GateState::Leaving;
         }
-        if self.rests_until > now {
-            return GateState::Resting(self.rests_until);
+        if self.backs_off_until > now {
+            return GateState::BackingOff(self.backs_off_until);
         }
         let held = self.held.iter();
         // Where the more urgent wait the less urgent do.
@@ -78,7 +78,9 @@
     }
 
     fn is_idle(&self, now: Millis) -> bool {
-        !self.is_leaving && self.rests_until <= now && self.held.iter().all(|it| it.until <= now)
+        !self.is_leaving
+            && self.backs_off_until <= now
+            && self.held.iter().all(|it| it.until <= now)
     }
 }
 
@@ -106,11 +108,11 @@
     }
 
     /// Sends nothing to an upstream until then, whatever its rank. Of several such times the latest holds, as each was asked
-    /// for. Says whether it had not asked for a rest that goes on.
-    pub fn rest(&mut self, life: &UpstreamLife, until: Millis, now: Millis) -> bool {
+    /// for. Says whether this VM was not backing off from it already.
+    pub fn back_off(&mut self, life: &UpstreamLife, until: Millis, now: Millis) -> bool {
         let gate = self.gate_mut(life, now);
-        let is_new = gate.rests_until <= now;
-        gate.rests_until = gate.rests_until.max(until);
+        let is_new = gate.backs_off_until <= now;
+        gate.backs_off_until = gate.backs_off_until.max(until);
         is_new
     }
 
@@ -131,13 +133,13 @@
         gate
     }
 
-    /// Upstreams that rest now.
-    pub fn resting(&self, now: Millis) -> usize {
+    /// Upstreams that this VM backs off from now.
+    pub fn backing_off(&self, now: Millis) -> usize {
         let gates = self.gates.values();
-        gates.filter(|gate| gate.rests_until > now).count()
+        gates.filter(|gate| gate.backs_off_until > now).count()
     }
 
-    /// Forgets that requests were held back, as the upstream names no limit any more.
+    /// Forgets that requests were held back, as the upstream advertises no limit any more.
     pub fn release(&mut self, life: &UpstreamLife) {
         if let Some(gate) = self.gates.get_mut(life) {
             gate.held.clear();
--- a/crates/routing/tests/gate.rs
+++ b/crates/routing/tests/gate.rs
@@ -53,7 +53,7 @@
             name: "within it",
             ends: &[3_000],
             at: 2_999,
-            expected: GateState::Resting(Millis(3_000)),
+            expected: GateState::BackingOff(Millis(3_000)),
         },
         RestCase {
             name: "at its end",
@@ -65,25 +65,25 @@
             name: "a shorter one that was asked for later does not end it",
             ends: &[3_000, 1_000],
             at: 2_000,
-            expected: GateState::Resting(Millis(3_000)),
+            expected: GateState::BackingOff(Millis(3_000)),
         },
         RestCase {
             name: "a longer one goes on from it",
             ends: &[3_000, 5_000],
             at: 4_000,
-            expected: GateState::Resting(Millis(5_000)),
+            expected: GateState::BackingOff(Millis(5_000)),
         },
         RestCase {
             name: "however long",
             ends: &[u64::MAX],
             at: 100_000_000,
-            expected: GateState::Resting(Millis(u64::MAX)),
+            expected: GateState::BackingOff(Millis(u64::MAX)),
         },
     ];
     for case in cases {
         let mut gates = GateTable::default();
         for end in case.ends {
-            gates.rest(&life(), Millis(*end), Millis(0));
+            gates.back_off(&life(), Millis(*end), Millis(0));
         }
         let state = gates.state(&life(), 0, Millis(case.at));
         assert_eq!(state, case.expected, "{}", case.name);
@@ -93,19 +93,19 @@
 #[test]
 fn a_rest_outlasts_the_end_of_a_limit_and_ends_with_the_run() {
     let mut gates = GateTable::default();
-    gates.rest(&life(), Millis(3_000), Millis(0));
+    gates.back_off(&life(), Millis(3_000), Millis(0));
     gates.hold_back(&life(), 0, Millis(5_000), Millis(0));
     gates.release(&life());
     assert_eq!(
         gates.state(&life(), 0, Millis(1)),
-        GateState::Resting(Millis(3_000))
+        GateState::BackingOff(Millis(3_000))
     );
     gates.retain(|_| true, Millis(1));
-    assert_eq!(gates.resting(Millis(1)), 1);
+    assert_eq!(gates.backing_off(Millis(1)), 1);
     let next = UpstreamLife::new(UpstreamId::new("u"), Some(UnixMillis(2)));
     assert_eq!(gates.state(&next, 0, Millis(1)), GateState::Open);
     gates.retain(|_| false, Millis(2_999));
-    assert_eq!(gates.resting(Millis(2_999)), 1, "it may come back");
+    assert_eq!(gates.backing_off(Millis(2_999)), 1, "it may come back");
     gates.retain(|_| true, Millis(3_000));
     assert_eq!(
         gates.state(&life(), 0, Millis(1)),
@@ -119,7 +119,7 @@
     let mut gates = GateTable::default();
     assert!(gates.leave(&life(), Millis(0)));
     assert!(!gates.leave(&life(), Millis(5)), "it is told once");
-    gates.rest(&life(), Millis(10), Millis(5));
+    gates.back_off(&life(), Millis(10), Millis(5));
     gates.release(&life());
     assert_eq!(gates.state(&life(), 0, Millis(20)), GateState::Leaving);
     // Out of the directory and back again.
