feat: log lines and a counter for a store that was restored from an older copy

Cause: nothing told whether a configuration had reached a VM and was dropped for its revision, or had not reached it. The header that tells of restores was not read.

Change: config_outdated names the revision of a dropped configuration and the known one; store_restored the generation from and to, the call whose answer told it, and what was known until then; bergamot_store_restores_total and the gauge store_generation. Nothing acts on it yet.

--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -165,6 +165,13 @@
         Catalog: StoreCatalog,
     {
         if item.revision <= self.config_revision {
+            if item.revision < self.config_revision {
+                log::info!(
+                    "event=config_outdated revision={} known={}",
+                    item.revision,
+                    self.config_revision
+                );
+            }
             return;
         }
         match catalog.read_config(item) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Metrics of the process, in the Prometheus text format.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 /// Histogram buckets of durations, in seconds. Range from a plain response to the longest stream.
@@ -22,6 +23,8 @@
     pub event_gap: HistogramVec,
     /// Calls to the store by call and outcome.
     pub store_calls: IntCounterVec,
+    /// Restores of the store that this VM noticed.
+    pub store_restores: IntCounter,
     /// Requests to peers for store updates, by outcome.
     pub feed_requests: IntCounterVec,
     /// Orders to upstreams by order and outcome.
@@ -50,6 +53,11 @@
             register(&registry, Box::new(metric.clone()));
             metric
         };
+        let plain_counter = |name: &str, help: &str| {
+            let metric = IntCounter::new(name, help).expect("the metric's name is a constant");
+            register(&registry, Box::new(metric.clone()));
+            metric
+        };
         let histogram = |name: &str, help: &str, labels: &[&str]| {
             let options = HistogramOpts::new(name, help).buckets(TIME_BUCKETS.to_vec());
             let metric = HistogramVec::new(options, labels)
@@ -86,6 +94,10 @@
                 "Calls to the store by call and outcome",
                 &["call", "outcome"],
             ),
+            store_restores: plain_counter(
+                "bergamot_store_restores_total",
+                "Restores of the store from an older copy that this VM noticed",
+            ),
             feed_requests: counter(
                 "bergamot_news_total",
                 "Questions to peers for changes of the store, by outcome",
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -21,8 +21,8 @@
 
 use bergamot_feed::{PeerRanking, UpdateSource};
 use bergamot_ports::{
-    KeyCondition, MAX_ENTRY_BYTES, StateStore, StoreCatalog, StoreError, StoreEvent, StoreTxn,
-    TxnOutcome, WatchOutcome,
+    KeyCondition, MAX_ENTRY_BYTES, StateStore, StoreCatalog, StoreError, StoreEvent,
+    StoreGeneration, StoreTxn, TxnOutcome, WatchOutcome,
 };
 use bergamot_quarantine::QuarantineRecord;
 use bergamot_types::prelude::*;
@@ -90,6 +90,8 @@
     peer_failures: IndexMap<String, Discriminant<FeedError>>,
     /// Name of the source of the last changes: a peer's VM or the store.
     source: String,
+    /// Generation of the store at its last answer.
+    generation: Option<StoreGeneration>,
 }
 
 impl<Store, Catalog> StoreSync<Store, Catalog>
@@ -111,6 +113,7 @@
             feed_state: Rc::default(),
             peer_failures: IndexMap::new(),
             source: STORE_NAME.to_owned(),
+            generation: None,
         }
     }
 
@@ -346,8 +349,32 @@
         self.known.store_returned_at = Some(now);
     }
 
-    fn count_store_call(&self, call: &str, error: Option<&StoreError>) {
+    fn count_store_call(&mut self, call: &str, error: Option<&StoreError>) {
         count_call(&self.shared, call, error);
+        self.note_generation(call);
+    }
+
+    /// Logs that the store was restored since its last answer. `call` is the call whose answer
+    /// arrived last.
+    fn note_generation(&mut self, call: &str) {
+        let generation = self.store.generation();
+        let Some(known) = self.generation.replace(generation) else {
+            return;
+        };
+        if generation > known {
+            log::warn!(
+                "event=store_restored generation={generation} before={known} call={call} revision={} config={}",
+                self.known.revision.unwrap_or(0),
+                self.known
+                    .config
+                    .as_ref()
+                    .map_or(0, |config| config.version)
+            );
+            self.shared.metrics.store_restores.inc();
+        }
+        self.shared
+            .metrics
+            .set_state("store_generation", generation.0 as i64);
     }
 
     fn publish(&mut self) {
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -10,8 +10,8 @@
 use bergamot_gateway::group_actions::{CompletedAction, OrderWindow, act};
 use bergamot_groups::GroupAction;
 use bergamot_ports::{
-    ControlError, GroupOrder, OrderOutcome, OrderRequest, StateStore, StoreError, StoreItem,
-    StoreRange, StoreTxn, TxnOutcome, UpstreamControl, UpstreamReport, UpstreamTarget,
+    ControlError, GroupOrder, OrderOutcome, OrderRequest, StateStore, StoreError, StoreGeneration,
+    StoreItem, StoreRange, StoreTxn, TxnOutcome, UpstreamControl, UpstreamReport, UpstreamTarget,
     WatchOutcome,
 };
 use bergamot_types::prelude::*;
@@ -58,6 +58,10 @@
         unavailable()
     }
 
+    fn generation(&self) -> StoreGeneration {
+        StoreGeneration::default()
+    }
+
     fn reset(&self) {}
 }
 
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -16,8 +16,8 @@
 use bergamot_gateway::view::ClusterView;
 use bergamot_ports::{
     ControlError, EngineSpec, OrderOutcome, OrderRequest, ServiceSpec, ServingConfig, StateStore,
-    StoreError, StoreItem, StoreRange, StoreTxn, TxnOutcome, UpstreamControl, UpstreamReport,
-    UpstreamTarget, WatchOutcome,
+    StoreError, StoreGeneration, StoreItem, StoreRange, StoreTxn, TxnOutcome, UpstreamControl,
+    UpstreamReport, UpstreamTarget, WatchOutcome,
 };
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
@@ -96,6 +96,10 @@
         Ok(())
     }
 
+    fn generation(&self) -> StoreGeneration {
+        StoreGeneration::default()
+    }
+
     fn reset(&self) {}
 }
 
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -53,6 +53,8 @@
 pub struct HttpReply {
     /// The status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
@@ -111,6 +113,7 @@
         let exchange = async {
             let response = self.open(request, timeout).await?;
             let status = response.status();
+            let headers = response.headers().clone();
             let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
                 .collect()
                 .await
@@ -119,7 +122,11 @@
                     reason: error.to_string(),
                 })?
                 .to_bytes();
-            Ok(HttpReply { status, body })
+            Ok(HttpReply {
+                status,
+                headers,
+                body,
+            })
         };
         match tokio::time::timeout(timeout, exchange).await {
             Ok(outcome) => outcome,
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod config;
 pub mod control;
 pub mod directory;
+pub mod generation;
 pub mod port_set;
 pub mod site;
 pub mod store;
@@ -32,6 +33,7 @@
     UpstreamTarget,
 };
 pub use directory::{GroupMembership, MemberState, UpstreamEntry, UpstreamState};
+pub use generation::StoreGeneration;
 pub use port_set::PortSet;
 pub use site::{ServingBounds, VmSite};
 pub use store::{
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::generation::StoreGeneration;
+
 /// A key with its value.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct StoreItem {
@@ -201,6 +203,9 @@
     /// See [`StoreError`].
     async fn revoke_lease(&self, lease: u64) -> Result<(), StoreError>;
 
+    /// Returns the latest generation that any answer reported.
+    fn generation(&self) -> StoreGeneration;
+
     /// Closes pooled connections after a call that was not answered.
     fn reset(&self);
 }
