fix: apply configurations by their version, and tie revisions to the generation of the store

Cause: an order that holds only within one life of the store. A VM took a configuration only at a higher revision than the one it knew, and the condition of its confirmation compared the bare number, so that another configuration written at the same number confirmed the old one.

Change: a revision is StoreRevision, a number with the generation of the store that gave it out, ordered by generation first. The compiler found the uses: conditions, watches, the feed between VMs and its removals, freshness, the own key, the term. A transaction with a condition of an earlier generation is not sent, and answered in a later one counts as unknown (Restored); a watch from an earlier generation is a read of everything; pages of two generations are no read; answers of an earlier generation are dropped. Configurations are ordered by the operators' version alone: one in force is never replaced by an older one, and while the store holds an older one nothing is confirmed. A peer that has not seen the restore is not followed. A restore starts the grace in which entries may be written again.

The feed's messages have version 3; VMs of versions 2 and 3 read the store without each other's updates, other messages are as before.

--- a/crates/feed/src/freshness.rs
+++ b/crates/feed/src/freshness.rs
@@ -1,5 +1,6 @@
 //! Age of the locally known store state.
 
+use bergamot_ports::StoreRevision;
 use bergamot_types::prelude::*;
 
 /// Tracks when the locally known store state was last current.
@@ -8,13 +9,18 @@
     /// The latest time at which the store held nothing newer than the known state.
     current_at: Millis,
     /// A store revision that was observed at a later time and is not known locally yet.
-    pending: Option<(u64, Millis)>,
+    pending: Option<(StoreRevision, Millis)>,
 }
 
 impl Freshness {
     /// Records that a call started at `started_at` reported the store at `revision`, while
     /// everything up to `known` is known locally.
-    pub fn observe_store(&mut self, revision: u64, known: u64, started_at: Millis) {
+    pub fn observe_store(
+        &mut self,
+        revision: StoreRevision,
+        known: StoreRevision,
+        started_at: Millis,
+    ) {
         match revision <= known {
             true => self.mark_current(started_at),
             false if self.pending.is_none() => self.pending = Some((revision, started_at)),
@@ -23,7 +29,7 @@
     }
 
     /// Records that everything up to `known` is known locally now.
-    pub fn observe_known(&mut self, known: u64) {
+    pub fn observe_known(&mut self, known: StoreRevision) {
         if let Some((_, started_at)) = self.pending.take_if(|(revision, _)| *revision <= known) {
             self.mark_current(started_at);
         }
--- a/crates/feed/src/table.rs
+++ b/crates/feed/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use bergamot_ports::{StoreEvent, StoreItem};
+use bergamot_ports::{StoreEvent, StoreItem, StoreRevision};
 use indexmap::IndexMap;
 
 /// Maximum number of removals kept: several times what a fleet of 600 upstreams writes while a peer
@@ -20,7 +20,7 @@
     /// The changes in order of revision.
     pub changes: Vec<StoreEvent>,
     /// The revision up to which the peer is complete once it applied the batch.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Whether more changes follow.
     pub has_more: bool,
 }
@@ -29,19 +29,19 @@
 #[derive(Clone, Debug)]
 pub struct UpdateTable {
     /// Keyed by revision and key, as one transaction writes several keys at one revision.
-    changes: BTreeMap<(u64, String), StoreEvent>,
-    latest: IndexMap<String, u64>,
+    changes: BTreeMap<(StoreRevision, String), StoreEvent>,
+    latest: IndexMap<String, StoreRevision>,
     /// The entries of `changes` that are removals.
-    removals: BTreeSet<(u64, String)>,
+    removals: BTreeSet<(StoreRevision, String)>,
     /// Removals up to this revision may have been dropped.
-    removal_floor: u64,
+    removal_floor: StoreRevision,
     /// Every change up to this revision is recorded.
-    complete_revision: u64,
+    complete_revision: StoreRevision,
 }
 
 impl UpdateTable {
     /// Creates a table from items that were read at `revision`.
-    pub fn from_items<Items>(items: Items, revision: u64) -> Self
+    pub fn from_items<Items>(items: Items, revision: StoreRevision) -> Self
     where
         Items: IntoIterator<Item = StoreItem>,
     {
@@ -87,18 +87,22 @@
     }
 
     /// Returns the revision up to which every change is recorded.
-    pub const fn complete_revision(&self) -> u64 {
+    pub const fn complete_revision(&self) -> StoreRevision {
         self.complete_revision
     }
 
     /// Marks every change up to `revision` as recorded.
-    pub fn mark_complete(&mut self, revision: u64) {
+    pub fn mark_complete(&mut self, revision: StoreRevision) {
         self.complete_revision = self.complete_revision.max(revision);
     }
 
     /// Returns the changes that a peer lacks which knows everything up to `after` and holds no key
     /// that was removed up to `unaffected_until`. Returns none if a later removal was dropped here.
-    pub fn changes_since(&self, after: u64, unaffected_until: u64) -> Option<UpdateBatch> {
+    pub fn changes_since(
+        &self,
+        after: StoreRevision,
+        unaffected_until: StoreRevision,
+    ) -> Option<UpdateBatch> {
         if unaffected_until < self.removal_floor {
             return None;
         }
@@ -108,7 +112,7 @@
         };
         let mut batch_bytes = 0;
         let mut last_revision = after;
-        for ((revision, key), change) in self.changes.range((after + 1, String::new())..) {
+        for ((revision, key), change) in self.changes.range((after.next(), String::new())..) {
             // A batch never splits the changes of one revision.
             if batch_bytes >= BATCH_TARGET_BYTES && *revision != last_revision {
                 batch.revision = last_revision;
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -1,29 +1,35 @@
 //! Tests of update batches, of the age of the known state, and of the choice of peers.
 
 use bergamot_feed::{Freshness, PeerDescriptor, PeerRanking, UpdateSource, UpdateTable};
-use bergamot_ports::{StoreEvent, StoreItem};
+use bergamot_ports::{StoreEvent, StoreGeneration, StoreItem, StoreRevision};
 use bergamot_types::prelude::*;
 
+/// The position of a change of a store that was never restored.
+const fn at(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreGeneration(0), number)
+}
+
 fn written(key: &str, revision: u64, bytes: usize) -> StoreEvent {
     StoreEvent::Written(StoreItem {
         key: key.to_owned(),
         value: vec![0; bytes],
-        revision,
+        revision: at(revision),
     })
 }
 
 fn removed(key: &str, revision: u64) -> StoreEvent {
     let key = key.to_owned();
+    let revision = at(revision);
     StoreEvent::Removed { key, revision }
 }
 
 #[test]
 fn a_batch_holds_the_latest_change_of_each_key() {
-    let mut table = UpdateTable::from_items([], 10);
+    let mut table = UpdateTable::from_items([], at(10));
     for change in [written("a", 11, 1), written("b", 12, 1), removed("a", 13)] {
         table.record(&change);
     }
-    table.mark_complete(14);
+    table.mark_complete(at(14));
     struct BatchCase {
         known_revision: u64,
         expected_keys: Option<&'static [&'static str]>,
@@ -47,7 +53,7 @@
         },
     ];
     for case in cases {
-        let batch = table.changes_since(case.known_revision, case.known_revision);
+        let batch = table.changes_since(at(case.known_revision), at(case.known_revision));
         let keys = batch.as_ref().map(|batch| {
             let keys = batch.changes.iter().map(StoreEvent::key);
             keys.collect::<Vec<_>>()
@@ -58,20 +64,20 @@
             "after {}",
             case.known_revision
         );
-        assert!(batch.is_none_or(|batch| batch.revision == 14 && !batch.has_more));
+        assert!(batch.is_none_or(|batch| batch.revision == at(14) && !batch.has_more));
     }
 }
 
 #[test]
 fn a_burst_is_sent_in_several_batches_of_whole_revisions() {
-    let mut table = UpdateTable::from_items([], 0);
+    let mut table = UpdateTable::from_items([], at(0));
     for revision in 1..=40 {
         // One transaction writes two keys at one revision.
         table.record(&written(&format!("x{revision}"), revision, 2_000));
         table.record(&written(&format!("y{revision}"), revision, 2_000));
     }
-    table.mark_complete(40);
-    let (mut known_revision, mut change_count, mut batch_count) = (0, 0, 0);
+    table.mark_complete(at(40));
+    let (mut known_revision, mut change_count, mut batch_count) = (at(0), 0, 0);
     loop {
         let batch = table
             .changes_since(known_revision, known_revision)
@@ -88,25 +94,25 @@
             break;
         }
     }
-    assert_eq!((known_revision, change_count), (40, 80));
+    assert_eq!((known_revision, change_count), (at(40), 80));
     assert!(batch_count > 1);
 }
 
 #[test]
 fn a_peer_that_lacks_dropped_removals_gets_no_batch() {
-    let mut table = UpdateTable::from_items([], 0);
+    let mut table = UpdateTable::from_items([], at(0));
     for number in 1..=5_000 {
         let key = format!("k{number}");
         table.record(&written(&key, 2 * number - 1, 1));
         table.record(&removed(&key, 2 * number));
     }
-    table.mark_complete(10_000);
-    assert_eq!(table.changes_since(1, 1), None);
-    let batch = table.changes_since(9_000, 9_000);
+    table.mark_complete(at(10_000));
+    assert_eq!(table.changes_since(at(1), at(1)), None);
+    let batch = table.changes_since(at(9_000), at(9_000));
     let batch = batch.expect("recent removals are kept");
     assert_eq!(batch.changes.len(), 500);
     // A peer that held nothing at revision 9,000 and has received one batch since then.
-    let batch = table.changes_since(1, 9_000);
+    let batch = table.changes_since(at(1), at(9_000));
     assert!(batch.is_some_and(|batch| batch.changes.len() > 500));
 }
 
@@ -115,20 +121,20 @@
     let items = (1..=5_000).map(|revision| StoreItem {
         key: format!("k{revision}"),
         value: vec![0],
-        revision,
+        revision: at(revision),
     });
-    let mut table = UpdateTable::from_items(items, 5_000);
+    let mut table = UpdateTable::from_items(items, at(5_000));
     table.record(&removed("k7", 5_001));
     table.record(&written("k8", 5_002, 1));
     table.remove("k9");
-    table.mark_complete(5_002);
+    table.mark_complete(at(5_002));
     assert_eq!(
-        table.changes_since(0, 0),
+        table.changes_since(at(0), at(0)),
         None,
         "the peer may hold removed keys"
     );
     let batch = table
-        .changes_since(0, u64::MAX)
+        .changes_since(at(0), StoreRevision::MAX)
         .expect("a batch for a peer that holds no keys");
     let keys: Vec<&str> = batch.changes.iter().map(StoreEvent::key).collect();
     assert_eq!(keys.len(), 5_000 - 1, "the dropped key is left out");
@@ -139,13 +145,13 @@
 #[test]
 fn known_state_is_as_old_as_the_call_that_confirmed_it() {
     let mut freshness = Freshness::default();
-    freshness.observe_store(7, 7, Millis(1_000));
+    freshness.observe_store(at(7), at(7), Millis(1_000));
     assert_eq!(freshness.age(Millis(1_300)), Millis(300));
     // The store is at a later revision: the known state is current once it reaches that revision.
-    freshness.observe_store(9, 7, Millis(2_000));
-    freshness.observe_known(8);
+    freshness.observe_store(at(9), at(7), Millis(2_000));
+    freshness.observe_known(at(8));
     assert_eq!(freshness.age(Millis(2_300)), Millis(1_300));
-    freshness.observe_known(9);
+    freshness.observe_known(at(9));
     assert_eq!(freshness.age(Millis(2_300)), Millis(300));
 }
 
@@ -238,3 +244,19 @@
     let peers = UpdateSource::Peers(vec!["large".to_owned()]);
     assert_eq!(ranking.source(false, Millis(0)), peers);
 }
+
+#[test]
+fn a_peer_that_has_not_seen_a_restore_gets_no_batch_whatever_its_revision() {
+    let restored = StoreGeneration(1);
+    let item = StoreItem {
+        key: "a".to_owned(),
+        value: vec![0],
+        revision: StoreRevision::new(restored, 5),
+    };
+    let table = UpdateTable::from_items([item], StoreRevision::new(restored, 7));
+    for known in [at(3), at(7), at(90)] {
+        assert_eq!(table.changes_since(known, known), None, "at {known}");
+    }
+    let known = StoreRevision::new(restored, 7);
+    assert!(table.changes_since(known, known).is_some());
+}
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -12,7 +12,8 @@
 use bergamot_groups::{GroupAction, GroupOptions, GroupPlanner};
 use bergamot_peer::{PeerNotice, SuspicionNotice, frame};
 use bergamot_ports::{
-    EngineSpec, KeyCondition, KeyWrite, StateStore, StoreTxn, TxnOutcome, UpstreamControl, VmSite,
+    EngineSpec, KeyCondition, KeyWrite, StateStore, StoreRevision, StoreTxn, TxnOutcome,
+    UpstreamControl, VmSite,
 };
 use bergamot_types::prelude::*;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -89,7 +90,7 @@
         let mut view_changes = self.shared.view_changed.subscribe();
         loop {
             let view = self.shared.view.load_full();
-            let is_vacant = view.coordinator.is_none() && view.revision > 0;
+            let is_vacant = view.coordinator.is_none() && view.revision > StoreRevision::ZERO;
             let has_groups = engine_service(&view).is_some();
             if is_vacant && has_groups && !self.shared.is_stopping() {
                 let delay = takeover_wait(&view, &self.shared.site);
@@ -163,25 +164,26 @@
             value: record.to_bytes(),
             lease,
         };
-        let new_condition = |key: &str, revision: u64| KeyCondition {
+        let new_condition = |key: &str, revision: StoreRevision| KeyCondition {
             key: key.to_owned(),
             revision,
         };
         let txn = StoreTxn {
             conditions: vec![
-                new_condition(COORDINATOR_KEY, 0),
+                new_condition(COORDINATOR_KEY, StoreRevision::ZERO),
                 new_condition(TERM_KEY, view.term),
             ],
             writes: vec![new_write(COORDINATOR_KEY, lease), new_write(TERM_KEY, 0)],
             removes: Vec::new(),
         };
         match self.store.commit(&txn).await {
-            Ok(TxnOutcome::Done(fence)) => {
+            Ok(TxnOutcome::Done(revision)) => {
+                let fence = revision.number;
                 log::info!(
                     "event=coordinator_begins fence={fence} before={}",
                     view.term
                 );
-                let is_first = view.term == 0;
+                let is_first = !view.has_had_coordinator;
                 Some(CoordinatorTerm::new(lease, fence, is_first, confirmed_at))
             }
             outcome => {
@@ -328,7 +330,8 @@
 /// for each term. VMs that are not known yet, as at the first start, all count as the first; random
 /// jitter tells them apart.
 fn takeover_wait(view: &ClusterView, site: &VmSite) -> Millis {
-    let succession_rank = |millicores: u32, vm: &str| (millicores, rendezvous_score(view.term, vm));
+    let succession_rank =
+        |millicores: u32, vm: &str| (millicores, rendezvous_score(view.term.number, vm));
     let own_rank = succession_rank(site.millicores, site.vm.as_str());
     let entries = view.entries.values();
     let earlier_entries =
@@ -370,5 +373,5 @@
     planner.set_spec(spec);
     let entries = view.upstreams.values();
     let members = entries.filter(|entry| entry.service == service);
-    planner.set_directory(members, view.revision, shared.clock.now());
+    planner.set_directory(members, view.revision.number, shared.clock.now());
 }
--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bergamot_ports::{ServingConfig, StoreCatalog, StoreEvent, StoreItem, UpstreamEntry};
+use bergamot_ports::{
+    ServingConfig, StoreCatalog, StoreEvent, StoreItem, StoreRevision, UpstreamEntry,
+};
 use bergamot_quarantine::QuarantineRecord;
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
@@ -25,10 +27,23 @@
     Removed(String),
 }
 
+/// The configuration that the store was last seen to hold, in force here or not.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub(crate) struct StoredConfig {
+    /// The revision of its last write. Zero if the store held none.
+    pub(crate) revision: StoreRevision,
+    /// Its version; 0 if there was none or it cannot be read.
+    version: u64,
+}
+
 /// The known contents of the store.
 #[derive(Default)]
 pub(crate) struct KnownState {
-    pub(crate) config_revision: u64,
+    /// The configuration in the store. Older than [`Self::config`] while a restored store has not
+    /// got the latest one back.
+    pub(crate) stored_config: StoredConfig,
+    /// The configuration in force: the latest version that was ever read. The store's revisions do
+    /// not order configurations, as they go back with a restore.
     pub(crate) config: Option<Arc<ServingConfig>>,
     /// The configuration as stored, for peers that cannot read the store.
     pub(crate) config_item: Option<StoreItem>,
@@ -36,11 +51,13 @@
     pub(crate) entries: IndexMap<String, EntryRecord>,
     pub(crate) coordinator: Option<EntryRecord>,
     pub(crate) holds: IndexMap<String, Vec<UpstreamId>>,
-    pub(crate) term: u64,
+    pub(crate) term: StoreRevision,
+    /// Whether any VM ever coordinated, also if a restore has lost the record of it.
+    pub(crate) has_had_coordinator: bool,
     /// Revision up to which all changes are known. `None` if everything must be read again.
-    pub(crate) revision: Option<u64>,
+    pub(crate) revision: Option<StoreRevision>,
     /// Entries that cannot be decoded, with the revision for which this was logged.
-    pub(crate) unreadable: IndexMap<UpstreamId, u64>,
+    pub(crate) unreadable: IndexMap<UpstreamId, StoreRevision>,
     /// Upstreams removed since the last [`Self::log_unlisted`].
     unlisted: Vec<UpstreamId>,
     /// Changes of crash records since they were last taken.
@@ -82,7 +99,7 @@
         Catalog: StoreCatalog,
     {
         if item.key == catalog.config_key() {
-            self.apply_config(catalog, item);
+            self.apply_stored_config(catalog, item);
         } else if let Some(id) = catalog.upstream_id(&item.key) {
             match catalog.read_upstream(item) {
                 Ok(entry) => self.apply_entry(entry, item.revision),
@@ -92,6 +109,7 @@
             self.coordinator = EntryRecord::from_bytes(&item.value);
         } else if item.key == TERM_KEY {
             self.term = item.revision;
+            self.has_had_coordinator = true;
         } else if let Some(vm) = item.key.strip_prefix(ENTRY_PREFIX)
             && let Some(record) = EntryRecord::from_bytes(&item.value)
         {
@@ -125,7 +143,7 @@
 
     /// Applies an upstream's entry, unless a later incarnation is known, as a write of an earlier
     /// incarnation may arrive late.
-    fn apply_entry(&mut self, entry: UpstreamEntry, revision: u64) {
+    fn apply_entry(&mut self, entry: UpstreamEntry, revision: StoreRevision) {
         let id = &entry.incarnation.id;
         let known = self.upstreams.get(id);
         if let Some(known) =
@@ -151,7 +169,7 @@
     }
 
     /// Removes an upstream whose entry cannot be decoded and so no longer describes it.
-    fn apply_unreadable(&mut self, id: &UpstreamId, revision: u64, reason: &str) {
+    fn apply_unreadable(&mut self, id: &UpstreamId, revision: StoreRevision, reason: &str) {
         // The same item is read again with every page that contains it, so it is logged once.
         if self.unreadable.insert(id.clone(), revision) != Some(revision) {
             log::warn!("event=entry_unreadable upstream={id} reason={reason:?}");
@@ -160,41 +178,78 @@
         self.upstreams.shift_remove(id);
     }
 
-    pub(crate) fn apply_config<Catalog>(&mut self, catalog: &Catalog, item: &StoreItem)
+    /// Applies the configuration in the store, unless a later write of it is known.
+    fn apply_stored_config<Catalog>(&mut self, catalog: &Catalog, item: &StoreItem)
     where
         Catalog: StoreCatalog,
     {
-        if item.revision <= self.config_revision {
-            if item.revision < self.config_revision {
+        let known = self.stored_config.revision;
+        if item.revision <= known {
+            if item.revision < known {
                 log::info!(
-                    "event=config_outdated revision={} known={}",
-                    item.revision,
-                    self.config_revision
+                    "event=config_outdated revision={} known={known}",
+                    item.revision
                 );
             }
             return;
         }
-        match catalog.read_config(item) {
-            Ok(config) => {
-                let known = self.config.as_ref().map_or(0, |known| known.version);
-                if config.version < known {
-                    log::warn!(
-                        "event=config_ignored version={} known={known}",
-                        config.version
-                    );
-                    return;
-                }
-                log::info!(
-                    "event=config_in_force version={} revision={}",
-                    config.version,
-                    item.revision
-                );
-                self.config = Some(Arc::new(config));
-                self.config_item = Some(item.clone());
-                self.config_revision = item.revision;
+        if let Some(version) = self.apply_config(catalog, item) {
+            self.stored_config = StoredConfig {
+                revision: item.revision,
+                version,
+            };
+        }
+    }
+
+    /// Puts a configuration from the store or from a peer in force if its version is later than the
+    /// one in force. Returns its version, or `None` if it cannot be read.
+    pub(crate) fn apply_config<Catalog>(
+        &mut self,
+        catalog: &Catalog,
+        item: &StoreItem,
+    ) -> Option<u64>
+    where
+        Catalog: StoreCatalog,
+    {
+        let config = match catalog.read_config(item) {
+            Ok(config) => config,
+            Err(error) => {
+                log::error!("event=config_unreadable reason={error:?}");
+                return None;
             }
-            Err(error) => log::error!("event=config_unreadable reason={error:?}"),
+        };
+        let (version, known) = (config.version, self.config_version());
+        if version < known {
+            log::warn!("event=config_ignored version={version} known={known}");
+        } else if version > known || self.config.is_none() {
+            log::info!(
+                "event=config_in_force version={version} revision={}",
+                item.revision
+            );
+            self.config = Some(Arc::new(config));
+            self.config_item = Some(item.clone());
         }
+        Some(version)
+    }
+
+    /// Returns the version of the configuration in force; 0 if there is none.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.version)
+    }
+
+    /// Whether the store, when last seen, held the configuration in force. It does not while it was
+    /// restored to an older one, and may then lack even later ones than this VM knows.
+    pub(crate) fn is_config_stored(&self) -> bool {
+        self.config.is_some() && self.stored_config.version == self.config_version()
+    }
+
+    /// Forgets what the store held, before all of it is read again.
+    pub(crate) fn begin_read(&mut self) {
+        self.entries.clear();
+        self.holds.clear();
+        self.coordinator = None;
+        self.term = StoreRevision::ZERO;
+        self.stored_config = StoredConfig::default();
     }
 
     /// Removes the upstreams that are not in `listed`.
--- a/crates/gateway/src/sync/board.rs
+++ b/crates/gateway/src/sync/board.rs
@@ -14,6 +14,8 @@
     pub(crate) freshness: Freshness,
     /// The configuration as stored. `None` until one has been read.
     pub(crate) config: Option<StoreItem>,
+    /// The version of the configuration; 0 until one has been read.
+    pub(crate) config_version: u64,
     /// Whether the updates were received from a peer.
     pub(crate) is_relayed: bool,
     /// When the store last came back from an outage.
@@ -35,10 +37,9 @@
         let Some(batch) = table.changes_since(request.after, request.unaffected_until) else {
             return UpdateResponse::Forgotten;
         };
-        let config = self.config.as_ref();
-        let missing_config = request.lacks_config_after;
-        let missing_config =
-            config.filter(|config| missing_config.is_some_and(|after| after < config.revision));
+        let lacks_config = request
+            .lacks_config_after
+            .is_some_and(|version| version < self.config_version);
         UpdateResponse::Changes(StoreUpdates {
             changes: batch.changes,
             revision: batch.revision,
@@ -46,8 +47,8 @@
             reached: table.complete_revision(),
             is_relayed: self.is_relayed,
             age: self.freshness.age(now),
-            config_revision: config.map_or(0, |config| config.revision),
-            config: missing_config.cloned(),
+            config_version: self.config_version,
+            config: self.config.clone().filter(|_| lacks_config),
             config_age,
             since_return: self.returned_at.map(|at| now.since(at)),
         })
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -22,7 +22,7 @@
 use bergamot_feed::{PeerRanking, UpdateSource};
 use bergamot_ports::{
     KeyCondition, MAX_ENTRY_BYTES, StateStore, StoreCatalog, StoreError, StoreEvent,
-    StoreGeneration, StoreTxn, TxnOutcome, WatchOutcome,
+    StoreGeneration, StoreRevision, StoreTxn, TxnOutcome, WatchOutcome,
 };
 use bergamot_quarantine::QuarantineRecord;
 use bergamot_types::prelude::*;
@@ -174,9 +174,9 @@
         }
     }
 
-    /// Follows the store for one watch from `revision`. While the store is unreachable, first makes
+    /// Follows the store for one watch from `revision`, or until it was restored. While the store is unreachable, first makes
     /// one short call to see whether it is back.
-    async fn follow_store(&mut self, revision: u64) {
+    async fn follow_store(&mut self, revision: StoreRevision) {
         if self.known.is_store_unreachable && !self.is_store_back().await {
             return;
         }
@@ -207,6 +207,9 @@
                 self.record_failure("confirm", &error);
                 return;
             }
+            if self.known.revision.is_none() {
+                return;
+            }
         };
         self.count_store_call("watch", outcome.as_ref().err());
         match outcome {
@@ -264,8 +267,8 @@
     }
 
     /// Records that all changes up to `revision` are known.
-    fn advance_revision(&mut self, revision: u64) {
-        let known = self.known.revision.unwrap_or(0).max(revision);
+    fn advance_revision(&mut self, revision: StoreRevision) {
+        let known = self.known.revision.unwrap_or_default().max(revision);
         self.known.revision = Some(known);
         let mut feed_state = self.feed_state.borrow_mut();
         if let Some(table) = &mut feed_state.table {
@@ -274,18 +277,22 @@
         feed_state.freshness.observe_known(known);
     }
 
-    /// Confirms that the known configuration is the newest, or applies a newer one.
+    /// Confirms that the store holds the configuration in force, or applies a later one.
     async fn confirm(&mut self) -> Result<(), StoreError> {
         let started_at = self.shared.clock.now();
         let txn = StoreTxn {
             conditions: vec![KeyCondition {
                 key: self.catalog.config_key().to_owned(),
-                revision: self.known.config_revision,
+                revision: self.known.stored_config.revision,
             }],
             ..StoreTxn::default()
         };
         let outcome = self.store.commit(&txn).await;
         self.count_store_call("confirm", outcome.as_ref().err());
+        if let Err(StoreError::Restored) = outcome {
+            self.known.revision = None;
+            return Ok(());
+        }
         let outcome = outcome?;
         self.confirm_at = Instant::now() + CONFIRM_PERIOD;
         self.record_success();
@@ -298,7 +305,7 @@
             }
             // A transaction without writes returns the store's current revision.
             TxnOutcome::Done(revision) => {
-                let known = self.known.revision.unwrap_or(0);
+                let known = self.known.revision.unwrap_or_default();
                 let mut feed_state = self.feed_state.borrow_mut();
                 feed_state
                     .freshness
@@ -306,7 +313,7 @@
             }
             TxnOutcome::LeaseGone => {}
         }
-        if self.known.config.is_some() {
+        if self.known.is_config_stored() {
             self.shared.record_confirmation(started_at);
         }
         Ok(())
@@ -351,30 +358,36 @@
 
     fn count_store_call(&mut self, call: &str, error: Option<&StoreError>) {
         count_call(&self.shared, call, error);
-        self.note_generation(call);
+        self.note_generation(self.store.generation(), call);
     }
 
-    /// Logs that the store was restored since its last answer. `call` is the call whose answer
-    /// arrived last.
-    fn note_generation(&mut self, call: &str) {
-        let generation = self.store.generation();
-        let Some(known) = self.generation.replace(generation) else {
+    /// Returns the latest generation that the store or a peer reported.
+    fn latest_generation(&self) -> StoreGeneration {
+        self.store
+            .generation()
+            .max(self.generation.unwrap_or_default())
+    }
+
+    /// Handles that the store is in `generation`, as reported by an answer to `call`. After a restore
+    /// everything is read again.
+    fn note_generation(&mut self, generation: StoreGeneration, call: &str) {
+        let known = self.generation.unwrap_or(generation);
+        self.generation = Some(known.max(generation));
+        if generation <= known {
             return;
-        };
-        if generation > known {
-            log::warn!(
-                "event=store_restored generation={generation} before={known} call={call} revision={} config={}",
-                self.known.revision.unwrap_or(0),
-                self.known
-                    .config
-                    .as_ref()
-                    .map_or(0, |config| config.version)
-            );
-            self.shared.metrics.store_restores.inc();
         }
+        log::warn!(
+            "event=store_restored generation={generation} before={known} call={call} revision={} config={}",
+            self.known.revision.unwrap_or_default(),
+            self.known.config_version()
+        );
+        self.shared.metrics.store_restores.inc();
         self.shared
             .metrics
             .set_state("store_generation", generation.0 as i64);
+        self.known.revision = None;
+        // Entries that the copy lacks are written again as after an outage.
+        self.known.record_store_return(self.shared.clock.now());
     }
 
     fn publish(&mut self) {
@@ -383,9 +396,9 @@
         apply_crash_record_changes(&self.shared, &self.known.take_crash_record_changes());
         let known = &self.known;
         let mut feed_state = self.feed_state.borrow_mut();
-        let served_revision = feed_state.config.as_ref().map(|item| item.revision);
-        if served_revision != known.config_item.as_ref().map(|item| item.revision) {
+        if feed_state.config_version != known.config_version() {
             feed_state.config.clone_from(&known.config_item);
+            feed_state.config_version = known.config_version();
         }
         feed_state.returned_at = known.store_returned_at;
         drop(feed_state);
@@ -396,12 +409,13 @@
         self.shared.publish(ClusterView {
             config: known.config.clone(),
             upstreams: known.upstreams.clone(),
-            revision: known.revision.unwrap_or(0),
+            revision: known.revision.unwrap_or_default(),
             pools: pools.unwrap_or_default(),
             entries: known.entries.clone(),
             coordinator: known.coordinator.clone(),
             holds: known.holds.clone(),
             term: known.term,
+            has_had_coordinator: known.has_had_coordinator,
         });
     }
 }
@@ -413,6 +427,7 @@
         Some(StoreError::Refused(_)) => "refused",
         Some(StoreError::NotSent(_)) => "not_sent",
         Some(StoreError::Unknown(_)) => "unknown",
+        Some(StoreError::Restored) => "restored",
         Some(StoreError::Malformed(_)) => "malformed",
     };
     let calls = &shared.metrics.store_calls;
--- a/crates/gateway/src/sync/own.rs
+++ b/crates/gateway/src/sync/own.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bergamot_ports::{KeyWrite, StateStore, StoreTxn, TxnOutcome};
+use bergamot_ports::{KeyWrite, StateStore, StoreRevision, StoreTxn, TxnOutcome};
 
 use super::count_call;
 use crate::own_keys::{ENTRY_PREFIX, EntryRecord};
@@ -24,7 +24,7 @@
 struct WrittenKey {
     lease: u64,
     /// Revision of the store at the write.
-    revision: u64,
+    revision: StoreRevision,
 }
 
 impl WrittenKey {
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -5,7 +5,7 @@
 
 use bergamot_feed::PeerDescriptor;
 use bergamot_peer::{StoreUpdates, UpdateRequest, UpdateResponse};
-use bergamot_ports::{StateStore, StoreCatalog};
+use bergamot_ports::{StateStore, StoreCatalog, StoreGeneration};
 use bergamot_types::prelude::*;
 use tokio::time::Instant;
 
@@ -33,6 +33,10 @@
         "the peer no longer has the updates since the requested revision; everything is read again"
     )]
     Forgotten,
+    #[error(
+        "the peer has not read the store since it was restored; its updates are of generation {0}"
+    )]
+    BeforeRestore(StoreGeneration),
     #[error("the peer has not read the store yet")]
     NotReady,
     #[error("the address of the peer is not known")]
@@ -42,7 +46,10 @@
 impl FeedError {
     /// Whether the peer responded but has no fresh updates.
     const fn lacks_fresh_updates(&self) -> bool {
-        matches!(self, Self::Stale(_) | Self::NotReady)
+        matches!(
+            self,
+            Self::Stale(_) | Self::NotReady | Self::BeforeRestore(_)
+        )
     }
 }
 
@@ -134,13 +141,13 @@
     /// Requests and applies the next batch of updates.
     async fn poll_once(&mut self, addr: SocketAddr) -> Result<BatchSummary, FeedError> {
         let requested_at = self.shared.clock.now();
-        let known = self.known.revision.unwrap_or(0);
+        let known = self.known.revision.unwrap_or_default();
         let request = UpdateRequest {
             after: known,
             unaffected_until: known,
             lacks_config_after: self
                 .has_failed_peer_confirm
-                .then_some(self.known.config_revision),
+                .then_some(self.known.config_version()),
         };
         let updates = self.request_updates(addr, request).await?;
         let batch = BatchSummary {
@@ -163,6 +170,10 @@
             UpdateResponse::Forgotten => return Err(FeedError::Forgotten),
             UpdateResponse::NotReady => return Err(FeedError::NotReady),
         };
+        let generation = updates.reached.generation;
+        if generation < self.latest_generation() {
+            return Err(FeedError::BeforeRestore(generation));
+        }
         // Only a VM that cannot reach the store accepts relayed updates. If VMs that can reach it
         // did, they would stop reading it.
         if updates.is_relayed && !self.known.is_store_unreachable {
@@ -205,7 +216,7 @@
                 .mark_current(fresh_at);
         }
         if let Some(item) = &updates.config {
-            self.known.apply_item(&self.catalog, item);
+            self.known.apply_config(&self.catalog, item);
             self.has_failed_peer_confirm = false;
         }
         self.apply_confirmation(&updates, requested_at, addr).await;
@@ -227,12 +238,12 @@
         requested_at: Millis,
         addr: SocketAddr,
     ) {
-        let known = self.known.config_revision;
-        if updates.config_revision > known && !self.read_config_from(addr).await {
+        let known = self.known.config_version();
+        if updates.config_version > known && !self.read_config_from(addr).await {
             self.confirm_when_due().await;
         }
         // A peer with an older configuration confirms nothing.
-        if updates.config_revision == known && self.known.config.is_some() {
+        if updates.config_version == known && self.known.config.is_some() {
             let confirmed_at = requested_at.0.saturating_sub(updates.config_age.0);
             self.shared.record_confirmation(Millis(confirmed_at));
         }
@@ -245,11 +256,11 @@
     /// calls a day.
     async fn read_config_from(&mut self, addr: SocketAddr) -> bool {
         let requested_at = self.shared.clock.now();
-        let known = self.known.revision.unwrap_or(0);
+        let known = self.known.revision.unwrap_or_default();
         let request = UpdateRequest {
             after: known,
             unaffected_until: known,
-            lacks_config_after: Some(self.known.config_revision),
+            lacks_config_after: Some(self.known.config_version()),
         };
         let updates = match self.request_updates(addr, request).await {
             Ok(updates) => updates,
@@ -261,8 +272,8 @@
         let Some(item) = &updates.config else {
             return false;
         };
-        self.known.apply_item(&self.catalog, item);
-        if self.known.config_revision != updates.config_revision {
+        self.known.apply_config(&self.catalog, item);
+        if self.known.config_version() != updates.config_version {
             return false;
         }
         let confirmed_at = requested_at.0.saturating_sub(updates.config_age.0);
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -5,7 +5,7 @@
 
 use bergamot_feed::{UpdateSource, UpdateTable};
 use bergamot_peer::UpdateRequest;
-use bergamot_ports::{StateStore, StoreCatalog, StoreEvent, StoreItem, StoreRange};
+use bergamot_ports::{StateStore, StoreCatalog, StoreEvent, StoreItem, StoreRange, StoreRevision};
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 use tokio::time::Instant;
@@ -88,8 +88,8 @@
         let mut items: IndexMap<String, StoreItem> = IndexMap::new();
         // The responses contain no key that was removed before the first of them, so earlier removals
         // are not needed.
-        let mut unaffected_until = u64::MAX;
-        let mut after = 0;
+        let mut unaffected_until = StoreRevision::MAX;
+        let mut after = StoreRevision::ZERO;
         loop {
             let requested_at = self.shared.clock.now();
             let request = UpdateRequest {
@@ -128,7 +128,7 @@
         self.record_success();
         self.set_source(STORE_NAME);
         self.replace_all(range.items, range.revision, started_at, STORE_NAME);
-        if self.known.config.is_some() {
+        if self.known.is_config_stored() {
             self.shared.record_confirmation(started_at);
         }
         self.publish();
@@ -151,14 +151,13 @@
     fn replace_all(
         &mut self,
         items: Vec<StoreItem>,
-        revision: u64,
+        revision: StoreRevision,
         fresh_at: Millis,
         source: &str,
     ) {
+        self.note_generation(revision.generation, "read");
         let now = self.shared.clock.now();
-        self.known.entries.clear();
-        self.known.holds.clear();
-        self.known.coordinator = None;
+        self.known.begin_read();
         let mut listed: Vec<UpstreamId> = Vec::new();
         for item in &items {
             listed.extend(self.catalog.upstream_id(&item.key));
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use bergamot_ports::{EngineSpeed, MemberState, ServingConfig, UpstreamEntry, UpstreamState};
+use bergamot_ports::{
+    EngineSpeed, MemberState, ServingConfig, StoreRevision, UpstreamEntry, UpstreamState,
+};
 use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
@@ -26,7 +28,7 @@
     /// Entries of the directory, by upstream.
     pub upstreams: IndexMap<UpstreamId, UpstreamEntry>,
     /// The revision of the newest change.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Upstreams that accept new requests, by service.
     pub pools: IndexMap<ServiceName, ServicePool>,
     /// Records of the entry VMs, by name.
@@ -35,8 +37,10 @@
     pub coordinator: Option<EntryRecord>,
     /// Held members, by group.
     pub holds: IndexMap<String, Vec<UpstreamId>>,
-    /// Revision of the last change of coordinator. 0 if there never was a coordinator.
-    pub term: u64,
+    /// Revision of the last change of coordinator. Zero if the store has no record of one.
+    pub term: StoreRevision,
+    /// Whether there ever was a coordinator.
+    pub has_had_coordinator: bool,
 }
 
 impl ClusterView {
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -11,8 +11,8 @@
 use bergamot_groups::GroupAction;
 use bergamot_ports::{
     ControlError, GroupOrder, OrderOutcome, OrderRequest, StateStore, StoreError, StoreGeneration,
-    StoreItem, StoreRange, StoreTxn, TxnOutcome, UpstreamControl, UpstreamReport, UpstreamTarget,
-    WatchOutcome,
+    StoreItem, StoreRange, StoreRevision, StoreTxn, TxnOutcome, UpstreamControl, UpstreamReport,
+    UpstreamTarget, WatchOutcome,
 };
 use bergamot_types::prelude::*;
 use tokio::sync::Semaphore;
@@ -36,7 +36,7 @@
     async fn watch(
         &self,
         _prefix: &str,
-        _after: u64,
+        _after: StoreRevision,
         _wait: Duration,
     ) -> Result<WatchOutcome, StoreError> {
         unavailable()
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -16,8 +16,8 @@
 use bergamot_gateway::view::ClusterView;
 use bergamot_ports::{
     ControlError, EngineSpec, OrderOutcome, OrderRequest, ServiceSpec, ServingConfig, StateStore,
-    StoreError, StoreGeneration, StoreItem, StoreRange, StoreTxn, TxnOutcome, UpstreamControl,
-    UpstreamReport, UpstreamTarget, WatchOutcome,
+    StoreError, StoreGeneration, StoreItem, StoreRange, StoreRevision, StoreTxn, TxnOutcome,
+    UpstreamControl, UpstreamReport, UpstreamTarget, WatchOutcome,
 };
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
@@ -32,6 +32,10 @@
 /// Run time of a case. Longer than the wait and the calls after it.
 const RUN_TIME: Duration = Duration::from_millis(1_200);
 
+const fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreGeneration(0), number)
+}
+
 /// When the stop signal arrives.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum StopMoment {
@@ -70,7 +74,7 @@
     async fn watch(
         &self,
         _prefix: &str,
-        _after: u64,
+        _after: StoreRevision,
         _wait: Duration,
     ) -> Result<WatchOutcome, StoreError> {
         Err(StoreError::Refused(503))
@@ -78,7 +82,7 @@
 
     async fn commit(&self, _txn: &StoreTxn) -> Result<TxnOutcome, StoreError> {
         self.record("commit", StopMoment::Committing);
-        Ok(TxnOutcome::Done(9))
+        Ok(TxnOutcome::Done(revision(9)))
     }
 
     async fn open_lease(&self, _ttl: Duration) -> Result<u64, StoreError> {
@@ -151,7 +155,7 @@
     });
     ClusterView {
         config: Some(Arc::new(config)),
-        revision: 3,
+        revision: revision(3),
         entries: preceding_vms.collect(),
         ..ClusterView::default()
     }
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -4,6 +4,10 @@
 use bergamot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::frame::PeerMessage;
+
+impl PeerMessage for Datagram {}
+
 /// Upper bound of a sent datagram's size. Three datagrams of this size per period stay within the
 /// budget for control traffic.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -11,8 +11,16 @@
 
 /// The first two bytes of every message.
 const MAGIC: [u8; 2] = *b"BG";
-/// Version of the message format.
+/// Version of the message formats that have not changed since the header was introduced.
 pub const VERSION: u8 = 2;
+
+/// A message between entry VMs. Each type has a version of its own, so that a change of one does not
+/// separate VMs that still understand each other's other messages.
+pub trait PeerMessage: Serialize + DeserializeOwned {
+    /// Version of the message's format.
+    const VERSION: u8 = VERSION;
+}
+
 /// Encoding byte: an uncompressed message follows.
 const PLAIN: u8 = 0;
 /// Encoding byte: the uncompressed size and the compressed message follow.
@@ -48,9 +56,9 @@
 /// Returns [`Error::TooLarge`] if the message exceeds [`MAX_FRAME_BYTES`].
 pub fn encode<Message>(message: &Message) -> Result<Vec<u8>, Error>
 where
-    Message: Serialize,
+    Message: PeerMessage,
 {
-    let header = vec![MAGIC[0], MAGIC[1], VERSION, PLAIN];
+    let header = vec![MAGIC[0], MAGIC[1], Message::VERSION, PLAIN];
     let bytes = postcard::to_extend(message, header)?;
     if bytes.len() > MAX_FRAME_BYTES {
         return Err(Error::TooLarge(bytes.len()));
@@ -58,7 +66,7 @@
     if bytes.len() < MIN_COMPRESSED_BYTES {
         return Ok(bytes);
     }
-    let mut compressed = vec![MAGIC[0], MAGIC[1], VERSION, COMPRESSED];
+    let mut compressed = vec![MAGIC[0], MAGIC[1], Message::VERSION, COMPRESSED];
     compressed.extend(lz4_flex::compress_prepend_size(&bytes[compressed.len()..]));
     Ok(compressed)
 }
@@ -69,7 +77,7 @@
 /// Returns an error unless the bytes are a complete message of this version.
 pub fn decode<Message>(bytes: &[u8]) -> Result<Message, Error>
 where
-    Message: DeserializeOwned,
+    Message: PeerMessage,
 {
     let [first, second, version, encoding, body @ ..] = bytes else {
         return Err(Error::NotOurs);
@@ -77,7 +85,7 @@
     if [*first, *second] != MAGIC {
         return Err(Error::NotOurs);
     }
-    if *version != VERSION {
+    if *version != Message::VERSION {
         return Err(Error::Version(*version));
     }
     match *encoding {
@@ -102,7 +110,7 @@
 /// Returns an error if the connection ends, or if the frame is too large or malformed.
 pub async fn read_frame<Message, Stream>(stream: &mut Stream) -> Result<Message, Error>
 where
-    Message: DeserializeOwned,
+    Message: PeerMessage,
     Stream: AsyncRead + Unpin,
 {
     let length = stream.read_u32().await? as usize;
@@ -127,7 +135,7 @@
     message: &Message,
 ) -> Result<(), Error>
 where
-    Message: Serialize,
+    Message: PeerMessage,
     Stream: AsyncWrite + Unpin,
 {
     let bytes = encode(message)?;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod updates;
 
 pub use datagram::{Datagram, DemandFact, EvidenceFact, MAX_DATAGRAM_BYTES};
-pub use frame::{Error, decode, encode, read_frame, write_frame};
+pub use frame::{Error, PeerMessage, decode, encode, read_frame, write_frame};
 pub use message::{Answer, GroupsEntry, Question};
 pub use notice::{
     CrashNotice, LeaderCount, LeaderStall, LeaderStallNotice, LimitNotice, LoadNotice, LoadScope,
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -9,6 +9,12 @@
 use bergamot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::frame::PeerMessage;
+
+impl PeerMessage for Question {}
+
+impl PeerMessage for Answer {}
+
 /// A request to a peer.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub enum Question {
--- a/crates/peer/src/notice.rs
+++ b/crates/peer/src/notice.rs
@@ -6,6 +6,10 @@
 use bergamot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::frame::PeerMessage;
+
+impl PeerMessage for PeerNotice {}
+
 /// Unsolicited notices and permit messages between entry VMs.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum PeerNotice {
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -1,19 +1,32 @@
 //! Requests for store updates between entry VMs, and their answers.
 
-use bergamot_ports::{StoreEvent, StoreItem};
+use bergamot_ports::{StoreEvent, StoreItem, StoreRevision};
 use bergamot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::frame::PeerMessage;
+
+/// Version of the feed's messages, whose revisions have a generation since version 3.
+const FEED_VERSION: u8 = 3;
+
+impl PeerMessage for UpdateRequest {
+    const VERSION: u8 = FEED_VERSION;
+}
+
+impl PeerMessage for UpdateResponse {
+    const VERSION: u8 = FEED_VERSION;
+}
+
 /// Asks a peer for store updates.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct UpdateRequest {
     /// The requester has all changes up to this revision.
-    pub after: u64,
+    pub after: StoreRevision,
     /// The requester knows no key that was removed up to this revision. This equals `after`, but is
     /// larger if the requester has only begun to read the store.
-    pub unaffected_until: u64,
-    /// The revision of the requester's configuration, if it failed to read a newer one from the
-    /// store itself.
+    pub unaffected_until: StoreRevision,
+    /// The version of the requester's configuration, if it failed to read a newer one from the
+    /// store itself. 0 if it has none.
     pub lacks_config_after: Option<u64>,
 }
 
@@ -35,17 +48,17 @@
     /// The latest change of each key, in order of revision; a large configuration is omitted.
     pub changes: Vec<StoreEvent>,
     /// The revision up to which the requester is complete with these changes.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Whether more changes follow.
     pub has_more: bool,
     /// The revision up to which the peer is complete.
-    pub reached: u64,
+    pub reached: StoreRevision,
     /// Whether the peer got the changes from another peer.
     pub is_relayed: bool,
     /// Time since the start of the last store call that showed nothing newer.
     pub age: Millis,
-    /// The revision of the configuration.
-    pub config_revision: u64,
+    /// The version of the configuration; 0 if there is none.
+    pub config_version: u64,
     /// The configuration, if the requester lacks it.
     pub config: Option<StoreItem>,
     /// Time since the start of the last store call that showed this configuration as the newest.
--- a/crates/peer/tests/frame.rs
+++ b/crates/peer/tests/frame.rs
@@ -4,7 +4,7 @@
     Answer, Datagram, PeerNotice, Question, StoreUpdates, UpdateResponse, decode, encode,
     read_frame,
 };
-use bergamot_ports::{StoreEvent, StoreItem};
+use bergamot_ports::{StoreEvent, StoreGeneration, StoreItem, StoreRevision};
 use bergamot_quota::{LimitReport, PermitAnswer, PermitClaim, PermitQuestion, PermitVerdict};
 use bergamot_types::prelude::*;
 
@@ -115,17 +115,17 @@
         StoreEvent::Written(StoreItem {
             key: format!("servers/{id}"),
             value: value.into_bytes(),
-            revision: number,
+            revision: StoreRevision::new(StoreGeneration(0), number),
         })
     };
     let updates = UpdateResponse::Changes(StoreUpdates {
         changes: (0..1_100).map(entry).collect(),
-        revision: 1_100,
+        revision: StoreRevision::new(StoreGeneration(0), 1_100),
         has_more: false,
-        reached: 1_100,
+        reached: StoreRevision::new(StoreGeneration(0), 1_100),
         is_relayed: false,
         age: Millis::ZERO,
-        config_revision: 0,
+        config_version: 0,
         config: None,
         config_age: Millis::ZERO,
         since_return: None,
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod directory;
 pub mod generation;
 pub mod port_set;
+pub mod revision;
 pub mod site;
 pub mod store;
 
@@ -35,6 +36,7 @@
 pub use directory::{GroupMembership, MemberState, UpstreamEntry, UpstreamState};
 pub use generation::StoreGeneration;
 pub use port_set::PortSet;
+pub use revision::StoreRevision;
 pub use site::{ServingBounds, VmSite};
 pub use store::{
     KeyCondition, KeyWrite, StateStore, StoreError, StoreEvent, StoreItem, StoreRange, StoreTxn,
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::generation::StoreGeneration;
+use crate::revision::StoreRevision;
 
 /// A key with its value.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
@@ -14,7 +15,7 @@
     /// The value.
     pub value: Vec<u8>,
     /// The store revision of the last write.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// A change that a watch reports.
@@ -27,7 +28,7 @@
         /// The key.
         key: String,
         /// The store revision of the removal.
-        revision: u64,
+        revision: StoreRevision,
     },
 }
 
@@ -41,7 +42,7 @@
     }
 
     /// Returns the store revision of the change.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> StoreRevision {
         match self {
             Self::Written(item) => item.revision,
             Self::Removed { revision, .. } => *revision,
@@ -75,7 +76,7 @@
     /// The items in key order.
     pub items: Vec<StoreItem>,
     /// The revision to start a watch from: the lowest one at which a page was read.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// Outcome of a watch.
@@ -86,20 +87,21 @@
         /// The changes.
         events: Vec<StoreEvent>,
         /// The revision to continue from.
-        revision: u64,
+        revision: StoreRevision,
     },
-    /// The store has compacted the changes since that revision: read the range again.
+    /// The store no longer has the changes since that revision, or never had them since it was
+    /// restored: read the range again.
     Compacted,
 }
 
-/// A condition of a transaction: the key was last written at this revision. 0 requires that the key
-/// does not exist.
+/// A condition of a transaction: the key was last written at this revision.
+/// [`StoreRevision::ZERO`] requires that the key does not exist.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct KeyCondition {
     /// The key.
     pub key: String,
     /// The required revision.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// A write in a transaction.
@@ -124,11 +126,22 @@
     pub removes: Vec<String>,
 }
 
+impl StoreTxn {
+    /// Returns the generation of the revisions in the conditions, the earliest one if they differ.
+    /// `None` if the transaction holds in any generation.
+    pub fn generation(&self) -> Option<StoreGeneration> {
+        let conditions = self.conditions.iter();
+        let revisions = conditions.map(|condition| condition.revision);
+        let revisions = revisions.filter(|revision| *revision != StoreRevision::ZERO);
+        revisions.map(|revision| revision.generation).min()
+    }
+}
+
 /// Outcome of a transaction.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum TxnOutcome {
     /// The transaction was committed at this revision.
-    Done(u64),
+    Done(StoreRevision),
     /// A condition failed. Holds the current items of those condition keys that exist.
     Conflict(Vec<StoreItem>),
     /// The lease of a write has expired.
@@ -147,6 +160,10 @@
     /// No answer: the call may have been executed, or may still be.
     #[error("no answer from the store: {0}")]
     Unknown(String),
+    /// The store was restored since the revisions in the call were read, and may have given out
+    /// their numbers again. Without the current revisions nothing is known of the outcome.
+    #[error("the store was restored since the revisions in the call were read")]
+    Restored,
     /// The answer cannot be parsed.
     #[error("the store's answer cannot be read: {0}")]
     Malformed(String),
@@ -174,7 +191,7 @@
     async fn watch(
         &self,
         prefix: &str,
-        after: u64,
+        after: StoreRevision,
         wait: Duration,
     ) -> Result<WatchOutcome, StoreError>;
 
