fix: fencing numbers and epochs of groups rise across restores of the store

What callers would see: after a restore that loses the coordinator's record, its successor orders under a lower fencing number than upstreams remember. They refuse every order (412), and no group is repaired until the revisions have caught up.

The number is the store's revision at the takeover, and epochs are at least the directory's revision; both go back with the store.

--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -1,8 +1,8 @@
 //! The groups thread: one entry VM at a time coordinates the replica groups.
 //!
-//! The VM that owns the coordinator's lease in the store does so. Its fencing number is the
-//! revision at which it took over; it sends orders only while the last renewal of the lease is
-//! recent enough.
+//! The VM that owns the coordinator's lease in the store does so. Its fencing number is the ordinal
+//! of the revision at which it took over, which rises also across restores of the store. It sends
+//! orders only while the last renewal of the lease is recent enough.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -178,7 +178,7 @@
         };
         match self.store.commit(&txn).await {
             Ok(TxnOutcome::Done(revision)) => {
-                let fence = revision.number;
+                let fence = revision.to_ordinal();
                 log::info!(
                     "event=coordinator_begins fence={fence} before={}",
                     view.term
@@ -331,7 +331,7 @@
 /// jitter tells them apart.
 fn takeover_wait(view: &ClusterView, site: &VmSite) -> Millis {
     let succession_rank =
-        |millicores: u32, vm: &str| (millicores, rendezvous_score(view.term.number, vm));
+        |millicores: u32, vm: &str| (millicores, rendezvous_score(view.term.to_ordinal(), vm));
     let own_rank = succession_rank(site.millicores, site.vm.as_str());
     let entries = view.entries.values();
     let earlier_entries =
@@ -373,5 +373,5 @@
     planner.set_spec(spec);
     let entries = view.upstreams.values();
     let members = entries.filter(|entry| entry.service == service);
-    planner.set_directory(members, view.revision.number, shared.clock.now());
+    planner.set_directory(members, view.revision.to_ordinal(), shared.clock.now());
 }
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -148,7 +148,7 @@
         spec
     }
 
-    /// Replaces the directory with the one read at the store's `revision`.
+    /// Replaces the directory with the one read at the store's `revision`, as an ordinal.
     pub fn set_directory<'a, Entries>(&mut self, entries: Entries, revision: u64, now: Millis)
     where
         Entries: IntoIterator<Item = &'a UpstreamEntry>,
