fix: leases belong to the generation of the store that opened them

What callers would see: after a restore the id of the coordinator's lease may name another VM's lease. Its renewals succeed and mean nothing, while its record is gone: with one VM nobody coordinates for as long as it lives, with several a second one coordinates beside it.

Change: StoreLease, an id with its generation. A lease of an earlier generation counts as ended, whatever the store answers, and is not revoked by its number; a write under one is refused at the client. Each VM writes its own key again within 0.5 s of learning of a restore. A coordinator may go by its lease for 1.5 s after a restore that it has not noticed, so nobody takes over for as long. A record that names a VM which does not coordinate, as one that came back with the copy, counts as vacant at that VM and is replaced under a condition on its revision.

Weighed: to go on with the term under a new lease. Rejected: between the copy and the restore another VM may have coordinated, and then the planner's state is out of date; the copy's lease would last for the same 1.5 s anyway.

--- a/crates/ctl/src/quarantine.rs
+++ b/crates/ctl/src/quarantine.rs
@@ -78,7 +78,7 @@
         writes: vec![KeyWrite {
             key: format!("{QUARANTINE_PREFIX}seen/operator-{drawn:016x}"),
             value: cleared.to_bytes()?,
-            lease: 0,
+            lease: None,
         }],
         removes: vec![quarantine_key(print)],
         ..StoreTxn::default()
--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -140,7 +140,7 @@
         writes: vec![KeyWrite {
             key: format!("{HOLD_PREFIX}{group}"),
             value: hold_to_bytes(members),
-            lease,
+            lease: Some(lease),
         }],
         ..StoreTxn::default()
     };
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -12,8 +12,8 @@
 use bergamot_groups::{GroupAction, GroupOptions, GroupPlanner};
 use bergamot_peer::{PeerNotice, SuspicionNotice, frame};
 use bergamot_ports::{
-    EngineSpec, KeyCondition, KeyWrite, StateStore, StoreRevision, StoreTxn, TxnOutcome,
-    UpstreamControl, VmSite,
+    EngineSpec, KeyCondition, KeyWrite, StateStore, StoreLease, StoreRevision, StoreTxn,
+    TxnOutcome, UpstreamControl,
 };
 use bergamot_types::prelude::*;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -90,12 +90,14 @@
         let mut view_changes = self.shared.view_changed.subscribe();
         loop {
             let view = self.shared.view.load_full();
-            let is_vacant = view.coordinator.is_none() && view.revision > StoreRevision::ZERO;
+            let lacks_coordinator = is_vacant(&view, &self.shared);
             let has_groups = engine_service(&view).is_some();
-            if is_vacant && has_groups && !self.shared.is_stopping() {
-                let delay = takeover_wait(&view, &self.shared.site);
+            if lacks_coordinator && has_groups && !self.shared.is_stopping() {
+                let delay = takeover_wait(&view, &self.shared);
                 let takeover_not_needed = async {
-                    let has_successor = |count: &u64| *count > 0 && self.shared.has_coordinator();
+                    let has_successor = |count: &u64| {
+                        *count > 0 && !is_vacant(&self.shared.view.load(), &self.shared)
+                    };
                     let must_give_up =
                         |count: &u64| has_successor(count) || self.shared.is_stopping();
                     let _ = view_changes.wait_for(must_give_up).await;
@@ -105,6 +107,7 @@
                 if timeout_outcome.is_ok() {
                     continue;
                 }
+                let view = self.shared.view.load_full();
                 if let Some(term) = self.take_over(&view).await {
                     self.coordinate(term).await;
                     continue;
@@ -115,7 +118,7 @@
                 notice = self.stall_notices.recv() => self.forward_notice(notice).await,
                 // The notice is meant for a coordinator, and this VM no longer is one.
                 Some(_) = self.peer_stall_notices.recv() => {}
-                () = tokio::time::sleep(RENEW_PERIOD), if is_vacant => {}
+                () = tokio::time::sleep(RENEW_PERIOD), if lacks_coordinator => {}
             }
         }
     }
@@ -159,7 +162,7 @@
             return None;
         }
         let record = EntryRecord::of(&self.shared.site);
-        let new_write = |key: &str, lease: u64| KeyWrite {
+        let new_write = |key: &str, lease: Option<StoreLease>| KeyWrite {
             key: key.to_owned(),
             value: record.to_bytes(),
             lease,
@@ -170,10 +173,13 @@
         };
         let txn = StoreTxn {
             conditions: vec![
-                new_condition(COORDINATOR_KEY, StoreRevision::ZERO),
+                new_condition(COORDINATOR_KEY, view.coordinator_revision),
                 new_condition(TERM_KEY, view.term),
             ],
-            writes: vec![new_write(COORDINATOR_KEY, lease), new_write(TERM_KEY, 0)],
+            writes: vec![
+                new_write(COORDINATOR_KEY, Some(lease)),
+                new_write(TERM_KEY, None),
+            ],
             removes: Vec::new(),
         };
         match self.store.commit(&txn).await {
@@ -196,7 +202,7 @@
         }
     }
 
-    async fn revoke_lease(&self, lease: u64) {
+    async fn revoke_lease(&self, lease: StoreLease) {
         if let Err(error) = self.store.revoke_lease(lease).await {
             log::info!("event=lease_not_ended reason={error:?}");
         }
@@ -329,7 +335,8 @@
 /// CPU come first, as the coordinator has the most work; ties are broken by an order that differs
 /// for each term. VMs that are not known yet, as at the first start, all count as the first; random
 /// jitter tells them apart.
-fn takeover_wait(view: &ClusterView, site: &VmSite) -> Millis {
+fn takeover_wait(view: &ClusterView, shared: &SharedState) -> Millis {
+    let site = &shared.site;
     let succession_rank =
         |millicores: u32, vm: &str| (millicores, rendezvous_score(view.term.to_ordinal(), vm));
     let own_rank = succession_rank(site.millicores, site.vm.as_str());
@@ -337,7 +344,19 @@
     let earlier_entries =
         entries.filter(|entry| succession_rank(entry.millicores, &entry.vm) > own_rank);
     let jitter = rand::rng().random_range(0..TAKEOVER_STAGGER.0);
-    Millis(TAKEOVER_STAGGER.0 * earlier_entries.count() as u64 + jitter)
+    let stagger = Millis(TAKEOVER_STAGGER.0 * earlier_entries.count() as u64 + jitter);
+    // A coordinator may not have noticed a restore, in which its record was lost, until its lease
+    // would have ended.
+    let lease_end = view.restored_at.map_or(Millis::ZERO, |at| at + LEASE_TTL);
+    stagger + lease_end.since(shared.clock.now())
+}
+
+/// Whether no VM coordinates as far as the view tells: none is recorded, or this VM is although it
+/// does not. The record of an earlier term may come back with a restored store.
+fn is_vacant(view: &ClusterView, shared: &SharedState) -> bool {
+    let is_read = view.revision > StoreRevision::ZERO;
+    let coordinator = view.coordinator.as_ref();
+    is_read && coordinator.is_none_or(|record| record.vm == shared.site.vm.as_str())
 }
 
 fn engine_service(view: &ClusterView) -> Option<(ServiceName, EngineSpec)> {
--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -50,6 +50,10 @@
     pub(crate) upstreams: IndexMap<UpstreamId, UpstreamEntry>,
     pub(crate) entries: IndexMap<String, EntryRecord>,
     pub(crate) coordinator: Option<EntryRecord>,
+    /// The revision of that record. Zero if there is none.
+    pub(crate) coordinator_revision: StoreRevision,
+    /// When this VM noticed that the store was restored.
+    pub(crate) restored_at: Option<Millis>,
     pub(crate) holds: IndexMap<String, Vec<UpstreamId>>,
     pub(crate) term: StoreRevision,
     /// Whether any VM ever coordinated, also if a restore has lost the record of it.
@@ -82,6 +86,7 @@
                     self.remove_upstream(&id, now);
                 } else if key == COORDINATOR_KEY {
                     self.coordinator = None;
+                    self.coordinator_revision = StoreRevision::ZERO;
                 } else if let Some(vm) = key.strip_prefix(ENTRY_PREFIX) {
                     self.entries.shift_remove(vm);
                 } else if let Some(group) = key.strip_prefix(HOLD_PREFIX) {
@@ -107,6 +112,7 @@
             }
         } else if item.key == COORDINATOR_KEY {
             self.coordinator = EntryRecord::from_bytes(&item.value);
+            self.coordinator_revision = item.revision;
         } else if item.key == TERM_KEY {
             self.term = item.revision;
             self.has_had_coordinator = true;
@@ -248,6 +254,7 @@
         self.entries.clear();
         self.holds.clear();
         self.coordinator = None;
+        self.coordinator_revision = StoreRevision::ZERO;
         self.term = StoreRevision::ZERO;
         self.stored_config = StoredConfig::default();
     }
--- a/crates/gateway/src/lead_term.rs
+++ b/crates/gateway/src/lead_term.rs
@@ -1,5 +1,6 @@
 //! A term as coordinator, and the period in which it allows orders.
 
+use bergamot_ports::StoreLease;
 use bergamot_types::prelude::*;
 
 /// How long the coordinator's lease outlives its last renewal, and so how long the groups have no
@@ -11,7 +12,7 @@
 /// One term of this VM as coordinator.
 pub(crate) struct CoordinatorTerm {
     /// The lease that the coordinator key is attached to.
-    pub lease: u64,
+    pub lease: StoreLease,
     /// The fencing number of the term's orders.
     pub fence: u64,
     /// Whether no VM has coordinated before.
@@ -22,7 +23,7 @@
 
 impl CoordinatorTerm {
     /// Creates a term whose lease was confirmed by a call that started at `confirmed_at`.
-    pub fn new(lease: u64, fence: u64, is_first: bool, confirmed_at: Millis) -> Self {
+    pub fn new(lease: StoreLease, fence: u64, is_first: bool, confirmed_at: Millis) -> Self {
         Self {
             lease,
             fence,
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -387,7 +387,9 @@
             .set_state("store_generation", generation.0 as i64);
         self.known.revision = None;
         // Entries that the copy lacks are written again as after an outage.
-        self.known.record_store_return(self.shared.clock.now());
+        let now = self.shared.clock.now();
+        self.known.record_store_return(now);
+        self.known.restored_at = Some(now);
     }
 
     fn publish(&mut self) {
@@ -413,6 +415,8 @@
             pools: pools.unwrap_or_default(),
             entries: known.entries.clone(),
             coordinator: known.coordinator.clone(),
+            coordinator_revision: known.coordinator_revision,
+            restored_at: known.restored_at,
             holds: known.holds.clone(),
             term: known.term,
             has_had_coordinator: known.has_had_coordinator,
--- a/crates/gateway/src/sync/own.rs
+++ b/crates/gateway/src/sync/own.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bergamot_ports::{KeyWrite, StateStore, StoreRevision, StoreTxn, TxnOutcome};
+use bergamot_ports::{KeyWrite, StateStore, StoreLease, StoreRevision, StoreTxn, TxnOutcome};
+use rand::Rng;
 
 use super::count_call;
 use crate::own_keys::{ENTRY_PREFIX, EntryRecord};
@@ -19,15 +20,24 @@
 /// Time after which a failed write of the key is retried.
 const RETRY_PERIOD: Duration = Duration::from_millis(1_500);
 
+/// Longest time from a restore of the store until the key is written again, so that the VMs of a
+/// large fleet do not write at once.
+const MAX_REWRITE_DELAY: Duration = Duration::from_millis(500);
+
 /// The key as written to the store.
 #[derive(Clone, Copy)]
 struct WrittenKey {
-    lease: u64,
+    lease: StoreLease,
     /// Revision of the store at the write.
     revision: StoreRevision,
 }
 
 impl WrittenKey {
+    /// Whether the store was restored since, and may have lost the key or its lease.
+    fn may_be_lost(self, shared: &SharedState) -> bool {
+        shared.view.load().revision.generation > self.lease.generation
+    }
+
     /// Whether the key was removed although its lease may still be valid. A delayed earlier write
     /// can overwrite the key, which then is removed with the earlier write's lease.
     fn was_removed(self, shared: &SharedState) -> bool {
@@ -44,17 +54,36 @@
     let mut written_key: Option<WrittenKey> = None;
     while !shared.is_stopping() {
         written_key = match written_key {
-            Some(key) if !key.was_removed(&shared) => renew(&shared, store.as_ref(), key).await,
+            Some(key) if !key.may_be_lost(&shared) && !key.was_removed(&shared) => {
+                renew(&shared, store.as_ref(), key).await
+            }
             _ => register(&shared, store.as_ref()).await,
         };
         let pause = match written_key {
             Some(_) => RENEW_PERIOD,
             None => RETRY_PERIOD,
         };
-        tokio::time::sleep(pause).await;
+        let restore = async {
+            match written_key {
+                Some(key) => await_restore(&shared, key).await,
+                None => std::future::pending().await,
+            }
+        };
+        if tokio::time::timeout(pause, restore).await.is_ok() {
+            let delay = rand::rng().random_range(Duration::ZERO..MAX_REWRITE_DELAY);
+            tokio::time::sleep(delay).await;
+        }
     }
 }
 
+/// Waits until the view shows that the store was restored since the key was written.
+async fn await_restore(shared: &SharedState, key: WrittenKey) {
+    let mut view_changes = shared.view_changed.subscribe();
+    let is_restored = |_: &u64| key.may_be_lost(shared);
+    // The sender lives as long as the process.
+    let _ = view_changes.wait_for(is_restored).await;
+}
+
 /// Renews the lease. Returns `None` if it has expired.
 async fn renew<Store>(shared: &SharedState, store: &Store, key: WrittenKey) -> Option<WrittenKey>
 where
@@ -78,7 +107,7 @@
         writes: vec![KeyWrite {
             key: format!("{ENTRY_PREFIX}{}", site.vm),
             value: EntryRecord::of(site).to_bytes(),
-            lease,
+            lease: Some(lease),
         }],
         ..StoreTxn::default()
     };
--- a/crates/gateway/src/sync/quarantine.rs
+++ b/crates/gateway/src/sync/quarantine.rs
@@ -144,7 +144,7 @@
             Ok(value) => Some(KeyWrite {
                 key,
                 value,
-                lease: 0,
+                lease: None,
             }),
             Err(error) => {
                 log::error!("event=record_not_written reason=\"{error}\"");
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -35,6 +35,10 @@
     pub entries: IndexMap<String, EntryRecord>,
     /// The VM that coordinates the groups.
     pub coordinator: Option<EntryRecord>,
+    /// The revision of that VM's record. Zero if there is none.
+    pub coordinator_revision: StoreRevision,
+    /// When this VM noticed that the store was restored.
+    pub restored_at: Option<Millis>,
     /// Held members, by group.
     pub holds: IndexMap<String, Vec<UpstreamId>>,
     /// Revision of the last change of coordinator. Zero if the store has no record of one.
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -11,8 +11,8 @@
 use bergamot_groups::GroupAction;
 use bergamot_ports::{
     ControlError, GroupOrder, OrderOutcome, OrderRequest, StateStore, StoreError, StoreGeneration,
-    StoreItem, StoreRange, StoreRevision, StoreTxn, TxnOutcome, UpstreamControl, UpstreamReport,
-    UpstreamTarget, WatchOutcome,
+    StoreItem, StoreLease, StoreRange, StoreRevision, StoreTxn, TxnOutcome, UpstreamControl,
+    UpstreamReport, UpstreamTarget, WatchOutcome,
 };
 use bergamot_types::prelude::*;
 use tokio::sync::Semaphore;
@@ -46,15 +46,15 @@
         unavailable()
     }
 
-    async fn open_lease(&self, _ttl: Duration) -> Result<u64, StoreError> {
+    async fn open_lease(&self, _ttl: Duration) -> Result<StoreLease, StoreError> {
         unavailable()
     }
 
-    async fn renew_lease(&self, _lease: u64) -> Result<bool, StoreError> {
+    async fn renew_lease(&self, _lease: StoreLease) -> Result<bool, StoreError> {
         unavailable()
     }
 
-    async fn revoke_lease(&self, _lease: u64) -> Result<(), StoreError> {
+    async fn revoke_lease(&self, _lease: StoreLease) -> Result<(), StoreError> {
         unavailable()
     }
 
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -16,8 +16,8 @@
 use bergamot_gateway::view::ClusterView;
 use bergamot_ports::{
     ControlError, EngineSpec, OrderOutcome, OrderRequest, ServiceSpec, ServingConfig, StateStore,
-    StoreError, StoreGeneration, StoreItem, StoreRange, StoreRevision, StoreTxn, TxnOutcome,
-    UpstreamControl, UpstreamReport, UpstreamTarget, WatchOutcome,
+    StoreError, StoreGeneration, StoreItem, StoreLease, StoreRange, StoreRevision, StoreTxn,
+    TxnOutcome, UpstreamControl, UpstreamReport, UpstreamTarget, WatchOutcome,
 };
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
@@ -85,17 +85,20 @@
         Ok(TxnOutcome::Done(revision(9)))
     }
 
-    async fn open_lease(&self, _ttl: Duration) -> Result<u64, StoreError> {
+    async fn open_lease(&self, _ttl: Duration) -> Result<StoreLease, StoreError> {
         self.record("open", StopMoment::Opening);
-        Ok(7)
+        Ok(StoreLease {
+            generation: StoreGeneration(0),
+            id: 7,
+        })
     }
 
-    async fn renew_lease(&self, _lease: u64) -> Result<bool, StoreError> {
+    async fn renew_lease(&self, _lease: StoreLease) -> Result<bool, StoreError> {
         self.record("renew", StopMoment::Renewing);
         Ok(true)
     }
 
-    async fn revoke_lease(&self, _lease: u64) -> Result<(), StoreError> {
+    async fn revoke_lease(&self, _lease: StoreLease) -> Result<(), StoreError> {
         self.record("end", StopMoment::Never);
         Ok(())
     }
--- a/crates/ports/src/generation.rs
+++ b/crates/ports/src/generation.rs
@@ -13,6 +13,15 @@
 #[serde(transparent)]
 pub struct StoreGeneration(pub u64);
 
+/// A lease of the store. Its id may be given out again after a restore, and then names another lease.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct StoreLease {
+    /// The generation in which the lease was opened.
+    pub generation: StoreGeneration,
+    /// The store's id of the lease.
+    pub id: u64,
+}
+
 impl fmt::Display for StoreGeneration {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.0)
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -34,7 +34,7 @@
     UpstreamTarget,
 };
 pub use directory::{GroupMembership, MemberState, UpstreamEntry, UpstreamState};
-pub use generation::StoreGeneration;
+pub use generation::{StoreGeneration, StoreLease};
 pub use port_set::PortSet;
 pub use revision::StoreRevision;
 pub use site::{ServingBounds, VmSite};
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::generation::StoreGeneration;
+use crate::generation::{StoreGeneration, StoreLease};
 use crate::revision::StoreRevision;
 
 /// A key with its value.
@@ -111,8 +111,8 @@
     pub key: String,
     /// The value.
     pub value: Vec<u8>,
-    /// The lease that the key expires with; 0 for none.
-    pub lease: u64,
+    /// The lease that the key expires with, if any.
+    pub lease: Option<StoreLease>,
 }
 
 /// A transaction, which takes effect as a whole or not at all.
@@ -127,13 +127,17 @@
 }
 
 impl StoreTxn {
-    /// Returns the generation of the revisions in the conditions, the earliest one if they differ.
-    /// `None` if the transaction holds in any generation.
+    /// Returns the generation of the revisions in the conditions and of the leases, the earliest one
+    /// if they differ. `None` if the transaction holds in any generation.
     pub fn generation(&self) -> Option<StoreGeneration> {
         let conditions = self.conditions.iter();
         let revisions = conditions.map(|condition| condition.revision);
         let revisions = revisions.filter(|revision| *revision != StoreRevision::ZERO);
-        revisions.map(|revision| revision.generation).min()
+        let leases = self.writes.iter().filter_map(|write| write.lease);
+        let generations = revisions.map(|revision| revision.generation);
+        generations
+            .chain(leases.map(|lease| lease.generation))
+            .min()
     }
 }
 
@@ -144,7 +148,7 @@
     Done(StoreRevision),
     /// A condition failed. Holds the current items of those condition keys that exist.
     Conflict(Vec<StoreItem>),
-    /// The lease of a write has expired.
+    /// The lease of a write has expired or was lost in a restore.
     LeaseGone,
 }
 
@@ -160,9 +164,9 @@
     /// No answer: the call may have been executed, or may still be.
     #[error("no answer from the store: {0}")]
     Unknown(String),
-    /// The store was restored since the revisions in the call were read, and may have given out
-    /// their numbers again. Without the current revisions nothing is known of the outcome.
-    #[error("the store was restored since the revisions in the call were read")]
+    /// The store was restored since the revisions or leases in the call were given out, and may have
+    /// given them out again, so that the answer means nothing.
+    #[error("the store was restored since the revisions or leases in the call were given out")]
     Restored,
     /// The answer cannot be parsed.
     #[error("the store's answer cannot be read: {0}")]
@@ -206,19 +210,21 @@
     ///
     /// # Errors
     /// See [`StoreError`].
-    async fn open_lease(&self, ttl: Duration) -> Result<u64, StoreError>;
+    async fn open_lease(&self, ttl: Duration) -> Result<StoreLease, StoreError>;
 
-    /// Renews a lease. Returns false if it has expired.
+    /// Renews a lease. Returns false if it has expired, or if the store was restored since it was
+    /// opened, whatever has become of it.
     ///
     /// # Errors
     /// See [`StoreError`].
-    async fn renew_lease(&self, lease: u64) -> Result<bool, StoreError>;
+    async fn renew_lease(&self, lease: StoreLease) -> Result<bool, StoreError>;
 
-    /// Revokes a lease, which removes its keys.
+    /// Revokes a lease, which removes its keys. Does nothing if the store was restored since it was
+    /// opened.
     ///
     /// # Errors
     /// See [`StoreError`].
-    async fn revoke_lease(&self, lease: u64) -> Result<(), StoreError>;
+    async fn revoke_lease(&self, lease: StoreLease) -> Result<(), StoreError>;
 
     /// Returns the latest generation that any answer reported.
     fn generation(&self) -> StoreGeneration;
