fix: an upstream that had left gets no work although a restored store lists it

What callers would see: requests sent to an upstream that had said that it leaves, or whose entry had been removed and whose address may be another's by then, for as long as the store's copy lists it as serving.

Cause: the directory in an older copy was taken for news.

In the first read after a restore an entry that contradicts one is not believed until it is written again, or until three heartbeats have passed, when the platform would have removed it; the heartbeat is read from the settings. Entries that the copy lacks are kept for the grace of an outage.

Test: an_upstream_that_had_left_before_a_restore_gets_no_requests_although_the_copy_lists_it failed before in both cases (leaving, removed); an_upstream_that_came_back_before_a_restore_is_used_again holds the other side.

--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use bergamot_ports::{
-    ServingConfig, StoreCatalog, StoreEvent, StoreItem, StoreRevision, UpstreamEntry,
+    ServingConfig, StoreCatalog, StoreEvent, StoreGeneration, StoreItem, StoreRevision,
+    UpstreamEntry, UpstreamState,
 };
 use bergamot_quarantine::QuarantineRecord;
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 
+use crate::departures::DepartureLog;
 use crate::own_keys::{
     COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, HOLD_PREFIX, QUARANTINE_PREFIX, TERM_KEY,
     hold_from_bytes,
@@ -48,6 +50,8 @@
     /// The configuration as stored, for peers that cannot read the store.
     pub(crate) config_item: Option<StoreItem>,
     pub(crate) upstreams: IndexMap<UpstreamId, UpstreamEntry>,
+    /// Upstreams that left, in case a restored store lists them again.
+    pub(crate) departures: DepartureLog,
     pub(crate) entries: IndexMap<String, EntryRecord>,
     pub(crate) coordinator: Option<EntryRecord>,
     /// The revision of that record. Zero if there is none.
@@ -58,6 +62,8 @@
     pub(crate) term: StoreRevision,
     /// Whether any VM ever coordinated, also if a restore has lost the record of it.
     pub(crate) has_had_coordinator: bool,
+    /// The generation of the store when all of it was last read.
+    pub(crate) read_generation: Option<StoreGeneration>,
     /// Revision up to which all changes are known. `None` if everything must be read again.
     pub(crate) revision: Option<StoreRevision>,
     /// Entries that cannot be decoded, with the revision for which this was logged.
@@ -80,7 +86,7 @@
         Catalog: StoreCatalog,
     {
         match event {
-            StoreEvent::Written(item) => self.apply_item(catalog, &item),
+            StoreEvent::Written(item) => self.apply_item(catalog, &item, now),
             StoreEvent::Removed { key, .. } => {
                 if let Some(id) = catalog.upstream_id(&key) {
                     self.remove_upstream(&id, now);
@@ -99,7 +105,7 @@
         }
     }
 
-    pub(crate) fn apply_item<Catalog>(&mut self, catalog: &Catalog, item: &StoreItem)
+    pub(crate) fn apply_item<Catalog>(&mut self, catalog: &Catalog, item: &StoreItem, now: Millis)
     where
         Catalog: StoreCatalog,
     {
@@ -107,7 +113,7 @@
             self.apply_stored_config(catalog, item);
         } else if let Some(id) = catalog.upstream_id(&item.key) {
             match catalog.read_upstream(item) {
-                Ok(entry) => self.apply_entry(entry, item.revision),
+                Ok(entry) => self.apply_entry(entry, item.revision, now),
                 Err(error) => self.apply_unreadable(&id, item.revision, &error.reason),
             }
         } else if item.key == COORDINATOR_KEY {
@@ -149,7 +155,7 @@
 
     /// Applies an upstream's entry, unless a later incarnation is known, as a write of an earlier
     /// incarnation may arrive late.
-    fn apply_entry(&mut self, entry: UpstreamEntry, revision: StoreRevision) {
+    fn apply_entry(&mut self, entry: UpstreamEntry, revision: StoreRevision, now: Millis) {
         let id = &entry.incarnation.id;
         let known = self.upstreams.get(id);
         if let Some(known) =
@@ -169,9 +175,16 @@
             );
             return;
         }
-        self.expired.shift_remove(id);
-        self.unreadable.shift_remove(id);
-        self.upstreams.insert(id.clone(), entry);
+        let id = id.clone();
+        self.unreadable.shift_remove(&id);
+        let Some(entry) = self.departures.admit(entry, revision, now) else {
+            return;
+        };
+        if entry.state == UpstreamState::Draining {
+            self.departures.record(&entry.incarnation, now);
+        }
+        self.expired.shift_remove(&id);
+        self.upstreams.insert(id, entry);
     }
 
     /// Removes an upstream whose entry cannot be decoded and so no longer describes it.
@@ -249,6 +262,12 @@
         self.config.is_some() && self.stored_config.version == self.config_version()
     }
 
+    /// Whether the store was restored between the last read of all of it and the one at `revision`.
+    pub(crate) fn is_unread_restore(&self, revision: StoreRevision) -> bool {
+        self.read_generation
+            .is_some_and(|generation| generation < revision.generation)
+    }
+
     /// Forgets what the store held, before all of it is read again.
     pub(crate) fn begin_read(&mut self) {
         self.entries.clear();
@@ -263,6 +282,7 @@
     pub(crate) fn retain_listed(&mut self, listed: &[UpstreamId], now: Millis) {
         let listed: IndexSet<&UpstreamId> = listed.iter().collect();
         self.unreadable.retain(|id, _| listed.contains(id));
+        self.departures.retain_listed(&listed);
         let missing_ids = self.upstreams.keys().filter(|id| !listed.contains(id));
         let missing_ids: Vec<UpstreamId> = missing_ids.cloned().collect();
         for id in missing_ids {
@@ -279,6 +299,7 @@
     /// again.
     pub(crate) fn remove_upstream(&mut self, id: &UpstreamId, now: Millis) {
         self.unreadable.shift_remove(id);
+        self.departures.forget(id);
         let grace_end = self.store_returned_at.map(|at| at + EXPIRY_GRACE);
         let removal_at = match self.is_store_unreachable {
             true => Some(now + EXPIRY_GRACE),
@@ -289,12 +310,18 @@
                 self.expired.entry(id.clone()).or_insert(until);
             }
             None => {
-                self.upstreams.shift_remove(id);
+                self.drop_upstream(id, now);
                 self.unlisted.push(id.clone());
             }
         }
     }
 
+    fn drop_upstream(&mut self, id: &UpstreamId, now: Millis) {
+        if let Some(entry) = self.upstreams.shift_remove(id) {
+            self.departures.record(&entry.incarnation, now);
+        }
+    }
+
     /// Logs the upstreams removed by one change in one line. One line for each upstream from each
     /// of 195 VMs made up a quarter of the log.
     pub(crate) fn log_unlisted(&mut self) {
@@ -304,18 +331,20 @@
         }
     }
 
-    /// Returns the time until the grace of the next expired entry ends. `None` if there is no such
-    /// entry or the store is unreachable, as the grace begins with its return.
-    pub(crate) fn time_until_removal(&self, now: Millis) -> Option<Duration> {
+    /// Returns the time until the grace of the next expired entry ends or doubted entries are
+    /// believed. `None` if there is no such entry or the store is unreachable, as both begin with its
+    /// return.
+    pub(crate) fn time_until_review(&self, now: Millis) -> Option<Duration> {
         if self.is_store_unreachable {
             return None;
         }
-        let earliest_removal = self
+        let earliest_review = self
             .expired
             .values()
             .map(|until| self.removal_time(*until))
+            .chain(self.departures.believed_at())
             .min()?;
-        Some(earliest_removal.since(now).as_duration() + Duration::from_millis(1))
+        Some(earliest_review.since(now).as_duration() + Duration::from_millis(1))
     }
 
     fn removal_time(&self, until: Millis) -> Millis {
@@ -323,23 +352,30 @@
         grace_end.map_or(until, |end| end.max(until))
     }
 
-    /// Removes the entries that were not written again within the grace. Returns whether there were
-    /// any.
-    pub(crate) fn remove_expired(&mut self, now: Millis) -> bool {
+    /// Removes the entries that were not written again within the grace, and adds those that are
+    /// believed now. Returns whether there were any.
+    pub(crate) fn review_entries(&mut self, now: Millis) -> bool {
         if self.is_store_unreachable {
             return false;
         }
+        let believed = self.departures.take_believed(now);
+        let has_believed = !believed.is_empty();
+        for entry in believed {
+            let id = entry.incarnation.id.clone();
+            log::info!("event=upstream_believed upstream={id}");
+            self.upstreams.insert(id, entry);
+        }
         let due_ids = self.expired.iter();
         let due_ids = due_ids.filter(|(_, until)| self.removal_time(**until) <= now);
         let due_ids: Vec<UpstreamId> = due_ids.map(|(id, _)| id.clone()).collect();
         for id in &due_ids {
             self.expired.shift_remove(id);
-            self.upstreams.shift_remove(id);
+            self.drop_upstream(id, now);
         }
         if !due_ids.is_empty() {
             log::info!("event=upstream_lapsed upstreams={}", join_ids(&due_ids));
         }
-        !due_ids.is_empty()
+        has_believed || !due_ids.is_empty()
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod clock;
 pub mod daemon;
+mod departures;
 mod front;
 pub mod group_actions;
 pub mod groups;
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -149,7 +149,7 @@
             && !is_coordinator
             && self.poll_peers(&peers).await
         {
-            if self.known.remove_expired(self.shared.clock.now()) {
+            if self.known.review_entries(self.shared.clock.now()) {
                 self.publish();
             }
             tokio::time::sleep(POLL_PERIOD).await;
@@ -185,18 +185,18 @@
         let watch = async move { store.watch("", revision, WATCH_WAIT).await };
         tokio::pin!(watch);
         let outcome = loop {
-            let removal_at = self
+            let review_at = self
                 .known
-                .time_until_removal(self.shared.clock.now())
+                .time_until_review(self.shared.clock.now())
                 .map(|wait| Instant::now() + wait);
-            let wake_at = removal_at.map_or(self.confirm_at, |at| at.min(self.confirm_at));
+            let wake_at = review_at.map_or(self.confirm_at, |at| at.min(self.confirm_at));
             tokio::select! {
                 biased;
                 () = tokio::time::sleep_until(wake_at) => {}
                 outcome = &mut watch => break outcome,
             }
             let now = self.shared.clock.now();
-            if self.known.remove_expired(now) {
+            if self.known.review_entries(now) {
                 self.publish();
             }
             if Instant::now() < self.confirm_at {
@@ -298,8 +298,9 @@
         self.record_success();
         match outcome {
             TxnOutcome::Conflict(items) => {
+                let now = self.shared.clock.now();
                 for item in &items {
-                    self.known.apply_item(&self.catalog, item);
+                    self.known.apply_item(&self.catalog, item, now);
                 }
                 self.publish();
             }
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -74,8 +74,9 @@
         let Some(range) = self.range(ENTRY_PREFIX, "range_entries").await else {
             return false;
         };
+        let now = self.shared.clock.now();
         for item in &range.items {
-            self.known.apply_item(&self.catalog, item);
+            self.known.apply_item(&self.catalog, item, now);
         }
         self.rank_peers();
         true
@@ -158,13 +159,18 @@
         self.note_generation(revision.generation, "read");
         let now = self.shared.clock.now();
         self.known.begin_read();
+        if self.known.is_unread_restore(revision) {
+            let lapse = self.shared.bounds().entry_lapse;
+            self.known.departures.begin_doubt(revision, now + lapse);
+        }
         let mut listed: Vec<UpstreamId> = Vec::new();
         for item in &items {
             listed.extend(self.catalog.upstream_id(&item.key));
-            self.known.apply_item(&self.catalog, item);
+            self.known.apply_item(&self.catalog, item, now);
         }
         self.known.retain_listed(&listed, now);
         self.known.revision = Some(revision);
+        self.known.read_generation = Some(revision.generation);
         let served_items = items.into_iter().filter_map(|mut item| {
             let is_config = item.key == self.catalog.config_key();
             if item.value.len() <= max_served_bytes(is_config) {
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -11,6 +11,7 @@
     retry_ratio: 0.2,
     retry_window: Millis(10_000),
     retry_reserve: 100.0,
+    entry_lapse: Millis(3_600),
     stall_time: Millis(4_000),
 };
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -28,6 +28,7 @@
             retry_ratio: 0.2,
             retry_window: Millis(10_000),
             retry_reserve: 100.0,
+            entry_lapse: Millis(3_600),
             stall_time: Millis(4_000),
         },
     }
--- a/crates/ports/src/site.rs
+++ b/crates/ports/src/site.rs
@@ -20,6 +20,8 @@
     pub retry_window: Millis,
     /// Retries allowed per window in addition to the fraction.
     pub retry_reserve: f64,
+    /// Time after which the entry of an upstream that has ended is removed from the directory.
+    pub entry_lapse: Millis,
     /// How long a group that lost a member stalls before it breaks.
     pub stall_time: Millis,
 }
