fix: a restore that loses holds does not free members of groups whose leaders may be open

What callers would see: a coordinator takes note in the store of members that it orders to leave a group whose leader may still be open. A restore loses the note, its successor sees upstreams without a group, and puts them into another one: a member of two groups.

Cause: the notes of earlier coordinators were taken to be complete.

Change: a coordinator whose term begins within 12 s of a restore (as long as a note is stored) takes no upstream without a group for as long as a hold lasts, where a group in its fabric domain lacks members while its leader may be open.

Test: a_member_whose_hold_a_restore_has_lost_is_not_used_while_its_leader_may_be_open. Without the call such a member is used at once.

--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -17,7 +17,7 @@
 
 /// Lifetime of a stored hold. Covers the time during which held members may be ordered to leave
 /// because of it (3 s), the hold itself (4.4 s) and a change of coordinator.
-const HOLD_TTL: Duration = Duration::from_secs(12);
+pub(crate) const HOLD_TTL: Millis = Millis::from_secs(12);
 
 /// Most orders and queries in flight at once. 3,000 at once, as at the first start of that many
 /// upstreams, would all time out for lack of CPU on this VM.
@@ -135,7 +135,7 @@
 where
     Store: StateStore,
 {
-    let lease = store.open_lease(HOLD_TTL).await?;
+    let lease = store.open_lease(HOLD_TTL.as_duration()).await?;
     let txn = StoreTxn {
         writes: vec![KeyWrite {
             key: format!("{HOLD_PREFIX}{group}"),
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -23,7 +23,7 @@
 use tokio::time::Instant;
 
 use crate::group_actions::{
-    CompletedAction, MAX_CONCURRENT_CALLS, OrderWindow, act, record_completed,
+    CompletedAction, HOLD_TTL, MAX_CONCURRENT_CALLS, OrderWindow, act, record_completed,
 };
 use crate::lead_term::{CoordinatorTerm, LEASE_TTL};
 use crate::own_keys::{COORDINATOR_KEY, EntryRecord, TERM_KEY};
@@ -387,7 +387,11 @@
         let inherited = holds.map(|(group, members)| (GroupId::new(group), members.clone()));
         let inherited = inherited.collect();
         let (fence, is_first) = (term.fence, term.is_first);
-        GroupPlanner::new(options, spec.clone(), fence, is_first, inherited, now)
+        let mut planner = GroupPlanner::new(options, spec.clone(), fence, is_first, inherited, now);
+        if view.restored_at.is_some_and(|at| now < at + HOLD_TTL) {
+            planner.expect_lost_holds();
+        }
+        planner
     });
     planner.set_spec(spec);
     let entries = view.upstreams.values();
--- a/crates/groups/src/assign.rs
+++ b/crates/groups/src/assign.rs
@@ -134,6 +134,7 @@
             && !is_forming
             && !is_held_by_predecessor
             && !self.may_have_restarted(record)
+            && !self.may_be_held_unrecorded(record)
             && record.held_until <= now
     }
 
@@ -151,6 +152,14 @@
             && fabric.is_some_and(|fabric| self.stalled_fabrics.contains(fabric))
     }
 
+    /// Whether an earlier coordinator may have held an upstream and the record of it is lost.
+    fn may_be_held_unrecorded(&self, record: &UpstreamRecord) -> bool {
+        let fabric = record.entry.fabric.as_ref();
+        self.may_lack_holds
+            && record.was_free_at_discovery
+            && fabric.is_some_and(|fabric| self.stalled_fabrics.contains(fabric))
+    }
+
     /// Whether an earlier coordinator held an upstream.
     fn is_held_by_predecessor(&self, id: &UpstreamId) -> bool {
         self.inherited_holds
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -71,6 +71,8 @@
     pub(crate) inherited_holds: IndexMap<GroupId, Vec<UpstreamId>>,
     /// End of the time during which those are not used.
     pub(crate) inherited_holds_until: Millis,
+    /// Whether stored holds of earlier coordinators may be missing from those.
+    pub(crate) may_lack_holds: bool,
     /// Fabric domains in which a group lacks members while its leader may be open.
     pub(crate) stalled_fabrics: IndexSet<FabricDomain>,
     /// When loads were ordered, within the window of the weight store's rate limit.
@@ -104,6 +106,7 @@
             last_discovery_at: now,
             inherited_holds_until: now + options.hold_time(),
             inherited_holds,
+            may_lack_holds: false,
             stalled_fabrics: IndexSet::new(),
             answer_count: 0,
             load_starts: VecDeque::new(),
@@ -123,6 +126,13 @@
         }
     }
 
+    /// Records that stored holds of earlier coordinators may be lost. For as long as a hold lasts,
+    /// any upstream without a group counts as held if a group in its fabric domain lacks members
+    /// while its leader may be open.
+    pub fn expect_lost_holds(&mut self) {
+        self.may_lack_holds = true;
+    }
+
     /// Whether an upstream has seen a higher fencing number, so that another coordinator has taken
     /// over.
     pub fn is_fenced(&self) -> bool {
--- a/crates/groups/tests/incarnations.rs
+++ b/crates/groups/tests/incarnations.rs
@@ -3,9 +3,10 @@
 
 mod support;
 
-use bergamot_groups::{GroupAction, GroupPlanner, QueryOutcome};
+use bergamot_groups::{GroupAction, GroupOptions, GroupPlanner, QueryOutcome};
 use bergamot_ports::{MemberState, OrderOutcome, OrderRequest, UpstreamReport};
 use bergamot_types::prelude::*;
+use indexmap::IndexMap;
 
 use support::shorthand::*;
 
@@ -30,6 +31,12 @@
     planner.set_directory(entries.iter(), 20, now);
 }
 
+/// A coordinator that took over from another one.
+fn successor() -> GroupPlanner {
+    let options = GroupOptions::default();
+    GroupPlanner::new(options, spec(), 20, false, IndexMap::new(), NOW)
+}
+
 fn requests(actions: &[GroupAction]) -> Vec<OrderRequest> {
     let requests = actions.iter().filter_map(|action| match action {
         GroupAction::Order(request) => Some(request.clone()),
@@ -205,3 +212,34 @@
         "{actions:?}"
     );
 }
+
+/// A coordinator ordered u2 to leave and took note of it in the store, which was restored to an
+/// older copy. Its successor sees no trace of the group that u2 was in.
+#[test]
+fn a_member_whose_hold_a_restore_has_lost_is_not_used_while_its_leader_may_be_open() {
+    let upstreams = [
+        member("u1", "a.7", 0, MemberState::Open),
+        upstream("u2", Some("a")),
+        upstream("u3", Some("a")),
+    ];
+    for has_lost_holds in [false, true] {
+        let mut planner = successor();
+        if has_lost_holds {
+            planner.expect_lost_holds();
+        }
+        apply_directory(&upstreams, &mut planner);
+        for id in ["u2", "u3"] {
+            let report = UpstreamReport {
+                orders_begun: 5,
+                ..report()
+            };
+            planner.record_query_outcome(&incarnation(id), &QueryOutcome::Answered(report), NOW);
+        }
+        let first_use = [100, 4_300, 4_500].into_iter().find(|elapsed_ms| {
+            let actions = planner.step(NOW + Millis(*elapsed_ms));
+            orders(&actions).iter().any(|order| order.contains("join"))
+        });
+        let expected = if has_lost_holds { 4_500 } else { 100 };
+        assert_eq!(first_use, Some(expected), "{has_lost_holds}");
+    }
+}
