fix: records of requests under which upstreams end are written again after a restore

What callers would see: an operator's release from quarantine is newer than the copy. Records of ends that are lost let a request end more upstreams at such VMs.

Cause: what entry VMs write without a lease was taken to last.

Change: at the first read after a restore each VM compares its copy of the store, which it serves to peers, with what it read, and keeps the records that are missing.

--- a/crates/feed/src/table.rs
+++ b/crates/feed/src/table.rs
@@ -76,6 +76,16 @@
         }
     }
 
+    /// Returns the recorded items whose keys begin with `prefix`.
+    pub fn items<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a StoreItem> {
+        self.changes
+            .values()
+            .filter_map(move |change| match change {
+                StoreEvent::Written(item) => item.key.starts_with(prefix).then_some(item),
+                StoreEvent::Removed { .. } => None,
+            })
+    }
+
     /// Drops the recorded change of a key, so that batches leave it out.
     pub fn remove(&mut self, key: &str) {
         let Some(revision) = self.latest.swap_remove(key) else {
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -7,6 +7,7 @@
 
 mod ask;
 mod board;
+mod lost;
 mod own;
 mod peers;
 mod quarantine;
@@ -32,6 +33,7 @@
 
 use self::ask::FeedClient;
 use self::board::FeedState;
+use self::lost::LostRecords;
 use self::own::maintain_own_key;
 use self::peers::{FeedError, POLL_PERIOD};
 use self::quarantine::{apply_crash_record_changes, write_records};
@@ -86,6 +88,7 @@
     ranking: PeerRanking,
     feed_client: FeedClient,
     feed_state: Rc<RefCell<FeedState>>,
+    lost_records: Rc<RefCell<LostRecords>>,
     /// Peers whose last response was not usable, with the kind of error.
     peer_failures: IndexMap<String, Discriminant<FeedError>>,
     /// Name of the source of the last changes: a peer's VM or the store.
@@ -111,6 +114,7 @@
             ranking: PeerRanking::default(),
             feed_client: FeedClient::default(),
             feed_state: Rc::default(),
+            lost_records: Rc::default(),
             peer_failures: IndexMap::new(),
             source: STORE_NAME.to_owned(),
             generation: None,
@@ -128,7 +132,8 @@
         let (shared, store) = (Arc::clone(&self.shared), Rc::clone(&self.store));
         tokio::task::spawn_local(maintain_own_key(shared, store));
         let (shared, store) = (Arc::clone(&self.shared), Rc::clone(&self.store));
-        tokio::task::spawn_local(write_records(shared, store, records));
+        let lost_records = Rc::clone(&self.lost_records);
+        tokio::task::spawn_local(write_records(shared, store, lost_records, records));
         loop {
             while !self.read_all().await {
                 tokio::time::sleep(RETRY_PERIOD).await;
@@ -255,6 +260,9 @@
 
     /// Applies a change and stores it for peers.
     fn apply_change(&mut self, change: StoreEvent, now: Millis) {
+        if matches!(change, StoreEvent::Written(_)) {
+            self.lost_records.borrow_mut().forget(change.key());
+        }
         let is_config = change.key() == self.catalog.config_key();
         if let Some(table) = &mut self.feed_state.borrow_mut().table {
             match change.value_len() <= max_served_bytes(is_config) {
--- a/crates/gateway/src/sync/quarantine.rs
+++ b/crates/gateway/src/sync/quarantine.rs
@@ -1,16 +1,18 @@
 //! Records of requests that were running when upstreams crashed. Writes this VM's records, applies
 //! those of other VMs, and cleans up the stored records if this VM is the coordinator.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use bergamot_ports::{KeyWrite, StateStore, StoreError, StoreTxn};
+use bergamot_ports::{KeyWrite, StateStore, StoreError, StoreTxn, TxnOutcome};
 use bergamot_quarantine::{QuarantineAction, QuarantineEvent, QuarantineRecord};
 use bergamot_types::prelude::*;
 use tokio::sync::mpsc;
 
 use super::count_call;
+use super::lost::LostRecords;
 use crate::known::CrashRecordChange;
 use crate::own_keys::{crash_key, quarantine_key};
 use crate::shared::SharedState;
@@ -55,6 +57,7 @@
 pub(super) async fn write_records<Store>(
     shared: Arc<SharedState>,
     store: Rc<Store>,
+    lost_records: Rc<RefCell<LostRecords>>,
     mut records: mpsc::Receiver<QuarantineRecord>,
 ) where
     Store: StateStore,
@@ -62,6 +65,7 @@
     let mut writer = RecordWriter {
         shared,
         store,
+        lost_records,
         process_tag: rand::random(),
         sequence: 0,
     };
@@ -82,7 +86,10 @@
                 }
                 writer.write_batch(&batch).await;
             }
-            _ = housekeeping_ticks.tick() => writer.clean_up().await,
+            _ = housekeeping_ticks.tick() => {
+                writer.write_lost_records().await;
+                writer.clean_up().await;
+            }
         }
     }
 }
@@ -102,6 +109,7 @@
 struct RecordWriter<Store> {
     shared: Arc<SharedState>,
     store: Rc<Store>,
+    lost_records: Rc<RefCell<LostRecords>>,
     /// Random number that distinguishes this process's keys from those of the VM's earlier
     /// processes.
     process_tag: u32,
@@ -153,6 +161,35 @@
         }
     }
 
+    /// Writes records again that a restore of the store has lost, if this VM is the coordinator.
+    async fn write_lost_records(&mut self) {
+        if !self.shared.is_coordinator() {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let txn = self.lost_records.borrow_mut().next_txn(now);
+        let Some(txn) = txn else {
+            return;
+        };
+        let outcome = self.store.commit(&txn).await;
+        count_call(&self.shared, "quarantine", outcome.as_ref().err());
+        let stored_keys: Vec<String> = match outcome {
+            Ok(TxnOutcome::Done(_)) => txn.writes.into_iter().map(|write| write.key).collect(),
+            Ok(TxnOutcome::Conflict(items)) => items.into_iter().map(|item| item.key).collect(),
+            Ok(TxnOutcome::LeaseGone) => Vec::new(),
+            // The next check retries.
+            Err(error) => {
+                log::info!("event=record_not_written reason=\"{error}\"");
+                return;
+            }
+        };
+        log::info!("event=records_rewritten count={}", stored_keys.len());
+        let mut lost_records = self.lost_records.borrow_mut();
+        for key in &stored_keys {
+            lost_records.forget(key);
+        }
+    }
+
     async fn commit(&self, txn: &StoreTxn) -> Result<(), StoreError> {
         let outcome = self.store.commit(txn).await;
         count_call(&self.shared, "quarantine", outcome.as_ref().err());
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -7,12 +7,12 @@
 use bergamot_peer::UpdateRequest;
 use bergamot_ports::{StateStore, StoreCatalog, StoreEvent, StoreItem, StoreRange, StoreRevision};
 use bergamot_types::prelude::*;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tokio::time::Instant;
 
 use super::peers::FeedError;
 use super::{STORE_NAME, StoreSync, max_served_bytes};
-use crate::own_keys::ENTRY_PREFIX;
+use crate::own_keys::{ENTRY_PREFIX, QUARANTINE_PREFIX};
 
 /// How long to wait for peers that have just started to read the store. A peer takes about a second
 /// to read 3,000 upstreams.
@@ -147,6 +147,19 @@
         range.ok()
     }
 
+    /// Collects the quarantine records that `items`, the contents of a restored store, lack.
+    fn collect_lost_records(&self, items: &[StoreItem], now: Millis) {
+        let feed_state = self.feed_state.borrow();
+        let Some(table) = &feed_state.table else {
+            return;
+        };
+        let stored_keys: IndexSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
+        let known_items = table.items(QUARANTINE_PREFIX);
+        let lost_items = known_items.filter(|item| !stored_keys.contains(item.key.as_str()));
+        let mut lost_records = self.lost_records.borrow_mut();
+        lost_records.extend(lost_items.cloned(), now);
+    }
+
     /// Replaces the known state by the store's contents at `revision`, which were current at
     /// `fresh_at`.
     fn replace_all(
@@ -162,6 +175,7 @@
         if self.known.is_unread_restore(revision) {
             let lapse = self.shared.bounds().entry_lapse;
             self.known.departures.begin_doubt(revision, now + lapse);
+            self.collect_lost_records(&items, now);
         }
         let mut listed: Vec<UpstreamId> = Vec::new();
         for item in &items {
