fix: a VM that reads a restored store asks its peers for a later configuration

What callers would see: a VM that starts while the store holds an older configuration than the one in force, as the operator has not written it again, takes keys that were taken away.

Cause: what the store holds was taken to be the latest that was accepted.

Change: after the first read of a restored store a VM asks two peers, of its own failure domain first, for a configuration of a later version, 300 ms each, before it serves by what it read. While the store's configuration is older than the one in force nothing confirms it but the peers' own age of it.

--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -1,11 +1,14 @@
 //! Reads the store's whole contents, at the start and when more updates were missed than peers
 //! store.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bergamot_feed::{UpdateSource, UpdateTable};
-use bergamot_peer::UpdateRequest;
-use bergamot_ports::{StateStore, StoreCatalog, StoreEvent, StoreItem, StoreRange, StoreRevision};
+use bergamot_peer::{UpdateRequest, UpdateResponse};
+use bergamot_ports::{
+    StateStore, StoreCatalog, StoreEvent, StoreGeneration, StoreItem, StoreRange, StoreRevision,
+};
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 use tokio::time::Instant;
@@ -20,6 +23,11 @@
 /// Time between two requests to such a peer. Short compared to the second that its read takes.
 const PEER_POLL_PAUSE: Duration = Duration::from_millis(100);
 
+/// Peers that are asked for a later configuration after a restore of the store.
+const MAX_PEERS_ASKED: usize = 2;
+/// Timeout of such a query. Short, as a VM that starts serves nobody meanwhile.
+const CONFIG_QUERY_TIMEOUT: Duration = Duration::from_millis(300);
+
 impl<Store, Catalog> StoreSync<Store, Catalog>
 where
     Store: StateStore + 'static,
@@ -128,7 +136,12 @@
         };
         self.record_success();
         self.set_source(STORE_NAME);
+        let is_restored =
+            self.known.is_unread_restore(range.revision) || self.is_first_read(&range);
         self.replace_all(range.items, range.revision, started_at, STORE_NAME);
+        if is_restored {
+            self.query_newer_config().await;
+        }
         if self.known.is_config_stored() {
             self.shared.record_confirmation(started_at);
         }
@@ -136,6 +149,43 @@
         true
     }
 
+    /// Whether this is the first read of a store that was restored, which may have been just before.
+    fn is_first_read(&self, range: &StoreRange) -> bool {
+        self.known.read_generation.is_none()
+            && range.revision.generation > StoreGeneration::default()
+    }
+
+    /// Asks peers for a later configuration than the one read from a restored store, which lacks it
+    /// until the operator has written it again.
+    async fn query_newer_config(&mut self) {
+        let site = &self.shared.site;
+        let mut peers: Vec<_> = self.known.entries.values().collect();
+        peers.retain(|entry| entry.vm != site.vm.as_str());
+        peers.sort_by_key(|entry| entry.failure_domain != site.failure_domain);
+        let peer_addrs = peers.iter().map(|entry| entry.peer_addr);
+        let peer_addrs: Vec<SocketAddr> = peer_addrs.take(MAX_PEERS_ASKED).collect();
+        for addr in peer_addrs {
+            let requested_at = self.shared.clock.now();
+            let request = UpdateRequest {
+                after: StoreRevision::MAX,
+                unaffected_until: StoreRevision::MAX,
+                lacks_config_after: Some(self.known.config_version()),
+            };
+            let response = self.feed_client.request_updates(addr, request);
+            let response = tokio::time::timeout(CONFIG_QUERY_TIMEOUT, response).await;
+            let Ok(Ok(UpdateResponse::Changes(updates))) = response else {
+                continue;
+            };
+            if let Some(item) = &updates.config {
+                self.known.apply_config(&self.catalog, item);
+            }
+            if updates.config_version == self.known.config_version() {
+                let confirmed_at = requested_at.0.saturating_sub(updates.config_age.0);
+                self.shared.record_confirmation(Millis(confirmed_at));
+            }
+        }
+    }
+
     /// Reads the keys with a prefix. `call` is the name of the call in log and metrics. Returns
     /// `None` if the call failed.
     async fn range(&mut self, prefix: &str, call: &str) -> Option<StoreRange> {
