test: the soak restores the store from older copies, drawn from seeds and in a fixed series

The new fault copies the store at its start and restores it at its end, with what operators and upstreams wrote since written again before anything else is done, as the users' store does. Two a run, from a source of their own, so that the other faults of a seed stay what they were; they overlap, also the second to a copy older than the first. It excuses no promise in the audit.

--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -24,7 +24,7 @@
 /// Delay of the responses of a slow desk upstream.
 const RESPONSE_DELAY: Duration = Duration::from_millis(45);
 
-const CASES: [SoakCase; 8] = [
+const CASES: [SoakCase; 9] = [
     SoakCase {
         name: "drawn from seed 1",
         faults: SoakFaults::Seed(1),
@@ -82,6 +82,23 @@
             (700, 2_500, FaultKind::StoreLink(2, LinkState::Silent)),
         ]),
     },
+    SoakCase {
+        name: "restores of the store in series, the second to a copy older than the first, with key changes, a stop and a kill",
+        faults: SoakFaults::Fixed(&[
+            (0, 3_000, FaultKind::StoreRestored),
+            (200, 100, FaultKind::ChangeKeys),
+            (500, 1_500, FaultKind::StoreRestored),
+            (1_000, 100, FaultKind::ChangeKeys),
+            (1_500, 400, FaultKind::StoreHang),
+            (2_100, 100, FaultKind::ChangeKeys),
+            (2_500, 300, FaultKind::StopEntry(0)),
+            (2_800, 700, FaultKind::KillEntry(3)),
+            (2_900, 300, FaultKind::StoreLink(4, LinkState::Reset)),
+            (3_100, 100, FaultKind::ChangeKeys),
+            (3_500, 2_000, FaultKind::StoreRestored),
+            (4_000, 100, FaultKind::ChangeKeys),
+        ]),
+    },
     // The other faults come early, as the check excuses their effects until 2.5 s after they end.
     SoakCase {
         name: "overlapping planned stops with a pause, settings reloads, a second signal and a store outage",
--- a/crates/soak/src/bin/bergamot-soak.rs
+++ b/crates/soak/src/bin/bergamot-soak.rs
@@ -44,6 +44,12 @@
         "limits, rests and leavings that upstreams say in their answers (3)",
         "COUNT",
     );
+    options.optopt(
+        "",
+        "restores",
+        "restores of the store from an older copy besides (2)",
+        "COUNT",
+    );
     options.optopt("", "stops", "planned stops besides (8)", "COUNT");
     options.optopt("", "seconds", "time in which faults begin (12)", "SECONDS");
     options.optopt(
@@ -115,6 +121,7 @@
         entries: matches.opt_get_default("entries", usual.entries)?,
         faults: matches.opt_get_default("faults", usual.faults)?,
         said: matches.opt_get_default("said", usual.said)?,
+        restores: matches.opt_get_default("restores", usual.restores)?,
         harmful: matches.opt_get_default("harmful", usual.harmful)?,
         stops: matches.opt_get_default("stops", usual.stops)?,
         length: Duration::from_secs(seconds),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -106,6 +106,11 @@
                 strain(&link, state, length).await;
             }
             FaultKind::StoreForgets => self.site.store.compact(),
+            FaultKind::StoreRestored => {
+                let copy = self.site.store.copy();
+                tokio::time::sleep(length).await;
+                self.site.store.restore_and_write_again(&copy);
+            }
             FaultKind::ChangeKeys => self.site.change_keys(),
             FaultKind::EngineDies(index) => self.lose(UpstreamRole::Engine, index, length).await?,
             FaultKind::DeskDies(index) => self.lose(UpstreamRole::Desk, index, length).await?,
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -26,6 +26,8 @@
     pub harmful: usize,
     /// Limits, rests and leavings that upstreams say in their answers, besides.
     pub said: usize,
+    /// Restores of the store from an older copy, besides.
+    pub restores: usize,
     /// Planned stops, besides those among the faults: half of them while faults begin, half once all are over.
     pub stops: usize,
     /// The number of the first place for processes; runs that go on side by side need others.
@@ -46,6 +48,7 @@
             faults: 16,
             harmful: 1,
             said: 3,
+            restores: 2,
             stops: 8,
             first_place: 0,
         }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -55,6 +55,8 @@
     StoreLosesAnswers(u64),
     /// The store forgets its history.
     StoreForgets,
+    /// At the end the store is restored from a copy that is made at the start.
+    StoreRestored,
     /// An engine falls silent; another run of it comes back at the end.
     EngineDies(usize),
     /// An engine leaves; another run of it comes back at the end.
@@ -123,6 +125,11 @@
 const SAID_MS: std::ops::Range<u64> = 5_000..12_000;
 /// Tells the source of what upstreams say from those of other faults.
 const SAID_SOURCE: u64 = 0x5341_4944;
+/// Age of the copies that the store is restored from, in milliseconds: from less than a lease to some seconds, so
+/// that restores overlap, also one to a copy older than an earlier one's.
+const COPY_AGE_MS: std::ops::Range<u64> = 300..6_000;
+/// Tells the source of restores from those of other faults.
+const RESTORE_SOURCE: u64 = 0x5245_5354;
 /// Tells the source of planned stops from those of other faults.
 const STOP_SOURCE: u64 = 0x5354_4f50;
 
@@ -140,6 +147,7 @@
         faults.extend(draw_harmful(seed, options));
         faults.extend(draw_stops(seed, options));
         faults.extend(draw_said(seed, options));
+        faults.extend(draw_restores(seed, options));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
@@ -188,6 +196,18 @@
     faults.collect()
 }
 
+/// Restores have a source of their own as well.
+fn draw_restores(seed: u64, options: &SoakOptions) -> Vec<TimedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(48) ^ RESTORE_SOURCE);
+    let length = options.length.as_millis() as u64;
+    let faults = (0..options.restores).map(|_| TimedFault {
+        at: Duration::from_millis(rng.random_range(0..length)),
+        length: Duration::from_millis(rng.random_range(COPY_AGE_MS)),
+        kind: FaultKind::StoreRestored,
+    });
+    faults.collect()
+}
+
 /// Harmful requests have a source of their own, so that the other faults of a seed stay what they were.
 fn draw_harmful(seed: u64, options: &SoakOptions) -> Vec<TimedFault> {
     let mut rng = ChaCha8Rng::seed_from_u64(!seed);
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -11,7 +11,8 @@
     for seed in 0..50 {
         let plan = FaultPlan::draw(seed, &options);
         assert_eq!(plan, FaultPlan::draw(seed, &options));
-        let drawn = options.faults + options.harmful + options.said + options.stops;
+        let drawn =
+            options.faults + options.harmful + options.said + options.stops + options.restores;
         assert_eq!(plan.faults.len(), drawn);
         let pairs = plan.faults.windows(2);
         overlapping += pairs
