fix: no upstream without a group is used while holds may be lost, whatever the directory shows of its group

What callers would see: as for the holds before. A leader that is cut off from the directory and still open leaves no trace there, so the fabric domain did not count as one with an incomplete group, and a member that a coordinator had let go before a restore joined another group.

Change: while holds may be lost, an upstream without a group counts as held wherever it is. The runs' world has generations, lost revisions and lost holds; deliberately wrong decisions (trusting a restored store's holds) are detected, and fencing numbers that go back with the store cost over a tenth of the groups that serve.

--- a/crates/groups/src/assign.rs
+++ b/crates/groups/src/assign.rs
@@ -134,7 +134,7 @@
             && !is_forming
             && !is_held_by_predecessor
             && !self.may_have_restarted(record)
-            && !self.may_be_held_unrecorded(record)
+            && !self.may_be_held_unrecorded(record, now)
             && record.held_until <= now
     }
 
@@ -153,11 +153,8 @@
     }
 
     /// Whether an earlier coordinator may have held an upstream and the record of it is lost.
-    fn may_be_held_unrecorded(&self, record: &UpstreamRecord) -> bool {
-        let fabric = record.entry.fabric.as_ref();
-        self.may_lack_holds
-            && record.was_free_at_discovery
-            && fabric.is_some_and(|fabric| self.stalled_fabrics.contains(fabric))
+    fn may_be_held_unrecorded(&self, record: &UpstreamRecord, now: Millis) -> bool {
+        self.may_lack_holds && now < self.inherited_holds_until && record.was_free_at_discovery
     }
 
     /// Whether an earlier coordinator held an upstream.
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -126,9 +126,9 @@
         }
     }
 
-    /// Records that stored holds of earlier coordinators may be lost. For as long as a hold lasts,
-    /// any upstream without a group counts as held if a group in its fabric domain lacks members
-    /// while its leader may be open.
+    /// Records that stored holds of earlier coordinators may be lost. Upstreams without a group count
+    /// as held for as long as a hold lasts: the leader of the group that they left may be open and
+    /// cut off from the directory.
     pub fn expect_lost_holds(&mut self) {
         self.may_lack_holds = true;
     }
--- a/crates/groups/tests/random.rs
+++ b/crates/groups/tests/random.rs
@@ -81,6 +81,19 @@
         seeds: 100,
         min_serving_share: 0.0,
     },
+    RunCase {
+        name: "restores of the store",
+        options: WorldOptions {
+            late_chance: 0.05,
+            lost_chance: 0.02,
+            crash_chance: 0.005,
+            cut_chance: 0.02,
+            restore_chance: 0.05,
+            ..WorldOptions::NO_FAULTS
+        },
+        seeds: 100,
+        min_serving_share: 0.2,
+    },
 ];
 
 /// Returns the seeds of a case, or only the one that `BERGAMOT_SEED` sets.
@@ -139,6 +152,15 @@
                 ..WorldOptions::NO_FAULTS
             },
         ),
+        (
+            "a coordinator trusts the holds that a restored store has",
+            WorldOptions {
+                trust_restored_holds: true,
+                cut_chance: 0.05,
+                restore_chance: 0.1,
+                ..WorldOptions::NO_FAULTS
+            },
+        ),
     ];
     for (name, options) in faulty_options {
         let is_detected = (0..200).any(|seed| {
@@ -149,3 +171,27 @@
         assert!(is_detected, "{name}");
     }
 }
+
+/// Checks that upstreams refuse coordinators whose numbers go back with the store.
+#[test]
+fn fewer_groups_serve_if_fencing_numbers_go_back_with_the_store() {
+    let options = WorldOptions {
+        crash_chance: 0.02,
+        restore_chance: 0.05,
+        ..WorldOptions::NO_FAULTS
+    };
+    let mean_share = |options: WorldOptions| {
+        let shares = (0..20).map(|seed| {
+            let mut world = World::new(seed, options);
+            world.run(RUN_LENGTH_MS);
+            world.serving_share()
+        });
+        shares.sum::<f64>() / 20.0
+    };
+    let rising = mean_share(options);
+    let falling = mean_share(WorldOptions {
+        ignore_generations: true,
+        ..options
+    });
+    assert!(rising > falling + 0.1, "{rising} and {falling}");
+}
--- a/crates/groups/tests/support/world.rs
+++ b/crates/groups/tests/support/world.rs
@@ -9,7 +9,7 @@
 use bergamot_groups::{GroupAction, GroupOptions, GroupPlanner, QueryOutcome};
 use bergamot_ports::{
     EngineSpec, GroupMembership, GroupOrder, MemberState, ModelSpec, OrderOutcome, OrderRequest,
-    UpstreamEntry, UpstreamReport, UpstreamState,
+    StoreGeneration, StoreRevision, UpstreamEntry, UpstreamReport, UpstreamState,
 };
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
@@ -19,6 +19,8 @@
 const STALL_MS: u64 = 4_000;
 const ENTRY_TTL_MS: u64 = 3_600;
 const STEP_MS: u64 = 20;
+/// How long a hold is stored.
+const HOLD_TTL_MS: u64 = 12_000;
 
 /// Probabilities of faults: per second for crashes, cuts and takeovers, per order for late and lost
 /// orders.
@@ -36,10 +38,17 @@
     pub late_chance: f64,
     /// The answer to an order is lost.
     pub lost_chance: f64,
+    /// The store is restored from an older copy, so that revisions and holds are lost and another
+    /// coordinator takes over.
+    pub restore_chance: f64,
     /// Deliberate fault: a refused connection counts as proof of a crash.
     pub trust_refusals: bool,
     /// Deliberate fault: the next coordinator does not receive the holds.
     pub forget_holds: bool,
+    /// Deliberate fault: a coordinator trusts the holds that a restored store has.
+    pub trust_restored_holds: bool,
+    /// Deliberate fault: fencing numbers and epochs are the store's bare numbers.
+    pub ignore_generations: bool,
 }
 
 impl WorldOptions {
@@ -50,8 +59,11 @@
         takeover_chance: 0.0,
         late_chance: 0.0,
         lost_chance: 0.0,
+        restore_chance: 0.0,
         trust_refusals: false,
         forget_holds: false,
+        trust_restored_holds: false,
+        ignore_generations: false,
     };
 }
 
@@ -122,6 +134,9 @@
     planners: Vec<(GroupPlanner, u64)>,
     pending_orders: Vec<PendingOrder>,
     revision: u64,
+    /// Number of restores of the store.
+    generation: u64,
+    restored_at: Option<u64>,
     next_incarnation: u64,
     holds: IndexMap<GroupId, (Vec<UpstreamId>, u64)>,
     /// The members that were ever ready, by group, epoch and member list.
@@ -166,6 +181,8 @@
             planners: Vec::new(),
             pending_orders: Vec::new(),
             revision: 10,
+            generation: 0,
+            restored_at: None,
             next_incarnation: 0,
             holds: IndexMap::new(),
             ready: BTreeMap::new(),
@@ -209,6 +226,15 @@
         }
     }
 
+    /// Returns the number by which coordinators order the store's revisions.
+    fn ordinal(&self) -> u64 {
+        let generation = match self.options.ignore_generations {
+            true => 0,
+            false => self.generation,
+        };
+        StoreRevision::new(StoreGeneration(generation), self.revision).to_ordinal()
+    }
+
     fn take_over(&mut self) {
         let is_first = self.planners.is_empty();
         self.revision += 1;
@@ -222,14 +248,20 @@
             }
         };
         self.trace(|| format!("takeover, inherited holds: {inherited:?}"));
-        let planner = GroupPlanner::new(
+        let mut planner = GroupPlanner::new(
             GroupOptions::default(),
             spec(),
-            self.revision,
+            self.ordinal(),
             is_first,
             inherited,
             Millis(self.now),
         );
+        let may_lack_holds = self
+            .restored_at
+            .is_some_and(|at| self.now < at + HOLD_TTL_MS);
+        if may_lack_holds && !self.options.trust_restored_holds {
+            planner.expect_lost_holds();
+        }
         // The previous coordinator sends no more orders: it acts only while its lease is confirmed,
         // and the lease ends before a takeover. Its earlier orders may still be in transit.
         for (_, until) in &mut self.planners {
@@ -293,7 +325,7 @@
             return;
         }
         let entries = self.directory();
-        let revision = self.revision;
+        let revision = self.ordinal();
         let planner = &mut self.planners[index].0;
         // A coordinator that was replaced continues with the directory it last read.
         if is_current {
--- a/crates/groups/tests/support/world/faults.rs
+++ b/crates/groups/tests/support/world/faults.rs
@@ -37,11 +37,27 @@
                 self.trace(|| format!("{id} is cut off, kind {kind}, until {until}"));
             }
         }
+        if self.options.restore_chance > 0.0 && self.random.random_bool(self.options.restore_chance)
+        {
+            self.restore_store();
+        }
         if self.random.random_bool(self.options.takeover_chance) {
             self.take_over();
         }
     }
 
+    /// Restores the store from a copy that is older than all holds. Upstreams write their entries
+    /// again; the coordinator's record is lost.
+    fn restore_store(&mut self) {
+        self.generation += 1;
+        let lost_revisions = self.random.random_range(1..400);
+        self.revision = self.revision.saturating_sub(lost_revisions);
+        self.holds.clear();
+        self.restored_at = Some(self.now);
+        self.trace(|| "the store is restored".to_owned());
+        self.take_over();
+    }
+
     /// Advances every upstream to the current time.
     pub(super) fn advance_upstreams(&mut self) {
         let now = self.now;
