fix: VMs tell each other how long ago the store was restored

A VM that starts after a restore has seen no earlier generation, and would take over at once and trust the stored holds. It learns from its peers, with their updates or as it asks them for a later configuration. What is not trusted of a restored directory is named so.

--- a/crates/feed/tests/restores.rs
+++ b/crates/feed/tests/restores.rs
@@ -138,7 +138,7 @@
                 let copy = copies.choose(&mut random).cloned().unwrap_or_default();
                 store.restore(&copy);
             }
-            2..8 => {
+            2..=8 => {
                 let key = KEYS.choose(&mut random).copied().unwrap_or(KEYS[0]);
                 let value = random.random_bool(0.7).then(|| random.random());
                 store.change(key, value);
--- a/crates/gateway/src/departures.rs
+++ b/crates/gateway/src/departures.rs
@@ -1,7 +1,7 @@
 //! Directory entries that a restored store may have brought back.
 //!
 //! The copy that a store is restored from may list upstreams that have ended or begun to leave
-//! since. Their entries are not believed until they are written again, or until the platform would
+//! since. Their entries are not trusted until they are written again, or until the platform would
 //! have removed those of upstreams that have ended.
 
 use bergamot_ports::{StoreRevision, UpstreamEntry, UpstreamState};
@@ -20,8 +20,8 @@
 struct CopyMark {
     /// Entries written up to this revision may come from the copy.
     revision: StoreRevision,
-    /// When an entry of the copy that is still listed is believed.
-    believed_at: Millis,
+    /// When an entry of the copy that is still listed is trusted.
+    trusted_at: Millis,
 }
 
 /// Upstreams that left, and entries that contradict it.
@@ -29,8 +29,8 @@
 pub(crate) struct DepartureLog {
     /// Upstreams whose entry was removed or that were leaving, with the time of it.
     departures: IndexMap<UpstreamIncarnation, Millis>,
-    /// Entries that are not believed yet.
-    doubted: IndexMap<UpstreamId, UpstreamEntry>,
+    /// Entries that are not trusted yet.
+    untrusted: IndexMap<UpstreamId, UpstreamEntry>,
     copy_mark: CopyMark,
 }
 
@@ -44,16 +44,16 @@
         }
     }
 
-    /// Begins to doubt entries written up to `revision`, as a restored store was read there.
-    pub(crate) fn begin_doubt(&mut self, revision: StoreRevision, believed_at: Millis) {
-        self.doubted.clear();
+    /// Stops trusting entries written up to `revision`, as a restored store was read there.
+    pub(crate) fn distrust_copy(&mut self, revision: StoreRevision, trusted_at: Millis) {
+        self.untrusted.clear();
         self.copy_mark = CopyMark {
             revision,
-            believed_at,
+            trusted_at,
         };
     }
 
-    /// Returns the entry if it is believed, and keeps it otherwise.
+    /// Returns the entry if it is trusted, and keeps it otherwise.
     pub(crate) fn admit(
         &mut self,
         entry: UpstreamEntry,
@@ -64,39 +64,39 @@
         let departed_at = self.departures.get(&entry.incarnation);
         let is_recent = departed_at.is_some_and(|at| now.since(*at) < DEPARTURE_RETENTION);
         let contradicts = is_recent && entry.state == UpstreamState::Ready;
-        let may_be_copied = revision <= self.copy_mark.revision && now < self.copy_mark.believed_at;
+        let may_be_copied = revision <= self.copy_mark.revision && now < self.copy_mark.trusted_at;
         if contradicts && may_be_copied {
-            self.doubted.insert(id.clone(), entry);
+            self.untrusted.insert(id.clone(), entry);
             return None;
         }
-        self.doubted.shift_remove(id);
+        self.untrusted.shift_remove(id);
         if entry.state == UpstreamState::Ready {
             self.departures.shift_remove(&entry.incarnation);
         }
         Some(entry)
     }
 
-    /// Forgets the doubted entry of an upstream that is no longer listed.
+    /// Forgets the untrusted entry of an upstream that is no longer listed.
     pub(crate) fn forget(&mut self, id: &UpstreamId) {
-        self.doubted.shift_remove(id);
+        self.untrusted.shift_remove(id);
     }
 
-    /// Forgets the doubted entries of upstreams that are not in `listed`.
+    /// Forgets the untrusted entries of upstreams that are not in `listed`.
     pub(crate) fn retain_listed(&mut self, listed: &IndexSet<&UpstreamId>) {
-        self.doubted.retain(|id, _| listed.contains(id));
+        self.untrusted.retain(|id, _| listed.contains(id));
     }
 
-    /// Returns when the doubted entries are believed; `None` if there are none.
-    pub(crate) fn believed_at(&self) -> Option<Millis> {
-        (!self.doubted.is_empty()).then_some(self.copy_mark.believed_at)
+    /// Returns when the untrusted entries are trusted; `None` if there are none.
+    pub(crate) fn trusted_at(&self) -> Option<Millis> {
+        (!self.untrusted.is_empty()).then_some(self.copy_mark.trusted_at)
     }
 
-    /// Takes the doubted entries if they are believed now.
-    pub(crate) fn take_believed(&mut self, now: Millis) -> Vec<UpstreamEntry> {
-        if now < self.copy_mark.believed_at {
+    /// Takes the untrusted entries if they are trusted now.
+    pub(crate) fn take_trusted(&mut self, now: Millis) -> Vec<UpstreamEntry> {
+        if now < self.copy_mark.trusted_at {
             return Vec::new();
         }
-        let entries = std::mem::take(&mut self.doubted).into_values();
+        let entries = std::mem::take(&mut self.untrusted).into_values();
         let entries: Vec<UpstreamEntry> = entries.collect();
         for entry in &entries {
             self.departures.shift_remove(&entry.incarnation);
--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -331,8 +331,8 @@
         }
     }
 
-    /// Returns the time until the grace of the next expired entry ends or doubted entries are
-    /// believed. `None` if there is no such entry or the store is unreachable, as both begin with its
+    /// Returns the time until the grace of the next expired entry ends or untrusted entries are
+    /// trusted. `None` if there is no such entry or the store is unreachable, as both begin with its
     /// return.
     pub(crate) fn time_until_review(&self, now: Millis) -> Option<Duration> {
         if self.is_store_unreachable {
@@ -342,7 +342,7 @@
             .expired
             .values()
             .map(|until| self.removal_time(*until))
-            .chain(self.departures.believed_at())
+            .chain(self.departures.trusted_at())
             .min()?;
         Some(earliest_review.since(now).as_duration() + Duration::from_millis(1))
     }
@@ -353,16 +353,16 @@
     }
 
     /// Removes the entries that were not written again within the grace, and adds those that are
-    /// believed now. Returns whether there were any.
+    /// trusted now. Returns whether there were any.
     pub(crate) fn review_entries(&mut self, now: Millis) -> bool {
         if self.is_store_unreachable {
             return false;
         }
-        let believed = self.departures.take_believed(now);
-        let has_believed = !believed.is_empty();
-        for entry in believed {
+        let trusted = self.departures.take_trusted(now);
+        let has_trusted = !trusted.is_empty();
+        for entry in trusted {
             let id = entry.incarnation.id.clone();
-            log::info!("event=upstream_believed upstream={id}");
+            log::info!("event=upstream_relisted upstream={id}");
             self.upstreams.insert(id, entry);
         }
         let due_ids = self.expired.iter();
@@ -375,7 +375,7 @@
         if !due_ids.is_empty() {
             log::info!("event=upstream_lapsed upstreams={}", join_ids(&due_ids));
         }
-        has_believed || !due_ids.is_empty()
+        has_trusted || !due_ids.is_empty()
     }
 }
 
--- a/crates/gateway/src/sync/board.rs
+++ b/crates/gateway/src/sync/board.rs
@@ -20,6 +20,8 @@
     pub(crate) is_relayed: bool,
     /// When the store last came back from an outage.
     pub(crate) returned_at: Option<Millis>,
+    /// When the store was last restored.
+    pub(crate) restored_at: Option<Millis>,
 }
 
 impl FeedState {
@@ -51,6 +53,7 @@
             config: self.config.clone().filter(|_| lacks_config),
             config_age,
             since_return: self.returned_at.map(|at| now.since(at)),
+            since_restore: self.restored_at.map(|at| now.since(at)),
         })
     }
 }
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -412,6 +412,7 @@
             feed_state.config_version = known.config_version();
         }
         feed_state.returned_at = known.store_returned_at;
+        feed_state.restored_at = known.restored_at;
         drop(feed_state);
         let pools = known
             .config
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -222,12 +222,16 @@
         self.apply_confirmation(&updates, requested_at, addr).await;
     }
 
-    /// Applies the time at which a peer saw the store come back.
+    /// Applies the times at which a peer saw the store come back and noticed a restore.
     pub(super) fn apply_store_return(&mut self, updates: &StoreUpdates, requested_at: Millis) {
         if let Some(since_return) = updates.since_return {
             let returned_at = Millis(requested_at.0.saturating_sub(since_return.0));
             self.known.record_store_return(returned_at);
         }
+        if let Some(since_restore) = updates.since_restore {
+            let restored_at = Millis(requested_at.0.saturating_sub(since_restore.0));
+            self.known.restored_at = self.known.restored_at.max(Some(restored_at));
+        }
     }
 
     /// Applies the confirmation of the configuration by the peer at `addr`, or reads the newer
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -176,6 +176,7 @@
             let Ok(Ok(UpdateResponse::Changes(updates))) = response else {
                 continue;
             };
+            self.apply_store_return(&updates, requested_at);
             if let Some(item) = &updates.config {
                 self.known.apply_config(&self.catalog, item);
             }
@@ -224,7 +225,7 @@
         self.known.begin_read();
         if self.known.is_unread_restore(revision) {
             let lapse = self.shared.bounds().entry_lapse;
-            self.known.departures.begin_doubt(revision, now + lapse);
+            self.known.departures.distrust_copy(revision, now + lapse);
             self.collect_lost_records(&items, now);
         }
         let mut listed: Vec<UpstreamId> = Vec::new();
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -65,4 +65,6 @@
     pub config_age: Millis,
     /// Time since the store returned from an outage, if there was one.
     pub since_return: Option<Millis>,
+    /// Time since the peer noticed that the store was restored, if it was.
+    pub since_restore: Option<Millis>,
 }
--- a/crates/peer/tests/frame.rs
+++ b/crates/peer/tests/frame.rs
@@ -129,6 +129,7 @@
         config: None,
         config_age: Millis::ZERO,
         since_return: None,
+        since_restore: None,
     });
     let uncompressed_bytes = 1_100 * 310;
     let encoded = encode(&updates).expect("message fits into a frame");
