feat: interfaces for evacuation, warm-up and data residency

Cause: operators can ask for the evacuation of a failure domain, upstreams advertise for how long they are cold after a start, and routes and accounts may name the regions in which they are processed. None of it was decoded. Nothing uses them yet. A heartbeat that only lowers the cold time does not count as a change of an entry in the groups' planner.

--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -1,7 +1,7 @@
 //! Guards against retries of all entry VMs together that exceed the bound.
 
 use bergamot_gateway::budget::RetryBudget;
-use bergamot_ports::ServingBounds;
+use bergamot_ports::{ServingBounds, WarmUpBounds};
 use bergamot_types::prelude::*;
 
 const BOUNDS: ServingBounds = ServingBounds {
@@ -13,6 +13,11 @@
     retry_reserve: 100.0,
     entry_lapse: Millis(3_600),
     stall_time: Millis(4_000),
+    warm_up: WarmUpBounds {
+        excess: 1.0,
+        slack: 0.0,
+    },
+    evacuation_time: None,
 };
 
 struct BudgetCase {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use bergamot_ports::{ServingBounds, VmSite};
+use bergamot_ports::{RegionMap, ServingBounds, VmSite, WarmUpBounds};
 use bergamot_types::prelude::*;
 
 /// How long callers' keys are accepted without a confirmation of the configuration.
@@ -16,6 +16,8 @@
     VmSite {
         vm: VmId::new("entry-1"),
         failure_domain: FailureDomain::new("east"),
+        region: None,
+        regions: RegionMap::default(),
         caller_addr: addr,
         ready_addr: addr,
         metrics_addr: addr,
@@ -30,6 +32,8 @@
             retry_reserve: 100.0,
             entry_lapse: Millis(3_600),
             stall_time: Millis(4_000),
+            warm_up: WarmUpBounds::default(),
+            evacuation_time: None,
         },
     }
 }
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -142,6 +142,7 @@
         name: name.clone(),
         max_connections: 100,
         engine: Some(engine),
+        warm_up: None,
     };
     let config = ServingConfig {
         services: [(name, spec)].into(),
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -192,7 +192,7 @@
             if is_restarted {
                 log::info!("event=upstream_restarted upstream={:?}", entry.incarnation);
                 record.restart(entry.clone());
-            } else if record.entry != *entry {
+            } else if record.entry.differs_beyond_cold_time(entry) {
                 record.unanswered = 0;
                 record.has_exited = false;
                 record.entry = entry.clone();
--- a/crates/groups/tests/support/fleet.rs
+++ b/crates/groups/tests/support/fleet.rs
@@ -37,6 +37,7 @@
         fabric: Some(FabricDomain::from(format!("fabric-{fabric}"))),
         state: UpstreamState::Ready,
         slots: 30,
+        cold_left: Millis::ZERO,
         staged: Vec::new(),
         models: Vec::new(),
         membership: None,
--- a/crates/groups/tests/support/shorthand.rs
+++ b/crates/groups/tests/support/shorthand.rs
@@ -93,6 +93,7 @@
             false => UpstreamState::Ready,
         },
         slots: 8,
+        cold_left: Millis::ZERO,
         staged: upstream.staged.map(ModelName::new).into_iter().collect(),
         models: Vec::new(),
         membership: upstream.group.map(|(group, rank, state)| GroupMembership {
--- a/crates/groups/tests/support/world.rs
+++ b/crates/groups/tests/support/world.rs
@@ -111,6 +111,7 @@
             fabric: Some(FabricDomain::from(format!("fabric-{}", self.fabric))),
             state: UpstreamState::Ready,
             slots: 8,
+            cold_left: Millis::ZERO,
             staged: self.staged.iter().cloned().collect(),
             models: Vec::new(),
             membership: self.joined.as_ref().map(|joined| joined.membership.clone()),
--- a/crates/ports/src/call.rs
+++ b/crates/ports/src/call.rs
@@ -71,6 +71,8 @@
     pub backoff: Result<Option<Millis>, SpanError>,
     /// Whether the upstream advertises that it is leaving.
     pub is_leaving: bool,
+    /// How much longer the upstream stays cold; none if it does not advertise that.
+    pub cold_left: Result<Option<Millis>, SpanError>,
 }
 
 /// Contents of an error response by which this system rejects a request.
--- a/crates/ports/src/config.rs
+++ b/crates/ports/src/config.rs
@@ -4,6 +4,8 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
+use crate::region::HomeRegions;
+
 /// Whether a request may run more than once.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 pub enum RouteKind {
@@ -60,6 +62,8 @@
     pub is_resumable: bool,
     /// The services that receive its requests.
     pub targets: Vec<RouteTarget>,
+    /// Regions in which its requests may be processed.
+    pub home_regions: HomeRegions,
 }
 
 impl Route {
@@ -139,6 +143,15 @@
     pub speed: Option<EngineSpeed>,
 }
 
+/// The slow start of a service's upstreams.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct WarmUpSpec {
+    /// For how long an upstream is cold after it has started during traffic.
+    pub start_time: Millis,
+    /// Requests that a cold upstream tolerates from all entry VMs together.
+    pub rate: SendRate,
+}
+
 /// A service.
 #[derive(Clone, PartialEq, Debug)]
 pub struct ServiceSpec {
@@ -148,6 +161,8 @@
     pub max_connections: u32,
     /// Set if its upstreams are members of replica groups.
     pub engine: Option<EngineSpec>,
+    /// Set if its upstreams start slowly.
+    pub warm_up: Option<WarmUpSpec>,
 }
 
 /// Size and time limits for what callers send.
@@ -182,6 +197,8 @@
     pub account: ClientAccount,
     /// Priority that overrides the one of the route; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// Regions in which the account's requests may be processed.
+    pub home_regions: HomeRegions,
 }
 
 /// One version of the configuration.
--- a/crates/ports/src/directory.rs
+++ b/crates/ports/src/directory.rs
@@ -4,6 +4,9 @@
 
 use bergamot_types::prelude::*;
 
+/// Longest time for which an upstream may state that it stays cold. Longer times are cut to it.
+pub const MAX_COLD_TIME: Millis = Millis::from_secs(600);
+
 /// Whether an upstream accepts new requests.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum UpstreamState {
@@ -58,6 +61,8 @@
     pub state: UpstreamState,
     /// Number of requests it runs concurrently.
     pub slots: u32,
+    /// How much longer it stays cold, as of the writing of the entry. At most [`MAX_COLD_TIME`].
+    pub cold_left: Millis,
     /// Models whose weights are staged on its host.
     pub staged: Vec<ModelName>,
     /// Models it can run now.
@@ -65,3 +70,32 @@
     /// The group it is a member of.
     pub membership: Option<GroupMembership>,
 }
+
+impl UpstreamEntry {
+    /// Whether two entries differ in more than the cold time, which each heartbeat lowers.
+    pub fn differs_beyond_cold_time(&self, other: &Self) -> bool {
+        let Self {
+            incarnation,
+            service,
+            addr,
+            failure_domain,
+            fabric,
+            state,
+            slots,
+            cold_left: _,
+            staged,
+            models,
+            membership,
+        } = self;
+        *incarnation != other.incarnation
+            || *service != other.service
+            || *addr != other.addr
+            || *failure_domain != other.failure_domain
+            || *fabric != other.fabric
+            || *state != other.state
+            || *slots != other.slots
+            || *staged != other.staged
+            || *models != other.models
+            || *membership != other.membership
+    }
+}
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod directory;
 pub mod generation;
 pub mod port_set;
+pub mod region;
 pub mod revision;
 pub mod site;
 pub mod store;
@@ -27,17 +28,18 @@
 pub use catalog::{CatalogError, MAX_ENTRY_BYTES, StoreCatalog};
 pub use config::{
     CallerLimits, EngineSpec, EngineSpeed, ModelSpec, Route, RouteKind, RouteTarget, ServiceSpec,
-    ServingConfig,
+    ServingConfig, WarmUpSpec,
 };
 pub use control::{
     ControlError, GroupOrder, OrderOutcome, OrderRequest, UpstreamControl, UpstreamReport,
     UpstreamTarget,
 };
-pub use directory::{GroupMembership, MemberState, UpstreamEntry, UpstreamState};
+pub use directory::{GroupMembership, MAX_COLD_TIME, MemberState, UpstreamEntry, UpstreamState};
 pub use generation::{StoreGeneration, StoreLease};
 pub use port_set::PortSet;
+pub use region::{HomeRegions, RegionMap};
 pub use revision::StoreRevision;
-pub use site::{ServingBounds, VmSite};
+pub use site::{ServingBounds, VmSite, WarmUpBounds};
 pub use store::{
     KeyCondition, KeyWrite, StateStore, StoreError, StoreEvent, StoreItem, StoreRange, StoreTxn,
     TxnOutcome, WatchOutcome,
--- a/crates/ports/src/site.rs
+++ b/crates/ports/src/site.rs
@@ -4,6 +4,27 @@
 
 use bergamot_types::prelude::*;
 
+use crate::region::RegionMap;
+
+/// How far the requests to a cold upstream may exceed the rate that it tolerates.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct WarmUpBounds {
+    /// Factor on the tolerated rate.
+    pub excess: f64,
+    /// Requests allowed in any second in addition.
+    pub slack: f64,
+}
+
+impl Default for WarmUpBounds {
+    /// Allows nothing beyond the tolerated rate.
+    fn default() -> Self {
+        Self {
+            excess: 1.0,
+            slack: 0.0,
+        }
+    }
+}
+
 /// Times and ratios that the platform's operators guarantee to callers.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct ServingBounds {
@@ -24,6 +45,11 @@
     pub entry_lapse: Millis,
     /// How long a group that lost a member stalls before it breaks.
     pub stall_time: Millis,
+    /// Bounds on the requests to a cold upstream.
+    pub warm_up: WarmUpBounds,
+    /// Time after which an evacuated failure domain gets no new requests, if operators evacuate
+    /// failure domains.
+    pub evacuation_time: Option<Millis>,
 }
 
 /// Identity, addresses and bounds of this process.
@@ -33,6 +59,10 @@
     pub vm: VmId,
     /// The failure domain of the VM.
     pub failure_domain: FailureDomain,
+    /// The region of the VM, if known.
+    pub region: Option<Region>,
+    /// The region of each failure domain.
+    pub regions: RegionMap,
     /// The address for callers.
     pub caller_addr: SocketAddr,
     /// The address of the readiness check by the load balancer.
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -72,6 +72,10 @@
     /// A part of the fleet that can fail or be partitioned as a whole.
     FailureDomain
 );
+string_id!(
+    /// A group of failure domains in one place, within which data may have to stay.
+    Region
+);
 string_id!(
     /// VMs on one fast interconnect; a replica never spans two fabric domains.
     FabricDomain
--- a/crates/types/src/kind.rs
+++ b/crates/types/src/kind.rs
@@ -125,6 +125,10 @@
     Quarantined: "request_quarantined", 503, No, 600, "upstreams ended while they ran this request, and it is not sent to another one for now";
     /// No upstream takes requests at the moment.
     UpstreamsPaused: "upstreams_paused", 503, No, 1, "the upstreams take no more requests for a moment";
+    /// All upstreams that could serve the request are in evacuated failure domains.
+    DomainsEvacuated: "domains_evacuated", 503, No, 2, "all replicas are in failure domains that are being evacuated";
+    /// No failure domain lies in a region in which the request may be processed.
+    RegionUnavailable: "region_unavailable", 503, No, 0, "no region may process the request under its data residency rules";
 }
 
 impl ErrorKind {
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -2,7 +2,7 @@
 
 pub use crate::hash::{hash_bytes, rendezvous_rank, rendezvous_score};
 pub use crate::id::{
-    ClientAccount, EntryId, FabricDomain, FailureDomain, GroupId, ModelName, RequestId,
+    ClientAccount, EntryId, FabricDomain, FailureDomain, GroupId, ModelName, Region, RequestId,
     ServiceName, UpstreamId, VmId,
 };
 pub use crate::incarnation::{UnixMillis, UpstreamIncarnation};
