fix: replies to load reports reach VMs whose key the store has dropped

Cause: the store drops the key of a VM that was cut off from it for some seconds, and takes it back only when it answers. Until then collectors had no address for replies to that VM. Change: the source address of a VM's last report is used while the store has no record of it.

--- a/crates/gateway/src/front/exchange.rs
+++ b/crates/gateway/src/front/exchange.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 
 use super::FrontContext;
+use super::addresses::SourceAddresses;
 use super::limits::apply_quota_actions;
 use super::permits::{QuotaMessage, deliver_permit_answer};
 use crate::view::ClusterView;
@@ -46,11 +47,12 @@
     report_ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut changes = front.shared.view_changed.subscribe();
     let mut buffer = [0_u8; MAX_DATAGRAM_BYTES];
+    let mut addresses = SourceAddresses::default();
     let mut idle_periods = 0;
     loop {
         let notices = tokio::select! {
             received = socket.recv_from(&mut buffer) => {
-                handle_datagram(&front, &buffer, received, &suspicions)
+                handle_datagram(&front, &buffer, received, &suspicions, &mut addresses)
             }
             _ = report_ticks.tick() => load_notices(tick(&front, &mut idle_periods)),
             Some(record) = crash_records.recv() => crash_notices(&front, &record),
@@ -72,7 +74,8 @@
         };
         if !notices.is_empty() {
             let view = front.shared.view.load();
-            send(&socket, &view, notices);
+            let addr_of = |vm: &str| addresses.resolve(vm, &view.entries, front.now());
+            send(&socket, addr_of, notices);
         }
     }
 }
@@ -106,9 +109,10 @@
     buffer: &[u8],
     received: std::io::Result<(usize, SocketAddr)>,
     suspicions: &mpsc::Sender<SuspicionNotice>,
+    addresses: &mut SourceAddresses,
 ) -> Vec<AddressedNotice> {
-    let length = match received {
-        Ok((length, _)) => length,
+    let (length, source) = match received {
+        Ok(received) => received,
         Err(error) => {
             log::debug!("event=notice_not_received reason={error:?}");
             return Vec::new();
@@ -117,6 +121,7 @@
     match frame::decode(&buffer[..length]) {
         Ok(PeerNotice::Load(notice)) => {
             let now = front.now();
+            addresses.record(&notice.vm, source, now);
             let mut book = front.monitor.borrow_mut();
             let event = OccupancyEvent::Received(&notice);
             load_notices(book.occupancy.handle(now, event))
@@ -300,9 +305,12 @@
 
 /// Sends notices. A notice that cannot be sent at once is dropped, like a datagram lost on the
 /// network: the next period sends another.
-fn send(socket: &UdpSocket, view: &ClusterView, notices: Vec<AddressedNotice>) {
+fn send<AddrOf>(socket: &UdpSocket, addr_of: AddrOf, notices: Vec<AddressedNotice>)
+where
+    AddrOf: Fn(&str) -> Option<SocketAddr>,
+{
     for AddressedNotice { vm, notice } in notices {
-        let Some(entry) = view.entries.get(&vm) else {
+        let Some(addr) = addr_of(&vm) else {
             continue;
         };
         let bytes = match frame::encode(&notice) {
@@ -312,7 +320,7 @@
                 continue;
             }
         };
-        if let Err(error) = socket.try_send_to(&bytes, entry.peer_addr) {
+        if let Err(error) = socket.try_send_to(&bytes, addr) {
             log::debug!("event=notice_not_sent reason={error:?}");
         }
     }
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -21,10 +21,12 @@
 //! | [`gates`] | upstreams that ask for backoff or announce that they leave |
 //! | [`limits`] | rate limits that upstreams advertise in their answers |
 //! | [`permits`] | permits to send to an upstream with a limit |
+//! | [`addresses`] | addresses of the other entry VMs |
 //! | [`exchange`] | exchange of load reports and notices between entry VMs |
 //! | [`budget`] | how many retries may be sent |
 //! | [`pool`] | connections to upstreams |
 
+pub mod addresses;
 pub mod admit;
 pub mod answer;
 pub mod attempt;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,4 +25,4 @@
 pub mod view;
 
 pub use daemon::GatewayDaemon;
-pub use front::{budget, deadline, flight};
+pub use front::{addresses, budget, deadline, flight};
