fix: a VM without a record does not act as collector of its failure domain

The other VMs of the domain used the next collector, but the former one went on reporting its own 12 requests as the sum of the domain, and the collectors of the other domains kept one report for a domain, the last: 256 requests were hidden from them, and theirs from the new collector. VMs believed 45 requests at leaders that had 80, with 48 slots, and first events took 0.9 s instead of 0.2 s. Change: a VM that is not in the list of entry VMs is the last to become collector, and sums of one domain by different VMs add up. Result: the new test fails before with 321 of 465 requests known.

--- a/crates/occupancy/src/state.rs
+++ b/crates/occupancy/src/state.rs
@@ -50,6 +50,13 @@
     }
 }
 
+/// The sum that a collector of another failure domain reported.
+#[derive(Clone, Debug)]
+struct DomainReport {
+    failure_domain: FailureDomain,
+    reported: ReportedCounts,
+}
+
 /// What one entry VM knows about the requests that the others have in flight.
 #[derive(Debug)]
 pub struct OccupancyState {
@@ -61,8 +68,9 @@
     in_flight: LeaderCounts,
     /// Counts that VMs reported to this one as their collector, by VM.
     member_reports: IndexMap<String, ReportedCounts>,
-    /// Sums of the other failure domains.
-    domain_reports: IndexMap<FailureDomain, ReportedCounts>,
+    /// Sums that collectors of the other failure domains reported, by VM. While VMs know different
+    /// lists of entry VMs, a domain may have two collectors, each with the reports of other VMs.
+    domain_reports: IndexMap<String, DomainReport>,
     /// The sum over all other VMs, as the collector reported it.
     others_report: Option<ReportedCounts>,
     /// On a collector: the sum of its own requests in flight and all reported ones. Cached, as
@@ -95,14 +103,20 @@
 
     /// Replaces the set of known entry VMs. The VM with the most CPU in each failure domain becomes
     /// its collector.
+    ///
+    /// If this VM is not among them, the others do not report to it, and it is the last to become
+    /// collector: one that lost its key in a partition, and acted as collector with its own requests
+    /// alone, hid the sum of 20 VMs from the other failure domains.
     pub fn set_peers<Peers>(&mut self, peers: Peers)
     where
         Peers: IntoIterator<Item = PeerDescriptor>,
     {
-        let other_peers = peers.into_iter().filter(|peer| peer.vm != self.own.vm);
-        let mut ranked_peers: Vec<PeerDescriptor> = other_peers.collect();
-        ranked_peers.push(self.own.clone());
+        let mut ranked_peers: Vec<PeerDescriptor> = peers.into_iter().collect();
+        let is_listed = ranked_peers.iter().any(|peer| peer.vm == self.own.vm);
         ranked_peers.sort_by_cached_key(|peer| std::cmp::Reverse(peer.rank_key()));
+        if !is_listed {
+            ranked_peers.push(self.own.clone());
+        }
         self.collector_ranking.clear();
         for peer in ranked_peers {
             let vms = self
@@ -201,13 +215,11 @@
         self.member_reports
             .retain(|_, reported| reported.is_fresh(now));
         self.domain_reports
-            .retain(|_, reported| reported.is_fresh(now));
+            .retain(|_, report| report.reported.is_fresh(now));
         self.fleet_total = self.in_flight.clone();
-        for reported in self
-            .member_reports
-            .values()
-            .chain(self.domain_reports.values())
-        {
+        let domain_reports = self.domain_reports.values();
+        let domain_reports = domain_reports.map(|report| &report.reported);
+        for reported in self.member_reports.values().chain(domain_reports) {
             self.fleet_total.add_all(&reported.counts);
         }
         self.fleet_total_at = now;
@@ -216,8 +228,8 @@
     /// Reports the sum of this failure domain to the collectors of the others.
     fn report_domain_sum(&self) -> Vec<OccupancyAction> {
         let mut sum = self.fleet_total.clone();
-        for reported in self.domain_reports.values() {
-            sum.subtract_all(&reported.counts);
+        for report in self.domain_reports.values() {
+            sum.subtract_all(&report.reported.counts);
         }
         self.other_collectors()
             .map(|vm| OccupancyAction {
@@ -231,9 +243,14 @@
     pub(crate) fn other_collectors(&self) -> impl Iterator<Item = &String> {
         let other_domains = self.collector_ranking.iter();
         let other_domains = other_domains.filter(|(domain, _)| **domain != self.own.failure_domain);
-        other_domains.filter_map(|(domain, vms)| {
-            let reported = self.domain_reports.get(domain);
-            reported.map(|reported| &reported.vm).or(vms.first())
+        other_domains.flat_map(|(domain, vms)| {
+            let reports = self.domain_reports.values();
+            let reports = reports.filter(move |report| report.failure_domain == *domain);
+            let reporters: Vec<&String> = reports.map(|report| &report.reported.vm).collect();
+            match reporters.is_empty() {
+                true => vms.first().into_iter().collect(),
+                false => reporters,
+            }
         })
     }
 
@@ -288,16 +305,21 @@
         }
     }
 
-    /// Records the sum of another failure domain.
+    /// Records the sum that a collector of another failure domain reported.
     fn record_domain(&mut self, domain: &FailureDomain, reported: ReportedCounts) {
         if *domain == self.own.failure_domain {
             return;
         }
-        if let Some(previous) = self.domain_reports.get(domain) {
-            self.fleet_total.subtract_all(&previous.counts);
+        if let Some(previous) = self.domain_reports.get(&reported.vm) {
+            self.fleet_total.subtract_all(&previous.reported.counts);
         }
         self.fleet_total.add_all(&reported.counts);
-        self.domain_reports.insert(domain.clone(), reported);
+        let vm = reported.vm.clone();
+        let report = DomainReport {
+            failure_domain: domain.clone(),
+            reported,
+        };
+        self.domain_reports.insert(vm, report);
     }
 
     fn load_report(&self, scope: LoadScope, counts: &LeaderCounts) -> LoadNotice {
--- a/crates/occupancy/tests/load_reports.rs
+++ b/crates/occupancy/tests/load_reports.rs
@@ -172,3 +172,56 @@
     );
     assert_eq!(fleet.remote_requests(7), 0);
 }
+
+struct UnlistedCase {
+    name: &'static str,
+    /// VMs whose records the other VMs do not have.
+    unlisted_vms: &'static [usize],
+    /// VMs that do not know yet that their own records are gone.
+    unaware_vms: &'static [usize],
+}
+
+/// Guards against leaders that are overloaded because a collector whose key the store has dropped
+/// goes on reporting its own requests as the sum of its failure domain: of 600 requests in flight the
+/// other domains knew 350.
+#[test]
+fn a_collector_without_a_record_does_not_hide_the_sum_of_its_failure_domain() {
+    const VMS: usize = 30;
+    const DOMAINS: usize = 3;
+    let cases = [
+        UnlistedCase {
+            name: "the first collector of a domain",
+            unlisted_vms: &[0],
+            unaware_vms: &[],
+        },
+        UnlistedCase {
+            name: "it does not know of it",
+            unlisted_vms: &[0],
+            unaware_vms: &[0],
+        },
+        UnlistedCase {
+            name: "a third of all VMs",
+            unlisted_vms: &[0, 4, 7, 10, 13, 16, 19, 22, 25, 28],
+            unaware_vms: &[],
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::new(VMS, DOMAINS);
+        fleet.run_periods(SETTLING_PERIODS);
+        for vm in (0..VMS).filter(|vm| !case.unaware_vms.contains(vm)) {
+            let listed = (0..VMS).filter(|vm| !case.unlisted_vms.contains(vm));
+            fleet.states[vm].set_peers(listed.map(|vm| descriptor(vm, DOMAINS)));
+        }
+        // Reports of the former collectors expire after six periods.
+        fleet.run_periods(6 + SETTLING_PERIODS);
+        let total: u32 = (1..=VMS as u32).sum();
+        for vm in (0..VMS).filter(|vm| !case.unaware_vms.contains(vm)) {
+            let known = fleet.remote_requests(vm) + vm as u32 + 1;
+            // An unaware collector of the same domain is not counted there, as only the collectors
+            // of other domains get its sum.
+            let unaware: u32 = case.unaware_vms.iter().map(|vm| *vm as u32 + 1).sum();
+            let least = total - unaware;
+            assert!((least..=total).contains(&known), "{}: {known}", case.name);
+        }
+    }
+}
