feat: token buckets with their own capacity, and owners in the upstream's failure domain only

Cause: permits for cold upstreams need smaller bursts than one second's worth, an owner that is always in the upstream's failure domain, and a longer wait of a new owner. Change: TokenBucket has a capacity field, QuotaFleet takes the stale time of its lists and answers domain_owner. Defaults are as before.

--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -2,10 +2,12 @@
 
 use bergamot_types::Millis;
 
-/// Tokens that refill over time, up to one second's worth or one whole token.
+/// Tokens that refill over time, up to a capacity. Unless stated otherwise, that is one second's
+/// worth or one whole token.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TokenBucket {
     rate: f64,
+    capacity: f64,
     tokens: f64,
     refilled_at: Millis,
 }
@@ -23,16 +25,31 @@
     pub const fn empty(rate: f64, now: Millis) -> Self {
         Self {
             rate,
+            capacity: rate.max(1.0),
             tokens: 0.0,
             refilled_at: now,
         }
     }
 
+    /// Adds one token, up to the capacity.
+    #[must_use]
+    pub fn with_token(mut self) -> Self {
+        self.tokens = (self.tokens + 1.0).min(self.capacity);
+        self
+    }
+
     /// Changes the rate from now on. Saved tokens above the new capacity are dropped.
     pub fn set_rate(&mut self, now: Millis, rate: f64) {
+        self.set_rate_and_capacity(now, rate, rate.max(1.0));
+    }
+
+    /// Changes the rate and the capacity from now on. Saved tokens above the new capacity are
+    /// dropped.
+    pub fn set_rate_and_capacity(&mut self, now: Millis, rate: f64, capacity: f64) {
         self.refill(now);
         self.rate = rate;
-        self.tokens = self.tokens.min(self.capacity());
+        self.capacity = capacity;
+        self.tokens = self.tokens.min(capacity);
     }
 
     /// Takes one token if there is one.
@@ -62,13 +79,9 @@
         Millis((seconds * 1_000.0).ceil().min(3_600_000.0) as u64)
     }
 
-    fn capacity(&self) -> f64 {
-        self.rate.max(1.0)
-    }
-
     fn refill(&mut self, now: Millis) {
         let refilled = now.since(self.refilled_at).as_secs_f64() * self.rate;
-        self.tokens = (self.tokens + refilled).min(self.capacity());
+        self.tokens = (self.tokens + refilled).min(self.capacity);
         self.refilled_at = self.refilled_at.max(now);
     }
 }
--- a/crates/quota/src/fleet.rs
+++ b/crates/quota/src/fleet.rs
@@ -5,7 +5,7 @@
 
 /// How long another VM may still use an earlier list of entry VMs: two queries to peers, plus the
 /// age of their updates.
-pub(crate) const STALE_LIST_TIMEOUT: Millis = Millis(2_000);
+pub const STALE_LIST_TIMEOUT: Millis = Millis(2_000);
 
 /// The entry VMs of each failure domain.
 type VmsByDomain = IndexMap<FailureDomain, Vec<String>>;
@@ -21,6 +21,8 @@
 #[derive(Clone, Debug)]
 pub struct QuotaFleet {
     own_vm: String,
+    /// How long another VM may still use an earlier list.
+    stale_timeout: Millis,
     vms: VmsByDomain,
     /// Lists that other VMs may still use. The first one is empty: the owners before this VM
     /// started are unknown.
@@ -30,8 +32,15 @@
 impl QuotaFleet {
     /// Creates the fleet as known to the VM named `own`: empty, even without itself.
     pub fn new(own_vm: String) -> Self {
+        Self::with_stale_timeout(own_vm, STALE_LIST_TIMEOUT)
+    }
+
+    /// Creates the same fleet for owners that assume that another VM may still use an earlier list
+    /// for `stale_timeout`.
+    pub fn with_stale_timeout(own_vm: String, stale_timeout: Millis) -> Self {
         Self {
             own_vm,
+            stale_timeout,
             vms: VmsByDomain::new(),
             replaced: Vec::new(),
         }
@@ -54,7 +63,7 @@
         by_domain.values_mut().for_each(|vms| vms.sort_unstable());
         by_domain.sort_unstable_keys();
         self.replaced
-            .retain(|list| now.since(list.replaced_at) < STALE_LIST_TIMEOUT);
+            .retain(|list| now.since(list.replaced_at) < self.stale_timeout);
         if by_domain == self.vms {
             return;
         }
@@ -76,6 +85,16 @@
         owner_among(&self.vms, incarnation, failure_domain)
     }
 
+    /// Returns the VM that owns an upstream's quota, if the upstream's failure domain has VMs.
+    pub fn domain_owner(
+        &self,
+        incarnation: &UpstreamIncarnation,
+        failure_domain: &FailureDomain,
+    ) -> Option<&str> {
+        let vms = self.vms.get(failure_domain)?;
+        highest_scored(upstream_key(incarnation), vms)
+    }
+
     /// Returns when this VM, as the owner of an upstream's quota, may start to grant permits: once
     /// no other VM can still use an earlier list that names another owner.
     pub fn grants_from(
@@ -88,7 +107,7 @@
             owner != Some(self.own_vm.as_str())
         });
         let last_replaced_at = other_owned.map(|list| list.replaced_at).max();
-        last_replaced_at.map_or(Millis::ZERO, |replaced_at| replaced_at + STALE_LIST_TIMEOUT)
+        last_replaced_at.map_or(Millis::ZERO, |replaced_at| replaced_at + self.stale_timeout)
     }
 }
 
@@ -97,14 +116,21 @@
     incarnation: &UpstreamIncarnation,
     failure_domain: &FailureDomain,
 ) -> Option<&'a str> {
-    let key = hash_bytes(incarnation.as_str().as_bytes());
-    let highest_scored = |vms: &'a [String]| {
-        let names = vms.iter().map(String::as_str);
-        names.max_by_key(|vm| (rendezvous_score(key, vm), *vm))
-    };
-    let in_domain = vms.get(failure_domain).and_then(|vms| highest_scored(vms));
-    in_domain.or_else(|| {
-        let all_vms = vms.values().flatten().map(String::as_str);
-        all_vms.max_by_key(|vm| (rendezvous_score(key, vm), *vm))
-    })
+    let key = upstream_key(incarnation);
+    let in_domain = vms.get(failure_domain);
+    in_domain
+        .and_then(|vms| highest_scored(key, vms))
+        .or_else(|| highest_scored(key, vms.values().flatten()))
+}
+
+fn upstream_key(incarnation: &UpstreamIncarnation) -> u64 {
+    hash_bytes(incarnation.as_str().as_bytes())
+}
+
+fn highest_scored<'a, Vms>(key: u64, vms: Vms) -> Option<&'a str>
+where
+    Vms: IntoIterator<Item = &'a String>,
+{
+    let names = vms.into_iter().map(String::as_str);
+    names.max_by_key(|vm| (rendezvous_score(key, vm), *vm))
 }
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use allowance::SendAllowance;
 pub use bucket::TokenBucket;
-pub use fleet::QuotaFleet;
+pub use fleet::{QuotaFleet, STALE_LIST_TIMEOUT};
 pub use limit::{LimitChange, LimitObservation, LimitTable};
 pub use message::{LimitReport, PermitAnswer, PermitClaim, PermitQuestion, PermitVerdict};
 pub use state::{PermitStep, QuotaAction, QuotaEvent, QuotaState, QuotaTarget};
