feat: pure crate that bounds the requests to cold upstreams

Cause: an upstream that is cold after a start or an evacuation tolerates 17 requests per second from all entry VMs together and crashes well above that.

--- /dev/null
+++ b/crates/warmup/tests/cold.rs
@@ -0,0 +1,165 @@
+//! Which statement about an upstream's cold time is in force.
+
+mod support;
+
+use bergamot_ports::{MAX_COLD_TIME, StoreGeneration, StoreRevision};
+use bergamot_types::prelude::*;
+use bergamot_warmup::{ColdSource, ColdTable, ColdTarget, EndedEvacuation, EntryStatement};
+use support::{BOUNDS, entry, revision, with_target};
+
+struct SpanCase {
+    name: &'static str,
+    entry: EntryStatement,
+    /// Time of arrival and cold time of each answer.
+    answers: Vec<(u64, u64)>,
+    /// Revision of the removal, and when this VM learned of it.
+    ended: Option<(u64, u64)>,
+    until: u64,
+    source: ColdSource,
+}
+
+#[test]
+fn the_latest_statement_is_in_force() {
+    let cases = [
+        SpanCase {
+            name: "an entry",
+            entry: entry(5, 10_000, 3_000),
+            answers: vec![],
+            ended: None,
+            until: 13_000,
+            source: ColdSource::Entry,
+        },
+        SpanCase {
+            name: "a later answer shortens the time",
+            entry: entry(5, 10_000, 3_000),
+            answers: vec![(11_000, 500)],
+            ended: None,
+            until: 11_500,
+            source: ColdSource::Answer,
+        },
+        SpanCase {
+            name: "a later answer ends the time",
+            entry: entry(5, 10_000, 3_000),
+            answers: vec![(11_000, 0)],
+            ended: None,
+            until: 11_000,
+            source: ColdSource::Answer,
+        },
+        SpanCase {
+            name: "an earlier answer does not override the entry",
+            entry: entry(5, 10_000, 1_000),
+            answers: vec![(9_900, 3_000)],
+            ended: None,
+            until: 11_000,
+            source: ColdSource::Entry,
+        },
+        SpanCase {
+            name: "a warm upstream that turns cold",
+            entry: entry(5, 10_000, 0),
+            answers: vec![(12_000, 3_000)],
+            ended: None,
+            until: 15_000,
+            source: ColdSource::Answer,
+        },
+        SpanCase {
+            name: "an answer with a huge time",
+            entry: entry(5, 10_000, 0),
+            answers: vec![(12_000, u64::MAX)],
+            ended: None,
+            until: 12_000 + MAX_COLD_TIME.0,
+            source: ColdSource::Answer,
+        },
+        SpanCase {
+            name: "the end of an evacuation",
+            entry: entry(5, 10_000, 0),
+            answers: vec![],
+            ended: Some((7, 20_000)),
+            until: 23_000,
+            source: ColdSource::Evacuation,
+        },
+        SpanCase {
+            name: "an entry that was written before the end and arrives after it",
+            entry: entry(6, 20_500, 0),
+            answers: vec![],
+            ended: Some((7, 20_000)),
+            until: 23_000,
+            source: ColdSource::Evacuation,
+        },
+        SpanCase {
+            name: "an entry that was written after the end",
+            entry: entry(8, 21_000, 500),
+            answers: vec![],
+            ended: Some((7, 20_000)),
+            until: 21_500,
+            source: ColdSource::Entry,
+        },
+        SpanCase {
+            name: "an answer from before the end of an evacuation",
+            entry: entry(5, 10_000, 60_000),
+            answers: vec![(19_000, 0)],
+            ended: Some((7, 20_000)),
+            until: 70_000,
+            source: ColdSource::Entry,
+        },
+        SpanCase {
+            name: "an answer after the end of an evacuation",
+            entry: entry(5, 10_000, 0),
+            answers: vec![(20_100, 1_000)],
+            ended: Some((7, 20_000)),
+            until: 21_100,
+            source: ColdSource::Answer,
+        },
+    ];
+    for case in cases {
+        let mut table = ColdTable::default();
+        if let Some((number, learned_at)) = case.ended {
+            table.record_ended(&EndedEvacuation {
+                failure_domain: FailureDomain::new("east"),
+                revision: revision(number),
+                learned_at: Millis(learned_at),
+            });
+        }
+        let span = with_target(case.entry, BOUNDS, |target| {
+            for (at, cold_left) in &case.answers {
+                table.record_answer(Millis(*at), &target, Millis(*cold_left));
+            }
+            table.span(&target)
+        });
+        assert_eq!(span.until, Millis(case.until), "{}", case.name);
+        assert_eq!(span.source, case.source, "{}", case.name);
+    }
+}
+
+#[test]
+fn an_entry_that_is_read_again_does_not_restart_the_time() {
+    let first = entry(5, 10_000, 3_000);
+    let restored = StoreRevision::new(StoreGeneration(1), 5);
+    for unchanged in [revision(5), restored] {
+        let again = first.followed_by(unchanged, Millis(3_000), Millis(12_000));
+        assert_eq!(again, first, "{unchanged}");
+    }
+    assert_eq!(
+        first.followed_by(revision(4), Millis(9_000), Millis(12_000)),
+        first,
+        "an outdated entry has no effect"
+    );
+    let shorter = first.followed_by(revision(6), Millis(500), Millis(11_000));
+    assert_eq!((shorter.until(), shorter.was_warm), (Millis(11_500), false));
+    let turned = shorter.followed_by(revision(7), Millis(3_000), Millis(14_000));
+    assert_eq!((turned.until(), turned.was_warm), (Millis(17_000), true));
+}
+
+#[test]
+fn an_answer_of_an_earlier_incarnation_does_not_apply_to_a_new_one() {
+    let mut table = ColdTable::default();
+    with_target(entry(5, 10_000, 3_000), BOUNDS, |target| {
+        table.record_answer(Millis(10_500), &target, Millis::ZERO);
+        let restarted = UpstreamIncarnation::new(UpstreamId::new("u"), Some(UnixMillis(2)));
+        let restarted_target = ColdTarget {
+            incarnation: &restarted,
+            ..target
+        };
+        assert!(!table.span(&target).is_cold(Millis(10_600)));
+        assert!(table.span(&restarted_target).is_cold(Millis(10_600)));
+    });
+}
