refactor: records of a stream's outcome in a module of their own

Change: the methods that record timing, breaks and callers that left move to relay/record.rs unchanged.

--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -1,5 +1,7 @@
 //! Forwards a stream of events, which may resume at another upstream.
 
+mod record;
+
 use std::rc::Rc;
 
 use bergamot_ports::CallerDialect;
@@ -11,7 +13,6 @@
 use super::FrontContext;
 use super::answer::{AnswerChunk, BrokenAnswer, CallerAnswer, streamed_body};
 use super::attempt::{OpenReply, SentRequest};
-use super::breaks::{record_break, record_caller_left, record_complete_answer};
 use super::events::{EventSplitter, StreamEvent};
 use super::open::open;
 use super::plan::plan;
@@ -239,120 +240,6 @@
         check_stall(&self.front, &reply.upstream, model, reply.run)
     }
 
-    /// Records the time between two events of one upstream.
-    fn record_gap(&mut self, reply: &OpenReply) {
-        let now = self.front.now();
-        let previous = self.upstream_last_at.replace(now);
-        let (Some(previous), Some(model)) = (previous, &self.request.call.model) else {
-            return;
-        };
-        let upstream = &reply.upstream;
-        let mut monitor = self.front.monitor.borrow_mut();
-        let latencies = monitor.latencies.get_mut(model);
-        latencies.record_gap(now.since(previous), upstream.speed, upstream.slots);
-    }
-
-    fn record_first_event(&self, reply: &OpenReply) {
-        let now = self.front.now();
-        let upstream = &reply.upstream;
-        let objective = self.state.route.objective;
-        let took = now.since(reply.run.sent_at);
-        let mut monitor = self.front.monitor.borrow_mut();
-        monitor.record_first_event(&upstream.incarnation, upstream.slots, took, objective, now);
-        if let Some(model) = &self.request.call.model {
-            let latencies = monitor.latencies.get_mut(model);
-            latencies.record_first_event(
-                took,
-                reply.run.expected_first_event,
-                upstream.speed,
-                upstream.slots,
-            );
-        }
-    }
-
-    fn update_metrics(&mut self, reply: &OpenReply) {
-        let now = self.front.now();
-        let metrics = &self.front.shared.metrics;
-        let kind = [self.state.route.kind.as_str()];
-        match self.last_event_at {
-            Some(previous) => {
-                self.longest_gap = self.longest_gap.max(now.since(previous));
-                let gap = now.since(previous).as_secs_f64();
-                metrics.event_gap.with_label_values(&kind).observe(gap);
-            }
-            None => {
-                self.first = FirstEvent {
-                    elapsed: now.since(self.state.arrived),
-                    sends: self.state.sends(),
-                    plan_time: reply.run.sent_at.since(self.state.arrived),
-                    event_time: now.since(reply.run.sent_at),
-                    connect_time: reply.connect_latency,
-                    head_time: reply.head_latency,
-                };
-                let took = self.first.elapsed.as_secs_f64();
-                metrics.first_piece.with_label_values(&kind).observe(took);
-            }
-        }
-        self.last_event_at = Some(now);
-    }
-
-    fn record_finished(&self, reply: OpenReply) {
-        let incarnation = reply.upstream.incarnation.clone();
-        self.front.monitor.borrow_mut().record_success(&incarnation);
-        record_complete_answer(&self.front, &self.request, &self.state);
-        if let Some(model) = &self.request.call.model {
-            let took = self.front.now().since(reply.run.sent_at);
-            self.front.delays.borrow_mut().record_answer(model, took);
-            if self.request.call.resume_after.is_none() {
-                let mut demand = self.front.demand.borrow_mut();
-                demand.record_answer(model, self.delivered_events);
-            }
-        }
-        let keep_alive = reply.facts.keep_alive;
-        self.front
-            .pool
-            .give_back(&incarnation, reply.connection, keep_alive);
-    }
-
-    async fn record_broken(&mut self, reply: &OpenReply, cause: BreakCause, reason: &str) {
-        let now = self.front.now();
-        if cause == BreakCause::Closed {
-            self.state
-                .disconnected
-                .push(reply.upstream.incarnation.clone());
-        }
-        self.front
-            .monitor
-            .borrow_mut()
-            .record_failure(&reply.upstream.incarnation, now);
-        log::info!(
-            "event=stream_broken request={} print={} route={} upstream={} group={} events={} last_event={} reason={reason:?}",
-            self.request.call.id,
-            self.request.print(),
-            self.state.route.name,
-            reply.upstream.incarnation,
-            reply
-                .upstream
-                .group
-                .as_ref()
-                .map_or("-", |group| group.as_str()),
-            self.delivered_events,
-            self.last_event_id.unwrap_or_default(),
-        );
-        let (request, upstream) = (&self.request, &reply.upstream);
-        record_break(&self.front, request, upstream, self.upstream_events, cause).await;
-    }
-
-    fn record_caller_left(&self, reply: &OpenReply) {
-        let incarnation = &reply.upstream.incarnation;
-        record_caller_left(
-            &self.front,
-            &self.request,
-            incarnation,
-            self.upstream_events,
-        );
-    }
-
     /// Resumes the stream at another upstream, unless the caller disconnects first. The error is
     /// the outcome of the stream.
     async fn resume_for_caller(&mut self) -> Result<OpenReply, &'static str> {
