feat: permits for requests to cold upstreams in the front

Cause: each VM sent as many requests to a cold upstream as its load allowed. Change: the view has the upstreams of services with slow start, with what their entries state and when it was read; a request to one that is cold needs a permit of the owner, asked for with two new datagrams, and is checked again before it is written. A denied permit closes the upstream's gate; the choice goes on among the others, also for retries and resumed streams. New metrics cold_upstreams and bergamot_warmup_permits_total. SendPermit now has a part for each bound.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -20,6 +20,7 @@
 use super::limits::record_limit;
 use super::permits::{SendPermit, may_send};
 use super::pool::{ConnectError, UpstreamConnection};
+use super::warmup::record_cold_time;
 
 /// The parts of a request that are the same for all its attempts.
 pub struct SentRequest {
@@ -226,6 +227,7 @@
     if !facts.is_misdirected {
         record_limit(front, upstream, &facts, sent_at + connect_latency);
         record_availability(front, &upstream.incarnation, &facts);
+        record_cold_time(front, upstream, &facts);
     }
     let backoff = facts
         .backoff
--- a/crates/gateway/src/front/exchange.rs
+++ b/crates/gateway/src/front/exchange.rs
@@ -19,6 +19,7 @@
 use super::FrontContext;
 use super::limits::apply_quota_actions;
 use super::permits::{QuotaMessage, deliver_permit_answer};
+use super::warmup::{self, answer_cold_question, deliver_cold_answer};
 use crate::view::ClusterView;
 
 /// Number of consecutive periods without requests in flight after which no more load reports are
@@ -87,6 +88,7 @@
 }
 
 fn tick<Dialect>(front: &FrontContext<Dialect>, idle_periods: &mut u32) -> Vec<OccupancyAction> {
+    warmup::tick(front);
     let now = front.now();
     let mut book = front.monitor.borrow_mut();
     let in_flight = book.in_flight();
@@ -131,6 +133,18 @@
             deliver_permit_answer(front, &answer);
             Vec::new()
         }
+        Ok(PeerNotice::ColdQuestion(question)) => {
+            let answer = answer_cold_question(front, &question).into_iter();
+            let notices = answer.map(|(vm, answer)| AddressedNotice {
+                vm,
+                notice: PeerNotice::ColdAnswer(answer),
+            });
+            notices.collect()
+        }
+        Ok(PeerNotice::ColdAnswer(answer)) => {
+            deliver_cold_answer(front, &answer);
+            Vec::new()
+        }
         Ok(PeerNotice::Quiet(notice)) => {
             if let Err(error) = suspicions.try_send(notice) {
                 log::debug!("event=quiet_not_passed_on reason={error}");
@@ -212,6 +226,10 @@
             let notice = PeerNotice::PermitQuestion(question);
             vec![AddressedNotice { vm, notice }]
         }
+        QuotaMessage::ColdQuestion { vm, question } => {
+            let notice = PeerNotice::ColdQuestion(question);
+            vec![AddressedNotice { vm, notice }]
+        }
     }
 }
 
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -21,6 +21,7 @@
 //! | [`gates`] | upstreams that ask for backoff or announce that they leave |
 //! | [`limits`] | rate limits that upstreams advertise in their answers |
 //! | [`permits`] | permits to send to an upstream with a limit |
+//! | [`warmup`] | permits to send to an upstream that is cold |
 //! | [`exchange`] | exchange of load reports and notices between entry VMs |
 //! | [`budget`] | how many retries may be sent |
 //! | [`pool`] | connections to upstreams |
@@ -50,6 +51,7 @@
 pub mod standing;
 pub mod state;
 pub mod trace;
+pub mod warmup;
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -60,7 +62,7 @@
 use bergamot_peer::LeaderStall;
 use bergamot_ports::RouteKind;
 use bergamot_quarantine::QuarantineRecord;
-use bergamot_quota::QuotaState;
+use bergamot_quota::{PermitVerdict, QuotaState};
 use bergamot_routing::{ReturnDelays, ServingOutage, UpstreamMonitor};
 use bergamot_types::prelude::*;
 use tokio::sync::mpsc;
@@ -70,6 +72,7 @@
 use budget::RetryBudget;
 use permits::{PendingPermits, QuotaMessage};
 use pool::ConnectionPool;
+use warmup::WarmUpFront;
 
 /// State that all requests share. It is confined to one thread.
 pub struct FrontContext<Dialect> {
@@ -90,7 +93,9 @@
     /// Limits that upstreams advertise, and the rate at which all VMs send to them.
     pub quota: RefCell<QuotaState>,
     /// Requests waiting for a permit.
-    pub permits: PendingPermits,
+    pub permits: PendingPermits<PermitVerdict>,
+    /// Upstreams that are cold, and the permits to send to them.
+    pub warm_up: WarmUpFront,
     /// The life cycle of the process.
     pub stop: Rc<StopControl>,
     /// Sends crashes that this VM observed, and the requests that ran there, to the other VMs.
@@ -126,6 +131,7 @@
             budget: RefCell::new(budget),
             quota: RefCell::new(quota),
             permits: PendingPermits::default(),
+            warm_up: WarmUpFront::new(shared.site.vm.to_string()),
             stop: Rc::new(StopControl::new(Arc::clone(&shared))),
             crash_records,
             stall_notices,
--- a/crates/gateway/src/front/permits.rs
+++ b/crates/gateway/src/front/permits.rs
@@ -8,12 +8,14 @@
 };
 use bergamot_routing::{GateState, RouteUpstream};
 use bergamot_types::prelude::*;
+use bergamot_warmup::ColdQuestion;
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 
 use super::FrontContext;
 use super::attempt::SentRequest;
 use super::limits::{apply_quota_actions, back_off, quota_target};
+use super::warmup::{is_cold_permit_valid, obtain_cold_permit};
 
 /// How long to wait for the owner of an upstream's quota: two datagrams, and a busy process on an
 /// eighth of a core. After it another upstream is chosen, so it stays well within the shortest
@@ -35,35 +37,69 @@
         /// The question.
         question: PermitQuestion,
     },
+    /// A question to the owner of a cold upstream's permits.
+    ColdQuestion {
+        /// The VM that owns the permits.
+        vm: String,
+        /// The question.
+        question: ColdQuestion,
+    },
 }
 
-/// Permission to send a request to an upstream, as far as its limit is concerned.
+/// Permission to send a request to an upstream, as far as one bound on its requests is concerned.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum SendPermit {
-    /// The upstream advertised no limit.
+pub enum PermitGrant {
+    /// The bound does not apply to the upstream.
     Free,
-    /// The owner of the quota granted a permit at this time.
+    /// The owner granted a permit at this time.
     Granted(Millis),
 }
 
-impl SendPermit {
-    /// Whether the permit is valid now, given whether the upstream advertises a limit.
-    fn is_valid(self, is_limited: bool, now: Millis) -> bool {
+impl PermitGrant {
+    /// Whether the permit is valid now, given whether the bound applies.
+    pub fn is_valid(self, is_bounded: bool, now: Millis, validity: Millis) -> bool {
         match self {
-            Self::Free => !is_limited,
-            Self::Granted(granted_at) => now.since(granted_at) <= PERMIT_VALIDITY,
+            Self::Free => !is_bounded,
+            Self::Granted(granted_at) => now.since(granted_at) <= validity,
         }
     }
 }
 
+/// Permission to send a request to an upstream.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct SendPermit {
+    /// By the limit that the upstream advertises.
+    limit: PermitGrant,
+    /// By what the upstream tolerates while it is cold.
+    warm_up: PermitGrant,
+}
+
+/// Why a request got no permit.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum PermitDenial {
+    /// The upstream advertises a limit.
+    Limited,
+    /// The upstream is cold.
+    Cold,
+}
+
 /// Unanswered permit questions of this VM, by number.
-#[derive(Debug, Default)]
-pub struct PendingPermits {
-    unanswered: RefCell<IndexMap<u64, oneshot::Sender<PermitVerdict>>>,
+#[derive(Debug)]
+pub struct PendingPermits<Verdict> {
+    unanswered: RefCell<IndexMap<u64, oneshot::Sender<Verdict>>>,
 }
 
-impl PendingPermits {
-    fn insert(&self, number: u64) -> oneshot::Receiver<PermitVerdict> {
+impl<Verdict> Default for PendingPermits<Verdict> {
+    fn default() -> Self {
+        Self {
+            unanswered: RefCell::default(),
+        }
+    }
+}
+
+impl<Verdict> PendingPermits<Verdict> {
+    /// Adds a question and returns the receiver of its verdict.
+    pub fn insert(&self, number: u64) -> oneshot::Receiver<Verdict> {
         let (sender, receiver) = oneshot::channel();
         let mut unanswered = self.unanswered.borrow_mut();
         // Drops the questions of callers that have disconnected.
@@ -72,18 +108,36 @@
         receiver
     }
 
-    fn take(&self, number: u64) -> Option<oneshot::Sender<PermitVerdict>> {
+    /// Removes a question.
+    pub fn take(&self, number: u64) -> Option<oneshot::Sender<Verdict>> {
         self.unanswered.borrow_mut().swap_remove(&number)
     }
 }
 
-/// Obtains a permit for one request. Returns `None` if none is available now; the upstream then
-/// backs off.
+/// Obtains the permits for one request. If one of them is not available now, the upstream backs
+/// off.
+///
+/// # Errors
+/// Which permit is not available.
 pub async fn obtain_permit<Dialect>(
     front: &FrontContext<Dialect>,
     request: &SentRequest,
     upstream: &RouteUpstream,
-) -> Option<SendPermit> {
+) -> Result<SendPermit, PermitDenial> {
+    let warm_up = obtain_cold_permit(front, request, upstream).await;
+    let warm_up = warm_up.ok_or(PermitDenial::Cold)?;
+    let limit = obtain_limit_permit(front, request, upstream).await;
+    let limit = limit.ok_or(PermitDenial::Limited)?;
+    Ok(SendPermit { limit, warm_up })
+}
+
+/// Obtains a permit for one request if the upstream advertises a limit. Returns `None` if none is
+/// available now; the upstream then backs off.
+async fn obtain_limit_permit<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    upstream: &RouteUpstream,
+) -> Option<PermitGrant> {
     let claim = permit_claim(request);
     let now = front.now();
     let step = front
@@ -91,8 +145,8 @@
         .borrow_mut()
         .request_permit(now, quota_target(upstream), claim);
     let permit = match step {
-        PermitStep::NotNeeded => return Some(SendPermit::Free),
-        PermitStep::Granted => Some(SendPermit::Granted(now)),
+        PermitStep::NotNeeded => return Some(PermitGrant::Free),
+        PermitStep::Granted => Some(PermitGrant::Granted(now)),
         PermitStep::Later(wait) => {
             back_off(front, &upstream.incarnation, claim.priority, wait);
             None
@@ -120,7 +174,7 @@
     front: &FrontContext<Dialect>,
     owner: String,
     question: PermitQuestion,
-) -> Option<SendPermit> {
+) -> Option<PermitGrant> {
     let number = question.number;
     let incarnation = question.report.incarnation.clone();
     let owner_vm = owner.clone();
@@ -134,8 +188,8 @@
     });
     let answer = tokio::time::timeout(PERMIT_ANSWER_TIMEOUT, answer).await;
     match answer {
-        Ok(Ok(PermitVerdict::Granted)) => Some(SendPermit::Granted(sent_at)),
-        Ok(Ok(PermitVerdict::Unlimited)) => Some(SendPermit::Free),
+        Ok(Ok(PermitVerdict::Granted)) => Some(PermitGrant::Granted(sent_at)),
+        Ok(Ok(PermitVerdict::Unlimited)) => Some(PermitGrant::Free),
         Ok(Ok(PermitVerdict::Later(_))) => None,
         Ok(Err(_)) | Err(_) => {
             front.permits.take(number);
@@ -159,8 +213,8 @@
     }
 }
 
-/// Whether a request may be sent now: since it was chosen, its upstream may have advertised a limit
-/// or asked for backoff. A permit overrides the gate of the limit, which other requests may have
+/// Whether a request may be sent now: since it was chosen, its upstream may have advertised a limit,
+/// turned cold or asked for backoff. A permit overrides the gate of the limit, which other requests may have
 /// closed in the meantime.
 pub fn may_send<Dialect>(
     front: &FrontContext<Dialect>,
@@ -181,7 +235,9 @@
         .gates
         .state(&upstream.incarnation, request.priority, now);
     let is_closed = !matches!(gate, GateState::Open | GateState::Limited(_));
-    permit.is_valid(is_limited, now) && !is_closed
+    permit.limit.is_valid(is_limited, now, PERMIT_VALIDITY)
+        && is_cold_permit_valid(front, upstream, permit.warm_up)
+        && !is_closed
 }
 
 impl<Dialect> FrontContext<Dialect> {
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -9,7 +9,7 @@
 use super::FrontContext;
 use super::admit::authorize;
 use super::attempt::SentRequest;
-use super::permits::{SendPermit, obtain_permit};
+use super::permits::{PermitDenial, SendPermit, obtain_permit};
 use super::refusal::{
     CallRefusal, MIN_RETURN_DELAY, RETURN_NO_UPSTREAM, RETURN_SPREAD, RETURN_STOPPING,
 };
@@ -50,12 +50,14 @@
         changes.mark_unchanged();
         let refusal = match plan_now(front, request, state) {
             Ok(upstream) => match obtain_permit(front, request, &upstream).await {
-                Some(permit) => return Ok(PlannedSend { upstream, permit }),
-                None => {
+                Ok(permit) => return Ok(PlannedSend { upstream, permit }),
+                Err(denial) => {
                     refund_retry(front, state);
                     // The upstream backs off now. Another one is chosen, unless too little time is
-                    // left for its answer.
-                    match front.now() < wait_until {
+                    // left for its answer. While some upstreams are cold, the others may have room,
+                    // also for retries and resumed streams, whose time to wait is over.
+                    let may_go_on = denial == PermitDenial::Cold || front.now() < wait_until;
+                    match may_go_on {
                         true => continue,
                         false => upstreams_paused(None, front.now()),
                     }
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -24,6 +24,7 @@
 use super::head_timer::{HeadTimer, TimedStream};
 use super::limits::update_limited_metric;
 use super::trace::{RequestTrace, TracedAnswer};
+use super::warmup;
 use crate::listen::{close_listener, next_connection};
 use crate::stop::StopControl;
 
@@ -228,6 +229,7 @@
         let now = front.now();
         front.monitor.borrow_mut().retain(is_listed, now);
         front.quota.borrow_mut().retain(is_listed, now);
+        warmup::review(&front);
         update_limited_metric(&front);
         update_backing_off_metric(&front);
         let demands = front.demand.borrow_mut().demands(front.now());
--- /dev/null
+++ b/crates/gateway/src/front/warmup.rs
@@ -0,0 +1,262 @@
+//! Permits to send to upstreams that are cold.
+
+use std::cell::RefCell;
+use std::sync::Arc;
+
+use bergamot_ports::ReplyFacts;
+use bergamot_routing::RouteUpstream;
+use bergamot_types::prelude::*;
+use bergamot_warmup::{
+    ANSWER_TIMEOUT, ColdAnswer, ColdQuestion, ColdStep, ColdVerdict, EndedEvacuation,
+    PERMIT_VALIDITY, WarmUpAction, WarmUpEvent, WarmUpState,
+};
+
+use super::FrontContext;
+use super::attempt::SentRequest;
+use super::limits::back_off;
+use super::permits::{PendingPermits, PermitGrant, QuotaMessage};
+use crate::cold::ColdEntry;
+use crate::view::ClusterView;
+
+/// The warm-up state of this VM, and the view that it has applied.
+pub struct WarmUpFront {
+    state: RefCell<WarmUpState>,
+    view: RefCell<Arc<ClusterView>>,
+    waiting: PendingPermits<ColdVerdict>,
+}
+
+impl WarmUpFront {
+    /// Creates the state of the VM named `own_vm`, with an empty view.
+    pub fn new(own_vm: String) -> Self {
+        Self {
+            state: RefCell::new(WarmUpState::new(own_vm, rand::random())),
+            view: RefCell::default(),
+            waiting: PendingPermits::default(),
+        }
+    }
+
+    /// Returns what the applied view states of an upstream, if its service has slow start.
+    fn entry(&self, incarnation: &UpstreamIncarnation) -> Option<ColdEntry> {
+        let view = self.view.borrow();
+        let entry = view.cold_entries.get(&incarnation.id)?;
+        (entry.incarnation == *incarnation).then(|| entry.clone())
+    }
+}
+
+/// Returns the evacuations that ended recently, according to a view.
+fn ended_evacuations(_view: &ClusterView) -> Vec<EndedEvacuation> {
+    Vec::new()
+}
+
+/// Applies the current view, if it is not applied yet. A request must not be sent by a view from
+/// which the warm-up state has not learned yet that an upstream is cold.
+fn refresh<Dialect>(front: &FrontContext<Dialect>) {
+    let view = front.shared.view.load_full();
+    if Arc::ptr_eq(&view, &front.warm_up.view.borrow()) {
+        return;
+    }
+    front.warm_up.view.replace(Arc::clone(&view));
+    let now = front.now();
+    let mut state = front.warm_up.state.borrow_mut();
+    for ended in ended_evacuations(&view) {
+        state.handle(now, WarmUpEvent::EvacuationEnded(&ended));
+    }
+    if !view.cold_entries.is_empty() {
+        let entries = view.entries.values();
+        let vms = entries.map(|entry| (entry.failure_domain.clone(), entry.vm.clone()));
+        state.set_vms(now, vms);
+    }
+    drop(state);
+    review(front);
+}
+
+/// Logs which upstreams have become cold or warm.
+pub fn review<Dialect>(front: &FrontContext<Dialect>) {
+    let view = front.warm_up.view.borrow();
+    let mut state = front.warm_up.state.borrow_mut();
+    let cold_before = state.cold_count();
+    if view.cold_entries.is_empty() && cold_before == 0 {
+        return;
+    }
+    let (now, bounds) = (front.now(), front.shared.bounds().warm_up);
+    let targets = view.cold_entries.values();
+    let actions = state.review(now, targets.map(|entry| entry.target(bounds)));
+    for action in actions {
+        match action {
+            WarmUpAction::LogCold(upstream, span) => log::info!(
+                "event=upstream_cold upstream={upstream} until={} source={} age={}",
+                span.until,
+                span.source.as_str(),
+                now.since(span.stated_at)
+            ),
+            WarmUpAction::LogWarm(upstream) => {
+                log::info!("event=upstream_warm upstream={upstream}");
+            }
+            _ => {}
+        }
+    }
+    let metrics = &front.shared.metrics;
+    metrics.set_state("cold_upstreams", state.cold_count() as i64);
+}
+
+/// Applies the current view and the last confirmation of the list of entry VMs. Called every few
+/// dozen milliseconds, as the state derives from it whether the list was confirmed all the time.
+pub fn tick<Dialect>(front: &FrontContext<Dialect>) {
+    refresh(front);
+    if front.warm_up.view.borrow().cold_entries.is_empty() {
+        return;
+    }
+    let now = front.now();
+    let confirmed_at = now.since(front.shared.config_age(now));
+    let event = WarmUpEvent::ListConfirmed(confirmed_at);
+    front.warm_up.state.borrow_mut().handle(now, event);
+}
+
+/// Obtains a permit for one request if the upstream is cold. Returns `None` if none is available
+/// now; the upstream's gate is closed then.
+pub async fn obtain_cold_permit<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    upstream: &RouteUpstream,
+) -> Option<PermitGrant> {
+    tick(front);
+    let Some(entry) = front.warm_up.entry(&upstream.incarnation) else {
+        return Some(PermitGrant::Free);
+    };
+    let now = front.now();
+    let target = entry.target(front.shared.bounds().warm_up);
+    let step = {
+        let mut state = front.warm_up.state.borrow_mut();
+        state.request_permit(now, target, request.priority)
+    };
+    let (outcome, permit) = match step {
+        ColdStep::NotNeeded => return Some(PermitGrant::Free),
+        ColdStep::Granted => ("granted", Some(PermitGrant::Granted(now))),
+        ColdStep::Later(wait) => {
+            back_off(front, &upstream.incarnation, request.priority, wait);
+            ("later", None)
+        }
+        ColdStep::NoOwner(wait) => {
+            back_off(front, &upstream.incarnation, request.priority, wait);
+            ("no_owner", None)
+        }
+        ColdStep::Ask { owner, question } => ask_owner(front, owner, question).await,
+    };
+    let permits = &front.shared.metrics.warm_up_permits;
+    permits.with_label_values(&[outcome]).inc();
+    permit
+}
+
+/// Asks the owner of a cold upstream's permits. Returns the outcome's name in the metrics with the
+/// permit.
+async fn ask_owner<Dialect>(
+    front: &FrontContext<Dialect>,
+    owner: String,
+    question: ColdQuestion,
+) -> (&'static str, Option<PermitGrant>) {
+    let number = question.number;
+    let (incarnation, owner_vm) = (question.incarnation.clone(), owner.clone());
+    // The owner grants the permit at this time or later, so the permit's age is overestimated.
+    let asked_at = front.now();
+    let verdict = front.warm_up.waiting.insert(number);
+    let vm = owner;
+    front.send_quota(QuotaMessage::ColdQuestion { vm, question });
+    match tokio::time::timeout(ANSWER_TIMEOUT.as_duration(), verdict).await {
+        Ok(Ok(ColdVerdict::Granted)) => ("granted", Some(PermitGrant::Granted(asked_at))),
+        Ok(Ok(ColdVerdict::Later(_))) => ("later", None),
+        Ok(Err(_)) | Err(_) => {
+            front.warm_up.waiting.take(number);
+            handle(front, WarmUpEvent::TimedOut(number));
+            log::info!("event=cold_permit_unanswered upstream={incarnation} owner={owner_vm}");
+            ("unanswered", None)
+        }
+    }
+}
+
+/// Whether a permit to send to an upstream is valid now, given whether the upstream is cold.
+pub fn is_cold_permit_valid<Dialect>(
+    front: &FrontContext<Dialect>,
+    upstream: &RouteUpstream,
+    permit: PermitGrant,
+) -> bool {
+    refresh(front);
+    let now = front.now();
+    let is_cold = front
+        .warm_up
+        .entry(&upstream.incarnation)
+        .is_some_and(|entry| {
+            let target = entry.target(front.shared.bounds().warm_up);
+            front.warm_up.state.borrow().span(&target).is_cold(now)
+        });
+    !is_cold || permit.is_valid(true, now, PERMIT_VALIDITY)
+}
+
+/// Records how much longer an upstream is cold, if its answer states it.
+pub fn record_cold_time<Dialect>(
+    front: &FrontContext<Dialect>,
+    upstream: &RouteUpstream,
+    facts: &ReplyFacts,
+) {
+    let cold_left = match facts.cold_left {
+        Ok(None) => return,
+        Ok(Some(cold_left)) => cold_left,
+        Err(error) => {
+            let incarnation = &upstream.incarnation;
+            log::warn!("event=cold_time_unreadable upstream={incarnation} reason=\"{error}\"");
+            return;
+        }
+    };
+    refresh(front);
+    if let Some(entry) = front.warm_up.entry(&upstream.incarnation) {
+        let target = entry.target(front.shared.bounds().warm_up);
+        handle(front, WarmUpEvent::Answered(target, cold_left));
+    }
+}
+
+/// Handles the owner's answer to a question of this VM.
+pub fn deliver_cold_answer<Dialect>(front: &FrontContext<Dialect>, answer: &ColdAnswer) {
+    handle(front, WarmUpEvent::PermitAnswered(answer));
+}
+
+/// Returns the answer to a question of another VM, with the name of that VM.
+pub fn answer_cold_question<Dialect>(
+    front: &FrontContext<Dialect>,
+    question: &ColdQuestion,
+) -> Option<(String, ColdAnswer)> {
+    tick(front);
+    let entry = front.warm_up.entry(&question.incarnation);
+    let bounds = front.shared.bounds().warm_up;
+    let target = entry.as_ref().map(|entry| entry.target(bounds));
+    handle(front, WarmUpEvent::PermitRequested(question, target))
+}
+
+/// Passes an event to the warm-up state and performs the actions that follow. Returns the answer
+/// for another VM, which the caller has to send.
+fn handle<Dialect>(
+    front: &FrontContext<Dialect>,
+    event: WarmUpEvent<'_>,
+) -> Option<(String, ColdAnswer)> {
+    let actions = {
+        let mut state = front.warm_up.state.borrow_mut();
+        state.handle(front.now(), event)
+    };
+    let mut answer_to_send = None;
+    for action in actions {
+        match action {
+            WarmUpAction::Answer { vm, answer } => answer_to_send = Some((vm, answer)),
+            WarmUpAction::Resolve(answer) => {
+                if let Some(sender) = front.warm_up.waiting.take(answer.number) {
+                    // Fails if the caller has disconnected, so that nobody waits for the verdict.
+                    let _ = sender.send(answer.verdict);
+                }
+            }
+            WarmUpAction::BackOff {
+                incarnation,
+                priority,
+                wait,
+            } => back_off(front, &incarnation, priority, wait),
+            WarmUpAction::LogCold(..) | WarmUpAction::LogWarm(_) => {}
+        }
+    }
+    answer_to_send
+}
--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -11,6 +11,7 @@
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 
+use crate::cold::EntryStatements;
 use crate::departures::DepartureLog;
 use crate::own_keys::{
     COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, HOLD_PREFIX, QUARANTINE_PREFIX, TERM_KEY,
@@ -50,6 +51,8 @@
     /// The configuration as stored, for peers that cannot read the store.
     pub(crate) config_item: Option<StoreItem>,
     pub(crate) upstreams: IndexMap<UpstreamId, UpstreamEntry>,
+    /// What the entries state about cold times.
+    pub(crate) statements: EntryStatements,
     /// Upstreams that left, in case a restored store lists them again.
     pub(crate) departures: DepartureLog,
     pub(crate) entries: IndexMap<String, EntryRecord>,
@@ -184,6 +187,7 @@
             self.departures.record(&entry.incarnation, now);
         }
         self.expired.shift_remove(&id);
+        self.statements.record(&entry, revision, now);
         self.upstreams.insert(id, entry);
     }
 
@@ -194,6 +198,7 @@
             log::warn!("event=entry_unreadable upstream={id} reason={reason:?}");
         }
         self.expired.shift_remove(id);
+        self.statements.remove(id);
         self.upstreams.shift_remove(id);
     }
 
@@ -317,6 +322,7 @@
     }
 
     fn drop_upstream(&mut self, id: &UpstreamId, now: Millis) {
+        self.statements.remove(id);
         if let Some(entry) = self.upstreams.shift_remove(id) {
             self.departures.record(&entry.incarnation, now);
         }
@@ -363,6 +369,7 @@
         for entry in trusted {
             let id = entry.incarnation.id.clone();
             log::info!("event=upstream_relisted upstream={id}");
+            self.statements.record(&entry, StoreRevision::ZERO, now);
             self.upstreams.insert(id, entry);
         }
         let due_ids = self.expired.iter();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 pub mod clock;
+pub mod cold;
 pub mod daemon;
 mod departures;
 mod front;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     pub upstream_ends: IntCounterVec,
     /// Requests for permits to send to upstreams that advertise a limit, by outcome.
     pub permits: IntCounterVec,
+    /// Requests for permits to send to cold upstreams, by outcome.
+    pub warm_up_permits: IntCounterVec,
     /// Gauges of the process's state, by name.
     pub state: IntGaugeVec,
 }
@@ -118,6 +120,11 @@
                 "Permits asked for to send to upstreams that advertise a limit, by outcome",
                 &["outcome"],
             ),
+            warm_up_permits: counter(
+                "bergamot_warmup_permits_total",
+                "Permits asked for to send to cold upstreams, by outcome",
+                &["outcome"],
+            ),
             state,
             registry,
         }
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -423,6 +423,9 @@
             upstreams: known.upstreams.clone(),
             revision: known.revision.unwrap_or_default(),
             pools: pools.unwrap_or_default(),
+            cold_entries: known
+                .statements
+                .cold_entries(known.config.as_deref(), &known.upstreams),
             entries: known.entries.clone(),
             coordinator: known.coordinator.clone(),
             coordinator_revision: known.coordinator_revision,
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -9,6 +9,7 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
+use crate::cold::ColdEntry;
 use crate::own_keys::EntryRecord;
 
 /// The upstreams of one service.
@@ -31,6 +32,8 @@
     pub revision: StoreRevision,
     /// Upstreams that accept new requests, by service.
     pub pools: IndexMap<ServiceName, ServicePool>,
+    /// Upstreams of services with slow start. Empty if no service has one.
+    pub cold_entries: IndexMap<UpstreamId, ColdEntry>,
     /// Records of the entry VMs, by name.
     pub entries: IndexMap<String, EntryRecord>,
     /// The VM that coordinates the groups.
--- a/crates/peer/src/notice.rs
+++ b/crates/peer/src/notice.rs
@@ -4,6 +4,7 @@
 use bergamot_quarantine::QuarantineRecord;
 use bergamot_quota::{LimitReport, PermitAnswer, PermitQuestion};
 use bergamot_types::prelude::*;
+use bergamot_warmup::{ColdAnswer, ColdQuestion};
 use serde::{Deserialize, Serialize};
 
 use crate::frame::PeerMessage;
@@ -29,6 +30,11 @@
     PermitQuestion(PermitQuestion),
     /// Answers a [`PermitQuestion`].
     PermitAnswer(PermitAnswer),
+    /// Asks for a permit to send a request to a cold upstream. A VM that does not support this kind
+    /// ignores it, so the request is not sent.
+    ColdQuestion(ColdQuestion),
+    /// Answers a [`ColdQuestion`].
+    ColdAnswer(ColdAnswer),
 }
 
 /// The limit that an upstream advertises, relayed to all other VMs.
