feat: a request waits at most once for owners of cold upstreams

Cause: a request that finds many cold upstreams could wait for the answer of one owner after the other. The view's entries are borrowed instead of cloned for each request, and a review collects only upstreams with a recorded answer.

--- a/crates/gateway/src/front/permits.rs
+++ b/crates/gateway/src/front/permits.rs
@@ -8,7 +8,7 @@
 };
 use bergamot_routing::{GateState, RouteUpstream};
 use bergamot_types::prelude::*;
-use bergamot_warmup::ColdQuestion;
+use bergamot_warmup::{ANSWER_TIMEOUT, ColdQuestion};
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 
@@ -114,8 +114,8 @@
     }
 }
 
-/// Obtains the permits for one request. If one of them is not available now, the upstream backs
-/// off.
+/// Obtains the permits for one request, which has waited for the answers of other VMs for
+/// `asking_time` already. If one of them is not available now, the upstream backs off.
 ///
 /// # Errors
 /// Which permit is not available.
@@ -123,8 +123,10 @@
     front: &FrontContext<Dialect>,
     request: &SentRequest,
     upstream: &RouteUpstream,
+    asking_time: Millis,
 ) -> Result<SendPermit, PermitDenial> {
-    let warm_up = obtain_cold_permit(front, request, upstream).await;
+    let may_ask = asking_time < ANSWER_TIMEOUT;
+    let warm_up = obtain_cold_permit(front, request, upstream, may_ask).await;
     let warm_up = warm_up.ok_or(PermitDenial::Cold)?;
     let limit = obtain_limit_permit(front, request, upstream).await;
     let limit = limit.ok_or(PermitDenial::Limited)?;
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -46,12 +46,15 @@
 ) -> Result<PlannedSend, CallRefusal> {
     let wait_until = state.arrived + Millis(state.route.objective.0 / OBJECTIVE_WAIT_DIVISOR);
     let mut changes = front.shared.view_changed.subscribe();
+    let mut asking_time = Millis::ZERO;
     loop {
         changes.mark_unchanged();
+        let chosen_at = front.now();
         let refusal = match plan_now(front, request, state) {
-            Ok(upstream) => match obtain_permit(front, request, &upstream).await {
+            Ok(upstream) => match obtain_permit(front, request, &upstream, asking_time).await {
                 Ok(permit) => return Ok(PlannedSend { upstream, permit }),
                 Err(denial) => {
+                    asking_time = asking_time + front.now().since(chosen_at);
                     refund_retry(front, state);
                     // The upstream backs off now. Another one is chosen, unless too little time is
                     // left for its answer. While some upstreams are cold, the others may have room,
--- a/crates/gateway/src/front/warmup.rs
+++ b/crates/gateway/src/front/warmup.rs
@@ -5,9 +5,8 @@
 
 use bergamot_ports::ReplyFacts;
 use bergamot_routing::RouteUpstream;
-use bergamot_types::prelude::*;
 use bergamot_warmup::{
-    ANSWER_TIMEOUT, ColdAnswer, ColdQuestion, ColdStep, ColdVerdict, EndedEvacuation,
+    ANSWER_TIMEOUT, ColdAnswer, ColdClaim, ColdQuestion, ColdStep, ColdVerdict, EndedEvacuation,
     PERMIT_VALIDITY, WarmUpAction, WarmUpEvent, WarmUpState,
 };
 
@@ -15,7 +14,6 @@
 use super::attempt::SentRequest;
 use super::limits::back_off;
 use super::permits::{PendingPermits, PermitGrant, QuotaMessage};
-use crate::cold::ColdEntry;
 use crate::view::ClusterView;
 
 /// The warm-up state of this VM, and the view that it has applied.
@@ -35,11 +33,9 @@
         }
     }
 
-    /// Returns what the applied view states of an upstream, if its service has slow start.
-    fn entry(&self, incarnation: &UpstreamIncarnation) -> Option<ColdEntry> {
-        let view = self.view.borrow();
-        let entry = view.cold_entries.get(&incarnation.id)?;
-        (entry.incarnation == *incarnation).then(|| entry.clone())
+    /// Returns the applied view.
+    fn view(&self) -> Arc<ClusterView> {
+        Arc::clone(&self.view.borrow())
     }
 }
 
@@ -52,7 +48,7 @@
 /// which the warm-up state has not learned yet that an upstream is cold.
 fn refresh<Dialect>(front: &FrontContext<Dialect>) {
     let view = front.shared.view.load_full();
-    if Arc::ptr_eq(&view, &front.warm_up.view.borrow()) {
+    if Arc::ptr_eq(&view, &front.warm_up.view()) {
         return;
     }
     front.warm_up.view.replace(Arc::clone(&view));
@@ -72,7 +68,7 @@
 
 /// Logs which upstreams have become cold or warm.
 pub fn review<Dialect>(front: &FrontContext<Dialect>) {
-    let view = front.warm_up.view.borrow();
+    let view = front.warm_up.view();
     let mut state = front.warm_up.state.borrow_mut();
     let cold_before = state.cold_count();
     if view.cold_entries.is_empty() && cold_before == 0 {
@@ -103,7 +99,7 @@
 /// dozen milliseconds, as the state derives from it whether the list was confirmed all the time.
 pub fn tick<Dialect>(front: &FrontContext<Dialect>) {
     refresh(front);
-    if front.warm_up.view.borrow().cold_entries.is_empty() {
+    if front.warm_up.view().cold_entries.is_empty() {
         return;
     }
     let now = front.now();
@@ -113,21 +109,25 @@
 }
 
 /// Obtains a permit for one request if the upstream is cold. Returns `None` if none is available
-/// now; the upstream's gate is closed then.
+/// now; the upstream's gate is closed then. `may_ask` states whether the request can wait for the
+/// answer of another VM.
 pub async fn obtain_cold_permit<Dialect>(
     front: &FrontContext<Dialect>,
     request: &SentRequest,
     upstream: &RouteUpstream,
+    may_ask: bool,
 ) -> Option<PermitGrant> {
     tick(front);
-    let Some(entry) = front.warm_up.entry(&upstream.incarnation) else {
+    let view = front.warm_up.view();
+    let Some(entry) = view.cold_entry(&upstream.incarnation) else {
         return Some(PermitGrant::Free);
     };
     let now = front.now();
     let target = entry.target(front.shared.bounds().warm_up);
     let step = {
         let mut state = front.warm_up.state.borrow_mut();
-        state.request_permit(now, target, request.priority)
+        let priority = request.priority;
+        state.request_permit(now, target, ColdClaim { priority, may_ask })
     };
     let (outcome, permit) = match step {
         ColdStep::NotNeeded => return Some(PermitGrant::Free),
@@ -181,13 +181,11 @@
 ) -> bool {
     refresh(front);
     let now = front.now();
-    let is_cold = front
-        .warm_up
-        .entry(&upstream.incarnation)
-        .is_some_and(|entry| {
-            let target = entry.target(front.shared.bounds().warm_up);
-            front.warm_up.state.borrow().span(&target).is_cold(now)
-        });
+    let view = front.warm_up.view();
+    let is_cold = view.cold_entry(&upstream.incarnation).is_some_and(|entry| {
+        let target = entry.target(front.shared.bounds().warm_up);
+        front.warm_up.state.borrow().span(&target).is_cold(now)
+    });
     !is_cold || permit.is_valid(true, now, PERMIT_VALIDITY)
 }
 
@@ -207,7 +205,7 @@
         }
     };
     refresh(front);
-    if let Some(entry) = front.warm_up.entry(&upstream.incarnation) {
+    if let Some(entry) = front.warm_up.view().cold_entry(&upstream.incarnation) {
         let target = entry.target(front.shared.bounds().warm_up);
         handle(front, WarmUpEvent::Answered(target, cold_left));
     }
@@ -224,9 +222,10 @@
     question: &ColdQuestion,
 ) -> Option<(String, ColdAnswer)> {
     tick(front);
-    let entry = front.warm_up.entry(&question.incarnation);
+    let view = front.warm_up.view();
     let bounds = front.shared.bounds().warm_up;
-    let target = entry.as_ref().map(|entry| entry.target(bounds));
+    let entry = view.cold_entry(&question.incarnation);
+    let target = entry.map(|entry| entry.target(bounds));
     handle(front, WarmUpEvent::PermitRequested(question, target))
 }
 
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -56,6 +56,12 @@
         let entry = self.upstreams.get(&incarnation.id);
         entry.is_some_and(|entry| entry.incarnation == *incarnation)
     }
+
+    /// Returns what the directory states of an upstream's cold time, if its service has slow start.
+    pub fn cold_entry(&self, incarnation: &UpstreamIncarnation) -> Option<&ColdEntry> {
+        let entry = self.cold_entries.get(&incarnation.id);
+        entry.filter(|entry| entry.incarnation == *incarnation)
+    }
 }
 
 /// Groups the upstreams that accept new requests by service, in one pass over the directory.
--- a/crates/peer/tests/frame.rs
+++ b/crates/peer/tests/frame.rs
@@ -7,6 +7,7 @@
 use bergamot_ports::{StoreEvent, StoreGeneration, StoreItem, StoreRevision};
 use bergamot_quota::{LimitReport, PermitAnswer, PermitClaim, PermitQuestion, PermitVerdict};
 use bergamot_types::prelude::*;
+use bergamot_warmup::{ColdAnswer, ColdQuestion, ColdVerdict};
 
 const ITERATIONS: usize = 20_000;
 
@@ -180,3 +181,23 @@
         "{question_bytes} and {answer_bytes} bytes"
     );
 }
+
+/// Versions without the notices for cold upstreams decode the earlier ones by their position, which
+/// follows the header of four bytes.
+#[test]
+fn notices_for_cold_upstreams_come_after_all_earlier_ones() {
+    let question = PeerNotice::ColdQuestion(ColdQuestion {
+        vm: "front-hodmezo-ring-39".to_owned(),
+        number: 1,
+        incarnation: UpstreamIncarnation::new(UpstreamId::new("i-0d194598d5"), None),
+    });
+    let answer = PeerNotice::ColdAnswer(ColdAnswer {
+        number: 1,
+        verdict: ColdVerdict::Granted,
+    });
+    for (position, notice) in [(7, question), (8, answer)] {
+        let bytes = encode(&notice).expect("message fits into a frame");
+        assert_eq!(bytes[4], position);
+        assert_eq!(decode::<PeerNotice>(&bytes).expect("it is valid"), notice);
+    }
+}
--- a/crates/warmup/src/cold.rs
+++ b/crates/warmup/src/cold.rs
@@ -136,6 +136,11 @@
         self.answers.insert(target.incarnation.clone(), span);
     }
 
+    /// Whether an answer of the upstream stated its cold time.
+    pub fn has_answer(&self, incarnation: &UpstreamIncarnation) -> bool {
+        self.answers.contains_key(incarnation)
+    }
+
     /// Records the end of an evacuation, once.
     pub fn record_ended(&mut self, ended: &EndedEvacuation) {
         let is_known = self.ended_evacuations.iter().any(|known| {
--- a/crates/warmup/src/lib.rs
+++ b/crates/warmup/src/lib.rs
@@ -25,5 +25,5 @@
 
 pub use cold::{ColdSource, ColdSpan, ColdTable, ColdTarget, EndedEvacuation, EntryStatement};
 pub use message::{ColdAnswer, ColdQuestion, ColdVerdict};
-pub use state::{ANSWER_TIMEOUT, ColdStep, WarmUpAction, WarmUpEvent, WarmUpState};
+pub use state::{ANSWER_TIMEOUT, ColdClaim, ColdStep, WarmUpAction, WarmUpEvent, WarmUpState};
 pub use supply::{PERMIT_VALIDITY, PermitPace, PermitSupply};
--- a/crates/warmup/src/state.rs
+++ b/crates/warmup/src/state.rs
@@ -27,6 +27,9 @@
 const UNKNOWN_UPSTREAM_WAIT: Millis = Millis(250);
 /// How long an unused supply of permits is kept after the upstream has become warm.
 const SUPPLY_RETENTION: Millis = Millis(5_000);
+/// How long an upstream is left out after a request that may ask no more owners. Another request
+/// asks soon, while this one must find an upstream without a further delay.
+const PASS_OVER_TIME: Millis = Millis(20);
 /// Maximum number of pending questions.
 const MAX_PENDING_QUESTIONS: usize = 1_024;
 
@@ -74,6 +77,15 @@
     },
 }
 
+/// A request that needs a permit.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct ColdClaim {
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u8,
+    /// Whether the request can wait for an owner's answer.
+    pub may_ask: bool,
+}
+
 /// How a request gets its permit.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum ColdStep {
@@ -170,9 +182,11 @@
     {
         let mut actions = Vec::new();
         let mut cold: IndexSet<&UpstreamIncarnation> = IndexSet::new();
-        let mut listed: IndexSet<&UpstreamIncarnation> = IndexSet::new();
+        let mut answered: IndexSet<&UpstreamIncarnation> = IndexSet::new();
         for target in targets {
-            listed.insert(target.incarnation);
+            if self.table.has_answer(target.incarnation) {
+                answered.insert(target.incarnation);
+            }
             let span = self.table.span(&target);
             if !span.is_cold(now) {
                 continue;
@@ -199,7 +213,7 @@
             cold.contains(incarnation) || supply.idle_time(now) < SUPPLY_RETENTION
         });
         self.table
-            .retain(now, |incarnation| listed.contains(incarnation));
+            .retain(now, |incarnation| answered.contains(incarnation));
         actions
     }
 
@@ -208,7 +222,7 @@
         &mut self,
         now: Millis,
         target: ColdTarget<'_>,
-        priority: u8,
+        claim: ColdClaim,
     ) -> ColdStep {
         let span = self.table.span(&target);
         if !span.is_cold(now) {
@@ -228,11 +242,14 @@
         if let Some(until) = silent_until {
             return ColdStep::Later(until.since(now));
         }
+        if !claim.may_ask {
+            return ColdStep::Later(PASS_OVER_TIME);
+        }
         let pending = PendingQuestion {
             incarnation: incarnation.clone(),
             failure_domain: failure_domain.clone(),
             owner: owner.to_owned(),
-            priority,
+            priority: claim.priority,
             cold_until: span.until,
         };
         self.ask(pending)
--- a/crates/warmup/tests/bound.rs
+++ b/crates/warmup/tests/bound.rs
@@ -14,7 +14,7 @@
 use indexmap::IndexMap;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use support::{BOUNDS, RATE, entry, with_target};
+use support::{BOUNDS, CLAIM, RATE, entry, with_target};
 
 const START: u64 = 10_000;
 const END: u64 = 26_000;
@@ -196,7 +196,7 @@
     fn request(&mut self, now: u64, vm: usize) -> ColdStep {
         let state = &mut self.vms[vm].state;
         with_target(entry(1, START, 600_000), self.case.bounds, |target| {
-            state.request_permit(Millis(now), target, 1)
+            state.request_permit(Millis(now), target, CLAIM)
         })
     }
 
--- a/crates/warmup/tests/cold.rs
+++ b/crates/warmup/tests/cold.rs
@@ -7,107 +7,92 @@
 use bergamot_warmup::{ColdSource, ColdTable, ColdTarget, EndedEvacuation, EntryStatement};
 use support::{BOUNDS, entry, revision, with_target};
 
+#[derive(Clone, Copy)]
 struct SpanCase {
     name: &'static str,
     entry: EntryStatement,
-    /// Time of arrival and cold time of each answer.
-    answers: Vec<(u64, u64)>,
+    /// Time of arrival and cold time of an answer.
+    answer: Option<(u64, u64)>,
     /// Revision of the removal, and when this VM learned of it.
     ended: Option<(u64, u64)>,
     until: u64,
     source: ColdSource,
 }
 
+const COLD: SpanCase = SpanCase {
+    name: "an entry",
+    entry: entry(5, 10_000, 3_000),
+    answer: None,
+    ended: None,
+    until: 13_000,
+    source: ColdSource::Entry,
+};
+const ANSWERED: SpanCase = SpanCase {
+    name: "a later answer shortens the time",
+    answer: Some((11_000, 500)),
+    until: 11_500,
+    source: ColdSource::Answer,
+    ..COLD
+};
+const ENDED: SpanCase = SpanCase {
+    name: "the end of an evacuation",
+    entry: entry(5, 10_000, 0),
+    ended: Some((7, 20_000)),
+    until: 23_000,
+    source: ColdSource::Evacuation,
+    ..COLD
+};
+
 #[test]
 fn the_latest_statement_is_in_force() {
     let cases = [
-        SpanCase {
-            name: "an entry",
-            entry: entry(5, 10_000, 3_000),
-            answers: vec![],
-            ended: None,
-            until: 13_000,
-            source: ColdSource::Entry,
-        },
-        SpanCase {
-            name: "a later answer shortens the time",
-            entry: entry(5, 10_000, 3_000),
-            answers: vec![(11_000, 500)],
-            ended: None,
-            until: 11_500,
-            source: ColdSource::Answer,
-        },
+        COLD,
+        ANSWERED,
         SpanCase {
             name: "a later answer ends the time",
-            entry: entry(5, 10_000, 3_000),
-            answers: vec![(11_000, 0)],
-            ended: None,
+            answer: Some((11_000, 0)),
             until: 11_000,
-            source: ColdSource::Answer,
+            ..ANSWERED
         },
         SpanCase {
             name: "an earlier answer does not override the entry",
-            entry: entry(5, 10_000, 1_000),
-            answers: vec![(9_900, 3_000)],
-            ended: None,
-            until: 11_000,
-            source: ColdSource::Entry,
+            answer: Some((9_900, 9_000)),
+            ..COLD
         },
         SpanCase {
-            name: "a warm upstream that turns cold",
+            name: "a warm upstream that turns cold, for a huge time",
             entry: entry(5, 10_000, 0),
-            answers: vec![(12_000, 3_000)],
-            ended: None,
-            until: 15_000,
-            source: ColdSource::Answer,
-        },
-        SpanCase {
-            name: "an answer with a huge time",
-            entry: entry(5, 10_000, 0),
-            answers: vec![(12_000, u64::MAX)],
-            ended: None,
+            answer: Some((12_000, u64::MAX)),
             until: 12_000 + MAX_COLD_TIME.0,
-            source: ColdSource::Answer,
-        },
-        SpanCase {
-            name: "the end of an evacuation",
-            entry: entry(5, 10_000, 0),
-            answers: vec![],
-            ended: Some((7, 20_000)),
-            until: 23_000,
-            source: ColdSource::Evacuation,
+            ..ANSWERED
         },
+        ENDED,
         SpanCase {
             name: "an entry that was written before the end and arrives after it",
             entry: entry(6, 20_500, 0),
-            answers: vec![],
-            ended: Some((7, 20_000)),
-            until: 23_000,
-            source: ColdSource::Evacuation,
+            ..ENDED
         },
         SpanCase {
             name: "an entry that was written after the end",
             entry: entry(8, 21_000, 500),
-            answers: vec![],
-            ended: Some((7, 20_000)),
             until: 21_500,
             source: ColdSource::Entry,
+            ..ENDED
         },
         SpanCase {
-            name: "an answer from before the end of an evacuation",
+            name: "an answer from before the end does not shorten a longer time",
             entry: entry(5, 10_000, 60_000),
-            answers: vec![(19_000, 0)],
-            ended: Some((7, 20_000)),
+            answer: Some((19_000, 0)),
             until: 70_000,
             source: ColdSource::Entry,
+            ..ENDED
         },
         SpanCase {
-            name: "an answer after the end of an evacuation",
-            entry: entry(5, 10_000, 0),
-            answers: vec![(20_100, 1_000)],
-            ended: Some((7, 20_000)),
+            name: "an answer after the end",
+            answer: Some((20_100, 1_000)),
             until: 21_100,
             source: ColdSource::Answer,
+            ..ENDED
         },
     ];
     for case in cases {
@@ -120,8 +105,8 @@
             });
         }
         let span = with_target(case.entry, BOUNDS, |target| {
-            for (at, cold_left) in &case.answers {
-                table.record_answer(Millis(*at), &target, Millis(*cold_left));
+            if let Some((at, cold_left)) = case.answer {
+                table.record_answer(Millis(at), &target, Millis(cold_left));
             }
             table.span(&target)
         });
--- a/crates/warmup/tests/ownership.rs
+++ b/crates/warmup/tests/ownership.rs
@@ -4,9 +4,10 @@
 
 use bergamot_types::prelude::*;
 use bergamot_warmup::{
-    ColdAnswer, ColdQuestion, ColdStep, ColdVerdict, WarmUpAction, WarmUpEvent, WarmUpState,
+    ColdAnswer, ColdClaim, ColdQuestion, ColdStep, ColdVerdict, WarmUpAction, WarmUpEvent,
+    WarmUpState,
 };
-use support::{BOUNDS, entry, incarnation, with_target};
+use support::{BOUNDS, CLAIM, entry, incarnation, with_target};
 
 const CHANGE: u64 = 60_000;
 
@@ -21,7 +22,7 @@
 /// Requests a permit at a VM for an upstream that has been cold all the time.
 fn request(state: &mut WarmUpState, now: u64) -> ColdStep {
     with_target(entry(1, 0, 600_000), BOUNDS, |target| {
-        state.request_permit(Millis(now), target, 1)
+        state.request_permit(Millis(now), target, CLAIM)
     })
 }
 
@@ -143,6 +144,20 @@
     );
 }
 
+#[test]
+fn a_request_that_has_waited_for_an_owner_asks_no_other() {
+    let (_, name) = owners();
+    let mut asking = vm(name, &["a", "b", "c"]);
+    let claim = ColdClaim {
+        may_ask: false,
+        ..CLAIM
+    };
+    let step = with_target(entry(1, 0, 600_000), BOUNDS, |target| {
+        asking.request_permit(Millis(CHANGE), target, claim)
+    });
+    assert_eq!(step, ColdStep::Later(Millis(20)));
+}
+
 #[test]
 fn an_upstream_unknown_to_the_owner_gets_no_permit() {
     let (name, _) = owners();
--- a/crates/warmup/tests/support/mod.rs
+++ b/crates/warmup/tests/support/mod.rs
@@ -3,9 +3,13 @@
 
 use bergamot_ports::{StoreGeneration, StoreRevision, WarmUpBounds, WarmUpSpec};
 use bergamot_types::prelude::*;
-use bergamot_warmup::{ColdTarget, EntryStatement};
+use bergamot_warmup::{ColdClaim, ColdTarget, EntryStatement};
 
 pub const RATE: SendRate = SendRate::from_milli(17_000);
+pub const CLAIM: ColdClaim = ColdClaim {
+    priority: 1,
+    may_ask: true,
+};
 pub const BOUNDS: WarmUpBounds = WarmUpBounds {
     excess: 1.5,
     slack: 5.0,
