test: permits are checked again right before sending

Cause: the check before a request is written had no test of its own. Change: crates/gateway/tests/warmup.rs with a clock that the test moves; the crate exports FrontContext, PermitGrant and the warmup module for it.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod view;
 
 pub use daemon::GatewayDaemon;
-pub use front::{budget, deadline, flight};
+pub use front::permits::PermitGrant;
+pub use front::{FrontContext, budget, deadline, flight, warmup};
--- /dev/null
+++ b/crates/gateway/tests/warmup.rs
@@ -0,0 +1,79 @@
+//! Guards against requests that are sent to a cold upstream without a valid permit, because the
+//! upstream turned cold or the VM was suspended after the permit was obtained.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bergamot_gateway::clock::BootClock;
+use bergamot_gateway::cold::ColdEntry;
+use bergamot_gateway::shared::SharedState;
+use bergamot_gateway::view::ClusterView;
+use bergamot_gateway::warmup::is_cold_permit_valid;
+use bergamot_gateway::{FrontContext, PermitGrant};
+use bergamot_ports::{StoreRevision, WarmUpSpec};
+use bergamot_routing::RouteUpstream;
+use bergamot_types::prelude::*;
+use bergamot_warmup::EntryStatement;
+use support::entry_site;
+use tokio::sync::mpsc;
+
+static BOOT_TIME_MS: AtomicU64 = AtomicU64::new(70_000);
+
+fn boot_time() -> Duration {
+    Duration::from_millis(BOOT_TIME_MS.load(Ordering::SeqCst))
+}
+
+/// Returns a view in which the upstream's entry, received now, states this cold time.
+fn view(upstream: &RouteUpstream, cold_left: Millis, now: Millis) -> ClusterView {
+    let entry = ColdEntry {
+        incarnation: upstream.incarnation.clone(),
+        failure_domain: upstream.failure_domain.clone(),
+        spec: WarmUpSpec {
+            start_time: Millis(3_000),
+            rate: SendRate::from_milli(17_000),
+        },
+        statement: EntryStatement {
+            revision: StoreRevision::ZERO,
+            received_at: now,
+            cold_left,
+            was_warm: true,
+        },
+    };
+    ClusterView {
+        cold_entries: [(upstream.incarnation.id.clone(), entry)].into(),
+        ..ClusterView::default()
+    }
+}
+
+#[test]
+fn a_permit_is_checked_again_before_the_request_is_sent() {
+    let upstream = RouteUpstream {
+        incarnation: UpstreamIncarnation::new(UpstreamId::new("u"), Some(UnixMillis(1))),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        failure_domain: FailureDomain::new("east"),
+        slots: 8,
+        group: None,
+        speed: None,
+    };
+    let (stalls, records) = (mpsc::channel(1).0, mpsc::channel(1).0);
+    let clock = BootClock::with_source(boot_time);
+    let shared = SharedState::with_clock(entry_site(), stalls, records, clock);
+    let (crashes, stalls, messages) = (mpsc::channel(1).0, mpsc::channel(1).0, mpsc::channel(1).0);
+    let front = FrontContext::new(Arc::clone(&shared), (), crashes, stalls, messages);
+    let is_valid = |permit| is_cold_permit_valid(&front, &upstream, permit);
+    assert!(is_valid(PermitGrant::Free), "no service has slow start");
+    shared.publish(view(&upstream, Millis::ZERO, clock.now()));
+    assert!(is_valid(PermitGrant::Free), "the upstream is warm");
+    shared.publish(view(&upstream, Millis(3_000), clock.now()));
+    assert!(!is_valid(PermitGrant::Free), "the upstream turned cold");
+    let granted = PermitGrant::Granted(clock.now());
+    assert!(is_valid(granted), "the permit is fresh");
+    BOOT_TIME_MS.fetch_add(201, Ordering::SeqCst);
+    assert!(!is_valid(granted), "the VM was suspended");
+    BOOT_TIME_MS.fetch_add(2_800, Ordering::SeqCst);
+    assert!(is_valid(PermitGrant::Free), "the cold time has passed");
+}
