--- a/crates/warmup/src/silence.rs
+++ b/crates/warmup/src/silence.rs
@@ -16,7 +16,7 @@
     until: Millis,
 }
 
-/// The owners that did not answer within the last [`SILENCE_TIME`].
+/// The owners that did not answer recently.
 #[derive(Clone, Debug, Default)]
 pub struct SilentOwners {
     owners: IndexMap<String, SilentOwner>,
