refactor: events and actions of the warm-up state in a module of their own

Change: they move to event.rs unchanged. Result: clippy, doc and the tests of warmup, quota, peer and gateway pass.

--- a/crates/warmup/src/lib.rs
+++ b/crates/warmup/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`supply`] | the permits of one upstream |
 //! | [`silence`] | owners that did not answer |
 //! | [`message`] | the messages between VMs |
+//! | [`event`] | inputs of the state, and the actions that follow |
 //! | [`state`] | the state of one VM, which combines the above |
 //!
 //! The crate only makes decisions: it uses no sockets and no clock.
@@ -18,12 +19,14 @@
 #![forbid(unsafe_code)]
 
 pub mod cold;
+pub mod event;
 pub mod message;
 pub mod silence;
 pub mod state;
 pub mod supply;
 
 pub use cold::{ColdSource, ColdSpan, ColdTable, ColdTarget, EndedEvacuation, EntryStatement};
+pub use event::{ColdClaim, ColdStep, WarmUpAction, WarmUpEvent};
 pub use message::{ColdAnswer, ColdQuestion, ColdVerdict};
-pub use state::{ANSWER_TIMEOUT, ColdClaim, ColdStep, WarmUpAction, WarmUpEvent, WarmUpState};
+pub use state::{ANSWER_TIMEOUT, WarmUpState};
 pub use supply::{PERMIT_VALIDITY, PermitPace, PermitSupply};
--- a/crates/warmup/src/state.rs
+++ b/crates/warmup/src/state.rs
@@ -5,7 +5,8 @@
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 
-use crate::cold::{ColdSource, ColdSpan, ColdTable, ColdTarget, EndedEvacuation};
+use crate::cold::{ColdSource, ColdSpan, ColdTable, ColdTarget};
+use crate::event::{ColdClaim, ColdStep, WarmUpAction, WarmUpEvent};
 use crate::message::{ColdAnswer, ColdQuestion, ColdVerdict};
 use crate::silence::{SILENCE_TIME, SilentOwners};
 use crate::supply::{GRANT_SPAN, PermitPace, PermitSupply};
@@ -33,79 +34,6 @@
 /// Maximum number of pending questions.
 const MAX_PENDING_QUESTIONS: usize = 1_024;
 
-/// An input of [`WarmUpState`].
-#[derive(Clone, Copy, Debug)]
-pub enum WarmUpEvent<'a> {
-    /// An answer of an upstream stated how much longer it is cold.
-    Answered(ColdTarget<'a>, Millis),
-    /// An evacuation ended.
-    EvacuationEnded(&'a EndedEvacuation),
-    /// The list of entry VMs was current at this time. Passed at least once per second.
-    ListConfirmed(Millis),
-    /// Another VM asked for a permit for an upstream, which is none if it is not known here.
-    PermitRequested(&'a ColdQuestion, Option<ColdTarget<'a>>),
-    /// The owner answered a question of this VM.
-    PermitAnswered(&'a ColdAnswer),
-    /// The question with this number was not answered in time.
-    TimedOut(u64),
-}
-
-/// An action for the caller to take.
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub enum WarmUpAction {
-    /// Log that an upstream is cold.
-    LogCold(UpstreamIncarnation, ColdSpan),
-    /// Log that an upstream is warm again.
-    LogWarm(UpstreamIncarnation),
-    /// Answer a question.
-    Answer {
-        /// The VM that asked.
-        vm: String,
-        /// The answer.
-        answer: ColdAnswer,
-    },
-    /// Pass the verdict to the request that waits for it.
-    Resolve(ColdAnswer),
-    /// Send no request of this or a less urgent priority to the upstream for a while.
-    BackOff {
-        /// The upstream.
-        incarnation: UpstreamIncarnation,
-        /// The priority of the deferred request.
-        priority: u8,
-        /// How long to send nothing.
-        wait: Millis,
-    },
-}
-
-/// A request that needs a permit.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct ColdClaim {
-    /// Priority of the request; 0 is the most urgent.
-    pub priority: u8,
-    /// Whether the request can wait for an owner's answer.
-    pub may_ask: bool,
-}
-
-/// How a request gets its permit.
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub enum ColdStep {
-    /// The upstream is warm.
-    NotNeeded,
-    /// The permit is granted.
-    Granted,
-    /// No permit is available for this time.
-    Later(Millis),
-    /// No VM owns the permits. The upstream is left out for this time.
-    NoOwner(Millis),
-    /// Ask the owner of the permits.
-    Ask {
-        /// The VM that owns the permits.
-        owner: String,
-        /// The question to send.
-        question: ColdQuestion,
-    },
-}
-
 /// A question that the owner has not answered yet.
 #[derive(Clone, Debug)]
 struct PendingQuestion {
