--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -22,6 +22,7 @@
 //! | [`limits`] | rate limits that upstreams advertise in their answers |
 //! | [`permits`] | permits to send to an upstream with a limit |
 //! | [`addresses`] | addresses of the other entry VMs |
+//! | [`warmup`] | permits to send to an upstream that is cold |
 //! | [`exchange`] | exchange of load reports and notices between entry VMs |
 //! | [`budget`] | how many retries may be sent |
 //! | [`pool`] | connections to upstreams |
@@ -52,6 +53,7 @@
 pub mod standing;
 pub mod state;
 pub mod trace;
+pub mod warmup;
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -62,7 +64,7 @@
 use bergamot_peer::LeaderStall;
 use bergamot_ports::RouteKind;
 use bergamot_quarantine::QuarantineRecord;
-use bergamot_quota::QuotaState;
+use bergamot_quota::{PermitVerdict, QuotaState};
 use bergamot_routing::{ReturnDelays, ServingOutage, UpstreamMonitor};
 use bergamot_types::prelude::*;
 use tokio::sync::mpsc;
@@ -72,6 +74,7 @@
 use budget::RetryBudget;
 use permits::{PendingPermits, QuotaMessage};
 use pool::ConnectionPool;
+use warmup::WarmUpFront;
 
 /// State that all requests share. It is confined to one thread.
 pub struct FrontContext<Dialect> {
@@ -92,7 +95,9 @@
     /// Limits that upstreams advertise, and the rate at which all VMs send to them.
     pub quota: RefCell<QuotaState>,
     /// Requests waiting for a permit.
-    pub permits: PendingPermits,
+    pub permits: PendingPermits<PermitVerdict>,
+    /// Upstreams that are cold, and the permits to send to them.
+    pub warm_up: WarmUpFront,
     /// The life cycle of the process.
     pub stop: Rc<StopControl>,
     /// Sends crashes that this VM observed, and the requests that ran there, to the other VMs.
@@ -128,6 +133,7 @@
             budget: RefCell::new(budget),
             quota: RefCell::new(quota),
             permits: PendingPermits::default(),
+            warm_up: WarmUpFront::new(shared.site.vm.to_string()),
             stop: Rc::new(StopControl::new(Arc::clone(&shared))),
             crash_records,
             stall_notices,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 pub mod clock;
+pub mod cold;
 pub mod daemon;
 mod departures;
 mod front;
@@ -25,4 +26,5 @@
 pub mod view;
 
 pub use daemon::GatewayDaemon;
-pub use front::{addresses, budget, deadline, flight};
+pub use front::permits::PermitGrant;
+pub use front::{FrontContext, addresses, budget, deadline, flight, warmup};
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -9,6 +9,7 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
+use crate::cold::ColdEntry;
 use crate::own_keys::EntryRecord;
 
 /// The upstreams of one service.
@@ -31,6 +32,8 @@
     pub revision: StoreRevision,
     /// Upstreams that accept new requests, by service.
     pub pools: IndexMap<ServiceName, ServicePool>,
+    /// Upstreams of services with slow start. Empty if no service has one.
+    pub cold_entries: IndexMap<UpstreamId, ColdEntry>,
     /// Records of the entry VMs, by name.
     pub entries: IndexMap<String, EntryRecord>,
     /// The VM that coordinates the groups.
@@ -53,6 +56,12 @@
         let entry = self.upstreams.get(&incarnation.id);
         entry.is_some_and(|entry| entry.incarnation == *incarnation)
     }
+
+    /// Returns what the directory states of an upstream's cold time, if its service has slow start.
+    pub fn cold_entry(&self, incarnation: &UpstreamIncarnation) -> Option<&ColdEntry> {
+        let entry = self.cold_entries.get(&incarnation.id);
+        entry.filter(|entry| entry.incarnation == *incarnation)
+    }
 }
 
 /// Groups the upstreams that accept new requests by service, in one pass over the directory.
