revert: leaders that have ended are avoided for longer while they are listed

The requests that it saves at ended leaders do not show; the leaders that are left are full at that time either way.

--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -187,12 +187,9 @@
                 // The upstream is healthy; it advertises itself when it accepts requests again.
                 AttemptError::HeldBack | AttemptError::BackingOff(_) => return,
                 // The engine does not answer: other requests sent there would wait as long in vain.
-                AttemptError::NotSent(_) if is_engine => {
+                AttemptError::NotSent(_) | AttemptError::Misdirected if is_engine => {
                     monitor.record_stall(&upstream.incarnation, now);
                 }
-                AttemptError::Misdirected if is_engine => {
-                    monitor.record_misdirection(&upstream.incarnation, now);
-                }
                 _ => monitor.record_failure(&upstream.incarnation, now),
             }
             if error.may_have_run() {
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -10,16 +10,8 @@
 /// Longest avoidance.
 const MAX_AVOIDANCE: Millis = Millis(5_000);
 /// How long a stalled upstream is avoided. By then the groups' coordinator has stopped the group,
-/// or the upstream has proved healthy. Doubles with each stall without progress in between: without
-/// a store the directory goes on listing crashed leaders, and each of 58 VMs lost a request there for
-/// 1.3 s every two seconds.
+/// or the upstream has proved healthy.
 const STALL_AVOIDANCE: Millis = Millis(2_000);
-/// Longest avoidance after repeated stalls.
-const MAX_STALL_AVOIDANCE: Millis = Millis(8_000);
-/// How long an upstream is avoided that answered that it leads no group, unless the directory shows
-/// another group before. Its entry is outdated: during an outage of the store of 8 s, 58 VMs sent 650
-/// requests to two such upstreams, which used up the retries.
-const MISDIRECTION_AVOIDANCE: Millis = Millis(10_000);
 /// Shortest time between two suspicions of an upstream that reach the coordinator, which probes a
 /// member no more often.
 const SUSPICION_PERIOD: Millis = Millis(300);
@@ -80,8 +72,6 @@
     connect_failed_at: Option<Millis>,
     /// Number of consecutive failures.
     failures: u32,
-    /// Number of stalls since data was last received.
-    stalls: u32,
     avoided_until: Millis,
 }
 
@@ -215,7 +205,6 @@
     pub(crate) fn record_progress(&mut self, now: Millis) {
         self.last_received_at = now;
         self.connect_failed_at = None;
-        self.stalls = 0;
     }
 
     /// Whether data was received from the upstream within the time of a normal gap.
@@ -227,7 +216,6 @@
     pub(crate) fn record_group_change(&mut self) {
         self.avoided_until = Millis::ZERO;
         self.failures = 0;
-        self.stalls = 0;
         self.limit = None;
         self.fill = None;
     }
@@ -272,18 +260,6 @@
     }
 
     pub(crate) fn record_stall(&mut self, now: Millis) {
-        // Requests that wait at the upstream together report the same stall.
-        let is_new = self.avoided_until <= now;
-        let factor = match is_new {
-            true => 1_u64 << self.stalls.min(8),
-            false => 1,
-        };
-        self.stalls += u32::from(is_new);
-        let avoidance = Millis(STALL_AVOIDANCE.0 * factor).min(MAX_STALL_AVOIDANCE);
-        self.avoided_until = self.avoided_until.max(now + avoidance);
-    }
-
-    pub(crate) fn record_misdirection(&mut self, now: Millis) {
-        self.avoided_until = self.avoided_until.max(now + MISDIRECTION_AVOIDANCE);
+        self.avoided_until = self.avoided_until.max(now + STALL_AVOIDANCE);
     }
 }
--- a/crates/routing/src/monitor.rs
+++ b/crates/routing/src/monitor.rs
@@ -274,11 +274,6 @@
         self.load_mut(incarnation).record_stall(now);
     }
 
-    /// Records that an upstream answered that it leads no group.
-    pub fn record_misdirection(&mut self, incarnation: &UpstreamIncarnation, now: Millis) {
-        self.load_mut(incarnation).record_misdirection(now);
-    }
-
     /// Drops upstreams that are no longer listed and have no requests in flight.
     pub fn retain<IsListed>(&mut self, is_listed: IsListed, now: Millis)
     where
