fix: permit questions of VMs without a key are answered too

Cause: answers to permit questions took the address of the asking VM from its record in the store, which a VM that was cut off from the store has lost; it then sends nothing to upstreams with a limit. Change: the source of a question is remembered like that of a load report.

--- a/crates/gateway/src/front/exchange.rs
+++ b/crates/gateway/src/front/exchange.rs
@@ -120,10 +120,13 @@
             return Vec::new();
         }
     };
-    match frame::decode(&buffer[..length]) {
+    let notice = frame::decode(&buffer[..length]);
+    if let Some(vm) = notice.as_ref().ok().and_then(awaiting_vm) {
+        addresses.record(vm, source, front.now());
+    }
+    match notice {
         Ok(PeerNotice::Load(notice)) => {
             let now = front.now();
-            addresses.record(&notice.vm, source, now);
             let mut book = front.monitor.borrow_mut();
             let event = OccupancyEvent::Received(&notice);
             load_notices(book.occupancy.handle(now, event))
@@ -163,6 +166,16 @@
     }
 }
 
+/// Returns the VM that sent a notice and awaits a reply to it.
+fn awaiting_vm(notice: &PeerNotice) -> Option<&str> {
+    match notice {
+        PeerNotice::Load(notice) => Some(&notice.vm),
+        PeerNotice::PermitQuestion(question) => Some(&question.vm),
+        PeerNotice::ColdQuestion(question) => Some(&question.vm),
+        _ => None,
+    }
+}
+
 fn load_notices(actions: Vec<OccupancyAction>) -> Vec<AddressedNotice> {
     let notices = actions.into_iter();
     let notices = notices.map(|action| AddressedNotice {
