feat: evacuations and ended evacuations in the cluster view

Cause: upstream selection, the groups' planner and the warm-up need to know which failure domains are evacuated and which evacuations have ended recently. Change: types DomainEvacuation and EndedEvacuation in the gateway's module evacuations, and two fields of ClusterView. Both are empty so far. Result: the gateway builds.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod daemon;
 mod departures;
+pub mod evacuations;
 mod front;
 pub mod group_actions;
 pub mod groups;
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -430,6 +430,7 @@
             holds: known.holds.clone(),
             term: known.term,
             has_had_coordinator: known.has_had_coordinator,
+            ..ClusterView::default()
         });
     }
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -9,6 +9,7 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
+use crate::evacuations::{DomainEvacuation, EndedEvacuation};
 use crate::own_keys::EntryRecord;
 
 /// The upstreams of one service.
@@ -45,6 +46,10 @@
     pub term: StoreRevision,
     /// Whether there ever was a coordinator.
     pub has_had_coordinator: bool,
+    /// Failure domains that are evacuated.
+    pub evacuations: IndexMap<FailureDomain, DomainEvacuation>,
+    /// Failure domains whose evacuation has ended recently.
+    pub ended_evacuations: IndexMap<FailureDomain, EndedEvacuation>,
 }
 
 impl ClusterView {
