feat: evacuated failure domains are known and left out of the pools

Cause: operators write op/evacuate/ZONE, and no VM took notice of it. Change: EvacuationState (pure) keeps the evacuations. Writes, removals and reads of the whole store change it; an outage does not, and neither does a read that is older than the key. After a restore that lacks a known key the evacuation is held for 60 s. build_pools leaves out upstreams of evacuated domains and marks pools that have no others. Each VM logs domain_evacuated and domain_returned and sets the gauge evacuated_domains.

--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -12,6 +12,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::departures::DepartureLog;
+use crate::evacuations::{EvacuationChange, EvacuationEvent, EvacuationState};
 use crate::own_keys::{
     COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, HOLD_PREFIX, QUARANTINE_PREFIX, TERM_KEY,
     hold_from_bytes,
@@ -72,6 +73,9 @@
     unlisted: Vec<UpstreamId>,
     /// Changes of crash records since they were last taken.
     crash_record_changes: Vec<CrashRecordChange>,
+    pub(crate) evacuations: EvacuationState,
+    /// Changes of the evacuations since they were last logged.
+    pub(crate) evacuation_changes: Vec<EvacuationChange>,
     /// Removed entries that may be written again, with the time at which they are dropped.
     pub(crate) expired: IndexMap<UpstreamId, Millis>,
     /// Whether the last call to the store failed.
@@ -87,9 +91,11 @@
     {
         match event {
             StoreEvent::Written(item) => self.apply_item(catalog, &item, now),
-            StoreEvent::Removed { key, .. } => {
+            StoreEvent::Removed { key, revision } => {
                 if let Some(id) = catalog.upstream_id(&key) {
                     self.remove_upstream(&id, now);
+                } else if let Some(domain) = catalog.evacuated_domain(&key) {
+                    self.apply_evacuation(EvacuationEvent::Removed(domain, revision), now);
                 } else if key == COORDINATOR_KEY {
                     self.coordinator = None;
                     self.coordinator_revision = StoreRevision::ZERO;
@@ -116,6 +122,8 @@
                 Ok(entry) => self.apply_entry(entry, item.revision, now),
                 Err(error) => self.apply_unreadable(&id, item.revision, &error.reason),
             }
+        } else if let Some(domain) = catalog.evacuated_domain(&item.key) {
+            self.apply_evacuation_key(domain, item.revision, now);
         } else if item.key == COORDINATOR_KEY {
             self.coordinator = EntryRecord::from_bytes(&item.value);
             self.coordinator_revision = item.revision;
@@ -331,9 +339,9 @@
         }
     }
 
-    /// Returns the time until the grace of the next expired entry ends or untrusted entries are
-    /// trusted. `None` if there is no such entry or the store is unreachable, as both begin with its
-    /// return.
+    /// Returns the time until the grace of the next expired entry or a hold of an evacuation ends, or
+    /// untrusted entries are trusted. `None` if there is none of them or the store is unreachable, as
+    /// all begin with its return.
     pub(crate) fn time_until_review(&self, now: Millis) -> Option<Duration> {
         if self.is_store_unreachable {
             return None;
@@ -343,6 +351,7 @@
             .values()
             .map(|until| self.removal_time(*until))
             .chain(self.departures.trusted_at())
+            .chain(self.evacuations.next_hold_end())
             .min()?;
         Some(earliest_review.since(now).as_duration() + Duration::from_millis(1))
     }
@@ -352,8 +361,8 @@
         grace_end.map_or(until, |end| end.max(until))
     }
 
-    /// Removes the entries that were not written again within the grace, and adds those that are
-    /// trusted now. Returns whether there were any.
+    /// Removes the entries that were not written again within the grace, adds those that are trusted
+    /// now, and ends the holds of evacuations that are over. Returns whether there were any.
     pub(crate) fn review_entries(&mut self, now: Millis) -> bool {
         if self.is_store_unreachable {
             return false;
@@ -375,7 +384,9 @@
         if !due_ids.is_empty() {
             log::info!("event=upstream_lapsed upstreams={}", join_ids(&due_ids));
         }
-        has_trusted || !due_ids.is_empty()
+        let revision = self.revision.unwrap_or_default();
+        self.apply_evacuation(EvacuationEvent::Tick(revision), now);
+        has_trusted || !due_ids.is_empty() || !self.evacuation_changes.is_empty()
     }
 }
 
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -10,6 +10,7 @@
 mod lost;
 mod own;
 mod peers;
+mod publish;
 mod quarantine;
 mod read;
 mod serve;
@@ -36,11 +37,10 @@
 use self::lost::LostRecords;
 use self::own::maintain_own_key;
 use self::peers::{FeedError, POLL_PERIOD};
-use self::quarantine::{apply_crash_record_changes, write_records};
+use self::quarantine::write_records;
 use self::serve::serve_updates;
 use crate::known::KnownState;
 use crate::shared::SharedState;
-use crate::view::{ClusterView, build_pools};
 
 /// Period of confirmations at a VM that follows the store. They also show that its watch has not
 /// stalled, and its peers rely on updates that are not much older.
@@ -272,6 +272,7 @@
             }
         }
         self.known.apply_event(&self.catalog, change, now);
+        self.log_evacuations(None);
     }
 
     /// Records that all changes up to `revision` are known.
@@ -364,87 +365,4 @@
         self.shared.set_store_unreachable(false);
         self.known.store_returned_at = Some(now);
     }
-
-    fn count_store_call(&mut self, call: &str, error: Option<&StoreError>) {
-        count_call(&self.shared, call, error);
-        self.note_generation(self.store.generation(), call);
-    }
-
-    /// Returns the latest generation that the store or a peer reported.
-    fn latest_generation(&self) -> StoreGeneration {
-        self.store
-            .generation()
-            .max(self.generation.unwrap_or_default())
-    }
-
-    /// Handles that the store is in `generation`, as reported by an answer to `call`. After a restore
-    /// everything is read again.
-    fn note_generation(&mut self, generation: StoreGeneration, call: &str) {
-        let known = self.generation.unwrap_or(generation);
-        self.generation = Some(known.max(generation));
-        if generation <= known {
-            return;
-        }
-        log::warn!(
-            "event=store_restored generation={generation} before={known} call={call} revision={} config={}",
-            self.known.revision.unwrap_or_default(),
-            self.known.config_version()
-        );
-        self.shared.metrics.store_restores.inc();
-        self.shared
-            .metrics
-            .set_state("store_generation", generation.0 as i64);
-        self.known.revision = None;
-        // Entries that the copy lacks are written again as after an outage.
-        let now = self.shared.clock.now();
-        self.known.record_store_return(now);
-        self.known.restored_at = Some(now);
-    }
-
-    fn publish(&mut self) {
-        self.rank_peers();
-        self.known.log_unlisted();
-        apply_crash_record_changes(&self.shared, &self.known.take_crash_record_changes());
-        let known = &self.known;
-        let mut feed_state = self.feed_state.borrow_mut();
-        if feed_state.config_version != known.config_version() {
-            feed_state.config.clone_from(&known.config_item);
-            feed_state.config_version = known.config_version();
-        }
-        feed_state.returned_at = known.store_returned_at;
-        feed_state.restored_at = known.restored_at;
-        drop(feed_state);
-        let pools = known
-            .config
-            .as_ref()
-            .map(|config| build_pools(config, &known.upstreams));
-        self.shared.publish(ClusterView {
-            config: known.config.clone(),
-            upstreams: known.upstreams.clone(),
-            revision: known.revision.unwrap_or_default(),
-            pools: pools.unwrap_or_default(),
-            entries: known.entries.clone(),
-            coordinator: known.coordinator.clone(),
-            coordinator_revision: known.coordinator_revision,
-            restored_at: known.restored_at,
-            holds: known.holds.clone(),
-            term: known.term,
-            has_had_coordinator: known.has_had_coordinator,
-            ..ClusterView::default()
-        });
-    }
-}
-
-/// Counts a call to the store in the metrics.
-fn count_call(shared: &SharedState, call: &str, error: Option<&StoreError>) {
-    let outcome = match error {
-        None => "ok",
-        Some(StoreError::Refused(_)) => "refused",
-        Some(StoreError::NotSent(_)) => "not_sent",
-        Some(StoreError::Unknown(_)) => "unknown",
-        Some(StoreError::Restored) => "restored",
-        Some(StoreError::Malformed(_)) => "malformed",
-    };
-    let calls = &shared.metrics.store_calls;
-    calls.with_label_values(&[call, outcome]).inc();
 }
--- a/crates/gateway/src/sync/own.rs
+++ b/crates/gateway/src/sync/own.rs
@@ -7,7 +7,7 @@
 use bergamot_ports::{KeyWrite, StateStore, StoreLease, StoreRevision, StoreTxn, TxnOutcome};
 use rand::Rng;
 
-use super::count_call;
+use super::publish::count_call;
 use crate::own_keys::{ENTRY_PREFIX, EntryRecord};
 use crate::shared::SharedState;
 
--- a/crates/gateway/src/sync/quarantine.rs
+++ b/crates/gateway/src/sync/quarantine.rs
@@ -11,8 +11,8 @@
 use bergamot_types::prelude::*;
 use tokio::sync::mpsc;
 
-use super::count_call;
 use super::lost::LostRecords;
+use super::publish::count_call;
 use crate::known::CrashRecordChange;
 use crate::own_keys::{crash_key, quarantine_key};
 use crate::shared::SharedState;
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -15,6 +15,7 @@
 
 use super::peers::FeedError;
 use super::{STORE_NAME, StoreSync, max_served_bytes};
+use crate::evacuations::{EvacuationEvent, has_valid_name};
 use crate::own_keys::{ENTRY_PREFIX, QUARANTINE_PREFIX};
 
 /// How long to wait for peers that have just started to read the store. A peer takes about a second
@@ -228,6 +229,17 @@
             self.known.departures.distrust_copy(revision, now + lapse);
             self.collect_lost_records(&items, now);
         }
+        let evacuated: Vec<_> = items
+            .iter()
+            .filter_map(|item| Some((self.catalog.evacuated_domain(&item.key)?, item.revision)))
+            .filter(|(domain, _)| has_valid_name(domain))
+            .collect();
+        let event = EvacuationEvent::Read {
+            domains: &evacuated,
+            revision,
+        };
+        self.known.apply_evacuation(event, now);
+        self.log_evacuations(Some(source));
         let mut listed: Vec<UpstreamId> = Vec::new();
         for item in &items {
             listed.extend(self.catalog.upstream_id(&item.key));
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -7,7 +7,7 @@
 };
 use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::evacuations::{DomainEvacuation, EndedEvacuation};
 use crate::own_keys::EntryRecord;
@@ -19,6 +19,37 @@
     pub plain: Vec<RouteUpstream>,
     /// Leaders of serving groups, by model.
     pub models: IndexMap<ModelName, Vec<RouteUpstream>>,
+    /// Whether instances exist, all of them in evacuated failure domains.
+    pub is_plain_evacuated: bool,
+    /// Models that are served, all leaders being in evacuated failure domains.
+    pub evacuated_models: IndexSet<ModelName>,
+}
+
+impl ServicePool {
+    /// Whether a request for `model`, or without one, lacks upstreams only because their failure
+    /// domains are evacuated.
+    pub fn is_evacuated(&self, model: Option<&ModelName>) -> bool {
+        let is_model_evacuated = model.is_some_and(|model| self.evacuated_models.contains(model));
+        is_model_evacuated || (self.is_plain_evacuated && self.models.is_empty())
+    }
+
+    /// Records an upstream of an evacuated failure domain, which gets no requests.
+    fn record_evacuated(&mut self, model: Option<ModelName>) {
+        match model {
+            Some(model) => {
+                self.evacuated_models.insert(model);
+            }
+            None => self.is_plain_evacuated = true,
+        }
+    }
+
+    /// Removes the marks of what other failure domains serve too.
+    fn clear_served_marks(&mut self) {
+        self.is_plain_evacuated &= self.plain.is_empty();
+        let models = &self.models;
+        self.evacuated_models
+            .retain(|model| !models.contains_key(model));
+    }
 }
 
 /// Everything that was read from the store.
@@ -60,10 +91,12 @@
     }
 }
 
-/// Groups the upstreams that accept new requests by service, in one pass over the directory.
+/// Groups the upstreams that accept new requests by service, in one pass over the directory. Leaves
+/// out those in evacuated failure domains.
 pub fn build_pools(
     config: &ServingConfig,
     upstreams: &IndexMap<UpstreamId, UpstreamEntry>,
+    evacuations: &IndexMap<FailureDomain, DomainEvacuation>,
 ) -> IndexMap<ServiceName, ServicePool> {
     let mut pools: IndexMap<ServiceName, ServicePool> = IndexMap::new();
     for entry in upstreams.values() {
@@ -73,8 +106,13 @@
         let Some(spec) = config.services.get(&entry.service) else {
             continue;
         };
+        let is_evacuated = evacuations.contains_key(&entry.failure_domain);
         let pool = pools.entry(entry.service.clone()).or_default();
         let Some(engine) = &spec.engine else {
+            if is_evacuated {
+                pool.record_evacuated(None);
+                continue;
+            }
             pool.plain.push(route_upstream(entry, entry.slots, None));
             continue;
         };
@@ -88,6 +126,10 @@
         let Some(model) = led_model(entry) else {
             continue;
         };
+        if is_evacuated {
+            pool.record_evacuated(Some(model));
+            continue;
+        }
         let pace = engine
             .models
             .get(&model)
@@ -96,6 +138,9 @@
         let upstream = route_upstream(entry, engine.slots, speed);
         pool.models.entry(model).or_default().push(upstream);
     }
+    for pool in pools.values_mut() {
+        pool.clear_served_marks();
+    }
     pools
 }
 
--- a/crates/ports/src/catalog.rs
+++ b/crates/ports/src/catalog.rs
@@ -31,8 +31,8 @@
     /// Returns the id of the upstream whose entry has this key.
     fn upstream_id(&self, key: &str) -> Option<UpstreamId>;
 
-    /// Returns the failure domain whose evacuation the key requests, if it is such a key. The value
-    /// has no meaning.
+    /// Returns the failure domain whose evacuation the key requests, if it is such a key. Its name may
+    /// be empty. The value has no meaning.
     fn evacuated_domain(&self, key: &str) -> Option<FailureDomain>;
 
     /// Parses a configuration.
