feat: requests avoid evacuated domains and are refused at once without others

Cause: a request whose upstreams are all evacuated waited and got no_upstream, and a request that was selected before the evacuation was still sent. Change: plan_now refuses with domains_evacuated and a Retry-After of 2 to 3 s, at most a third of the caller's time left and spread over the upper third of the range also then. may_send checks the failure domain again right before the request is written.

--- a/crates/gateway/src/front/permits.rs
+++ b/crates/gateway/src/front/permits.rs
@@ -160,7 +160,7 @@
 }
 
 /// Whether a request may be sent now: since it was chosen, its upstream may have advertised a limit
-/// or asked for backoff. A permit overrides the gate of the limit, which other requests may have
+/// or asked for backoff, or its failure domain may have been evacuated. A permit overrides the gate of the limit, which other requests may have
 /// closed in the meantime.
 pub fn may_send<Dialect>(
     front: &FrontContext<Dialect>,
@@ -181,7 +181,9 @@
         .gates
         .state(&upstream.incarnation, request.priority, now);
     let is_closed = !matches!(gate, GateState::Open | GateState::Limited(_));
-    permit.is_valid(is_limited, now) && !is_closed
+    let view = front.shared.view.load();
+    let is_evacuated = view.evacuations.contains_key(&upstream.failure_domain);
+    permit.is_valid(is_limited, now) && !is_closed && !is_evacuated
 }
 
 impl<Dialect> FrontContext<Dialect> {
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bergamot_ports::ServingConfig;
-use bergamot_routing::{RouteUpstream, UpstreamChoice, UpstreamCriteria};
+use bergamot_routing::{RouteUpstream, UpstreamChoice, UpstreamCriteria, longest_delay};
 use bergamot_types::prelude::*;
 
 use super::FrontContext;
@@ -11,7 +11,8 @@
 use super::attempt::SentRequest;
 use super::permits::{SendPermit, obtain_permit};
 use super::refusal::{
-    CallRefusal, MIN_RETURN_DELAY, RETURN_NO_UPSTREAM, RETURN_SPREAD, RETURN_STOPPING,
+    CallRefusal, EVACUATED_SPREAD, MIN_RETURN_DELAY, RETURN_EVACUATED, RETURN_NO_UPSTREAM,
+    RETURN_SPREAD, RETURN_STOPPING,
 };
 use super::standing::check_standing;
 use super::state::CallState;
@@ -104,6 +105,9 @@
     let isolation_index = check_standing(front, request, state)?;
     let no_upstream = CallRefusal::retry_in(ErrorKind::NoUpstream, RETURN_NO_UPSTREAM);
     let pool = view.pools.get(&state.service).ok_or(no_upstream)?;
+    if pool.is_evacuated(request.call.model.as_ref()) {
+        return Err(domains_evacuated(state.deadline.since(now)));
+    }
     let upstreams = match &request.call.model {
         Some(model) if !pool.models.is_empty() => pool.models.get(model).ok_or(no_upstream)?,
         _ => &pool.plain,
@@ -189,6 +193,15 @@
     )
 }
 
+/// Returns the rejection for a request whose upstreams are all in evacuated failure domains. The
+/// delays of callers differ also where the time left shortens them.
+fn domains_evacuated(time_left: Millis) -> CallRefusal {
+    let longest = longest_delay(time_left).min(RETURN_EVACUATED + EVACUATED_SPREAD);
+    let spread = Millis(longest.0 / 3);
+    let delay = longest.since(Millis(rand::random_range(0..=spread.0)));
+    CallRefusal::retry_in(ErrorKind::DomainsEvacuated, delay)
+}
+
 /// Returns the reason why a request may not be sent again, if it has used up its sends.
 fn exhausted_reason(state: &CallState, runs: usize) -> Option<&'static str> {
     let max_attempts = state.route.max_attempts as usize;
--- a/crates/gateway/src/front/refusal.rs
+++ b/crates/gateway/src/front/refusal.rs
@@ -24,6 +24,14 @@
 /// that were rejected together do not return to it at the same moment.
 pub const RETURN_SPREAD: Millis = Millis(200);
 
+/// Shortest return delay while all upstreams are in evacuated failure domains, unless the caller has
+/// less time left. Operators end an evacuation after seconds to minutes.
+pub const RETURN_EVACUATED: Millis = Millis::from_secs(2);
+
+/// Upper bound of the random time added to [`RETURN_EVACUATED`], a third of the sum, so that the
+/// callers of an evacuated domain do not all return at the same moment.
+pub const EVACUATED_SPREAD: Millis = Millis::from_secs(1);
+
 /// Return delay if this VM is stopping. Short, as another VM accepts the request.
 pub const RETURN_STOPPING: Millis = Millis(50);
 
