feat: no group is formed whose leader would be in an evacuated domain

Cause: leaders of evacuated failure domains get no requests, but the planner formed groups there, loaded weights for them and counted existing ones as supply, so that no spares elsewhere replaced them. Change: GroupPlanner::set_evacuated. The leader of a new group is the first of its members outside the evacuated domains; without one no group forms. Groups led from such a domain are kept and do not count as supply, and those that form already continue. No spare of such a domain is loaded or warmed up. The coordinator passes on the evacuations of its view.

--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -360,12 +360,11 @@
 }
 
 fn engine_service(view: &ClusterView) -> Option<(ServiceName, EngineSpec)> {
-    let services = view.config.as_ref()?.services.values();
-    let mut engine_services = services.filter_map(|spec| {
+    let mut services = view.config.as_ref()?.services.values();
+    services.find_map(|spec| {
         let engine = spec.engine.clone()?;
         Some((spec.name.clone(), engine))
-    });
-    engine_services.next()
+    })
 }
 
 fn update_planner(
@@ -394,6 +393,7 @@
         planner
     });
     planner.set_spec(spec);
+    planner.set_evacuated(view.evacuations.keys().cloned());
     let entries = view.upstreams.values();
     let members = entries.filter(|entry| entry.service == service);
     planner.set_directory(members, view.revision.to_ordinal(), shared.clock.now());
--- a/crates/groups/src/allocate.rs
+++ b/crates/groups/src/allocate.rs
@@ -4,6 +4,7 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
+use crate::evacuated::EvacuatedDomains;
 use crate::upstream::UpstreamRecord;
 
 /// Minimum factor by which the supply of another model must exceed that of a model that takes over
@@ -110,6 +111,8 @@
     pub spare_divisor: usize,
     /// Groups that serve or form, by model.
     pub groups: IndexMap<ModelName, usize>,
+    /// Failure domains in which no group may have its leader.
+    pub evacuated: &'a EvacuatedDomains,
 }
 
 impl AllocationContext<'_> {
@@ -124,6 +127,7 @@
 }
 
 fn best_candidate(
+    evacuated: &EvacuatedDomains,
     model: &ModelSpec,
     pools: &IndexMap<FabricDomain, FreePool<'_>>,
     domain_members: &IndexMap<(FailureDomain, ModelName), usize>,
@@ -143,10 +147,12 @@
             a.0.cmp(&b.0)
                 .then_with(|| a.1.entry.incarnation.id.cmp(&b.1.entry.incarnation.id))
         });
+        if !evacuated.move_leader_to_front(&mut ranked) {
+            continue;
+        }
         ranked.truncate(model.group_size);
-        let slowest_readiness = ranked
-            .last()
-            .map_or(Readiness::Warm, |(readiness, _)| *readiness);
+        let readiness_values = ranked.iter().map(|(readiness, _)| *readiness);
+        let slowest_readiness = readiness_values.max().unwrap_or(Readiness::Warm);
         let pending_loads = ranked
             .iter()
             .filter(|(readiness, _)| *readiness > Readiness::Staging);
@@ -211,7 +217,13 @@
             true => 0,
             false => context.spare_divisor,
         };
-        let Some(candidate) = best_candidate(model, pools, domain_members, spare_divisor) else {
+        let Some(candidate) = best_candidate(
+            context.evacuated,
+            model,
+            pools,
+            domain_members,
+            spare_divisor,
+        ) else {
             continue;
         };
         let own_supply = supply(model, groups);
@@ -251,8 +263,10 @@
     mut pools: IndexMap<FabricDomain, FreePool<'_>>,
 ) -> Allocation {
     let mut allocation = Allocation::default();
-    let all_free: Vec<&UpstreamRecord> =
-        pools.values().flat_map(|pool| pool.free.clone()).collect();
+    let all_free = pools.values().flat_map(|pool| pool.free.clone());
+    // A spare warms up as the leader of a group of its own.
+    let all_free = all_free.filter(|record| context.evacuated.allows_leader(record));
+    let all_free: Vec<&UpstreamRecord> = all_free.collect();
     let mut groups = context.groups.clone();
     let mut domain_members: IndexMap<(FailureDomain, ModelName), usize> = IndexMap::new();
     for pool in pools.values() {
@@ -271,6 +285,10 @@
             &mut allocation,
         );
     }
+    for pool in pools.values_mut() {
+        pool.free
+            .retain(|record| context.evacuated.allows_leader(record));
+    }
     stage_spares(context.spec, &pools, &mut allocation);
     warm_spares(&all_free, &mut allocation);
     allocation
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -16,6 +16,7 @@
 mod allocate;
 mod assign;
 pub mod demand;
+mod evacuated;
 mod forming;
 mod issue;
 mod observe;
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -10,6 +10,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::demand::{ModelDemand, needed_shares};
+use crate::evacuated::EvacuatedDomains;
 use crate::forming::FormingGroup;
 use crate::options::GroupOptions;
 use crate::upstream::UpstreamRecord;
@@ -55,6 +56,7 @@
     pub(crate) spec: EngineSpec,
     /// Demand for each model.
     demands: IndexMap<ModelName, ModelDemand>,
+    pub(crate) evacuated: EvacuatedDomains,
     pub(crate) fence: u64,
     pub(crate) epoch: u64,
     pub(crate) is_fenced: bool,
@@ -115,6 +117,7 @@
             options,
             spec,
             demands: IndexMap::new(),
+            evacuated: EvacuatedDomains::default(),
             fence,
             epoch: fence,
             is_fenced: false,
--- a/crates/groups/src/step.rs
+++ b/crates/groups/src/step.rs
@@ -34,8 +34,9 @@
         let mut group_counts: IndexMap<ModelName, usize> = IndexMap::new();
         let mut free: Vec<UpstreamId> = Vec::new();
         for (key, group) in &groups {
-            if self.forming.contains_key(&key.0) {
-                *group_counts.entry(group_model(&key.0)).or_default() += 1;
+            if let Some(forming) = self.forming.get(&key.0) {
+                let is_supply = self.is_supply(&forming.members[0]);
+                *group_counts.entry(group_model(&key.0)).or_default() += usize::from(is_supply);
                 continue;
             }
             self.step_group(now, key, group, &mut group_counts, &mut free, &mut actions);
@@ -177,13 +178,14 @@
             return;
         };
         let loss = self.find_loss(now, key, group, size);
+        let supply = usize::from(self.is_supply(leader));
         match (state, loss) {
             (MemberState::Broken, _) => {
                 free.extend(group.members.iter().map(|(_, id, _)| id.clone()));
             }
-            (MemberState::Open, None) => *group_counts.entry(model).or_default() += 1,
+            (MemberState::Open, None) => *group_counts.entry(model).or_default() += supply,
             (MemberState::Ready, None) if self.is_joined(group, size) => {
-                *group_counts.entry(model).or_default() += 1;
+                *group_counts.entry(model).or_default() += supply;
                 let order = GroupOrder::Open {
                     group: key.0.clone(),
                     epoch: key.1,
--- a/crates/groups/tests/support/shorthand.rs
+++ b/crates/groups/tests/support/shorthand.rs
@@ -57,6 +57,7 @@
     pub staged: Option<&'static str>,
     pub group: Option<(&'static str, usize, MemberState)>,
     pub is_draining: bool,
+    pub failure_domain: &'static str,
 }
 
 pub const fn upstream(id: &'static str, staged: Option<&'static str>) -> ShortEntry {
@@ -66,6 +67,7 @@
         staged,
         group: None,
         is_draining: false,
+        failure_domain: "east",
     }
 }
 
@@ -86,7 +88,7 @@
         incarnation: incarnation(upstream.id),
         service: ServiceName::new("engines"),
         addr: ([10, 0, 0, 1], 9_000 + index as u16).into(),
-        failure_domain: FailureDomain::new("east"),
+        failure_domain: FailureDomain::new(upstream.failure_domain),
         fabric: Some(FabricDomain::new(upstream.fabric)),
         state: match upstream.is_draining {
             true => UpstreamState::Draining,
