feat: VMs that start after a restore learn of lost evacuations from their peers

Cause: a VM that starts after the store was restored finds no key of an evacuation that the copy lacks, and would send requests to the evacuated domain. Change: StoreUpdates carries retained_evacuations (domain, revision and age of the hold), feed version 4. A peer that has not noticed the restore passes on all its evacuations. A hold counts from its beginning at the first VM, and is not brought back once the operator has written or removed the key. A starting VM that reads a restored store asks two peers, as it already does for the configuration.

--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -4,6 +4,7 @@
 //! key. Nothing else ends it, except that a key that a restored store lacks counts for
 //! [`RESTORED_EVACUATION_HOLD`] more.
 
+use bergamot_peer::RetainedEvacuation;
 use bergamot_ports::{StoreGeneration, StoreRevision};
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
@@ -128,6 +129,28 @@
         holds.min().map(|since| since + RESTORED_EVACUATION_HOLD)
     }
 
+    /// Returns the evacuations that this VM, which knows the store at `known`, passes on to a peer
+    /// whose state is of generation `peer_generation`: those that it keeps in force without their
+    /// keys. If the peer knows of a restore that this VM has not noticed, these are all of them.
+    pub fn retained(
+        &self,
+        known: StoreRevision,
+        peer_generation: StoreGeneration,
+        now: Millis,
+    ) -> Vec<RetainedEvacuation> {
+        let is_before_restore = known.generation < peer_generation;
+        let evacuations = self.evacuations.iter().filter_map(|(domain, evacuation)| {
+            let unnoticed_since = is_before_restore.then_some(now);
+            let held_since = evacuation.held_since.or(unnoticed_since)?;
+            Some(RetainedEvacuation {
+                domain: domain.clone(),
+                revision: evacuation.revision,
+                age: now.since(held_since),
+            })
+        });
+        evacuations.collect()
+    }
+
     /// Applies an event and returns the changes that follow from it.
     pub fn handle(&mut self, now: Millis, event: EvacuationEvent<'_>) -> Vec<EvacuationChange> {
         match event {
--- a/crates/gateway/src/sync/board.rs
+++ b/crates/gateway/src/sync/board.rs
@@ -5,6 +5,8 @@
 use bergamot_ports::StoreItem;
 use bergamot_types::prelude::*;
 
+use crate::evacuations::EvacuationState;
+
 /// Store updates to serve, and their age.
 #[derive(Debug, Default)]
 pub(crate) struct FeedState {
@@ -22,6 +24,8 @@
     pub(crate) returned_at: Option<Millis>,
     /// When the store was last restored.
     pub(crate) restored_at: Option<Millis>,
+    /// The known evacuations.
+    pub(crate) evacuations: EvacuationState,
 }
 
 impl FeedState {
@@ -42,7 +46,9 @@
         let lacks_config = request
             .lacks_config_after
             .is_some_and(|version| version < self.config_version);
-        UpdateResponse::Changes(StoreUpdates {
+        let (known, peer_generation) = (table.complete_revision(), request.after.generation);
+        let retained_evacuations = self.evacuations.retained(known, peer_generation, now);
+        UpdateResponse::Changes(Box::new(StoreUpdates {
             changes: batch.changes,
             revision: batch.revision,
             has_more: batch.has_more,
@@ -54,6 +60,7 @@
             config_age,
             since_return: self.returned_at.map(|at| now.since(at)),
             since_restore: self.restored_at.map(|at| now.since(at)),
-        })
+            retained_evacuations,
+        }))
     }
 }
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::{CONFIRM_PERIOD, StoreSync};
+use crate::evacuations::EvacuationEvent;
 
 /// Period of requests to a peer. A change is known here after at most this period and the reader's
 /// own pause, a fraction of the time after which a leaving upstream must get no new requests.
@@ -166,7 +167,7 @@
     ) -> Result<StoreUpdates, FeedError> {
         let requested_at = self.shared.clock.now();
         let updates = match self.feed_client.request_updates(addr, request).await? {
-            UpdateResponse::Changes(updates) => updates,
+            UpdateResponse::Changes(updates) => *updates,
             UpdateResponse::Forgotten => return Err(FeedError::Forgotten),
             UpdateResponse::NotReady => return Err(FeedError::NotReady),
         };
@@ -202,6 +203,7 @@
     ) {
         self.record_success();
         self.apply_store_return(&updates, requested_at);
+        self.apply_retained(&updates, requested_at);
         let now = self.shared.clock.now();
         for change in std::mem::take(&mut updates.changes) {
             self.apply_change(change, now);
@@ -234,6 +236,20 @@
         }
     }
 
+    /// Applies the evacuations that a peer keeps in force because a restored store lacks them.
+    pub(super) fn apply_retained(&mut self, updates: &StoreUpdates, requested_at: Millis) {
+        let (now, generation) = (self.shared.clock.now(), self.latest_generation());
+        for retained in &updates.retained_evacuations {
+            let event = EvacuationEvent::Retained {
+                domain: retained.domain.clone(),
+                revision: retained.revision,
+                held_since: Millis(requested_at.0.saturating_sub(retained.age.0)),
+                generation,
+            };
+            self.known.apply_evacuation(event, now);
+        }
+    }
+
     /// Applies the confirmation of the configuration by the peer at `addr`, or reads the newer
     /// configuration that the peer knows of.
     pub(super) async fn apply_confirmation(
--- a/crates/gateway/src/sync/publish.rs
+++ b/crates/gateway/src/sync/publish.rs
@@ -65,6 +65,7 @@
         }
         feed_state.returned_at = known.store_returned_at;
         feed_state.restored_at = known.restored_at;
+        feed_state.evacuations.clone_from(&known.evacuations);
         drop(feed_state);
         let pools = known
             .config
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -123,6 +123,7 @@
             self.apply_store_return(&updates, requested_at);
             let fresh_at = Millis(requested_at.0.saturating_sub(updates.age.0));
             self.replace_all(items.into_values().collect(), after, fresh_at, vm);
+            self.apply_retained(&updates, requested_at);
             self.apply_confirmation(&updates, requested_at, addr).await;
             self.publish();
             return Ok(());
@@ -141,7 +142,7 @@
             self.known.is_unread_restore(range.revision) || self.is_first_read(&range);
         self.replace_all(range.items, range.revision, started_at, STORE_NAME);
         if is_restored {
-            self.query_newer_config().await;
+            self.query_lost_keys().await;
         }
         if self.known.is_config_stored() {
             self.shared.record_confirmation(started_at);
@@ -156,9 +157,9 @@
             && range.revision.generation > StoreGeneration::default()
     }
 
-    /// Asks peers for a later configuration than the one read from a restored store, which lacks it
-    /// until the operator has written it again.
-    async fn query_newer_config(&mut self) {
+    /// Asks peers for a later configuration than the one read from a restored store, and for
+    /// evacuations. The store lacks them until the operator has written them again.
+    async fn query_lost_keys(&mut self) {
         let site = &self.shared.site;
         let mut peers: Vec<_> = self.known.entries.values().collect();
         peers.retain(|entry| entry.vm != site.vm.as_str());
@@ -168,7 +169,7 @@
         for addr in peer_addrs {
             let requested_at = self.shared.clock.now();
             let request = UpdateRequest {
-                after: StoreRevision::MAX,
+                after: StoreRevision::new(self.latest_generation(), u64::MAX),
                 unaffected_until: StoreRevision::MAX,
                 lacks_config_after: Some(self.known.config_version()),
             };
@@ -178,6 +179,7 @@
                 continue;
             };
             self.apply_store_return(&updates, requested_at);
+            self.apply_retained(&updates, requested_at);
             if let Some(item) = &updates.config {
                 self.known.apply_config(&self.catalog, item);
             }
@@ -258,6 +260,7 @@
         });
         let mut feed_state = self.feed_state.borrow_mut();
         feed_state.table = Some(UpdateTable::from_items(served_items, revision));
+        feed_state.evacuations.clone_from(&self.known.evacuations);
         feed_state.freshness.mark_current(fresh_at);
         drop(feed_state);
         let config = self.known.config.as_ref();
--- a/crates/gateway/tests/evacuations.rs
+++ b/crates/gateway/tests/evacuations.rs
@@ -238,6 +238,53 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+struct RetainCase {
+    name: &'static str,
+    steps: &'static [Step],
+    /// What this VM knows of the store.
+    known: (u64, u64),
+    peer_generation: u64,
+    /// Age in milliseconds of the hold that the peer is told of.
+    expected: Option<u64>,
+}
+
+/// A VM that starts after a restore can learn of a lost key from its peers only. Peers do not pass on
+/// keys that the store holds, which may be removed meanwhile.
+#[test]
+fn peers_are_told_of_exactly_the_keys_that_a_restored_store_lacks() {
+    use Step::{ReadLacking, Wait, Write};
+    let cases = [
+        RetainCase {
+            name: "the store holds the key",
+            steps: &[Write(0, 5)],
+            known: (0, 9),
+            peer_generation: 0,
+            expected: None,
+        },
+        RetainCase {
+            name: "the restored store lacks the key",
+            steps: &[Write(0, 50), ReadLacking(1, 9), Wait(Millis(700))],
+            known: (1, 9),
+            peer_generation: 1,
+            expected: Some(700),
+        },
+        RetainCase {
+            name: "this VM has not noticed the restore that the peer knows of",
+            steps: &[Write(0, 50), Wait(Millis(700))],
+            known: (0, 50),
+            peer_generation: 1,
+            expected: Some(0),
+        },
+    ];
+    for case in cases {
+        let (state, now) = apply(case.steps);
+        let peer_generation = StoreGeneration(case.peer_generation);
+        let retained = state.retained(revision(case.known), peer_generation, now);
+        let ages: Vec<u64> = retained.iter().map(|retained| retained.age.0).collect();
+        assert_eq!(ages, Vec::from_iter(case.expected), "{}", case.name);
+    }
+}
+
 /// Warm-up compares the revisions of entries with that of the removal.
 #[test]
 fn the_end_of_an_evacuation_has_its_revision_and_is_forgotten_in_the_end() {
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -6,8 +6,8 @@
 
 use crate::frame::PeerMessage;
 
-/// Version of the feed's messages, whose revisions have a generation since version 3.
-const FEED_VERSION: u8 = 3;
+/// Version of the feed's messages, which carry retained evacuations since version 4.
+const FEED_VERSION: u8 = 4;
 
 impl PeerMessage for UpdateRequest {
     const VERSION: u8 = FEED_VERSION;
@@ -34,7 +34,7 @@
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum UpdateResponse {
     /// The changes that the requester lacks.
-    Changes(StoreUpdates),
+    Changes(Box<StoreUpdates>),
     /// The requester lacks changes that the peer no longer has.
     Forgotten,
     /// The peer has not read the store yet.
@@ -67,4 +67,18 @@
     pub since_return: Option<Millis>,
     /// Time since the peer noticed that the store was restored, if it was.
     pub since_restore: Option<Millis>,
+    /// Evacuations that the restored store lacks and that the peer keeps in force.
+    pub retained_evacuations: Vec<RetainedEvacuation>,
+}
+
+/// The evacuation of a failure domain that stays in force for some time after a restore of the store
+/// has lost its key.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct RetainedEvacuation {
+    /// The failure domain.
+    pub domain: FailureDomain,
+    /// The revision at which the key was last written.
+    pub revision: StoreRevision,
+    /// Time since the peer began to keep the evacuation in force without its key.
+    pub age: Millis,
 }
--- a/crates/peer/tests/frame.rs
+++ b/crates/peer/tests/frame.rs
@@ -118,7 +118,7 @@
             revision: StoreRevision::new(StoreGeneration(0), number),
         })
     };
-    let updates = UpdateResponse::Changes(StoreUpdates {
+    let updates = UpdateResponse::Changes(Box::new(StoreUpdates {
         changes: (0..1_100).map(entry).collect(),
         revision: StoreRevision::new(StoreGeneration(0), 1_100),
         has_more: false,
@@ -130,7 +130,8 @@
         config_age: Millis::ZERO,
         since_return: None,
         since_restore: None,
-    });
+        retained_evacuations: Vec::new(),
+    }));
     let uncompressed_bytes = 1_100 * 310;
     let encoded = encode(&updates).expect("message fits into a frame");
     println!("{} bytes", encoded.len());
