--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -65,7 +65,7 @@
         revision: StoreRevision,
     },
     /// A peer holds the evacuation of a failure domain since `held_since` because a restored store
-    /// lacks the key. The store is in `generation`.
+    /// lacks the key.
     Retained {
         /// The failure domain.
         domain: FailureDomain,
@@ -73,8 +73,6 @@
         revision: StoreRevision,
         /// When the peer's hold began, on this VM's clock.
         held_since: Millis,
-        /// The generation of the store.
-        generation: StoreGeneration,
     },
     /// Time has passed. All changes up to the revision are known.
     Tick(StoreRevision),
@@ -102,10 +100,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EvacuationState {
     evacuations: IndexMap<FailureDomain, DomainEvacuation>,
+    /// Evacuations that ended. Peers and reads that do not know of the end do not bring them back.
     ended: IndexMap<FailureDomain, EndedEvacuation>,
-    /// Failure domains whose hold has ended, with the generation of the store then. Peers that have
-    /// not seen the end yet do not bring the hold back.
-    released: IndexMap<FailureDomain, StoreGeneration>,
 }
 
 impl EvacuationState {
@@ -170,11 +166,9 @@
                 domain,
                 revision,
                 held_since,
-                generation,
             } => {
-                let is_released = self.released.get(&domain) == Some(&generation);
                 let is_over = now.since(held_since) >= RESTORED_EVACUATION_HOLD;
-                if is_released || is_over || self.evacuations.contains_key(&domain) {
+                if is_over || self.evacuations.contains_key(&domain) {
                     return Vec::new();
                 }
                 let Some(began) = self.begin(domain.clone(), revision, now) else {
@@ -197,9 +191,7 @@
     ) -> Option<EvacuationChange> {
         if let Some(known) = self.evacuations.get_mut(&domain) {
             known.revision = known.revision.max(revision);
-            if known.held_since.take().is_some() {
-                self.released.insert(domain, revision.generation);
-            }
+            known.held_since = None;
             return None;
         }
         // A read or a peer may be older than the removal that is known already.
@@ -227,7 +219,6 @@
         now: Millis,
     ) -> EvacuationChange {
         self.evacuations.shift_remove(&domain);
-        self.released.insert(domain.clone(), revision.generation);
         self.ended
             .retain(|_, end| now.since(end.known_at) <= END_MEMORY);
         let end = EndedEvacuation {
@@ -246,8 +237,6 @@
         revision: StoreRevision,
         now: Millis,
     ) -> Vec<EvacuationChange> {
-        self.released
-            .retain(|_, generation| *generation == revision.generation);
         let mut changes = Vec::new();
         let listed: IndexSet<&FailureDomain> = domains.iter().map(|(domain, _)| domain).collect();
         let missing = self.evacuations.iter();
@@ -276,8 +265,9 @@
             let held_since = evacuation.held_since;
             held_since.is_some_and(|since| now.since(since) >= RESTORED_EVACUATION_HOLD)
         });
-        let due: Vec<FailureDomain> = due.map(|(domain, _)| domain.clone()).collect();
-        let changes = due.into_iter().flat_map(|domain| {
+        let due = due.map(|(domain, known)| (domain.clone(), known.revision.max(revision)));
+        let due: Vec<_> = due.collect();
+        let changes = due.into_iter().flat_map(|(domain, revision)| {
             let hold = EvacuationChange::HoldEnded(domain.clone());
             [hold, self.end(domain, revision, now)]
         });
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -238,13 +238,12 @@
 
     /// Applies the evacuations that a peer keeps in force because a restored store lacks them.
     pub(super) fn apply_retained(&mut self, updates: &StoreUpdates, requested_at: Millis) {
-        let (now, generation) = (self.shared.clock.now(), self.latest_generation());
+        let now = self.shared.clock.now();
         for retained in &updates.retained_evacuations {
             let event = EvacuationEvent::Retained {
                 domain: retained.domain.clone(),
                 revision: retained.revision,
                 held_since: Millis(requested_at.0.saturating_sub(retained.age.0)),
-                generation,
             };
             self.known.apply_evacuation(event, now);
         }
--- a/crates/gateway/tests/evacuations.rs
+++ b/crates/gateway/tests/evacuations.rs
@@ -5,7 +5,8 @@
 };
 use bergamot_gateway::view::build_pools;
 use bergamot_ports::{
-    ServiceSpec, ServingConfig, StoreGeneration, StoreRevision, UpstreamEntry, UpstreamState,
+    EngineSpec, GroupMembership, MemberState, ServiceSpec, ServingConfig, StoreGeneration,
+    StoreRevision, UpstreamEntry, UpstreamState,
 };
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
@@ -60,7 +61,6 @@
                 domain: east.clone(),
                 revision: revision(key),
                 held_since: Millis(now.0 - age),
-                generation: StoreGeneration(1),
             },
             Step::Wait(duration) => {
                 now = now + duration;
@@ -154,6 +154,29 @@
             is_evacuated: true,
             has_ended: false,
         },
+        StateCase {
+            name: "a second read does not extend the hold",
+            steps: &[
+                Write(0, 50),
+                ReadLacking(1, 9),
+                Wait(JUST_BEFORE),
+                ReadLacking(1, 12),
+                Wait(Millis(1)),
+            ],
+            is_evacuated: false,
+            has_ended: true,
+        },
+        StateCase {
+            name: "a peer's hold ends a moment later",
+            steps: &[
+                Write(0, 50),
+                ReadLacking(1, 9),
+                Wait(RESTORED_EVACUATION_HOLD),
+                Retain(JUST_BEFORE.0, (0, 50)),
+            ],
+            is_evacuated: false,
+            has_ended: true,
+        },
         StateCase {
             name: "the key is written again during the hold",
             steps: &[
@@ -294,7 +317,7 @@
     assert!(state.ended(now + ENDED_RETENTION + Millis(1)).is_empty());
 }
 
-/// Returns the entry of an instance of the plain service `desk`.
+/// Returns the entry of an upstream of the service `desk`, which leads a group if it has engines.
 fn entry(id: &str, failure_domain: &str, state: UpstreamState) -> UpstreamEntry {
     UpstreamEntry {
         incarnation: UpstreamIncarnation::new(UpstreamId::new(id), Some(UnixMillis(1))),
@@ -307,7 +330,12 @@
         cold_left: Millis::ZERO,
         staged: Vec::new(),
         models: Vec::new(),
-        membership: None,
+        membership: Some(GroupMembership {
+            group: GroupId::new("m0.7"),
+            epoch: 7,
+            rank: 0,
+            state: MemberState::Open,
+        }),
     }
 }
 
@@ -369,31 +397,53 @@
             is_marked: false,
         },
     ];
+    for case in cases {
+        for has_engines in [false, true] {
+            check_pool(&case, has_engines);
+        }
+    }
+}
+
+fn check_pool(case: &PoolCase, has_engines: bool) {
+    let engine = EngineSpec {
+        slots: 8,
+        models: IndexMap::new(),
+        loads_per_second: 10.0,
+        parallel_loads: 6,
+        open_time: Millis(10),
+        speed: None,
+    };
     let name = ServiceName::new("desk");
     let spec = ServiceSpec {
         name: name.clone(),
         max_connections: 100,
-        engine: None,
+        engine: has_engines.then_some(engine),
         warm_up: None,
     };
     let config = ServingConfig {
         services: [(name.clone(), spec)].into(),
         ..ServingConfig::default()
     };
-    for case in cases {
-        let mut state = EvacuationState::default();
-        for domain in case.evacuated {
-            let event = EvacuationEvent::Written(FailureDomain::new(domain), revision((0, 5)));
-            state.handle(START, event);
-        }
-        let entries = [entry("d0", "east", Ready), entry("d1", "west", case.west)];
-        let entries = entries.map(|entry| (entry.incarnation.id.clone(), entry));
-        let upstreams = IndexMap::from(entries);
-        let pools = build_pools(&config, &upstreams, state.evacuations());
-        let pool = pools.get(&name).cloned().unwrap_or_default();
-        let domains = pool.plain.iter().map(|upstream| &upstream.failure_domain);
-        let domains: Vec<&str> = domains.map(FailureDomain::as_str).collect();
-        assert_eq!(domains, case.expected, "{}", case.name);
-        assert_eq!(pool.is_evacuated(None), case.is_marked, "{}", case.name);
+    let mut state = EvacuationState::default();
+    for domain in case.evacuated {
+        let event = EvacuationEvent::Written(FailureDomain::new(domain), revision((0, 5)));
+        state.handle(START, event);
     }
+    let entries = [
+        entry("d0", "east", UpstreamState::Ready),
+        entry("d1", "west", case.west),
+    ];
+    let entries = entries.map(|entry| (entry.incarnation.id.clone(), entry));
+    let pools = build_pools(&config, &IndexMap::from(entries), state.evacuations());
+    let pool = pools.get(&name).cloned().unwrap_or_default();
+    let model = ModelName::new("m0");
+    let leaders = pool.models.get(&model).cloned().unwrap_or_default();
+    let (upstreams, model) = match has_engines {
+        true => (leaders, Some(&model)),
+        false => (pool.plain.clone(), None),
+    };
+    let domains = upstreams.iter().map(|upstream| &upstream.failure_domain);
+    let domains: Vec<&str> = domains.map(FailureDomain::as_str).collect();
+    assert_eq!(domains, case.expected, "{}", case.name);
+    assert_eq!(pool.is_evacuated(model), case.is_marked, "{}", case.name);
 }
--- a/crates/groups/tests/evacuated.rs
+++ b/crates/groups/tests/evacuated.rs
@@ -83,6 +83,27 @@
             ],
             expected: [&["e1: stage b", "e2: stage b"], &[]],
         },
+        EvacuationCase {
+            name: "the only candidate for the leader has no weights yet",
+            upstreams: vec![spanning("e1", Some("a")), spanning("w1", None)],
+            expected: [&["e1: join a of 1", "w1: stage a"], &["w1: stage a"]],
+        },
+        EvacuationCase {
+            name: "a group that is about to open is not supply either",
+            upstreams: vec![
+                ShortEntry {
+                    group: Some(("a.7", 0, MemberState::Ready)),
+                    ..host("e1", Some("a"))
+                },
+                grouped("e2", "a.7", 1),
+                host("w1", None),
+                host("w2", None),
+            ],
+            expected: [
+                &["e1: open", "w1: stage b", "w2: stage b"],
+                &["e1: open", "w1: stage a", "w2: stage a"],
+            ],
+        },
         EvacuationCase {
             name: "an existing group is kept and replaced by spares elsewhere",
             upstreams: vec![
