--- a/crates/gateway/src/front/permits.rs
+++ b/crates/gateway/src/front/permits.rs
@@ -216,7 +216,8 @@
 }
 
 /// Whether a request may be sent now: since it was chosen, its upstream may have advertised a limit,
-/// turned cold or asked for backoff. A permit overrides the gate of the limit, which other requests may have
+/// turned cold or asked for backoff, or its failure domain may have been evacuated. A permit
+/// overrides the gate of the limit, which other requests may have
 /// closed in the meantime.
 pub fn may_send<Dialect>(
     front: &FrontContext<Dialect>,
@@ -237,9 +238,12 @@
         .gates
         .state(&upstream.incarnation, request.priority, now);
     let is_closed = !matches!(gate, GateState::Open | GateState::Limited(_));
+    let view = front.shared.view.load();
+    let is_evacuated = view.evacuations.contains_key(&upstream.failure_domain);
     permit.limit.is_valid(is_limited, now, PERMIT_VALIDITY)
         && is_cold_permit_valid(front, upstream, permit.warm_up)
         && !is_closed
+        && !is_evacuated
 }
 
 impl<Dialect> FrontContext<Dialect> {
--- a/crates/gateway/src/front/warmup.rs
+++ b/crates/gateway/src/front/warmup.rs
@@ -40,8 +40,13 @@
 }
 
 /// Returns the evacuations that ended recently, according to a view.
-fn ended_evacuations(_view: &ClusterView) -> Vec<EndedEvacuation> {
-    Vec::new()
+fn ended_evacuations(view: &ClusterView) -> impl Iterator<Item = EndedEvacuation> {
+    let ended = view.ended_evacuations.iter();
+    ended.map(|(failure_domain, ended)| EndedEvacuation {
+        failure_domain: failure_domain.clone(),
+        revision: ended.revision,
+        learned_at: ended.known_at,
+    })
 }
 
 /// Applies the current view, if it is not applied yet. A request must not be sent by a view from
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cold;
 pub mod daemon;
 mod departures;
+pub mod evacuations;
 mod front;
 pub mod group_actions;
 pub mod groups;
