feat: home regions of a request as a pure function of route, account and zones

A route and an account may each name home regions, and both apply to a request. RequestHomes returns the failure domains that may process it. The configuration determines once whether it has any home region, so that requests need not look them up where none has.

--- a/crates/ports/src/config.rs
+++ b/crates/ports/src/config.rs
@@ -214,9 +214,33 @@
     pub accounts: Option<IndexMap<AccountToken, AccountGrant>>,
     /// Limits for what callers send.
     pub caller_limits: CallerLimits,
+    /// Whether any route or account has home regions, as [`Self::mark_home_regions`] found.
+    pub has_home_regions: bool,
 }
 
 impl ServingConfig {
+    /// Determines once whether any route or account has home regions, so that requests need not
+    /// look them up where none has.
+    #[must_use]
+    pub fn mark_home_regions(mut self) -> Self {
+        let has_home_regions = self.home_regions().next().is_some();
+        self.has_home_regions = has_home_regions;
+        self
+    }
+
+    /// Returns the home regions of all routes and accounts, with repetitions.
+    pub fn home_regions(&self) -> impl Iterator<Item = &Region> {
+        let routes = self.hosts.values().flatten();
+        let grants = self.accounts.iter().flat_map(IndexMap::values);
+        let of_routes = routes.flat_map(|route| route.home_regions.iter());
+        of_routes.chain(grants.flat_map(|grant| grant.home_regions.iter()))
+    }
+
+    /// Returns the grant of a token.
+    pub fn grant(&self, token: Option<&AccountToken>) -> Option<&AccountGrant> {
+        self.accounts.as_ref()?.get(token?)
+    }
+
     /// Returns the route for a host and a path. Costs one lookup and a scan of the host's routes.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let host_name = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod generation;
 pub mod port_set;
 pub mod region;
+pub mod residency;
 pub mod revision;
 pub mod site;
 pub mod store;
@@ -27,8 +28,8 @@
 pub use call::{CallerCall, CallerDialect, OutgoingContext, RefusalContext, ReplyFacts};
 pub use catalog::{CatalogError, MAX_ENTRY_BYTES, StoreCatalog};
 pub use config::{
-    CallerLimits, EngineSpec, EngineSpeed, ModelSpec, Route, RouteKind, RouteTarget, ServiceSpec,
-    ServingConfig, WarmUpSpec,
+    AccountGrant, CallerLimits, EngineSpec, EngineSpeed, ModelSpec, Route, RouteKind, RouteTarget,
+    ServiceSpec, ServingConfig, WarmUpSpec,
 };
 pub use control::{
     ControlError, GroupOrder, OrderOutcome, OrderRequest, UpstreamControl, UpstreamReport,
@@ -38,6 +39,7 @@
 pub use generation::{StoreGeneration, StoreLease};
 pub use port_set::PortSet;
 pub use region::{HomeRegions, RegionMap};
+pub use residency::RequestHomes;
 pub use revision::StoreRevision;
 pub use site::{ServingBounds, VmSite, WarmUpBounds};
 pub use store::{
