feat: restricted requests are sent only to upstreams in their home regions

A request whose route or account has home regions could be sent to any upstream. plan_now now computes the home regions from the configuration in force, so that waiting requests, retries and resumed streams obey a newer one. Upstream selection leaves out all other failure domains without copying the list of upstreams, and the domain is checked again right before sending if the configuration has changed since. A request that no failure domain may process is refused at once, also before its body is read. Without home regions no route is looked up again.

--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use bergamot_ports::{CallerCall, Route, ServingConfig};
+use bergamot_ports::{AccountGrant, CallerCall, Route, ServingConfig};
 use bergamot_routing::longest_delay;
 use bergamot_types::prelude::*;
 use bytes::Bytes;
@@ -11,6 +11,7 @@
 
 use super::FrontContext;
 use super::refusal::{CallRefusal, RETURN_STOPPING};
+use super::residency::{AdmittedHomes, check_admission};
 use super::state::CallState;
 use super::trace::RequestTrace;
 
@@ -54,6 +55,8 @@
     pub account: Option<ClientAccount>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
+    /// Home regions of the call.
+    pub homes: AdmittedHomes,
 }
 
 /// A call that has a route and an account.
@@ -83,7 +86,9 @@
         return Err(CallRefusal::retry_in(ErrorKind::NoBundle, wait));
     };
     let route = config.route(&call.host, path).ok_or(ErrorKind::NotFound)?;
-    let (account, granted_priority) = authorize(config, route, call)?;
+    let grant = authorize(config, route, call)?;
+    let homes = AdmittedHomes::new(route, grant);
+    check_admission(front, call, &homes)?;
     let service = pick_service(route, &call.id).ok_or(ErrorKind::NoUpstream)?;
     let timeout = call
         .deadline
@@ -108,27 +113,28 @@
             trace,
         },
         caller: AdmittedCaller {
-            account,
-            priority: granted_priority.unwrap_or(route.priority),
+            account: grant.map(|grant| grant.account.clone()),
+            priority: grant
+                .and_then(|grant| grant.priority)
+                .unwrap_or(route.priority),
+            homes,
         },
         body_limit: config.caller_limits.body_bytes,
     })
 }
 
-/// Returns the account that a call's key belongs to, and the priority granted to the key.
-pub fn authorize(
-    config: &ServingConfig,
+/// Returns the grant of a call's key. None if the configuration has no accounts, or if a call on a
+/// public route has no known key.
+pub fn authorize<'a>(
+    config: &'a ServingConfig,
     route: &Route,
     call: &CallerCall,
-) -> Result<(Option<ClientAccount>, Option<u8>), ErrorKind> {
-    let Some(accounts) = &config.accounts else {
-        return Ok((None, None));
-    };
-    let grant = call.key.as_ref().and_then(|key| accounts.get(key));
+) -> Result<Option<&'a AccountGrant>, ErrorKind> {
+    let grant = config.grant(call.key.as_ref());
+    let needs_grant = config.accounts.is_some() && !route.is_public;
     match grant {
-        Some(grant) => Ok((Some(grant.account.clone()), grant.priority)),
-        None if route.is_public => Ok((None, None)),
-        None => Err(ErrorKind::Unauthorized),
+        None if needs_grant => Err(ErrorKind::Unauthorized),
+        grant => Ok(grant),
     }
 }
 
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -1,6 +1,6 @@
 //! A single attempt of a request at one upstream.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 
 use bergamot_ports::{CallerCall, CallerDialect, OutgoingContext, ReplyFacts};
 use bergamot_quarantine::RequestPrint;
@@ -20,6 +20,7 @@
 use super::limits::record_limit;
 use super::permits::{SendPermit, may_send};
 use super::pool::{ConnectError, UpstreamConnection};
+use super::residency::{AdmittedHomes, is_still_allowed};
 
 /// The parts of a request that are the same for all its attempts.
 pub struct SentRequest {
@@ -35,6 +36,10 @@
     pub account: Option<ClientAccount>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
+    /// Home regions when the request was admitted.
+    pub homes: AdmittedHomes,
+    /// Version of the configuration under which the last upstream was selected.
+    pub selection_version: Cell<u64>,
     /// Cache of [`Self::print`].
     print: OnceCell<RequestPrint>,
 }
@@ -54,6 +59,8 @@
             call,
             account: admitted.account,
             priority: admitted.priority,
+            homes: admitted.homes,
+            selection_version: Cell::new(0),
             print: OnceCell::new(),
         }
     }
@@ -190,7 +197,7 @@
         ConnectError::Refused(error) => AttemptError::NoListener(error.to_string()),
         ConnectError::Failed(reason) => AttemptError::NotSent(reason),
     })?;
-    if !may_send(front, request, upstream, permit) {
+    if !may_send(front, request, upstream, permit) || !is_still_allowed(front, request, upstream) {
         front
             .pool
             .give_back(&upstream.incarnation, connection, None);
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -9,6 +9,7 @@
 //! | [`state`] | state of a request |
 //! | [`trace`] | logs requests that a shutdown leaves without a complete answer |
 //! | [`plan`] | the next upstream for a request |
+//! | [`residency`] | the regions in which a request may be processed |
 //! | [`deadline`] | waiting with a deadline |
 //! | [`attempt`] | one attempt at one upstream |
 //! | [`relay`] | event streams, which may resume at another upstream |
@@ -46,6 +47,7 @@
 pub mod quiet;
 pub mod refusal;
 pub mod relay;
+pub mod residency;
 pub mod server;
 pub mod standing;
 pub mod state;
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -13,6 +13,7 @@
 use super::refusal::{
     CallRefusal, MIN_RETURN_DELAY, RETURN_NO_UPSTREAM, RETURN_SPREAD, RETURN_STOPPING,
 };
+use super::residency::{allowed_domains, log_homes};
 use super::standing::check_standing;
 use super::state::CallState;
 use crate::view::ClusterView;
@@ -66,6 +67,7 @@
         let now = front.now();
         let may_wait = refusal.kind == ErrorKind::NoUpstream && now < wait_until;
         if !may_wait {
+            log_homes(front, request, refusal.kind);
             return Err(refusal);
         }
         let timeout = wait_until.since(now).as_duration();
@@ -101,6 +103,7 @@
     let view: Arc<ClusterView> = front.shared.view.load_full();
     let config = view.config.as_ref().ok_or(ErrorKind::NoBundle)?;
     check_key(front, config, request, state, now)?;
+    let allowed_domains = allowed_domains(front, config, request)?;
     let isolation_index = check_standing(front, request, state)?;
     let no_upstream = CallRefusal::retry_in(ErrorKind::NoUpstream, RETURN_NO_UPSTREAM);
     let pool = view.pools.get(&state.service).ok_or(no_upstream)?;
@@ -121,6 +124,7 @@
     let criteria = UpstreamCriteria {
         home,
         tried: &state.tried,
+        allowed_domains: allowed_domains.as_deref(),
         idle_connections: &front.pool.idle_upstreams(),
         has_begun_elsewhere: state.may_have_run(),
         priority: request.priority,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::clock::BootClock;
+use crate::front::residency::warn_of_unknown_regions;
 use crate::metrics::GatewayMetrics;
 use crate::view::ClusterView;
 
@@ -197,7 +198,13 @@
 
     /// Replaces the view and notifies its subscribers.
     pub fn publish(&self, view: ClusterView) {
-        self.view.store(Arc::new(view));
+        let previous = self.view.swap(Arc::new(view));
+        let view = self.view.load();
+        if let Some(config) = &view.config
+            && previous.config.as_ref().map(|known| known.version) != Some(config.version)
+        {
+            warn_of_unknown_regions(config, &self.site.regions);
+        }
         self.view_changed.send_modify(|count| *count += 1);
     }
 }
--- a/crates/load/src/experiment/serving/run.rs
+++ b/crates/load/src/experiment/serving/run.rs
@@ -217,6 +217,7 @@
             priority: 0,
             home: &self.domains[vm],
             tried: &[],
+            allowed_domains: None,
             idle_connections: &[],
             has_begun_elsewhere: false,
             prompt_tokens: request.prompt,
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -40,6 +40,8 @@
     pub home: &'a FailureDomain,
     /// Upstreams to which the request was already sent.
     pub tried: &'a [UpstreamIncarnation],
+    /// Failure domains in which the request may be processed; none if it may be in all.
+    pub allowed_domains: Option<&'a [&'a FailureDomain]>,
     /// Upstreams to which an unused open connection exists.
     pub idle_connections: &'a [UpstreamIncarnation],
     /// Whether the request has begun at another upstream. Such a request bypasses limits, as
@@ -58,6 +60,14 @@
     pub isolation_index: Option<u64>,
 }
 
+impl UpstreamCriteria<'_> {
+    /// Whether the request may be processed at an upstream.
+    fn allows(&self, upstream: &RouteUpstream) -> bool {
+        let domains = self.allowed_domains;
+        domains.is_none_or(|domains| domains.contains(&&upstream.failure_domain))
+    }
+}
+
 /// Result of the selection.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum UpstreamChoice<'a> {
@@ -237,6 +247,7 @@
         };
         let mut untried = pool
             .iter()
+            .filter(|upstream| criteria.allows(upstream))
             .filter(|upstream| !criteria.tried.contains(&upstream.incarnation))
             .peekable();
         if untried.peek().is_none() {
@@ -257,6 +268,7 @@
         }
         let has_own_leader = pool.iter().any(|upstream| {
             self.assignment.is_assigned(&upstream.incarnation)
+                && criteria.allows(upstream)
                 && !is_avoided(upstream)
                 && gate_state(upstream).is_open()
         });
--- a/crates/routing/tests/reach.rs
+++ b/crates/routing/tests/reach.rs
@@ -160,6 +160,7 @@
             priority: 0,
             home: &home,
             tried: &[],
+            allowed_domains: None,
             idle_connections: &[],
             has_begun_elsewhere: false,
             prompt_tokens: 100,
