fix: an upstream's own 408, 429 or 503 is not relayed as a promise

On a route that is not idempotent, an upstream's answer 408, 429 or 503 without Not-Executed reached the caller, which takes it as a promise that the request has not run. It is now handled as a broken attempt and ends as upstream_lost. CallRefusal::truthful also goes by the status, as claim_forgotten is a 503 whose outcome is unknown.

--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -19,7 +19,7 @@
 use super::deadline::{DeadlinePassed, with_deadline};
 use super::open::open;
 use super::plan::{PlannedSend, plan};
-use super::refusal::{log_refusal, refuse};
+use super::refusal::{log_refusal, promises_not_run, refuse};
 use super::relay::relay_events;
 use super::state::CallState;
 use super::trace::RequestTrace;
@@ -205,6 +205,17 @@
     if !is_failure && !reply.facts.is_signed && reply.head.status.is_success() {
         return interrupted("an answer without a signature".to_owned());
     }
+    // An answer that states that the request did not run never gets here, so its status would
+    // promise what is not known.
+    let status = reply.head.status.as_u16();
+    if state.route.kind != RouteKind::Idempotent && promises_not_run(status) {
+        let reason = format!("status {status} without a statement that nothing ran");
+        if is_failure {
+            return interrupted(reason);
+        }
+        // The cause may be the caller, for whom the upstream is not to be avoided.
+        return AttemptOutcome::Failed(AttemptError::Broken(reason));
+    }
     let mut answer = CallerAnswer::new(full_body(body));
     *answer.status_mut() = reply.head.status;
     *answer.headers_mut() = front.dialect.answer_headers(&reply.head);
--- a/crates/gateway/src/front/refusal.rs
+++ b/crates/gateway/src/front/refusal.rs
@@ -27,6 +27,11 @@
 /// Return delay if this VM is stopping. Short, as another VM accepts the request.
 pub const RETURN_STOPPING: Millis = Millis(50);
 
+/// Whether an answer with this status promises that the request has not run and never will.
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Why a request is rejected, and when its caller should return.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct CallRefusal {
@@ -48,8 +53,14 @@
 impl CallRefusal {
     /// Corrects a refusal that states that the request did not run, if it may have run.
     pub fn truthful(self, state: &CallState) -> Self {
-        let states_not_run = self.kind.response().ran == RanState::No;
-        match (state.may_have_run(), states_not_run, self.kind) {
+        self.after_possible_run(state.may_have_run())
+    }
+
+    /// Corrects a refusal of a request, given whether the request may have run.
+    pub fn after_possible_run(self, may_have_run: bool) -> Self {
+        let response = self.kind.response();
+        let states_not_run = response.ran == RanState::No || promises_not_run(response.status);
+        match (may_have_run, states_not_run, self.kind) {
             (true, true, ErrorKind::DeadlineBeforeSend) => ErrorKind::DeadlineAfterSend.into(),
             (true, true, _) => ErrorKind::UpstreamLost.into(),
             _ => self,
@@ -120,3 +131,6 @@
     let (head, body) = front.dialect.refusal(&context).into_parts();
     CallerAnswer::from_parts(head, full_body(Bytes::from(body)))
 }
+
+#[cfg(test)]
+mod tests;
