--- a/crates/ports/src/residency.rs
+++ b/crates/ports/src/residency.rs
@@ -15,7 +15,7 @@
     pub account: &'a HomeRegions,
 }
 
-impl<'a> RequestHomes<'a> {
+impl RequestHomes<'_> {
     /// Whether the request may be processed anywhere.
     pub fn is_unrestricted(self) -> bool {
         self.route.is_unrestricted() && self.account.is_unrestricted()
@@ -34,7 +34,7 @@
     }
 
     /// Returns the failure domains with a region in which the request may be processed.
-    pub fn allowed_domains<'b>(self, regions: &'b RegionMap) -> Vec<&'b FailureDomain> {
+    pub fn allowed_domains(self, regions: &RegionMap) -> Vec<&FailureDomain> {
         let domains = regions.iter();
         let allowed = domains.filter(|(_, region)| self.allows(region));
         allowed.map(|(domain, _)| domain).collect()
@@ -42,7 +42,7 @@
 
     /// Returns the region of all failure domains in which the request may be processed, if there
     /// is exactly one and the request may not be processed everywhere.
-    pub fn only_region<'b>(self, regions: &'b RegionMap) -> Option<&'b Region> {
+    pub fn only_region(self, regions: &RegionMap) -> Option<&Region> {
         if self.is_unrestricted() {
             return None;
         }
