feat: a group in each region to which requests for a model are bound

Requests that may be processed in one region only were refused there while the planner had no other reason to form a group of their model in that region. ModelDemand now counts them by region, and the planner forms one group in each such region before it allocates others.

--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -21,6 +21,7 @@
 use super::plan::{PlannedSend, plan};
 use super::refusal::{log_refusal, promises_not_run, refuse};
 use super::relay::relay_events;
+use super::residency::record_bound_demand;
 use super::state::CallState;
 use super::trace::RequestTrace;
 
@@ -73,6 +74,7 @@
             .demand
             .borrow_mut()
             .record_request(arrived, model, prompt_tokens);
+        record_bound_demand(&front, &request, model);
     }
     serve(front, request, state).await
 }
--- a/crates/gateway/src/front/residency.rs
+++ b/crates/gateway/src/front/residency.rs
@@ -57,6 +57,18 @@
     Err(kind)
 }
 
+/// Counts a request that may be processed in one region only as demand for its model there.
+pub fn record_bound_demand<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    model: &ModelName,
+) {
+    let homes = request.homes.as_request_homes();
+    if let Some(region) = homes.only_region(&front.shared.site.regions) {
+        front.demand.borrow_mut().record_bound(model, region);
+    }
+}
+
 /// Returns the failure domains that may process a request under the configuration in force, or none
 /// if all may. Fails if no failure domain may. Remembers the configuration for [`is_still_allowed`].
 pub fn allowed_domains<'a, Dialect>(
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -388,6 +388,7 @@
         let inherited = inherited.collect();
         let (fence, is_first) = (term.fence, term.is_first);
         let mut planner = GroupPlanner::new(options, spec.clone(), fence, is_first, inherited, now);
+        planner.set_regions(shared.site.regions.clone());
         if view.restored_at.is_some_and(|at| now < at + HOLD_TTL) {
             planner.expect_lost_holds();
         }
--- a/crates/groups/src/allocate.rs
+++ b/crates/groups/src/allocate.rs
@@ -4,6 +4,7 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
+use crate::residency::RegionalNeed;
 use crate::upstream::UpstreamRecord;
 
 /// Minimum factor by which the supply of another model must exceed that of a model that takes over
@@ -110,6 +111,8 @@
     pub spare_divisor: usize,
     /// Groups that serve or form, by model.
     pub groups: IndexMap<ModelName, usize>,
+    /// Groups that are formed before all others, as requests are bound to a region without one.
+    pub regional_needs: Vec<RegionalNeed>,
 }
 
 impl AllocationContext<'_> {
@@ -128,10 +131,12 @@
     pools: &IndexMap<FabricDomain, FreePool<'_>>,
     domain_members: &IndexMap<(FailureDomain, ModelName), usize>,
     spare_divisor: usize,
+    need: Option<&RegionalNeed>,
 ) -> Option<Candidate> {
     let mut best: Option<Candidate> = None;
     for (fabric, pool) in pools {
-        if pool.free.len() < model.group_size {
+        let is_outside = need.is_some_and(|need| !need.includes(&pool.failure_domain));
+        if is_outside || pool.free.len() < model.group_size {
             continue;
         }
         let mut ranked: Vec<(Readiness, &UpstreamRecord)> = pool
@@ -211,7 +216,8 @@
             true => 0,
             false => context.spare_divisor,
         };
-        let Some(candidate) = best_candidate(model, pools, domain_members, spare_divisor) else {
+        let Some(candidate) = best_candidate(model, pools, domain_members, spare_divisor, None)
+        else {
             continue;
         };
         let own_supply = supply(model, groups);
@@ -261,6 +267,25 @@
             *domain_members.entry(domain_key).or_default() += count;
         }
     }
+    for need in &context.regional_needs {
+        let model = context.spec.models.get(&need.model);
+        let candidate = model.and_then(|model| {
+            // No spares are kept in a region that cannot serve its requests.
+            let candidate = best_candidate(model, &pools, &domain_members, 0, Some(need))?;
+            Some((model, candidate))
+        });
+        let Some((model, candidate)) = candidate else {
+            continue;
+        };
+        *groups.entry(model.name.clone()).or_default() += 1;
+        reserve(
+            &mut pools,
+            &mut domain_members,
+            &candidate,
+            model,
+            &mut allocation,
+        );
+    }
     while let Some((model, candidate)) = next_group(context, &pools, &domain_members, &groups) {
         *groups.entry(model.name.clone()).or_default() += 1;
         reserve(
--- a/crates/groups/src/assign.rs
+++ b/crates/groups/src/assign.rs
@@ -48,6 +48,7 @@
             spec: &spec,
             spare_divisor: self.options.spare_divisor,
             groups: group_counts,
+            regional_needs: self.regional_needs(),
         };
         let allocation = allocate(&context, pools);
         for (model, members) in allocation.form {
--- a/crates/groups/src/demand.rs
+++ b/crates/groups/src/demand.rs
@@ -19,7 +19,7 @@
 const ANSWER_WEIGHT: f64 = 0.05;
 
 /// Recent demand for one model.
-#[derive(Clone, Copy, PartialEq, Debug, Default)]
+#[derive(Clone, PartialEq, Debug, Default)]
 pub struct ModelDemand {
     /// Number of requests, with exponential decay.
     pub requests: f64,
@@ -27,6 +27,9 @@
     pub prompt_tokens: f64,
     /// Average number of events in an answer; none before the first complete answer.
     pub mean_events: Option<f64>,
+    /// Number of those requests that may be processed in one region only, by region, with the same
+    /// decay.
+    pub bound: IndexMap<Region, f64>,
 }
 
 /// Measures the demand for each model, whether its requests are served or not.
@@ -45,6 +48,12 @@
         demand.prompt_tokens += f64::from(prompt_tokens);
     }
 
+    /// Records that a request, recorded before, may be processed in one region only.
+    pub fn record_bound(&mut self, model: &ModelName, region: &Region) {
+        let demand = self.demands.entry(model.clone()).or_default();
+        *demand.bound.entry(region.clone()).or_default() += 1.0;
+    }
+
     /// Records the number of events of a complete answer.
     pub fn record_answer(&mut self, model: &ModelName, events: u64) {
         let demand = self.demands.entry(model.clone()).or_default();
@@ -65,6 +74,9 @@
         for demand in self.demands.values_mut() {
             demand.requests *= factor;
             demand.prompt_tokens *= factor;
+            for bound in demand.bound.values_mut() {
+                *bound *= factor;
+            }
         }
         self.decayed_at = self.decayed_at.max(now);
     }
@@ -84,7 +96,7 @@
     let mut needs = IndexMap::new();
     let mut requests = 0.0;
     for model in spec.models.values() {
-        let demand = demands.get(&model.name).copied().unwrap_or_default();
+        let demand = demands.get(&model.name).cloned().unwrap_or_default();
         let speed = speed.scaled_by_pace(model.pace);
         let slots = f64::from(spec.slots.max(1));
         let prompt_ms = demand.prompt_tokens / speed.tokens_per_ms;
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -21,6 +21,7 @@
 mod observe;
 mod options;
 pub mod planner;
+mod residency;
 mod step;
 mod upstream;
 mod view;
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use bergamot_ports::{
-    EngineSpec, MemberState, OrderRequest, UpstreamEntry, UpstreamReport, UpstreamTarget,
+    EngineSpec, MemberState, OrderRequest, RegionMap, UpstreamEntry, UpstreamReport, UpstreamTarget,
 };
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
@@ -54,7 +54,9 @@
     pub(crate) options: GroupOptions,
     pub(crate) spec: EngineSpec,
     /// Demand for each model.
-    demands: IndexMap<ModelName, ModelDemand>,
+    pub(crate) demands: IndexMap<ModelName, ModelDemand>,
+    /// The region of each failure domain.
+    pub(crate) regions: RegionMap,
     pub(crate) fence: u64,
     pub(crate) epoch: u64,
     pub(crate) is_fenced: bool,
@@ -115,6 +117,7 @@
             options,
             spec,
             demands: IndexMap::new(),
+            regions: RegionMap::default(),
             fence,
             epoch: fence,
             is_fenced: false,
