feat: merge data residency

A region counts as served only by groups whose leaders get requests, and a request whose home regions are all evacuated is refused at once as such.

--- a/crates/gateway/src/front/permits.rs
+++ b/crates/gateway/src/front/permits.rs
@@ -74,6 +74,15 @@
     warm_up: PermitGrant,
 }
 
+impl SendPermit {
+    /// The permit for an upstream that no bound applies to.
+    #[cfg(test)]
+    pub const FREE: Self = Self {
+        limit: PermitGrant::Free,
+        warm_up: PermitGrant::Free,
+    };
+}
+
 /// Why a request got no permit.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum PermitDenial {
@@ -239,7 +248,7 @@
         .state(&upstream.incarnation, request.priority, now);
     let is_closed = !matches!(gate, GateState::Open | GateState::Limited(_));
     let view = front.shared.view.load();
-    let is_evacuated = view.evacuations.contains_key(&upstream.failure_domain);
+    let is_evacuated = view.is_evacuated(&upstream.failure_domain);
     permit.limit.is_valid(is_limited, now, PERMIT_VALIDITY)
         && is_cold_permit_valid(front, upstream, permit.warm_up)
         && !is_closed
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -14,6 +14,7 @@
     CallRefusal, EVACUATED_SPREAD, MIN_RETURN_DELAY, RETURN_EVACUATED, RETURN_NO_UPSTREAM,
     RETURN_SPREAD, RETURN_STOPPING,
 };
+use super::residency::{allowed_domains, log_homes};
 use super::standing::check_standing;
 use super::state::CallState;
 use crate::view::ClusterView;
@@ -72,6 +73,7 @@
         let now = front.now();
         let may_wait = refusal.kind == ErrorKind::NoUpstream && now < wait_until;
         if !may_wait {
+            log_homes(front, request, refusal.kind);
             return Err(refusal);
         }
         let timeout = wait_until.since(now).as_duration();
@@ -107,17 +109,18 @@
     let view: Arc<ClusterView> = front.shared.view.load_full();
     let config = view.config.as_ref().ok_or(ErrorKind::NoBundle)?;
     check_key(front, config, request, state, now)?;
+    let allowed_domains = allowed_domains(front, config, request)?;
     let isolation_index = check_standing(front, request, state)?;
     let no_upstream = CallRefusal::retry_in(ErrorKind::NoUpstream, RETURN_NO_UPSTREAM);
+    let model = request.call.model.as_ref();
     let pool = view.pools.get(&state.service).ok_or(no_upstream)?;
-    if pool.is_evacuated(request.call.model.as_ref()) {
+    let are_homes_evacuated = allowed_domains
+        .as_ref()
+        .is_some_and(|domains| domains.iter().all(|domain| view.is_evacuated(domain)));
+    if are_homes_evacuated || pool.is_evacuated(model) {
         return Err(domains_evacuated(state.deadline.since(now)));
     }
-    let upstreams = match &request.call.model {
-        Some(model) if !pool.models.is_empty() => pool.models.get(model).ok_or(no_upstream)?,
-        _ => &pool.plain,
-    };
-    let model = request.call.model.as_ref();
+    let upstreams = pool.upstreams(model).ok_or(no_upstream)?;
     let full_delay = || front.delays.borrow().delay_if_full(model, rand::random());
     let refusal = CallRefusal::retry_in(ErrorKind::UpstreamRefused, full_delay());
     let runs = uncrashed_runs(front, &view, state);
@@ -130,6 +133,7 @@
     let criteria = UpstreamCriteria {
         home,
         tried: &state.tried,
+        allowed_domains: allowed_domains.as_deref(),
         idle_connections: &front.pool.idle_upstreams(),
         has_begun_elsewhere: state.may_have_run(),
         priority: request.priority,
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -9,11 +9,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bergamot_groups::{GroupAction, GroupOptions, GroupPlanner};
+use bergamot_groups::{GroupAction, GroupPlanner};
 use bergamot_peer::{PeerNotice, SuspicionNotice, frame};
 use bergamot_ports::{
-    EngineSpec, KeyCondition, KeyWrite, StateStore, StoreLease, StoreRevision, StoreTxn,
-    TxnOutcome, UpstreamControl,
+    KeyCondition, KeyWrite, StateStore, StoreLease, StoreRevision, StoreTxn, TxnOutcome,
+    UpstreamControl,
 };
 use bergamot_types::prelude::*;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -23,10 +23,11 @@
 use tokio::time::Instant;
 
 use crate::group_actions::{
-    CompletedAction, HOLD_TTL, MAX_CONCURRENT_CALLS, OrderWindow, act, record_completed,
+    CompletedAction, MAX_CONCURRENT_CALLS, OrderWindow, act, record_completed,
 };
 use crate::lead_term::{CoordinatorTerm, LEASE_TTL};
 use crate::own_keys::{COORDINATOR_KEY, EntryRecord, TERM_KEY};
+use crate::planner_input::{engine_service, update_planner};
 use crate::shared::SharedState;
 use crate::view::ClusterView;
 
@@ -358,43 +359,3 @@
     let coordinator = view.coordinator.as_ref();
     is_read && coordinator.is_none_or(|record| record.vm == shared.site.vm.as_str())
 }
-
-fn engine_service(view: &ClusterView) -> Option<(ServiceName, EngineSpec)> {
-    let mut services = view.config.as_ref()?.services.values();
-    services.find_map(|spec| {
-        let engine = spec.engine.clone()?;
-        Some((spec.name.clone(), engine))
-    })
-}
-
-fn update_planner(
-    shared: &SharedState,
-    planner: &mut Option<GroupPlanner>,
-    view: &ClusterView,
-    term: &CoordinatorTerm,
-) {
-    let Some((service, spec)) = engine_service(view) else {
-        return;
-    };
-    let planner = planner.get_or_insert_with(|| {
-        let options = GroupOptions {
-            stall_time: shared.bounds().stall_time,
-            ..GroupOptions::default()
-        };
-        let now = shared.clock.now();
-        let holds = view.holds.iter();
-        let inherited = holds.map(|(group, members)| (GroupId::new(group), members.clone()));
-        let inherited = inherited.collect();
-        let (fence, is_first) = (term.fence, term.is_first);
-        let mut planner = GroupPlanner::new(options, spec.clone(), fence, is_first, inherited, now);
-        if view.restored_at.is_some_and(|at| now < at + HOLD_TTL) {
-            planner.expect_lost_holds();
-        }
-        planner
-    });
-    planner.set_spec(spec);
-    planner.set_evacuated(view.evacuations.keys().cloned());
-    let entries = view.upstreams.values();
-    let members = entries.filter(|entry| entry.service == service);
-    planner.set_directory(members, view.revision.to_ordinal(), shared.clock.now());
-}
--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -14,6 +14,7 @@
 use crate::cold::EntryStatements;
 use crate::departures::DepartureLog;
 use crate::evacuations::{EvacuationChange, EvacuationEvent, EvacuationState};
+use crate::logs::join_ids;
 use crate::own_keys::{
     COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, HOLD_PREFIX, QUARANTINE_PREFIX, TERM_KEY,
     hold_from_bytes,
@@ -396,9 +397,3 @@
         has_trusted || !due_ids.is_empty() || !self.evacuation_changes.is_empty()
     }
 }
-
-/// Joins ids with commas for a log line.
-fn join_ids(ids: &[UpstreamId]) -> String {
-    let ids: Vec<&str> = ids.iter().map(UpstreamId::as_str).collect();
-    ids.join(",")
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod own_keys;
+mod planner_input;
 pub mod shared;
 pub mod signals;
 mod stop;
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -7,6 +7,8 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use bergamot_types::prelude::*;
+
 /// Capacity of the ring in lines. A few seconds of lines at peak load, less than 1 MB.
 const RING_CAPACITY_LINES: usize = 4_096;
 /// Longest wait for the last lines to be written when the process ends, so that a reader of
@@ -120,3 +122,9 @@
         }
     }
 }
+
+/// Joins ids with commas for a log line.
+pub(crate) fn join_ids(ids: &[UpstreamId]) -> String {
+    let ids: Vec<&str> = ids.iter().map(UpstreamId::as_str).collect();
+    ids.join(",")
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -34,6 +34,14 @@
         is_model_evacuated || (self.is_plain_evacuated && self.models.is_empty())
     }
 
+    /// Returns the upstreams for `model`, or for requests without one. `None` if the model has none.
+    pub fn upstreams(&self, model: Option<&ModelName>) -> Option<&Vec<RouteUpstream>> {
+        match model {
+            Some(model) if !self.models.is_empty() => self.models.get(model),
+            _ => Some(&self.plain),
+        }
+    }
+
     /// Records an upstream of an evacuated failure domain, which gets no requests.
     fn record_evacuated(&mut self, model: Option<ModelName>) {
         match model {
@@ -93,6 +101,11 @@
         entry.is_some_and(|entry| entry.incarnation == *incarnation)
     }
 
+    /// Whether a failure domain is evacuated.
+    pub fn is_evacuated(&self, failure_domain: &FailureDomain) -> bool {
+        self.evacuations.contains_key(failure_domain)
+    }
+
     /// Returns what the directory states of an upstream's cold time, if its service has slow start.
     pub fn cold_entry(&self, incarnation: &UpstreamIncarnation) -> Option<&ColdEntry> {
         let entry = self.cold_entries.get(&incarnation.id);
--- a/crates/groups/src/allocate.rs
+++ b/crates/groups/src/allocate.rs
@@ -5,6 +5,8 @@
 use indexmap::IndexMap;
 
 use crate::evacuated::EvacuatedDomains;
+use crate::residency::RegionalNeed;
+use crate::spares::{stage_spares, warm_spares};
 use crate::upstream::UpstreamRecord;
 
 /// Minimum factor by which the supply of another model must exceed that of a model that takes over
@@ -113,6 +115,8 @@
     pub groups: IndexMap<ModelName, usize>,
     /// Failure domains in which no group may have its leader.
     pub evacuated: &'a EvacuatedDomains,
+    /// Groups that are formed before all others, as requests are bound to a region without one.
+    pub regional_needs: Vec<RegionalNeed>,
 }
 
 impl AllocationContext<'_> {
@@ -132,10 +136,12 @@
     pools: &IndexMap<FabricDomain, FreePool<'_>>,
     domain_members: &IndexMap<(FailureDomain, ModelName), usize>,
     spare_divisor: usize,
+    need: Option<&RegionalNeed>,
 ) -> Option<Candidate> {
     let mut best: Option<Candidate> = None;
     for (fabric, pool) in pools {
-        if pool.free.len() < model.group_size {
+        let is_outside = need.is_some_and(|need| !need.includes(&pool.failure_domain));
+        if is_outside || pool.free.len() < model.group_size {
             continue;
         }
         let mut ranked: Vec<(Readiness, &UpstreamRecord)> = pool
@@ -217,13 +223,15 @@
             true => 0,
             false => context.spare_divisor,
         };
-        let Some(candidate) = best_candidate(
+        let candidate = best_candidate(
             context.evacuated,
             model,
             pools,
             domain_members,
             spare_divisor,
-        ) else {
+            None,
+        );
+        let Some(candidate) = candidate else {
             continue;
         };
         let own_supply = supply(model, groups);
@@ -275,6 +283,27 @@
             *domain_members.entry(domain_key).or_default() += count;
         }
     }
+    for need in &context.regional_needs {
+        let model = context.spec.models.get(&need.model);
+        let candidate = model.and_then(|model| {
+            // No spares are kept in a region that cannot serve its requests.
+            let evacuated = context.evacuated;
+            let candidate =
+                best_candidate(evacuated, model, &pools, &domain_members, 0, Some(need))?;
+            Some((model, candidate))
+        });
+        let Some((model, candidate)) = candidate else {
+            continue;
+        };
+        *groups.entry(model.name.clone()).or_default() += 1;
+        reserve(
+            &mut pools,
+            &mut domain_members,
+            &candidate,
+            model,
+            &mut allocation,
+        );
+    }
     while let Some((model, candidate)) = next_group(context, &pools, &domain_members, &groups) {
         *groups.entry(model.name.clone()).or_default() += 1;
         reserve(
@@ -294,25 +323,6 @@
     allocation
 }
 
-/// Warms spares with staged weights that are not about to join a group.
-fn warm_spares(free: &[&UpstreamRecord], allocation: &mut Allocation) {
-    for record in free {
-        let id = &record.entry.incarnation.id;
-        let is_joining = allocation
-            .form
-            .iter()
-            .any(|(_, members)| members.contains(id));
-        let is_loading = allocation.stage.iter().any(|(staged, _)| staged == id);
-        let Some(model) = record.entry.staged.last() else {
-            continue;
-        };
-        let is_cold = record.staging.is_none() && record.warm_model.as_ref() != Some(model);
-        if is_cold && !is_joining && !is_loading {
-            allocation.warm.push((id.clone(), model.clone()));
-        }
-    }
-}
-
 /// Returns the number of upstreams in groups of the model, relative to its demand.
 fn supply(model: &ModelSpec, groups: &IndexMap<ModelName, usize>) -> f64 {
     let count = groups.get(&model.name).copied().unwrap_or(0);
@@ -347,28 +357,3 @@
         allocation.form.push(form);
     }
 }
-
-/// Loads onto cold spares the model that most upstreams of their fabric domain run.
-fn stage_spares(
-    spec: &EngineSpec,
-    pools: &IndexMap<FabricDomain, FreePool<'_>>,
-    allocation: &mut Allocation,
-) {
-    for pool in pools.values() {
-        let most_common = pool.models.iter().max_by_key(|(_, count)| **count);
-        let model = most_common
-            .map(|(model, _)| model)
-            .or(spec.models.keys().next());
-        let Some(model) = model else {
-            continue;
-        };
-        let cold = pool
-            .free
-            .iter()
-            .filter(|record| record.staging.is_none() && record.entry.staged.is_empty());
-        for record in cold {
-            let stage = (record.entry.incarnation.id.clone(), model.clone());
-            allocation.stage.push(stage);
-        }
-    }
-}
--- a/crates/groups/src/assign.rs
+++ b/crates/groups/src/assign.rs
@@ -49,6 +49,7 @@
             spare_divisor: self.options.spare_divisor,
             groups: group_counts,
             evacuated: &self.evacuated,
+            regional_needs: self.regional_needs(),
         };
         let allocation = allocate(&context, pools);
         for (model, members) in allocation.form {
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -22,6 +22,8 @@
 mod observe;
 mod options;
 pub mod planner;
+mod residency;
+mod spares;
 mod step;
 mod upstream;
 mod view;
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use bergamot_ports::{
-    EngineSpec, MemberState, OrderRequest, UpstreamEntry, UpstreamReport, UpstreamTarget,
+    EngineSpec, MemberState, OrderRequest, RegionMap, UpstreamEntry, UpstreamReport, UpstreamTarget,
 };
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
@@ -55,7 +55,10 @@
     pub(crate) options: GroupOptions,
     pub(crate) spec: EngineSpec,
     /// Demand for each model.
-    demands: IndexMap<ModelName, ModelDemand>,
+    pub(crate) demands: IndexMap<ModelName, ModelDemand>,
+    /// The region of each failure domain.
+    pub(crate) regions: RegionMap,
+    /// Failure domains in which no group may have its leader.
     pub(crate) evacuated: EvacuatedDomains,
     pub(crate) fence: u64,
     pub(crate) epoch: u64,
@@ -118,6 +121,7 @@
             spec,
             demands: IndexMap::new(),
             evacuated: EvacuatedDomains::default(),
+            regions: RegionMap::default(),
             fence,
             epoch: fence,
             is_fenced: false,
