--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -72,6 +72,7 @@
             times: GroupTimes::default(),
             advertised: None,
             crash: None,
+            warm_up: None,
         };
         let desk = SiteUpstream::start(options, Arc::clone(&store));
         let desk = runtime
--- a/crates/local/src/site.rs
+++ b/crates/local/src/site.rs
@@ -64,6 +64,7 @@
                 times: GroupTimes::default(),
                 advertised: None,
                 crash: None,
+                warm_up: None,
             };
             let started = SiteUpstream::start(options, Arc::clone(&store));
             upstreams.push(runtime.block_on(started)?);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -210,6 +210,7 @@
             times: GROUP_TIMES,
             advertised: Some(link.addr),
             crash: Some(CRASH),
+            warm_up: None,
         };
         let upstream = SiteUpstream::start(options, Arc::clone(&self.store)).await?;
         link.lead_to(upstream.addr());
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -339,6 +339,7 @@
         times: GroupTimes::default(),
         advertised: None,
         crash: None,
+        warm_up: None,
     };
     let upstream = SiteUpstream::start(options, store).await;
     let upstream = upstream.expect("an upstream starts");
--- a/crates/soak/tests/said.rs
+++ b/crates/soak/tests/said.rs
@@ -180,6 +180,8 @@
         id: format!("r-{number}"),
         at: at(arrival.at),
         started_at: arrival.born,
+        cold_left: Duration::ZERO,
+        is_misdirected: false,
         advertised: case.said.clone(),
         backoff: arrival.is_rested.then(|| "3".to_owned()),
     });
--- a/crates/soak/tests/stop.rs
+++ b/crates/soak/tests/stop.rs
@@ -224,6 +224,7 @@
             times: GroupTimes::default(),
             advertised: None,
             crash: None,
+            warm_up: None,
         };
         let upstream = SiteUpstream::start(options, Arc::clone(&store)).await;
         upstreams.insert(id, upstream.expect("an upstream starts"));
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -31,6 +31,8 @@
     pub delay_ms: u64,
     /// Everything takes this many times as long; zero counts as one.
     pub slow_factor: u64,
+    /// An upstream becomes cold for so many milliseconds, once.
+    pub cold_ms: u64,
     /// Orders are obeyed whatever their fencing number.
     pub ignore_fencing: bool,
 }
@@ -105,6 +107,12 @@
         self.faults.lock().die_after_bytes.take()
     }
 
+    /// The time for which the upstream is to become cold now, if any.
+    pub fn take_cold_time(&self) -> Option<Duration> {
+        let cold_ms = std::mem::take(&mut self.faults.lock().cold_ms);
+        (cold_ms > 0).then_some(Duration::from_millis(cold_ms))
+    }
+
     /// How many times as long everything takes.
     pub fn slow_factor(&self) -> u32 {
         self.faults.lock().slow_factor.max(1) as u32
