feat: the soak evacuates failure domains, makes upstreams cold and binds requests to a region

Cause: no run showed whether evacuations, warm-up and home regions hold while processes, links and the store fail. Three checks of the audit: arrivals at an evacuated domain 3 s after the key was acknowledged, from processes that nothing kept from the store within 4 s; more than 30.5 arrivals at a cold upstream in any second; requests with a home region elsewhere. What a fault of the link to an upstream held back is left out of the first two. Arrivals are noted with their upstream, so tests of the audit build that type.

--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use bergamot_site_standin::ArrivedRequest;
 use bergamot_site_standin::upstream::SeenRequest;
 
 use crate::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
+use crate::domains::{EvacuationPeriod, RecordIndex, UpstreamArrivals, check_regions};
 use crate::plan::FaultKind;
 use crate::site::{LASTING_KEY, RevokedKey, UpstreamRole, UpstreamRun};
 use crate::violation::Violation;
@@ -85,6 +85,7 @@
 }
 
 /// Everything that was seen in a run.
+#[derive(Default)]
 pub struct AuditBook {
     /// What callers saw.
     pub records: Vec<CallRecord>,
@@ -95,7 +96,9 @@
     /// Keys that were taken away.
     pub revoked: Vec<RevokedKey>,
     /// What reached each upstream, run or not.
-    pub arrived: Vec<Vec<ArrivedRequest>>,
+    pub arrived: Vec<UpstreamArrivals>,
+    /// When failure domains were evacuated.
+    pub evacuations: Vec<EvacuationPeriod>,
 }
 
 impl AuditBook {
@@ -114,6 +117,22 @@
         found.extend(self.check_order());
         found.extend(self.check_harmful());
         found.extend(self.check_said());
+        found.extend(self.check_arrivals());
+        found
+    }
+
+    fn check_arrivals(&self) -> Vec<Violation> {
+        let records: RecordIndex<'_> = self
+            .records
+            .iter()
+            .map(|record| (record.id.as_str(), record))
+            .collect();
+        let mut found = Vec::new();
+        for arrivals in &self.arrived {
+            found.extend(self.check_evacuations(arrivals, &records));
+            found.extend(check_regions(arrivals, &records));
+            found.extend(self.check_cold(arrivals));
+        }
         found
     }
 
--- a/crates/soak/src/bin/bergamot-soak.rs
+++ b/crates/soak/src/bin/bergamot-soak.rs
@@ -51,6 +51,24 @@
         "COUNT",
     );
     options.optopt("", "stops", "planned stops besides (8)", "COUNT");
+    options.optopt(
+        "",
+        "evacuations",
+        "evacuations of failure domains (0)",
+        "COUNT",
+    );
+    options.optopt(
+        "",
+        "cold",
+        "upstreams that start or become cold; above 0 all are cold after a start (0)",
+        "COUNT",
+    );
+    options.optopt(
+        "",
+        "home-callers",
+        "callers of each process whose requests have a home region (0)",
+        "COUNT",
+    );
     options.optopt("", "seconds", "time in which faults begin (12)", "SECONDS");
     options.optopt(
         "",
@@ -124,6 +142,9 @@
         restores: matches.opt_get_default("restores", usual.restores)?,
         harmful: matches.opt_get_default("harmful", usual.harmful)?,
         stops: matches.opt_get_default("stops", usual.stops)?,
+        evacuations: matches.opt_get_default("evacuations", usual.evacuations)?,
+        cold: matches.opt_get_default("cold", usual.cold)?,
+        home_callers: matches.opt_get_default("home-callers", usual.home_callers)?,
         length: Duration::from_secs(seconds),
         ..usual
     })
@@ -139,6 +160,12 @@
         outcome.refused,
         outcome.violations.len()
     );
+    if outcome.evacuations > 0 || outcome.cold_requests > 0 {
+        println!(
+            "  {} evacuated domains, {} requests to cold upstreams, at most {} in a second",
+            outcome.evacuations, outcome.cold_requests, outcome.cold_peak
+        );
+    }
     for violation in &outcome.violations {
         println!("  {violation}");
     }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -58,6 +58,8 @@
     Bid,
     /// A stream that may be resumed, to a group; of so many events.
     Stream(u64),
+    /// Idempotent, to the plain service, with a home region.
+    Home,
     /// Ends each upstream that runs it: a stream, or idempotent; the same number is the same request.
     Harmful(UpstreamRole, usize),
 }
@@ -125,6 +127,8 @@
 pub struct CallerLoop {
     /// Its number.
     pub number: usize,
+    /// Whether all its requests have a home region.
+    pub is_home: bool,
     /// The process it calls.
     pub entry: usize,
     /// Where that listens.
@@ -147,6 +151,7 @@
             tokio::time::sleep(Duration::from_millis(pause)).await;
             let id = format!("c{}-{count}", self.number);
             let kind = match rng.random_range(0..3) {
+                _ if self.is_home => RequestKind::Home,
                 0 => RequestKind::Read,
                 1 => RequestKind::Bid,
                 _ => RequestKind::Stream(rng.random_range(1..80)),
@@ -296,6 +301,7 @@
     } = order;
     let (method, path) = match kind {
         RequestKind::Read => (Method::GET, format!("/read/{id}")),
+        RequestKind::Home => (Method::GET, format!("/home/{id}")),
         RequestKind::Bid => (Method::POST, format!("/bid/{id}")),
         RequestKind::Stream(_) => (Method::POST, format!("/stream/{id}")),
         RequestKind::Harmful(role, number) => (Method::POST, harmful_path(role, number)),
@@ -304,7 +310,10 @@
     let answer_tokens = match kind {
         RequestKind::Stream(events) => Some(events * EVENT_TOKENS),
         RequestKind::Harmful(UpstreamRole::Engine, _) => Some(HARMFUL_EVENTS * EVENT_TOKENS),
-        RequestKind::Harmful(UpstreamRole::Desk, _) | RequestKind::Read | RequestKind::Bid => None,
+        RequestKind::Harmful(UpstreamRole::Desk, _)
+        | RequestKind::Read
+        | RequestKind::Home
+        | RequestKind::Bid => None,
     };
     let sample = SampleRequest {
         id,
@@ -319,7 +328,7 @@
         builder = builder.header(name, value);
     }
     let body = match kind {
-        RequestKind::Read => Bytes::new(),
+        RequestKind::Read | RequestKind::Home => Bytes::new(),
         RequestKind::Harmful(..) => Bytes::from_static(MARKER.as_bytes()),
         _ => Bytes::from(id.to_owned()),
     };
@@ -363,6 +372,7 @@
 fn whole_answer(id: &str, kind: RequestKind) -> String {
     match kind {
         RequestKind::Read => format!("GET /read/{id} 0"),
+        RequestKind::Home => format!("GET /home/{id} 0"),
         RequestKind::Bid => format!("POST /bid/{id} {}", id.len()),
         RequestKind::Stream(events) => whole_stream(events),
         RequestKind::Harmful(UpstreamRole::Engine, _) => whole_stream(HARMFUL_EVENTS),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -125,6 +125,8 @@
             FaultKind::HarmfulRequest(role, number) => {
                 self.send_harmful(fault, role, number).await;
             }
+            FaultKind::Evacuates(choice) => self.evacuate(choice, length).await,
+            FaultKind::TurnsCold(role, index) => self.turn_cold(role, index, length),
             FaultKind::Says(role, index, said) => self.say(role, index, said, length).await,
             FaultKind::ForeignEntry(role, index, entry) => {
                 let Some(upstream) = self.site.staying(role, index) else {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,8 @@
 mod around_stop;
 pub mod audit;
 pub mod caller;
+mod cold;
+pub mod domains;
 mod faults;
 pub mod groups;
 pub mod harmful;
@@ -28,6 +30,7 @@
 pub mod violation;
 
 pub use audit::AuditBook;
+pub use domains::{DomainChoice, EvacuationPeriod, UpstreamArrivals};
 pub use options::SoakOptions;
 pub use plan::{FaultKind, FaultPlan, LinkState, TimedFault};
 pub use process::EntryProcess;
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -30,6 +30,12 @@
     pub restores: usize,
     /// Planned stops, besides those among the faults: half of them while faults begin, half once all are over.
     pub stops: usize,
+    /// Evacuations of failure domains, besides.
+    pub evacuations: usize,
+    /// Upstreams that start or become cold, besides. Above 0, all upstreams are cold after a start.
+    pub cold: usize,
+    /// Callers of each process, besides, whose requests have a home region.
+    pub home_callers: usize,
     /// The number of the first place for processes; runs that go on side by side need others.
     pub first_place: usize,
 }
@@ -50,6 +56,9 @@
             said: 3,
             restores: 2,
             stops: 8,
+            evacuations: 0,
+            cold: 0,
+            home_callers: 0,
             first_place: 0,
         }
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,6 +7,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::cold::draw_cold;
+use crate::domains::{DomainChoice, draw_evacuations};
 use crate::options::SoakOptions;
 use crate::said::SaidFault;
 use crate::site::UpstreamRole;
@@ -84,6 +86,10 @@
     HarmfulRequest(UpstreamRole, usize),
     /// An upstream says something of itself in its answers.
     Says(UpstreamRole, usize, SaidFault),
+    /// Failure domains are evacuated; their upstreams return at the end, cold if they warm up.
+    Evacuates(DomainChoice),
+    /// An upstream becomes cold while it serves.
+    TurnsCold(UpstreamRole, usize),
     /// The operator takes a key away and gives out another.
     ChangeKeys,
 }
@@ -110,7 +116,7 @@
 const SHORTEST_MS: u64 = 100;
 /// The longest: past the store's leases, the time after which a group breaks, and the time for which a
 /// key may be trusted without a confirmation.
-const LONGEST_MS: u64 = 9_000;
+pub(crate) const LONGEST_MS: u64 = 9_000;
 
 /// How long a harmful request comes again, in milliseconds: well past the time after which all processes must know it.
 const HARMFUL_MS: std::ops::Range<u64> = 6_000..14_000;
@@ -148,6 +154,8 @@
         faults.extend(draw_stops(seed, options));
         faults.extend(draw_said(seed, options));
         faults.extend(draw_restores(seed, options));
+        faults.extend(draw_evacuations(seed, options));
+        faults.extend(draw_cold(seed, options));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,6 +8,7 @@
 
 use crate::audit::{AuditBook, Trouble};
 use crate::caller::{CallEnd, CallRecord, CallerLoop, RequestKind, call_once};
+use crate::domains::EvacuationPeriod;
 use crate::groups::GroupWatch;
 use crate::options::SoakOptions;
 use crate::plan::{FaultKind, FaultPlan};
@@ -36,6 +37,12 @@
     pub served: usize,
     /// Requests that were refused as not run.
     pub refused: usize,
+    /// Evacuations, counted for each failure domain.
+    pub evacuations: usize,
+    /// Requests that reached cold upstreams.
+    pub cold_requests: usize,
+    /// The most of them that one upstream got within a second.
+    pub cold_peak: usize,
     /// What was broken.
     pub violations: Vec<Violation>,
 }
@@ -57,6 +64,8 @@
     pub(crate) records: Arc<Mutex<Vec<CallRecord>>>,
     /// Callers around planned stops.
     pub(crate) around: Mutex<JoinSet<()>>,
+    /// When failure domains were evacuated.
+    pub(crate) evacuations: Mutex<Vec<EvacuationPeriod>>,
     /// What callers draw from.
     pub(crate) seed: u64,
 }
@@ -126,6 +135,7 @@
             violations: Arc::default(),
             records: Arc::default(),
             around: Mutex::default(),
+            evacuations: Mutex::default(),
             seed,
         })
     }
@@ -135,9 +145,14 @@
         let mut callers = JoinSet::new();
         for (index, entry) in self.entries.iter().enumerate() {
             let place = entry.process.lock().await.place;
-            for number in 0..options.callers {
+            for number in 0..options.callers + options.home_callers {
                 let caller = CallerLoop {
-                    number: index * options.callers + number,
+                    // The callers of a run without home callers keep their numbers.
+                    number: match number < options.callers {
+                        true => index * options.callers + number,
+                        false => (number + 1) * self.entries.len() + index,
+                    },
+                    is_home: number >= options.callers,
                     entry: index,
                     place,
                     site: Arc::clone(&self.site),
@@ -196,6 +211,7 @@
             troubles: self.troubles.lock().clone(),
             revoked: self.site.keys.lock().revoked.clone(),
             arrived: self.site.requests_arrived(),
+            evacuations: self.evacuations.lock().clone(),
         };
         let mut violations = book.check();
         violations.extend(self.violations.lock().iter().cloned());
@@ -206,8 +222,12 @@
         };
         let stops = book.troubles.iter();
         let stops = stops.filter(|trouble| matches!(trouble.kind, FaultKind::StopEntry(_)));
+        let (cold_requests, cold_peak) = book.cold_counts();
         SoakOutcome {
             seed: self.seed,
+            evacuations: book.evacuations.len(),
+            cold_requests,
+            cold_peak,
             stops: stops.count(),
             requests: book.records.len(),
             served: count(is_served),
--- a/crates/soak/src/said.rs
+++ b/crates/soak/src/said.rs
@@ -119,7 +119,7 @@
         let mut found = Vec::new();
         for arrived in &self.arrived {
             let mut runs: BTreeMap<u64, Vec<KnownArrival<'_>>> = BTreeMap::new();
-            for request in arrived {
+            for request in &arrived.requests {
                 if let Some(record) = records.get(request.id.as_str()) {
                     let known = KnownArrival { request, record };
                     runs.entry(request.started_at).or_default().push(known);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -5,14 +5,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_adapter::sample::{CONFIG_KEY, UPSTREAM_PREFIX, config_with};
+use bergamot_adapter::sample::{CONFIG_KEY, SampleFeatures, UPSTREAM_PREFIX, config_with_features};
 use bergamot_site_standin::upstream::SeenRequest;
 use bergamot_site_standin::{
-    ArrivedRequest, GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
+    GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
 };
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
 
+use crate::cold::WARM_UP;
+use crate::domains::UpstreamArrivals;
 use crate::harmful::CRASH;
 use crate::options::SoakOptions;
 use crate::proxy::LinkProxy;
@@ -133,6 +135,8 @@
     pub desks: Mutex<Vec<UpstreamPlace>>,
     /// Keys of callers.
     pub keys: Mutex<KeyBook>,
+    /// Optional parts of the configuration.
+    pub features: SampleFeatures,
 }
 
 impl SoakSite {
@@ -151,6 +155,10 @@
             engines: Mutex::default(),
             desks: Mutex::default(),
             keys: Mutex::default(),
+            features: SampleFeatures {
+                has_warm_up: options.cold > 0,
+                has_home_route: options.home_callers > 0,
+            },
         });
         site.change_keys();
         for index in 0..options.engines {
@@ -210,7 +218,7 @@
             times: GROUP_TIMES,
             advertised: Some(link.addr),
             crash: Some(CRASH),
-            warm_up: None,
+            warm_up: self.features.has_warm_up.then_some(WARM_UP),
         };
         let upstream = SiteUpstream::start(options, Arc::clone(&self.store)).await?;
         link.lead_to(upstream.addr());
@@ -284,7 +292,8 @@
         let mut keys = self.keys.lock();
         keys.version += 1;
         let next = format!("{CHANGING_KEY}{}", keys.version);
-        let config = config_with(keys.version, &[LASTING_KEY, &next], MAX_ATTEMPTS);
+        let given_out = [LASTING_KEY, &next];
+        let config = config_with_features(keys.version, &given_out, MAX_ATTEMPTS, self.features);
         let text = config.to_string();
         self.store.put(CONFIG_KEY, text.as_bytes());
         let key = std::mem::replace(&mut keys.current, next);
@@ -303,9 +312,21 @@
     }
 
     /// What reached each upstream, run or not.
-    pub fn requests_arrived(&self) -> Vec<Vec<ArrivedRequest>> {
-        let runs = self.all_runs().into_iter();
-        runs.map(|run| run.upstream.arrived()).collect()
+    pub fn requests_arrived(&self) -> Vec<UpstreamArrivals> {
+        let mut arrived = Vec::new();
+        for role in [UpstreamRole::Engine, UpstreamRole::Desk] {
+            for (index, place) in self.places(role).lock().iter().enumerate() {
+                let runs = place.runs.iter();
+                arrived.extend(runs.map(|run| UpstreamArrivals {
+                    upstream: run.upstream.id().to_owned(),
+                    role,
+                    place: index,
+                    failure_domain: run.upstream.failure_domain().to_owned(),
+                    requests: run.upstream.arrived(),
+                }));
+            }
+        }
+        arrived
     }
 
     /// What upstreams began to run, by the request's id.
--- a/crates/soak/src/violation.rs
+++ b/crates/soak/src/violation.rs
@@ -130,6 +130,29 @@
         /// How long after.
         after: Duration,
     },
+    /// An upstream of an evacuated failure domain got work from a process that must know of it.
+    WorkWhileEvacuated {
+        /// The request.
+        id: String,
+        /// The upstream.
+        upstream: String,
+        /// How long after the store had acknowledged the key.
+        after: Duration,
+    },
+    /// A cold upstream got more than the bound within one second.
+    OverColdBound {
+        /// The upstream.
+        upstream: String,
+        /// Requests within one second.
+        requests: usize,
+    },
+    /// A request with a home region reached an upstream elsewhere.
+    OutsideHomeRegion {
+        /// The request.
+        id: String,
+        /// The upstream.
+        upstream: String,
+    },
     /// Some time after the last fault a process does not serve.
     NotBack {
         /// The process.
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -394,6 +394,6 @@
             key: "key-old".to_owned(),
             at: at(0),
         }],
-        arrived: Vec::new(),
+        ..AuditBook::default()
     }
 }
--- a/crates/soak/tests/held.rs
+++ b/crates/soak/tests/held.rs
@@ -58,7 +58,7 @@
             seen: BTreeMap::new(),
             troubles: Vec::new(),
             revoked: Vec::new(),
-            arrived: Vec::new(),
+            ..AuditBook::default()
         };
         let found = book.check();
         let is_found = found
--- a/crates/soak/tests/keys.rs
+++ b/crates/soak/tests/keys.rs
@@ -70,7 +70,7 @@
             seen: BTreeMap::new(),
             troubles: Vec::new(),
             revoked: Vec::new(),
-            arrived: Vec::new(),
+            ..AuditBook::default()
         };
         let found = book.check();
         assert_eq!(found.len(), case.found, "{}: {found:?}", case.name);
--- a/crates/soak/tests/said.rs
+++ b/crates/soak/tests/said.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use bergamot_site_standin::{AdvertisedState, ArrivedRequest};
+use bergamot_soak::UpstreamArrivals;
 use bergamot_soak::audit::{AuditBook, Trouble};
 use bergamot_soak::caller::{CallEnd, CallRecord, RequestKind};
 use bergamot_soak::plan::FaultKind;
-use bergamot_soak::site::LASTING_KEY;
+use bergamot_soak::site::{LASTING_KEY, UpstreamRole};
 
 /// A request that reached an upstream.
 #[derive(Clone, Copy)]
@@ -210,6 +211,13 @@
         seen: BTreeMap::new(),
         troubles: trouble.into_iter().collect(),
         revoked: Vec::new(),
-        arrived: vec![arrived.collect()],
+        arrived: vec![UpstreamArrivals {
+            upstream: "desk-0-0".to_owned(),
+            role: UpstreamRole::Desk,
+            place: 0,
+            failure_domain: "east".to_owned(),
+            requests: arrived.collect(),
+        }],
+        ..AuditBook::default()
     }
 }
--- a/crates/soak/tests/stop.rs
+++ b/crates/soak/tests/stop.rs
@@ -285,6 +285,6 @@
         seen: seen.into_iter().collect(),
         troubles: [stop].into_iter().chain(others).collect(),
         revoked: Vec::new(),
-        arrived: Vec::new(),
+        ..AuditBook::default()
     }
 }
