feat: one violation of the soak for each upstream that gets evacuated or region-bound work

Change: a violation names the first such request, its process where that matters, and how many there were.

--- a/crates/soak/src/domains.rs
+++ b/crates/soak/src/domains.rs
@@ -149,20 +149,24 @@
         &self,
         arrivals: &UpstreamArrivals,
         records: &RecordIndex<'_>,
-    ) -> Vec<Violation> {
-        let found = arrivals.requests.iter().filter_map(|request| {
+    ) -> Option<Violation> {
+        let late = arrivals.requests.iter().filter_map(|request| {
             let after = self.evacuated_for(&arrivals.failure_domain, request.at)?;
             let record = records.get(request.id.as_str())?;
             let is_excused = request.is_misdirected
                 || self.is_out_of_contact(record.entry, request.at)
                 || self.is_link_strained(arrivals, request.at);
-            (after > EVACUATION_BOUND && !is_excused).then(|| Violation::WorkWhileEvacuated {
-                id: record.id.clone(),
-                upstream: arrivals.upstream.clone(),
-                after,
-            })
+            (after > EVACUATION_BOUND && !is_excused).then_some((record, after))
         });
-        found.collect()
+        let late: Vec<_> = late.collect();
+        let (record, after) = late.first()?;
+        Some(Violation::WorkWhileEvacuated {
+            id: record.id.clone(),
+            entry: record.entry,
+            upstream: arrivals.upstream.clone(),
+            after: *after,
+            requests: late.len(),
+        })
     }
 
     /// Whether faults of the link to an upstream may have held back what arrived at this time.
@@ -207,16 +211,18 @@
 pub(crate) fn check_regions(
     arrivals: &UpstreamArrivals,
     records: &RecordIndex<'_>,
-) -> Vec<Violation> {
+) -> Option<Violation> {
     if region_of(&arrivals.failure_domain) == HOME_REGION {
-        return Vec::new();
+        return None;
     }
     let requests = arrivals.requests.iter();
     let records = requests.filter_map(|request| records.get(request.id.as_str()));
-    let bound = records.filter(|record| record.kind == RequestKind::Home);
-    let found = bound.map(|record| Violation::OutsideHomeRegion {
-        id: record.id.clone(),
+    let bound: Vec<_> = records
+        .filter(|record| record.kind == RequestKind::Home)
+        .collect();
+    Some(Violation::OutsideHomeRegion {
+        id: bound.first()?.id.clone(),
         upstream: arrivals.upstream.clone(),
-    });
-    found.collect()
+        requests: bound.len(),
+    })
 }
--- a/crates/soak/src/violation.rs
+++ b/crates/soak/src/violation.rs
@@ -132,12 +132,16 @@
     },
     /// An upstream of an evacuated failure domain got work from a process that must know of it.
     WorkWhileEvacuated {
-        /// The request.
+        /// The first such request.
         id: String,
+        /// Its process.
+        entry: usize,
         /// The upstream.
         upstream: String,
         /// How long after the store had acknowledged the key.
         after: Duration,
+        /// Such requests at this upstream.
+        requests: usize,
     },
     /// A cold upstream got more than the bound within one second.
     OverColdBound {
@@ -148,10 +152,12 @@
     },
     /// A request with a home region reached an upstream elsewhere.
     OutsideHomeRegion {
-        /// The request.
+        /// The first such request.
         id: String,
         /// The upstream.
         upstream: String,
+        /// Such requests at this upstream.
+        requests: usize,
     },
     /// Some time after the last fault a process does not serve.
     NotBack {
