feat: bergamotctl domains shows evacuated failure domains and cold upstreams

Cause: operators who write the key of an evacuation must see which VMs do not know of it, and which upstreams are still cold. Change: bergamotctl domains reads the logs (domain_evacuated, domain_returned, upstream_cold, upstream_warm; a started line ends what a VM knew) and the gauges and counters of /metrics. It exits with 2 if a VM does not answer.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -12,6 +12,7 @@
 use crate::account::RequestAccount;
 use crate::account::plot::plot;
 use crate::account::table::to_text;
+use crate::domains::{describe_knowledge, read_knowledge, read_metrics};
 use crate::explain::explain;
 use crate::files::{read_document, read_key, read_signed};
 use crate::outcome::{
@@ -42,6 +43,7 @@
   explain NAME                 why a group or VM is where it is
   explain KIND NAME --log FILE the story of a request, group or vm out of logs (--log again for more)
   account --log FILE           where requests went, out of logs (--log again for more; --plot FILE draws it)
+  domains                      evacuated failure domains and cold upstreams, out of logs (--log) and metrics (--metrics)
   dump                         the whole state of each entry VM
   quarantine                   requests refused because upstreams ended under them
   release PRINT                let one of them go, as after a mend of the upstreams
@@ -57,6 +59,7 @@
     options.optopt("", "kv", "key-value service, http://HOST:PORT", "URL");
     options.optopt("", "store", "store of the users' platform", "HOST:PORT");
     options.optmulti("", "admin", "admin address of an entry VM", "HOST:PORT");
+    options.optmulti("", "metrics", "metrics address of an entry VM", "HOST:PORT");
     options.optmulti("", "log", "log of a process on the platform", "FILE");
     options.optopt("", "plot", "picture to draw, SVG", "FILE");
     options.optmulti("", "key", "operator key file", "FILE");
@@ -90,6 +93,7 @@
         ["explain", name] => explain_name(matches, name).await,
         ["explain", kind, name] => explain_by_logs(matches, kind, name),
         ["account"] => account_by_logs(matches),
+        ["domains"] => show_domains(matches).await,
         ["dump"] => dump_all(matches).await,
         ["quarantine"] => list(matches).await,
         ["release", print] => release(matches, print).await,
@@ -329,6 +333,33 @@
     Ok(CommandOutcome::new(code, to_text(&account), json))
 }
 
+async fn show_domains(matches: &Matches) -> anyhow::Result<CommandOutcome> {
+    let logs = matches.opt_strs("log").into_iter().map(PathBuf::from);
+    let logs: Vec<PathBuf> = logs.collect();
+    let addrs = matches.opt_strs("metrics");
+    if logs.is_empty() && addrs.is_empty() {
+        bail!("--log FILE or --metrics HOST:PORT is needed");
+    }
+    let knowledge = read_knowledge(&logs)?;
+    let mut lines = describe_knowledge(&knowledge);
+    if lines.is_empty() && !logs.is_empty() {
+        lines.push("no log tells of an evacuated domain or a cold upstream".to_owned());
+    }
+    let caller = HttpClient::new(KV_TIMEOUT);
+    let mut metrics = serde_json::Map::new();
+    let mut code = EXIT_OK;
+    for addr in addrs {
+        let read = read_metrics(&caller, &addr).await.unwrap_or_else(|error| {
+            code = EXIT_UNFIT;
+            vec![error.to_string()]
+        });
+        lines.extend(read.iter().map(|line| format!("{addr}: {line}")));
+        metrics.insert(addr, json!(read));
+    }
+    let json = json!({ "vms": knowledge, "metrics": metrics });
+    Ok(CommandOutcome::new(code, lines.join("\n"), json))
+}
+
 async fn explain_name(matches: &Matches, name: &str) -> anyhow::Result<CommandOutcome> {
     let caller = HttpClient::new(KV_TIMEOUT);
     let mut lines = Vec::new();
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod account;
 pub mod cli;
+pub mod domains;
 pub mod explain;
 pub mod files;
 pub mod log_line;
--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -127,7 +127,8 @@
     Ok(lines)
 }
 
-fn read_log(path: &Path) -> anyhow::Result<Vec<StoryLine>> {
+/// Reads the lines of one log that name an event.
+pub(crate) fn read_log(path: &Path) -> anyhow::Result<Vec<StoryLine>> {
     let name = path.display().to_string();
     let file = std::fs::File::open(path).with_context(|| format!("{name} cannot be opened"))?;
     let mut lines = Vec::new();
