--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -189,8 +189,21 @@
         futures::future::join_all(checks).await;
     }
 
+    /// Waits until no upstream is cold, as one that is may get no request of a check.
+    async fn wait_warm(&self) {
+        let end = Instant::now() + RECOVERY;
+        let is_cold = || {
+            let runs = self.site.all_runs();
+            runs.iter().any(|run| !run.upstream.cold_left().is_zero())
+        };
+        while is_cold() && Instant::now() < end {
+            tokio::time::sleep(RETRY).await;
+        }
+    }
+
     /// Whether every process goes by the newest configuration.
     async fn check_config(&self) {
+        self.wait_warm().await;
         self.site.change_keys();
         tokio::time::sleep(SETTLE).await;
         let key = self.site.keys.lock().current.clone();
