--- a/crates/soak/src/domains.rs
+++ b/crates/soak/src/domains.rs
@@ -212,7 +212,7 @@
     arrivals: &UpstreamArrivals,
     records: &RecordIndex<'_>,
 ) -> Option<Violation> {
-    if region_of(&arrivals.failure_domain) == HOME_REGION {
+    if region_of(&arrivals.failure_domain) == Some(HOME_REGION) {
         return None;
     }
     let requests = arrivals.requests.iter();
