--- a/crates/soak/src/violation.rs
+++ b/crates/soak/src/violation.rs
@@ -130,6 +130,35 @@
         /// How long after.
         after: Duration,
     },
+    /// An upstream of an evacuated failure domain got work from a process that must know of it.
+    WorkWhileEvacuated {
+        /// The first such request.
+        id: String,
+        /// Its process.
+        entry: usize,
+        /// The upstream.
+        upstream: String,
+        /// How long after the store had acknowledged the key.
+        after: Duration,
+        /// Such requests at this upstream.
+        requests: usize,
+    },
+    /// A cold upstream got more than the bound within one second.
+    OverColdBound {
+        /// The upstream.
+        upstream: String,
+        /// Requests within one second.
+        requests: usize,
+    },
+    /// A request with a home region reached an upstream elsewhere.
+    OutsideHomeRegion {
+        /// The first such request.
+        id: String,
+        /// The upstream.
+        upstream: String,
+        /// Such requests at this upstream.
+        requests: usize,
+    },
     /// Some time after the last fault a process does not serve.
     NotBack {
         /// The process.
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -339,6 +339,7 @@
         times: GroupTimes::default(),
         advertised: None,
         crash: None,
+        warm_up: None,
     };
     let upstream = SiteUpstream::start(options, store).await;
     let upstream = upstream.expect("an upstream starts");
@@ -393,6 +394,6 @@
             key: "key-old".to_owned(),
             at: at(0),
         }],
-        arrived: Vec::new(),
+        ..AuditBook::default()
     }
 }
--- a/crates/soak/tests/said.rs
+++ b/crates/soak/tests/said.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use bergamot_site_standin::{AdvertisedState, ArrivedRequest};
+use bergamot_soak::UpstreamArrivals;
 use bergamot_soak::audit::{AuditBook, Trouble};
 use bergamot_soak::caller::{CallEnd, CallRecord, RequestKind};
 use bergamot_soak::plan::FaultKind;
-use bergamot_soak::site::LASTING_KEY;
+use bergamot_soak::site::{LASTING_KEY, UpstreamRole};
 
 /// A request that reached an upstream.
 #[derive(Clone, Copy)]
@@ -180,6 +181,8 @@
         id: format!("r-{number}"),
         at: at(arrival.at),
         started_at: arrival.born,
+        cold_left: Duration::ZERO,
+        is_misdirected: false,
         advertised: case.said.clone(),
         backoff: arrival.is_rested.then(|| "3".to_owned()),
     });
@@ -208,6 +211,13 @@
         seen: BTreeMap::new(),
         troubles: trouble.into_iter().collect(),
         revoked: Vec::new(),
-        arrived: vec![arrived.collect()],
+        arrived: vec![UpstreamArrivals {
+            upstream: "desk-0-0".to_owned(),
+            role: UpstreamRole::Desk,
+            place: 0,
+            failure_domain: "east".to_owned(),
+            requests: arrived.collect(),
+        }],
+        ..AuditBook::default()
     }
 }
--- a/crates/soak/tests/stop.rs
+++ b/crates/soak/tests/stop.rs
@@ -224,6 +224,7 @@
             times: GroupTimes::default(),
             advertised: None,
             crash: None,
+            warm_up: None,
         };
         let upstream = SiteUpstream::start(options, Arc::clone(&store)).await;
         upstreams.insert(id, upstream.expect("an upstream starts"));
@@ -284,6 +285,6 @@
         seen: seen.into_iter().collect(),
         troubles: [stop].into_iter().chain(others).collect(),
         revoked: Vec::new(),
-        arrived: Vec::new(),
+        ..AuditBook::default()
     }
 }
