fix: a collector that alone misses its own record goes on summing

Change: such a VM stays collector for as long as reports arrive. Result: the new test fails before; the test of the earlier case waits six periods longer, as the former collector now goes on until the reports to it have expired.

--- a/crates/occupancy/src/state.rs
+++ b/crates/occupancy/src/state.rs
@@ -64,6 +64,8 @@
     /// The VMs of each failure domain, this one included, in the order in which they become
     /// collector.
     collector_ranking: IndexMap<FailureDomain, Vec<String>>,
+    /// Whether this VM is in the list of entry VMs that it knows.
+    is_listed: bool,
     /// Requests in flight from this VM as of the last period.
     in_flight: LeaderCounts,
     /// Counts that VMs reported to this one as their collector, by VM.
@@ -89,6 +91,7 @@
     pub fn new(own: PeerDescriptor) -> Self {
         Self {
             collector_ranking: IndexMap::new(),
+            is_listed: true,
             in_flight: LeaderCounts::default(),
             member_reports: IndexMap::new(),
             domain_reports: IndexMap::new(),
@@ -104,17 +107,17 @@
     /// Replaces the set of known entry VMs. The VM with the most CPU in each failure domain becomes
     /// its collector.
     ///
-    /// If this VM is not among them, the others do not report to it, and it is the last to become
-    /// collector: one that lost its key in a partition, and acted as collector with its own requests
-    /// alone, hid the sum of 20 VMs from the other failure domains.
+    /// If this VM is not among them, it is the last to become collector, unless others report to it:
+    /// one that lost its key in a partition, and acted as collector with its own requests alone, hid
+    /// the sum of 20 VMs from the other failure domains.
     pub fn set_peers<Peers>(&mut self, peers: Peers)
     where
         Peers: IntoIterator<Item = PeerDescriptor>,
     {
         let mut ranked_peers: Vec<PeerDescriptor> = peers.into_iter().collect();
-        let is_listed = ranked_peers.iter().any(|peer| peer.vm == self.own.vm);
+        self.is_listed = ranked_peers.iter().any(|peer| peer.vm == self.own.vm);
         ranked_peers.sort_by_cached_key(|peer| std::cmp::Reverse(peer.rank_key()));
-        if !is_listed {
+        if !self.is_listed {
             ranked_peers.push(self.own.clone());
         }
         self.collector_ranking.clear();
@@ -172,6 +175,10 @@
 
     /// Returns the collector of this VM, or none if this VM is a collector itself.
     pub(crate) fn collector(&self, now: Millis) -> Option<&str> {
+        // The VMs that report here still have this VM in their lists, and nobody else sums them.
+        if !self.is_listed && self.is_collector() {
+            return None;
+        }
         let vms = self.collector_ranking.get(&self.own.failure_domain)?;
         let is_backing_off =
             |vm: &str| self.backoff_until.get(vm).is_some_and(|until| *until > now);
--- a/crates/occupancy/tests/load_reports.rs
+++ b/crates/occupancy/tests/load_reports.rs
@@ -181,6 +181,22 @@
     unaware_vms: &'static [usize],
 }
 
+/// Guards against requests that no other failure domain knows of because a collector that misses its
+/// own record in a newer list stops summing, while the others of its domain still report to it.
+#[test]
+fn a_collector_that_alone_misses_its_record_goes_on_summing() {
+    const VMS: usize = 30;
+    const DOMAINS: usize = 3;
+    let mut fleet = Fleet::new(VMS, DOMAINS);
+    fleet.run_periods(SETTLING_PERIODS);
+    fleet.states[0].set_peers((1..VMS).map(|vm| descriptor(vm, DOMAINS)));
+    fleet.run_periods(6 + SETTLING_PERIODS);
+    let total: u32 = (1..=VMS as u32).sum();
+    for vm in 0..VMS {
+        assert_eq!(fleet.remote_requests(vm) + vm as u32 + 1, total, "vm-{vm}");
+    }
+}
+
 /// Guards against leaders that are overloaded because a collector whose key the store has dropped
 /// goes on reporting its own requests as the sum of its failure domain: of 600 requests in flight the
 /// other domains knew 350.
@@ -212,8 +228,8 @@
             let listed = (0..VMS).filter(|vm| !case.unlisted_vms.contains(vm));
             fleet.states[vm].set_peers(listed.map(|vm| descriptor(vm, DOMAINS)));
         }
-        // Reports of the former collectors expire after six periods.
-        fleet.run_periods(6 + SETTLING_PERIODS);
+        // Reports to the former collectors expire after six periods, and their sums six periods later.
+        fleet.run_periods(6 + 6 + SETTLING_PERIODS);
         let total: u32 = (1..=VMS as u32).sum();
         for vm in (0..VMS).filter(|vm| !case.unaware_vms.contains(vm)) {
             let known = fleet.remote_requests(vm) + vm as u32 + 1;
