fix: home regions of another route or account no longer apply to a request

A newer configuration without a request's route may have a less specific route without home regions, and a key may move to another account. The request keeps its service, but took over those home regions. The regions of a route that was restricted after admission and then removed were lost too.

The home regions that were last looked up are kept with the request. They change only with the route of the same name and with the same account. A request without an account takes that of the first grant found for its key.

Unit test: only_the_admitted_route_and_account_change_the_home_regions_of_a_request.

--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -11,7 +11,7 @@
 
 use super::FrontContext;
 use super::refusal::{CallRefusal, RETURN_STOPPING};
-use super::residency::{AdmittedHomes, check_admission};
+use super::residency::{LatestHomes, check_admission};
 use super::state::CallState;
 use super::trace::RequestTrace;
 
@@ -56,7 +56,7 @@
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Home regions of the call.
-    pub homes: AdmittedHomes,
+    pub homes: LatestHomes,
 }
 
 /// A call that has a route and an account.
@@ -87,7 +87,7 @@
     };
     let route = config.route(&call.host, path).ok_or(ErrorKind::NotFound)?;
     let grant = authorize(config, route, call)?;
-    let homes = AdmittedHomes::new(route, grant);
+    let homes = LatestHomes::new(route, grant);
     check_admission(front, call, &homes)?;
     let service = pick_service(route, &call.id).ok_or(ErrorKind::NoUpstream)?;
     let timeout = call
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -1,6 +1,6 @@
 //! A single attempt of a request at one upstream.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
 
 use bergamot_ports::{CallerCall, CallerDialect, OutgoingContext, ReplyFacts};
 use bergamot_quarantine::RequestPrint;
@@ -20,7 +20,7 @@
 use super::limits::record_limit;
 use super::permits::{SendPermit, may_send};
 use super::pool::{ConnectError, UpstreamConnection};
-use super::residency::{AdmittedHomes, is_still_allowed};
+use super::residency::{LatestHomes, is_still_allowed};
 use super::warmup::record_cold_time;
 
 /// The parts of a request that are the same for all its attempts.
@@ -37,8 +37,8 @@
     pub account: Option<ClientAccount>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
-    /// Home regions when the request was admitted.
-    pub homes: AdmittedHomes,
+    /// Home regions that were last in force.
+    pub homes: RefCell<LatestHomes>,
     /// Version of the configuration under which the last upstream was selected.
     pub selection_version: Cell<u64>,
     /// Cache of [`Self::print`].
@@ -60,7 +60,7 @@
             call,
             account: admitted.account,
             priority: admitted.priority,
-            homes: admitted.homes,
+            homes: RefCell::new(admitted.homes),
             selection_version: Cell::new(0),
             print: OnceCell::new(),
         }
--- a/crates/gateway/src/front/residency.rs
+++ b/crates/gateway/src/front/residency.rs
@@ -1,5 +1,7 @@
 //! The regions in which a request may be processed.
 
+use std::cell::Ref;
+
 use bergamot_ports::{
     AccountGrant, CallerCall, HomeRegions, RegionMap, RequestHomes, Route, ServingConfig,
 };
@@ -11,21 +13,51 @@
 use super::attempt::SentRequest;
 use super::refusal::CallRefusal;
 
-/// The home regions under which a request was admitted. They stay in force for a route or a key
-/// that a newer configuration no longer has.
+/// The home regions that were last in force for a request. They stay in force for its route or its
+/// account when a newer configuration no longer finds that route or account for the request.
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
-pub struct AdmittedHomes {
+pub struct LatestHomes {
+    /// Name of the route under which the request was admitted.
+    route_name: String,
     route: HomeRegions,
+    /// The first account that was found for the request's key.
+    account_name: Option<ClientAccount>,
     account: HomeRegions,
 }
 
-impl AdmittedHomes {
+impl LatestHomes {
     /// Returns the home regions of a route and a grant.
     pub fn new(route: &Route, grant: Option<&AccountGrant>) -> Self {
-        let account_homes = grant.map(|grant| grant.home_regions.clone());
-        Self {
+        let mut homes = Self {
+            route_name: route.name.clone(),
             route: route.home_regions.clone(),
-            account: account_homes.unwrap_or_default(),
+            ..Self::default()
+        };
+        homes.update(None, grant);
+        homes
+    }
+
+    /// Takes over the home regions of the route and the grant that a newer configuration finds for
+    /// the request. Those of another route, such as a less specific one, or of another account do
+    /// not apply to it.
+    fn update(&mut self, route: Option<&Route>, grant: Option<&AccountGrant>) {
+        let route = route.filter(|route| route.name == self.route_name);
+        if let Some(route) = route.filter(|route| route.home_regions != self.route) {
+            self.route = route.home_regions.clone();
+        }
+        // A request without an account may get one by a newer configuration that knows its key.
+        let grant = grant.filter(|grant| {
+            let account_name = self.account_name.as_ref();
+            account_name.is_none_or(|name| *name == grant.account)
+        });
+        let Some(grant) = grant else {
+            return;
+        };
+        if self.account_name.is_none() {
+            self.account_name = Some(grant.account.clone());
+        }
+        if grant.home_regions != self.account {
+            self.account = grant.home_regions.clone();
         }
     }
 
@@ -42,7 +74,7 @@
 pub fn check_admission<Dialect>(
     front: &FrontContext<Dialect>,
     call: &CallerCall,
-    homes: &AdmittedHomes,
+    homes: &LatestHomes,
 ) -> Result<(), ErrorKind> {
     let homes = homes.as_request_homes();
     let regions = &front.shared.site.regions;
@@ -63,7 +95,8 @@
     request: &SentRequest,
     model: &ModelName,
 ) {
-    let homes = request.homes.as_request_homes();
+    let homes = request.homes.borrow();
+    let homes = homes.as_request_homes();
     if let Some(region) = homes.only_region(&front.shared.site.regions) {
         front.demand.borrow_mut().record_bound(model, region);
     }
@@ -80,7 +113,8 @@
     let Some(homes) = homes_in_force(config, request) else {
         return Ok(None);
     };
-    let domains = homes.allowed_domains(&front.shared.site.regions);
+    let regions = &front.shared.site.regions;
+    let domains = homes.as_request_homes().allowed_domains(regions);
     match domains.is_empty() {
         true => Err(ErrorKind::RegionUnavailable.into()),
         false => Ok(Some(domains)),
@@ -99,7 +133,10 @@
     let changed = changed.filter(|config| config.version != request.selection_version.get());
     let homes = changed.and_then(|config| homes_in_force(config, request));
     let regions = &front.shared.site.regions;
-    homes.is_none_or(|homes| homes.allows_domain(regions, &upstream.failure_domain))
+    homes.is_none_or(|homes| {
+        let homes = homes.as_request_homes();
+        homes.allows_domain(regions, &upstream.failure_domain)
+    })
 }
 
 /// Logs the home regions of a request that is refused, if it has any.
@@ -108,8 +145,9 @@
     let config = view.config.as_ref();
     if let Some(homes) = config.and_then(|config| homes_in_force(config, request)) {
         log::info!(
-            "event=refused_for_homes request={} homes={homes} kind={kind}",
-            request.call.id
+            "event=refused_for_homes request={} homes={} kind={kind}",
+            request.call.id,
+            homes.as_request_homes()
         );
     }
 }
@@ -135,20 +173,17 @@
 /// Returns the home regions of a request under a configuration, or none if it may be processed
 /// anywhere. Looks up the route and the grant again only if either may have home regions.
 fn homes_in_force<'a>(
-    config: &'a ServingConfig,
+    config: &ServingConfig,
     request: &'a SentRequest,
-) -> Option<RequestHomes<'a>> {
-    let admitted = request.homes.as_request_homes();
-    if !config.has_home_regions && admitted.is_unrestricted() {
+) -> Option<Ref<'a, LatestHomes>> {
+    let is_restricted = || !request.homes.borrow().as_request_homes().is_unrestricted();
+    if !config.has_home_regions && !is_restricted() {
         return None;
     }
     let route = config.route(&request.call.host, request.uri.path());
     let grant = config.grant(request.call.key.as_ref());
-    let homes = RequestHomes {
-        route: route.map_or(admitted.route, |route| &route.home_regions),
-        account: grant.map_or(admitted.account, |grant| &grant.home_regions),
-    };
-    (!homes.is_unrestricted()).then_some(homes)
+    request.homes.borrow_mut().update(route, grant);
+    is_restricted().then(|| request.homes.borrow())
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/front/residency/tests.rs
+++ b/crates/gateway/src/front/residency/tests.rs
@@ -1,17 +1,20 @@
 //! Guards against a request that is sent although its home regions changed after the selection of
-//! its upstream. Other processes cannot time such a change, so this test is inside the crate.
+//! its upstream, and against home regions of another route or account. Other processes cannot time
+//! such changes, so these tests are inside the crate.
 
 #[path = "../../../tests/support/mod.rs"]
 mod support;
 
+use std::cell::RefCell;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bergamot_ports::{
-    CallerCall, CallerDialect, HomeRegions, OutgoingContext, RefusalContext, ReplyFacts, Route,
-    RouteKind, ServingConfig, VmSite,
+    AccountGrant, CallerCall, CallerDialect, HomeRegions, OutgoingContext, RefusalContext,
+    ReplyFacts, Route, RouteKind, ServingConfig, VmSite,
 };
 use bergamot_routing::{DispatchedRequest, RouteUpstream};
+use bergamot_types::AccountToken;
 use bergamot_types::prelude::*;
 use bytes::Bytes;
 use hyper::http::{request, response};
@@ -20,7 +23,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
-use super::{AdmittedHomes, allowed_domains};
+use super::{LatestHomes, allowed_domains};
 use crate::front::FrontContext;
 use crate::front::admit::AdmittedCaller;
 use crate::front::attempt::{AttemptError, SentRequest, send};
@@ -110,7 +113,7 @@
     let caller = AdmittedCaller {
         account: None,
         priority: 0,
-        homes: AdmittedHomes::new(admitted_under, None),
+        homes: LatestHomes::new(admitted_under, None),
     };
     SentRequest::new(head.into_parts().0, Bytes::from_static(b"17"), call, caller)
 }
@@ -224,6 +227,85 @@
     );
 }
 
+struct LookupCase {
+    name: &'static str,
+    /// Home regions of the account `a` at admission.
+    account: &'static [&'static str],
+    /// The configurations in which the request is looked up, in order.
+    configs: Vec<ServingConfig>,
+    allowed: Option<&'static str>,
+}
+
+fn grant(account: &str, homes: &[&str]) -> AccountGrant {
+    AccountGrant {
+        account: ClientAccount::new(account),
+        priority: None,
+        home_regions: homes.iter().map(|name| Region::new(name)).collect(),
+    }
+}
+
+fn with_grant(config: ServingConfig, grant: AccountGrant) -> ServingConfig {
+    let accounts = Some([(AccountToken::new("key"), grant)].into());
+    ServingConfig { accounts, ..config }.mark_home_regions()
+}
+
+#[test]
+fn only_the_admitted_route_and_account_change_the_home_regions_of_a_request() {
+    let fallback = Route {
+        name: "fallback".to_owned(),
+        prefix: "/".to_owned(),
+        ..route(&[])
+    };
+    let north = || config(2, vec![route(&["north"])]);
+    let cases = [
+        LookupCase {
+            name: "a less specific route without home regions is found instead",
+            account: &[],
+            configs: vec![north(), config(3, vec![fallback.clone()])],
+            allowed: Some("east"),
+        },
+        LookupCase {
+            name: "the route gets home regions and is removed",
+            account: &[],
+            configs: vec![north(), config(3, Vec::new())],
+            allowed: Some("east"),
+        },
+        LookupCase {
+            name: "the route no longer has home regions",
+            account: &[],
+            configs: vec![north(), config(3, vec![route(&[])])],
+            allowed: None,
+        },
+        LookupCase {
+            name: "the key moves to an account without home regions",
+            account: &["south"],
+            configs: vec![with_grant(config(2, vec![route(&[])]), grant("b", &[]))],
+            allowed: Some("west"),
+        },
+        LookupCase {
+            name: "the account gets home regions and its key moves",
+            account: &[],
+            configs: vec![
+                with_grant(config(2, vec![route(&[])]), grant("a", &["south"])),
+                with_grant(config(3, vec![route(&[])]), grant("b", &["north"])),
+            ],
+            allowed: Some("west"),
+        },
+    ];
+    let front = new_front();
+    for case in cases {
+        let mut request = new_request(&route(&[]));
+        request.call.key = Some(AccountToken::new("key"));
+        let admitted = LatestHomes::new(&route(&[]), Some(&grant("a", case.account)));
+        request.homes = RefCell::new(admitted);
+        let lookups = case.configs.iter();
+        let allowed = lookups.map(|config| allowed_domains(&front, config, &request));
+        let domain = case.allowed.map(FailureDomain::new);
+        let expected = domain.as_ref().map(|domain| vec![domain]);
+        assert_eq!(allowed.last(), Some(Ok(expected)), "{}", case.name);
+    }
+}
+
 #[test]
 fn nothing_is_looked_up_where_the_configuration_has_no_home_region() {
     let front = new_front();
