fix: the leader of a group for a region is chosen in that region

In a fabric domain that spans regions, the leader could be outside the region that needs the group. The need stayed unmet, and each step formed another group. The region was compared with one failure domain of the whole fabric.

The leader is the first upstream in the region that is not evacuated. Fabric domains without one are passed over.

the_leader_of_a_group_in_a_spanning_fabric_domain_is_in_the_region fails without the change (leader e1 instead of w1).

--- a/crates/groups/src/allocate.rs
+++ b/crates/groups/src/allocate.rs
@@ -130,6 +130,23 @@
     }
 }
 
+/// Moves the first upstream that may lead a group to the front. The other members may be anywhere.
+/// Returns `false` if there is none.
+fn move_leader_to_front<Rank, Filter>(
+    ranked: &mut [(Rank, &UpstreamRecord)],
+    may_lead: Filter,
+) -> bool
+where
+    Filter: Fn(&UpstreamRecord) -> bool,
+{
+    let leader_index = ranked.iter().position(|(_, record)| may_lead(record));
+    let Some(index) = leader_index else {
+        return false;
+    };
+    ranked[..=index].rotate_right(1);
+    true
+}
+
 fn best_candidate(
     evacuated: &EvacuatedDomains,
     model: &ModelSpec,
@@ -140,8 +157,7 @@
 ) -> Option<Candidate> {
     let mut best: Option<Candidate> = None;
     for (fabric, pool) in pools {
-        let is_outside = need.is_some_and(|need| !need.includes(&pool.failure_domain));
-        if is_outside || pool.free.len() < model.group_size {
+        if pool.free.len() < model.group_size {
             continue;
         }
         let mut ranked: Vec<(Readiness, &UpstreamRecord)> = pool
@@ -153,7 +169,13 @@
             a.0.cmp(&b.0)
                 .then_with(|| a.1.entry.incarnation.id.cmp(&b.1.entry.incarnation.id))
         });
-        if !evacuated.move_leader_to_front(&mut ranked) {
+        // A fabric domain may span failure domains, so the leader's own one counts.
+        let may_lead = |record: &UpstreamRecord| {
+            let failure_domain = &record.entry.failure_domain;
+            let is_inside = need.is_none_or(|need| need.includes(failure_domain));
+            is_inside && evacuated.allows_leader(record)
+        };
+        if !move_leader_to_front(&mut ranked, may_lead) {
             continue;
         }
         ranked.truncate(model.group_size);
--- a/crates/groups/src/evacuated.rs
+++ b/crates/groups/src/evacuated.rs
@@ -18,19 +18,6 @@
     pub fn allows_leader(&self, record: &UpstreamRecord) -> bool {
         !self.domains.contains(&record.entry.failure_domain)
     }
-
-    /// Moves the first upstream that may lead a group to the front. The other members may be
-    /// evacuated. Returns `false` if there is none.
-    pub fn move_leader_to_front<Rank>(&self, ranked: &mut [(Rank, &UpstreamRecord)]) -> bool {
-        let leader_index = ranked
-            .iter()
-            .position(|(_, record)| self.allows_leader(record));
-        let Some(index) = leader_index else {
-            return false;
-        };
-        ranked[..=index].rotate_right(1);
-        true
-    }
 }
 
 impl GroupPlanner {
--- a/crates/groups/tests/residency.rs
+++ b/crates/groups/tests/residency.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use bergamot_groups::DemandMeter;
-use bergamot_ports::{MemberState, RegionMap, UpstreamEntry};
+use bergamot_groups::{DemandMeter, GroupAction, GroupPlanner};
+use bergamot_ports::{GroupOrder, MemberState, RegionMap, UpstreamEntry};
 use bergamot_types::prelude::*;
 
 use support::shorthand::*;
@@ -16,6 +16,12 @@
     }
 }
 
+fn regions() -> RegionMap {
+    let domains = [("east", "north"), ("west", "south")];
+    let regions = domains.map(|(domain, region)| (FailureDomain::new(domain), Region::new(region)));
+    regions.into_iter().collect()
+}
+
 struct RegionCase {
     name: &'static str,
     /// The region to which a request for model `a` is bound, and the time since then.
@@ -69,9 +75,7 @@
             orders: &[],
         },
     ];
-    let domains = [("east", "north"), ("west", "south")];
-    let regions = domains.map(|(domain, region)| (FailureDomain::new(domain), Region::new(region)));
-    let regions: RegionMap = regions.into_iter().collect();
+    let regions = regions();
     for case in cases {
         let mut planner = planner();
         planner.set_regions(regions.clone());
@@ -101,3 +105,90 @@
         assert_eq!(orders(&actions), case.orders, "{}", case.name);
     }
 }
+
+/// A planner with two requests for model `a`, one of them bound to `south`.
+fn planner_with_bound_demand() -> GroupPlanner {
+    let mut planner = planner();
+    planner.set_regions(regions());
+    let model = ModelName::new("a");
+    let mut meter = DemandMeter::default();
+    meter.record_request(NOW, &model, 10);
+    meter.record_bound(&model, &Region::new("south"));
+    planner.set_demand(meter.demands(NOW));
+    planner
+}
+
+/// An upstream in `west` if its id begins with `w`, else in `east`, of one fabric domain.
+const fn spanning(id: &'static str) -> ShortEntry {
+    let is_west = id.as_bytes()[0] == b'w';
+    ShortEntry {
+        failure_domain: if is_west { "west" } else { "east" },
+        ..upstream(id, Some("a"))
+    }
+}
+
+/// Returns the leader of each group that is formed.
+fn leaders(actions: &[GroupAction]) -> Vec<&str> {
+    let joins = actions.iter().filter_map(|action| match action {
+        GroupAction::Order(request) => match &request.order {
+            GroupOrder::Join { members, .. } if members[0] == request.target.incarnation.id => {
+                Some(members[0].as_str())
+            }
+            _ => None,
+        },
+        _ => None,
+    });
+    joins.collect()
+}
+
+struct SpanningCase {
+    name: &'static str,
+    upstreams: Vec<ShortEntry>,
+    evacuated: Option<&'static str>,
+    /// Leaders of the groups of model `a` that are formed; the other upstreams load model `b`.
+    leaders: &'static [&'static str],
+}
+
+/// A leader elsewhere leaves the need unmet, and each step forms another group for it.
+#[test]
+fn the_leader_of_a_group_in_a_spanning_fabric_domain_is_in_the_region() {
+    let all = || ["e1", "e2", "e3", "w1"].map(spanning).to_vec();
+    let cases = [
+        SpanningCase {
+            name: "the upstream in the region is ranked last",
+            upstreams: all(),
+            evacuated: None,
+            leaders: &["w1"],
+        },
+        SpanningCase {
+            name: "the only upstream in the region is evacuated",
+            upstreams: all(),
+            evacuated: Some("west"),
+            leaders: &["e1"],
+        },
+        SpanningCase {
+            name: "another fabric domain without an upstream in the region is passed over",
+            upstreams: vec![
+                spanning("e1"),
+                spanning("e2"),
+                ShortEntry {
+                    fabric: "f2",
+                    ..spanning("e3")
+                },
+                ShortEntry {
+                    fabric: "f2",
+                    ..spanning("w1")
+                },
+            ],
+            evacuated: None,
+            leaders: &["w1"],
+        },
+    ];
+    for case in cases {
+        let mut planner = planner_with_bound_demand();
+        planner.set_evacuated(case.evacuated.map(FailureDomain::new));
+        apply_directory(&case.upstreams, &mut planner);
+        let actions = planner.step(NOW);
+        assert_eq!(leaders(&actions), case.leaders, "{}", case.name);
+    }
+}
