fix: the soak counts a false 408, 421, 429 or 503 for streams too

The check of statuses that promise that a request has not run covered non-idempotent requests to the plain service only, so a stream that ran and was refused as not run was not found.

Streams are checked in the same way. Idempotent requests still are not, as such an answer may be an upstream's own statement.

each_broken_promise_is_found fails without the change (408 to a stream that ran).

--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -159,8 +159,9 @@
         else {
             return None;
         };
-        let is_promised =
-            record.kind == RequestKind::Bid && matches!(status, 408 | 421 | 429 | 503);
+        // On an idempotent route such an answer may be an upstream's own statement.
+        let is_checked = matches!(record.kind, RequestKind::Bid | RequestKind::Stream(_));
+        let is_promised = is_checked && matches!(status, 408 | 421 | 429 | 503);
         let is_false = runs > 0 && (is_promised || says_not_run);
         is_false.then_some(Violation::FalselyNotRun { id, status })
     }
