fix: an owner of cold upstreams grants permits only while its list of entry VMs is current

Cause: the age of the list was taken from the confirmation of the configuration. That confirmation also succeeds while a change of the list is pending, so a VM could grant by an old list while another VM granted by the new one.

Change: the store thread passes on since when the published view is known to be complete, after it has published the view. The list counts as confirmed at the earlier of that time and the configuration's confirmation.

--- a/crates/feed/src/freshness.rs
+++ b/crates/feed/src/freshness.rs
@@ -40,6 +40,11 @@
         self.current_at = self.current_at.max(at);
     }
 
+    /// Returns the latest time at which the known state is known to have been complete.
+    pub const fn current_at(&self) -> Millis {
+        self.current_at
+    }
+
     /// Returns the maximum age of the known state.
     pub fn age(&self, now: Millis) -> Millis {
         now.since(self.current_at)
--- a/crates/gateway/src/front/warmup.rs
+++ b/crates/gateway/src/front/warmup.rs
@@ -103,12 +103,13 @@
 /// Applies the current view and the last confirmation of the list of entry VMs. Called every few
 /// dozen milliseconds, as the state derives from it whether the list was confirmed all the time.
 pub fn tick<Dialect>(front: &FrontContext<Dialect>) {
+    // Read before the view, which may be replaced by a later one in between.
+    let confirmed_at = front.shared.list_confirmed_at();
     refresh(front);
     if front.warm_up.view().cold_entries.is_empty() {
         return;
     }
     let now = front.now();
-    let confirmed_at = now.since(front.shared.config_age(now));
     let event = WarmUpEvent::ListConfirmed(confirmed_at);
     front.warm_up.state.borrow_mut().handle(now, event);
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,3 +30,4 @@
 pub use daemon::GatewayDaemon;
 pub use front::permits::PermitGrant;
 pub use front::{FrontContext, addresses, budget, deadline, flight, warmup};
+pub use sync::StoreSync;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -43,6 +43,9 @@
     /// When the last read started that confirmed the newest configuration, in milliseconds. 0 means
     /// never.
     confirmed_at: AtomicU64,
+    /// The latest time at which the published view was known to be complete, in milliseconds. 0
+    /// means never.
+    view_current_at: AtomicU64,
     /// When a peer last answered that it has no fresh store updates either, in milliseconds. 0
     /// means never.
     peer_stale_at: AtomicU64,
@@ -89,6 +92,7 @@
             view: ArcSwap::from_pointee(ClusterView::default()),
             view_changed: watch::channel(0).0,
             confirmed_at: AtomicU64::new(0),
+            view_current_at: AtomicU64::new(0),
             peer_stale_at: AtomicU64::new(0),
             store_unreachable: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
@@ -130,6 +134,19 @@
         self.confirmed_at.fetch_max(started_at.0, Ordering::SeqCst);
     }
 
+    /// Records that the published view lacked no change of the store at `at`.
+    pub fn record_view_current(&self, at: Millis) {
+        self.view_current_at.fetch_max(at.0, Ordering::SeqCst);
+    }
+
+    /// Returns when the list of entry VMs in the published view was last known to be current. A
+    /// confirmation of the configuration does not suffice, as other changes may be pending.
+    pub fn list_confirmed_at(&self) -> Millis {
+        let view_current_at = self.view_current_at.load(Ordering::SeqCst);
+        let confirmed_at = self.confirmed_at.load(Ordering::SeqCst);
+        Millis(view_current_at.min(confirmed_at))
+    }
+
     /// Records that a peer has no fresh store updates either.
     pub fn record_stale_peer(&self, now: Millis) {
         self.peer_stale_at.fetch_max(now.0, Ordering::SeqCst);
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -215,6 +215,7 @@
             if self.known.revision.is_none() {
                 return;
             }
+            self.record_view_current();
         };
         self.count_store_call("watch", outcome.as_ref().err());
         match outcome {
@@ -230,8 +231,9 @@
                     .borrow_mut()
                     .freshness
                     .mark_current(started_at);
-                if has_changes {
-                    self.publish();
+                match has_changes {
+                    true => self.publish(),
+                    false => self.record_view_current(),
                 }
                 tokio::time::sleep(self.watch_pause()).await;
             }
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -133,8 +133,9 @@
                 Err(error) => break Err(error),
             }
         };
-        if has_changes {
-            self.publish();
+        match has_changes {
+            true => self.publish(),
+            false => self.record_view_current(),
         }
         outcome
     }
--- a/crates/gateway/src/sync/publish.rs
+++ b/crates/gateway/src/sync/publish.rs
@@ -89,6 +89,14 @@
             evacuations: known.evacuations.evacuations().clone(),
             ended_evacuations: known.evacuations.ended(self.shared.clock.now()),
         });
+        self.record_view_current();
+    }
+
+    /// Passes on since when the published view is known to be complete. Must not be called while
+    /// known changes are not published.
+    pub(super) fn record_view_current(&self) {
+        let current_at = self.feed_state.borrow().freshness.current_at();
+        self.shared.record_view_current(current_at);
     }
 
     /// Logs the changes of the evacuations, with their source and the time within which this VM has
--- a/crates/gateway/tests/warmup.rs
+++ b/crates/gateway/tests/warmup.rs
@@ -10,14 +10,15 @@
 
 use bergamot_gateway::clock::BootClock;
 use bergamot_gateway::cold::ColdEntry;
+use bergamot_gateway::own_keys::EntryRecord;
 use bergamot_gateway::shared::SharedState;
 use bergamot_gateway::view::ClusterView;
-use bergamot_gateway::warmup::is_cold_permit_valid;
+use bergamot_gateway::warmup::{answer_cold_question, is_cold_permit_valid, tick};
 use bergamot_gateway::{FrontContext, PermitGrant};
 use bergamot_ports::{StoreRevision, WarmUpSpec};
 use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
-use bergamot_warmup::EntryStatement;
+use bergamot_warmup::{ColdQuestion, ColdVerdict, EntryStatement};
 use support::entry_site;
 use tokio::sync::mpsc;
 
@@ -49,21 +50,31 @@
     }
 }
 
-#[test]
-fn a_permit_is_checked_again_before_the_request_is_sent() {
-    let upstream = RouteUpstream {
+fn upstream() -> RouteUpstream {
+    RouteUpstream {
         incarnation: UpstreamIncarnation::new(UpstreamId::new("u"), Some(UnixMillis(1))),
         addr: SocketAddr::from(([127, 0, 0, 1], 1)),
         failure_domain: FailureDomain::new("east"),
         slots: 8,
         group: None,
         speed: None,
-    };
+    }
+}
+
+/// Returns the state of a VM that has just started.
+fn front(clock: BootClock) -> FrontContext<()> {
     let (stalls, records) = (mpsc::channel(1).0, mpsc::channel(1).0);
-    let clock = BootClock::with_source(boot_time);
     let shared = SharedState::with_clock(entry_site(), stalls, records, clock);
     let (crashes, stalls, messages) = (mpsc::channel(1).0, mpsc::channel(1).0, mpsc::channel(1).0);
-    let front = FrontContext::new(Arc::clone(&shared), (), crashes, stalls, messages);
+    FrontContext::new(shared, (), crashes, stalls, messages)
+}
+
+#[test]
+fn a_permit_is_checked_again_before_the_request_is_sent() {
+    let upstream = upstream();
+    let clock = BootClock::with_source(boot_time);
+    let front = front(clock);
+    let shared = Arc::clone(&front.shared);
     let is_valid = |permit| is_cold_permit_valid(&front, &upstream, permit);
     assert!(is_valid(PermitGrant::Free), "no service has slow start");
     shared.publish(view(&upstream, Millis::ZERO, clock.now()));
@@ -77,3 +88,45 @@
     BOOT_TIME_MS.fetch_add(2_800, Ordering::SeqCst);
     assert!(is_valid(PermitGrant::Free), "the cold time has passed");
 }
+
+/// Guards against two owners that grant at once: one of them has not received the list that names
+/// the other, while its configuration is confirmed.
+#[test]
+fn an_owner_whose_list_is_not_confirmed_grants_nothing() {
+    static OWN_BOOT_TIME_MS: AtomicU64 = AtomicU64::new(70_000);
+    let clock =
+        BootClock::with_source(|| Duration::from_millis(OWN_BOOT_TIME_MS.load(Ordering::SeqCst)));
+    let (upstream, front) = (upstream(), front(clock));
+    let shared = Arc::clone(&front.shared);
+    let own_entry = EntryRecord::of(&shared.site);
+    shared.publish(ClusterView {
+        entries: [(own_entry.vm.clone(), own_entry)].into(),
+        ..view(&upstream, Millis(600_000), clock.now())
+    });
+    let pass_time = |duration: u64, is_list_current: bool| {
+        for _ in 0..duration / 100 {
+            OWN_BOOT_TIME_MS.fetch_add(100, Ordering::SeqCst);
+            shared.record_confirmation(clock.now());
+            if is_list_current {
+                shared.record_view_current(clock.now());
+            }
+            tick(&front);
+        }
+    };
+    let is_granted = || {
+        let question = ColdQuestion {
+            vm: "entry-2".to_owned(),
+            number: 1,
+            incarnation: upstream.incarnation.clone(),
+        };
+        let answer = answer_cold_question(&front, &question);
+        answer.is_some_and(|(_, answer)| answer.verdict == ColdVerdict::Granted)
+    };
+    pass_time(10_000, true);
+    // The first question creates the supply, which starts empty.
+    is_granted();
+    pass_time(1_000, true);
+    assert!(is_granted(), "the list is confirmed");
+    pass_time(3_000, false);
+    assert!(!is_granted(), "only the configuration is confirmed");
+}
