fix: a restore of the store does not end a cold time

Cause: an entry of the restored store counted as the latest statement, although it may have been written before what the VM knows. Its revision also exceeded that of any evacuation that ended before the restore.

Change: the first entry of the same incarnation that is read after a restore keeps the later of the two ends and does not shorten what an earlier answer stated. An evacuation that ended in an earlier generation of the store still applies.

Result: a_restore_of_the_store_does_not_end_a_cold_time and the new cases of the_latest_statement_is_in_force fail if one of the three rules is removed, and pass with this change.

--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -62,6 +62,7 @@
                 received_at: now,
                 cold_left: entry.cold_left,
                 was_warm: false,
+                may_be_outdated: false,
             },
         };
         self.by_upstream.insert(id.clone(), known);
--- a/crates/gateway/tests/warmup.rs
+++ b/crates/gateway/tests/warmup.rs
@@ -42,6 +42,7 @@
             received_at: now,
             cold_left,
             was_warm: true,
+            may_be_outdated: false,
         },
     };
     ClusterView {
--- a/crates/warmup/src/cold.rs
+++ b/crates/warmup/src/cold.rs
@@ -15,6 +15,9 @@
     pub cold_left: Millis,
     /// Whether this incarnation was warm before the entry was received.
     pub was_warm: bool,
+    /// Whether this revision is the first one that was read after a restore of the store, so that
+    /// the entry may have been written before what is known otherwise.
+    pub may_be_outdated: bool,
 }
 
 impl EntryStatement {
@@ -26,7 +29,8 @@
 
     /// Returns the statement in force once the entry was read again, with another revision or
     /// another content. An entry that a full read returns unchanged, or that a restored store
-    /// holds unchanged, does not restart the time, and an outdated one has no effect.
+    /// holds unchanged, does not restart the time, and an outdated one has no effect. A restored
+    /// store may hold an earlier entry, so the first one after a restore does not shorten the time.
     pub fn followed_by(
         &self,
         revision: StoreRevision,
@@ -37,11 +41,22 @@
         if revision <= self.revision || is_unchanged {
             return *self;
         }
+        let may_be_outdated = revision.generation != self.revision.generation;
+        let was_warm = self.was_warm || self.until() <= received_at;
+        if may_be_outdated && self.until() >= received_at + cold_left {
+            return Self {
+                revision,
+                was_warm,
+                may_be_outdated,
+                ..*self
+            };
+        }
         Self {
             revision,
             received_at,
             cold_left,
-            was_warm: self.was_warm || self.until() <= received_at,
+            was_warm,
+            may_be_outdated,
         }
     }
 }
@@ -152,7 +167,8 @@
     }
 
     /// Returns the cold time of an upstream. The statement that was received last counts, except
-    /// that an entry written before the end of an evacuation does not shorten the time after it.
+    /// that an entry written before the end of an evacuation does not shorten the time after it, and
+    /// an entry of a restored store does not shorten the time that an earlier answer stated.
     pub fn span(&self, target: &ColdTarget<'_>) -> ColdSpan {
         let entry_span = ColdSpan {
             until: target.entry.until(),
@@ -167,20 +183,24 @@
             },
             None => entry_span,
         };
-        match self.answers.get(target.incarnation) {
-            Some(answer) if answer.stated_at > stated.stated_at => *answer,
-            Some(answer) if answer.stated_at == stated.stated_at && answer.until > stated.until => {
-                *answer
-            }
-            _ => stated,
+        let Some(answer) = self.answers.get(target.incarnation) else {
+            return stated;
+        };
+        let is_undecided = answer.stated_at == stated.stated_at || target.entry.may_be_outdated;
+        let extends_time = is_undecided && answer.until > stated.until;
+        match answer.stated_at > stated.stated_at || extends_time {
+            true => *answer,
+            false => stated,
         }
     }
 
-    /// Returns the cold time after the last evacuation that ended after the entry was written.
+    /// Returns the cold time after the last evacuation that ended after the entry was written, or
+    /// before a restore of the store: the entry's revision does not tell which was first then.
     fn evacuation_span(&self, target: &ColdTarget<'_>) -> Option<ColdSpan> {
         let ended = self.ended_evacuations.iter().filter(|ended| {
             ended.failure_domain == *target.failure_domain
-                && ended.revision >= target.entry.revision
+                && (ended.revision >= target.entry.revision
+                    || ended.revision.generation < target.entry.revision.generation)
         });
         let learned_at = ended.map(|ended| ended.learned_at).max()?;
         Some(ColdSpan {
--- a/crates/warmup/tests/cold.rs
+++ b/crates/warmup/tests/cold.rs
@@ -7,6 +7,11 @@
 use bergamot_warmup::{ColdSource, ColdTable, ColdTarget, EndedEvacuation, EntryStatement};
 use support::{BOUNDS, entry, revision, with_target};
 
+/// Returns a revision after a restore of the store.
+const fn restored(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreGeneration(1), number)
+}
+
 #[derive(Clone, Copy)]
 struct SpanCase {
     name: &'static str,
@@ -87,6 +92,34 @@
             source: ColdSource::Entry,
             ..ENDED
         },
+        SpanCase {
+            name: "an entry of a restored store after an end before the restore",
+            entry: EntryStatement {
+                revision: restored(3),
+                ..entry(5, 20_500, 0)
+            },
+            ..ENDED
+        },
+        SpanCase {
+            name: "an entry of a restored store does not shorten the time of an earlier answer",
+            entry: EntryStatement {
+                revision: restored(3),
+                may_be_outdated: true,
+                ..entry(5, 11_100, 100)
+            },
+            ..ANSWERED
+        },
+        SpanCase {
+            name: "a longer time by an entry of a restored store",
+            entry: EntryStatement {
+                revision: restored(3),
+                may_be_outdated: true,
+                ..entry(5, 11_100, 900)
+            },
+            until: 12_000,
+            source: ColdSource::Entry,
+            ..ANSWERED
+        },
         SpanCase {
             name: "an answer after the end",
             answer: Some((20_100, 1_000)),
@@ -118,8 +151,7 @@
 #[test]
 fn an_entry_that_is_read_again_does_not_restart_the_time() {
     let first = entry(5, 10_000, 3_000);
-    let restored = StoreRevision::new(StoreGeneration(1), 5);
-    for unchanged in [revision(5), restored] {
+    for unchanged in [revision(5), restored(5)] {
         let again = first.followed_by(unchanged, Millis(3_000), Millis(12_000));
         assert_eq!(again, first, "{unchanged}");
     }
@@ -134,6 +166,25 @@
     assert_eq!((turned.until(), turned.was_warm), (Millis(17_000), true));
 }
 
+/// Guards against requests without permits to an upstream that is cold, after a restored store has
+/// returned an entry that was written before the upstream turned cold.
+#[test]
+fn a_restore_of_the_store_does_not_end_a_cold_time() {
+    let first = entry(5, 10_000, 3_000);
+    let older = first.followed_by(restored(3), Millis::ZERO, Millis(11_000));
+    assert_eq!((older.until(), older.was_warm), (Millis(13_000), false));
+    let again = older.followed_by(restored(3), Millis::ZERO, Millis(11_500));
+    assert_eq!(again, older, "the entry is read again");
+    let longer = first.followed_by(restored(3), Millis(2_500), Millis(11_000));
+    assert_eq!(longer.until(), Millis(13_500), "the later end counts");
+    let rewritten = older.followed_by(restored(4), Millis::ZERO, Millis(12_000));
+    assert_eq!(
+        rewritten.until(),
+        Millis(12_000),
+        "a later entry of the restored store replaces it"
+    );
+}
+
 #[test]
 fn an_answer_of_an_earlier_incarnation_does_not_apply_to_a_new_one() {
     let mut table = ColdTable::default();
--- a/crates/warmup/tests/support/mod.rs
+++ b/crates/warmup/tests/support/mod.rs
@@ -25,6 +25,7 @@
         received_at: Millis(received_at),
         cold_left: Millis(cold_left),
         was_warm: false,
+        may_be_outdated: false,
     }
 }
 
