fix: the gate of a cold upstream opens when the upstream becomes warm

Cause: waits for a permit were up to 500 ms long, also if the upstream was cold for less, and a statement that ended the cold time earlier did not open the gate.

Change: each wait ends with the cold time at the latest. Gates hold the limits of cold upstreams apart from advertised ones and drop them as soon as the upstream is warm by a new statement.

--- a/crates/gateway/src/front/warmup.rs
+++ b/crates/gateway/src/front/warmup.rs
@@ -5,6 +5,7 @@
 
 use bergamot_ports::ReplyFacts;
 use bergamot_routing::RouteUpstream;
+use bergamot_types::prelude::*;
 use bergamot_warmup::{
     ANSWER_TIMEOUT, ColdAnswer, ColdClaim, ColdQuestion, ColdStep, ColdVerdict, EndedEvacuation,
     PERMIT_VALIDITY, WarmUpAction, WarmUpEvent, WarmUpState,
@@ -12,7 +13,6 @@
 
 use super::FrontContext;
 use super::attempt::SentRequest;
-use super::limits::back_off;
 use super::permits::{PendingPermits, PermitGrant, QuotaMessage};
 use crate::view::ClusterView;
 
@@ -92,6 +92,8 @@
             ),
             WarmUpAction::LogWarm(upstream) => {
                 log::info!("event=upstream_warm upstream={upstream}");
+                let gates = &mut front.monitor.borrow_mut().gates;
+                gates.clear_cold_limits(&upstream);
             }
             _ => {}
         }
@@ -139,11 +141,11 @@
         ColdStep::NotNeeded => return Some(PermitGrant::Free),
         ColdStep::Granted => ("granted", Some(PermitGrant::Granted(now))),
         ColdStep::Later(wait) => {
-            back_off(front, &upstream.incarnation, request.priority, wait);
+            back_off_cold(front, &upstream.incarnation, request.priority, wait);
             ("later", None)
         }
         ColdStep::NoOwner(wait) => {
-            back_off(front, &upstream.incarnation, request.priority, wait);
+            back_off_cold(front, &upstream.incarnation, request.priority, wait);
             ("no_owner", None)
         }
         ColdStep::Ask { owner, question } => ask_owner(front, owner, question).await,
@@ -186,13 +188,7 @@
     permit: PermitGrant,
 ) -> bool {
     refresh(front);
-    let now = front.now();
-    let view = front.warm_up.view();
-    let is_cold = view.cold_entry(&upstream.incarnation).is_some_and(|entry| {
-        let target = entry.target(front.shared.bounds().warm_up);
-        front.warm_up.state.borrow().span(&target).is_cold(now)
-    });
-    !is_cold || permit.is_valid(true, now, PERMIT_VALIDITY)
+    !is_cold(front, &upstream.incarnation) || permit.is_valid(true, front.now(), PERMIT_VALIDITY)
 }
 
 /// Records how much longer an upstream is cold, if its answer states it.
@@ -214,7 +210,37 @@
     if let Some(entry) = front.warm_up.view().cold_entry(&upstream.incarnation) {
         let target = entry.target(front.shared.bounds().warm_up);
         handle(front, WarmUpEvent::Answered(target, cold_left));
+        if !is_cold(front, &upstream.incarnation) {
+            let gates = &mut front.monitor.borrow_mut().gates;
+            gates.clear_cold_limits(&upstream.incarnation);
+        }
+    }
+}
+
+/// Whether an upstream is cold, by the view that was applied last.
+fn is_cold<Dialect>(front: &FrontContext<Dialect>, incarnation: &UpstreamIncarnation) -> bool {
+    let view = front.warm_up.view();
+    view.cold_entry(incarnation).is_some_and(|entry| {
+        let target = entry.target(front.shared.bounds().warm_up);
+        let state = front.warm_up.state.borrow();
+        state.span(&target).is_cold(front.now())
+    })
+}
+
+/// Closes the gate of a cold upstream for `wait` to requests that are not more urgent than
+/// `priority`. Does nothing if the upstream has become warm since the permit was requested.
+fn back_off_cold<Dialect>(
+    front: &FrontContext<Dialect>,
+    incarnation: &UpstreamIncarnation,
+    priority: u8,
+    wait: Millis,
+) {
+    if !is_cold(front, incarnation) {
+        return;
     }
+    let now = front.now();
+    let gates = &mut front.monitor.borrow_mut().gates;
+    gates.limit_cold_until(incarnation, priority, now + wait, now);
 }
 
 /// Handles the owner's answer to a question of this VM.
@@ -259,7 +285,7 @@
                 incarnation,
                 priority,
                 wait,
-            } => back_off(front, &incarnation, priority, wait),
+            } => back_off_cold(front, &incarnation, priority, wait),
             WarmUpAction::LogCold(..) | WarmUpAction::LogWarm(_) => {}
         }
     }
--- a/crates/gateway/tests/warmup.rs
+++ b/crates/gateway/tests/warmup.rs
@@ -13,9 +13,11 @@
 use bergamot_gateway::own_keys::EntryRecord;
 use bergamot_gateway::shared::SharedState;
 use bergamot_gateway::view::ClusterView;
-use bergamot_gateway::warmup::{answer_cold_question, is_cold_permit_valid, tick};
+use bergamot_gateway::warmup::{
+    answer_cold_question, is_cold_permit_valid, record_cold_time, tick,
+};
 use bergamot_gateway::{FrontContext, PermitGrant};
-use bergamot_ports::{StoreRevision, WarmUpSpec};
+use bergamot_ports::{ReplyFacts, StoreRevision, WarmUpSpec};
 use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
 use bergamot_warmup::{ColdQuestion, ColdVerdict, EntryStatement};
@@ -131,3 +133,45 @@
     pass_time(3_000, false);
     assert!(!is_granted(), "only the configuration is confirmed");
 }
+
+/// Guards against an upstream that gets no requests for the rest of a wait for a permit although it
+/// has become warm.
+#[test]
+fn the_gate_of_an_upstream_opens_when_it_becomes_warm() {
+    static OWN_BOOT_TIME_MS: AtomicU64 = AtomicU64::new(70_000);
+    let clock =
+        BootClock::with_source(|| Duration::from_millis(OWN_BOOT_TIME_MS.load(Ordering::SeqCst)));
+    let (upstream, front) = (upstream(), front(clock));
+    let incarnation = &upstream.incarnation;
+    let now = clock.now();
+    let close = || {
+        front.shared.publish(view(&upstream, Millis(3_000), now));
+        tick(&front);
+        let gates = &mut front.monitor.borrow_mut().gates;
+        gates.limit_cold_until(incarnation, 0, now + Millis(500), now);
+    };
+    let is_open = || {
+        let monitor = front.monitor.borrow();
+        monitor.gates.state(incarnation, 0, now).is_open()
+    };
+    close();
+    assert!(!is_open());
+    front.shared.publish(view(&upstream, Millis::ZERO, now));
+    tick(&front);
+    assert!(is_open(), "by its entry");
+    close();
+    let facts = ReplyFacts {
+        matches_request: true,
+        is_not_run: false,
+        is_misdirected: false,
+        is_signed: false,
+        keep_alive: None,
+        send_limit: Ok(None),
+        backoff: Ok(None),
+        is_leaving: false,
+        cold_left: Ok(Some(Millis::ZERO)),
+    };
+    OWN_BOOT_TIME_MS.fetch_add(1, Ordering::SeqCst);
+    record_cold_time(&front, &upstream, &facts);
+    assert!(is_open(), "by an answer");
+}
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -56,7 +56,10 @@
 /// Reasons not to send requests to one upstream.
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
 struct UpstreamGate {
+    /// By the limit that the upstream advertises.
     limits: Vec<PriorityLimit>,
+    /// By what the upstream tolerates while it is cold.
+    cold_limits: Vec<PriorityLimit>,
     backoff_until: Millis,
     is_leaving: bool,
     /// When the directory was last seen to list the upstream.
@@ -71,7 +74,7 @@
         if self.backoff_until > now {
             return GateState::BackingOff(self.backoff_until);
         }
-        let limits = self.limits.iter();
+        let limits = self.limits.iter().chain(&self.cold_limits);
         // A limit for an urgent priority also holds back all less urgent ones.
         let limits = limits.filter(|limit| limit.priority <= priority && limit.until > now);
         let until = limits.map(|limit| limit.until).max();
@@ -82,6 +85,7 @@
         !self.is_leaving
             && self.backoff_until <= now
             && self.limits.iter().all(|limit| limit.until <= now)
+            && self.cold_limits.iter().all(|limit| limit.until <= now)
     }
 }
 
@@ -109,10 +113,20 @@
         until: Millis,
         now: Millis,
     ) {
-        let gate = self.gate_mut(incarnation, now);
-        gate.limits
-            .retain(|limit| limit.until > now && limit.priority != priority);
-        gate.limits.push(PriorityLimit { priority, until });
+        let limits = &mut self.gate_mut(incarnation, now).limits;
+        replace_limit(limits, PriorityLimit { priority, until }, now);
+    }
+
+    /// Like [`Self::limit_until`], because the upstream is cold.
+    pub fn limit_cold_until(
+        &mut self,
+        incarnation: &UpstreamIncarnation,
+        priority: u8,
+        until: Millis,
+        now: Millis,
+    ) {
+        let limits = &mut self.gate_mut(incarnation, now).cold_limits;
+        replace_limit(limits, PriorityLimit { priority, until }, now);
     }
 
     /// Holds back all requests from an upstream until the given time. If it asked for several
@@ -162,6 +176,13 @@
         }
     }
 
+    /// Drops the limits of an upstream that is no longer cold.
+    pub fn clear_cold_limits(&mut self, incarnation: &UpstreamIncarnation) {
+        if let Some(gate) = self.gates.get_mut(incarnation) {
+            gate.cold_limits.clear();
+        }
+    }
+
     /// Drops expired entries, and upstreams that the directory has not listed for a long time.
     pub fn retain<IsListed>(&mut self, is_listed: IsListed, now: Millis)
     where
@@ -175,3 +196,9 @@
         });
     }
 }
+
+/// Replaces the limit for a priority, and drops expired ones.
+fn replace_limit(limits: &mut Vec<PriorityLimit>, limit: PriorityLimit, now: Millis) {
+    limits.retain(|known| known.until > now && known.priority != limit.priority);
+    limits.push(limit);
+}
--- a/crates/routing/tests/gate.rs
+++ b/crates/routing/tests/gate.rs
@@ -144,3 +144,24 @@
         "the entry of an unlisted upstream is dropped"
     );
 }
+
+/// Guards against a gate that stays closed for the rest of a wait for a permit although the upstream
+/// has become warm, and against one that opens although the upstream advertises a limit.
+#[test]
+fn the_limit_of_a_cold_upstream_ends_apart_from_an_advertised_one() {
+    let mut gates = GateTable::default();
+    let now = Millis(0);
+    gates.limit_cold_until(&incarnation(), 0, Millis(500), now);
+    assert_eq!(
+        gates.state(&incarnation(), 0, now),
+        GateState::Limited(Millis(500))
+    );
+    gates.limit_until(&incarnation(), 0, Millis(300), now);
+    gates.clear_cold_limits(&incarnation());
+    assert_eq!(
+        gates.state(&incarnation(), 0, now),
+        GateState::Limited(Millis(300))
+    );
+    gates.clear_limits(&incarnation());
+    assert_eq!(gates.state(&incarnation(), 0, now), GateState::Open);
+}
--- a/crates/warmup/src/state.rs
+++ b/crates/warmup/src/state.rs
@@ -156,19 +156,20 @@
         if !span.is_cold(now) {
             return ColdStep::NotNeeded;
         }
+        let cold_left = span.until.since(now);
         let (incarnation, failure_domain) = (target.incarnation, target.failure_domain);
         let Some(owner) = self.fleet.domain_owner(incarnation, failure_domain) else {
-            return ColdStep::NoOwner(SILENCE_TIME);
+            return ColdStep::NoOwner(SILENCE_TIME.min(cold_left));
         };
         if owner == self.fleet.own_vm() {
             return match self.grant_permit(now, target) {
                 ColdVerdict::Granted => ColdStep::Granted,
-                ColdVerdict::Later(wait) => ColdStep::Later(wait),
+                ColdVerdict::Later(wait) => ColdStep::Later(wait.min(cold_left)),
             };
         }
         let silent_until = self.silent_owners.silent_until(now, owner, failure_domain);
         if let Some(until) = silent_until {
-            return ColdStep::Later(until.since(now));
+            return ColdStep::Later(until.since(now).min(cold_left));
         }
         if !claim.may_ask {
             return ColdStep::Later(PASS_OVER_TIME);
@@ -303,8 +304,7 @@
         match answer.verdict {
             ColdVerdict::Granted => vec![resolve],
             ColdVerdict::Later(wait) => {
-                let wait = wait.min(pending.cold_until.since(now)).max(Millis(1));
-                vec![pending.back_off(wait), resolve]
+                vec![pending.back_off(now, wait), resolve]
             }
         }
     }
@@ -315,7 +315,7 @@
         };
         let (owner, failure_domain) = (pending.owner.clone(), pending.failure_domain.clone());
         self.silent_owners.record(now, owner, failure_domain);
-        vec![pending.back_off(SILENCE_TIME)]
+        vec![pending.back_off(now, SILENCE_TIME)]
     }
 }
 
@@ -325,7 +325,9 @@
 }
 
 impl PendingQuestion {
-    fn back_off(self, wait: Millis) -> WarmUpAction {
+    /// Returns the action that closes the upstream's gate, at most until the upstream is warm.
+    fn back_off(self, now: Millis, wait: Millis) -> WarmUpAction {
+        let wait = wait.min(self.cold_until.since(now)).max(Millis(1));
         WarmUpAction::BackOff {
             incarnation: self.incarnation,
             priority: self.priority,
--- a/crates/warmup/tests/ownership.rs
+++ b/crates/warmup/tests/ownership.rs
@@ -177,3 +177,41 @@
     let vm = "b".to_owned();
     assert_eq!(actions, [WarmUpAction::Answer { vm, answer }]);
 }
+
+/// Guards against gates that stay closed after the upstream has become warm.
+#[test]
+fn no_wait_outlasts_the_cold_time() {
+    const COLD_LEFT: Millis = Millis(30);
+    let request_at = |state: &mut WarmUpState, now: u64| {
+        with_target(entry(1, CHANGE, COLD_LEFT.0), BOUNDS, |target| {
+            state.request_permit(Millis(now), target, CLAIM)
+        })
+    };
+    let (owner_name, other_name) = owners();
+    let mut without_owner = vm(other_name, &["a", "b", "c"]);
+    without_owner.set_vms(Millis(CHANGE), vm_list("west", &["a"]));
+    let no_owner = request_at(&mut without_owner, CHANGE);
+    assert_eq!(no_owner, ColdStep::NoOwner(COLD_LEFT));
+    let mut outdated_owner = vm(owner_name, &["a", "b", "c"]);
+    let denied_at = CHANGE + 10;
+    outdated_owner.set_vms(Millis(denied_at), vm_list("east", &["a", "b", "c"]));
+    let steps: Vec<ColdStep> = (0..20)
+        .map(|_| request_at(&mut outdated_owner, denied_at))
+        .collect();
+    assert_eq!(steps.last(), Some(&ColdStep::Later(Millis(20))));
+    let mut asking = vm(other_name, &["a", "b", "c"]);
+    let ColdStep::Ask { question, .. } = request_at(&mut asking, CHANGE) else {
+        panic!("another VM owns the permits");
+    };
+    let timed_out = WarmUpEvent::TimedOut(question.number);
+    let actions = asking.handle(Millis(CHANGE + 10), timed_out);
+    assert!(matches!(
+        actions[..],
+        [WarmUpAction::BackOff {
+            wait: Millis(20),
+            ..
+        }]
+    ));
+    let silent = request_at(&mut asking, CHANGE + 15);
+    assert_eq!(silent, ColdStep::Later(Millis(15)));
+}
