fix: a request without time to ask for a permit leaves cold upstreams open to others

Cause: a request that had waited 50 ms for owners closed the gate of each further cold upstream for 20 ms, for all requests of the VM.

Change: the request leaves these upstreams out of its own selection, and their gates stay as they are. If no others remain, it is refused with upstreams_paused as before. The test of the 20 ms now expects that the upstream is not asked for.

--- a/crates/gateway/src/front/permits.rs
+++ b/crates/gateway/src/front/permits.rs
@@ -88,8 +88,11 @@
 pub enum PermitDenial {
     /// The upstream advertises a limit.
     Limited,
-    /// The upstream is cold.
+    /// The upstream is cold. Its gate is closed.
     Cold,
+    /// The upstream is cold, and the request has no time left to wait for its owner's answer. Its
+    /// gate stays as it is for other requests.
+    NotAsked,
 }
 
 /// Unanswered permit questions of this VM, by number.
@@ -124,7 +127,8 @@
 }
 
 /// Obtains the permits for one request, which has waited for the answers of other VMs for
-/// `asking_time` already. If one of them is not available now, the upstream backs off.
+/// `asking_time` already. If one of them is not available now, the upstream backs off, unless the
+/// request has no time left to ask for it.
 ///
 /// # Errors
 /// Which permit is not available.
@@ -135,8 +139,7 @@
     asking_time: Millis,
 ) -> Result<SendPermit, PermitDenial> {
     let may_ask = asking_time < ANSWER_TIMEOUT;
-    let warm_up = obtain_cold_permit(front, request, upstream, may_ask).await;
-    let warm_up = warm_up.ok_or(PermitDenial::Cold)?;
+    let warm_up = obtain_cold_permit(front, request.priority, upstream, may_ask).await?;
     let limit = obtain_limit_permit(front, request, upstream).await;
     let limit = limit.ok_or(PermitDenial::Limited)?;
     Ok(SendPermit { limit, warm_up })
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -49,19 +49,23 @@
     let wait_until = state.arrived + Millis(state.route.objective.0 / OBJECTIVE_WAIT_DIVISOR);
     let mut changes = front.shared.view_changed.subscribe();
     let mut asking_time = Millis::ZERO;
+    let mut left_out: Vec<UpstreamIncarnation> = Vec::new();
     loop {
         changes.mark_unchanged();
         let chosen_at = front.now();
-        let refusal = match plan_now(front, request, state) {
+        let refusal = match plan_now(front, request, state, &left_out) {
             Ok(upstream) => match obtain_permit(front, request, &upstream, asking_time).await {
                 Ok(permit) => return Ok(PlannedSend { upstream, permit }),
                 Err(denial) => {
                     asking_time = asking_time + front.now().since(chosen_at);
                     refund_retry(front, state);
-                    // The upstream backs off now. Another one is chosen, unless too little time is
+                    if denial == PermitDenial::NotAsked {
+                        left_out.push(upstream.incarnation);
+                    }
+                    // The upstream backs off now, or is left out. Another one is chosen, unless too little time is
                     // left for its answer. While some upstreams are cold, the others may have room,
                     // also for retries and resumed streams, whose time to wait is over.
-                    let may_go_on = denial == PermitDenial::Cold || front.now() < wait_until;
+                    let may_go_on = denial != PermitDenial::Limited || front.now() < wait_until;
                     match may_go_on {
                         true => continue,
                         false => upstreams_paused(None, front.now()),
@@ -81,10 +85,12 @@
     }
 }
 
-pub fn plan_now<Dialect>(
+/// Chooses the next upstream among those that accept requests now and are not in `left_out`.
+fn plan_now<Dialect>(
     front: &FrontContext<Dialect>,
     request: &SentRequest,
     state: &mut CallState,
+    left_out: &[UpstreamIncarnation],
 ) -> Result<RouteUpstream, CallRefusal> {
     let now = front.now();
     if now >= state.deadline {
@@ -132,7 +138,7 @@
     let monitor = front.monitor.borrow();
     let criteria = UpstreamCriteria {
         home,
-        tried: &state.tried,
+        tried: &[&state.tried[..], left_out].concat(),
         allowed_domains: allowed_domains.as_deref(),
         idle_connections: &front.pool.idle_upstreams(),
         has_begun_elsewhere: state.may_have_run(),
@@ -160,6 +166,9 @@
             );
             return Err(upstreams_paused(Some(opens_at), now));
         }
+        UpstreamChoice::Closed(None) | UpstreamChoice::None if !left_out.is_empty() => {
+            return Err(upstreams_paused(None, now));
+        }
         UpstreamChoice::Closed(None) => return Err(no_upstream),
         UpstreamChoice::None if state.tried.is_empty() => return Err(no_upstream),
         UpstreamChoice::None => {
--- a/crates/gateway/src/front/warmup.rs
+++ b/crates/gateway/src/front/warmup.rs
@@ -12,8 +12,7 @@
 };
 
 use super::FrontContext;
-use super::attempt::SentRequest;
-use super::permits::{PendingPermits, PermitGrant, QuotaMessage};
+use super::permits::{PendingPermits, PermitDenial, PermitGrant, QuotaMessage};
 use crate::view::ClusterView;
 
 /// The warm-up state of this VM, and the view that it has applied.
@@ -116,38 +115,40 @@
     front.warm_up.state.borrow_mut().handle(now, event);
 }
 
-/// Obtains a permit for one request if the upstream is cold. Returns `None` if none is available
-/// now; the upstream's gate is closed then. `may_ask` states whether the request can wait for the
-/// answer of another VM.
+/// Obtains a permit for one request of this priority if the upstream is cold. `may_ask` states
+/// whether the request can wait for the answer of another VM.
+///
+/// # Errors
+/// Why none is available now.
 pub async fn obtain_cold_permit<Dialect>(
     front: &FrontContext<Dialect>,
-    request: &SentRequest,
+    priority: u8,
     upstream: &RouteUpstream,
     may_ask: bool,
-) -> Option<PermitGrant> {
+) -> Result<PermitGrant, PermitDenial> {
     tick(front);
     let view = front.warm_up.view();
     let Some(entry) = view.cold_entry(&upstream.incarnation) else {
-        return Some(PermitGrant::Free);
+        return Ok(PermitGrant::Free);
     };
     let now = front.now();
     let target = entry.target(front.shared.bounds().warm_up);
     let step = {
         let mut state = front.warm_up.state.borrow_mut();
-        let priority = request.priority;
         state.request_permit(now, target, ColdClaim { priority, may_ask })
     };
     let (outcome, permit) = match step {
-        ColdStep::NotNeeded => return Some(PermitGrant::Free),
-        ColdStep::Granted => ("granted", Some(PermitGrant::Granted(now))),
+        ColdStep::NotNeeded => return Ok(PermitGrant::Free),
+        ColdStep::Granted => ("granted", Ok(PermitGrant::Granted(now))),
         ColdStep::Later(wait) => {
-            back_off_cold(front, &upstream.incarnation, request.priority, wait);
-            ("later", None)
+            back_off_cold(front, &upstream.incarnation, priority, wait);
+            ("later", Err(PermitDenial::Cold))
         }
         ColdStep::NoOwner(wait) => {
-            back_off_cold(front, &upstream.incarnation, request.priority, wait);
-            ("no_owner", None)
+            back_off_cold(front, &upstream.incarnation, priority, wait);
+            ("no_owner", Err(PermitDenial::Cold))
         }
+        ColdStep::NotAsked => ("later", Err(PermitDenial::NotAsked)),
         ColdStep::Ask { owner, question } => ask_owner(front, owner, question).await,
     };
     let permits = &front.shared.metrics.warm_up_permits;
@@ -161,7 +162,7 @@
     front: &FrontContext<Dialect>,
     owner: String,
     question: ColdQuestion,
-) -> (&'static str, Option<PermitGrant>) {
+) -> (&'static str, Result<PermitGrant, PermitDenial>) {
     let number = question.number;
     let (incarnation, owner_vm) = (question.incarnation.clone(), owner.clone());
     // The owner grants the permit at this time or later, so the permit's age is overestimated.
@@ -170,13 +171,13 @@
     let vm = owner;
     front.send_quota(QuotaMessage::ColdQuestion { vm, question });
     match tokio::time::timeout(ANSWER_TIMEOUT.as_duration(), verdict).await {
-        Ok(Ok(ColdVerdict::Granted)) => ("granted", Some(PermitGrant::Granted(asked_at))),
-        Ok(Ok(ColdVerdict::Later(_))) => ("later", None),
+        Ok(Ok(ColdVerdict::Granted)) => ("granted", Ok(PermitGrant::Granted(asked_at))),
+        Ok(Ok(ColdVerdict::Later(_))) => ("later", Err(PermitDenial::Cold)),
         Ok(Err(_)) | Err(_) => {
             front.warm_up.waiting.take(number);
             handle(front, WarmUpEvent::TimedOut(number));
             log::info!("event=cold_permit_unanswered upstream={incarnation} owner={owner_vm}");
-            ("unanswered", None)
+            ("unanswered", Err(PermitDenial::Cold))
         }
     }
 }
--- a/crates/gateway/tests/warmup.rs
+++ b/crates/gateway/tests/warmup.rs
@@ -14,9 +14,9 @@
 use bergamot_gateway::shared::SharedState;
 use bergamot_gateway::view::ClusterView;
 use bergamot_gateway::warmup::{
-    answer_cold_question, is_cold_permit_valid, record_cold_time, tick,
+    answer_cold_question, is_cold_permit_valid, obtain_cold_permit, record_cold_time, tick,
 };
-use bergamot_gateway::{FrontContext, PermitGrant};
+use bergamot_gateway::{FrontContext, PermitDenial, PermitGrant};
 use bergamot_ports::{ReplyFacts, StoreRevision, WarmUpSpec};
 use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
@@ -175,3 +175,35 @@
     record_cold_time(&front, &upstream, &facts);
     assert!(is_open(), "by an answer");
 }
+
+/// Returns the state of a VM that has just started, where another VM owns the upstream's permits.
+fn front_of_other(upstream: &RouteUpstream, clock: BootClock) -> FrontContext<()> {
+    let front = front(clock);
+    let owner = EntryRecord {
+        vm: "entry-2".to_owned(),
+        ..EntryRecord::of(&front.shared.site)
+    };
+    front.shared.publish(ClusterView {
+        entries: [(owner.vm.clone(), owner)].into(),
+        ..view(upstream, Millis(3_000), clock.now())
+    });
+    front
+}
+
+fn is_gate_open(front: &FrontContext<()>, upstream: &RouteUpstream) -> bool {
+    let gates = &front.monitor.borrow().gates;
+    let gate = gates.state(&upstream.incarnation, 1, front.shared.clock.now());
+    gate.is_open()
+}
+
+/// Guards against a request that has no time left to ask an owner and closes the gate of the
+/// upstream to requests that have it.
+#[tokio::test]
+async fn a_request_without_time_to_ask_leaves_the_gate_open() {
+    let clock = BootClock::with_source(|| Duration::from_secs(70));
+    let upstream = upstream();
+    let front = front_of_other(&upstream, clock);
+    let permit = obtain_cold_permit(&front, 1, &upstream, false).await;
+    assert_eq!(permit, Err(PermitDenial::NotAsked));
+    assert!(is_gate_open(&front, &upstream));
+}
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -38,7 +38,7 @@
 pub struct UpstreamCriteria<'a> {
     /// The failure domain of this VM.
     pub home: &'a FailureDomain,
-    /// Upstreams to which the request was already sent.
+    /// Upstreams to which the request was already sent, or is not to be sent for another reason.
     pub tried: &'a [UpstreamIncarnation],
     /// Failure domains in which the request may be processed; none if it may be in all.
     pub allowed_domains: Option<&'a [&'a FailureDomain]>,
--- a/crates/warmup/src/event.rs
+++ b/crates/warmup/src/event.rs
@@ -69,6 +69,9 @@
     Later(Millis),
     /// No VM owns the permits. The upstream is left out for this time.
     NoOwner(Millis),
+    /// Another VM owns the permits, and this request may not ask it. The upstream is left out for
+    /// this request only.
+    NotAsked,
     /// Ask the owner of the permits.
     Ask {
         /// The VM that owns the permits.
--- a/crates/warmup/src/state.rs
+++ b/crates/warmup/src/state.rs
@@ -28,9 +28,6 @@
 const UNKNOWN_UPSTREAM_WAIT: Millis = Millis(250);
 /// How long an unused supply of permits is kept after the upstream has become warm.
 const SUPPLY_RETENTION: Millis = Millis(5_000);
-/// How long an upstream is left out after a request that may ask no more owners. Another request
-/// asks soon, while this one must find an upstream without a further delay.
-const PASS_OVER_TIME: Millis = Millis(20);
 /// Maximum number of pending questions.
 const MAX_PENDING_QUESTIONS: usize = 1_024;
 
@@ -172,7 +169,7 @@
             return ColdStep::Later(until.since(now).min(cold_left));
         }
         if !claim.may_ask {
-            return ColdStep::Later(PASS_OVER_TIME);
+            return ColdStep::NotAsked;
         }
         let pending = PendingQuestion {
             incarnation: incarnation.clone(),
--- a/crates/warmup/tests/bound.rs
+++ b/crates/warmup/tests/bound.rs
@@ -259,6 +259,7 @@
         }
         match self.request(now, vm) {
             ColdStep::NotNeeded => panic!("the upstream is cold"),
+            ColdStep::NotAsked => panic!("the request may ask"),
             ColdStep::Granted => self.use_permit(now, vm, now),
             ColdStep::Later(wait) | ColdStep::NoOwner(wait) => {
                 self.vms[vm].gate_until = now + wait.0;
--- a/crates/warmup/tests/ownership.rs
+++ b/crates/warmup/tests/ownership.rs
@@ -155,7 +155,7 @@
     let step = with_target(entry(1, 0, 600_000), BOUNDS, |target| {
         asking.request_permit(Millis(CHANGE), target, claim)
     });
-    assert_eq!(step, ColdStep::Later(Millis(20)));
+    assert_eq!(step, ColdStep::NotAsked);
 }
 
 #[test]
