fix: the log states the cold time of a restarted upstream last and as time left

Cause: a review logged upstream_cold of a new incarnation before upstream_warm of the earlier one. The lines name the upstream alone, so operators and bergamotctl domains took the upstream for warm. The field until= was on the clock of the process, which no log line refers to.

Change: all upstream_warm lines come before the upstream_cold lines. The field left= in milliseconds replaces until=, and bergamotctl domains adds it to the time of the line.

--- a/crates/ctl/src/domains.rs
+++ b/crates/ctl/src/domains.rs
@@ -51,8 +51,9 @@
 pub struct KnownCold {
     /// When the VM learned of it, in milliseconds of its time of day.
     pub at: u64,
-    /// Until when the upstream is cold, as the VM states.
-    pub until: String,
+    /// Until when the upstream is cold, in milliseconds of the VM's time of day; none if the VM
+    /// does not state it.
+    pub until: Option<u64>,
     /// Where the VM learned of it.
     pub source: String,
 }
@@ -84,7 +85,11 @@
             "upstream_cold" => {
                 let known = KnownCold {
                     at,
-                    until: field("until"),
+                    until: line
+                        .field("left")
+                        .parse()
+                        .ok()
+                        .and_then(|left| at.checked_add(left)),
                     source: field("source"),
                 };
                 self.cold.insert(field("upstream"), known);
@@ -167,10 +172,10 @@
 fn describe_cold(upstream: &str, knowledge: &[VmKnowledge]) -> String {
     let known = knowledge.iter().filter_map(|vm| {
         let cold = vm.cold.get(upstream)?;
-        Some(format!(
-            "{} (until={} by {})",
-            vm.vm, cold.until, cold.source
-        ))
+        let until = cold
+            .until
+            .map_or_else(|| "?".to_owned(), |until| until.to_string());
+        Some(format!("{} (until={until} by {})", vm.vm, cold.source))
     });
     let known: Vec<String> = known.collect();
     format!("{upstream} is cold at {}", known.join(", "))
--- a/crates/gateway/src/front/warmup.rs
+++ b/crates/gateway/src/front/warmup.rs
@@ -84,8 +84,8 @@
     for action in actions {
         match action {
             WarmUpAction::LogCold(upstream, span) => log::info!(
-                "event=upstream_cold upstream={upstream} until={} source={} age={}",
-                span.until,
+                "event=upstream_cold upstream={upstream} left={} source={} age={}",
+                span.until.since(now),
                 span.source.as_str(),
                 now.since(span.stated_at)
             ),
--- a/crates/gateway/tests/warmup.rs
+++ b/crates/gateway/tests/warmup.rs
@@ -4,8 +4,8 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bergamot_gateway::clock::BootClock;
@@ -24,6 +24,25 @@
 use support::entry_site;
 use tokio::sync::mpsc;
 
+/// The log lines of all tests in this process.
+static LOG_LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+/// Keeps log lines for the tests that check them.
+struct LineRecorder;
+
+impl log::Log for LineRecorder {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let mut lines = LOG_LINES.lock().expect("no test fails while it logs");
+        lines.push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
 static BOOT_TIME_MS: AtomicU64 = AtomicU64::new(70_000);
 
 fn boot_time() -> Duration {
@@ -207,3 +226,32 @@
     assert_eq!(permit, Err(PermitDenial::NotAsked));
     assert!(is_gate_open(&front, &upstream));
 }
+
+/// Guards against operators who take a cold upstream for warm, because the last line about it is of
+/// its earlier incarnation, and against times in the log that they cannot relate to its lines.
+#[test]
+fn the_last_line_about_a_restarted_upstream_says_how_long_it_is_cold() {
+    static OWN_BOOT_TIME_MS: AtomicU64 = AtomicU64::new(70_000);
+    log::set_logger(&LineRecorder).expect("no other test sets a logger");
+    log::set_max_level(log::LevelFilter::Info);
+    let clock =
+        BootClock::with_source(|| Duration::from_millis(OWN_BOOT_TIME_MS.load(Ordering::SeqCst)));
+    let incarnation =
+        |start| UpstreamIncarnation::new(UpstreamId::new("restarted"), Some(UnixMillis(start)));
+    let (mut upstream, front) = (upstream(), front(clock));
+    for start in [1, 2] {
+        upstream.incarnation = incarnation(start);
+        let view = view(&upstream, Millis(3_000), clock.now());
+        OWN_BOOT_TIME_MS.fetch_add(100, Ordering::SeqCst);
+        front.shared.publish(view);
+        tick(&front);
+    }
+    let mut lines = LOG_LINES
+        .lock()
+        .expect("no test fails while it logs")
+        .clone();
+    lines.retain(|line| line.contains("upstream=restarted"));
+    let cold_line = "event=upstream_cold upstream=restarted left=2900 source=entry age=100";
+    let warm_line = "event=upstream_warm upstream=restarted";
+    assert_eq!(lines, [cold_line, warm_line, cold_line]);
+}
--- a/crates/warmup/src/state.rs
+++ b/crates/warmup/src/state.rs
@@ -100,12 +100,14 @@
     }
 
     /// Compares which upstreams are cold with what was logged, and drops the state of upstreams
-    /// that are not in `targets`. The actions log the changes.
+    /// that are not in `targets`. The actions log the changes, the upstreams that became warm first:
+    /// lines do not tell incarnations apart, and the last one about an upstream must be that of its
+    /// new incarnation.
     pub fn review<'a, Targets>(&mut self, now: Millis, targets: Targets) -> Vec<WarmUpAction>
     where
         Targets: IntoIterator<Item = ColdTarget<'a>>,
     {
-        let mut actions = Vec::new();
+        let (mut warm_actions, mut cold_actions) = (Vec::new(), Vec::new());
         let mut cold: IndexSet<&UpstreamIncarnation> = IndexSet::new();
         let mut answered: IndexSet<&UpstreamIncarnation> = IndexSet::new();
         for target in targets {
@@ -124,13 +126,13 @@
                     self.supplies.swap_remove(&incarnation);
                 }
                 self.logged_cold.insert(incarnation.clone());
-                actions.push(WarmUpAction::LogCold(incarnation, span));
+                cold_actions.push(WarmUpAction::LogCold(incarnation, span));
             }
         }
         self.logged_cold.retain(|incarnation| {
             let is_cold = cold.contains(incarnation);
             if !is_cold {
-                actions.push(WarmUpAction::LogWarm(incarnation.clone()));
+                warm_actions.push(WarmUpAction::LogWarm(incarnation.clone()));
             }
             is_cold
         });
@@ -139,7 +141,8 @@
         });
         self.table
             .retain(now, |incarnation| answered.contains(incarnation));
-        actions
+        warm_actions.append(&mut cold_actions);
+        warm_actions
     }
 
     /// Returns how a request to an upstream gets its permit.
