fix: a request waits 50 ms in all for the owners of cold upstreams

Cause: a request that had waited for less than 50 ms asked the next owner and waited for up to 50 ms again.

Change: the wait for an answer ends when the 50 ms of the request are over. An owner that had less than 50 ms to answer does not count as silent, and the upstream is left out for this request only.

Result: a_request_waits_for_an_owner_only_for_the_time_it_has_left fails with the earlier time-out, and passes with this change.

--- a/crates/gateway/src/front/permits.rs
+++ b/crates/gateway/src/front/permits.rs
@@ -92,7 +92,7 @@
     Cold,
     /// The upstream is cold, and the request has no time left to wait for its owner's answer. Its
     /// gate stays as it is for other requests.
-    NotAsked,
+    OutOfTime,
 }
 
 /// Unanswered permit questions of this VM, by number.
@@ -138,8 +138,8 @@
     upstream: &RouteUpstream,
     asking_time: Millis,
 ) -> Result<SendPermit, PermitDenial> {
-    let may_ask = asking_time < ANSWER_TIMEOUT;
-    let warm_up = obtain_cold_permit(front, request.priority, upstream, may_ask).await?;
+    let time_left = ANSWER_TIMEOUT.since(asking_time);
+    let warm_up = obtain_cold_permit(front, request.priority, upstream, time_left).await?;
     let limit = obtain_limit_permit(front, request, upstream).await;
     let limit = limit.ok_or(PermitDenial::Limited)?;
     Ok(SendPermit { limit, warm_up })
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -59,7 +59,7 @@
                 Err(denial) => {
                     asking_time = asking_time + front.now().since(chosen_at);
                     refund_retry(front, state);
-                    if denial == PermitDenial::NotAsked {
+                    if denial == PermitDenial::OutOfTime {
                         left_out.push(upstream.incarnation);
                     }
                     // The upstream backs off now, or is left out. Another one is chosen, unless too little time is
--- a/crates/gateway/src/front/warmup.rs
+++ b/crates/gateway/src/front/warmup.rs
@@ -115,8 +115,8 @@
     front.warm_up.state.borrow_mut().handle(now, event);
 }
 
-/// Obtains a permit for one request of this priority if the upstream is cold. `may_ask` states
-/// whether the request can wait for the answer of another VM.
+/// Obtains a permit for one request of this priority if the upstream is cold. The request waits for
+/// the answer of another VM for at most `time_left`.
 ///
 /// # Errors
 /// Why none is available now.
@@ -124,7 +124,7 @@
     front: &FrontContext<Dialect>,
     priority: u8,
     upstream: &RouteUpstream,
-    may_ask: bool,
+    time_left: Millis,
 ) -> Result<PermitGrant, PermitDenial> {
     tick(front);
     let view = front.warm_up.view();
@@ -132,6 +132,7 @@
         return Ok(PermitGrant::Free);
     };
     let now = front.now();
+    let may_ask = time_left > Millis::ZERO;
     let target = entry.target(front.shared.bounds().warm_up);
     let step = {
         let mut state = front.warm_up.state.borrow_mut();
@@ -148,8 +149,8 @@
             back_off_cold(front, &upstream.incarnation, priority, wait);
             ("no_owner", Err(PermitDenial::Cold))
         }
-        ColdStep::NotAsked => ("later", Err(PermitDenial::NotAsked)),
-        ColdStep::Ask { owner, question } => ask_owner(front, owner, question).await,
+        ColdStep::NotAsked => ("later", Err(PermitDenial::OutOfTime)),
+        ColdStep::Ask { owner, question } => ask_owner(front, owner, question, time_left).await,
     };
     let permits = &front.shared.metrics.warm_up_permits;
     permits.with_label_values(&[outcome]).inc();
@@ -162,6 +163,7 @@
     front: &FrontContext<Dialect>,
     owner: String,
     question: ColdQuestion,
+    time_left: Millis,
 ) -> (&'static str, Result<PermitGrant, PermitDenial>) {
     let number = question.number;
     let (incarnation, owner_vm) = (question.incarnation.clone(), owner.clone());
@@ -169,12 +171,17 @@
     let asked_at = front.now();
     let verdict = front.warm_up.waiting.insert(number);
     let vm = owner;
+    let timeout = time_left.min(ANSWER_TIMEOUT);
     front.send_quota(QuotaMessage::ColdQuestion { vm, question });
-    match tokio::time::timeout(ANSWER_TIMEOUT.as_duration(), verdict).await {
+    match tokio::time::timeout(timeout.as_duration(), verdict).await {
         Ok(Ok(ColdVerdict::Granted)) => ("granted", Ok(PermitGrant::Granted(asked_at))),
         Ok(Ok(ColdVerdict::Later(_))) => ("later", Err(PermitDenial::Cold)),
         Ok(Err(_)) | Err(_) => {
             front.warm_up.waiting.take(number);
+            if timeout < ANSWER_TIMEOUT {
+                // The owner may still answer in time for others, so it does not count as silent.
+                return ("unanswered", Err(PermitDenial::OutOfTime));
+            }
             handle(front, WarmUpEvent::TimedOut(number));
             log::info!("event=cold_permit_unanswered upstream={incarnation} owner={owner_vm}");
             ("unanswered", Err(PermitDenial::Cold))
--- a/crates/gateway/tests/warmup.rs
+++ b/crates/gateway/tests/warmup.rs
@@ -20,7 +20,7 @@
 use bergamot_ports::{ReplyFacts, StoreRevision, WarmUpSpec};
 use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
-use bergamot_warmup::{ColdQuestion, ColdVerdict, EntryStatement};
+use bergamot_warmup::{ANSWER_TIMEOUT, ColdQuestion, ColdVerdict, EntryStatement};
 use support::entry_site;
 use tokio::sync::mpsc;
 
@@ -222,8 +222,8 @@
     let clock = BootClock::with_source(|| Duration::from_secs(70));
     let upstream = upstream();
     let front = front_of_other(&upstream, clock);
-    let permit = obtain_cold_permit(&front, 1, &upstream, false).await;
-    assert_eq!(permit, Err(PermitDenial::NotAsked));
+    let permit = obtain_cold_permit(&front, 1, &upstream, Millis::ZERO).await;
+    assert_eq!(permit, Err(PermitDenial::OutOfTime));
     assert!(is_gate_open(&front, &upstream));
 }
 
@@ -255,3 +255,45 @@
     let warm_line = "event=upstream_warm upstream=restarted";
     assert_eq!(lines, [cold_line, warm_line, cold_line]);
 }
+
+struct AskingCase {
+    name: &'static str,
+    time_left: Millis,
+    /// Time after which the request must have gone on.
+    max_duration: Duration,
+    denial: PermitDenial,
+    is_gate_open: bool,
+}
+
+/// Guards against requests that wait for owners for longer than 50 ms in all, and against owners that
+/// count as silent although they had less time to answer.
+#[tokio::test]
+async fn a_request_waits_for_an_owner_only_for_the_time_it_has_left() {
+    let cases = [
+        AskingCase {
+            name: "after a wait for another owner",
+            time_left: Millis(10),
+            max_duration: Duration::from_millis(35),
+            denial: PermitDenial::OutOfTime,
+            is_gate_open: true,
+        },
+        AskingCase {
+            name: "the first question",
+            time_left: ANSWER_TIMEOUT,
+            max_duration: Duration::from_millis(500),
+            denial: PermitDenial::Cold,
+            is_gate_open: false,
+        },
+    ];
+    for case in cases {
+        let clock = BootClock::with_source(|| Duration::from_secs(70));
+        let upstream = upstream();
+        let front = front_of_other(&upstream, clock);
+        let permit = obtain_cold_permit(&front, 1, &upstream, case.time_left);
+        // Does not fail on a busy machine: an outcome counts even if it is late.
+        let permit = tokio::time::timeout(case.max_duration, permit).await;
+        assert_eq!(permit, Ok(Err(case.denial)), "{}", case.name);
+        let is_open = is_gate_open(&front, &upstream);
+        assert_eq!(is_open, case.is_gate_open, "{}", case.name);
+    }
+}
