--- a/crates/gateway/src/front/warmup.rs
+++ b/crates/gateway/src/front/warmup.rs
@@ -5,15 +5,14 @@
 
 use bergamot_ports::ReplyFacts;
 use bergamot_routing::RouteUpstream;
+use bergamot_types::prelude::*;
 use bergamot_warmup::{
     ANSWER_TIMEOUT, ColdAnswer, ColdClaim, ColdQuestion, ColdStep, ColdVerdict, EndedEvacuation,
     PERMIT_VALIDITY, WarmUpAction, WarmUpEvent, WarmUpState,
 };
 
 use super::FrontContext;
-use super::attempt::SentRequest;
-use super::limits::back_off;
-use super::permits::{PendingPermits, PermitGrant, QuotaMessage};
+use super::permits::{PendingPermits, PermitDenial, PermitGrant, QuotaMessage};
 use crate::view::ClusterView;
 
 /// The warm-up state of this VM, and the view that it has applied.
@@ -85,13 +84,15 @@
     for action in actions {
         match action {
             WarmUpAction::LogCold(upstream, span) => log::info!(
-                "event=upstream_cold upstream={upstream} until={} source={} age={}",
-                span.until,
+                "event=upstream_cold upstream={upstream} left={} source={} age={}",
+                span.until.since(now),
                 span.source.as_str(),
                 now.since(span.stated_at)
             ),
             WarmUpAction::LogWarm(upstream) => {
                 log::info!("event=upstream_warm upstream={upstream}");
+                let gates = &mut front.monitor.borrow_mut().gates;
+                gates.clear_cold_limits(&upstream);
             }
             _ => {}
         }
@@ -103,49 +104,53 @@
 /// Applies the current view and the last confirmation of the list of entry VMs. Called every few
 /// dozen milliseconds, as the state derives from it whether the list was confirmed all the time.
 pub fn tick<Dialect>(front: &FrontContext<Dialect>) {
+    // Read before the view, which may be replaced by a later one in between.
+    let confirmed_at = front.shared.list_confirmed_at();
     refresh(front);
     if front.warm_up.view().cold_entries.is_empty() {
         return;
     }
     let now = front.now();
-    let confirmed_at = now.since(front.shared.config_age(now));
     let event = WarmUpEvent::ListConfirmed(confirmed_at);
     front.warm_up.state.borrow_mut().handle(now, event);
 }
 
-/// Obtains a permit for one request if the upstream is cold. Returns `None` if none is available
-/// now; the upstream's gate is closed then. `may_ask` states whether the request can wait for the
-/// answer of another VM.
+/// Obtains a permit for one request of this priority if the upstream is cold. The request waits for
+/// the answer of another VM for at most `time_left`.
+///
+/// # Errors
+/// Why none is available now.
 pub async fn obtain_cold_permit<Dialect>(
     front: &FrontContext<Dialect>,
-    request: &SentRequest,
+    priority: u8,
     upstream: &RouteUpstream,
-    may_ask: bool,
-) -> Option<PermitGrant> {
+    time_left: Millis,
+) -> Result<PermitGrant, PermitDenial> {
     tick(front);
     let view = front.warm_up.view();
     let Some(entry) = view.cold_entry(&upstream.incarnation) else {
-        return Some(PermitGrant::Free);
+        return Ok(PermitGrant::Free);
     };
     let now = front.now();
+    let may_ask = time_left > Millis::ZERO;
     let target = entry.target(front.shared.bounds().warm_up);
     let step = {
         let mut state = front.warm_up.state.borrow_mut();
-        let priority = request.priority;
         state.request_permit(now, target, ColdClaim { priority, may_ask })
     };
     let (outcome, permit) = match step {
-        ColdStep::NotNeeded => return Some(PermitGrant::Free),
-        ColdStep::Granted => ("granted", Some(PermitGrant::Granted(now))),
+        ColdStep::NotNeeded => return Ok(PermitGrant::Free),
+        ColdStep::Granted => ("granted", Ok(PermitGrant::Granted(now))),
         ColdStep::Later(wait) => {
-            back_off(front, &upstream.incarnation, request.priority, wait);
-            ("later", None)
+            back_off_cold(front, &upstream.incarnation, priority, wait);
+            ("later", Err(PermitDenial::Cold))
         }
         ColdStep::NoOwner(wait) => {
-            back_off(front, &upstream.incarnation, request.priority, wait);
-            ("no_owner", None)
+            back_off_cold(front, &upstream.incarnation, priority, wait);
+            ("no_owner", Err(PermitDenial::Cold))
         }
-        ColdStep::Ask { owner, question } => ask_owner(front, owner, question).await,
+        ColdStep::NotAsked => ("later", Err(PermitDenial::OutOfTime)),
+        ColdStep::Ask { owner, question } => ask_owner(front, owner, question, time_left).await,
     };
     let permits = &front.shared.metrics.warm_up_permits;
     permits.with_label_values(&[outcome]).inc();
@@ -158,22 +163,28 @@
     front: &FrontContext<Dialect>,
     owner: String,
     question: ColdQuestion,
-) -> (&'static str, Option<PermitGrant>) {
+    time_left: Millis,
+) -> (&'static str, Result<PermitGrant, PermitDenial>) {
     let number = question.number;
     let (incarnation, owner_vm) = (question.incarnation.clone(), owner.clone());
     // The owner grants the permit at this time or later, so the permit's age is overestimated.
     let asked_at = front.now();
     let verdict = front.warm_up.waiting.insert(number);
     let vm = owner;
+    let timeout = time_left.min(ANSWER_TIMEOUT);
     front.send_quota(QuotaMessage::ColdQuestion { vm, question });
-    match tokio::time::timeout(ANSWER_TIMEOUT.as_duration(), verdict).await {
-        Ok(Ok(ColdVerdict::Granted)) => ("granted", Some(PermitGrant::Granted(asked_at))),
-        Ok(Ok(ColdVerdict::Later(_))) => ("later", None),
+    match tokio::time::timeout(timeout.as_duration(), verdict).await {
+        Ok(Ok(ColdVerdict::Granted)) => ("granted", Ok(PermitGrant::Granted(asked_at))),
+        Ok(Ok(ColdVerdict::Later(_))) => ("later", Err(PermitDenial::Cold)),
         Ok(Err(_)) | Err(_) => {
             front.warm_up.waiting.take(number);
+            if timeout < ANSWER_TIMEOUT {
+                // The owner may still answer in time for others, so it does not count as silent.
+                return ("unanswered", Err(PermitDenial::OutOfTime));
+            }
             handle(front, WarmUpEvent::TimedOut(number));
             log::info!("event=cold_permit_unanswered upstream={incarnation} owner={owner_vm}");
-            ("unanswered", None)
+            ("unanswered", Err(PermitDenial::Cold))
         }
     }
 }
@@ -185,13 +196,7 @@
     permit: PermitGrant,
 ) -> bool {
     refresh(front);
-    let now = front.now();
-    let view = front.warm_up.view();
-    let is_cold = view.cold_entry(&upstream.incarnation).is_some_and(|entry| {
-        let target = entry.target(front.shared.bounds().warm_up);
-        front.warm_up.state.borrow().span(&target).is_cold(now)
-    });
-    !is_cold || permit.is_valid(true, now, PERMIT_VALIDITY)
+    !is_cold(front, &upstream.incarnation) || permit.is_valid(true, front.now(), PERMIT_VALIDITY)
 }
 
 /// Records how much longer an upstream is cold, if its answer states it.
@@ -213,9 +218,39 @@
     if let Some(entry) = front.warm_up.view().cold_entry(&upstream.incarnation) {
         let target = entry.target(front.shared.bounds().warm_up);
         handle(front, WarmUpEvent::Answered(target, cold_left));
+        if !is_cold(front, &upstream.incarnation) {
+            let gates = &mut front.monitor.borrow_mut().gates;
+            gates.clear_cold_limits(&upstream.incarnation);
+        }
     }
 }
 
+/// Whether an upstream is cold, by the view that was applied last.
+fn is_cold<Dialect>(front: &FrontContext<Dialect>, incarnation: &UpstreamIncarnation) -> bool {
+    let view = front.warm_up.view();
+    view.cold_entry(incarnation).is_some_and(|entry| {
+        let target = entry.target(front.shared.bounds().warm_up);
+        let state = front.warm_up.state.borrow();
+        state.span(&target).is_cold(front.now())
+    })
+}
+
+/// Closes the gate of a cold upstream for `wait` to requests that are not more urgent than
+/// `priority`. Does nothing if the upstream has become warm since the permit was requested.
+fn back_off_cold<Dialect>(
+    front: &FrontContext<Dialect>,
+    incarnation: &UpstreamIncarnation,
+    priority: u8,
+    wait: Millis,
+) {
+    if !is_cold(front, incarnation) {
+        return;
+    }
+    let now = front.now();
+    let gates = &mut front.monitor.borrow_mut().gates;
+    gates.limit_cold_until(incarnation, priority, now + wait, now);
+}
+
 /// Handles the owner's answer to a question of this VM.
 pub fn deliver_cold_answer<Dialect>(front: &FrontContext<Dialect>, answer: &ColdAnswer) {
     handle(front, WarmUpEvent::PermitAnswered(answer));
@@ -258,7 +293,7 @@
                 incarnation,
                 priority,
                 wait,
-            } => back_off(front, &incarnation, priority, wait),
+            } => back_off_cold(front, &incarnation, priority, wait),
             WarmUpAction::LogCold(..) | WarmUpAction::LogWarm(_) => {}
         }
     }
--- a/crates/warmup/src/state.rs
+++ b/crates/warmup/src/state.rs
@@ -28,9 +28,6 @@
 const UNKNOWN_UPSTREAM_WAIT: Millis = Millis(250);
 /// How long an unused supply of permits is kept after the upstream has become warm.
 const SUPPLY_RETENTION: Millis = Millis(5_000);
-/// How long an upstream is left out after a request that may ask no more owners. Another request
-/// asks soon, while this one must find an upstream without a further delay.
-const PASS_OVER_TIME: Millis = Millis(20);
 /// Maximum number of pending questions.
 const MAX_PENDING_QUESTIONS: usize = 1_024;
 
@@ -103,12 +100,14 @@
     }
 
     /// Compares which upstreams are cold with what was logged, and drops the state of upstreams
-    /// that are not in `targets`. The actions log the changes.
+    /// that are not in `targets`. The actions log the changes, the upstreams that became warm first:
+    /// lines do not tell incarnations apart, and the last one about an upstream must be that of its
+    /// new incarnation.
     pub fn review<'a, Targets>(&mut self, now: Millis, targets: Targets) -> Vec<WarmUpAction>
     where
         Targets: IntoIterator<Item = ColdTarget<'a>>,
     {
-        let mut actions = Vec::new();
+        let (mut warm_actions, mut cold_actions) = (Vec::new(), Vec::new());
         let mut cold: IndexSet<&UpstreamIncarnation> = IndexSet::new();
         let mut answered: IndexSet<&UpstreamIncarnation> = IndexSet::new();
         for target in targets {
@@ -127,13 +126,13 @@
                     self.supplies.swap_remove(&incarnation);
                 }
                 self.logged_cold.insert(incarnation.clone());
-                actions.push(WarmUpAction::LogCold(incarnation, span));
+                cold_actions.push(WarmUpAction::LogCold(incarnation, span));
             }
         }
         self.logged_cold.retain(|incarnation| {
             let is_cold = cold.contains(incarnation);
             if !is_cold {
-                actions.push(WarmUpAction::LogWarm(incarnation.clone()));
+                warm_actions.push(WarmUpAction::LogWarm(incarnation.clone()));
             }
             is_cold
         });
@@ -142,7 +141,8 @@
         });
         self.table
             .retain(now, |incarnation| answered.contains(incarnation));
-        actions
+        warm_actions.append(&mut cold_actions);
+        warm_actions
     }
 
     /// Returns how a request to an upstream gets its permit.
@@ -156,22 +156,23 @@
         if !span.is_cold(now) {
             return ColdStep::NotNeeded;
         }
+        let cold_left = span.until.since(now);
         let (incarnation, failure_domain) = (target.incarnation, target.failure_domain);
         let Some(owner) = self.fleet.domain_owner(incarnation, failure_domain) else {
-            return ColdStep::NoOwner(SILENCE_TIME);
+            return ColdStep::NoOwner(SILENCE_TIME.min(cold_left));
         };
         if owner == self.fleet.own_vm() {
             return match self.grant_permit(now, target) {
                 ColdVerdict::Granted => ColdStep::Granted,
-                ColdVerdict::Later(wait) => ColdStep::Later(wait),
+                ColdVerdict::Later(wait) => ColdStep::Later(wait.min(cold_left)),
             };
         }
         let silent_until = self.silent_owners.silent_until(now, owner, failure_domain);
         if let Some(until) = silent_until {
-            return ColdStep::Later(until.since(now));
+            return ColdStep::Later(until.since(now).min(cold_left));
         }
         if !claim.may_ask {
-            return ColdStep::Later(PASS_OVER_TIME);
+            return ColdStep::NotAsked;
         }
         let pending = PendingQuestion {
             incarnation: incarnation.clone(),
@@ -303,8 +304,7 @@
         match answer.verdict {
             ColdVerdict::Granted => vec![resolve],
             ColdVerdict::Later(wait) => {
-                let wait = wait.min(pending.cold_until.since(now)).max(Millis(1));
-                vec![pending.back_off(wait), resolve]
+                vec![pending.back_off(now, wait), resolve]
             }
         }
     }
@@ -315,7 +315,7 @@
         };
         let (owner, failure_domain) = (pending.owner.clone(), pending.failure_domain.clone());
         self.silent_owners.record(now, owner, failure_domain);
-        vec![pending.back_off(SILENCE_TIME)]
+        vec![pending.back_off(now, SILENCE_TIME)]
     }
 }
 
@@ -325,7 +325,9 @@
 }
 
 impl PendingQuestion {
-    fn back_off(self, wait: Millis) -> WarmUpAction {
+    /// Returns the action that closes the upstream's gate, at most until the upstream is warm.
+    fn back_off(self, now: Millis, wait: Millis) -> WarmUpAction {
+        let wait = wait.min(self.cold_until.since(now)).max(Millis(1));
         WarmUpAction::BackOff {
             incarnation: self.incarnation,
             priority: self.priority,
