fix: apply ends of evacuations that peers know of after a restore

Cause: a VM that had not processed the removal of an evacuation's key before its first read after a restore of the store held the evacuation for 60 s, as no peer told it of the end. A VM that saw the removal of a domain that it did not know forgot it, so it adopted a lagging peer's hold.

Change: StoreUpdates carries the ends of the last 120 s with revision and age. They are applied like removals. Removals of unknown domains are remembered.

--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -4,7 +4,7 @@
 //! key. Nothing else ends it, except that a key that a restored store lacks counts for
 //! [`RESTORED_EVACUATION_HOLD`] more.
 
-use bergamot_peer::RetainedEvacuation;
+use bergamot_peer::{EvacuationEnd, RetainedEvacuation};
 use bergamot_ports::{StoreGeneration, StoreRevision};
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
@@ -46,7 +46,8 @@
     /// The revision of the key's removal, or the first known one at which the key was missing.
     /// Entries written later are written after the removal.
     pub revision: StoreRevision,
-    /// When this VM learned of the end.
+    /// When this VM learned of the end, or the peer that it learned of it from if the domain was not
+    /// evacuated at this VM.
     pub known_at: Millis,
 }
 
@@ -74,6 +75,15 @@
         /// When the peer's hold began, on this VM's clock.
         held_since: Millis,
     },
+    /// A peer knows that the evacuation of a failure domain has ended.
+    EndedAtPeer {
+        /// The failure domain.
+        domain: FailureDomain,
+        /// The revision of the end.
+        revision: StoreRevision,
+        /// When the peer learned of the end, on this VM's clock.
+        ended_at: Millis,
+    },
     /// Time has passed. All changes up to the revision are known.
     Tick(StoreRevision),
 }
@@ -118,6 +128,18 @@
         recent.collect()
     }
 
+    /// Returns the ends that this VM passes on to peers. A peer that missed the removal of a key
+    /// before the store was restored would hold the evacuation otherwise.
+    pub fn recent_ends(&self, now: Millis) -> Vec<EvacuationEnd> {
+        let ends = self.ended.iter().map(|(domain, end)| EvacuationEnd {
+            domain: domain.clone(),
+            revision: end.revision,
+            age: now.since(end.known_at),
+        });
+        let recent_ends = ends.filter(|end| end.age <= END_MEMORY);
+        recent_ends.collect()
+    }
+
     /// Returns when the next hold ends; `None` if there is none.
     pub fn next_hold_end(&self) -> Option<Millis> {
         let holds = self.evacuations.values();
@@ -154,12 +176,16 @@
                 self.begin(domain, revision, now).into_iter().collect()
             }
             EvacuationEvent::Removed(domain, revision) => {
-                let known = self.evacuations.get(&domain);
-                // The read that the write is known from may be later than this removal.
-                match known.is_some_and(|known| known.revision <= revision) {
-                    true => vec![self.end(domain, revision, now)],
-                    false => Vec::new(),
-                }
+                let change = self.apply_removal(domain, revision, now, now);
+                change.into_iter().collect()
+            }
+            EvacuationEvent::EndedAtPeer {
+                domain,
+                revision,
+                ended_at,
+            } => {
+                let change = self.apply_removal(domain, revision, ended_at, now);
+                change.into_iter().collect()
             }
             EvacuationEvent::Read { domains, revision } => self.apply_read(domains, revision, now),
             EvacuationEvent::Retained {
@@ -212,6 +238,44 @@
         Some(EvacuationChange::Evacuated(domain, revision))
     }
 
+    /// Applies a removal that became known at `ended_at`, here or at a peer.
+    fn apply_removal(
+        &mut self,
+        domain: FailureDomain,
+        revision: StoreRevision,
+        ended_at: Millis,
+        now: Millis,
+    ) -> Option<EvacuationChange> {
+        let Some(known) = self.evacuations.get(&domain) else {
+            self.remember_end(domain, revision, ended_at, now);
+            return None;
+        };
+        // The read that the write is known from may be later than this removal.
+        let is_later = known.revision <= revision;
+        is_later.then(|| self.end(domain, revision, now))
+    }
+
+    /// Remembers the end of an evacuation that is not in force here, so that the evacuation is not
+    /// adopted from a peer that lags behind. The age of the end bounds how long VMs pass it on to
+    /// each other.
+    fn remember_end(
+        &mut self,
+        domain: FailureDomain,
+        revision: StoreRevision,
+        known_at: Millis,
+        now: Millis,
+    ) {
+        self.ended
+            .retain(|_, end| now.since(end.known_at) <= END_MEMORY);
+        let ended = self.ended.get(&domain);
+        let is_known = ended.is_some_and(|end| end.revision >= revision);
+        if is_known || now.since(known_at) > END_MEMORY || !has_valid_name(&domain) {
+            return;
+        }
+        let end = EndedEvacuation { revision, known_at };
+        self.ended.insert(domain, end);
+    }
+
     fn end(
         &mut self,
         domain: FailureDomain,
@@ -219,13 +283,7 @@
         now: Millis,
     ) -> EvacuationChange {
         self.evacuations.shift_remove(&domain);
-        self.ended
-            .retain(|_, end| now.since(end.known_at) <= END_MEMORY);
-        let end = EndedEvacuation {
-            revision,
-            known_at: now,
-        };
-        self.ended.insert(domain.clone(), end);
+        self.remember_end(domain.clone(), revision, now, now);
         EvacuationChange::Returned(domain, revision)
     }
 
--- a/crates/gateway/src/sync/board.rs
+++ b/crates/gateway/src/sync/board.rs
@@ -61,6 +61,7 @@
             since_return: self.returned_at.map(|at| now.since(at)),
             since_restore: self.restored_at.map(|at| now.since(at)),
             retained_evacuations,
+            evacuation_ends: self.evacuations.recent_ends(now),
         }))
     }
 }
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -236,9 +236,18 @@
         }
     }
 
-    /// Applies the evacuations that a peer keeps in force because a restored store lacks them.
+    /// Applies the ends of evacuations that a peer knows of, and the evacuations that it keeps in
+    /// force because a restored store lacks them.
     pub(super) fn apply_retained(&mut self, updates: &StoreUpdates, requested_at: Millis) {
         let now = self.shared.clock.now();
+        for end in &updates.evacuation_ends {
+            let event = EvacuationEvent::EndedAtPeer {
+                domain: end.domain.clone(),
+                revision: end.revision,
+                ended_at: Millis(requested_at.0.saturating_sub(end.age.0)),
+            };
+            self.known.apply_evacuation(event, now);
+        }
         for retained in &updates.retained_evacuations {
             let event = EvacuationEvent::Retained {
                 domain: retained.domain.clone(),
--- a/crates/gateway/tests/evacuations.rs
+++ b/crates/gateway/tests/evacuations.rs
@@ -6,7 +6,7 @@
 use bergamot_ports::{StoreGeneration, StoreRevision};
 use bergamot_types::prelude::*;
 
-const START: Millis = Millis(100_000);
+const START: Millis = Millis(1_000_000);
 
 /// Short notation for an event that concerns the failure domain `east`.
 #[derive(Clone, Copy)]
@@ -19,6 +19,8 @@
     ReadLacking(u64, u64),
     /// A peer's hold that began this many milliseconds ago, of a key of this revision.
     Retain(u64, (u64, u64)),
+    /// The end at this revision, of which a peer learned this many milliseconds ago.
+    PeerEnd(u64, (u64, u64)),
     /// Time passes.
     Wait(Millis),
 }
@@ -57,6 +59,11 @@
                 revision: revision(key),
                 held_since: Millis(now.0 - age),
             },
+            Step::PeerEnd(age, end) => EvacuationEvent::EndedAtPeer {
+                domain: east.clone(),
+                revision: revision(end),
+                ended_at: Millis(now.0 - age),
+            },
             Step::Wait(duration) => {
                 now = now + duration;
                 EvacuationEvent::Tick(revision((1, 90)))
@@ -92,7 +99,7 @@
 #[test]
 fn an_evacuation_lasts_until_its_key_is_removed_and_no_longer() {
     use Outcome::{Ended, Evacuated, NeverKnown};
-    use Step::{ReadHolding, ReadLacking, Remove, Retain, Wait, Write};
+    use Step::{PeerEnd, ReadHolding, ReadLacking, Remove, Retain, Wait, Write};
     const JUST_BEFORE: Millis = Millis(RESTORED_EVACUATION_HOLD.0 - 1);
     let cases = [
         case(
@@ -226,6 +233,45 @@
             ],
             Ended,
         ),
+        case(
+            "a peer saw the removal that this VM missed before the restore",
+            &[Write(0, 50), ReadLacking(1, 9), PeerEnd(1_000, (0, 60))],
+            Ended,
+        ),
+        case(
+            "a peer saw an earlier removal only",
+            &[Write(0, 50), ReadLacking(1, 9), PeerEnd(1_000, (0, 40))],
+            Evacuated,
+        ),
+        case(
+            "a peer saw a removal before the key was written again",
+            &[ReadHolding((1, 9), (1, 5)), PeerEnd(1_000, (0, 60))],
+            Evacuated,
+        ),
+        case(
+            "a peer holds what was removed before this VM knew the domain",
+            &[Remove(0, 60), ReadLacking(1, 9), Retain(100, (0, 50))],
+            Ended,
+        ),
+        case(
+            "a peer holds what has ended at another peer",
+            &[
+                ReadLacking(1, 9),
+                PeerEnd(1_000, (0, 60)),
+                Retain(100, (0, 50)),
+            ],
+            Ended,
+        ),
+        case(
+            "a late removal does not make an earlier end forgotten",
+            &[Remove(0, 60), PeerEnd(1_000, (0, 40)), Retain(100, (0, 50))],
+            Ended,
+        ),
+        case(
+            "a peer's end is too old to be passed on for ever",
+            &[PeerEnd(120_001, (0, 60)), Retain(100, (0, 50))],
+            Evacuated,
+        ),
         case(
             "a peer's hold is over",
             &[
@@ -297,6 +343,19 @@
     }
 }
 
+/// A VM that missed a removal before a restore learns of it from peers only. Without the age, VMs
+/// would pass an end on to each other for ever.
+#[test]
+fn peers_are_told_of_recent_ends_with_their_age() {
+    let steps = [Step::Remove(0, 60), Step::Wait(Millis(700))];
+    let (state, now) = apply(&steps);
+    let ends = state.recent_ends(now);
+    let ends: Vec<_> = ends.iter().map(|end| (end.revision, end.age)).collect();
+    assert_eq!(ends, [(revision((0, 60)), Millis(700))]);
+    let later = now + Millis::from_secs(120);
+    assert!(state.recent_ends(later).is_empty());
+}
+
 /// Warm-up compares the revisions of entries with that of the removal.
 #[test]
 fn the_end_of_an_evacuation_has_its_revision_and_is_forgotten_in_the_end() {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -18,4 +18,4 @@
     CrashNotice, LeaderCount, LeaderStall, LeaderStallNotice, LimitNotice, LoadNotice, LoadScope,
     MAX_LEADER_COUNTS, PENDING_TOKENS_UNIT, PeerNotice, RelayScope, SuspicionNotice,
 };
-pub use updates::{RetainedEvacuation, StoreUpdates, UpdateRequest, UpdateResponse};
+pub use updates::{EvacuationEnd, RetainedEvacuation, StoreUpdates, UpdateRequest, UpdateResponse};
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -6,7 +6,8 @@
 
 use crate::frame::PeerMessage;
 
-/// Version of the feed's messages, which carry retained evacuations since version 4.
+/// Version of the feed's messages, which carry retained evacuations and ends of evacuations since
+/// version 4.
 const FEED_VERSION: u8 = 4;
 
 impl PeerMessage for UpdateRequest {
@@ -69,6 +70,19 @@
     pub since_restore: Option<Millis>,
     /// Evacuations that the restored store lacks and that the peer keeps in force.
     pub retained_evacuations: Vec<RetainedEvacuation>,
+    /// Evacuations that ended recently, for requesters that missed the removal of the key.
+    pub evacuation_ends: Vec<EvacuationEnd>,
+}
+
+/// The end of the evacuation of a failure domain.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct EvacuationEnd {
+    /// The failure domain.
+    pub domain: FailureDomain,
+    /// The revision of the key's removal, or the first known one at which the key was missing.
+    pub revision: StoreRevision,
+    /// Time since the peer learned of the end.
+    pub age: Millis,
 }
 
 /// The evacuation of a failure domain that stays in force for some time after a restore of the store
--- a/crates/peer/tests/frame.rs
+++ b/crates/peer/tests/frame.rs
@@ -132,6 +132,7 @@
         since_return: None,
         since_restore: None,
         retained_evacuations: Vec::new(),
+        evacuation_ends: Vec::new(),
     }));
     let uncompressed_bytes = 1_100 * 310;
     let encoded = encode(&updates).expect("message fits into a frame");
