fix: ask further peers for lost keys until two have answered

Cause: a reader that started after a restore asked two peers once. If these had not read the store yet or had stale updates, it did not learn of evacuations that the restored store lacks.

Change: it goes on through the known peers, ignores updates over the maximum age, and repeats with the confirmations for as long as evacuations are held. The search moves to sync/lost_keys.rs.

--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -8,6 +8,7 @@
 mod ask;
 mod board;
 mod lost;
+mod lost_keys;
 mod own;
 mod peers;
 mod publish;
@@ -35,6 +36,7 @@
 use self::ask::FeedClient;
 use self::board::FeedState;
 use self::lost::LostRecords;
+use self::lost_keys::LostKeySearch;
 use self::own::maintain_own_key;
 use self::peers::{FeedError, POLL_PERIOD};
 use self::quarantine::write_records;
@@ -89,6 +91,8 @@
     feed_client: FeedClient,
     feed_state: Rc<RefCell<FeedState>>,
     lost_records: Rc<RefCell<LostRecords>>,
+    /// The search for keys that the restored store lacks. `None` if it is over.
+    lost_key_search: Option<LostKeySearch>,
     /// Peers whose last response was not usable, with the kind of error.
     peer_failures: IndexMap<String, Discriminant<FeedError>>,
     /// Name of the source of the last changes: a peer's VM or the store.
@@ -115,6 +119,7 @@
             feed_client: FeedClient::default(),
             feed_state: Rc::default(),
             lost_records: Rc::default(),
+            lost_key_search: None,
             peer_failures: IndexMap::new(),
             source: STORE_NAME.to_owned(),
             generation: None,
@@ -215,6 +220,9 @@
             if self.known.revision.is_none() {
                 return;
             }
+            if self.query_lost_keys().await {
+                self.publish();
+            }
         };
         self.count_store_call("watch", outcome.as_ref().err());
         match outcome {
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -19,7 +19,7 @@
 /// Maximum age of usable updates: the reader's confirmation period and its pause. Together with the
 /// period of requests it stays below the two seconds after which a leaving upstream must get no new
 /// requests.
-const MAX_UPDATE_AGE: Millis = Millis(1_300);
+pub(super) const MAX_UPDATE_AGE: Millis = Millis(1_300);
 
 /// Why a peer's response is not usable.
 #[derive(Debug, thiserror::Error)]
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -1,11 +1,10 @@
 //! Reads the store's whole contents, at the start and when more updates were missed than peers
 //! store.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bergamot_feed::{UpdateSource, UpdateTable};
-use bergamot_peer::{UpdateRequest, UpdateResponse};
+use bergamot_peer::UpdateRequest;
 use bergamot_ports::{
     StateStore, StoreCatalog, StoreEvent, StoreGeneration, StoreItem, StoreRange, StoreRevision,
 };
@@ -13,6 +12,7 @@
 use indexmap::{IndexMap, IndexSet};
 use tokio::time::Instant;
 
+use super::lost_keys::LostKeySearch;
 use super::peers::FeedError;
 use super::{STORE_NAME, StoreSync, max_served_bytes};
 use crate::evacuations::{EvacuationEvent, has_valid_name};
@@ -24,11 +24,6 @@
 /// Time between two requests to such a peer. Short compared to the second that its read takes.
 const PEER_POLL_PAUSE: Duration = Duration::from_millis(100);
 
-/// Peers that are asked for a later configuration after a restore of the store.
-const MAX_PEERS_ASKED: usize = 2;
-/// Timeout of such a query. Short, as a VM that starts serves nobody meanwhile.
-const CONFIG_QUERY_TIMEOUT: Duration = Duration::from_millis(300);
-
 impl<Store, Catalog> StoreSync<Store, Catalog>
 where
     Store: StateStore + 'static,
@@ -142,6 +137,7 @@
             self.known.is_unread_restore(range.revision) || self.is_first_read(&range);
         self.replace_all(range.items, range.revision, started_at, STORE_NAME);
         if is_restored {
+            self.lost_key_search = Some(LostKeySearch::new(started_at));
             self.query_lost_keys().await;
         }
         if self.known.is_config_stored() {
@@ -157,39 +153,6 @@
             && range.revision.generation > StoreGeneration::default()
     }
 
-    /// Asks peers for a later configuration than the one read from a restored store, and for
-    /// evacuations. The store lacks them until the operator has written them again.
-    async fn query_lost_keys(&mut self) {
-        let site = &self.shared.site;
-        let mut peers: Vec<_> = self.known.entries.values().collect();
-        peers.retain(|entry| entry.vm != site.vm.as_str());
-        peers.sort_by_key(|entry| entry.failure_domain != site.failure_domain);
-        let peer_addrs = peers.iter().map(|entry| entry.peer_addr);
-        let peer_addrs: Vec<SocketAddr> = peer_addrs.take(MAX_PEERS_ASKED).collect();
-        for addr in peer_addrs {
-            let requested_at = self.shared.clock.now();
-            let request = UpdateRequest {
-                after: StoreRevision::new(self.latest_generation(), u64::MAX),
-                unaffected_until: StoreRevision::MAX,
-                lacks_config_after: Some(self.known.config_version()),
-            };
-            let response = self.feed_client.request_updates(addr, request);
-            let response = tokio::time::timeout(CONFIG_QUERY_TIMEOUT, response).await;
-            let Ok(Ok(UpdateResponse::Changes(updates))) = response else {
-                continue;
-            };
-            self.apply_store_return(&updates, requested_at);
-            self.apply_retained(&updates, requested_at);
-            if let Some(item) = &updates.config {
-                self.known.apply_config(&self.catalog, item);
-            }
-            if updates.config_version == self.known.config_version() {
-                let confirmed_at = requested_at.0.saturating_sub(updates.config_age.0);
-                self.shared.record_confirmation(Millis(confirmed_at));
-            }
-        }
-    }
-
     /// Reads the keys with a prefix. `call` is the name of the call in log and metrics. Returns
     /// `None` if the call failed.
     async fn range(&mut self, prefix: &str, call: &str) -> Option<StoreRange> {
