fix: refuse requests at once whose allowed upstreams are evacuated

Cause: a pool was marked as evacuated only if no other failure domain served. A request bound to home regions with upstreams in evacuated domains only waited and got no_upstream if other regions served too.

Change: pools keep the evacuated failure domains that have upstreams, by model. A request without an untried upstream is refused with domains_evacuated if one of these domains is allowed for it.

--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -17,7 +17,7 @@
 use super::residency::{allowed_domains, log_homes};
 use super::standing::check_standing;
 use super::state::CallState;
-use crate::view::ClusterView;
+use crate::view::{ClusterView, ServicePool};
 
 /// A request may wait for an upstream for the objective of its route divided by this number. After
 /// a later rejection the caller could not retry in time.
@@ -87,40 +87,20 @@
     state: &mut CallState,
 ) -> Result<RouteUpstream, CallRefusal> {
     let now = front.now();
-    if now >= state.deadline {
-        return Err(ErrorKind::DeadlineBeforeSend.into());
-    }
-    // The process has stopped serving, so nothing would forward the answer.
-    if front.stop.has_ended() {
-        return Err(CallRefusal::retry_in(
-            ErrorKind::ShuttingDown,
-            RETURN_STOPPING,
-        ));
-    }
-    // The request waited for its body or for an upstream since it was admitted. If it were sent
-    // this late, the shutdown might abort it.
-    let answer_end = front.stop.answer_deadline(now);
-    if state.sends() == 0 && answer_end.is_some_and(|end| state.deadline > end) {
-        return Err(CallRefusal::retry_in(
-            ErrorKind::ShuttingDown,
-            RETURN_STOPPING,
-        ));
-    }
+    check_time(front, state, now)?;
     let view: Arc<ClusterView> = front.shared.view.load_full();
     let config = view.config.as_ref().ok_or(ErrorKind::NoBundle)?;
     check_key(front, config, request, state, now)?;
     let allowed_domains = allowed_domains(front, config, request)?;
+    let allowed_domains = allowed_domains.as_deref();
     let isolation_index = check_standing(front, request, state)?;
     let no_upstream = CallRefusal::retry_in(ErrorKind::NoUpstream, RETURN_NO_UPSTREAM);
     let model = request.call.model.as_ref();
     let pool = view.pools.get(&state.service).ok_or(no_upstream)?;
-    let are_homes_evacuated = allowed_domains
-        .as_ref()
-        .is_some_and(|domains| domains.iter().all(|domain| view.is_evacuated(domain)));
-    if are_homes_evacuated || pool.is_evacuated(model) {
-        return Err(domains_evacuated(state.deadline.since(now)));
-    }
-    let upstreams = pool.upstreams(model).ok_or(no_upstream)?;
+    let evacuated_refusal = || refuse_evacuated(pool, model, allowed_domains, state, now);
+    let Some(upstreams) = pool.upstreams(model) else {
+        return Err(evacuated_refusal().unwrap_or(no_upstream));
+    };
     let full_delay = || front.delays.borrow().delay_if_full(model, rand::random());
     let refusal = CallRefusal::retry_in(ErrorKind::UpstreamRefused, full_delay());
     let runs = uncrashed_runs(front, &view, state);
@@ -133,7 +113,7 @@
     let criteria = UpstreamCriteria {
         home,
         tried: &state.tried,
-        allowed_domains: allowed_domains.as_deref(),
+        allowed_domains,
         idle_connections: &front.pool.idle_upstreams(),
         has_begun_elsewhere: state.may_have_run(),
         priority: request.priority,
@@ -161,8 +141,13 @@
             return Err(upstreams_paused(Some(opens_at), now));
         }
         UpstreamChoice::Closed(None) => return Err(no_upstream),
-        UpstreamChoice::None if state.tried.is_empty() => return Err(no_upstream),
         UpstreamChoice::None => {
+            if let Some(refusal) = evacuated_refusal() {
+                return Err(refusal);
+            }
+            if state.tried.is_empty() {
+                return Err(no_upstream);
+            }
             log_not_sent_on(request, state, runs, "no other upstream");
             return Err(refusal);
         }
@@ -183,6 +168,34 @@
     Ok(chosen.clone())
 }
 
+/// Checks that the request's deadline and a shutdown leave time for an answer.
+fn check_time<Dialect>(
+    front: &FrontContext<Dialect>,
+    state: &CallState,
+    now: Millis,
+) -> Result<(), CallRefusal> {
+    if now >= state.deadline {
+        return Err(ErrorKind::DeadlineBeforeSend.into());
+    }
+    // The process has stopped serving, so nothing would forward the answer.
+    if front.stop.has_ended() {
+        return Err(CallRefusal::retry_in(
+            ErrorKind::ShuttingDown,
+            RETURN_STOPPING,
+        ));
+    }
+    // The request waited for its body or for an upstream since it was admitted. If it were sent
+    // this late, the shutdown might abort it.
+    let answer_end = front.stop.answer_deadline(now);
+    if state.sends() == 0 && answer_end.is_some_and(|end| state.deadline > end) {
+        return Err(CallRefusal::retry_in(
+            ErrorKind::ShuttingDown,
+            RETURN_STOPPING,
+        ));
+    }
+    Ok(())
+}
+
 /// Refunds a retry that was not sent or did not reach an upstream.
 pub fn refund_retry<Dialect>(front: &FrontContext<Dialect>, state: &mut CallState) {
     if let Some(taken_at) = state.retry_taken_at.take() {
@@ -202,6 +215,21 @@
     )
 }
 
+/// Returns the rejection for a request without an untried upstream, if an evacuated failure domain
+/// that is allowed for it has some. Waiting would not help, as evacuations last seconds to minutes.
+fn refuse_evacuated(
+    pool: &ServicePool,
+    model: Option<&ModelName>,
+    allowed_domains: Option<&[&FailureDomain]>,
+    state: &CallState,
+    now: Millis,
+) -> Option<CallRefusal> {
+    let mut domains = pool.evacuated_domains(model).iter();
+    let is_allowed = |domain| allowed_domains.is_none_or(|allowed| allowed.contains(&domain));
+    let is_evacuated = domains.any(is_allowed);
+    is_evacuated.then(|| domains_evacuated(state.deadline.since(now)))
+}
+
 /// Returns the rejection for a request whose upstreams are all in evacuated failure domains. The
 /// delays of callers differ also where the time left shortens them.
 fn domains_evacuated(time_left: Millis) -> CallRefusal {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -20,18 +20,18 @@
     pub plain: Vec<RouteUpstream>,
     /// Leaders of serving groups, by model.
     pub models: IndexMap<ModelName, Vec<RouteUpstream>>,
-    /// Whether instances exist, all of them in evacuated failure domains.
-    pub is_plain_evacuated: bool,
-    /// Models that are served, all leaders being in evacuated failure domains.
-    pub evacuated_models: IndexSet<ModelName>,
+    /// Evacuated failure domains with instances of a plain service.
+    pub evacuated_plain: IndexSet<FailureDomain>,
+    /// Evacuated failure domains with leaders of serving groups, by model.
+    pub evacuated_models: IndexMap<ModelName, IndexSet<FailureDomain>>,
 }
 
 impl ServicePool {
-    /// Whether a request for `model`, or without one, lacks upstreams only because their failure
-    /// domains are evacuated.
-    pub fn is_evacuated(&self, model: Option<&ModelName>) -> bool {
-        let is_model_evacuated = model.is_some_and(|model| self.evacuated_models.contains(model));
-        is_model_evacuated || (self.is_plain_evacuated && self.models.is_empty())
+    /// Returns the evacuated failure domains that have upstreams for `model`, or for requests without
+    /// one. Other failure domains may have upstreams too.
+    pub fn evacuated_domains(&self, model: Option<&ModelName>) -> &IndexSet<FailureDomain> {
+        let domains = model.and_then(|model| self.evacuated_models.get(model));
+        domains.unwrap_or(&self.evacuated_plain)
     }
 
     /// Returns the upstreams for `model`, or for requests without one. `None` if the model has none.
@@ -42,22 +42,13 @@
         }
     }
 
-    /// Records an upstream of an evacuated failure domain, which gets no requests.
-    fn record_evacuated(&mut self, model: Option<ModelName>) {
-        match model {
-            Some(model) => {
-                self.evacuated_models.insert(model);
-            }
-            None => self.is_plain_evacuated = true,
-        }
-    }
-
-    /// Removes the marks of what other failure domains serve too.
-    fn clear_served_marks(&mut self) {
-        self.is_plain_evacuated &= self.plain.is_empty();
-        let models = &self.models;
-        self.evacuated_models
-            .retain(|model| !models.contains_key(model));
+    /// Records that an evacuated failure domain has an upstream, which gets no requests.
+    fn record_evacuated(&mut self, model: Option<ModelName>, failure_domain: &FailureDomain) {
+        let domains = match model {
+            Some(model) => self.evacuated_models.entry(model).or_default(),
+            None => &mut self.evacuated_plain,
+        };
+        domains.insert(failure_domain.clone());
     }
 }
 
@@ -132,7 +123,7 @@
         let pool = pools.entry(entry.service.clone()).or_default();
         let Some(engine) = &spec.engine else {
             if is_evacuated {
-                pool.record_evacuated(None);
+                pool.record_evacuated(None, &entry.failure_domain);
                 continue;
             }
             pool.plain.push(route_upstream(entry, entry.slots, None));
@@ -149,7 +140,7 @@
             continue;
         };
         if is_evacuated {
-            pool.record_evacuated(Some(model));
+            pool.record_evacuated(Some(model), &entry.failure_domain);
             continue;
         }
         let pace = engine
@@ -160,9 +151,6 @@
         let upstream = route_upstream(entry, engine.slots, speed);
         pool.models.entry(model).or_default().push(upstream);
     }
-    for pool in pools.values_mut() {
-        pool.clear_served_marks();
-    }
     pools
 }
 
--- a/crates/gateway/tests/evacuated_pools.rs
+++ b/crates/gateway/tests/evacuated_pools.rs
@@ -1,5 +1,5 @@
-//! Guards against pools that contain upstreams of evacuated failure domains, or that are marked
-//! although other upstreams serve.
+//! Guards against pools that contain upstreams of evacuated failure domains, or that do not tell
+//! which evacuated ones have upstreams.
 
 use bergamot_gateway::evacuations::{EvacuationEvent, EvacuationState};
 use bergamot_gateway::view::build_pools;
@@ -39,10 +39,11 @@
     west: UpstreamState,
     /// Failure domains that remain.
     expected: &'static [&'static str],
-    is_marked: bool,
+    /// Evacuated failure domains with upstreams.
+    held_back: &'static [&'static str],
 }
 
-/// Only a pool without upstreams outside evacuated failure domains refuses requests at once.
+/// Requests are refused at once only for the sake of evacuated failure domains with upstreams.
 #[test]
 fn pools_lack_exactly_the_upstreams_of_evacuated_domains() {
     use UpstreamState::{Draining, Ready};
@@ -52,42 +53,42 @@
             evacuated: &[],
             west: Ready,
             expected: &["east", "west"],
-            is_marked: false,
+            held_back: &[],
         },
         PoolCase {
             name: "one of two domains",
             evacuated: &["east"],
             west: Ready,
             expected: &["west"],
-            is_marked: false,
+            held_back: &["east"],
         },
         PoolCase {
             name: "an unknown domain",
             evacuated: &["north"],
             west: Ready,
             expected: &["east", "west"],
-            is_marked: false,
+            held_back: &[],
         },
         PoolCase {
             name: "all domains",
             evacuated: &["east", "west"],
             west: Ready,
             expected: &[],
-            is_marked: true,
+            held_back: &["east", "west"],
         },
         PoolCase {
             name: "the other domain's upstream leaves",
             evacuated: &["east"],
             west: Draining,
             expected: &[],
-            is_marked: true,
+            held_back: &["east"],
         },
         PoolCase {
             name: "the evacuated domain's upstream leaves",
             evacuated: &["west"],
             west: Draining,
             expected: &["east"],
-            is_marked: false,
+            held_back: &[],
         },
     ];
     for case in cases {
@@ -139,5 +140,7 @@
     let domains = upstreams.iter().map(|upstream| &upstream.failure_domain);
     let domains: Vec<&str> = domains.map(FailureDomain::as_str).collect();
     assert_eq!(domains, case.expected, "{}", case.name);
-    assert_eq!(pool.is_evacuated(model), case.is_marked, "{}", case.name);
+    let held_back = pool.evacuated_domains(model).iter();
+    let held_back: Vec<&str> = held_back.map(FailureDomain::as_str).collect();
+    assert_eq!(held_back, case.held_back, "{}", case.name);
 }
