fix: do no work for the log of evacuations without changes

Cause: log_evacuations computed the age of the view and formatted it for each change of the store.

Change: it returns at once if there are no changes of evacuations.

Result: the log is the same, so there is no test of its own; tests/evacuation.rs passes through it.

--- a/crates/gateway/src/sync/publish.rs
+++ b/crates/gateway/src/sync/publish.rs
@@ -95,6 +95,9 @@
     /// learned of them. The source is that of the last changes unless one is given.
     pub(super) fn log_evacuations(&mut self, source: Option<&str>) {
         let changes = std::mem::take(&mut self.known.evacuation_changes);
+        if changes.is_empty() {
+            return;
+        }
         let age = self
             .feed_state
             .borrow()
