fix: open a stalled watch of the store again

Cause: follow_store waited for its watch for up to 21 s while confirmations succeeded. If only the watch's connection had stalled, the VM got no changes in that time.

A read of everything clears what the confirmations had shown before; the watches of an idle store would be given up otherwise.

--- a/crates/feed/src/freshness.rs
+++ b/crates/feed/src/freshness.rs
@@ -40,6 +40,11 @@
         self.current_at = self.current_at.max(at);
     }
 
+    /// Returns when a revision was observed that is not known locally yet; `None` if there is none.
+    pub fn pending_since(&self) -> Option<Millis> {
+        self.pending.map(|(_, observed_at)| observed_at)
+    }
+
     /// Returns the maximum age of the known state.
     pub fn age(&self, now: Millis) -> Millis {
         now.since(self.current_at)
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -15,6 +15,7 @@
 mod quarantine;
 mod read;
 mod serve;
+mod stall;
 
 use std::cell::RefCell;
 use std::mem::Discriminant;
@@ -41,6 +42,7 @@
 use self::peers::{FeedError, POLL_PERIOD};
 use self::quarantine::write_records;
 use self::serve::serve_updates;
+use self::stall::LATE_ANSWER_TIME;
 use crate::known::KnownState;
 use crate::shared::SharedState;
 
@@ -223,6 +225,13 @@
             if self.query_lost_keys().await {
                 self.publish();
             }
+            if self.is_watch_stalled(started_at) {
+                if let Ok(outcome) = tokio::time::timeout(LATE_ANSWER_TIME, &mut watch).await {
+                    break outcome;
+                }
+                log::warn!("event=watch_stalled revision={revision}");
+                return;
+            }
         };
         self.count_store_call("watch", outcome.as_ref().err());
         match outcome {
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -225,6 +225,7 @@
         feed_state.table = Some(UpdateTable::from_items(served_items, revision));
         feed_state.evacuations.clone_from(&self.known.evacuations);
         feed_state.freshness.mark_current(fresh_at);
+        feed_state.freshness.observe_known(revision);
         drop(feed_state);
         let config = self.known.config.as_ref();
         log::info!(
