--- a/crates/gateway/src/sync/board.rs
+++ b/crates/gateway/src/sync/board.rs
@@ -65,3 +65,6 @@
         }))
     }
 }
+
+#[cfg(test)]
+mod tests;
