--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -8,12 +8,14 @@
 mod ask;
 mod board;
 mod lost;
+mod lost_keys;
 mod own;
 mod peers;
 mod publish;
 mod quarantine;
 mod read;
 mod serve;
+mod stall;
 
 use std::cell::RefCell;
 use std::mem::Discriminant;
@@ -35,10 +37,12 @@
 use self::ask::FeedClient;
 use self::board::FeedState;
 use self::lost::LostRecords;
+use self::lost_keys::LostKeySearch;
 use self::own::maintain_own_key;
 use self::peers::{FeedError, POLL_PERIOD};
 use self::quarantine::write_records;
 use self::serve::serve_updates;
+use self::stall::LATE_ANSWER_TIME;
 use crate::known::KnownState;
 use crate::shared::SharedState;
 
@@ -89,6 +93,8 @@
     feed_client: FeedClient,
     feed_state: Rc<RefCell<FeedState>>,
     lost_records: Rc<RefCell<LostRecords>>,
+    /// The search for keys that the restored store lacks. `None` if it is over.
+    lost_key_search: Option<LostKeySearch>,
     /// Peers whose last response was not usable, with the kind of error.
     peer_failures: IndexMap<String, Discriminant<FeedError>>,
     /// Name of the source of the last changes: a peer's VM or the store.
@@ -115,6 +121,7 @@
             feed_client: FeedClient::default(),
             feed_state: Rc::default(),
             lost_records: Rc::default(),
+            lost_key_search: None,
             peer_failures: IndexMap::new(),
             source: STORE_NAME.to_owned(),
             generation: None,
@@ -216,6 +223,16 @@
                 return;
             }
             self.record_view_current();
+            if self.query_lost_keys().await {
+                self.publish();
+            }
+            if self.is_watch_stalled(started_at) {
+                if let Ok(outcome) = tokio::time::timeout(LATE_ANSWER_TIME, &mut watch).await {
+                    break outcome;
+                }
+                log::warn!("event=watch_stalled revision={revision}");
+                return;
+            }
         };
         self.count_store_call("watch", outcome.as_ref().err());
         match outcome {
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -19,7 +19,7 @@
 /// Maximum age of usable updates: the reader's confirmation period and its pause. Together with the
 /// period of requests it stays below the two seconds after which a leaving upstream must get no new
 /// requests.
-const MAX_UPDATE_AGE: Millis = Millis(1_300);
+pub(super) const MAX_UPDATE_AGE: Millis = Millis(1_300);
 
 /// Why a peer's response is not usable.
 #[derive(Debug, thiserror::Error)]
@@ -237,9 +237,18 @@
         }
     }
 
-    /// Applies the evacuations that a peer keeps in force because a restored store lacks them.
+    /// Applies the ends of evacuations that a peer knows of, and the evacuations that it keeps in
+    /// force because a restored store lacks them.
     pub(super) fn apply_retained(&mut self, updates: &StoreUpdates, requested_at: Millis) {
         let now = self.shared.clock.now();
+        for end in &updates.evacuation_ends {
+            let event = EvacuationEvent::EndedAtPeer {
+                domain: end.domain.clone(),
+                revision: end.revision,
+                ended_at: Millis(requested_at.0.saturating_sub(end.age.0)),
+            };
+            self.known.apply_evacuation(event, now);
+        }
         for retained in &updates.retained_evacuations {
             let event = EvacuationEvent::Retained {
                 domain: retained.domain.clone(),
