fix: cold times are kept for upstreams that may get requests alone

Cause: each VM logged the cold time of each member of a failure domain that came back, 4,161 lines in a second from 73 VMs, a quarter of the log; only leaders and instances of plain services get requests. The search for lost keys used a clock that pauses during a suspension, which a test forbids. Change: members that lead no group are left out; the search uses the clock that counts suspension.

--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -73,7 +73,8 @@
         self.by_upstream.swap_remove(id);
     }
 
-    /// Returns the listed upstreams of services with slow start; none if no service has one.
+    /// Returns the listed upstreams of services with slow start that may get requests; none if no
+    /// service has one. Members of groups other than the leader get none.
     pub(crate) fn cold_entries(
         &self,
         config: Option<&ServingConfig>,
@@ -86,7 +87,13 @@
             return IndexMap::new();
         };
         let entries = upstreams.iter().filter_map(|(id, entry)| {
-            let spec = services.get(&entry.service)?.warm_up?;
+            let service = services.get(&entry.service)?;
+            let spec = service.warm_up?;
+            let membership = entry.membership.as_ref();
+            let is_leader = membership.is_some_and(|membership| membership.rank == 0);
+            if service.engine.is_some() && !is_leader {
+                return None;
+            }
             let known = self.by_upstream.get(id)?;
             let cold_entry = ColdEntry {
                 incarnation: entry.incarnation.clone(),
--- a/crates/gateway/src/sync/lost_keys.rs
+++ b/crates/gateway/src/sync/lost_keys.rs
@@ -7,7 +7,6 @@
 use bergamot_ports::{StateStore, StoreCatalog, StoreRevision};
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
-use tokio::time::Instant;
 
 use super::StoreSync;
 use super::peers::MAX_UPDATE_AGE;
@@ -19,7 +18,7 @@
 const QUERY_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which no further peer is asked until the next confirmation. The watch of the store
 /// waits meanwhile, and so does a VM that starts.
-const ROUND_TIMEOUT: Duration = Duration::from_millis(600);
+const ROUND_TIMEOUT: Millis = Millis(600);
 
 /// The search for the keys that a restored store lacks.
 #[derive(Debug)]
@@ -61,10 +60,11 @@
         let Some(mut search) = self.lost_key_search.take() else {
             return false;
         };
-        let round_end = Instant::now() + ROUND_TIMEOUT;
+        let round_end = self.shared.clock.now() + ROUND_TIMEOUT;
         let answered_before = search.answered.len();
         for (vm, addr) in self.peers_to_ask(&search) {
-            if search.is_over(self.shared.clock.now()) || Instant::now() >= round_end {
+            let now = self.shared.clock.now();
+            if search.is_over(now) || now >= round_end {
                 break;
             }
             match self.query_peer(addr).await {
