--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -62,9 +62,9 @@
                     if denial == PermitDenial::OutOfTime {
                         left_out.push(upstream.incarnation);
                     }
-                    // The upstream backs off now, or is left out. Another one is chosen, unless too little time is
-                    // left for its answer. While some upstreams are cold, the others may have room,
-                    // also for retries and resumed streams, whose time to wait is over.
+                    // The upstream backs off now, or is left out. Another one is chosen, unless too
+                    // little time is left for its answer. While some upstreams are cold, the others
+                    // may have room, also for retries and resumed streams, whose time to wait is over.
                     let may_go_on = denial != PermitDenial::Limited || front.now() < wait_until;
                     match may_go_on {
                         true => continue,
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -186,8 +186,8 @@
         }
     }
 
-    /// Follows the store for one watch from `revision`, or until it was restored. While the store is unreachable, first makes
-    /// one short call to see whether it is back.
+    /// Follows the store for one watch from `revision`, or until it was restored or the watch has
+    /// stalled. While the store is unreachable, first makes one short call to see whether it is back.
     async fn follow_store(&mut self, revision: StoreRevision) {
         if self.known.is_store_unreachable && !self.is_store_back().await {
             return;
