docs: comments of the soak without names of a platform

Cause: two constants of the soak were explained by names of settings that only platform/ knows. Change: comments alone.

--- a/crates/soak/src/cold.rs
+++ b/crates/soak/src/cold.rs
@@ -17,11 +17,11 @@
 use crate::site::UpstreamRole;
 use crate::violation::Violation;
 
-/// Factor on the rate of a cold upstream, and requests on top of it: `coldExcess` and `coldSlack` in the
-/// processes' settings.
+/// Factor on the rate of a cold upstream, and requests allowed in addition, as in the settings of the
+/// processes.
 const COLD_EXCESS: f64 = 1.5;
 const COLD_SLACK: f64 = 5.0;
-/// Span in which requests are counted, as the users set it.
+/// Span in which requests are counted.
 const COLD_SPAN: Duration = Duration::from_secs(1);
 /// How upstreams warm up. They withstand twice the bound.
 pub(crate) const WARM_UP: WarmUpOptions = WarmUpOptions {
--- a/crates/soak/src/domains.rs
+++ b/crates/soak/src/domains.rs
@@ -16,10 +16,10 @@
 use crate::site::UpstreamRole;
 use crate::violation::Violation;
 
-/// Time after which an evacuated failure domain gets nothing from connected processes: `evacuateMs` in
-/// the processes' settings.
+/// Time after which an evacuated failure domain gets nothing from connected processes, as in the
+/// settings of the processes.
 const EVACUATION_BOUND: Duration = Duration::from_millis(3_000);
-/// Age from which on what a process knows of the store excuses it, as the users set it.
+/// Age of what a process knows of the store from which on it does not count as connected.
 const CONTACT_AGE: Duration = Duration::from_secs(4);
 /// Time after a fault of a link in which what it held back still arrives: above its longest delay.
 const LINK_SHADOW: Duration = Duration::from_secs(1);
