feat: tell an entry VM that reaches no upstream from failed upstreams

Cause: each failure named one upstream, so no line told whether a VM reaches any upstream, and whose links a failure is.

Change: a partition is suspected after failures at two upstreams, and concluded when probes of others, in as many failure domains as possible, get no answer on new connections. Lines upstreams_unreachable and upstreams_reachable, a gauge, and a counter of new connections by outcome. Nothing is routed by it yet.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -20,6 +20,7 @@
 use crate::front::FrontContext;
 use crate::front::ends::{follow_crashes, review_crashes};
 use crate::front::exchange::exchange;
+use crate::front::partition::watch_partition;
 use crate::front::server::{accept_callers, accept_ready, follow_groups, sweep};
 use crate::groups::GroupCoordinator;
 use crate::listen::next_connection;
@@ -216,6 +217,7 @@
     tokio::task::spawn_local(accept_ready(Rc::clone(&front), ready_listener));
     tokio::task::spawn_local(sweep(Rc::clone(&front)));
     tokio::task::spawn_local(follow_groups(Rc::clone(&front)));
+    tokio::task::spawn_local(watch_partition(Rc::clone(&front)));
     tokio::task::spawn_local(follow_crashes(Rc::clone(&front)));
     tokio::task::spawn_local(review_crashes(Rc::clone(&front)));
     tokio::task::spawn_local(exchange(
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -18,6 +18,7 @@
 use super::flight::{ConnectGuard, FlightGuard};
 use super::gates::record_availability;
 use super::limits::record_limit;
+use super::partition::connect_new;
 use super::permits::{SendPermit, may_send};
 use super::pool::{ConnectError, UpstreamConnection};
 use super::residency::{LatestHomes, is_still_allowed};
@@ -175,10 +176,10 @@
         sent_at,
     );
     let connect_guard = ConnectGuard::enter(&front.monitor, &upstream.incarnation, sent_at);
-    let connection = front
-        .pool
-        .connect(&upstream.incarnation, upstream.addr)
-        .await;
+    let connection = match front.pool.take_idle(&upstream.incarnation) {
+        Some(connection) => Ok(connection),
+        None => connect_new(front, upstream).await,
+    };
     drop(connect_guard);
     let connect_latency = front.now().since(sent_at);
     match &connection {
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -27,6 +27,7 @@
 //! | [`exchange`] | exchange of load reports and notices between entry VMs |
 //! | [`budget`] | how many retries may be sent |
 //! | [`pool`] | connections to upstreams |
+//! | [`partition`] | detection that no upstream is reachable |
 
 pub mod addresses;
 pub mod admit;
@@ -44,6 +45,7 @@
 pub mod head_timer;
 pub mod limits;
 pub mod open;
+pub mod partition;
 pub mod permits;
 pub mod plan;
 pub mod pool;
@@ -69,7 +71,7 @@
 use bergamot_quota::{PermitVerdict, QuotaState};
 use bergamot_routing::{ReturnDelays, ServingOutage, UpstreamMonitor};
 use bergamot_types::prelude::*;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::shared::SharedState;
 use crate::stop::StopControl;
@@ -88,6 +90,8 @@
     pub pool: Rc<ConnectionPool>,
     /// Load, failures and stalls of upstreams.
     pub monitor: Rc<RefCell<UpstreamMonitor>>,
+    /// Notified when this VM suspects that it reaches no upstream.
+    pub partition_suspected: Notify,
     /// Demand for each model.
     pub demand: RefCell<DemandMeter>,
     /// Delays after which rejected callers are asked to return.
@@ -130,6 +134,7 @@
             pool: Rc::new(ConnectionPool::new(shared.clock)),
             dialect,
             monitor: Rc::new(RefCell::new(UpstreamMonitor::new(descriptor))),
+            partition_suspected: Notify::new(),
             demand: RefCell::default(),
             delays: RefCell::default(),
             budget: RefCell::new(budget),
--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -4,12 +4,13 @@
 
 use bergamot_ports::CallerDialect;
 use bergamot_quarantine::BreakCause;
-use bergamot_routing::{DispatchedRequest, RouteUpstream};
+use bergamot_routing::{DispatchedRequest, PartitionEvent, RouteUpstream};
 use bergamot_types::prelude::*;
 
 use super::FrontContext;
 use super::attempt::{AttemptError, OpenReply, SentRequest, send};
 use super::breaks::{CallerLeftGuard, record_break, record_no_listener};
+use super::partition::observe;
 use super::plan::{PlannedSend, refund_retry, uncrashed_runs};
 use super::quiet::{STALL_CHECK_PERIOD, check_stall, report_stall};
 use super::state::CallState;
@@ -57,6 +58,10 @@
         _ => guard.finish(),
     }
     count_attempt(front, state, &outcome);
+    if let Ok(reply) = &outcome {
+        let opened_at = reply.connection.opened_at;
+        observe(front, PartitionEvent::Received { opened_at });
+    }
     record_attempt(front, state, upstream, &outcome);
     let is_disconnected = matches!(
         (&outcome, cause),
--- a/crates/gateway/src/front/pool.rs
+++ b/crates/gateway/src/front/pool.rs
@@ -45,6 +45,8 @@
 pub struct UpstreamConnection {
     /// Sends requests on the connection.
     pub sender: http1::SendRequest<Full<Bytes>>,
+    /// When the connection was established.
+    pub opened_at: Millis,
     driver: JoinHandle<()>,
 }
 
@@ -75,27 +77,12 @@
         }
     }
 
-    /// Returns an idle connection, or opens a new one.
-    ///
-    /// # Errors
-    /// See [`ConnectError`]. No part of a request was sent.
-    pub async fn connect(
-        &self,
-        incarnation: &UpstreamIncarnation,
-        addr: SocketAddr,
-    ) -> Result<UpstreamConnection, ConnectError> {
-        match self.take_idle(incarnation) {
-            Some(connection) => Ok(connection),
-            None => self.connect_new(addr).await,
-        }
-    }
-
     /// Opens a new connection, even if one is idle.
     ///
     /// # Errors
     /// See [`ConnectError`]. No part of a request was sent.
     pub async fn connect_new(&self, addr: SocketAddr) -> Result<UpstreamConnection, ConnectError> {
-        match tokio::time::timeout(CONNECT_TIMEOUT, open(addr)).await {
+        match tokio::time::timeout(CONNECT_TIMEOUT, open(addr, self.clock)).await {
             Ok(outcome) => outcome,
             Err(_) => Err(ConnectError::Failed("timed out".to_owned())),
         }
@@ -111,7 +98,8 @@
         usable.map(|(incarnation, _)| incarnation.clone()).collect()
     }
 
-    fn take_idle(&self, incarnation: &UpstreamIncarnation) -> Option<UpstreamConnection> {
+    /// Takes an idle connection to an upstream, if there is one.
+    pub fn take_idle(&self, incarnation: &UpstreamIncarnation) -> Option<UpstreamConnection> {
         let mut pool = self.idle.borrow_mut();
         let idle = pool.get_mut(incarnation)?;
         let now = self.clock.now();
@@ -171,7 +159,7 @@
     }
 }
 
-async fn open(addr: SocketAddr) -> Result<UpstreamConnection, ConnectError> {
+async fn open(addr: SocketAddr, clock: BootClock) -> Result<UpstreamConnection, ConnectError> {
     let stream = TcpStream::connect(addr).await.map_err(|error| {
         match error.kind() == std::io::ErrorKind::ConnectionRefused {
             true => ConnectError::Refused(error),
@@ -192,5 +180,9 @@
             log::debug!("event=connection_ended addr={addr} reason={error:?}");
         }
     });
-    Ok(UpstreamConnection { sender, driver })
+    Ok(UpstreamConnection {
+        sender,
+        opened_at: clock.now(),
+        driver,
+    })
 }
--- a/crates/gateway/src/front/quiet.rs
+++ b/crates/gateway/src/front/quiet.rs
@@ -1,10 +1,13 @@
 //! Detection of stalled upstreams.
 
 use bergamot_peer::{LeaderStall, SuspicionNotice};
-use bergamot_routing::{DispatchedRequest, RouteUpstream, StallNotice, StallVerdict};
+use bergamot_routing::{
+    DispatchedRequest, PartitionEvent, RouteUpstream, StallNotice, StallVerdict,
+};
 use bergamot_types::prelude::*;
 
 use super::FrontContext;
+use super::partition::observe;
 
 /// Time between two stall checks while a request waits at an engine. Short compared with the time
 /// within which a stalled leader is to be detected, which is a few passes of a fast engine.
@@ -19,11 +22,14 @@
     dispatched: DispatchedRequest,
 ) -> bool {
     let now = front.now();
-    let mut monitor = front.monitor.borrow_mut();
+    let monitor = front.monitor.borrow();
     let verdict = monitor.judge_stall(upstream, model, dispatched, now);
     if verdict == StallVerdict::Sound {
         return false;
     }
+    drop(monitor);
+    observe(front, PartitionEvent::Silent(&upstream.incarnation));
+    let mut monitor = front.monitor.borrow_mut();
     let witness = hash_bytes(front.shared.site.vm.as_str().as_bytes()) as u32;
     let recipients = monitor.record_stall_verdict(&upstream.incarnation, verdict, witness, now);
     let load = monitor.load(&upstream.incarnation);
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -6,6 +6,7 @@
 
 use bergamot_ports::CallerDialect;
 use bergamot_quarantine::BreakCause;
+use bergamot_routing::PartitionEvent;
 use bergamot_types::prelude::*;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
@@ -15,6 +16,7 @@
 use super::attempt::{OpenReply, SentRequest};
 use super::events::{EventSplitter, StreamEvent};
 use super::open::open;
+use super::partition::observe;
 use super::plan::plan;
 use super::quiet::{STALL_CHECK_PERIOD, check_stall};
 use super::state::CallState;
@@ -225,6 +227,8 @@
                     let mut monitor = self.front.monitor.borrow_mut();
                     monitor.record_progress(&reply.upstream.incarnation, now);
                     drop(monitor);
+                    let opened_at = reply.connection.opened_at;
+                    observe(&self.front, PartitionEvent::Received { opened_at });
                     if let Some(data) = frame.data_ref() {
                         reply.flight.mark_begun();
                         splitter.push(data);
--- a/crates/gateway/src/front/residency/tests.rs
+++ b/crates/gateway/src/front/residency/tests.rs
@@ -11,7 +11,7 @@
 
 use bergamot_ports::{
     AccountGrant, CallerCall, CallerDialect, HomeRegions, OutgoingContext, RefusalContext,
-    ReplyFacts, Route, RouteKind, ServingConfig, VmSite,
+    ReplyFacts, Route, RouteKind, ServingConfig, UpstreamEntry, VmSite,
 };
 use bergamot_routing::{DispatchedRequest, RouteUpstream};
 use bergamot_types::AccountToken;
@@ -50,6 +50,10 @@
         unreachable!("no upstream of this test answers")
     }
 
+    fn report_request(&self, _: &UpstreamEntry) -> Request<()> {
+        Request::new(())
+    }
+
     fn answer_headers(&self, _: &response::Parts) -> HeaderMap {
         HeaderMap::new()
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     pub requests: IntCounterVec,
     /// Attempts at upstreams by route kind and outcome.
     pub attempts: IntCounterVec,
+    /// New connections to upstreams by outcome.
+    pub connects: IntCounterVec,
     /// Time to the first piece of a response, in seconds, by route kind.
     pub first_piece: HistogramVec,
     /// Time between two events of a stream, in seconds.
@@ -81,6 +83,11 @@
                 "Attempts at upstreams by route kind and outcome",
                 &["kind", "outcome"],
             ),
+            connects: counter(
+                "bergamot_upstream_connects_total",
+                "New connections to upstreams by outcome",
+                &["outcome"],
+            ),
             first_piece: histogram(
                 "bergamot_first_piece_seconds",
                 "Time to the first piece of an answer",
--- a/crates/ports/src/call.rs
+++ b/crates/ports/src/call.rs
@@ -4,7 +4,9 @@
 use bergamot_types::prelude::*;
 use hyper::http::request::Parts as RequestParts;
 use hyper::http::response::Parts as ReplyParts;
-use hyper::{HeaderMap, Response};
+use hyper::{HeaderMap, Request, Response};
+
+use crate::directory::UpstreamEntry;
 
 /// A caller's request without its body.
 #[derive(Clone, Debug)]
@@ -100,6 +102,9 @@
     /// Parses the head of an upstream's answer to a request.
     fn reply_facts(&self, id: &RequestId, head: &ReplyParts) -> ReplyFacts;
 
+    /// Returns a request without a body that an upstream of groups answers without a free slot.
+    fn report_request(&self, upstream: &UpstreamEntry) -> Request<()>;
+
     /// Returns the headers of the answer to the caller.
     fn answer_headers(&self, head: &ReplyParts) -> HeaderMap;
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod gate;
 pub mod latency;
 pub mod load;
+pub mod partition;
 mod reach;
 pub mod resume;
 pub mod retry;
@@ -37,6 +38,9 @@
     SuspicionTimeouts,
 };
 pub use load::UpstreamLoad;
+pub use partition::{
+    PROBED_UPSTREAMS, PartitionAction, PartitionEvent, PartitionFacts, PartitionState, draw_probes,
+};
 pub use resume::StreamResume;
 pub use retry::RetryBudget;
 pub use returns::{ReturnDelays, ServingOutage, longest_delay};
--- a/crates/routing/src/monitor.rs
+++ b/crates/routing/src/monitor.rs
@@ -9,6 +9,7 @@
 use crate::gate::GateTable;
 use crate::latency::{DispatchedRequest, LeaderInactivity, ModelLatencies, StallVerdict};
 use crate::load::UpstreamLoad;
+use crate::partition::PartitionState;
 use crate::stalls::{StallNotice, StallRecipients, StallTable};
 use crate::upstream::RouteUpstream;
 
@@ -30,6 +31,8 @@
     pub stalls: StallTable,
     /// Upstreams that do not accept all requests.
     pub gates: GateTable,
+    /// Whether this VM reaches upstreams.
+    pub partition: PartitionState,
 }
 
 impl UpstreamMonitor {
@@ -42,6 +45,7 @@
             latencies: ModelLatencies::default(),
             stalls: StallTable::default(),
             gates: GateTable::default(),
+            partition: PartitionState::default(),
         }
     }
 
--- /dev/null
+++ b/crates/routing/tests/partition.rs
@@ -0,0 +1,275 @@
+//! Partitions of an entry VM from all upstreams are told apart from failures of the upstreams.
+
+use bergamot_routing::{
+    PROBED_UPSTREAMS, PartitionAction, PartitionEvent, PartitionState, draw_probes,
+};
+use bergamot_types::prelude::*;
+
+fn upstream(number: usize) -> UpstreamIncarnation {
+    UpstreamIncarnation::new(UpstreamId::new(&format!("e{number}")), None)
+}
+
+/// Late enough that no event is recent at time zero, which stands for never.
+const START: Millis = Millis(10_000);
+/// When connections were opened that existed before the first event, from [`START`].
+const OLD: u64 = 0;
+
+#[derive(Clone, Copy)]
+enum Step {
+    Connected,
+    Failed(usize),
+    Silent(usize),
+    /// Data on a connection that was opened at this time.
+    Received(u64),
+    ProbesEnded(usize),
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Outcome {
+    Reaching,
+    Suspecting,
+    Partitioned,
+}
+
+struct PartitionCase {
+    name: &'static str,
+    /// Times in milliseconds, and what is observed then.
+    steps: &'static [(u64, Step)],
+    outcome: Outcome,
+}
+
+static CASES: [PartitionCase; 13] = [
+    PartitionCase {
+        name: "connections are accepted by something between that passes nothing on",
+        steps: &[
+            (1, Step::Silent(0)),
+            (2, Step::Connected),
+            (3, Step::Silent(1)),
+            (4, Step::Connected),
+            (250, Step::ProbesEnded(3)),
+        ],
+        outcome: Outcome::Partitioned,
+    },
+    PartitionCase {
+        name: "connections fail at two upstreams and all probes",
+        steps: &[
+            (0, Step::Failed(0)),
+            (150, Step::Failed(1)),
+            (300, Step::ProbesEnded(3)),
+        ],
+        outcome: Outcome::Partitioned,
+    },
+    PartitionCase {
+        name: "requests at two upstreams are silent, and all probes fail",
+        steps: &[
+            (0, Step::Silent(0)),
+            (10, Step::Silent(1)),
+            (160, Step::ProbesEnded(3)),
+        ],
+        outcome: Outcome::Partitioned,
+    },
+    PartitionCase {
+        name: "old connections live on while new ones fail",
+        steps: &[
+            (1, Step::Failed(0)),
+            (2, Step::Received(OLD)),
+            (3, Step::Failed(1)),
+            (4, Step::Received(OLD)),
+            (5, Step::ProbesEnded(3)),
+            (6, Step::Received(OLD)),
+        ],
+        outcome: Outcome::Partitioned,
+    },
+    PartitionCase {
+        name: "one upstream ended",
+        steps: &[
+            (0, Step::Failed(0)),
+            (150, Step::Failed(0)),
+            (300, Step::Failed(0)),
+        ],
+        outcome: Outcome::Reaching,
+    },
+    PartitionCase {
+        name: "upstreams ended long after each other",
+        steps: &[(0, Step::Failed(0)), (1_200, Step::Failed(1))],
+        outcome: Outcome::Reaching,
+    },
+    PartitionCase {
+        name: "two upstreams ended, no probe is back yet",
+        steps: &[(0, Step::Failed(0)), (1, Step::Failed(1))],
+        outcome: Outcome::Suspecting,
+    },
+    PartitionCase {
+        name: "two upstreams ended, a probe reaches a third",
+        steps: &[
+            (1, Step::Failed(0)),
+            (2, Step::Failed(1)),
+            (4, Step::Received(3)),
+            (150, Step::ProbesEnded(3)),
+        ],
+        outcome: Outcome::Reaching,
+    },
+    PartitionCase {
+        name: "a connection between the failures",
+        steps: &[
+            (0, Step::Failed(0)),
+            (1, Step::Connected),
+            (2, Step::Failed(1)),
+        ],
+        outcome: Outcome::Reaching,
+    },
+    PartitionCase {
+        name: "two upstreams are silent while others send",
+        steps: &[
+            (0, Step::Silent(0)),
+            (1, Step::Received(OLD)),
+            (2, Step::Silent(1)),
+        ],
+        outcome: Outcome::Reaching,
+    },
+    PartitionCase {
+        name: "no upstream is listed any more",
+        steps: &[
+            (0, Step::Failed(0)),
+            (1, Step::Failed(1)),
+            (2, Step::ProbesEnded(0)),
+        ],
+        outcome: Outcome::Reaching,
+    },
+    PartitionCase {
+        name: "failures right after a suspicion that was refuted",
+        steps: &[
+            (1, Step::Failed(0)),
+            (2, Step::Failed(1)),
+            (3, Step::Received(2)),
+            (4, Step::Failed(0)),
+            (5, Step::Failed(1)),
+        ],
+        outcome: Outcome::Reaching,
+    },
+    PartitionCase {
+        name: "a probe reaches an upstream again",
+        steps: &[
+            (1, Step::Failed(0)),
+            (2, Step::Failed(1)),
+            (3, Step::ProbesEnded(3)),
+            (700, Step::Received(699)),
+        ],
+        outcome: Outcome::Reaching,
+    },
+];
+
+fn case(name: &str) -> &'static PartitionCase {
+    let mut cases = CASES.iter();
+    cases
+        .find(|case| case.name == name)
+        .expect("the case exists")
+}
+
+fn play(case: &PartitionCase) -> (PartitionState, Vec<PartitionAction>) {
+    let mut state = PartitionState::default();
+    let mut actions = Vec::new();
+    for (at, step) in case.steps {
+        let named = upstream(match step {
+            Step::Failed(number) | Step::Silent(number) => *number,
+            _ => 0,
+        });
+        let event = match *step {
+            Step::Connected => PartitionEvent::Connected,
+            Step::Failed(_) => PartitionEvent::ConnectFailed(&named),
+            Step::Silent(_) => PartitionEvent::Silent(&named),
+            Step::Received(opened_at) => PartitionEvent::Received {
+                opened_at: START + Millis(opened_at),
+            },
+            Step::ProbesEnded(probed) => PartitionEvent::ProbesEnded { probed },
+        };
+        actions.extend(state.handle(START + Millis(*at), event));
+    }
+    (state, actions)
+}
+
+#[test]
+fn only_failures_of_all_probes_are_a_partition() {
+    for case in &CASES {
+        let (state, actions) = play(case);
+        let outcome = match (state.is_partitioned(), state.is_in_doubt()) {
+            (true, _) => Outcome::Partitioned,
+            (false, true) => Outcome::Suspecting,
+            (false, false) => Outcome::Reaching,
+        };
+        assert_eq!(outcome, case.outcome, "{}: {actions:?}", case.name);
+        let was_lost = actions
+            .iter()
+            .any(|action| matches!(action, PartitionAction::LogLost(_)));
+        let is_regained = actions
+            .iter()
+            .any(|action| matches!(action, PartitionAction::LogRegained { .. }));
+        assert_eq!(was_lost, is_regained || outcome == Outcome::Partitioned);
+    }
+}
+
+#[test]
+fn connections_from_before_a_partition_are_dead_until_data_arrives() {
+    let live = case("old connections live on while new ones fail");
+    assert!(!play(live).0.is_silent(), "{}", live.name);
+    let dead = case("connections fail at two upstreams and all probes");
+    assert!(play(dead).0.is_silent(), "{}", dead.name);
+}
+
+#[test]
+fn probes_cover_as_many_failure_domains_as_possible() {
+    struct DrawCase {
+        /// Number of upstreams in each failure domain.
+        sizes: &'static [usize],
+        drawn: usize,
+        domains: usize,
+    }
+    let cases = [
+        DrawCase {
+            sizes: &[40, 1, 9],
+            drawn: PROBED_UPSTREAMS,
+            domains: 3,
+        },
+        DrawCase {
+            sizes: &[40, 1],
+            drawn: PROBED_UPSTREAMS,
+            domains: 2,
+        },
+        DrawCase {
+            sizes: &[9, 9, 9, 9, 9],
+            drawn: PROBED_UPSTREAMS,
+            domains: 3,
+        },
+        DrawCase {
+            sizes: &[1],
+            drawn: 1,
+            domains: 1,
+        },
+        DrawCase {
+            sizes: &[],
+            drawn: 0,
+            domains: 0,
+        },
+    ];
+    for case in &cases {
+        for seed in 0..100 {
+            let names = (0..case.sizes.len()).map(|index| FailureDomain::new(&format!("d{index}")));
+            let names: Vec<_> = names.collect();
+            let sized = names.iter().zip(case.sizes);
+            let upstreams =
+                sized.flat_map(|(name, size)| (0..*size).map(move |number| (name, (name, number))));
+            let drawn = draw_probes(upstreams, seed);
+            let unique: std::collections::BTreeSet<_> = drawn
+                .iter()
+                .map(|(name, number)| (name.as_str(), number))
+                .collect();
+            let domains: std::collections::BTreeSet<_> =
+                drawn.iter().map(|(name, _)| name.as_str()).collect();
+            assert_eq!(
+                (unique.len(), domains.len()),
+                (case.drawn, case.domains),
+                "seed {seed}: {drawn:?}"
+            );
+        }
+    }
+}
