test: callers of processes that reach no upstream are served far worse

What callers saw: requests at VMs that were cut off from all upstreams failed after up to 1.3 s, while the other VMs served.

Change: the soak can cut processes off from all upstreams, by resets, by silence and by refusing new connections alone (a connection is told by the process that owns its socket), and checks what callers get from three seconds on.

--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -41,7 +41,7 @@
 }
 
 impl Trouble {
-    fn overlaps(&self, from: Instant, until: Instant) -> bool {
+    pub(crate) fn overlaps(&self, from: Instant, until: Instant) -> bool {
         self.from <= until && from <= self.until + FAULT_SHADOW
     }
 
@@ -118,6 +118,7 @@
         found.extend(self.check_harmful());
         found.extend(self.check_said());
         found.extend(self.check_arrivals());
+        found.extend(self.check_cuts());
         found
     }
 
@@ -221,6 +222,7 @@
             let can_break = trouble.befalls(record.entry) || trouble.breaks_answers(runs);
             can_break && trouble.overlaps(from, until)
         });
+        let is_excused = is_excused || self.is_cut_off(record.entry, from, until);
         (is_cut && !is_excused).then(|| Violation::CutByStop {
             id: record.id.clone(),
             entry: record.entry,
--- a/crates/soak/src/bin/bergamot-soak.rs
+++ b/crates/soak/src/bin/bergamot-soak.rs
@@ -69,6 +69,12 @@
         "callers of each process whose requests have a home region (0)",
         "COUNT",
     );
+    options.optopt(
+        "",
+        "cuts",
+        "cuts between some processes and all upstreams (0)",
+        "COUNT",
+    );
     options.optopt("", "seconds", "time in which faults begin (12)", "SECONDS");
     options.optopt(
         "",
@@ -145,6 +151,7 @@
         evacuations: matches.opt_get_default("evacuations", usual.evacuations)?,
         cold: matches.opt_get_default("cold", usual.cold)?,
         home_callers: matches.opt_get_default("home-callers", usual.home_callers)?,
+        cuts: matches.opt_get_default("cuts", usual.cuts)?,
         length: Duration::from_secs(seconds),
         ..usual
     })
@@ -166,6 +173,9 @@
             outcome.evacuations, outcome.cold_requests, outcome.cold_peak
         );
     }
+    for cut in &outcome.cuts {
+        println!("  {cut:?}");
+    }
     for violation in &outcome.violations {
         println!("  {violation}");
     }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -12,6 +12,7 @@
 
 use crate::around_stop::{LEAD_TIME, StopScene};
 use crate::audit::Trouble;
+use crate::cuts::ProcessSet;
 use crate::plan::{FaultKind, FaultPlan, LinkState, TimedFault};
 use crate::process::{EntryProcess, StopState};
 use crate::proxy::LinkProxy;
@@ -97,6 +98,11 @@
                 let link = &self.entries[index].store_link;
                 strain(link, state, length).await;
             }
+            FaultKind::UpstreamsCut(cut_off, state) => {
+                self.cut_upstreams(cut_off, state);
+                tokio::time::sleep(length).await;
+                self.cut_upstreams(cut_off, LinkState::Whole);
+            }
             FaultKind::EngineLink(index, state) => {
                 let link = self.site.engines.lock()[index].link.clone();
                 strain(&link, state, length).await;
@@ -142,6 +148,14 @@
         Ok(())
     }
 
+    fn cut_upstreams(&self, cut_off: ProcessSet, state: LinkState) {
+        for number in 0..self.entries.len() {
+            if cut_off.has(number) {
+                self.site.links.set(number, state);
+            }
+        }
+    }
+
     /// Switches faults of the stand-ins on and off again.
     async fn switch(&self, fault: TimedFault) {
         let faults = match fault.kind {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,7 +2,8 @@
 //! store and the upstreams, with faults from outside them.
 //!
 //! A run is drawn from a seed ([`FaultPlan`]). Faults come one upon another: connections are delayed,
-//! reset, cut one way or silenced by a proxy ([`LinkProxy`]); processes are stopped, paused, killed and
+//! reset, cut one way or silenced by a proxy ([`LinkProxy`]), also those of a process to all upstreams
+//! ([`UpstreamLinks`]); processes are stopped, paused, killed and
 //! started again ([`EntryProcess`]); the store and the upstreams fail ([`SoakSite`]). Callers
 //! ([`caller`]) keep their connections until the process is gone. What they and the upstreams saw is
 //! checked against the promises ([`audit`]). Nothing but log lines goes by the time of day, so clocks are
@@ -14,6 +15,7 @@
 pub mod audit;
 pub mod caller;
 mod cold;
+pub mod cuts;
 pub mod domains;
 mod faults;
 pub mod groups;
@@ -27,9 +29,11 @@
 pub mod said;
 pub mod site;
 mod slow_stream;
+pub mod upstream_links;
 pub mod violation;
 
 pub use audit::AuditBook;
+pub use cuts::{CutReport, ProcessSet, TryCount};
 pub use domains::{DomainChoice, EvacuationPeriod, UpstreamArrivals};
 pub use options::SoakOptions;
 pub use plan::{FaultKind, FaultPlan, LinkState, TimedFault};
@@ -38,4 +42,5 @@
 pub use run::{SoakOutcome, run_plan, run_seed};
 pub use said::SaidFault;
 pub use site::SoakSite;
+pub use upstream_links::UpstreamLinks;
 pub use violation::Violation;
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -36,6 +36,8 @@
     pub cold: usize,
     /// Callers of each process, besides, whose requests have a home region.
     pub home_callers: usize,
+    /// Cuts between some processes and all upstreams, besides.
+    pub cuts: usize,
     /// The number of the first place for processes; runs that go on side by side need others.
     pub first_place: usize,
 }
@@ -59,6 +61,7 @@
             evacuations: 0,
             cold: 0,
             home_callers: 0,
+            cuts: 0,
             first_place: 0,
         }
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::cold::draw_cold;
+use crate::cuts::{ProcessSet, draw_cuts};
 use crate::domains::{DomainChoice, draw_evacuations};
 use crate::options::SoakOptions;
 use crate::said::SaidFault;
@@ -28,6 +29,18 @@
     CutBackward,
     /// Nothing passes.
     Silent,
+    /// Connections that are open live on, and new ones are reset.
+    RefusesNew,
+}
+
+impl LinkState {
+    /// By how much bytes are delayed.
+    pub(crate) const fn delay(self) -> Duration {
+        match self {
+            Self::Delayed(delay) => delay,
+            _ => Duration::ZERO,
+        }
+    }
 }
 
 /// What goes wrong, or is done on purpose. Numbers name a process, an engine or a desk.
@@ -43,6 +56,8 @@
     ReloadEntry(usize),
     /// A process's link to the store.
     StoreLink(usize, LinkState),
+    /// The links of some processes to all upstreams.
+    UpstreamsCut(ProcessSet, LinkState),
     /// All processes' links to an engine.
     EngineLink(usize, LinkState),
     /// All processes' links to an instance of the plain service.
@@ -156,9 +171,16 @@
         faults.extend(draw_restores(seed, options));
         faults.extend(draw_evacuations(seed, options));
         faults.extend(draw_cold(seed, options));
+        faults.extend(draw_cuts(seed, options));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
+
+    /// Whether it cuts processes off from all upstreams.
+    pub fn has_cuts(&self) -> bool {
+        let mut faults = self.faults.iter();
+        faults.any(|fault| matches!(fault.kind, FaultKind::UpstreamsCut(..)))
+    }
 }
 
 /// Planned stops have a source of their own too. Every other one comes once all other faults are over, as what a stop cuts
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::Stdio;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
@@ -13,6 +14,7 @@
 use tokio::process::{Child, Command};
 
 use crate::options::SoakOptions;
+use crate::upstream_links::UpstreamLinks;
 
 /// Time a process that was told to stop may take: its grace of 8 s and some room.
 const STOP_PATIENCE: Duration = Duration::from_secs(12);
@@ -72,6 +74,10 @@
 pub struct EntryProcess {
     /// Where it listens.
     pub place: EntryPlace,
+    /// Its number in its run.
+    number: usize,
+    /// The links of all processes to upstreams.
+    links: Arc<UpstreamLinks>,
     settings: PathBuf,
     log: PathBuf,
     program: PathBuf,
@@ -92,6 +98,7 @@
         number: usize,
         options: &SoakOptions,
         store: SocketAddr,
+        links: Arc<UpstreamLinks>,
     ) -> anyhow::Result<Self> {
         let folder = &options.folder;
         let place = EntryPlace::new(options.first_place + number);
@@ -109,6 +116,8 @@
         std::fs::write(&settings, sample.to_text()).context("settings")?;
         Ok(Self {
             place,
+            number,
+            links,
             settings,
             log: folder.join(format!("entry-{number}.log")),
             program: options.program.clone(),
@@ -137,6 +146,9 @@
             .kill_on_drop(true)
             .spawn()
             .with_context(|| format!("{} cannot be started", self.program.display()))?;
+        if let Some(id) = child.id().and_then(|id| i32::try_from(id).ok()) {
+            self.links.note_started(self.number, id);
+        }
         self.child = Some(child);
         self.started_at = Instant::now();
         self.run += 1;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,6 +8,7 @@
 
 use crate::audit::{AuditBook, Trouble};
 use crate::caller::{CallEnd, CallRecord, CallerLoop, RequestKind, call_once};
+use crate::cuts::CutReport;
 use crate::domains::EvacuationPeriod;
 use crate::groups::GroupWatch;
 use crate::options::SoakOptions;
@@ -43,6 +44,8 @@
     pub cold_requests: usize,
     /// The most of them that one upstream got within a second.
     pub cold_peak: usize,
+    /// How callers were served while processes were cut off from all upstreams.
+    pub cuts: Vec<CutReport>,
     /// What was broken.
     pub violations: Vec<Violation>,
 }
@@ -90,6 +93,9 @@
     std::fs::create_dir_all(&options.folder)?;
     std::fs::write(options.folder.join("plan.txt"), format!("{plan:#?}"))?;
     let run = SoakRun::start(seed, options).await?;
+    if plan.has_cuts() {
+        run.site.links.watch();
+    }
     let run = Arc::new(run);
     let mut background = JoinSet::new();
     let watch = GroupWatch::default();
@@ -119,7 +125,8 @@
         for number in 0..options.entries {
             let store_link = LinkProxy::start().await?;
             store_link.lead_to(site.store_addr);
-            let mut process = EntryProcess::prepare(number, options, store_link.addr)?;
+            let links = Arc::clone(&site.links);
+            let mut process = EntryProcess::prepare(number, options, store_link.addr, links)?;
             process.start()?;
             let place = process.place;
             entries.push(EntrySlot {
@@ -238,6 +245,7 @@
         let (cold_requests, cold_peak) = book.cold_counts();
         SoakOutcome {
             seed: self.seed,
+            cuts: book.cut_reports(),
             evacuations: book.evacuations.len(),
             cold_requests,
             cold_peak,
@@ -280,7 +288,7 @@
     }
 }
 
-const fn is_served(end: &CallEnd) -> bool {
+pub(crate) const fn is_served(end: &CallEnd) -> bool {
     matches!(
         end,
         CallEnd::Answered {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -18,6 +18,7 @@
 use crate::harmful::CRASH;
 use crate::options::SoakOptions;
 use crate::proxy::LinkProxy;
+use crate::upstream_links::UpstreamLinks;
 
 /// The key that is good all the time.
 pub const LASTING_KEY: &str = "key-lasting";
@@ -135,6 +136,8 @@
     pub desks: Mutex<Vec<UpstreamPlace>>,
     /// Keys of callers.
     pub keys: Mutex<KeyBook>,
+    /// The links of the processes to all upstreams.
+    pub links: Arc<UpstreamLinks>,
     /// Optional parts of the configuration.
     pub features: SampleFeatures,
 }
@@ -155,6 +158,7 @@
             engines: Mutex::default(),
             desks: Mutex::default(),
             keys: Mutex::default(),
+            links: Arc::new(UpstreamLinks::new(options.entries)),
             features: SampleFeatures {
                 has_warm_up: options.cold > 0,
                 has_home_route: options.home_callers > 0,
@@ -200,7 +204,7 @@
         index: usize,
         run: usize,
     ) -> anyhow::Result<(LinkProxy, UpstreamRun)> {
-        let link = LinkProxy::start().await?;
+        let link = LinkProxy::start_over(Arc::clone(&self.links)).await?;
         let failure_domain = if index.is_multiple_of(2) {
             "east"
         } else {
--- a/crates/soak/src/violation.rs
+++ b/crates/soak/src/violation.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::caller::{CallEnd, RequestKind};
+use crate::cuts::CutReport;
 
 /// A promise that was broken.
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -159,6 +160,8 @@
         /// Such requests at this upstream.
         requests: usize,
     },
+    /// Processes that are cut off from all upstreams serve their callers far worse than the others.
+    WorseWhileCutOff(CutReport),
     /// Some time after the last fault a process does not serve.
     NotBack {
         /// The process.
