--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -21,7 +21,7 @@
 use crate::front::ends::{follow_crashes, review_crashes};
 use crate::front::exchange::exchange;
 use crate::front::partition::watch_partition;
-use crate::front::server::{accept_callers, accept_ready, follow_groups, sweep};
+use crate::front::server::{accept_callers, accept_peers, accept_ready, follow_groups, sweep};
 use crate::groups::GroupCoordinator;
 use crate::listen::next_connection;
 use crate::shared::SharedState;
@@ -90,6 +90,7 @@
         let caller_listener = bind(site.caller_addr)?;
         let ready_listener = bind(site.ready_addr)?;
         let metrics_listener = bind(site.metrics_addr)?;
+        let forward_listener = site.forward_addr.map(bind).transpose()?;
         let peer_socket = std::net::UdpSocket::bind(site.peer_addr)
             .with_context(|| format!("cannot bind peer address {}", site.peer_addr))?;
         peer_socket.set_nonblocking(true)?;
@@ -149,6 +150,7 @@
                 FrontSockets {
                     caller_listener,
                     ready_listener,
+                    forward_listener,
                     peer_socket,
                 },
                 peer_stall_sender,
@@ -185,6 +187,7 @@
 struct FrontSockets {
     caller_listener: std::net::TcpListener,
     ready_listener: std::net::TcpListener,
+    forward_listener: Option<std::net::TcpListener>,
     peer_socket: std::net::UdpSocket,
 }
 
@@ -214,6 +217,10 @@
     let ready_listener = TcpListener::from_std(sockets.ready_listener)?;
     let peer_socket = UdpSocket::from_std(sockets.peer_socket)?;
     tokio::task::spawn_local(accept_callers(Rc::clone(&front), caller_listener));
+    if let Some(listener) = sockets.forward_listener {
+        let listener = TcpListener::from_std(listener)?;
+        tokio::task::spawn_local(accept_peers(Rc::clone(&front), listener));
+    }
     tokio::task::spawn_local(accept_ready(Rc::clone(&front), ready_listener));
     tokio::task::spawn_local(sweep(Rc::clone(&front)));
     tokio::task::spawn_local(follow_groups(Rc::clone(&front)));
--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -109,6 +109,7 @@
             arrivals: 0,
             possible_runs: Vec::new(),
             disconnected: Vec::new(),
+            is_forwarded: false,
             retry_taken_at: None,
             trace,
         },
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts as RequestParts;
 use hyper::http::response::Parts as ReplyParts;
-use hyper::{Method, Request, Uri};
+use hyper::{HeaderMap, Method, Request, Uri};
 
 use super::FrontContext;
 use super::admit::AdmittedCaller;
@@ -30,6 +30,8 @@
     pub method: Method,
     /// Path and query as the caller sent them.
     pub uri: Uri,
+    /// The request headers as the caller sent them.
+    pub headers: HeaderMap,
     /// The request body.
     pub body: Bytes,
     /// The caller's call.
@@ -57,6 +59,7 @@
         Self {
             method: head.method,
             uri: head.uri,
+            headers: head.headers,
             body,
             call,
             account: admitted.account,
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -17,10 +17,11 @@
 use super::attempt::{AttemptError, OpenReply, SentRequest};
 use super::breaks::{CallerLeftGuard, record_break, record_complete_answer};
 use super::deadline::{DeadlinePassed, with_deadline};
+use super::forward::send::{ForwardOutcome, forward, must_forward};
 use super::open::open;
 use super::plan::{PlannedSend, plan};
-use super::refusal::{log_refusal, promises_not_run, refuse};
-use super::relay::relay_events;
+use super::refusal::{CallRefusal, log_refusal, promises_not_run, refuse};
+use super::relay::{EventSource, relay_events};
 use super::residency::record_bound_demand;
 use super::state::CallState;
 use super::trace::RequestTrace;
@@ -80,7 +81,7 @@
 }
 
 /// Attempts an admitted request at upstreams until one answers or no further attempt is allowed.
-async fn serve<Dialect>(
+pub async fn serve<Dialect>(
     front: Rc<FrontContext<Dialect>>,
     request: SentRequest,
     mut state: CallState,
@@ -90,22 +91,42 @@
 {
     let mut upstream_failure: Option<CallerAnswer> = None;
     loop {
+        let resume_after = request.call.resume_after;
+        let outcome = match must_forward(&front, &state) {
+            true => forward(&front, &request, &mut state, resume_after).await,
+            false => ForwardOutcome::NotForwarded,
+        };
+        match outcome {
+            ForwardOutcome::Opened(reply) => {
+                return relay_events(front, request, state, EventSource::Peer(reply)).await;
+            }
+            ForwardOutcome::Answered(answer) => return answer,
+            ForwardOutcome::ErrorAnswer(answer) if !state.route.is_retryable() => return answer,
+            ForwardOutcome::ErrorAnswer(answer) => {
+                upstream_failure = Some(answer);
+                continue;
+            }
+            ForwardOutcome::Lost if state.route.is_retryable() => continue,
+            ForwardOutcome::Lost => {
+                let kind = lost_kind(&front, &state);
+                return log_refusal(&front, &request.call.id, Some(&state), kind.into());
+            }
+            ForwardOutcome::Refused(refusal) => {
+                return refuse_or_fail(&front, &request, &state, refusal, upstream_failure);
+            }
+            ForwardOutcome::NotForwarded => {}
+        }
         let planned = plan(&front, &request, &mut state).await;
         let planned = match planned {
             Ok(planned) => planned,
             Err(refusal) => {
-                let refusal = refusal.truthful(&state);
-                // The error response of an upstream is more specific than a rejection by this VM.
-                return match upstream_failure {
-                    Some(answer) => answer,
-                    None => log_refusal(&front, &request.call.id, Some(&state), refusal),
-                };
+                return refuse_or_fail(&front, &request, &state, refusal, upstream_failure);
             }
         };
         let outcome = attempt_once(&front, &request, &mut state, &planned).await;
         match outcome {
             AttemptOutcome::Opened(reply) => {
-                return relay_events(front, request, state, *reply).await;
+                return relay_events(front, request, state, EventSource::Upstream(reply)).await;
             }
             AttemptOutcome::Answered(answer) => return answer,
             AttemptOutcome::ErrorAnswer(answer) if !state.route.is_retryable() => return answer,
@@ -123,10 +144,7 @@
                 );
                 let may_retry = state.route.is_retryable() || !state.may_have_run();
                 if !may_retry {
-                    let kind = match front.now() >= state.deadline {
-                        true => ErrorKind::DeadlineAfterSend,
-                        false => ErrorKind::UpstreamLost,
-                    };
+                    let kind = lost_kind(&front, &state);
                     return log_refusal(&front, &request.call.id, Some(&state), kind.into());
                 }
             }
@@ -134,6 +152,30 @@
     }
 }
 
+/// Returns the upstream's failure, which is more specific than a rejection by this VM, or rejects
+/// the request.
+fn refuse_or_fail<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    state: &CallState,
+    refusal: CallRefusal,
+    upstream_failure: Option<CallerAnswer>,
+) -> CallerAnswer
+where
+    Dialect: CallerDialect,
+{
+    let refusal = refusal.truthful(state);
+    upstream_failure.unwrap_or_else(|| log_refusal(front, &request.call.id, Some(state), refusal))
+}
+
+/// Returns the kind of the refusal of a request that was sent and has no answer.
+fn lost_kind<Dialect>(front: &FrontContext<Dialect>, state: &CallState) -> ErrorKind {
+    match front.now() >= state.deadline {
+        true => ErrorKind::DeadlineAfterSend,
+        false => ErrorKind::UpstreamLost,
+    }
+}
+
 /// The outcome of one attempt.
 pub enum AttemptOutcome {
     /// The head of a successful event stream arrived.
--- /dev/null
+++ b/crates/gateway/src/front/forward/send.rs
@@ -0,0 +1,340 @@
+//! Forwards requests to other entry VMs while this VM reaches no upstream.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bergamot_ports::{CallerDialect, RouteKind, ServingConfig};
+use bergamot_routing::PeerCandidate;
+use bergamot_types::prelude::*;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::http::response::Parts as ReplyParts;
+
+use super::super::FrontContext;
+use super::super::answer::{CallerAnswer, full_body};
+use super::super::attempt::SentRequest;
+use super::super::deadline::{DeadlinePassed, with_deadline};
+use super::super::plan::{arrived_reason, check_key, check_time, log_not_sent_on};
+use super::super::pool::UpstreamConnection;
+use super::super::refusal::{CallRefusal, RETURN_SPREAD, RETURN_STOPPING};
+use super::super::residency::allowed_domains;
+use super::super::state::CallState;
+use super::PeerFlight;
+use super::context::{ForwardContext, ForwardVerdict};
+
+/// How many VMs a request is offered to, one after another. If most VMs reach no upstream, each
+/// learns within a few requests which ones do.
+const MAX_OFFERS: usize = 4;
+
+/// An answer of another VM whose body is not read yet. Closes its connection when dropped, so that
+/// the VM stops working on the request.
+pub struct PeerReply {
+    /// The VM.
+    pub vm: VmId,
+    /// The answer's head, without what is meant for this VM.
+    pub head: ReplyParts,
+    /// The answer's body.
+    pub body: Incoming,
+    connection: UpstreamConnection,
+    _flight: PeerFlight,
+}
+
+impl PeerReply {
+    /// Returns the connection to the pool after the whole body was read.
+    pub fn finish<Dialect>(self, front: &FrontContext<Dialect>) {
+        let pool = &front.forwards.pool;
+        pool.give_back(&self.vm, self.connection, None);
+    }
+}
+
+/// The outcome of forwarding a request.
+pub enum ForwardOutcome {
+    /// The head of a successful event stream arrived.
+    Opened(Box<PeerReply>),
+    /// An upstream's complete answer, or a refusal of a request that has not run.
+    Answered(CallerAnswer),
+    /// An upstream's complete answer with a 5xx status.
+    ErrorAnswer(CallerAnswer),
+    /// The request may have run, and has no answer.
+    Lost,
+    /// This VM refuses the request: no VM takes it, or it may not be sent again.
+    Refused(CallRefusal),
+    /// This VM sends the request itself.
+    NotForwarded,
+}
+
+/// Whether requests of this VM's callers are forwarded now.
+pub fn must_forward<Dialect>(front: &FrontContext<Dialect>, state: &CallState) -> bool {
+    !state.is_forwarded && front.monitor.borrow().partition.is_partitioned()
+}
+
+/// Offers a request to other VMs until one takes it, and waits for the head of its answer.
+/// `resume_after` is the last event that the caller has received.
+pub async fn forward<Dialect>(
+    front: &Rc<FrontContext<Dialect>>,
+    request: &SentRequest,
+    state: &mut CallState,
+    resume_after: Option<u64>,
+) -> ForwardOutcome
+where
+    Dialect: CallerDialect + 'static,
+{
+    let mut offered: Vec<String> = Vec::new();
+    while offered.len() < MAX_OFFERS {
+        let target = match next_peer(front, request, state, &offered) {
+            Ok(Some(target)) => target,
+            Ok(None) => break,
+            Err(refusal) => return ForwardOutcome::Refused(refusal),
+        };
+        offered.push(target.vm.to_string());
+        match offer(front, request, state, &target, resume_after).await {
+            Ok(reply) => return receive(front, request, state, reply).await,
+            Err(OfferError::Declined(reason)) => {
+                let now = front.now();
+                front
+                    .forwards
+                    .peers
+                    .borrow_mut()
+                    .record_declined(target.vm.as_str(), now);
+                count(front, ForwardVerdict::Declined.as_str());
+                log::info!(
+                    "event=forward_declined request={} vm={} reason={reason:?}",
+                    request.call.id,
+                    target.vm
+                );
+            }
+            Err(OfferError::Lost(reason)) => {
+                record_lost(front, request, state, &target.vm, &reason);
+                return ForwardOutcome::Lost;
+            }
+        }
+    }
+    log::info!(
+        "event=no_peer_takes request={} offers={}",
+        request.call.id,
+        offered.len()
+    );
+    // Connections from before the partition may still serve it.
+    if !front.monitor.borrow().partition.is_silent() {
+        return ForwardOutcome::NotForwarded;
+    }
+    let jitter = Millis(rand::random_range(0..=RETURN_SPREAD.0));
+    let refusal = CallRefusal::retry_in(ErrorKind::UpstreamsUnreachable, RETURN_STOPPING + jitter);
+    ForwardOutcome::Refused(refusal)
+}
+
+/// A VM that a request is offered to.
+struct PeerTarget {
+    vm: VmId,
+    addr: SocketAddr,
+    secret: u64,
+}
+
+enum OfferError {
+    /// The VM did not take the request, so it has not run there.
+    Declined(String),
+    /// The request may have run.
+    Lost(String),
+}
+
+/// Returns the next VM to offer a request to. The error states why it may not be sent again.
+fn next_peer<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    state: &CallState,
+    offered: &[String],
+) -> Result<Option<PeerTarget>, CallRefusal> {
+    let now = front.now();
+    check_time(front, state, now)?;
+    let view = front.shared.view.load();
+    let config: &ServingConfig = view.config.as_ref().ok_or(ErrorKind::NoBundle)?;
+    check_key(front, config, request, state, now)?;
+    let runs = state.possible_runs.len();
+    if let Some(reason) = arrived_reason(state, runs) {
+        log_not_sent_on(request, state, runs, reason);
+        return Err(CallRefusal::retry_in(
+            ErrorKind::UpstreamRefused,
+            RETURN_STOPPING,
+        ));
+    }
+    let domains = allowed_domains(front, config, request)?;
+    let site = &front.shared.site;
+    let takers = view.entries.values().filter(|entry| {
+        let domain = &entry.failure_domain;
+        let is_allowed = domains
+            .as_ref()
+            .is_none_or(|domains| domains.contains(&domain));
+        is_allowed && entry.forwarding.is_some() && entry.vm != site.vm.as_str()
+    });
+    let candidates = takers.map(|entry| PeerCandidate {
+        vm: &entry.vm,
+        is_near: entry.failure_domain == site.failure_domain,
+    });
+    let peers = front.forwards.peers.borrow();
+    let chosen = peers.choose(candidates, offered, now, rand::random());
+    let entry = chosen.and_then(|vm| view.entries.get(vm));
+    Ok(entry.and_then(|entry| {
+        let endpoint = entry.forwarding?;
+        Some(PeerTarget {
+            vm: VmId::new(&entry.vm),
+            addr: endpoint.addr,
+            secret: endpoint.secret,
+        })
+    }))
+}
+
+/// Sends a request to another VM and waits for the head of the answer.
+async fn offer<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    state: &CallState,
+    target: &PeerTarget,
+    resume_after: Option<u64>,
+) -> Result<PeerReply, OfferError>
+where
+    Dialect: CallerDialect,
+{
+    let flight = PeerFlight::enter(&front.forwards.peers, &target.vm);
+    let connection = match front.forwards.pool.take_idle(&target.vm) {
+        Some(connection) => Ok(connection),
+        None => front.forwards.pool.connect_new(target.addr).await,
+    };
+    let mut connection = connection.map_err(|error| OfferError::Declined(error.to_string()))?;
+    let now = front.now();
+    let context = ForwardContext {
+        vm: front.shared.site.vm.to_string(),
+        elapsed: now.since(state.arrived),
+        time_left: state.deadline.since(now),
+        possible_runs: state.possible_runs.clone(),
+        arrivals: u32::try_from(state.arrivals).unwrap_or(u32::MAX),
+        resume_after,
+    };
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.uri.clone();
+    *outgoing.headers_mut() = front.dialect.peer_headers(&request.headers);
+    context.insert_into(outgoing.headers_mut(), target.secret);
+    let sending = connection.sender.try_send_request(outgoing);
+    let reply = with_deadline(front.shared.clock, state.deadline, sending).await;
+    let reply = match reply {
+        Err(DeadlinePassed) => {
+            let reason = "no answer head arrived before the deadline";
+            return Err(OfferError::Lost(reason.to_owned()));
+        }
+        Ok(Ok(reply)) => reply,
+        Ok(Err(mut error)) => {
+            let reason = error.error().to_string();
+            return Err(match error.take_message() {
+                Some(_) => OfferError::Declined(reason),
+                None => OfferError::Lost(reason),
+            });
+        }
+    };
+    let (mut head, body) = reply.into_parts();
+    match ForwardVerdict::take_from(&mut head.headers) {
+        Some(ForwardVerdict::Declined) => {
+            Err(OfferError::Declined(format!("status {}", head.status)))
+        }
+        Some(ForwardVerdict::Lost) | None => {
+            Err(OfferError::Lost(format!("status {}", head.status)))
+        }
+        Some(ForwardVerdict::Answered | ForwardVerdict::Refused) => Ok(PeerReply {
+            vm: target.vm.clone(),
+            head,
+            body,
+            connection,
+            _flight: flight,
+        }),
+    }
+}
+
+/// Passes on the answer of another VM: as a stream, or read to its end.
+async fn receive<Dialect>(
+    front: &Rc<FrontContext<Dialect>>,
+    request: &SentRequest,
+    state: &mut CallState,
+    reply: PeerReply,
+) -> ForwardOutcome
+where
+    Dialect: CallerDialect + 'static,
+{
+    let id = &request.call.id;
+    let status = reply.head.status;
+    let is_signed = front.dialect.reply_facts(id, &reply.head).is_signed;
+    if state.route.kind == RouteKind::Streaming && status.is_success() {
+        record_run(state, &reply.vm);
+        count(front, "opened");
+        return ForwardOutcome::Opened(Box::new(reply));
+    }
+    let PeerReply {
+        vm,
+        head,
+        body,
+        connection,
+        _flight: flight,
+    } = reply;
+    let body = with_deadline(front.shared.clock, state.deadline, body.collect()).await;
+    drop(flight);
+    let body = match body {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => {
+            record_lost(front, request, state, &vm, &error.to_string());
+            return ForwardOutcome::Lost;
+        }
+        Err(DeadlinePassed) => {
+            record_lost(front, request, state, &vm, "the answer did not end in time");
+            return ForwardOutcome::Lost;
+        }
+    };
+    front.forwards.pool.give_back(&vm, connection, None);
+    count(front, ForwardVerdict::Answered.as_str());
+    log::info!(
+        "event=forwarded request={id} vm={vm} status={} waited={}",
+        status.as_u16(),
+        front.now().since(state.arrived)
+    );
+    let mut answer = CallerAnswer::new(full_body(body));
+    *answer.status_mut() = status;
+    *answer.headers_mut() = front.dialect.answer_headers(&head);
+    if is_signed && status.is_server_error() {
+        record_run(state, &vm);
+        return ForwardOutcome::ErrorAnswer(answer);
+    }
+    let outcome = if status.is_success() {
+        "ok"
+    } else {
+        "forwarded"
+    };
+    front.count_outcome(state.route.kind, outcome);
+    ForwardOutcome::Answered(answer)
+}
+
+/// Records that a request may have run at an upstream that another VM sent it to.
+fn record_run(state: &mut CallState, vm: &VmId) {
+    let unknown = UpstreamIncarnation::new(UpstreamId::new(&format!("by-{vm}")), None);
+    state.tried.push(unknown.clone());
+    state.possible_runs.push(unknown);
+    state.arrivals += 1;
+}
+
+fn record_lost<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    state: &mut CallState,
+    vm: &VmId,
+    reason: &str,
+) {
+    record_run(state, vm);
+    count(front, ForwardVerdict::Lost.as_str());
+    log::info!(
+        "event=forward_lost request={} vm={vm} reason={reason:?} waited={}",
+        request.call.id,
+        front.now().since(state.arrived)
+    );
+}
+
+fn count<Dialect>(front: &FrontContext<Dialect>, outcome: &str) {
+    let forwards = &front.shared.metrics.forwards;
+    forwards.with_label_values(&[outcome]).inc();
+}
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -26,6 +26,7 @@
 //! | [`warmup`] | permits to send to an upstream that is cold |
 //! | [`exchange`] | exchange of load reports and notices between entry VMs |
 //! | [`budget`] | how many retries may be sent |
+//! | [`forward`] | requests that are forwarded to and by other entry VMs |
 //! | [`pool`] | connections to upstreams |
 //! | [`partition`] | detection that no upstream is reachable |
 
@@ -41,6 +42,7 @@
 pub mod events;
 pub mod exchange;
 pub mod flight;
+pub mod forward;
 pub mod gates;
 pub mod head_timer;
 pub mod limits;
@@ -76,6 +78,7 @@
 use crate::shared::SharedState;
 use crate::stop::StopControl;
 use budget::RetryBudget;
+use forward::ForwardFront;
 use permits::{PendingPermits, QuotaMessage};
 use pool::ConnectionPool;
 use warmup::WarmUpFront;
@@ -88,6 +91,8 @@
     pub dialect: Dialect,
     /// Connections to upstreams.
     pub pool: Rc<ConnectionPool>,
+    /// Requests that this VM forwards, and those that other VMs forward to it.
+    pub forwards: ForwardFront,
     /// Load, failures and stalls of upstreams.
     pub monitor: Rc<RefCell<UpstreamMonitor>>,
     /// Notified when this VM suspects that it reaches no upstream.
@@ -132,6 +137,7 @@
         };
         Self {
             pool: Rc::new(ConnectionPool::new(shared.clock)),
+            forwards: ForwardFront::new(shared.clock),
             dialect,
             monitor: Rc::new(RefCell::new(UpstreamMonitor::new(descriptor))),
             partition_suspected: Notify::new(),
--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -68,6 +68,7 @@
         (Err(AttemptError::Broken(_)), BreakCause::Closed)
     );
     if is_disconnected {
+        observe(front, PartitionEvent::Failed(&upstream.incarnation));
         state.disconnected.push(upstream.incarnation.clone());
     }
     check_for_crash(front, request, state, upstream, &outcome, cause).await;
@@ -172,6 +173,9 @@
         if is_engine && check_stall(front, upstream, request.call.model.as_ref(), dispatched) {
             return Err("the upstream is stalled".to_owned());
         }
+        if state.route.is_retryable() && front.monitor.borrow().partition.is_silent() {
+            return Err("this VM reaches no upstream".to_owned());
+        }
     }
 }
 
--- a/crates/gateway/src/front/partition.rs
+++ b/crates/gateway/src/front/partition.rs
@@ -18,6 +18,9 @@
 /// How long a probe waits for an answer on its connection. A report needs no free slot.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How long after its establishment a connection is checked on which no answer is awaited.
+const RESET_TIME: Duration = Duration::from_millis(50);
+
 /// Opens a connection to an upstream and records whether it was established.
 ///
 /// # Errors
@@ -27,12 +30,10 @@
     upstream: &RouteUpstream,
 ) -> Result<UpstreamConnection, ConnectError> {
     let connection = front.pool.connect_new(upstream.addr).await;
-    let event = match &connection {
-        Ok(_) => PartitionEvent::Connected,
-        Err(_) => PartitionEvent::ConnectFailed(&upstream.incarnation),
-    };
     count_connect(front, &connection);
-    observe(front, event);
+    if connection.is_err() {
+        observe(front, PartitionEvent::Failed(&upstream.incarnation));
+    }
     connection
 }
 
@@ -81,8 +82,8 @@
     loop {
         front.partition_suspected.notified().await;
         while front.monitor.borrow().partition.is_in_doubt() {
-            let probed = probe_upstreams(&front).await;
-            observe(&front, PartitionEvent::ProbesEnded { probed });
+            let probes_ended = probe_upstreams(&front).await;
+            observe(&front, probes_ended);
             if front.monitor.borrow().partition.is_partitioned() {
                 tokio::time::sleep(PROBE_PERIOD).await;
             }
@@ -90,49 +91,78 @@
     }
 }
 
-/// Probes some upstreams at once. Returns how many.
-async fn probe_upstreams<Dialect>(front: &FrontContext<Dialect>) -> usize
+/// Probes some upstreams at once. Returns the event that ends the round.
+async fn probe_upstreams<Dialect>(front: &FrontContext<Dialect>) -> PartitionEvent<'static>
 where
     Dialect: CallerDialect,
 {
     let targets: Vec<UpstreamEntry> = {
         let view = front.shared.view.load();
-        let staying = view
-            .upstreams
-            .values()
-            .filter(|entry| entry.state != UpstreamState::Draining);
-        let staying = staying.map(|entry| (&entry.failure_domain, entry));
-        let drawn = draw_probes(staying, rand::random()).into_iter();
+        let entries = view.upstreams.values();
+        let staying = entries.filter(|entry| entry.state != UpstreamState::Draining);
+        let has_reports = staying.clone().any(has_report);
+        let probed = staying.filter(|entry| has_report(entry) || !has_reports);
+        let probed = probed.map(|entry| (&entry.failure_domain, entry));
+        let drawn = draw_probes(probed, rand::random()).into_iter();
         drawn.cloned().collect()
     };
     let probes = targets.iter().map(|entry| probe(front, entry));
-    join_all(probes).await;
-    targets.len()
+    let outcomes = join_all(probes).await;
+    let unanswered = outcomes.into_iter();
+    let unanswered = unanswered.filter(|outcome| *outcome == ProbeOutcome::Unanswered);
+    PartitionEvent::ProbesEnded {
+        probed: targets.len(),
+        unanswered: unanswered.count(),
+    }
+}
+
+/// The outcome of a probe.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum ProbeOutcome {
+    /// The upstream was reached.
+    Answered,
+    /// It accepted the connection, and did not answer in time.
+    Unanswered,
+    /// No connection was established, or it was closed.
+    Failed,
+}
+
+/// Whether an upstream answers requests for a report. Those of plain services do not.
+fn has_report(entry: &UpstreamEntry) -> bool {
+    entry.fabric.is_some()
 }
 
 /// Asks an upstream for a report on a new connection, which is kept for requests if it answers. An
-/// upstream of a plain service has no reports; its connection is evidence enough.
-async fn probe<Dialect>(front: &FrontContext<Dialect>, entry: &UpstreamEntry)
+/// upstream without reports counts as reached if it does not close the connection at once.
+async fn probe<Dialect>(front: &FrontContext<Dialect>, entry: &UpstreamEntry) -> ProbeOutcome
 where
     Dialect: CallerDialect,
 {
     let connection = front.pool.connect_new(entry.addr).await;
     count_connect(front, &connection);
     let Ok(mut connection) = connection else {
-        return;
+        return ProbeOutcome::Failed;
     };
-    if entry.fabric.is_some() {
+    if has_report(entry) {
         let request = front.dialect.report_request(entry);
         let request = request.map(|()| Full::default());
         let exchange = async {
             let answer = connection.sender.send_request(request).await?;
             answer.into_body().collect().await
         };
-        let Ok(Ok(_)) = tokio::time::timeout(ANSWER_TIMEOUT, exchange).await else {
-            return;
-        };
+        match tokio::time::timeout(ANSWER_TIMEOUT, exchange).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(_)) => return ProbeOutcome::Failed,
+            Err(_) => return ProbeOutcome::Unanswered,
+        }
+    } else {
+        tokio::time::sleep(RESET_TIME).await;
+    }
+    if connection.sender.is_closed() {
+        return ProbeOutcome::Failed;
     }
     let opened_at = connection.opened_at;
     front.pool.give_back(&entry.incarnation, connection, None);
     observe(front, PartitionEvent::Received { opened_at });
+    ProbeOutcome::Answered
 }
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -120,7 +120,7 @@
         home,
         tried: &[&state.tried[..], left_out].concat(),
         allowed_domains,
-        idle_connections: &front.pool.idle_upstreams(),
+        idle_connections: &front.pool.idle_targets(),
         has_begun_elsewhere: state.may_have_run(),
         priority: request.priority,
         prompt_tokens: request.call.prompt_tokens(),
@@ -178,7 +178,7 @@
 }
 
 /// Checks that the request's deadline and a shutdown leave time for an answer.
-fn check_time<Dialect>(
+pub fn check_time<Dialect>(
     front: &FrontContext<Dialect>,
     state: &CallState,
     now: Millis,
@@ -248,20 +248,23 @@
     CallRefusal::retry_in(ErrorKind::DomainsEvacuated, delay)
 }
 
-/// Returns the reason why a request may not be sent again, if it has used up its sends.
+/// Returns the reason why this VM may not send a request again, if it has used up its sends.
 fn exhausted_reason(state: &CallState, runs: usize) -> Option<&'static str> {
+    let is_vain = state.unreached_sends() >= MAX_UNREACHED_SENDS;
+    arrived_reason(state, runs).or_else(|| is_vain.then_some("sends in vain"))
+}
+
+/// Returns the reason why no VM may send a request again, if it has reached upstreams too often.
+pub fn arrived_reason(state: &CallState, runs: usize) -> Option<&'static str> {
     let max_attempts = state.route.max_attempts as usize;
     if runs >= max_attempts {
         return Some("runs");
     }
-    if state.arrivals >= max_attempts + MAX_REFUSED_SENDS {
-        return Some("sends that arrived");
-    }
-    (state.unreached_sends() >= MAX_UNREACHED_SENDS).then_some("sends in vain")
+    (state.arrivals >= max_attempts + MAX_REFUSED_SENDS).then_some("sends that arrived")
 }
 
 /// Logs the bound that a request met. The rejection or the broken stream does not show it.
-fn log_not_sent_on(request: &SentRequest, state: &CallState, runs: usize, reason: &str) {
+pub fn log_not_sent_on(request: &SentRequest, state: &CallState, runs: usize, reason: &str) {
     log::info!(
         "event=not_sent_on request={} reason=\"{reason}\" sends={} arrivals={} runs={runs}",
         request.call.id,
--- a/crates/gateway/src/front/pool.rs
+++ b/crates/gateway/src/front/pool.rs
@@ -1,6 +1,7 @@
-//! Pool of connections to upstreams. A connection is reused and carries one request at a time.
+//! Pools of connections to upstreams and to other entry VMs. A connection is reused and carries one request at a time.
 
 use std::cell::RefCell;
+use std::hash::Hash;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -61,14 +62,17 @@
     expires_at: Millis,
 }
 
-/// Idle connections, by upstream.
-pub struct ConnectionPool {
+/// Idle connections, by upstream or VM.
+pub struct ConnectionPool<Key = UpstreamIncarnation> {
     /// A clock that includes suspensions of this VM: upstreams close idle connections meanwhile.
     clock: BootClock,
-    idle: RefCell<IndexMap<UpstreamIncarnation, Vec<IdleConnection>>>,
+    idle: RefCell<IndexMap<Key, Vec<IdleConnection>>>,
 }
 
-impl ConnectionPool {
+impl<Key> ConnectionPool<Key>
+where
+    Key: Clone + Eq + Hash + 'static,
+{
     /// Creates an empty pool.
     pub fn new(clock: BootClock) -> Self {
         Self {
@@ -88,20 +92,20 @@
         }
     }
 
-    /// Returns the upstreams with an idle connection.
-    pub fn idle_upstreams(&self) -> Vec<UpstreamIncarnation> {
+    /// Returns the targets with an idle connection.
+    pub fn idle_targets(&self) -> Vec<Key> {
         let now = self.clock.now();
         let pool = self.idle.borrow();
         let usable = pool
             .iter()
             .filter(|(_, idle)| idle.iter().any(|connection| connection.expires_at > now));
-        usable.map(|(incarnation, _)| incarnation.clone()).collect()
+        usable.map(|(target, _)| target.clone()).collect()
     }
 
-    /// Takes an idle connection to an upstream, if there is one.
-    pub fn take_idle(&self, incarnation: &UpstreamIncarnation) -> Option<UpstreamConnection> {
+    /// Takes an idle connection to a target, if there is one.
+    pub fn take_idle(&self, target: &Key) -> Option<UpstreamConnection> {
         let mut pool = self.idle.borrow_mut();
-        let idle = pool.get_mut(incarnation)?;
+        let idle = pool.get_mut(target)?;
         let now = self.clock.now();
         while let Some(entry) = idle.pop() {
             let is_usable = entry.expires_at > now
@@ -115,10 +119,10 @@
     }
 
     /// Returns a connection to the pool after its complete answer was read. `keep_alive` is the
-    /// upstream's idle timeout in seconds.
+    /// target's idle timeout in seconds.
     pub fn give_back(
         self: &Rc<Self>,
-        incarnation: &UpstreamIncarnation,
+        target: &Key,
         mut connection: UpstreamConnection,
         keep_alive: Option<u64>,
     ) {
@@ -126,7 +130,7 @@
         let idle_timeout = idle_timeout.saturating_sub(IDLE_MARGIN);
         let expires_at = self.clock.now() + Millis(idle_timeout.as_millis() as u64);
         let pool = Rc::clone(self);
-        let incarnation = incarnation.clone();
+        let target = target.clone();
         tokio::task::spawn_local(async move {
             // Fails if the upstream closes the connection after its answer, or sent bytes beyond
             // it.
@@ -139,22 +143,22 @@
             };
             pool.idle
                 .borrow_mut()
-                .entry(incarnation)
+                .entry(target)
                 .or_default()
                 .push(idle_connection);
         });
     }
 
-    /// Closes expired connections, and those to upstreams that are no longer listed.
+    /// Closes expired connections, and those to targets that are no longer listed.
     pub fn retain<Keep>(&self, is_listed: Keep)
     where
-        Keep: Fn(&UpstreamIncarnation) -> bool,
+        Keep: Fn(&Key) -> bool,
     {
         let now = self.clock.now();
         let mut pool = self.idle.borrow_mut();
-        pool.retain(|incarnation, idle| {
+        pool.retain(|target, idle| {
             idle.retain(|connection| connection.expires_at > now);
-            is_listed(incarnation) && !idle.is_empty()
+            is_listed(target) && !idle.is_empty()
         });
     }
 }
--- a/crates/gateway/src/front/refusal.rs
+++ b/crates/gateway/src/front/refusal.rs
@@ -137,7 +137,9 @@
         retry_after: refusal.retry_after,
     };
     let (head, body) = front.dialect.refusal(&context).into_parts();
-    CallerAnswer::from_parts(head, full_body(Bytes::from(body)))
+    let mut answer = CallerAnswer::from_parts(head, full_body(Bytes::from(body)));
+    answer.extensions_mut().insert(refusal);
+    answer
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -1,5 +1,6 @@
 //! Forwards a stream of events, which may resume at another upstream.
 
+mod peer;
 mod record;
 
 use std::rc::Rc;
@@ -15,11 +16,13 @@
 use super::answer::{AnswerChunk, BrokenAnswer, CallerAnswer, streamed_body};
 use super::attempt::{OpenReply, SentRequest};
 use super::events::{EventSplitter, StreamEvent};
+use super::forward::send::PeerReply;
 use super::open::open;
 use super::partition::observe;
 use super::plan::plan;
 use super::quiet::{STALL_CHECK_PERIOD, check_stall};
 use super::state::CallState;
+use peer::PeerResume;
 
 /// Number of events buffered for a slow caller before back pressure reaches the upstream.
 const EVENT_BUFFER_SIZE: usize = 64;
@@ -27,6 +30,14 @@
 /// Time for buffered events to be sent before the connection of a broken answer is closed.
 const FLUSH_TIME: std::time::Duration = std::time::Duration::from_millis(5);
 
+/// Where the events of a stream come from.
+pub enum EventSource {
+    /// An upstream.
+    Upstream(Box<OpenReply>),
+    /// Another entry VM, which receives them from an upstream.
+    Peer(Box<PeerReply>),
+}
+
 /// The next event of an upstream's stream, or why there is none.
 enum NextEvent {
     Event(StreamEvent),
@@ -36,20 +47,32 @@
     DeadlinePassed,
 }
 
+/// How the forwarding of one source's events ended.
+enum RelayEnd {
+    /// With this outcome of the stream.
+    Final(&'static str),
+    /// The source broke off, and the stream may resume at another one.
+    Broken,
+}
+
 /// Forwards the events of an opened reply. Resumes at another upstream if the stream breaks.
 pub async fn relay_events<Dialect>(
     front: Rc<FrontContext<Dialect>>,
     request: SentRequest,
     state: CallState,
-    reply: OpenReply,
+    source: EventSource,
 ) -> CallerAnswer
 where
     Dialect: CallerDialect + 'static,
 {
     let (sender, receiver) = mpsc::channel(EVENT_BUFFER_SIZE);
     let mut answer = CallerAnswer::new(streamed_body(receiver));
-    *answer.status_mut() = reply.head.status;
-    *answer.headers_mut() = front.dialect.answer_headers(&reply.head);
+    let head = match &source {
+        EventSource::Upstream(reply) => &reply.head,
+        EventSource::Peer(reply) => &reply.head,
+    };
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = front.dialect.answer_headers(head);
     let relay = EventRelay {
         last_event_id: request.call.resume_after,
         last_event_at: None,
@@ -63,7 +86,7 @@
         state,
         sender,
     };
-    tokio::task::spawn_local(relay.run(reply));
+    tokio::task::spawn_local(relay.run(source));
     answer
 }
 
@@ -104,32 +127,19 @@
 where
     Dialect: CallerDialect + 'static,
 {
-    async fn run(mut self, reply: OpenReply) {
-        let mut reply = reply;
+    async fn run(mut self, source: EventSource) {
+        let mut source = source;
         let outcome = loop {
-            let next = self.relay_upstream(&mut reply).await;
-            match next {
-                NextEvent::End => {
-                    self.record_finished(reply);
-                    break "ok";
-                }
-                NextEvent::CallerLeft => {
-                    self.record_caller_left(&reply);
-                    break "caller_left";
-                }
-                NextEvent::DeadlinePassed => {
-                    self.record_caller_left(&reply);
-                    break "deadline_exceeded_after_send";
-                }
-                NextEvent::Broken(cause, reason) => {
-                    self.record_broken(&reply, cause, &reason).await;
-                    drop(reply);
-                    match self.resume_for_caller().await {
-                        Ok(resumed) => reply = resumed,
-                        Err(outcome) => break outcome,
-                    }
-                }
-                NextEvent::Event(_) => {}
+            let relayed = match source {
+                EventSource::Upstream(reply) => self.relay_from_upstream(*reply).await,
+                EventSource::Peer(reply) => self.relay_from_peer(*reply).await,
+            };
+            match relayed {
+                RelayEnd::Final(outcome) => break outcome,
+                RelayEnd::Broken => match self.resume_for_caller().await {
+                    Ok(resumed) => source = resumed,
+                    Err(outcome) => break outcome,
+                },
             }
         };
         if outcome != "ok" {
@@ -164,6 +174,29 @@
         );
     }
 
+    /// Forwards the events of one upstream, and records how its stream ended.
+    async fn relay_from_upstream(&mut self, reply: OpenReply) -> RelayEnd {
+        let mut reply = reply;
+        match self.relay_upstream(&mut reply).await {
+            NextEvent::End | NextEvent::Event(_) => {
+                self.record_finished(reply);
+                RelayEnd::Final("ok")
+            }
+            NextEvent::CallerLeft => {
+                self.record_caller_left(&reply);
+                RelayEnd::Final("caller_left")
+            }
+            NextEvent::DeadlinePassed => {
+                self.record_caller_left(&reply);
+                RelayEnd::Final("deadline_exceeded_after_send")
+            }
+            NextEvent::Broken(cause, reason) => {
+                self.record_broken(&reply, cause, &reason).await;
+                RelayEnd::Broken
+            }
+        }
+    }
+
     /// Forwards the events of one upstream until its stream ends or breaks.
     async fn relay_upstream(&mut self, reply: &mut OpenReply) -> NextEvent {
         let mut splitter = EventSplitter::default();
@@ -246,7 +279,7 @@
 
     /// Resumes the stream at another upstream, unless the caller disconnects first. The error is
     /// the outcome of the stream.
-    async fn resume_for_caller(&mut self) -> Result<OpenReply, &'static str> {
+    async fn resume_for_caller(&mut self) -> Result<EventSource, &'static str> {
         let caller = self.sender.clone();
         tokio::select! {
             // Checked first, so that nothing is sent for a caller that has disconnected.
@@ -257,11 +290,17 @@
     }
 
     /// Resumes the stream at another upstream, whether or not the caller is connected.
-    async fn resume(&mut self) -> Option<OpenReply> {
+    async fn resume(&mut self) -> Option<EventSource> {
         if !self.state.route.is_resumable {
             return None;
         }
         loop {
+            match self.resume_at_peer().await {
+                PeerResume::Opened(reply) => return Some(EventSource::Peer(reply)),
+                PeerResume::Failed => return None,
+                PeerResume::TryAgain => continue,
+                PeerResume::NotForwarded => {}
+            }
             let planned = match plan(&self.front, &self.request, &mut self.state).await {
                 Ok(planned) => planned,
                 Err(refusal) => {
@@ -291,7 +330,7 @@
                         upstream.incarnation,
                         self.last_event_id.unwrap_or_default()
                     );
-                    return Some(reply);
+                    return Some(EventSource::Upstream(Box::new(reply)));
                 }
                 Ok(reply) => {
                     self.upstream_events = 0;
--- a/crates/gateway/src/front/relay/record.rs
+++ b/crates/gateway/src/front/relay/record.rs
@@ -2,9 +2,11 @@
 
 use bergamot_ports::CallerDialect;
 use bergamot_quarantine::BreakCause;
+use bergamot_routing::PartitionEvent;
 
 use super::super::attempt::OpenReply;
 use super::super::breaks::{record_break, record_caller_left, record_complete_answer};
+use super::super::partition::observe;
 use super::{EventRelay, FirstEvent};
 
 impl<Dialect> EventRelay<Dialect>
@@ -94,6 +96,10 @@
     ) {
         let now = self.front.now();
         if cause == BreakCause::Closed {
+            observe(
+                &self.front,
+                PartitionEvent::Failed(&reply.upstream.incarnation),
+            );
             self.state
                 .disconnected
                 .push(reply.upstream.incarnation.clone());
--- a/crates/gateway/src/front/residency/tests.rs
+++ b/crates/gateway/src/front/residency/tests.rs
@@ -54,6 +54,10 @@
         Request::new(())
     }
 
+    fn peer_headers(&self, _: &HeaderMap) -> HeaderMap {
+        HeaderMap::new()
+    }
+
     fn answer_headers(&self, _: &response::Parts) -> HeaderMap {
         HeaderMap::new()
     }
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -20,6 +20,7 @@
 use super::FrontContext;
 use super::answer::{GuardedBody, full_body};
 use super::call::answer;
+use super::forward::serve::answer_peer;
 use super::gates::update_backing_off_metric;
 use super::head_timer::{HeadTimer, TimedStream};
 use super::limits::update_limited_metric;
@@ -37,41 +38,74 @@
 /// may not have polled the sockets yet.
 const FINAL_READ_TIME: Duration = Duration::from_millis(5);
 
+/// Who sends the requests of a connection.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum RequestSource {
+    /// Callers.
+    Callers,
+    /// Entry VMs that forward requests of their callers.
+    Peers,
+}
+
 /// Accepts callers until the listener must close, and then those in its accept queue.
 pub async fn accept_callers<Dialect>(front: Rc<FrontContext<Dialect>>, listener: TcpListener)
 where
     Dialect: CallerDialect + 'static,
+{
+    accept(&front, listener, RequestSource::Callers).await;
+    front.stop.record_listener_closed();
+}
+
+/// Accepts entry VMs that forward requests, until the listener for callers must close.
+pub async fn accept_peers<Dialect>(front: Rc<FrontContext<Dialect>>, listener: TcpListener)
+where
+    Dialect: CallerDialect + 'static,
+{
+    accept(&front, listener, RequestSource::Peers).await;
+}
+
+async fn accept<Dialect>(
+    front: &Rc<FrontContext<Dialect>>,
+    listener: TcpListener,
+    source: RequestSource,
+) where
+    Dialect: CallerDialect + 'static,
 {
     let mut closing = front.stop.closing();
     loop {
         tokio::select! {
-            stream = next_connection(&listener) => spawn_caller(&front, stream),
+            stream = next_connection(&listener) => spawn_connection(front, stream, source),
             _ = closing.wait_for(|is_closing| *is_closing) => break,
         }
     }
     for stream in close_listener(listener) {
-        spawn_caller(&front, stream);
+        spawn_connection(front, stream, source);
     }
-    front.stop.record_listener_closed();
 }
 
 /// Spawns the task of a connection. The connection is counted before its task first runs, so that a
 /// shutdown waits for it.
-fn spawn_caller<Dialect>(front: &Rc<FrontContext<Dialect>>, stream: TcpStream)
-where
+fn spawn_connection<Dialect>(
+    front: &Rc<FrontContext<Dialect>>,
+    stream: TcpStream,
+    source: RequestSource,
+) where
     Dialect: CallerDialect + 'static,
 {
     if let Some(guard) = front.stop.accept() {
         let front = Rc::clone(front);
         tokio::task::spawn_local(async move {
-            serve_caller(front, stream).await;
+            serve_connection(front, stream, source).await;
             drop(guard);
         });
     }
 }
 
-async fn serve_caller<Dialect>(front: Rc<FrontContext<Dialect>>, stream: TcpStream)
-where
+async fn serve_connection<Dialect>(
+    front: Rc<FrontContext<Dialect>>,
+    stream: TcpStream,
+    source: RequestSource,
+) where
     Dialect: CallerDialect + 'static,
 {
     if let Err(error) = stream.set_nodelay(true) {
@@ -93,12 +127,16 @@
         async move {
             let head_guard = timer.record_head();
             let trace = Rc::new(RequestTrace::begin(&front.shared));
-            let mut response = answer(Rc::clone(&front), request, Rc::clone(&trace)).await;
+            let (front_ref, trace_ref) = (Rc::clone(&front), Rc::clone(&trace));
+            let (mut response, place) = match source {
+                RequestSource::Callers => (answer(front_ref, request, trace_ref).await, None),
+                RequestSource::Peers => answer_peer(front_ref, request, trace_ref).await,
+            };
             if front.shared.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            let traced = TracedAnswer::new(trace, head_guard);
+            let traced = TracedAnswer::new(trace, head_guard, place);
             Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, traced)))
         }
     });
@@ -226,6 +264,7 @@
         let view = front.shared.view.load_full();
         let is_listed = |incarnation: &UpstreamIncarnation| view.is_listed(incarnation);
         front.pool.retain(is_listed);
+        front.forwards.retain(|vm| view.entries.contains_key(vm));
         let now = front.now();
         front.monitor.borrow_mut().retain(is_listed, now);
         front.quota.borrow_mut().retain(is_listed, now);
--- a/crates/gateway/src/front/state.rs
+++ b/crates/gateway/src/front/state.rs
@@ -25,6 +25,8 @@
     pub possible_runs: Vec<UpstreamIncarnation>,
     /// Of these, the upstreams whose connection closed before the end of the answer.
     pub disconnected: Vec<UpstreamIncarnation>,
+    /// Whether another entry VM forwarded the request to this one.
+    pub is_forwarded: bool,
     /// When the retry now being sent was taken from the budget. `None` for the first send.
     pub retry_taken_at: Option<Millis>,
     /// Traces the request until its answer was sent.
@@ -39,7 +41,7 @@
 
     /// Returns how many sends did not reach an upstream.
     pub fn unreached_sends(&self) -> usize {
-        self.tried.len() - self.arrivals
+        self.tried.len().saturating_sub(self.arrivals)
     }
 
     /// Returns how many times the request was sent.
--- a/crates/gateway/src/front/trace.rs
+++ b/crates/gateway/src/front/trace.rs
@@ -7,6 +7,7 @@
 use bergamot_types::prelude::*;
 
 use super::answer::AnswerGuard;
+use super::forward::ServedPlace;
 use super::head_timer::HeadGuard;
 use crate::shared::SharedState;
 
@@ -79,14 +80,17 @@
 pub struct TracedAnswer {
     trace: Rc<RequestTrace>,
     _head_guard: HeadGuard,
+    _place: Option<ServedPlace>,
 }
 
 impl TracedAnswer {
-    /// Takes the trace of a request, and the guard of its head.
-    pub fn new(trace: Rc<RequestTrace>, head_guard: HeadGuard) -> Self {
+    /// Takes the trace of a request, the guard of its head, and its place if another VM forwarded
+    /// it.
+    pub fn new(trace: Rc<RequestTrace>, head_guard: HeadGuard, place: Option<ServedPlace>) -> Self {
         Self {
             trace,
             _head_guard: head_guard,
+            _place: place,
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod view;
 
 pub use daemon::GatewayDaemon;
+pub use front::forward::context::ForwardContext;
 pub use front::permits::{PermitDenial, PermitGrant};
 pub use front::{FrontContext, addresses, budget, deadline, flight, warmup};
 pub use sync::StoreSync;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,10 @@
     pub attempts: IntCounterVec,
     /// New connections to upstreams by outcome.
     pub connects: IntCounterVec,
+    /// Requests offered to other entry VMs by outcome.
+    pub forwards: IntCounterVec,
+    /// Requests that other entry VMs forwarded here, by outcome.
+    pub forwards_served: IntCounterVec,
     /// Time to the first piece of a response, in seconds, by route kind.
     pub first_piece: HistogramVec,
     /// Time between two events of a stream, in seconds.
@@ -88,6 +92,16 @@
                 "New connections to upstreams by outcome",
                 &["outcome"],
             ),
+            forwards: counter(
+                "bergamot_forwards_total",
+                "Requests offered to other entry VMs by outcome",
+                &["outcome"],
+            ),
+            forwards_served: counter(
+                "bergamot_forwards_served_total",
+                "Requests that other entry VMs forwarded to this one, by outcome",
+                &["outcome"],
+            ),
             first_piece: histogram(
                 "bergamot_first_piece_seconds",
                 "Time to the first piece of an answer",
--- a/crates/gateway/src/own_keys.rs
+++ b/crates/gateway/src/own_keys.rs
@@ -59,6 +59,20 @@
     pub failure_domain: FailureDomain,
     /// CPU share of the VM, in thousandths of a core.
     pub millicores: u32,
+    /// Where the VM accepts requests that other VMs forward; none if it accepts none. Follows the
+    /// other fields in the encoding: versions that do not know it ignore it.
+    #[serde(skip)]
+    pub forwarding: Option<ForwardEndpoint>,
+}
+
+/// Where a VM accepts requests that other VMs forward.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct ForwardEndpoint {
+    /// The address.
+    pub addr: SocketAddr,
+    /// What each forwarded request must carry. Drawn at the start of the VM's process; only VMs can
+    /// read it.
+    pub secret: u64,
 }
 
 impl EntryRecord {
@@ -69,12 +83,23 @@
             peer_addr: site.peer_addr,
             failure_domain: site.failure_domain.clone(),
             millicores: site.millicores,
+            forwarding: None,
         }
     }
 
+    /// Adds the endpoint for forwarded requests.
+    #[must_use]
+    pub fn with_forwarding(self, forwarding: Option<ForwardEndpoint>) -> Self {
+        Self { forwarding, ..self }
+    }
+
     /// Encodes the record as it is stored.
     pub fn to_bytes(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_else(|error| {
+        let encoded = postcard::to_stdvec(self).and_then(|bytes| match &self.forwarding {
+            Some(endpoint) => postcard::to_extend(endpoint, bytes),
+            None => Ok(bytes),
+        });
+        encoded.unwrap_or_else(|error| {
             log::error!("event=record_not_written reason={error:?}");
             Vec::new()
         })
@@ -82,6 +107,7 @@
 
     /// Decodes a record. Returns `None` if the bytes have another format.
     pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok()
+        let (record, rest): (Self, _) = postcard::take_from_bytes(bytes).ok()?;
+        Some(record.with_forwarding(postcard::from_bytes(rest).ok()))
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -16,6 +16,7 @@
 use crate::clock::BootClock;
 use crate::front::residency::warn_of_unknown_regions;
 use crate::metrics::GatewayMetrics;
+use crate::own_keys::ForwardEndpoint;
 use crate::view::ClusterView;
 
 /// Subtracted from the time for which a confirmed configuration is valid. A request may wait this
@@ -53,6 +54,8 @@
     store_unreachable: AtomicBool,
     /// Whether the process is stopping.
     pub stopping: AtomicBool,
+    /// What requests that other VMs forward to this process must carry.
+    pub forward_secret: u64,
     /// Whether a caller's request has arrived since the start.
     pub has_traffic: AtomicBool,
     /// When the stop signal arrived, in milliseconds. 0 means not yet.
@@ -96,6 +99,7 @@
             peer_stale_at: AtomicU64::new(0),
             store_unreachable: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            forward_secret: rand::random(),
             has_traffic: AtomicBool::new(false),
             stop_started_at: AtomicU64::new(0),
             demand: ArcSwap::default(),
@@ -105,6 +109,13 @@
         })
     }
 
+    /// Returns where this VM accepts requests that other VMs forward, if it accepts any.
+    pub fn forward_endpoint(&self) -> Option<ForwardEndpoint> {
+        let addr = self.site.forward_addr?;
+        let secret = self.forward_secret;
+        Some(ForwardEndpoint { addr, secret })
+    }
+
     /// Returns the bounds in force.
     pub fn bounds(&self) -> ServingBounds {
         **self.bounds.load()
--- a/crates/gateway/src/sync/own.rs
+++ b/crates/gateway/src/sync/own.rs
@@ -103,10 +103,11 @@
     count_call(shared, "lease", lease_result.as_ref().err());
     let lease = lease_result.ok()?;
     let site = &shared.site;
+    let record = EntryRecord::of(site).with_forwarding(shared.forward_endpoint());
     let txn = StoreTxn {
         writes: vec![KeyWrite {
             key: format!("{ENTRY_PREFIX}{}", site.vm),
-            value: EntryRecord::of(site).to_bytes(),
+            value: record.to_bytes(),
             lease: Some(lease),
         }],
         ..StoreTxn::default()
--- a/crates/gateway/tests/addresses.rs
+++ b/crates/gateway/tests/addresses.rs
@@ -74,6 +74,7 @@
                 peer_addr: addr(port),
                 failure_domain: FailureDomain::new("east"),
                 millicores: 120,
+                forwarding: None,
             };
             (record.vm.clone(), record)
         });
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -23,6 +23,7 @@
         metrics_addr: addr,
         millicores: 250,
         peer_addr: addr,
+        forward_addr: None,
         bounds: ServingBounds {
             drain_time: Millis(2_000),
             stop_grace: Millis(8_000),
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -154,6 +154,7 @@
             peer_addr: SocketAddr::from(([127, 0, 0, 1], 1)),
             failure_domain: FailureDomain::new("east"),
             millicores: 4_000,
+            forwarding: None,
         };
         (record.vm.clone(), record)
     });
--- a/crates/ports/src/call.rs
+++ b/crates/ports/src/call.rs
@@ -105,6 +105,10 @@
     /// Returns a request without a body that an upstream of groups answers without a free slot.
     fn report_request(&self, upstream: &UpstreamEntry) -> Request<()>;
 
+    /// Returns the headers with which a caller's request is passed on to another entry VM: all but
+    /// those of a single connection.
+    fn peer_headers(&self, headers: &HeaderMap) -> HeaderMap;
+
     /// Returns the headers of the answer to the caller.
     fn answer_headers(&self, head: &ReplyParts) -> HeaderMap;
 
--- a/crates/ports/src/site.rs
+++ b/crates/ports/src/site.rs
@@ -73,6 +73,8 @@
     pub millicores: u32,
     /// The address for datagrams from peers, and for their connections to the update feed.
     pub peer_addr: SocketAddr,
+    /// The address for requests that other VMs forward; none if this VM accepts none.
+    pub forward_addr: Option<SocketAddr>,
     /// The bounds in force.
     pub bounds: ServingBounds,
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod assignment;
 pub mod choose;
+pub mod forward;
 pub mod gate;
 pub mod latency;
 pub mod load;
@@ -32,6 +33,7 @@
 
 pub use assignment::LeaderAssignment;
 pub use choose::{UpstreamChoice, UpstreamCriteria};
+pub use forward::{ForwardPeers, MAX_FORWARDED_REQUESTS, PeerCandidate, has_forward_place};
 pub use gate::{GateState, GateTable};
 pub use latency::{
     DispatchedRequest, LeaderInactivity, ModelLatencies, ModelLatency, StallVerdict,
--- a/crates/routing/src/partition.rs
+++ b/crates/routing/src/partition.rs
@@ -26,10 +26,9 @@
 /// An observation about connections to upstreams.
 #[derive(Clone, Copy, Debug)]
 pub enum PartitionEvent<'a> {
-    /// A new connection was established. Something between may have accepted it.
-    Connected,
-    /// A new connection could not be established.
-    ConnectFailed(&'a UpstreamIncarnation),
+    /// A connection could not be established, or broke before the end of an answer. Established
+    /// connections are no evidence: something between may accept them.
+    Failed(&'a UpstreamIncarnation),
     /// Data arrived from an upstream on a connection that was opened at this time.
     Received {
         /// When the connection was opened.
@@ -41,6 +40,8 @@
     ProbesEnded {
         /// How many upstreams were probed; 0 if none is listed.
         probed: usize,
+        /// How many of them accepted the connection and did not answer in time.
+        unanswered: usize,
     },
 }
 
@@ -74,7 +75,7 @@
 /// The VM reaches upstreams, as far as known.
 #[derive(Clone, Debug, Default)]
 struct Reaching {
-    /// When a connection to each upstream last failed, or its requests were last silent.
+    /// Upstreams whose connections failed or whose requests were silent.
     failures: IndexMap<UpstreamIncarnation, Failure>,
     /// When the last suspicion began.
     last_suspected_at: Option<Millis>,
@@ -198,17 +199,11 @@
     pub fn handle(&mut self, now: Millis, event: PartitionEvent<'_>) -> Option<PartitionAction> {
         match event {
             PartitionEvent::Received { opened_at } => self.record_received(opened_at, now),
-            PartitionEvent::Connected => {
-                if let Phase::Reaching(reaching) = &mut self.phase {
-                    reaching.failures.retain(|_, failure| failure.is_silence);
-                }
-                None
-            }
-            PartitionEvent::ConnectFailed(incarnation) => {
-                self.record_failure(incarnation, false, now)
-            }
+            PartitionEvent::Failed(incarnation) => self.record_failure(incarnation, false, now),
             PartitionEvent::Silent(incarnation) => self.record_failure(incarnation, true, now),
-            PartitionEvent::ProbesEnded { probed } => self.conclude(probed, now),
+            PartitionEvent::ProbesEnded { probed, unanswered } => {
+                self.conclude(probed, unanswered, now)
+            }
         }
     }
 
@@ -248,12 +243,19 @@
     }
 
     /// Concludes from a round of probes that nothing has answered since the suspicion.
-    fn conclude(&mut self, probed: usize, now: Millis) -> Option<PartitionAction> {
+    fn conclude(
+        &mut self,
+        probed: usize,
+        unanswered: usize,
+        now: Millis,
+    ) -> Option<PartitionAction> {
         let Phase::Suspecting(suspecting) = &self.phase else {
             return None;
         };
-        // Without a listed upstream there is nothing that a peer could reach either.
-        if probed == 0 {
+        // Without a listed upstream there is nothing that a peer could reach either. Upstreams that
+        // accept connections and send data on others are merely slow.
+        let is_slow = unanswered > 0 && self.last_received_at >= suspecting.began_at;
+        if probed == 0 || is_slow {
             self.phase = Phase::Reaching(suspecting.clone().refuted());
             return None;
         }
--- a/crates/types/src/kind.rs
+++ b/crates/types/src/kind.rs
@@ -129,6 +129,8 @@
     DomainsEvacuated: "domains_evacuated", 503, No, 2, "all replicas are in failure domains that are being evacuated";
     /// No failure domain lies in a region in which the request may be processed.
     RegionUnavailable: "region_unavailable", 503, No, 0, "no region may process the request under its data residency rules";
+    /// This entry VM reaches no upstream, and no other one takes the request.
+    UpstreamsUnreachable: "upstreams_unreachable", 503, No, 1, "this entry VM reaches no replica";
 }
 
 impl ErrorKind {
