--- a/crates/gateway/src/front/exchange.rs
+++ b/crates/gateway/src/front/exchange.rs
@@ -13,6 +13,7 @@
 use bergamot_quarantine::{QuarantineEvent, QuarantineRecord};
 use bergamot_quota::{LimitReport, QuotaAction, QuotaEvent};
 use bergamot_routing::StallNotice;
+use indexmap::IndexSet;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -68,6 +69,9 @@
                 }
                 let view = front.shared.view.load();
                 front.monitor.borrow_mut().occupancy.set_peers(peer_descriptors(&view));
+                let domains = view.upstreams.values().map(|entry| &entry.failure_domain);
+                let domains: IndexSet<_> = domains.collect();
+                front.monitor.borrow_mut().partition.set_domains(domains.len());
                 let vms = peer_descriptors(&view).map(|peer| (peer.failure_domain, peer.vm));
                 front.quota.borrow_mut().set_vms(front.now(), vms);
                 Vec::new()
--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -68,7 +68,7 @@
         (Err(AttemptError::Broken(_)), BreakCause::Closed)
     );
     if is_disconnected {
-        observe(front, PartitionEvent::Failed(&upstream.incarnation));
+        observe(front, PartitionEvent::Failed(upstream));
         state.disconnected.push(upstream.incarnation.clone());
     }
     check_for_crash(front, request, state, upstream, &outcome, cause).await;
--- a/crates/gateway/src/front/partition.rs
+++ b/crates/gateway/src/front/partition.rs
@@ -32,7 +32,7 @@
     let connection = front.pool.connect_new(upstream.addr).await;
     count_connect(front, &connection);
     if connection.is_err() {
-        observe(front, PartitionEvent::Failed(&upstream.incarnation));
+        observe(front, PartitionEvent::Failed(upstream));
     }
     connection
 }
--- a/crates/gateway/src/front/relay/record.rs
+++ b/crates/gateway/src/front/relay/record.rs
@@ -96,10 +96,7 @@
     ) {
         let now = self.front.now();
         if cause == BreakCause::Closed {
-            observe(
-                &self.front,
-                PartitionEvent::Failed(&reply.upstream.incarnation),
-            );
+            observe(&self.front, PartitionEvent::Failed(&reply.upstream));
             self.state
                 .disconnected
                 .push(reply.upstream.incarnation.clone());
--- a/crates/routing/src/partition.rs
+++ b/crates/routing/src/partition.rs
@@ -1,20 +1,24 @@
 //! Detects that this entry VM reaches no upstream at all, as after a network partition.
 //!
 //! A failed connection says little by itself: the upstream, its failure domain or this VM may be the
-//! cause. Failures at two upstreams make the VM suspect its own links, and it probes others at once
+//! cause. Failures in two failure domains make the VM suspect its own links, and it probes others at once
 //! on new connections. Only if none of these answers, and nothing arrived on another new connection
 //! meanwhile, is the VM partitioned. Older connections may live on, so data received on them is no
 //! evidence against a partition.
 
 use bergamot_types::prelude::*;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Number of upstreams with failed connections at which this VM suspects its own links. A single
-/// upstream may have ended.
+use crate::upstream::RouteUpstream;
+
+/// Number of upstreams at which failures make this VM suspect its own links. A single upstream may
+/// have ended.
 const MIN_SUSPECTS: usize = 2;
+/// Number of failure domains in which they are, if as many have upstreams. One may be down.
+const MIN_SUSPECT_DOMAINS: usize = 2;
 /// How long a failure counts: several times the time in which a connection fails.
 const FAILURE_VALIDITY: Millis = Millis(1_000);
 /// Shortest time between two suspicions, so that upstreams that end one after another cost few
@@ -28,14 +32,14 @@
 pub enum PartitionEvent<'a> {
     /// A connection could not be established, or broke before the end of an answer. Established
     /// connections are no evidence: something between may accept them.
-    Failed(&'a UpstreamIncarnation),
+    Failed(&'a RouteUpstream),
     /// Data arrived from an upstream on a connection that was opened at this time.
     Received {
         /// When the connection was opened.
         opened_at: Millis,
     },
     /// Requests at an upstream got no data for longer than they usually wait.
-    Silent(&'a UpstreamIncarnation),
+    Silent(&'a RouteUpstream),
     /// A round of probes is over. An answer to one of them was recorded as [`Self::Received`].
     ProbesEnded {
         /// How many upstreams were probed; 0 if none is listed.
@@ -81,8 +85,9 @@
     last_suspected_at: Option<Millis>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Failure {
+    failure_domain: FailureDomain,
     first_at: Millis,
     last_at: Millis,
     /// Whether only the absence of data shows it.
@@ -104,10 +109,12 @@
 }
 
 impl Reaching {
-    fn record_failure(&mut self, incarnation: &UpstreamIncarnation, is_silence: bool, now: Millis) {
+    fn record_failure(&mut self, upstream: &RouteUpstream, is_silence: bool, now: Millis) {
         self.failures
             .retain(|_, failure| now.since(failure.last_at) < FAILURE_VALIDITY);
-        let failure = self.failures.entry(incarnation.clone()).or_insert(Failure {
+        let failure = self.failures.entry(upstream.incarnation.clone());
+        let failure = failure.or_insert_with(|| Failure {
+            failure_domain: upstream.failure_domain.clone(),
             first_at: now,
             last_at: now,
             is_silence,
@@ -123,9 +130,18 @@
     }
 
     /// Returns the suspicion that the failures justify, if any.
-    fn suspect(&self, now: Millis) -> Option<Suspecting> {
+    fn suspect(&self, listed_domains: usize, now: Millis) -> Option<Suspecting> {
         let is_recent = |at: Millis| now.since(at) < SUSPICION_PERIOD;
-        if self.failures.len() < MIN_SUSPECTS || self.last_suspected_at.is_some_and(is_recent) {
+        let domains = self
+            .failures
+            .values()
+            .map(|failure| &failure.failure_domain);
+        let domains: IndexSet<_> = domains.collect();
+        let min_domains = MIN_SUSPECT_DOMAINS.min(listed_domains);
+        if self.failures.len() < MIN_SUSPECTS || domains.len() < min_domains {
+            return None;
+        }
+        if self.last_suspected_at.is_some_and(is_recent) {
             return None;
         }
         let first_failures = self.failures.values().map(|failure| failure.first_at);
@@ -163,6 +179,8 @@
 pub struct PartitionState {
     phase: Phase,
     last_received_at: Millis,
+    /// Number of failure domains with upstreams.
+    listed_domains: usize,
 }
 
 impl Default for PartitionState {
@@ -170,6 +188,7 @@
         Self {
             phase: Phase::Reaching(Reaching::default()),
             last_received_at: Millis::ZERO,
+            listed_domains: 0,
         }
     }
 }
@@ -195,12 +214,17 @@
         }
     }
 
+    /// Sets the number of failure domains with upstreams.
+    pub fn set_domains(&mut self, listed_domains: usize) {
+        self.listed_domains = listed_domains;
+    }
+
     /// Handles an event.
     pub fn handle(&mut self, now: Millis, event: PartitionEvent<'_>) -> Option<PartitionAction> {
         match event {
             PartitionEvent::Received { opened_at } => self.record_received(opened_at, now),
-            PartitionEvent::Failed(incarnation) => self.record_failure(incarnation, false, now),
-            PartitionEvent::Silent(incarnation) => self.record_failure(incarnation, true, now),
+            PartitionEvent::Failed(upstream) => self.record_failure(upstream, false, now),
+            PartitionEvent::Silent(upstream) => self.record_failure(upstream, true, now),
             PartitionEvent::ProbesEnded { probed, unanswered } => {
                 self.conclude(probed, unanswered, now)
             }
@@ -229,15 +253,15 @@
 
     fn record_failure(
         &mut self,
-        incarnation: &UpstreamIncarnation,
+        upstream: &RouteUpstream,
         is_silence: bool,
         now: Millis,
     ) -> Option<PartitionAction> {
         let Phase::Reaching(reaching) = &mut self.phase else {
             return None;
         };
-        reaching.record_failure(incarnation, is_silence, now);
-        let suspecting = reaching.suspect(now)?;
+        reaching.record_failure(upstream, is_silence, now);
+        let suspecting = reaching.suspect(self.listed_domains, now)?;
         self.phase = Phase::Suspecting(suspecting);
         Some(PartitionAction::Probe)
     }
--- a/crates/routing/tests/partition.rs
+++ b/crates/routing/tests/partition.rs
@@ -1,12 +1,22 @@
 //! Partitions of an entry VM from all upstreams are told apart from failures of the upstreams.
 
 use bergamot_routing::{
-    PROBED_UPSTREAMS, PartitionAction, PartitionEvent, PartitionState, draw_probes,
+    PROBED_UPSTREAMS, PartitionAction, PartitionEvent, PartitionState, RouteUpstream, draw_probes,
 };
 use bergamot_types::prelude::*;
 
-fn upstream(number: usize) -> UpstreamIncarnation {
-    UpstreamIncarnation::new(UpstreamId::new(&format!("e{number}")), None)
+/// Number of failure domains; neighbouring upstreams are in different ones.
+const DOMAINS: usize = 3;
+
+fn upstream(number: usize) -> RouteUpstream {
+    RouteUpstream {
+        incarnation: UpstreamIncarnation::new(UpstreamId::new(&format!("e{number}")), None),
+        addr: ([127, 0, 0, 1], 1).into(),
+        failure_domain: FailureDomain::new(&format!("d{}", number % DOMAINS)),
+        slots: 1,
+        group: None,
+        speed: None,
+    }
 }
 
 /// Late enough that no event is recent at time zero, which stands for never.
@@ -36,10 +46,24 @@
     name: &'static str,
     /// Times in milliseconds, and what is observed then.
     steps: &'static [(u64, Step)],
+    /// Number of failure domains with upstreams.
+    domains: usize,
     outcome: Outcome,
 }
 
-static CASES: [PartitionCase; 14] = [
+static CASES: [PartitionCase; 16] = [
+    PartitionCase {
+        name: "two upstreams of one failure domain ended",
+        steps: &[(1, Step::Failed(0)), (2, Step::Failed(DOMAINS))],
+        domains: DOMAINS,
+        outcome: Outcome::Reaching,
+    },
+    PartitionCase {
+        name: "two upstreams failed where there is only one failure domain",
+        steps: &[(1, Step::Failed(0)), (2, Step::Failed(DOMAINS))],
+        domains: 1,
+        outcome: Outcome::Suspecting,
+    },
     PartitionCase {
         name: "connections are accepted by something between that passes nothing on",
         steps: &[
@@ -47,6 +71,7 @@
             (3, Step::Silent(1)),
             (250, Step::Unanswered(3)),
         ],
+        domains: DOMAINS,
         outcome: Outcome::Partitioned,
     },
     PartitionCase {
@@ -57,6 +82,7 @@
             (200, Step::Received(OLD)),
             (250, Step::Unanswered(1)),
         ],
+        domains: DOMAINS,
         outcome: Outcome::Reaching,
     },
     PartitionCase {
@@ -66,6 +92,7 @@
             (150, Step::Failed(1)),
             (300, Step::ProbesEnded(3)),
         ],
+        domains: DOMAINS,
         outcome: Outcome::Partitioned,
     },
     PartitionCase {
@@ -75,6 +102,7 @@
             (10, Step::Silent(1)),
             (160, Step::ProbesEnded(3)),
         ],
+        domains: DOMAINS,
         outcome: Outcome::Partitioned,
     },
     PartitionCase {
@@ -87,6 +115,7 @@
             (5, Step::ProbesEnded(3)),
             (6, Step::Received(OLD)),
         ],
+        domains: DOMAINS,
         outcome: Outcome::Partitioned,
     },
     PartitionCase {
@@ -96,16 +125,19 @@
             (150, Step::Failed(0)),
             (300, Step::Failed(0)),
         ],
+        domains: DOMAINS,
         outcome: Outcome::Reaching,
     },
     PartitionCase {
         name: "upstreams ended long after each other",
         steps: &[(0, Step::Failed(0)), (1_200, Step::Failed(1))],
+        domains: DOMAINS,
         outcome: Outcome::Reaching,
     },
     PartitionCase {
         name: "two upstreams ended, no probe is back yet",
         steps: &[(0, Step::Failed(0)), (1, Step::Failed(1))],
+        domains: DOMAINS,
         outcome: Outcome::Suspecting,
     },
     PartitionCase {
@@ -116,6 +148,7 @@
             (4, Step::Received(3)),
             (150, Step::ProbesEnded(3)),
         ],
+        domains: DOMAINS,
         outcome: Outcome::Reaching,
     },
     PartitionCase {
@@ -125,6 +158,7 @@
             (3, Step::Received(2)),
             (4, Step::Failed(1)),
         ],
+        domains: DOMAINS,
         outcome: Outcome::Reaching,
     },
     PartitionCase {
@@ -134,6 +168,7 @@
             (1, Step::Received(OLD)),
             (2, Step::Silent(1)),
         ],
+        domains: DOMAINS,
         outcome: Outcome::Reaching,
     },
     PartitionCase {
@@ -143,6 +178,7 @@
             (1, Step::Failed(1)),
             (2, Step::ProbesEnded(0)),
         ],
+        domains: DOMAINS,
         outcome: Outcome::Reaching,
     },
     PartitionCase {
@@ -154,6 +190,7 @@
             (4, Step::Failed(0)),
             (5, Step::Failed(1)),
         ],
+        domains: DOMAINS,
         outcome: Outcome::Reaching,
     },
     PartitionCase {
@@ -164,6 +201,7 @@
             (3, Step::ProbesEnded(3)),
             (700, Step::Received(699)),
         ],
+        domains: DOMAINS,
         outcome: Outcome::Reaching,
     },
 ];
@@ -177,6 +215,7 @@
 
 fn play(case: &PartitionCase) -> (PartitionState, Vec<PartitionAction>) {
     let mut state = PartitionState::default();
+    state.set_domains(case.domains);
     let mut actions = Vec::new();
     for (at, step) in case.steps {
         let named = upstream(match step {
