fix: a coordinator without callers notices that it reaches no upstream

Cause: a partition is suspected from the requests of callers. A coordinator that has none sees its orders and queries fail, and took each for a fault of its upstream.

Change: unanswered orders and queries count as failures of their upstreams' connections, so that the same probes decide.

--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -68,7 +68,7 @@
         (Err(AttemptError::Broken(_)), BreakCause::Closed)
     );
     if is_disconnected {
-        observe(front, PartitionEvent::Failed(upstream));
+        observe(front, PartitionEvent::Failed(upstream.into()));
         state.disconnected.push(upstream.incarnation.clone());
     }
     check_for_crash(front, request, state, upstream, &outcome, cause).await;
--- a/crates/gateway/src/front/partition.rs
+++ b/crates/gateway/src/front/partition.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bergamot_ports::{CallerDialect, UpstreamEntry, UpstreamState};
-use bergamot_routing::{PartitionAction, PartitionEvent, RouteUpstream, draw_probes};
+use bergamot_routing::{
+    PartitionAction, PartitionEvent, RouteUpstream, SuspectUpstream, draw_probes,
+};
 use futures::future::join_all;
 use http_body_util::{BodyExt, Full};
 
@@ -32,7 +34,7 @@
     let connection = front.pool.connect_new(upstream.addr).await;
     count_connect(front, &connection);
     if connection.is_err() {
-        observe(front, PartitionEvent::Failed(upstream));
+        observe(front, PartitionEvent::Failed(upstream.into()));
     }
     connection
 }
@@ -80,7 +82,13 @@
     Dialect: CallerDialect,
 {
     loop {
-        front.partition_suspected.notified().await;
+        tokio::select! {
+            () = front.partition_suspected.notified() => {}
+            () = front.shared.control_unanswered.notified() => {
+                observe_control(&front);
+                continue;
+            }
+        }
         while front.monitor.borrow().partition.is_in_doubt() {
             let probes_ended = probe_upstreams(&front).await;
             observe(&front, probes_ended);
@@ -91,6 +99,21 @@
     }
 }
 
+/// Records the upstreams that did not answer the coordinator of this VM. It may be the only one that
+/// notices, if this VM has few callers.
+fn observe_control<Dialect>(front: &FrontContext<Dialect>) {
+    let view = front.shared.view.load();
+    for incarnation in &front.shared.take_unanswered_control() {
+        if let Some(entry) = view.upstreams.get(&incarnation.id) {
+            let suspect = SuspectUpstream {
+                incarnation,
+                failure_domain: &entry.failure_domain,
+            };
+            observe(front, PartitionEvent::Failed(suspect));
+        }
+    }
+}
+
 /// Probes some upstreams at once. Returns the event that ends the round.
 async fn probe_upstreams<Dialect>(front: &FrontContext<Dialect>) -> PartitionEvent<'static>
 where
--- a/crates/gateway/src/front/quiet.rs
+++ b/crates/gateway/src/front/quiet.rs
@@ -28,7 +28,7 @@
         return false;
     }
     drop(monitor);
-    observe(front, PartitionEvent::Silent(upstream));
+    observe(front, PartitionEvent::Silent(upstream.into()));
     let mut monitor = front.monitor.borrow_mut();
     let witness = hash_bytes(front.shared.site.vm.as_str().as_bytes()) as u32;
     let recipients = monitor.record_stall_verdict(&upstream.incarnation, verdict, witness, now);
--- a/crates/gateway/src/front/relay/record.rs
+++ b/crates/gateway/src/front/relay/record.rs
@@ -96,7 +96,10 @@
     ) {
         let now = self.front.now();
         if cause == BreakCause::Closed {
-            observe(&self.front, PartitionEvent::Failed(&reply.upstream));
+            observe(
+                &self.front,
+                PartitionEvent::Failed((&reply.upstream).into()),
+            );
             self.state
                 .disconnected
                 .push(reply.upstream.incarnation.clone());
--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -171,6 +171,9 @@
             let label = outcome_label(outcome);
             let orders = &shared.metrics.orders;
             orders.with_label_values(&[order, label]).inc();
+            if matches!(outcome, OrderOutcome::Unknown(_)) {
+                shared.record_unanswered_control(&request.target.incarnation);
+            }
             planner.record_order_outcome(request, outcome);
         }
         CompletedAction::Hold(group, members, is_stored) => {
@@ -178,6 +181,9 @@
         }
         CompletedAction::Query(id, outcome) => {
             log::info!("event=asked upstream={id} outcome={outcome:?}");
+            if *outcome == QueryOutcome::Silent {
+                shared.record_unanswered_control(id);
+            }
             planner.record_query_outcome(id, outcome, shared.clock.now());
         }
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -9,9 +9,9 @@
 use bergamot_ports::{ServingBounds, VmSite};
 use bergamot_quarantine::{QuarantineRecord, QuarantineState};
 use bergamot_types::prelude::*;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::BootClock;
 use crate::front::residency::warn_of_unknown_regions;
@@ -54,6 +54,10 @@
     store_unreachable: AtomicBool,
     /// Whether this VM reaches no upstream.
     upstreams_unreachable: AtomicBool,
+    /// Upstreams that did not answer orders or queries of this VM, until the front has taken note.
+    unanswered_control: Mutex<IndexSet<UpstreamIncarnation>>,
+    /// Notified when an upstream did not answer an order or a query.
+    pub control_unanswered: Notify,
     /// Whether the process is stopping.
     pub stopping: AtomicBool,
     /// What requests that other VMs forward to this process must carry.
@@ -101,6 +105,8 @@
             peer_stale_at: AtomicU64::new(0),
             store_unreachable: AtomicBool::new(false),
             upstreams_unreachable: AtomicBool::new(false),
+            unanswered_control: Mutex::default(),
+            control_unanswered: Notify::new(),
             stopping: AtomicBool::new(false),
             forward_secret: rand::random(),
             has_traffic: AtomicBool::new(false),
@@ -192,6 +198,17 @@
         self.view_changed.send_modify(|count| *count += 1);
     }
 
+    /// Records that an upstream did not answer an order or a query.
+    pub fn record_unanswered_control(&self, incarnation: &UpstreamIncarnation) {
+        self.unanswered_control.lock().insert(incarnation.clone());
+        self.control_unanswered.notify_one();
+    }
+
+    /// Takes the upstreams that did not answer orders or queries since the last call.
+    pub fn take_unanswered_control(&self) -> IndexSet<UpstreamIncarnation> {
+        std::mem::take(&mut *self.unanswered_control.lock())
+    }
+
     /// Whether this VM reaches no upstream.
     pub fn are_upstreams_unreachable(&self) -> bool {
         self.upstreams_unreachable.load(Ordering::SeqCst)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -41,7 +41,8 @@
 };
 pub use load::UpstreamLoad;
 pub use partition::{
-    PROBED_UPSTREAMS, PartitionAction, PartitionEvent, PartitionFacts, PartitionState, draw_probes,
+    PROBED_UPSTREAMS, PartitionAction, PartitionEvent, PartitionFacts, PartitionState,
+    SuspectUpstream, draw_probes,
 };
 pub use resume::StreamResume;
 pub use retry::RetryBudget;
--- a/crates/routing/src/partition.rs
+++ b/crates/routing/src/partition.rs
@@ -27,19 +27,37 @@
 /// Number of upstreams to which connections are opened in a round of probes.
 pub const PROBED_UPSTREAMS: usize = 3;
 
+/// An upstream at which something failed.
+#[derive(Clone, Copy, Debug)]
+pub struct SuspectUpstream<'a> {
+    /// Its incarnation.
+    pub incarnation: &'a UpstreamIncarnation,
+    /// Its failure domain.
+    pub failure_domain: &'a FailureDomain,
+}
+
+impl<'a> From<&'a RouteUpstream> for SuspectUpstream<'a> {
+    fn from(upstream: &'a RouteUpstream) -> Self {
+        Self {
+            incarnation: &upstream.incarnation,
+            failure_domain: &upstream.failure_domain,
+        }
+    }
+}
+
 /// An observation about connections to upstreams.
 #[derive(Clone, Copy, Debug)]
 pub enum PartitionEvent<'a> {
     /// A connection could not be established, or broke before the end of an answer. Established
     /// connections are no evidence: something between may accept them.
-    Failed(&'a RouteUpstream),
+    Failed(SuspectUpstream<'a>),
     /// Data arrived from an upstream on a connection that was opened at this time.
     Received {
         /// When the connection was opened.
         opened_at: Millis,
     },
     /// Requests at an upstream got no data for longer than they usually wait.
-    Silent(&'a RouteUpstream),
+    Silent(SuspectUpstream<'a>),
     /// A round of probes is over. An answer to one of them was recorded as [`Self::Received`].
     ProbesEnded {
         /// How many upstreams were probed; 0 if none is listed.
@@ -109,7 +127,7 @@
 }
 
 impl Reaching {
-    fn record_failure(&mut self, upstream: &RouteUpstream, is_silence: bool, now: Millis) {
+    fn record_failure(&mut self, upstream: SuspectUpstream<'_>, is_silence: bool, now: Millis) {
         self.failures
             .retain(|_, failure| now.since(failure.last_at) < FAILURE_VALIDITY);
         let failure = self.failures.entry(upstream.incarnation.clone());
@@ -253,7 +271,7 @@
 
     fn record_failure(
         &mut self,
-        upstream: &RouteUpstream,
+        upstream: SuspectUpstream<'_>,
         is_silence: bool,
         now: Millis,
     ) -> Option<PartitionAction> {
--- a/crates/routing/tests/partition.rs
+++ b/crates/routing/tests/partition.rs
@@ -223,8 +223,8 @@
             _ => 0,
         });
         let event = match *step {
-            Step::Failed(_) => PartitionEvent::Failed(&named),
-            Step::Silent(_) => PartitionEvent::Silent(&named),
+            Step::Failed(_) => PartitionEvent::Failed((&named).into()),
+            Step::Silent(_) => PartitionEvent::Silent((&named).into()),
             Step::Received(opened_at) => PartitionEvent::Received {
                 opened_at: START + Millis(opened_at),
             },
