fix: a VM whose own links may be down reports no stalled upstreams

Cause: a VM reports each silent upstream to the coordinator and to all VMs, whatever else is silent.

Change: no such reports while the VM suspects its own links or reaches no upstream.

--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -207,6 +207,7 @@
             if matches!(error, AttemptError::Refused(_)) {
                 monitor.lower_limit(&upstream.incarnation, upstream.slots);
             }
+            drop(monitor);
             if matches!(
                 error,
                 AttemptError::NoListener(_) | AttemptError::NotSent(_)
--- a/crates/gateway/src/front/quiet.rs
+++ b/crates/gateway/src/front/quiet.rs
@@ -54,12 +54,20 @@
     is_stalled
 }
 
+/// Whether the silence may be due to the links of this VM. The others then learn nothing of it.
+fn is_in_doubt<Dialect>(front: &FrontContext<Dialect>) -> bool {
+    front.monitor.borrow().partition.is_in_doubt()
+}
+
 /// Sends a notice to the other entry VMs that the streams of a leader are stalled.
 fn send_stall_notice<Dialect>(
     front: &FrontContext<Dialect>,
     upstream: &RouteUpstream,
     notice: StallNotice,
 ) {
+    if is_in_doubt(front) {
+        return;
+    }
     let leader_stall = LeaderStall {
         leader: notice.leader,
         witness: notice.witness,
@@ -80,7 +88,7 @@
     upstream: &RouteUpstream,
     is_certain: bool,
 ) {
-    if upstream.group.is_none() {
+    if upstream.group.is_none() || is_in_doubt(front) {
         return;
     }
     let notice = SuspicionNotice {
@@ -94,3 +102,6 @@
         );
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/front/refusal/tests.rs
+++ b/crates/gateway/src/front/refusal/tests.rs
@@ -75,6 +75,10 @@
         ErrorKind::RegionUnavailable,
         "admit and plan_now, also before a retry or a resumption",
     ),
+    lost(
+        ErrorKind::UpstreamsUnreachable,
+        "forward, also before a retry or a resumption",
+    ),
 ];
 
 #[test]
