fix: probe the VM that serves a forwarded request

Cause: a request that another VM has acknowledged leaves nothing unacknowledged on the connection, so a VM that vanishes was noticed only at the deadline.

--- a/crates/gateway/src/front/forward/mod.rs
+++ b/crates/gateway/src/front/forward/mod.rs
@@ -16,6 +16,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use bergamot_routing::{ForwardPeers, has_forward_place};
 use bergamot_types::prelude::*;
@@ -23,6 +24,10 @@
 use super::pool::ConnectionPool;
 use crate::clock::BootClock;
 
+/// Interval at which a VM that serves a forwarded request is probed. Its answer may take seconds, and
+/// it may vanish meanwhile.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Requests that this VM forwards to others, and those that others forward to it.
 pub struct ForwardFront {
     /// Connections to other VMs.
@@ -37,7 +42,7 @@
     /// Creates the state of a VM without forwarded requests.
     pub fn new(clock: BootClock) -> Self {
         Self {
-            pool: Rc::new(ConnectionPool::new(clock)),
+            pool: Rc::new(ConnectionPool::new(clock).with_keep_alive(KEEP_ALIVE_INTERVAL)),
             peers: Rc::default(),
             served: Rc::default(),
         }
--- a/crates/gateway/src/front/pool.rs
+++ b/crates/gateway/src/front/pool.rs
@@ -12,7 +12,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -66,6 +66,8 @@
 pub struct ConnectionPool<Key = UpstreamIncarnation> {
     /// A clock that includes suspensions of this VM: upstreams close idle connections meanwhile.
     clock: BootClock,
+    /// How often the other end is probed while nothing arrives; none if it is not.
+    keep_alive: Option<Duration>,
     idle: RefCell<IndexMap<Key, Vec<IdleConnection>>>,
 }
 
@@ -77,16 +79,27 @@
     pub fn new(clock: BootClock) -> Self {
         Self {
             clock,
+            keep_alive: None,
             idle: RefCell::default(),
         }
     }
 
+    /// Probes the other end of new connections at this interval while nothing arrives. A connection
+    /// fails once nothing was acknowledged for [`USER_TIMEOUT`], which also applies to the probes.
+    #[must_use]
+    pub fn with_keep_alive(self, interval: Duration) -> Self {
+        Self {
+            keep_alive: Some(interval),
+            ..self
+        }
+    }
+
     /// Opens a new connection, even if one is idle.
     ///
     /// # Errors
     /// See [`ConnectError`]. No part of a request was sent.
     pub async fn connect_new(&self, addr: SocketAddr) -> Result<UpstreamConnection, ConnectError> {
-        match tokio::time::timeout(CONNECT_TIMEOUT, open(addr, self.clock)).await {
+        match tokio::time::timeout(CONNECT_TIMEOUT, open(addr, self.clock, self.keep_alive)).await {
             Ok(outcome) => outcome,
             Err(_) => Err(ConnectError::Failed("timed out".to_owned())),
         }
@@ -163,7 +176,11 @@
     }
 }
 
-async fn open(addr: SocketAddr, clock: BootClock) -> Result<UpstreamConnection, ConnectError> {
+async fn open(
+    addr: SocketAddr,
+    clock: BootClock,
+    keep_alive: Option<Duration>,
+) -> Result<UpstreamConnection, ConnectError> {
     let stream = TcpStream::connect(addr).await.map_err(|error| {
         match error.kind() == std::io::ErrorKind::ConnectionRefused {
             true => ConnectError::Refused(error),
@@ -176,6 +193,12 @@
     socket
         .set_tcp_user_timeout(Some(USER_TIMEOUT))
         .map_err(to_failed)?;
+    if let Some(interval) = keep_alive {
+        let probes = TcpKeepalive::new()
+            .with_time(interval)
+            .with_interval(interval);
+        socket.set_tcp_keepalive(&probes).map_err(to_failed)?;
+    }
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) =
         handshake.map_err(|error| ConnectError::Failed(error.to_string()))?;
--- a/crates/gateway/src/front/quiet/tests.rs
+++ b/crates/gateway/src/front/quiet/tests.rs
@@ -1,9 +1,6 @@
 //! Guards against a VM that reports stalled upstreams while its own links may be the cause. Inside
 //! the crate, as no other process sees which notices are not sent.
 
-#[path = "../../../tests/support/mod.rs"]
-mod support;
-
 use bergamot_routing::{PartitionEvent, RouteUpstream, StallNotice};
 use bergamot_types::prelude::*;
 use tokio::sync::mpsc;
@@ -11,6 +8,7 @@
 use super::{report_stall, send_stall_notice};
 use crate::front::FrontContext;
 use crate::shared::SharedState;
+use crate::test_support as support;
 
 fn leader(name: &str) -> RouteUpstream {
     RouteUpstream {
--- a/crates/gateway/src/front/residency/tests.rs
+++ b/crates/gateway/src/front/residency/tests.rs
@@ -2,9 +2,6 @@
 //! its upstream, and against home regions of another route or account. Other processes cannot time
 //! such changes, so these tests are inside the crate.
 
-#[path = "../../../tests/support/mod.rs"]
-mod support;
-
 use std::cell::RefCell;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,6 +26,7 @@
 use crate::front::attempt::{AttemptError, SentRequest, send};
 use crate::front::permits::SendPermit;
 use crate::shared::SharedState;
+use crate::test_support as support;
 use crate::view::ClusterView;
 
 /// How long the upstream waits for a request.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,9 @@
 pub mod signals;
 mod stop;
 mod sync;
+#[cfg(test)]
+#[path = "../tests/support/mod.rs"]
+mod test_support;
 pub mod view;
 
 pub use daemon::GatewayDaemon;
