fix: a keep-alive that cannot be set does not fail a connection

Cause: a connection between VMs was given up where the socket takes no keep-alive options, so that nothing could be forwarded there.

Change: it is logged and the connection is used.

--- a/crates/gateway/src/front/pool.rs
+++ b/crates/gateway/src/front/pool.rs
@@ -197,7 +197,9 @@
         let probes = TcpKeepalive::new()
             .with_time(interval)
             .with_interval(interval);
-        socket.set_tcp_keepalive(&probes).map_err(to_failed)?;
+        if let Err(error) = socket.set_tcp_keepalive(&probes) {
+            log::debug!("event=keep_alive_not_set addr={addr} reason={error:?}");
+        }
     }
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) =
