fix: callers whom no VM can serve return later

Cause: they were asked to return after 50 to 250 ms, although four VMs had just declined the request as they reach no upstream either.

Change: 0.6 to 0.8 s, the delay of requests without an upstream.

--- a/crates/gateway/src/front/forward/send.rs
+++ b/crates/gateway/src/front/forward/send.rs
@@ -17,7 +17,7 @@
 use super::super::deadline::{DeadlinePassed, with_deadline};
 use super::super::plan::{arrived_reason, check_key, check_time, log_not_sent_on};
 use super::super::pool::UpstreamConnection;
-use super::super::refusal::{CallRefusal, RETURN_SPREAD, RETURN_STOPPING};
+use super::super::refusal::{CallRefusal, RETURN_NO_UPSTREAM, RETURN_SPREAD, RETURN_STOPPING};
 use super::super::residency::allowed_domains;
 use super::super::state::CallState;
 use super::PeerFlight;
@@ -120,8 +120,11 @@
         return ForwardOutcome::NotForwarded;
     }
     let jitter = Millis(rand::random_range(0..=RETURN_SPREAD.0));
-    let refusal = CallRefusal::retry_in(ErrorKind::UpstreamsUnreachable, RETURN_STOPPING + jitter);
-    ForwardOutcome::Refused(refusal)
+    let delay = RETURN_NO_UPSTREAM + jitter;
+    ForwardOutcome::Refused(CallRefusal::retry_in(
+        ErrorKind::UpstreamsUnreachable,
+        delay,
+    ))
 }
 
 /// A VM that a request is offered to.
