fix: a VM that starts after a restore expects lost holds

Cause: the holds that keep such members apart were lost with the restore. Class: an order that holds only within one life of the store.

Change: a store that has a later generation at the first answer may have been restored a moment ago, for taking over and for the planner. Peers are told nothing, as the time is not known.

--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -17,6 +17,8 @@
 enum SoakFaults {
     /// Draws the faults from a seed.
     Seed(u64),
+    /// Draws the faults from a seed, for a run as long as by hand.
+    UsualSeed(u64),
     /// A fixed list: start and duration in milliseconds, and the kind of the fault.
     Fixed(&'static [(u64, u64, FaultKind)]),
 }
@@ -24,7 +26,7 @@
 /// Delay of the responses of a slow desk upstream.
 const RESPONSE_DELAY: Duration = Duration::from_millis(45);
 
-const CASES: [SoakCase; 9] = [
+const CASES: [SoakCase; 10] = [
     SoakCase {
         name: "drawn from seed 1",
         faults: SoakFaults::Seed(1),
@@ -99,6 +101,12 @@
             (4_000, 100, FaultKind::ChangeKeys),
         ]),
     },
+    // A process that started right after a restore coordinated the groups without the holds that the restore had
+    // lost, and used a member of a group that stood still.
+    SoakCase {
+        name: "drawn from seed 46002",
+        faults: SoakFaults::UsualSeed(46_002),
+    },
     // The other faults come early, as the check excuses their effects until 2.5 s after they end.
     SoakCase {
         name: "overlapping planned stops with a pause, settings reloads, a second signal and a store outage",
@@ -133,19 +141,30 @@
 async fn run_case(index: usize, case: &SoakCase) -> (PathBuf, SoakOutcome) {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_bergamot-entry"));
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{index}"));
-    let options = SoakOptions {
+    let usual = SoakOptions {
         first_place: index * PLACES_PER_RUN,
+        ..SoakOptions::usual(program, folder.clone())
+    };
+    let short = SoakOptions {
         length: Duration::from_secs(5),
         faults: 8,
-        ..SoakOptions::usual(program, folder.clone())
+        ..usual.clone()
+    };
+    let options = match case.faults {
+        SoakFaults::UsualSeed(_) => usual,
+        SoakFaults::Seed(_) | SoakFaults::Fixed(_) => short,
     };
     let plan = match case.faults {
-        SoakFaults::Seed(seed) => FaultPlan::draw(seed, &options),
+        SoakFaults::Seed(seed) | SoakFaults::UsualSeed(seed) => FaultPlan::draw(seed, &options),
         SoakFaults::Fixed(faults) => FaultPlan {
             faults: faults.iter().copied().map(to_timed_fault).collect(),
         },
     };
-    let outcome = run_plan(&plan, index as u64, &options).await;
+    let caller_seed = match case.faults {
+        SoakFaults::UsualSeed(seed) => seed,
+        SoakFaults::Seed(_) | SoakFaults::Fixed(_) => index as u64,
+    };
+    let outcome = run_plan(&plan, caller_seed, &options).await;
     (folder, outcome.expect("the soak run cannot be started"))
 }
 
--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -63,6 +63,8 @@
     pub(crate) coordinator_revision: StoreRevision,
     /// When this VM noticed that the store was restored.
     pub(crate) restored_at: Option<Millis>,
+    /// When this VM first read the store, if it had been restored before at an unknown time.
+    pub(crate) found_restored_at: Option<Millis>,
     pub(crate) holds: IndexMap<String, Vec<UpstreamId>>,
     pub(crate) term: StoreRevision,
     /// Whether any VM ever coordinated, also if a restore has lost the record of it.
--- a/crates/gateway/src/sync/publish.rs
+++ b/crates/gateway/src/sync/publish.rs
@@ -29,7 +29,12 @@
     /// everything is read again.
     pub(super) fn note_generation(&mut self, generation: StoreGeneration, call: &str) {
         let known = self.generation.unwrap_or(generation);
+        let is_first_answer = self.generation.is_none();
         self.generation = Some(known.max(generation));
+        // When the store was restored before this process started is not known.
+        if is_first_answer && generation > StoreGeneration::default() {
+            self.known.found_restored_at = Some(self.shared.clock.now());
+        }
         if generation <= known {
             return;
         }
@@ -82,7 +87,7 @@
             entries: known.entries.clone(),
             coordinator: known.coordinator.clone(),
             coordinator_revision: known.coordinator_revision,
-            restored_at: known.restored_at,
+            restored_at: known.restored_at.max(known.found_restored_at),
             holds: known.holds.clone(),
             term: known.term,
             has_had_coordinator: known.has_had_coordinator,
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -71,7 +71,8 @@
     pub coordinator: Option<EntryRecord>,
     /// The revision of that VM's record. Zero if there is none.
     pub coordinator_revision: StoreRevision,
-    /// When this VM noticed that the store was restored.
+    /// When the store was restored, or may have been: when this VM noticed it, or first read a store
+    /// that had been restored before.
     pub restored_at: Option<Millis>,
     /// Held members, by group.
     pub holds: IndexMap<String, Vec<UpstreamId>>,
