fix: probe failure domains without failures first

Cause: three probes in five or more failure domains can all fall into domains that a partition between domains cuts off, although the VM reaches its own.

Change: the VM's own failure domain is probed first, then those without a failure.

--- a/crates/gateway/src/front/partition.rs
+++ b/crates/gateway/src/front/partition.rs
@@ -7,6 +7,7 @@
 use bergamot_routing::{
     PartitionAction, PartitionEvent, RouteUpstream, SuspectUpstream, draw_probes,
 };
+use bergamot_types::prelude::*;
 use futures::future::join_all;
 use http_body_util::{BodyExt, Full};
 
@@ -126,7 +127,14 @@
         let has_reports = staying.clone().any(has_report);
         let probed = staying.filter(|entry| has_report(entry) || !has_reports);
         let probed = probed.map(|entry| (&entry.failure_domain, entry));
-        let drawn = draw_probes(probed, rand::random()).into_iter();
+        // A partition between failure domains leaves the one of this VM.
+        let home = &front.shared.site.failure_domain;
+        let monitor = front.monitor.borrow();
+        let rank_of = |domain: &FailureDomain| match domain == home {
+            true => 0,
+            false => 1 + u8::from(monitor.partition.is_suspect_domain(domain)),
+        };
+        let drawn = draw_probes(probed, rank_of, rand::random()).into_iter();
         drawn.cloned().collect()
     };
     let probes = targets.iter().map(|entry| probe(front, entry));
--- a/crates/routing/src/partition.rs
+++ b/crates/routing/src/partition.rs
@@ -118,6 +118,8 @@
     since: Millis,
     began_at: Millis,
     suspects: usize,
+    /// Failure domains in which they are.
+    domains: IndexSet<FailureDomain>,
 }
 
 /// The VM reaches no upstream.
@@ -167,6 +169,7 @@
             since: first_failures.min()?,
             began_at: now,
             suspects: self.failures.len(),
+            domains: domains.into_iter().cloned().collect(),
         })
     }
 }
@@ -223,6 +226,14 @@
         !matches!(self.phase, Phase::Reaching(_))
     }
 
+    /// Whether the suspicion that this VM reaches no upstream is due to failures in this domain.
+    pub fn is_suspect_domain(&self, domain: &FailureDomain) -> bool {
+        match &self.phase {
+            Phase::Suspecting(suspecting) => suspecting.domains.contains(domain),
+            Phase::Reaching(_) | Phase::Partitioned(_) => false,
+        }
+    }
+
     /// Whether nothing arrived from any upstream since the partition began, so that connections
     /// from before are dead too.
     pub fn is_silent(&self) -> bool {
@@ -312,18 +323,26 @@
     }
 }
 
-/// Draws the upstreams to probe, from as many failure domains as possible.
-pub fn draw_probes<'a, Upstream, Upstreams>(upstreams: Upstreams, seed: u64) -> Vec<Upstream>
+/// Draws the upstreams to probe, from as many failure domains as possible, those with the lowest rank
+/// first.
+pub fn draw_probes<'a, Upstream, Upstreams, RankOf>(
+    upstreams: Upstreams,
+    rank_of: RankOf,
+    seed: u64,
+) -> Vec<Upstream>
 where
     Upstreams: Iterator<Item = (&'a FailureDomain, Upstream)>,
+    RankOf: Fn(&FailureDomain) -> u8,
 {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut domains: IndexMap<&FailureDomain, Vec<Upstream>> = IndexMap::new();
     for (domain, upstream) in upstreams {
         domains.entry(domain).or_default().push(upstream);
     }
-    let mut pools: Vec<_> = domains.into_values().collect();
-    pools.shuffle(&mut rng);
+    let mut ranked: Vec<_> = domains.into_iter().collect();
+    ranked.shuffle(&mut rng);
+    ranked.sort_by_key(|(domain, _)| rank_of(domain));
+    let mut pools: Vec<_> = ranked.into_iter().map(|(_, pool)| pool).collect();
     let mut drawn = Vec::with_capacity(PROBED_UPSTREAMS);
     while drawn.len() < PROBED_UPSTREAMS && !pools.is_empty() {
         for pool in &mut pools {
--- a/crates/routing/tests/partition.rs
+++ b/crates/routing/tests/partition.rs
@@ -312,7 +312,7 @@
             let sized = names.iter().zip(case.sizes);
             let upstreams =
                 sized.flat_map(|(name, size)| (0..*size).map(move |number| (name, (name, number))));
-            let drawn = draw_probes(upstreams, seed);
+            let drawn = draw_probes(upstreams, |_| 0, seed);
             let unique: std::collections::BTreeSet<_> = drawn
                 .iter()
                 .map(|(name, number)| (name.as_str(), number))
@@ -327,3 +327,25 @@
         }
     }
 }
+
+/// Guards against a VM that is cut off from most failure domains and misses those that it reaches.
+#[test]
+fn probes_take_the_failure_domains_of_the_lowest_rank_first() {
+    let names: Vec<_> = (0..9)
+        .map(|index| FailureDomain::new(&format!("d{index}")))
+        .collect();
+    let rank_of = |domain: &FailureDomain| match domain.as_str() {
+        "d4" => 0,
+        "d0" | "d1" => 2,
+        _ => 1,
+    };
+    for seed in 0..100 {
+        let upstreams = names
+            .iter()
+            .flat_map(|name| (0..4).map(move |_| (name, name)));
+        let drawn = draw_probes(upstreams, rank_of, seed);
+        assert_eq!(drawn[0].as_str(), "d4", "seed {seed}");
+        let is_suspect = drawn.iter().any(|domain| rank_of(domain) == 2);
+        assert!(!is_suspect, "seed {seed}: {drawn:?}");
+    }
+}
