fix: what an upstream announces in a forwarded answer binds both VMs

Change: a forwarded answer names its upstream, and the first VM records what it announces. A failed attempt is logged by a function of its own.

--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -80,7 +80,8 @@
     serve(front, request, state).await
 }
 
-/// Attempts an admitted request at upstreams until one answers or no further attempt is allowed.
+/// Attempts an admitted request at upstreams until one answers or no further attempt is allowed. While
+/// this VM reaches none, other VMs send it.
 pub async fn serve<Dialect>(
     front: Rc<FrontContext<Dialect>>,
     request: SentRequest,
@@ -132,16 +133,7 @@
             AttemptOutcome::ErrorAnswer(answer) if !state.route.is_retryable() => return answer,
             AttemptOutcome::ErrorAnswer(answer) => upstream_failure = Some(answer),
             AttemptOutcome::Failed(error) => {
-                log::info!(
-                    "event=attempt_failed request={} print={} route={} upstream={} attempt={} outcome={} reason=\"{error}\" waited={}",
-                    request.call.id,
-                    request.print(),
-                    state.route.name,
-                    planned.upstream.incarnation,
-                    state.sends(),
-                    error.as_str(),
-                    front.now().since(state.arrived),
-                );
+                log_failed_attempt(&front, &request, &state, &planned, &error);
                 let may_retry = state.route.is_retryable() || !state.may_have_run();
                 if !may_retry {
                     let kind = lost_kind(&front, &state);
@@ -152,6 +144,25 @@
     }
 }
 
+fn log_failed_attempt<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    state: &CallState,
+    planned: &PlannedSend,
+    error: &AttemptError,
+) {
+    log::info!(
+        "event=attempt_failed request={} print={} route={} upstream={} attempt={} outcome={} reason=\"{error}\" waited={}",
+        request.call.id,
+        request.print(),
+        state.route.name,
+        planned.upstream.incarnation,
+        state.sends(),
+        error.as_str(),
+        front.now().since(state.arrived),
+    );
+}
+
 /// Returns the upstream's failure, which is more specific than a rejection by this VM, or rejects
 /// the request.
 fn refuse_or_fail<Dialect>(
@@ -263,6 +274,7 @@
     let mut answer = CallerAnswer::new(full_body(body));
     *answer.status_mut() = reply.head.status;
     *answer.headers_mut() = front.dialect.answer_headers(&reply.head);
+    answer.extensions_mut().insert(id.clone());
     let waited = front.now().since(state.arrived);
     let outcome = if is_failure { "upstream_failure" } else { "ok" };
     log::info!(
--- a/crates/gateway/src/front/forward/context.rs
+++ b/crates/gateway/src/front/forward/context.rs
@@ -12,6 +12,9 @@
 /// The [`ForwardVerdict`] of an answer.
 const VERDICT_HEADER: HeaderName = HeaderName::from_static("bergamot-forward-verdict");
 
+/// The id of the upstream that gave an answer.
+const UPSTREAM_HEADER: HeaderName = HeaderName::from_static("bergamot-forward-upstream");
+
 /// State of a request at the VM that forwards it.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct ForwardContext {
@@ -126,6 +129,17 @@
     }
 }
 
+/// Adds the upstream that gave an answer to the answer's headers.
+pub fn insert_upstream(headers: &mut HeaderMap, incarnation: &UpstreamIncarnation) {
+    insert(headers, UPSTREAM_HEADER, incarnation.as_str());
+}
+
+/// Takes the id of the upstream that gave an answer out of the answer's headers.
+pub fn take_upstream(headers: &mut HeaderMap) -> Option<UpstreamId> {
+    let id = headers.remove(UPSTREAM_HEADER)?;
+    Some(UpstreamId::new(id.to_str().ok()?))
+}
+
 fn insert(headers: &mut HeaderMap, name: HeaderName, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         headers.insert(name, value);
--- a/crates/gateway/src/front/forward/send.rs
+++ b/crates/gateway/src/front/forward/send.rs
@@ -15,13 +15,14 @@
 use super::super::answer::{CallerAnswer, full_body};
 use super::super::attempt::SentRequest;
 use super::super::deadline::{DeadlinePassed, with_deadline};
+use super::super::gates::record_availability;
 use super::super::plan::{arrived_reason, check_key, check_time, log_not_sent_on};
 use super::super::pool::UpstreamConnection;
 use super::super::refusal::{CallRefusal, RETURN_NO_UPSTREAM, RETURN_SPREAD, RETURN_STOPPING};
 use super::super::residency::allowed_domains;
 use super::super::state::CallState;
 use super::PeerFlight;
-use super::context::{ForwardContext, ForwardVerdict};
+use super::context::{ForwardContext, ForwardVerdict, take_upstream};
 
 /// How many VMs a request is offered to, one after another. If most VMs reach no upstream, each
 /// learns within a few requests which ones do.
@@ -235,6 +236,12 @@
         }
     };
     let (mut head, body) = reply.into_parts();
+    let upstream = take_upstream(&mut head.headers);
+    if let Some(upstream) = upstream.and_then(|id| listed_incarnation(front, &id)) {
+        // What the upstream announces of itself binds this VM too.
+        let facts = front.dialect.reply_facts(&request.call.id, &head);
+        record_availability(front, &upstream, &facts);
+    }
     match ForwardVerdict::take_from(&mut head.headers) {
         Some(ForwardVerdict::Declined) => {
             Err(OfferError::Declined(format!("status {}", head.status)))
@@ -252,6 +259,16 @@
     }
 }
 
+fn listed_incarnation<Dialect>(
+    front: &FrontContext<Dialect>,
+    id: &UpstreamId,
+) -> Option<UpstreamIncarnation> {
+    let view = front.shared.view.load();
+    view.upstreams
+        .get(id)
+        .map(|entry| entry.incarnation.clone())
+}
+
 /// Passes on the answer of another VM: as a stream, or read to its end.
 async fn receive<Dialect>(
     front: &Rc<FrontContext<Dialect>>,
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -73,6 +73,11 @@
     };
     *answer.status_mut() = head.status;
     *answer.headers_mut() = front.dialect.answer_headers(head);
+    if let EventSource::Upstream(reply) = &source {
+        answer
+            .extensions_mut()
+            .insert(reply.upstream.incarnation.clone());
+    }
     let relay = EventRelay {
         last_event_id: request.call.resume_after,
         last_event_at: None,
