--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,7 +31,7 @@
 pub mod view;
 
 pub use daemon::GatewayDaemon;
-pub use front::forward::context::ForwardContext;
+pub use front::forward::context::{ContextError, ForwardContext};
 pub use front::permits::{PermitDenial, PermitGrant};
 pub use front::{FrontContext, addresses, budget, deadline, flight, warmup};
 pub use sync::StoreSync;
