--- a/crates/gateway/src/front/forward/send.rs
+++ b/crates/gateway/src/front/forward/send.rs
@@ -116,8 +116,10 @@
         request.call.id,
         offered.len()
     );
-    // Connections from before the partition may still serve it.
-    if !front.monitor.borrow().partition.is_silent() {
+    // Connections from before the partition may still serve it. A VM without others has no other way
+    // than to try, and learns so that the partition has ended.
+    let is_silent = front.monitor.borrow().partition.is_silent();
+    if !is_silent || !has_takers(front) {
         return ForwardOutcome::NotForwarded;
     }
     let jitter = Millis(rand::random_range(0..=RETURN_SPREAD.0));
@@ -128,6 +130,14 @@
     ))
 }
 
+/// Whether any other VM accepts forwarded requests.
+fn has_takers<Dialect>(front: &FrontContext<Dialect>) -> bool {
+    let view = front.shared.view.load();
+    let own = front.shared.site.vm.as_str();
+    let mut entries = view.entries.values();
+    entries.any(|entry| entry.forwarding.is_some() && entry.vm != own)
+}
+
 /// A VM that a request is offered to.
 struct PeerTarget {
     vm: VmId,
