--- a/crates/routing/src/partition.rs
+++ b/crates/routing/src/partition.rs
@@ -24,6 +24,9 @@
 /// Shortest time between two suspicions, so that upstreams that end one after another cost few
 /// probes.
 const SUSPICION_PERIOD: Millis = Millis(500);
+/// Number of rounds of probes that must fail while data arrives on older connections. Several
+/// upstreams may have ended at once.
+const LIVE_ROUNDS: u32 = 3;
 /// Number of upstreams to which connections are opened in a round of probes.
 pub const PROBED_UPSTREAMS: usize = 3;
 
@@ -120,6 +123,8 @@
     suspects: usize,
     /// Failure domains in which they are.
     domains: IndexSet<FailureDomain>,
+    /// Number of rounds of probes without an answer.
+    rounds: u32,
 }
 
 /// The VM reaches no upstream.
@@ -170,6 +175,7 @@
             began_at: now,
             suspects: self.failures.len(),
             domains: domains.into_iter().cloned().collect(),
+            rounds: 0,
         })
     }
 }
@@ -302,16 +308,21 @@
         unanswered: usize,
         now: Millis,
     ) -> Option<PartitionAction> {
-        let Phase::Suspecting(suspecting) = &self.phase else {
+        let Phase::Suspecting(suspecting) = &mut self.phase else {
             return None;
         };
+        suspecting.rounds += 1;
         // Without a listed upstream there is nothing that a peer could reach either. Upstreams that
         // accept connections and send data on others are merely slow.
-        let is_slow = unanswered > 0 && self.last_received_at >= suspecting.began_at;
+        let is_live = self.last_received_at >= suspecting.began_at;
+        let is_slow = unanswered > 0 && is_live;
         if probed == 0 || is_slow {
             self.phase = Phase::Reaching(suspecting.clone().refuted());
             return None;
         }
+        if is_live && suspecting.rounds < LIVE_ROUNDS {
+            return None;
+        }
         let facts = PartitionFacts {
             suspects: suspecting.suspects,
             probed,
--- a/crates/routing/tests/partition.rs
+++ b/crates/routing/tests/partition.rs
@@ -51,7 +51,18 @@
     outcome: Outcome,
 }
 
-static CASES: [PartitionCase; 16] = [
+static CASES: [PartitionCase; 17] = [
+    PartitionCase {
+        name: "the probed upstreams have ended too, and others send data on older connections",
+        steps: &[
+            (1, Step::Failed(0)),
+            (2, Step::Failed(1)),
+            (3, Step::Received(OLD)),
+            (4, Step::ProbesEnded(3)),
+        ],
+        domains: DOMAINS,
+        outcome: Outcome::Suspecting,
+    },
     PartitionCase {
         name: "two upstreams of one failure domain ended",
         steps: &[(1, Step::Failed(0)), (2, Step::Failed(DOMAINS))],
@@ -114,6 +125,9 @@
             (4, Step::Received(OLD)),
             (5, Step::ProbesEnded(3)),
             (6, Step::Received(OLD)),
+            (7, Step::ProbesEnded(3)),
+            (8, Step::ProbesEnded(3)),
+            (9, Step::Received(OLD)),
         ],
         domains: DOMAINS,
         outcome: Outcome::Partitioned,
