fix: each VM knows the requests at every leader that it uses

Cause: a report of requests in flight holds at most 100 leaders, the busiest ones; all others counted as idle at every VM and drew the requests. True as long as a fleet has no more than 100 leaders. 274 serve on the whole fleet.

Change: a VM lists the leaders that it uses, also those where it has nothing in flight, and its collector answers for these first; a VM uses about as many leaders however large the fleet is. Collectors split the sums of their failure domains into as many datagrams as they take, and name leaders that have become idle.

--- a/crates/occupancy/src/counts.rs
+++ b/crates/occupancy/src/counts.rs
@@ -2,7 +2,7 @@
 
 use bergamot_peer::{LeaderCount, MAX_LEADER_COUNTS, PENDING_TOKENS_UNIT};
 use bergamot_types::prelude::*;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 /// Returns the hash that stands for a leader's incarnation in datagrams. With 400 leaders, two of
 /// them collide in 1 of 50,000 fleets.
@@ -85,37 +85,72 @@
         self.loads.is_empty()
     }
 
-    /// Returns the counts for a datagram: the largest ones if not all of them fit.
-    pub fn to_wire(&self) -> Vec<LeaderCount> {
-        let mut counts: Vec<LeaderCount> = self
-            .loads
-            .iter()
-            .filter(|(_, load)| load.requests > 0)
-            .map(|(leader, load)| LeaderCount {
-                leader: *leader,
-                requests: load.requests.try_into().unwrap_or(u16::MAX),
-                pending_tokens: load
-                    .pending_prompt_tokens
-                    .div_ceil(PENDING_TOKENS_UNIT)
-                    .try_into()
-                    .unwrap_or(u16::MAX),
-            })
-            .collect();
-        counts.sort_by_key(|count| std::cmp::Reverse(count.requests));
+    /// Returns the counts for one datagram. If not all of them fit, those at the `preferred` leaders
+    /// come first and then the largest.
+    pub fn to_wire(&self, preferred: &IndexSet<u32>) -> Vec<LeaderCount> {
+        let mut counts = self.all_to_wire();
+        let order = |count: &LeaderCount| {
+            let is_preferred = preferred.contains(&count.leader);
+            std::cmp::Reverse((is_preferred, count.requests))
+        };
+        counts.sort_by_key(order);
         counts.truncate(MAX_LEADER_COUNTS);
         counts
     }
+
+    /// Returns the counts for as many datagrams as they take. Also lists the leaders of `emptied`
+    /// that have no requests any more, so that the receiver need not wait for their counts to
+    /// expire.
+    pub fn to_wire_parts(&self, emptied: &IndexSet<u32>) -> Vec<Vec<LeaderCount>> {
+        let mut counts = self.all_to_wire();
+        let idle = emptied
+            .iter()
+            .filter(|leader| self.get(**leader).requests == 0);
+        counts.extend(idle.map(|leader| LeaderCount::idle(*leader)));
+        if counts.is_empty() {
+            return vec![counts];
+        }
+        counts
+            .chunks(MAX_LEADER_COUNTS)
+            .map(<[_]>::to_vec)
+            .collect()
+    }
+
+    /// Returns the leaders that have requests in flight.
+    pub fn busy_leaders(&self) -> IndexSet<u32> {
+        let busy = self.loads.iter().filter(|(_, load)| load.requests > 0);
+        busy.map(|(leader, _)| *leader).collect()
+    }
+
+    fn all_to_wire(&self) -> Vec<LeaderCount> {
+        let busy = self.loads.iter().filter(|(_, load)| load.requests > 0);
+        let counts = busy.map(|(leader, load)| LeaderCount {
+            leader: *leader,
+            requests: load.requests.try_into().unwrap_or(u16::MAX),
+            pending_tokens: load
+                .pending_prompt_tokens
+                .div_ceil(PENDING_TOKENS_UNIT)
+                .try_into()
+                .unwrap_or(u16::MAX),
+        });
+        counts.collect()
+    }
+}
+
+impl From<&LeaderCount> for LeaderLoad {
+    fn from(count: &LeaderCount) -> Self {
+        Self {
+            requests: u32::from(count.requests),
+            pending_prompt_tokens: u32::from(count.pending_tokens) * PENDING_TOKENS_UNIT,
+        }
+    }
 }
 
 impl From<&[LeaderCount]> for LeaderCounts {
     fn from(wire_counts: &[LeaderCount]) -> Self {
         let mut counts = Self::default();
         for count in wire_counts {
-            let load = LeaderLoad {
-                requests: u32::from(count.requests),
-                pending_prompt_tokens: u32::from(count.pending_tokens) * PENDING_TOKENS_UNIT,
-            };
-            counts.add(count.leader, load);
+            counts.add(count.leader, LeaderLoad::from(count));
         }
         counts
     }
--- a/crates/occupancy/src/lib.rs
+++ b/crates/occupancy/src/lib.rs
@@ -10,6 +10,7 @@
 #![forbid(unsafe_code)]
 
 pub mod counts;
+mod domain;
 pub mod relay;
 pub mod state;
 
--- a/crates/occupancy/src/state.rs
+++ b/crates/occupancy/src/state.rs
@@ -1,17 +1,18 @@
 //! State of one entry VM: the collector it reports to, and the load that other VMs reported.
 
 use bergamot_feed::PeerDescriptor;
-use bergamot_peer::{LoadNotice, LoadScope};
+use bergamot_peer::{LeaderCount, LoadNotice, LoadScope, MAX_LEADER_COUNTS};
 use bergamot_types::prelude::*;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::counts::{LeaderCounts, LeaderLoad};
+use crate::domain::DomainReport;
 
 /// Time between two load reports. A leader of a busy model gets 10 to 15 requests a second, so it
 /// gets one or two before other VMs know of a request.
 pub const LOAD_REPORT_PERIOD: Millis = Millis(50);
 /// How long reported counts are valid. Covers the loss of a few datagrams.
-const REPORT_VALIDITY: Millis = Millis(300);
+pub(crate) const REPORT_VALIDITY: Millis = Millis(300);
 /// How long a collector may leave a report unanswered before another VM is used.
 const COLLECTOR_TIMEOUT: Millis = Millis(200);
 /// How long a collector that timed out is not used.
@@ -50,13 +51,6 @@
     }
 }
 
-/// The sum that a collector of another failure domain reported.
-#[derive(Clone, Debug)]
-struct DomainReport {
-    failure_domain: FailureDomain,
-    reported: ReportedCounts,
-}
-
 /// What one entry VM knows about the requests that the others have in flight.
 #[derive(Debug)]
 pub struct OccupancyState {
@@ -68,6 +62,10 @@
     is_listed: bool,
     /// Requests in flight from this VM as of the last period.
     in_flight: LeaderCounts,
+    /// Leaders that this VM sends to; empty if it sends to all.
+    used_leaders: IndexSet<u32>,
+    /// Leaders in the sum that this VM last reported to other failure domains.
+    reported_leaders: IndexSet<u32>,
     /// Counts that VMs reported to this one as their collector, by VM.
     member_reports: IndexMap<String, ReportedCounts>,
     /// Sums that collectors of the other failure domains reported, by VM. While VMs know different
@@ -93,6 +91,8 @@
             collector_ranking: IndexMap::new(),
             is_listed: true,
             in_flight: LeaderCounts::default(),
+            used_leaders: IndexSet::new(),
+            reported_leaders: IndexSet::new(),
             member_reports: IndexMap::new(),
             domain_reports: IndexMap::new(),
             others_report: None,
@@ -130,6 +130,15 @@
         }
     }
 
+    /// Sets the leaders that this VM sends to, none if it sends to all. What others have in flight at
+    /// these is asked for.
+    pub fn set_used_leaders<Leaders>(&mut self, leaders: Leaders)
+    where
+        Leaders: IntoIterator<Item = u32>,
+    {
+        self.used_leaders = leaders.into_iter().take(MAX_LEADER_COUNTS).collect();
+    }
+
     /// Handles an event and returns the reports to send.
     pub fn handle(&mut self, now: Millis, event: OccupancyEvent<'_>) -> Vec<OccupancyAction> {
         match event {
@@ -194,7 +203,12 @@
             return self.report_domain_sum();
         };
         self.unanswered_since.get_or_insert(now);
-        let report = self.load_report(LoadScope::Vm, &self.in_flight);
+        let mut counts = self.in_flight.to_wire(&self.used_leaders);
+        let idle = self.used_leaders.iter();
+        let idle = idle.filter(|leader| self.in_flight.get(**leader).requests == 0);
+        counts.extend(idle.map(|leader| LeaderCount::idle(*leader)));
+        counts.truncate(MAX_LEADER_COUNTS);
+        let report = self.load_report(LoadScope::Vm, counts);
         let action = OccupancyAction {
             vm: collector,
             report,
@@ -221,29 +235,32 @@
     fn sum_reports(&mut self, now: Millis) {
         self.member_reports
             .retain(|_, reported| reported.is_fresh(now));
-        self.domain_reports
-            .retain(|_, report| report.reported.is_fresh(now));
+        self.domain_reports.retain(|_, report| report.expire(now));
         self.fleet_total = self.in_flight.clone();
-        let domain_reports = self.domain_reports.values();
-        let domain_reports = domain_reports.map(|report| &report.reported);
-        for reported in self.member_reports.values().chain(domain_reports) {
+        for reported in self.member_reports.values() {
             self.fleet_total.add_all(&reported.counts);
         }
+        for report in self.domain_reports.values() {
+            self.fleet_total.add_all(&report.counts());
+        }
         self.fleet_total_at = now;
     }
 
     /// Reports the sum of this failure domain to the collectors of the others.
-    fn report_domain_sum(&self) -> Vec<OccupancyAction> {
+    fn report_domain_sum(&mut self) -> Vec<OccupancyAction> {
         let mut sum = self.fleet_total.clone();
         for report in self.domain_reports.values() {
-            sum.subtract_all(&report.reported.counts);
+            sum.subtract_all(&report.counts());
         }
-        self.other_collectors()
-            .map(|vm| OccupancyAction {
-                vm: vm.clone(),
-                report: self.load_report(LoadScope::FailureDomain, &sum),
-            })
-            .collect()
+        let parts = sum.to_wire_parts(&self.reported_leaders);
+        self.reported_leaders = sum.busy_leaders();
+        let collectors = self.other_collectors();
+        let reports = collectors.flat_map(|vm| parts.iter().map(move |part| (vm, part)));
+        let actions = reports.map(|(vm, part)| OccupancyAction {
+            vm: vm.clone(),
+            report: self.load_report(LoadScope::FailureDomain, part.clone()),
+        });
+        actions.collect()
     }
 
     /// Returns the collectors of the other failure domains, as far as known.
@@ -251,9 +268,9 @@
         let other_domains = self.collector_ranking.iter();
         let other_domains = other_domains.filter(|(domain, _)| **domain != self.own.failure_domain);
         other_domains.flat_map(|(domain, vms)| {
-            let reports = self.domain_reports.values();
-            let reports = reports.filter(move |report| report.failure_domain == *domain);
-            let reporters: Vec<&String> = reports.map(|report| &report.reported.vm).collect();
+            let reports = self.domain_reports.iter();
+            let reports = reports.filter(move |(_, report)| report.failure_domain == *domain);
+            let reporters: Vec<&String> = reports.map(|(vm, _)| vm).collect();
             match reporters.is_empty() {
                 true => vms.first().into_iter().collect(),
                 false => reporters,
@@ -279,9 +296,12 @@
             received_at: now,
         };
         match report.scope {
-            LoadScope::Vm => vec![self.record_member(now, reported)],
+            LoadScope::Vm => {
+                let leaders = report.counts.iter().map(|count| count.leader);
+                vec![self.record_member(now, reported, &leaders.collect())]
+            }
             LoadScope::FailureDomain => {
-                self.record_domain(&report.failure_domain, reported);
+                self.record_domain(now, report);
                 Vec::new()
             }
             LoadScope::Others => {
@@ -292,9 +312,14 @@
         }
     }
 
-    /// Records the report of a VM that uses this one as its collector, and replies with the sum
-    /// over all other VMs.
-    fn record_member(&mut self, now: Millis, reported: ReportedCounts) -> OccupancyAction {
+    /// Records the report of a VM that uses this one as its collector and listed `leaders`, and
+    /// replies with the sum over all other VMs.
+    fn record_member(
+        &mut self,
+        now: Millis,
+        reported: ReportedCounts,
+        leaders: &IndexSet<u32>,
+    ) -> OccupancyAction {
         let vm = reported.vm.clone();
         if now.since(self.fleet_total_at) >= REPORT_VALIDITY {
             self.sum_reports(now);
@@ -308,33 +333,29 @@
         self.member_reports.insert(vm.clone(), reported);
         OccupancyAction {
             vm,
-            report: self.load_report(LoadScope::Others, &other_counts),
+            report: self.load_report(LoadScope::Others, other_counts.to_wire(leaders)),
         }
     }
 
-    /// Records the sum that a collector of another failure domain reported.
-    fn record_domain(&mut self, domain: &FailureDomain, reported: ReportedCounts) {
+    /// Records a part of the sum that a collector of another failure domain reported.
+    fn record_domain(&mut self, now: Millis, notice: &LoadNotice) {
+        let domain = &notice.failure_domain;
         if *domain == self.own.failure_domain {
             return;
         }
-        if let Some(previous) = self.domain_reports.get(&reported.vm) {
-            self.fleet_total.subtract_all(&previous.reported.counts);
-        }
-        self.fleet_total.add_all(&reported.counts);
-        let vm = reported.vm.clone();
-        let report = DomainReport {
-            failure_domain: domain.clone(),
-            reported,
-        };
-        self.domain_reports.insert(vm, report);
+        let report = self.domain_reports.entry(notice.vm.clone());
+        let report = report.or_insert_with(|| DomainReport::new(domain.clone(), now));
+        self.fleet_total.subtract_all(&report.counts());
+        report.record(now, &notice.counts);
+        self.fleet_total.add_all(&report.counts());
     }
 
-    fn load_report(&self, scope: LoadScope, counts: &LeaderCounts) -> LoadNotice {
+    fn load_report(&self, scope: LoadScope, counts: Vec<LeaderCount>) -> LoadNotice {
         LoadNotice {
             vm: self.own.vm.clone(),
             failure_domain: self.own.failure_domain.clone(),
             scope,
-            counts: counts.to_wire(),
+            counts,
         }
     }
 }
--- a/crates/peer/src/notice.rs
+++ b/crates/peer/src/notice.rs
@@ -109,7 +109,9 @@
     pub failure_domain: FailureDomain,
     /// Which VMs' requests are counted.
     pub scope: LoadScope,
-    /// The leaders that have requests in flight.
+    /// The leaders that have requests in flight. In a report of one VM also leaders without
+    /// requests, for which the VM asks what the others have in flight there. In that of a failure
+    /// domain also leaders that have none any more.
     pub counts: Vec<LeaderCount>,
 }
 
@@ -136,6 +138,17 @@
     pub pending_tokens: u16,
 }
 
+impl LeaderCount {
+    /// Returns the count of a leader without requests.
+    pub const fn idle(leader: u32) -> Self {
+        Self {
+            leader,
+            requests: 0,
+            pending_tokens: 0,
+        }
+    }
+}
+
 /// Reports that a group's leader sends nothing while requests run there.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct SuspicionNotice {
--- a/crates/routing/src/monitor.rs
+++ b/crates/routing/src/monitor.rs
@@ -55,6 +55,9 @@
         Leaders: Iterator<Item = &'a RouteUpstream>,
     {
         self.assignment.assign(leaders, vms, own);
+        let used_leaders = self.assignment.assigned().into_iter().flatten();
+        self.occupancy
+            .set_used_leaders(used_leaders.map(leader_key));
     }
 
     /// Returns the load that this VM has in flight at each leader.
