perf: leases of entry VMs last as long as the fleet is large

Cause: each VM renews a lease of its own every 3.2 s, which states that nothing has changed: 308 calls a second at 986 VMs, 616 at twice the size, whatever the traffic.

Change: a VM reads the list before it writes its key. One that follows a reader opens a lease that is renewed the more seldom the more VMs there are, 20 times a second over the whole fleet; up to 64 VMs nothing changes. Requests for updates name the VM that asks; a reader probes followers that have not asked for 2 s and removes the key of one that has been silent for 10 s, as long as a short lease lasts, unless more than half of them are silent. Keys that all VMs lost at once are written over a time that grows with their number: 3,944 writes a second before at 986 VMs, above the 3,200 that the store accepts, and 1,000 now. The feed's messages have a new version.

Measured by tests: 27 renewals a second at 986 VMs, 34 at 1,972; the key of a follower that stopped is gone after 10 to 14 s, no other is removed.

--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -58,6 +58,8 @@
     preferred: Vec<String>,
     /// Peers that are queried only when this VM cannot read the store itself.
     fallback: Vec<String>,
+    /// Peers that query this VM first; empty unless it reads the store for others.
+    followers: Vec<String>,
     /// Peers in backoff, with the end of the pause.
     backoff_until: IndexMap<String, Millis>,
 }
@@ -81,7 +83,14 @@
             .position(|rank_key| *rank_key == own_key)
             .unwrap_or(0);
         let reader_count = ranked.len().div_ceil(VMS_PER_READER);
+        let ranked_count = ranked.len();
         let mut names: Vec<String> = ranked.into_iter().map(|(_, _, vm)| vm).collect();
+        let is_first = |rank: usize| rank % reader_count == own_rank;
+        self.followers.clear();
+        if own_rank < reader_count {
+            let follower_ranks = (reader_count..ranked_count).filter(|rank| is_first(*rank));
+            self.followers = follower_ranks.map(|rank| names[rank].clone()).collect();
+        }
         self.fallback = names.split_off(own_rank + 1);
         names.pop();
         self.preferred = names;
@@ -109,6 +118,11 @@
         }
     }
 
+    /// Returns the peers whose first choice for updates is this VM.
+    pub fn followers(&self) -> &[String] {
+        &self.followers
+    }
+
     /// Whether this VM reads the store, and so is the first to check whether the store is back.
     pub fn is_store_reader(&self) -> bool {
         self.preferred.is_empty()
--- a/crates/feed/src/table.rs
+++ b/crates/feed/src/table.rs
@@ -86,6 +86,14 @@
             })
     }
 
+    /// Returns the revision at which a key's recorded item was written. `None` if the key was removed
+    /// or is not recorded.
+    pub fn item_revision(&self, key: &str) -> Option<StoreRevision> {
+        let revision = *self.latest.get(key)?;
+        let is_removed = self.removals.contains(&(revision, key.to_owned()));
+        (!is_removed).then_some(revision)
+    }
+
     /// Drops the recorded change of a key, so that batches leave it out.
     pub fn remove(&mut self, key: &str) {
         let Some(revision) = self.latest.swap_remove(key) else {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,12 @@
     pub store_restores: IntCounter,
     /// Requests to peers for store updates, by outcome.
     pub feed_requests: IntCounterVec,
+    /// Requests of peers for store updates that were answered.
+    pub feed_requests_served: IntCounter,
+    /// Datagrams to and from other entry VMs, by direction.
+    pub datagrams: IntCounterVec,
+    /// Bytes of these datagrams, by direction.
+    pub datagram_bytes: IntCounterVec,
     /// Orders to upstreams by order and outcome.
     pub orders: IntCounterVec,
     /// Crashes of upstreams that were running requests from this VM, by evidence.
@@ -126,6 +132,20 @@
                 "Questions to peers for changes of the store, by outcome",
                 &["outcome"],
             ),
+            feed_requests_served: plain_counter(
+                "bergamot_feed_requests_served_total",
+                "Requests of peers for changes of the store that were answered",
+            ),
+            datagrams: counter(
+                "bergamot_datagrams_total",
+                "Datagrams to and from other entry VMs, by direction",
+                &["direction"],
+            ),
+            datagram_bytes: counter(
+                "bergamot_datagram_bytes_total",
+                "Bytes of datagrams to and from other entry VMs, by direction",
+                &["direction"],
+            ),
             orders: counter(
                 "bergamot_orders_total",
                 "Orders to upstreams by order and outcome",
@@ -161,6 +181,13 @@
         String::from_utf8_lossy(&text).into_owned()
     }
 
+    /// Counts a datagram of `bytes` bytes, either `sent` or `received`.
+    pub fn count_datagram(&self, direction: &str, bytes: usize) {
+        self.datagrams.with_label_values(&[direction]).inc();
+        let total = self.datagram_bytes.with_label_values(&[direction]);
+        total.inc_by(bytes as u64);
+    }
+
     /// Sets the state gauge called `name`.
     pub fn set_state(&self, name: &str, value: i64) {
         self.state.with_label_values(&[name]).set(value);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::ArcSwap;
 use bergamot_groups::ModelDemand;
+use bergamot_membership::prelude::*;
 use bergamot_peer::SuspicionNotice;
 use bergamot_ports::{ServingBounds, VmSite};
 use bergamot_quarantine::{QuarantineRecord, QuarantineState};
@@ -52,6 +53,12 @@
     peer_stale_at: AtomicU64,
     /// Whether the last call to the store failed.
     store_unreachable: AtomicBool,
+    /// Whether other VMs report their requests in flight to this one.
+    collects_reports: AtomicBool,
+    /// Number of entry VMs in the list as last read. `None` before the first read.
+    listed_vms: watch::Sender<Option<usize>>,
+    /// How this VM obtains updates of the store.
+    feed_role: Mutex<FeedRole>,
     /// Whether this VM reaches no upstream.
     upstreams_unreachable: AtomicBool,
     /// Upstreams that did not answer orders or queries of this VM, until the front has taken note.
@@ -104,6 +111,9 @@
             view_current_at: AtomicU64::new(0),
             peer_stale_at: AtomicU64::new(0),
             store_unreachable: AtomicBool::new(false),
+            collects_reports: AtomicBool::new(false),
+            listed_vms: watch::channel(None).0,
+            feed_role: Mutex::default(),
             upstreams_unreachable: AtomicBool::new(false),
             unanswered_control: Mutex::default(),
             control_unanswered: Notify::new(),
@@ -189,6 +199,48 @@
         self.store_unreachable.load(Ordering::SeqCst)
     }
 
+    /// Sets how this VM obtains updates of the store.
+    pub fn set_feed_role(&self, role: FeedRole) {
+        *self.feed_role.lock() = role;
+    }
+
+    /// Returns how this VM obtains updates of the store.
+    pub fn feed_role(&self) -> FeedRole {
+        *self.feed_role.lock()
+    }
+
+    /// Records the number of listed entry VMs.
+    pub fn record_list(&self, vms: usize) {
+        self.listed_vms.send_replace(Some(vms));
+    }
+
+    /// Returns the number of listed entry VMs, as far as known.
+    pub fn listed_vms(&self) -> usize {
+        self.listed_vms.borrow().unwrap_or_default()
+    }
+
+    /// Waits until the list of entry VMs has been read.
+    pub async fn await_list(&self) {
+        let mut listed_vms = self.listed_vms.subscribe();
+        // The sender lives as long as this state.
+        let _ = listed_vms.wait_for(Option::is_some).await;
+    }
+
+    /// Sets whether other VMs report their requests in flight to this one.
+    pub fn set_collector(&self, is_collector: bool) {
+        self.collects_reports.store(is_collector, Ordering::SeqCst);
+    }
+
+    /// Whether other VMs report their requests in flight to this one.
+    pub fn is_collector(&self) -> bool {
+        self.collects_reports.load(Ordering::SeqCst)
+    }
+
+    /// Returns how long this VM's key is to last without renewal.
+    pub fn lease_term(&self) -> LeaseTerm {
+        LeaseTerm::for_role(self.feed_role(), self.listed_vms())
+    }
+
     /// Sets whether this VM reaches no upstream, and notifies subscribers of the view.
     pub fn set_upstreams_unreachable(&self, is_unreachable: bool) {
         self.upstreams_unreachable
--- a/crates/gateway/src/sync/board.rs
+++ b/crates/gateway/src/sync/board.rs
@@ -2,11 +2,23 @@
 
 use bergamot_feed::{Freshness, UpdateTable};
 use bergamot_peer::{StoreUpdates, UpdateRequest, UpdateResponse};
-use bergamot_ports::StoreItem;
+use bergamot_ports::{MAX_ENTRY_BYTES, StoreItem};
 use bergamot_types::prelude::*;
 
 use crate::evacuations::EvacuationState;
 
+/// Largest configuration that is served to peers, in bytes. They read a larger one from the store.
+/// Less than one batch of updates (64 KiB), so that it fits in with other changes.
+const MAX_SERVED_CONFIG_BYTES: usize = 48 << 10;
+
+/// Returns the largest value that is served to peers in full, in bytes.
+pub(super) const fn max_served_bytes(is_config: bool) -> usize {
+    match is_config {
+        true => MAX_SERVED_CONFIG_BYTES,
+        false => MAX_ENTRY_BYTES,
+    }
+}
+
 /// Store updates to serve, and their age.
 #[derive(Debug, Default)]
 pub(crate) struct FeedState {
--- a/crates/gateway/src/sync/board/tests.rs
+++ b/crates/gateway/src/sync/board/tests.rs
@@ -14,6 +14,7 @@
     let removal = EvacuationEvent::Removed(FailureDomain::new("east"), removed_at);
     feed_state.evacuations.handle(Millis(1_000), removal);
     let request = UpdateRequest {
+        requester: 0,
         after: removed_at,
         unaffected_until: removed_at,
         lacks_config_after: None,
--- a/crates/gateway/src/sync/lost_keys.rs
+++ b/crates/gateway/src/sync/lost_keys.rs
@@ -99,6 +99,7 @@
     async fn query_peer(&mut self, addr: SocketAddr) -> bool {
         let requested_at = self.shared.clock.now();
         let request = UpdateRequest {
+            requester: self.own_key,
             after: StoreRevision::new(self.latest_generation(), u64::MAX),
             unaffected_until: StoreRevision::MAX,
             lacks_config_after: Some(self.known.config_version()),
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -11,6 +11,7 @@
 mod lost_keys;
 mod own;
 mod peers;
+mod presence;
 mod publish;
 mod quarantine;
 mod read;
@@ -24,9 +25,10 @@
 use std::time::Duration;
 
 use bergamot_feed::{PeerRanking, UpdateSource};
+use bergamot_membership::prelude::*;
 use bergamot_ports::{
-    KeyCondition, MAX_ENTRY_BYTES, StateStore, StoreCatalog, StoreError, StoreEvent,
-    StoreGeneration, StoreRevision, StoreTxn, TxnOutcome, WatchOutcome,
+    KeyCondition, StateStore, StoreCatalog, StoreError, StoreEvent, StoreGeneration, StoreRevision,
+    StoreTxn, TxnOutcome, WatchOutcome,
 };
 use bergamot_quarantine::QuarantineRecord;
 use bergamot_types::prelude::*;
@@ -35,11 +37,12 @@
 use tokio::time::Instant;
 
 use self::ask::FeedClient;
-use self::board::FeedState;
+use self::board::{FeedState, max_served_bytes};
 use self::lost::LostRecords;
 use self::lost_keys::LostKeySearch;
 use self::own::maintain_own_key;
 use self::peers::{FeedError, POLL_PERIOD};
+use self::presence::{FollowerWatch, watch_followers};
 use self::quarantine::write_records;
 use self::serve::serve_updates;
 use self::stall::LATE_ANSWER_TIME;
@@ -66,17 +69,6 @@
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
 /// Time between two watches at the coordinator. A repair waits until each of its steps is visible.
 const COORDINATOR_WATCH_PAUSE: Duration = Duration::from_millis(20);
-/// Largest configuration that is served to peers, in bytes. They read a larger one from the store.
-/// Less than one batch of updates (64 KiB), so that it fits in with other changes.
-const MAX_SERVED_CONFIG_BYTES: usize = 48 << 10;
-/// Returns the largest value that is served to peers in full, in bytes.
-const fn max_served_bytes(is_config: bool) -> usize {
-    match is_config {
-        true => MAX_SERVED_CONFIG_BYTES,
-        false => MAX_ENTRY_BYTES,
-    }
-}
-
 /// Name of the store in log lines about the source of changes.
 const STORE_NAME: &str = "store";
 
@@ -90,6 +82,10 @@
     /// Whether the last confirmation failed that was triggered by a peer's newer configuration.
     has_failed_peer_confirm: bool,
     ranking: PeerRanking,
+    /// Hash of this VM's name, which its requests to peers carry.
+    own_key: u64,
+    /// The presence of the peers that follow this VM.
+    presence: Rc<RefCell<PresenceState>>,
     feed_client: FeedClient,
     feed_state: Rc<RefCell<FeedState>>,
     lost_records: Rc<RefCell<LostRecords>>,
@@ -110,7 +106,10 @@
 {
     /// Creates the state before anything has been read.
     pub fn new(shared: Arc<SharedState>, store: Rc<Store>, catalog: Catalog) -> Self {
+        let own_key = hash_bytes(shared.site.vm.as_str().as_bytes());
         Self {
+            own_key,
+            presence: Rc::default(),
             shared,
             store,
             catalog,
@@ -135,9 +134,16 @@
         records: mpsc::Receiver<QuarantineRecord>,
     ) {
         let (shared, feed_state) = (Arc::clone(&self.shared), Rc::clone(&self.feed_state));
-        tokio::task::spawn_local(serve_updates(shared, feed_state, listener));
+        let presence = Rc::clone(&self.presence);
+        tokio::task::spawn_local(serve_updates(shared, feed_state, presence, listener));
         let (shared, store) = (Arc::clone(&self.shared), Rc::clone(&self.store));
         tokio::task::spawn_local(maintain_own_key(shared, store));
+        tokio::task::spawn_local(watch_followers(FollowerWatch {
+            shared: Arc::clone(&self.shared),
+            store: Rc::clone(&self.store),
+            feed_state: Rc::clone(&self.feed_state),
+            presence: Rc::clone(&self.presence),
+        }));
         let (shared, store) = (Arc::clone(&self.shared), Rc::clone(&self.store));
         let lost_records = Rc::clone(&self.lost_records);
         tokio::task::spawn_local(write_records(shared, store, lost_records, records));
--- a/crates/gateway/src/sync/own.rs
+++ b/crates/gateway/src/sync/own.rs
@@ -4,25 +4,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bergamot_membership::lease::call_spread;
+use bergamot_membership::prelude::*;
 use bergamot_ports::{KeyWrite, StateStore, StoreLease, StoreRevision, StoreTxn, TxnOutcome};
+use bergamot_types::Millis;
 use rand::Rng;
 
 use super::publish::count_call;
 use crate::own_keys::{ENTRY_PREFIX, EntryRecord};
 use crate::shared::SharedState;
 
-/// How long the key of an entry VM outlives its last renewal.
-const ENTRY_TTL: Duration = Duration::from_secs(10);
-/// Period of renewals. Two in a row may fail. As every VM renews, renewals are a tenth of all
-/// calls.
-const RENEW_PERIOD: Duration = Duration::from_millis(3_200);
-
 /// Time after which a failed write of the key is retried.
 const RETRY_PERIOD: Duration = Duration::from_millis(1_500);
 
-/// Longest time from a restore of the store until the key is written again, so that the VMs of a
-/// large fleet do not write at once.
-const MAX_REWRITE_DELAY: Duration = Duration::from_millis(500);
+/// Longest wait for the list of entry VMs before the key is first written.
+const MAX_LIST_WAIT: Duration = Duration::from_millis(300);
+
+/// Shortest time over which VMs that lost their keys together write them again.
+const MIN_REWRITE_SPREAD: Millis = Millis(500);
 
 /// The key as written to the store.
 #[derive(Clone, Copy)]
@@ -30,6 +29,9 @@
     lease: StoreLease,
     /// Revision of the store at the write.
     revision: StoreRevision,
+    term: LeaseTerm,
+    /// Number of renewals since the write.
+    renewals: u32,
 }
 
 impl WrittenKey {
@@ -44,6 +46,21 @@
         let view = shared.view.load();
         view.revision >= self.revision && !view.entries.contains_key(shared.site.vm.as_str())
     }
+
+    fn is_lost(self, shared: &SharedState) -> bool {
+        self.may_be_lost(shared) || self.was_removed(shared)
+    }
+
+    /// Whether the key is to be written before its lease is to be renewed.
+    fn is_rewrite_due(self, shared: &SharedState) -> bool {
+        let is_too_long = shared.lease_term().ttl < self.term.ttl;
+        (is_too_long && self.has_other_term(shared)) || self.is_lost(shared)
+    }
+
+    /// Whether a lease of another term is to replace this one.
+    fn has_other_term(self, shared: &SharedState) -> bool {
+        shared.lease_term().replaces(self.term, self.renewals)
+    }
 }
 
 /// Writes the key and renews its lease until the process stops.
@@ -51,37 +68,70 @@
 where
     Store: StateStore,
 {
-    let mut written_key: Option<WrittenKey> = None;
+    // The number of VMs decides on the lease.
+    let _ = tokio::time::timeout(MAX_LIST_WAIT, shared.await_list()).await;
+    let mut written_key = register(&shared, store.as_ref()).await;
     while !shared.is_stopping() {
-        written_key = match written_key {
-            Some(key) if !key.may_be_lost(&shared) && !key.was_removed(&shared) => {
-                renew(&shared, store.as_ref(), key).await
-            }
-            _ => register(&shared, store.as_ref()).await,
-        };
-        let pause = match written_key {
-            Some(_) => RENEW_PERIOD,
-            None => RETRY_PERIOD,
+        let Some(key) = written_key else {
+            tokio::time::sleep(RETRY_PERIOD).await;
+            written_key = register(&shared, store.as_ref()).await;
+            continue;
         };
-        let restore = async {
-            match written_key {
-                Some(key) => await_restore(&shared, key).await,
-                None => std::future::pending().await,
-            }
+        let rewrite = await_rewrite(&shared, key);
+        let renew_period = key.term.renew_period.as_duration();
+        let is_rewrite_due = tokio::time::timeout(renew_period, rewrite).await.is_ok();
+        written_key = match is_rewrite_due {
+            true => rewrite_key(&shared, store.as_ref(), key).await,
+            false => renew_or_replace(&shared, store.as_ref(), key).await,
         };
-        if tokio::time::timeout(pause, restore).await.is_ok() {
-            let delay = rand::rng().random_range(Duration::ZERO..MAX_REWRITE_DELAY);
-            tokio::time::sleep(delay).await;
-        }
     }
 }
 
-/// Waits until the view shows that the store was restored since the key was written.
-async fn await_restore(shared: &SharedState, key: WrittenKey) {
+/// Waits until the key is to be written again before its lease is to be renewed.
+async fn await_rewrite(shared: &SharedState, key: WrittenKey) {
     let mut view_changes = shared.view_changed.subscribe();
-    let is_restored = |_: &u64| key.may_be_lost(shared);
+    let is_rewrite_due = |_: &u64| key.is_rewrite_due(shared);
     // The sender lives as long as the process.
-    let _ = view_changes.wait_for(is_restored).await;
+    let _ = view_changes.wait_for(is_rewrite_due).await;
+}
+
+/// Sleeps for a random time, over which the VMs of a large fleet spread calls that all of them make.
+async fn spread_call(shared: &SharedState, shortest: Millis) {
+    let spread = call_spread(shared.listed_vms()).max(shortest);
+    let delay = rand::rng().random_range(0..=spread.0);
+    tokio::time::sleep(Millis(delay).as_duration()).await;
+}
+
+/// Writes the key anew. Returns `None` if that fails and the key is lost.
+async fn rewrite_key<Store>(
+    shared: &SharedState,
+    store: &Store,
+    key: WrittenKey,
+) -> Option<WrittenKey>
+where
+    Store: StateStore,
+{
+    spread_call(shared, MIN_REWRITE_SPREAD).await;
+    let rewritten_key = register(shared, store).await;
+    rewritten_key.or_else(|| (!key.is_lost(shared)).then_some(key))
+}
+
+/// Renews the lease, or replaces it by a longer one if the fleet has become large.
+async fn renew_or_replace<Store>(
+    shared: &SharedState,
+    store: &Store,
+    key: WrittenKey,
+) -> Option<WrittenKey>
+where
+    Store: StateStore,
+{
+    if key.has_other_term(shared) {
+        spread_call(shared, Millis::ZERO).await;
+        if let Some(replaced_key) = register(shared, store).await {
+            return Some(replaced_key);
+        }
+    }
+    renew(shared, store, key).await
 }
 
 /// Renews the lease. Returns `None` if it has expired.
@@ -91,7 +141,11 @@
 {
     let outcome = store.renew_lease(key.lease).await;
     count_call(shared, "renew", outcome.as_ref().err());
-    (!matches!(outcome, Ok(false))).then_some(key)
+    let renewed_key = WrittenKey {
+        renewals: key.renewals + 1,
+        ..key
+    };
+    (!matches!(outcome, Ok(false))).then_some(renewed_key)
 }
 
 /// Writes the key under a new lease. Returns `None` if that fails.
@@ -99,7 +153,8 @@
 where
     Store: StateStore,
 {
-    let lease_result = store.open_lease(ENTRY_TTL).await;
+    let term = shared.lease_term();
+    let lease_result = store.open_lease(term.ttl.as_duration()).await;
     count_call(shared, "lease", lease_result.as_ref().err());
     let lease = lease_result.ok()?;
     let site = &shared.site;
@@ -115,7 +170,12 @@
     let outcome = store.commit(&txn).await;
     count_call(shared, "register", outcome.as_ref().err());
     match outcome {
-        Ok(TxnOutcome::Done(revision)) => Some(WrittenKey { lease, revision }),
+        Ok(TxnOutcome::Done(revision)) => Some(WrittenKey {
+            lease,
+            revision,
+            term,
+            renewals: 0,
+        }),
         other => {
             log::info!("event=not_registered outcome={other:?}");
             None
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bergamot_feed::PeerDescriptor;
+use bergamot_membership::prelude::*;
 use bergamot_peer::{StoreUpdates, UpdateRequest, UpdateResponse};
 use bergamot_ports::{StateStore, StoreCatalog, StoreGeneration};
 use bergamot_types::prelude::*;
@@ -79,6 +80,15 @@
             millicores: entry.millicores,
         });
         self.ranking.rank_peers(peers, &own);
+        let role = match self.ranking.is_store_reader() {
+            true => FeedRole::Reader,
+            false => FeedRole::Follower,
+        };
+        self.shared.set_feed_role(role);
+        self.shared.record_list(self.known.entries.len());
+        let followers = self.ranking.followers().iter().map(String::as_str);
+        let now = self.shared.clock.now();
+        self.presence.borrow_mut().set_followers(now, followers);
     }
 
     /// Polls peers one after another until one has fresh updates. Returns `false` if none has. If a
@@ -145,6 +155,7 @@
         let requested_at = self.shared.clock.now();
         let known = self.known.revision.unwrap_or_default();
         let request = UpdateRequest {
+            requester: self.own_key,
             after: known,
             unaffected_until: known,
             lacks_config_after: self
@@ -287,6 +298,7 @@
         let requested_at = self.shared.clock.now();
         let known = self.known.revision.unwrap_or_default();
         let request = UpdateRequest {
+            requester: self.own_key,
             after: known,
             unaffected_until: known,
             lacks_config_after: Some(self.known.config_version()),
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -12,9 +12,10 @@
 use indexmap::{IndexMap, IndexSet};
 use tokio::time::Instant;
 
+use super::board::max_served_bytes;
 use super::lost_keys::LostKeySearch;
 use super::peers::FeedError;
-use super::{STORE_NAME, StoreSync, max_served_bytes};
+use super::{STORE_NAME, StoreSync};
 use crate::evacuations::{EvacuationEvent, has_valid_name};
 use crate::own_keys::{ENTRY_PREFIX, QUARANTINE_PREFIX};
 
@@ -98,6 +99,7 @@
         loop {
             let requested_at = self.shared.clock.now();
             let request = UpdateRequest {
+                requester: self.own_key,
                 after,
                 unaffected_until,
                 lacks_config_after: None,
--- a/crates/gateway/src/sync/serve.rs
+++ b/crates/gateway/src/sync/serve.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bergamot_membership::prelude::*;
 use bergamot_peer::{UpdateRequest, frame};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -22,6 +23,7 @@
 pub(crate) async fn serve_updates(
     shared: Arc<SharedState>,
     feed_state: Rc<RefCell<FeedState>>,
+    presence: Rc<RefCell<PresenceState>>,
     listener: std::net::TcpListener,
 ) {
     let listener = match TcpListener::from_std(listener) {
@@ -34,8 +36,9 @@
     loop {
         let stream = next_connection(&listener).await;
         let (shared, feed_state) = (Arc::clone(&shared), Rc::clone(&feed_state));
+        let presence = Rc::clone(&presence);
         tokio::task::spawn_local(async move {
-            let reason = serve_peer(&shared, &feed_state, stream).await;
+            let reason = serve_peer(&shared, &feed_state, &presence, stream).await;
             log::debug!("event=news_connection_ended reason={reason:?}");
         });
     }
@@ -45,6 +48,7 @@
 async fn serve_peer(
     shared: &SharedState,
     feed_state: &RefCell<FeedState>,
+    presence: &RefCell<PresenceState>,
     mut stream: TcpStream,
 ) -> String {
     if let Err(error) = stream.set_nodelay(true) {
@@ -58,12 +62,14 @@
             Err(_) => return "idle".to_owned(),
         };
         let now = shared.clock.now();
+        let requested = PresenceEvent::Requested(request.requester);
+        presence.borrow_mut().handle(now, requested);
         let response = feed_state
             .borrow()
             .respond(&request, now, shared.config_age(now));
         let write = frame::write_frame(&mut stream, &response);
         match tokio::time::timeout(WRITE_TIMEOUT, write).await {
-            Ok(Ok(())) => {}
+            Ok(Ok(())) => shared.metrics.feed_requests_served.inc(),
             Ok(Err(error)) => return error.to_string(),
             Err(_) => return "timed out writing a response; closing the connection".to_owned(),
         }
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -7,8 +7,8 @@
 use crate::frame::PeerMessage;
 
 /// Version of the feed's messages, which carry retained evacuations and ends of evacuations since
-/// version 4.
-const FEED_VERSION: u8 = 4;
+/// version 4, and the requester since version 5.
+const FEED_VERSION: u8 = 5;
 
 impl PeerMessage for UpdateRequest {
     const VERSION: u8 = FEED_VERSION;
@@ -21,6 +21,8 @@
 /// Asks a peer for store updates.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct UpdateRequest {
+    /// Hash of the name of the VM that asks.
+    pub requester: u64,
     /// The requester has all changes up to this revision.
     pub after: StoreRevision,
     /// The requester knows no key that was removed up to this revision. This equals `after`, but is
