perf: one reader for each failure domain, and relays of its updates

Change: the first VM of a failure domain reads the store. The others that serve updates relay what it reads: a relay takes updates from the reader alone, and a follower from the reader and relays alone. Ages add up over both hops, the reader confirms each 0.5 s instead of 0.8, and whoever gets nothing fresh reads the store itself.

--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -6,11 +6,18 @@
 /// Number of peers that are queried in turn before falling back to the store.
 const MAX_PEERS_QUERIED: usize = 2;
 
-/// Entry VMs of a failure domain per reader of the store. A reader makes four store calls a second
-/// and sends every change to its share of the VMs. Uncompressed updates to 100 VMs take 8.7 MB/s
+/// Entry VMs of a failure domain for each one that serves updates to the others. The first of these
+/// servers reads the store; the others relay what it reads, so that the calls to the store do not
+/// grow with the number of VMs. A server sends every change to its share of the VMs. Uncompressed updates to 100 VMs take 8.7 MB/s
 /// while 3,000 upstreams start; compression cuts that to an eighth, and a link of 20 Mbit/s carries
 /// 2.5 MB/s.
-const VMS_PER_READER: usize = 48;
+const VMS_PER_SERVER: usize = 48;
+
+/// Period of confirmations at a VM that follows the store. They also show that its watch has not
+/// stalled, and its peers rely on updates that are not much older.
+const CONFIRM_PERIOD: Millis = Millis(800);
+/// The same at a VM whose updates relays pass on, which takes them one more period of requests.
+const RELAYED_CONFIRM_PERIOD: Millis = Millis(500);
 
 /// How long a peer is skipped after it did not answer or had no current updates. Without this pause
 /// every query would wait for that peer again.
@@ -58,8 +65,13 @@
     preferred: Vec<String>,
     /// Peers that are queried only when this VM cannot read the store itself.
     fallback: Vec<String>,
-    /// Peers that query this VM first; empty unless it reads the store for others.
+    /// Peers that query this VM first; empty unless it serves updates to others.
     followers: Vec<String>,
+    /// Peers whose relayed updates this VM may use: the relays of its failure domain, if it follows
+    /// them. A relay uses updates from the reader alone, so that no two relay to each other.
+    relays: Vec<String>,
+    /// Whether this VM reads the store for relays.
+    serves_relays: bool,
     /// Peers in backoff, with the end of the pause.
     backoff_until: IndexMap<String, Millis>,
 }
@@ -82,25 +94,32 @@
             .iter()
             .position(|rank_key| *rank_key == own_key)
             .unwrap_or(0);
-        let reader_count = ranked.len().div_ceil(VMS_PER_READER);
-        let ranked_count = ranked.len();
-        let mut names: Vec<String> = ranked.into_iter().map(|(_, _, vm)| vm).collect();
-        let is_first = |rank: usize| rank % reader_count == own_rank;
-        self.followers.clear();
-        if own_rank < reader_count {
-            let follower_ranks = (reader_count..ranked_count).filter(|rank| is_first(*rank));
-            self.followers = follower_ranks.map(|rank| names[rank].clone()).collect();
-        }
-        self.fallback = names.split_off(own_rank + 1);
-        names.pop();
-        self.preferred = names;
-        if own_rank < reader_count {
-            self.fallback.append(&mut self.preferred);
-            return;
+        let server_count = ranked.len().div_ceil(VMS_PER_SERVER);
+        self.serves_relays = own_rank == 0 && server_count > 1;
+        let names: Vec<String> = ranked.into_iter().map(|(_, _, vm)| vm).collect();
+        let first_choice = |rank: usize| match rank < server_count {
+            true => 0,
+            false => rank % server_count,
+        };
+        let follower_ranks = 1..names.len();
+        let own_followers = follower_ranks.filter(|rank| first_choice(*rank) == own_rank);
+        self.followers = own_followers.map(|rank| names[rank].clone()).collect();
+        self.relays = match own_rank < server_count {
+            true => Vec::new(),
+            false => names[1..server_count].to_vec(),
+        };
+        let mut higher = names;
+        let lower = higher.split_off(own_rank + 1);
+        higher.pop();
+        self.fallback = lower;
+        if own_rank < server_count {
+            self.fallback.extend(higher.drain(own_rank.min(1)..));
+        } else {
+            // Rotates the servers so that each one is the first choice of an equal share of the
+            // other VMs.
+            higher[..server_count].rotate_left(first_choice(own_rank));
         }
-        // Rotates the readers so that each one is the first choice of an equal share of the other
-        // VMs.
-        self.preferred[..reader_count].rotate_left(own_rank % reader_count);
+        self.preferred = higher;
     }
 
     /// Returns where this VM reads updates. `is_store_unreachable` is set while it cannot read the
@@ -123,6 +142,19 @@
         &self.followers
     }
 
+    /// Whether updates that `vm` relays from the reader may be used.
+    pub fn is_relay(&self, vm: &str) -> bool {
+        self.relays.iter().any(|relay| relay == vm)
+    }
+
+    /// Returns how often this VM, as one that follows the store, confirms its view of it.
+    pub const fn confirm_period(&self) -> Millis {
+        match self.serves_relays {
+            true => RELAYED_CONFIRM_PERIOD,
+            false => CONFIRM_PERIOD,
+        }
+    }
+
     /// Whether this VM reads the store, and so is the first to check whether the store is back.
     pub fn is_store_reader(&self) -> bool {
         self.preferred.is_empty()
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -2,8 +2,8 @@
 //! confirms that no newer configuration was missed.
 //!
 //! One VM of each failure domain and the coordinator of the groups read and follow the store
-//! themselves. The other VMs poll the update feed of their domain's reader, and use the store if
-//! that feed is not fresh.
+//! themselves. The other VMs poll the update feed of their domain's reader, or in a large domain of
+//! a VM that relays it, and use the store if that feed is not fresh.
 
 mod ask;
 mod board;
@@ -49,9 +49,6 @@
 use crate::known::KnownState;
 use crate::shared::SharedState;
 
-/// Period of confirmations at a VM that follows the store. They also show that its watch has not
-/// stalled, and its peers rely on updates that are not much older.
-const CONFIRM_PERIOD: Duration = Duration::from_millis(800);
 /// Period of retries while the store is unreachable, at a VM that serves its updates to peers.
 const RETRY_PERIOD: Duration = Duration::from_millis(300);
 /// Period of retries at those peers, which also poll that VM four times a second. Together with the
@@ -151,7 +148,7 @@
             while !self.read_all().await {
                 tokio::time::sleep(RETRY_PERIOD).await;
             }
-            self.confirm_at = Instant::now() + CONFIRM_PERIOD;
+            self.confirm_at = Instant::now() + self.ranking.confirm_period().as_duration();
             while self.known.revision.is_some() {
                 self.follow().await;
             }
@@ -328,7 +325,7 @@
             return Ok(());
         }
         let outcome = outcome?;
-        self.confirm_at = Instant::now() + CONFIRM_PERIOD;
+        self.confirm_at = Instant::now() + self.ranking.confirm_period().as_duration();
         self.record_success();
         match outcome {
             TxnOutcome::Conflict(items) => {
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -10,7 +10,7 @@
 use bergamot_types::prelude::*;
 use tokio::time::Instant;
 
-use super::{CONFIRM_PERIOD, StoreSync};
+use super::StoreSync;
 use crate::evacuations::EvacuationEvent;
 
 /// Period of requests to a peer. A change is known here after at most this period and the reader's
@@ -187,9 +187,9 @@
         if generation < self.latest_generation() {
             return Err(FeedError::BeforeRestore(generation));
         }
-        // Only a VM that cannot reach the store accepts relayed updates. If VMs that can reach it
-        // did, they would stop reading it.
-        if updates.is_relayed && !self.known.is_store_unreachable {
+        // A VM that can reach the store accepts relayed updates only from a relay of its failure
+        // domain, whose reader goes on reading the store.
+        if updates.is_relayed && !self.known.is_store_unreachable && !self.is_relay(addr) {
             return Err(FeedError::Relayed);
         }
         let age = self.shared.clock.now().since(requested_at) + updates.age;
@@ -200,6 +200,12 @@
         Ok(updates)
     }
 
+    /// Whether the VM at `addr` is a relay that this VM follows.
+    fn is_relay(&self, addr: SocketAddr) -> bool {
+        let mut entries = self.known.entries.values();
+        entries.any(|entry| entry.peer_addr == addr && self.ranking.is_relay(&entry.vm))
+    }
+
     pub(super) fn count_feed_request(&self, outcome: &str) {
         let feed_requests = &self.shared.metrics.feed_requests;
         feed_requests.with_label_values(&[outcome]).inc();
@@ -333,7 +339,7 @@
         if let Err(error) = outcome {
             log::warn!("event=config_not_read reason={error:?}");
             self.store.reset();
-            self.confirm_at = Instant::now() + CONFIRM_PERIOD;
+            self.confirm_at = Instant::now() + self.ranking.confirm_period().as_duration();
         }
     }
 }
