feat: log what a VM sends and receives, with its duties

Change: a usage line every ten seconds with the duties of the VM, its calls to the store, questions for updates and datagrams; counters of the same.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -28,6 +28,7 @@
 use crate::signals::{ProcessSignal, SignalSet};
 use crate::stop::StopControl;
 use crate::sync::StoreSync;
+use crate::usage::log_usage;
 
 /// Capacity of a channel of stall notices to the groups thread.
 const STALL_NOTICE_CAPACITY: usize = 256;
@@ -138,7 +139,10 @@
             .await;
         })?;
         let shared = Arc::clone(&self.shared);
-        spawn_thread("metrics", move || serve_metrics(shared, metrics_listener))?;
+        spawn_thread("metrics", move || async move {
+            tokio::task::spawn_local(log_usage(Arc::clone(&shared)));
+            serve_metrics(shared, metrics_listener).await;
+        })?;
         let local = LocalSet::new();
         local.block_on(
             &runtime,
--- a/crates/gateway/src/front/exchange.rs
+++ b/crates/gateway/src/front/exchange.rs
@@ -22,6 +22,7 @@
 use super::limits::apply_quota_actions;
 use super::permits::{QuotaMessage, deliver_permit_answer};
 use super::warmup::{self, answer_cold_question, deliver_cold_answer};
+use crate::metrics::GatewayMetrics;
 use crate::view::ClusterView;
 
 /// Number of consecutive periods without requests in flight after which no more load reports are
@@ -80,7 +81,7 @@
         if !notices.is_empty() {
             let view = front.shared.view.load();
             let addr_of = |vm: &str| addresses.resolve(vm, &view.entries, front.now());
-            send(&socket, addr_of, notices);
+            send(&front.shared.metrics, &socket, addr_of, notices);
         }
     }
 }
@@ -107,6 +108,7 @@
     if *idle_periods > MAX_IDLE_PERIODS && !book.occupancy.is_collector() {
         return Vec::new();
     }
+    front.shared.set_collector(book.occupancy.is_collector());
     book.occupancy.handle(now, OccupancyEvent::Tick(in_flight))
 }
 
@@ -124,6 +126,7 @@
             return Vec::new();
         }
     };
+    front.shared.metrics.count_datagram("received", length);
     let notice = frame::decode(&buffer[..length]);
     if let Some(vm) = notice.as_ref().ok().and_then(awaiting_vm) {
         addresses.record(vm, source, front.now());
@@ -340,8 +343,12 @@
 
 /// Sends notices. A notice that cannot be sent at once is dropped, like a datagram lost on the
 /// network: the next period sends another.
-fn send<AddrOf>(socket: &UdpSocket, addr_of: AddrOf, notices: Vec<AddressedNotice>)
-where
+fn send<AddrOf>(
+    metrics: &GatewayMetrics,
+    socket: &UdpSocket,
+    addr_of: AddrOf,
+    notices: Vec<AddressedNotice>,
+) where
     AddrOf: Fn(&str) -> Option<SocketAddr>,
 {
     for AddressedNotice { vm, notice } in notices {
@@ -355,8 +362,9 @@
                 continue;
             }
         };
-        if let Err(error) = socket.try_send_to(&bytes, addr) {
-            log::debug!("event=notice_not_sent reason={error:?}");
+        match socket.try_send_to(&bytes, addr) {
+            Ok(length) => metrics.count_datagram("sent", length),
+            Err(error) => log::debug!("event=notice_not_sent reason={error:?}"),
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 #[cfg(test)]
 #[path = "../tests/support/mod.rs"]
 mod test_support;
+mod usage;
 pub mod view;
 
 pub use daemon::GatewayDaemon;
