fix: relays read the whole contents of the store themselves

Cause: after a start of all, a relay waited for the reader's first read, and its followers for the relay's: two reads of everything, one after the other, with 3,000 upstreams listed.

Change: whoever serves updates reads everything from the store, as before relays; from then on a relay follows the reader.

--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -72,6 +72,8 @@
     relays: Vec<String>,
     /// Whether this VM reads the store for relays.
     serves_relays: bool,
+    /// Whether this VM serves updates to others, as the reader or as a relay.
+    is_server: bool,
     /// Peers in backoff, with the end of the pause.
     backoff_until: IndexMap<String, Millis>,
 }
@@ -96,6 +98,7 @@
             .unwrap_or(0);
         let server_count = ranked.len().div_ceil(VMS_PER_SERVER);
         self.serves_relays = own_rank == 0 && server_count > 1;
+        self.is_server = own_rank < server_count;
         let names: Vec<String> = ranked.into_iter().map(|(_, _, vm)| vm).collect();
         let first_choice = |rank: usize| match rank < server_count {
             true => 0,
@@ -142,6 +145,12 @@
         &self.followers
     }
 
+    /// Whether this VM serves updates to others. Such a VM reads the whole contents from the store:
+    /// after a start of all, its followers would wait for two reads one after the other.
+    pub const fn is_server(&self) -> bool {
+        self.is_server
+    }
+
     /// Whether updates that `vm` relays from the reader may be used.
     pub fn is_relay(&self, vm: &str) -> bool {
         self.relays.iter().any(|relay| relay == vm)
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -271,6 +271,10 @@
             .filter(|(_, ranking)| !ranking.followers().is_empty());
         let servers: Vec<&String> = servers.map(|(vm, _)| vm).collect();
         assert_eq!(servers.len(), case.servers, "{} VMs", case.vms);
+        let are_servers = servers
+            .iter()
+            .all(|server| rankings[server.as_str()].is_server());
+        assert!(are_servers, "{} VMs", case.vms);
         let mut shares: indexmap::IndexMap<String, usize> = indexmap::IndexMap::new();
         for (vm, ranking) in &rankings {
             let UpdateSource::Peers(sources) = ranking.source(false, Millis(0)) else {
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -47,6 +47,9 @@
         }
         let deadline = Instant::now() + PEER_READ_TIMEOUT;
         while Instant::now() < deadline {
+            if self.ranking.is_server() && !self.known.is_store_unreachable {
+                return false;
+            }
             let now = self.shared.clock.now();
             let source = self.ranking.source(self.known.is_store_unreachable, now);
             let UpdateSource::Peers(peers) = source else {
