--- a/crates/gateway/src/front/budget.rs
+++ b/crates/gateway/src/front/budget.rs
@@ -57,19 +57,44 @@
     }
 }
 
+/// How much of this VM's budget for one service is used at one moment.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct RetryUsage {
+    /// Requests in the current window.
+    pub requests: usize,
+    /// Retries in the current window.
+    pub retries: usize,
+    /// How many retries may be sent in the current window.
+    pub allowed: f64,
+    /// Number of entry VMs that the reserve is shared among.
+    pub sharers: usize,
+    /// Time since this VM's process started.
+    pub process_age: Millis,
+}
+
+impl RetryUsage {
+    /// Whether another retry may be sent.
+    fn has_retry_left(&self) -> bool {
+        self.retries as f64 + 1.0 <= self.allowed
+    }
+}
+
 /// Bounds retries by the number of requests in a sliding window.
 #[derive(Debug)]
 pub struct RetryBudget {
     bounds: ServingBounds,
+    started_at: Millis,
     sharers: SharerCount,
     services: IndexMap<ServiceName, ServiceWindow>,
 }
 
 impl RetryBudget {
-    /// Creates a budget with the given bounds on retries.
-    pub fn new(bounds: ServingBounds) -> Self {
+    /// Creates the budget of a process that started at `started_at`, with the given bounds on
+    /// retries.
+    pub fn new(bounds: ServingBounds, started_at: Millis) -> Self {
         Self {
             bounds,
+            started_at,
             sharers: SharerCount::default(),
             services: IndexMap::new(),
         }
@@ -91,19 +116,30 @@
 
     /// Takes one retry from the budget. Returns whether one was left.
     pub fn try_take(&mut self, now: Millis, service: &ServiceName) -> bool {
+        let is_granted = self.usage(now, service).has_retry_left();
+        if is_granted {
+            self.window(service).retries.push_back(now);
+        }
+        is_granted
+    }
+
+    /// Returns how much of the budget is used at `now`.
+    pub fn usage(&mut self, now: Millis, service: &ServiceName) -> RetryUsage {
         let window = self.bounds.retry_window;
         let ratio = self.bounds.retry_ratio;
-        let vms = self.sharers.at(now, window.max(SHRINK_DELAY));
-        let reserve = self.bounds.retry_reserve / vms as f64;
+        let sharers = self.sharers.at(now, window.max(SHRINK_DELAY));
+        let reserve = self.bounds.retry_reserve / sharers as f64;
         let service_window = self.window(service);
         drop_expired(&mut service_window.requests, now, window);
         drop_expired(&mut service_window.retries, now, window);
-        let allowed = (service_window.requests.len() as f64 * ratio + reserve) * USED_FRACTION;
-        if service_window.retries.len() as f64 + 1.0 > allowed {
-            return false;
+        let requests = service_window.requests.len();
+        RetryUsage {
+            requests,
+            retries: service_window.retries.len(),
+            allowed: (requests as f64 * ratio + reserve) * USED_FRACTION,
+            sharers,
+            process_age: now.since(self.started_at),
         }
-        service_window.retries.push_back(now);
-        true
     }
 
     /// Returns a retry that was taken at `taken_at` to the budget, because it reached no upstream.
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -128,7 +128,7 @@
         stall_notices: mpsc::Sender<LeaderStall>,
         quota_messages: mpsc::Sender<QuotaMessage>,
     ) -> Self {
-        let budget = RetryBudget::new(shared.bounds());
+        let budget = RetryBudget::new(shared.bounds(), shared.clock.now());
         let quota = QuotaState::new(shared.site.vm.to_string(), rand::random());
         let descriptor = PeerDescriptor {
             vm: shared.site.vm.to_string(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     pub requests: IntCounterVec,
     /// Attempts at upstreams by route kind and outcome.
     pub attempts: IntCounterVec,
+    /// Retries by service and by whether the budget granted them.
+    pub retries: IntCounterVec,
     /// New connections to upstreams by outcome.
     pub connects: IntCounterVec,
     /// Requests offered to other entry VMs by outcome.
@@ -93,6 +95,11 @@
                 "Attempts at upstreams by route kind and outcome",
                 &["kind", "outcome"],
             ),
+            retries: counter(
+                "bergamot_retries_total",
+                "Retries by service, granted or denied by the budget, or refunded to it",
+                &["service", "outcome"],
+            ),
             connects: counter(
                 "bergamot_upstream_connects_total",
                 "New connections to upstreams by outcome",
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -20,6 +20,9 @@
     evacuation_time: None,
 };
 
+/// When the processes of the VMs started.
+const STARTED_AT: Millis = Millis(50_000);
+
 struct BudgetCase {
     name: &'static str,
     vms: usize,
@@ -53,8 +56,9 @@
     ];
     let service = ServiceName::new("s");
     for case in cases {
-        let mut budgets: Vec<RetryBudget> =
-            (0..case.vms).map(|_| RetryBudget::new(BOUNDS)).collect();
+        let mut budgets: Vec<RetryBudget> = (0..case.vms)
+            .map(|_| RetryBudget::new(BOUNDS, STARTED_AT))
+            .collect();
         let mut retries: Vec<u64> = Vec::new();
         for at in 0..20_000_u64 {
             let now = Millis(100_000 + at);
@@ -148,7 +152,7 @@
     for case in cases {
         let (vms_at_start, vms_later) = case.serving;
         let mut budgets: Vec<RetryBudget> = (0..vms_at_start)
-            .map(|_| RetryBudget::new(BOUNDS))
+            .map(|_| RetryBudget::new(BOUNDS, STARTED_AT))
             .collect();
         let mut retries: Vec<u64> = Vec::new();
         for at in (0..LENGTH_MS).step_by(10) {
@@ -188,7 +192,7 @@
 #[test]
 fn a_refunded_retry_can_be_taken_only_once() {
     let service = ServiceName::new("s");
-    let mut budget = RetryBudget::new(BOUNDS);
+    let mut budget = RetryBudget::new(BOUNDS, STARTED_AT);
     budget.set_bounds(BOUNDS, 1);
     let now = Millis(100_000);
     let take_all = |budget: &mut RetryBudget| {
