test: processes that restart exceed the bound on retries

Cause: a process that starts has no record of the retries that its predecessor sent within the window of the bound.

--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -206,3 +206,104 @@
     budget.refund(now, &service);
     assert_eq!(take_all(&mut budget), 1);
 }
+
+/// A moment at which processes are killed. Others start in their place.
+struct KillStep {
+    at_ms: u64,
+    /// The VMs of these numbers.
+    vms: std::ops::Range<usize>,
+}
+
+struct RestartCase {
+    name: &'static str,
+    /// Time between two requests at each VM.
+    request_period_ms: u64,
+    kills: Vec<KillStep>,
+    /// Number of VMs that a process knows of in its first three seconds.
+    known_at_start: usize,
+}
+
+/// Guards against processes that start with the full budget although the retries of their
+/// predecessors still count towards the bound.
+#[test]
+fn processes_that_restart_do_not_exceed_the_bound_on_retries() {
+    const VMS: usize = 8;
+    const LENGTH_MS: u64 = 60_000;
+    const FIRST_FAILURE_MS: u64 = 20_000;
+    const LIST_DELAY: Millis = Millis(3_000);
+    let kill = |at_ms, vms| KillStep { at_ms, vms };
+    let cases = [
+        RestartCase {
+            name: "all processes restart once, in a busy fleet",
+            request_period_ms: 50,
+            kills: vec![kill(20_500, 0..8)],
+            known_at_start: 8,
+        },
+        RestartCase {
+            name: "half of the processes restart three times, in a fleet with little traffic",
+            request_period_ms: 1_000,
+            kills: vec![kill(21_000, 0..4), kill(24_000, 2..6), kill(27_000, 4..8)],
+            known_at_start: 8,
+        },
+        RestartCase {
+            name: "processes restart in turn",
+            request_period_ms: 50,
+            kills: (0..VMS)
+                .map(|vm| kill(21_000 + vm as u64 * 1_500, vm..vm + 1))
+                .collect(),
+            known_at_start: 8,
+        },
+        RestartCase {
+            name: "a process that starts knows only its own key",
+            request_period_ms: 1_000,
+            kills: vec![kill(25_000, 0..2), kill(35_500, 2..4)],
+            known_at_start: 1,
+        },
+    ];
+    let service = ServiceName::new("s");
+    let mut failures: Vec<String> = Vec::new();
+    for case in cases {
+        let mut started: Vec<Millis> = vec![STARTED_AT; VMS];
+        let mut budgets: Vec<RetryBudget> = (0..VMS)
+            .map(|_| RetryBudget::new(BOUNDS, STARTED_AT))
+            .collect();
+        let mut retries: Vec<u64> = Vec::new();
+        for at in (0..LENGTH_MS).step_by(10) {
+            let now = Millis(100_000 + at);
+            for step in case.kills.iter().filter(|step| step.at_ms == at) {
+                for vm in step.vms.clone() {
+                    started[vm] = now;
+                    budgets[vm] = RetryBudget::new(BOUNDS, now);
+                }
+            }
+            for (budget, start) in budgets.iter_mut().zip(&started) {
+                let is_new = *start > STARTED_AT && now.since(*start) < LIST_DELAY;
+                budget.set_bounds(BOUNDS, if is_new { case.known_at_start } else { VMS });
+                if at.is_multiple_of(case.request_period_ms) {
+                    budget.record_request(now, &service);
+                }
+                // From the first failure on, every request is retried as often as allowed.
+                if at >= FIRST_FAILURE_MS && budget.try_take(now, &service) {
+                    retries.push(at);
+                }
+            }
+        }
+        let window = BOUNDS.retry_window.0;
+        let requests = (VMS as u64 * window / case.request_period_ms) as f64;
+        let bound = requests * BOUNDS.retry_ratio + BOUNDS.retry_reserve;
+        let count_from = |start: u64| {
+            let in_window = |at: &&u64| **at >= start && **at < start + window;
+            retries.iter().filter(in_window).count() as f64
+        };
+        let max_count = retries.iter().map(|start| count_from(*start));
+        let max_count = max_count.fold(0.0, f64::max);
+        let last_count = count_from(LENGTH_MS - window);
+        if max_count > bound || last_count < bound * 0.5 {
+            failures.push(format!(
+                "{}: {max_count} retries with a bound of {bound}, {last_count} in the last window",
+                case.name
+            ));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
