fix: processes that start use no reserve of retries in their first window

Callers saw nothing of it; upstreams got more repeats than they are promised. Cause: the budget of retries is kept by each process. A process that starts has the whole budget again, while the retries of its predecessor still count towards the bound on all VMs for a window; and it may share the reserve among too few VMs until it knows their keys. Class: a bound on a sum over time, kept in a memory that does not last as long. Change: until a process is as old as the window it uses a tenth of the ratio, half of what the other fraction leaves, and no reserve. So the sum holds for any number of restarts without an exchange.

--- a/crates/gateway/src/front/budget.rs
+++ b/crates/gateway/src/front/budget.rs
@@ -1,6 +1,10 @@
 //! The retry budget of this VM. Keeps the retries of all entry VMs together within the bound
 //! without any exchange between them: each VM applies the ratio to its own requests and uses an
 //! equal share of the reserve.
+//!
+//! A process that starts does not know the retries of its predecessor on the VM, which count towards
+//! the bound for a whole window. Until then it uses a small part of the ratio and no reserve, so
+//! that the sum holds however often processes restart.
 
 use std::collections::VecDeque;
 
@@ -12,6 +16,9 @@
 /// The fraction of the bound that is used. Leaves room for windows that begin at a different moment
 /// on this VM.
 const USED_FRACTION: f64 = 0.8;
+/// The fraction of the ratio that a process uses in its first window. It comes in addition to what
+/// its predecessor may have used.
+const FIRST_WINDOW_FRACTION: f64 = (1.0 - USED_FRACTION) / 2.0;
 /// Number of entry VMs assumed until the key of one of them is known.
 const DEFAULT_VM_COUNT: usize = 16;
 /// How long the number of known entry VMs must be lower before the reserve is shared among fewer
@@ -126,9 +133,8 @@
     /// Returns how much of the budget is used at `now`.
     pub fn usage(&mut self, now: Millis, service: &ServiceName) -> RetryUsage {
         let window = self.bounds.retry_window;
-        let ratio = self.bounds.retry_ratio;
         let sharers = self.sharers.at(now, window.max(SHRINK_DELAY));
-        let reserve = self.bounds.retry_reserve / sharers as f64;
+        let process_age = now.since(self.started_at);
         let service_window = self.window(service);
         drop_expired(&mut service_window.requests, now, window);
         drop_expired(&mut service_window.retries, now, window);
@@ -136,12 +142,22 @@
         RetryUsage {
             requests,
             retries: service_window.retries.len(),
-            allowed: (requests as f64 * ratio + reserve) * USED_FRACTION,
+            allowed: self.allowed_retries(requests, sharers, process_age),
             sharers,
-            process_age: now.since(self.started_at),
+            process_age,
         }
     }
 
+    /// Returns how many retries may be sent in a window with this number of requests.
+    fn allowed_retries(&self, requests: usize, sharers: usize, process_age: Millis) -> f64 {
+        let earned = requests as f64 * self.bounds.retry_ratio;
+        if process_age < self.bounds.retry_window {
+            return earned * FIRST_WINDOW_FRACTION;
+        }
+        let reserve = self.bounds.retry_reserve / sharers as f64;
+        (earned + reserve) * USED_FRACTION
+    }
+
     /// Returns a retry that was taken at `taken_at` to the budget, because it reached no upstream.
     /// The bound counts only retries that arrive.
     pub fn refund(&mut self, taken_at: Millis, service: &ServiceName) {
