feat: log the parts of a request's prompt that other requests may share

Cause: the logs told requests apart by their whole content alone, so nothing showed whether the ones under which upstreams ended had a part in common. A list that cannot be read names none, with a log line and a counter; its request is served. Nothing acts on the parts.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt of a request at one upstream.
 
 use std::cell::{Cell, OnceCell, RefCell};
+use std::fmt;
 
 use bergamot_ports::{CallerCall, CallerDialect, OutgoingContext, ReplyFacts};
 use bergamot_quarantine::RequestPrint;
@@ -70,6 +71,11 @@
         }
     }
 
+    /// Returns the parts of the prompt that other requests may share, for log lines.
+    pub fn part_list(&self) -> PartList<'_> {
+        PartList(self.call.shared_parts())
+    }
+
     /// Returns the fingerprint, which is the same each time a caller sends this request. Computed
     /// on the first call, since most requests need none.
     pub fn print(&self) -> RequestPrint {
@@ -80,6 +86,19 @@
     }
 }
 
+/// The ids of prompt parts as one word of a log line.
+pub struct PartList<'a>(pub &'a [PromptPartId]);
+
+impl fmt::Display for PartList<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some((first, rest)) = self.0.split_first() else {
+            return f.write_str("-");
+        };
+        write!(f, "{first}")?;
+        rest.iter().try_for_each(|part| write!(f, ",{part}"))
+    }
+}
+
 /// An answer whose head arrived and whose body is not read yet. Closes its connection when dropped.
 pub struct OpenReply {
     /// The upstream.
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -44,6 +44,10 @@
     };
     let id = call.id.clone();
     trace.record_id(&id);
+    if let Err(error) = &call.shared_parts {
+        front.shared.metrics.unreadable_prompt_parts.inc();
+        log::info!("event=prompt_parts_unreadable request={id} reason=\"{error}\"");
+    }
     await_config(&front, &call).await;
     let admitted = admit(&front, &call, head.uri.path(), arrived, trace);
     let limit = admitted.as_ref().map_or(0, |admitted| admitted.body_limit);
@@ -152,9 +156,10 @@
     error: &AttemptError,
 ) {
     log::info!(
-        "event=attempt_failed request={} print={} route={} upstream={} attempt={} outcome={} reason=\"{error}\" waited={}",
+        "event=attempt_failed request={} print={} parts={} route={} upstream={} attempt={} outcome={} reason=\"{error}\" waited={}",
         request.call.id,
         request.print(),
+        request.part_list(),
         state.route.name,
         planned.upstream.incarnation,
         state.sends(),
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -159,8 +159,9 @@
     fn log_ended(&self, outcome: &str) {
         let (route, first) = (&self.state.route, &self.first);
         log::info!(
-            "event=stream_ended request={} route={} upstream={} outcome={outcome} sends={} events={} last_event={} objective={} pause_objective={} first={} first_sends={} planned={} connected={} head={} first_took={} longest_gap={} took={}",
+            "event=stream_ended request={} parts={} route={} upstream={} outcome={outcome} sends={} events={} last_event={} objective={} pause_objective={} first={} first_sends={} planned={} connected={} head={} first_took={} longest_gap={} took={}",
             self.request.call.id,
+            self.request.part_list(),
             route.name,
             self.state.last_upstream(),
             self.state.sends(),
@@ -343,9 +344,10 @@
                     self.record_broken(&reply, BreakCause::Closed, reason).await;
                 }
                 Err(error) => log::info!(
-                    "event=attempt_failed request={} print={} route={} upstream={} attempt={} outcome={} reason=\"{error}\"",
+                    "event=attempt_failed request={} print={} parts={} route={} upstream={} attempt={} outcome={} reason=\"{error}\"",
                     self.request.call.id,
                     self.request.print(),
+                    self.request.part_list(),
                     self.state.route.name,
                     upstream.incarnation,
                     self.state.sends(),
--- a/crates/gateway/src/front/relay/record.rs
+++ b/crates/gateway/src/front/relay/record.rs
@@ -109,9 +109,10 @@
             .borrow_mut()
             .record_failure(&reply.upstream.incarnation, now);
         log::info!(
-            "event=stream_broken request={} print={} route={} upstream={} group={} events={} last_event={} reason={reason:?}",
+            "event=stream_broken request={} print={} parts={} route={} upstream={} group={} events={} last_event={} reason={reason:?}",
             self.request.call.id,
             self.request.print(),
+            self.request.part_list(),
             self.state.route.name,
             reply.upstream.incarnation,
             reply
--- a/crates/gateway/src/front/residency/tests.rs
+++ b/crates/gateway/src/front/residency/tests.rs
@@ -114,6 +114,7 @@
         model: None,
         resume_after: None,
         tokens: None,
+        shared_parts: Ok(Vec::new()),
         headers: HeaderMap::new(),
     };
     let caller = AdmittedCaller {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,6 +49,8 @@
     pub permits: IntCounterVec,
     /// Requests for permits to send to cold upstreams, by outcome.
     pub warm_up_permits: IntCounterVec,
+    /// Requests whose list of prompt parts could not be read.
+    pub unreadable_prompt_parts: IntCounter,
     /// Gauges of the process's state, by name.
     pub state: IntGaugeVec,
 }
@@ -173,6 +175,10 @@
                 "Permits asked for to send to cold upstreams, by outcome",
                 &["outcome"],
             ),
+            unreadable_prompt_parts: plain_counter(
+                "bergamot_unreadable_prompt_parts_total",
+                "Requests whose list of prompt parts could not be read",
+            ),
             state,
             registry,
         }
--- a/crates/ports/src/call.rs
+++ b/crates/ports/src/call.rs
@@ -25,11 +25,39 @@
     pub resume_after: Option<u64>,
     /// Number of prompt tokens, and maximum number of answer tokens.
     pub tokens: Option<(u64, u64)>,
+    /// The parts of the prompt that other requests may share, in order. The error states why they
+    /// could not be read; the request is served all the same.
+    pub shared_parts: Result<Vec<PromptPartId>, PromptPartsError>,
     /// Headers to forward, without the caller's key and without connection headers.
     pub headers: HeaderMap,
 }
 
+/// Why the parts of a request's prompt could not be read.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, thiserror::Error)]
+pub enum PromptPartsError {
+    /// The header was sent more than once.
+    #[error("repeated")]
+    Repeated,
+    /// A part has no id, an overlong one, or no number of tokens.
+    #[error("not a list of ids with numbers of tokens")]
+    Malformed,
+    /// There are more than [`MAX_PROMPT_PARTS`].
+    #[error("more than {MAX_PROMPT_PARTS} parts")]
+    TooMany,
+}
+
+/// Maximum number of parts of a prompt that are read.
+pub const MAX_PROMPT_PARTS: usize = 64;
+/// Maximum length of a prompt part's id in bytes.
+pub const MAX_PART_ID_BYTES: usize = 64;
+
 impl CallerCall {
+    /// Returns the parts of the prompt that other requests may share. Empty if there are none, or if
+    /// they could not be read.
+    pub fn shared_parts(&self) -> &[PromptPartId] {
+        self.shared_parts.as_deref().unwrap_or_default()
+    }
+
     /// Returns the number of prompt tokens, or 0 if the request does not state it.
     pub fn prompt_tokens(&self) -> u32 {
         let prompt = self.tokens.map_or(0, |(prompt, _)| prompt);
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -25,7 +25,10 @@
 pub mod site;
 pub mod store;
 
-pub use call::{CallerCall, CallerDialect, OutgoingContext, RefusalContext, ReplyFacts};
+pub use call::{
+    CallerCall, CallerDialect, MAX_PART_ID_BYTES, MAX_PROMPT_PARTS, OutgoingContext,
+    PromptPartsError, RefusalContext, ReplyFacts,
+};
 pub use catalog::{CatalogError, MAX_ENTRY_BYTES, StoreCatalog};
 pub use config::{
     AccountGrant, CallerLimits, EngineSpec, EngineSpeed, ModelSpec, Route, RouteKind, RouteTarget,
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -104,6 +104,10 @@
     /// The name of a plain service in requests.
     ServiceName
 );
+string_id!(
+    /// A part of a prompt that requests share, such as a common instruction.
+    PromptPartId
+);
 string_id!(
     /// A single request of a caller.
     RequestId
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -2,8 +2,8 @@
 
 pub use crate::hash::{hash_bytes, rendezvous_rank, rendezvous_score};
 pub use crate::id::{
-    ClientAccount, EntryId, FabricDomain, FailureDomain, GroupId, ModelName, Region, RequestId,
-    ServiceName, UpstreamId, VmId,
+    ClientAccount, EntryId, FabricDomain, FailureDomain, GroupId, ModelName, PromptPartId, Region,
+    RequestId, ServiceName, UpstreamId, VmId,
 };
 pub use crate::incarnation::{UnixMillis, UpstreamIncarnation};
 pub use crate::invariant::Invariant;
