fix: crashes of upstreams count against prompt parts that requests share

Callers of the model were refused or broken off for seconds at a time, as leader after leader crashed. Cause: requests under which upstreams crash are told apart by account, path and body. A part of a prompt that crashes every upstream which begins to write on it comes with a different request each time, so no request ever had three crashes. Class: a fault that follows what requests share, while all memory of faults is held by request. Evidence: on the test's stand-ins each harmful request has a print of its own with one crash; none was quarantined. Change: crashes also count against the parts of a prompt, without the last, under fingerprints of their own in the same ledger, records and order of blame. Three crashes that no likelier candidate explains put a part into quarantine at all VMs. A part is harmless while complete answers arrive: it ranks last, is cleared at all VMs by one VM's answer, and of upstreams that crash at the same moment only one counts. A request's own fingerprint goes before its parts.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -47,6 +47,8 @@
     pub selection_version: Cell<u64>,
     /// Cache of [`Self::print`].
     print: OnceCell<RequestPrint>,
+    /// Cache of [`Self::part_prints`].
+    part_prints: OnceCell<Vec<RequestPrint>>,
 }
 
 impl SentRequest {
@@ -68,6 +70,7 @@
             homes: RefCell::new(admitted.homes),
             selection_version: Cell::new(0),
             print: OnceCell::new(),
+            part_prints: OnceCell::new(),
         }
     }
 
@@ -76,6 +79,14 @@
         PartList(self.call.shared_parts())
     }
 
+    /// Returns the fingerprints of the parts of the prompt that other requests may share.
+    pub fn part_prints(&self) -> &[RequestPrint] {
+        self.part_prints.get_or_init(|| {
+            let parts = self.call.shared_parts().iter();
+            parts.map(RequestPrint::of_part).collect()
+        })
+    }
+
     /// Returns the fingerprint, which is the same each time a caller sends this request. Computed
     /// on the first call, since most requests need none.
     pub fn print(&self) -> RequestPrint {
--- a/crates/gateway/src/front/breaks.rs
+++ b/crates/gateway/src/front/breaks.rs
@@ -6,10 +6,12 @@
 
 use bergamot_ports::UpstreamState;
 use bergamot_quarantine::{
-    BreakCause, BrokenRun, CrashEvidence, QuarantineAction, QuarantineEvent, RequestStanding,
+    BreakCause, BrokenRun, CrashEvidence, PartRuns, QuarantineAction, QuarantineEvent,
+    RequestStanding,
 };
 use bergamot_routing::RouteUpstream;
 use bergamot_types::prelude::*;
+use hyper::StatusCode;
 use rand::seq::IteratorRandom;
 
 use super::FrontContext;
@@ -27,15 +29,32 @@
 /// leaders.
 const CRASH_NOTICE_WAIT: Duration = Duration::from_millis(30);
 
-/// Records that a request was interrupted after it was sent and `events` events had arrived.
+/// How far a request had come at an upstream when it was interrupted.
+#[derive(Clone, Copy, Debug)]
+pub struct RunProgress {
+    /// When it was sent to the upstream.
+    pub sent_at: Millis,
+    /// Number of events that had arrived from the upstream.
+    pub events: u32,
+}
+
+impl RunProgress {
+    /// A request that was sent at `sent_at` and has no event yet.
+    pub const fn begun(sent_at: Millis) -> Self {
+        Self { sent_at, events: 0 }
+    }
+}
+
+/// Records that a request was interrupted after it was sent.
 ///
 /// Returns at once for nearly all requests. If an upstream has crashed before while it ran this
-/// request, waits until a probe shows whether this upstream crashed too.
+/// request, or one more crash would put a part of its prompt into quarantine, waits until a probe
+/// shows whether this upstream crashed too.
 pub async fn record_break<Dialect>(
     front: &Rc<FrontContext<Dialect>>,
     request: &SentRequest,
     upstream: &RouteUpstream,
-    events: u32,
+    progress: RunProgress,
     cause: BreakCause,
 ) where
     Dialect: 'static,
@@ -45,24 +64,23 @@
         return;
     }
     let print = request.print();
-    let has_open_crash = front.shared.quarantine.lock().has_open_crash(print);
-    let run = BrokenRun { print, events };
-    let must_probe = handle(
-        front,
-        QuarantineEvent::Broken {
-            incarnation,
-            run,
-            cause,
-        },
-    );
-    if has_open_crash {
+    let must_resolve = {
+        let quarantine = front.shared.quarantine.lock();
+        quarantine.has_open_crash(print) || quarantine.has_suspected_part(request.part_prints())
+    };
+    let must_probe = handle_break(front, request, incarnation, progress, cause);
+    if must_resolve {
         let (probe_front, upstream) = (Rc::clone(front), upstream.clone());
         // Runs as a separate task, so that the probe completes even if the caller disconnects.
         let probe_task =
             tokio::task::spawn_local(async move { probe(&probe_front, &upstream).await });
         let _ = probe_task.await;
-        let standing = front.shared.quarantine.lock().standing(print);
-        if standing != RequestStanding::Good {
+        let must_await_notices = {
+            let mut quarantine = front.shared.quarantine.lock();
+            quarantine.standing(print) != RequestStanding::Good
+                || quarantine.has_suspected_part(request.part_prints())
+        };
+        if must_await_notices {
             tokio::time::sleep(CRASH_NOTICE_WAIT).await;
         }
     } else if must_probe {
@@ -78,42 +96,80 @@
     front: &FrontContext<Dialect>,
     request: &SentRequest,
     incarnation: &UpstreamIncarnation,
-    events: u32,
+    progress: RunProgress,
 ) {
     if is_listed_and_staying(front, incarnation) {
-        let print = request.print();
-        let (run, cause) = (BrokenRun { print, events }, BreakCause::CallerLeft);
-        handle(
+        handle_break(
             front,
-            QuarantineEvent::Broken {
-                incarnation,
-                run,
-                cause,
-            },
+            request,
+            incarnation,
+            progress,
+            BreakCause::CallerLeft,
         );
     }
 }
 
+/// Passes the break of a request and of the parts of its prompt to the quarantine state. Returns
+/// whether the caller must probe the upstream.
+fn handle_break<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    incarnation: &UpstreamIncarnation,
+    progress: RunProgress,
+    cause: BreakCause,
+) -> bool {
+    let RunProgress { sent_at, events } = progress;
+    let run = BrokenRun {
+        print: request.print(),
+        events,
+    };
+    let runs = PartRuns {
+        prints: request.part_prints(),
+        events,
+        sent_at,
+    };
+    let must_probe = handle(
+        front,
+        QuarantineEvent::Broken {
+            incarnation,
+            run,
+            cause,
+        },
+    );
+    handle(
+        front,
+        QuarantineEvent::PartsBroken {
+            incarnation,
+            runs,
+            cause,
+        },
+    );
+    must_probe
+}
+
 /// Records, when dropped, that the caller of a request disconnected before any event arrived from
 /// the upstream. [`Self::finish`] disarms it.
 pub struct CallerLeftGuard<'a, Dialect> {
     front: &'a FrontContext<Dialect>,
     request: &'a SentRequest,
     incarnation: &'a UpstreamIncarnation,
+    sent_at: Millis,
     is_finished: bool,
 }
 
 impl<'a, Dialect> CallerLeftGuard<'a, Dialect> {
-    /// Watches a request that is about to be sent.
+    /// Watches a request that is sent at `sent_at`.
     pub fn new(
         front: &'a FrontContext<Dialect>,
         request: &'a SentRequest,
         incarnation: &'a UpstreamIncarnation,
+        sent_at: Millis,
     ) -> Self {
         Self {
             front,
             request,
             incarnation,
+            sent_at,
             is_finished: false,
         }
     }
@@ -127,20 +183,30 @@
 impl<Dialect> Drop for CallerLeftGuard<'_, Dialect> {
     fn drop(&mut self) {
         if !self.is_finished {
-            record_caller_left(self.front, self.request, self.incarnation, 0);
+            let progress = RunProgress::begun(self.sent_at);
+            record_caller_left(self.front, self.request, self.incarnation, progress);
         }
     }
 }
 
 /// Records that a single upstream answered a request completely. An answer that was resumed at
-/// other upstreams does not count, because the last of them ran only a part of the request.
+/// other upstreams does not count, because the last of them ran only a part of the request. Only a
+/// success shows that the parts of its prompt are harmless, as no other answer needs them.
 pub fn record_complete_answer<Dialect>(
     front: &FrontContext<Dialect>,
     request: &SentRequest,
     state: &CallState,
+    status: StatusCode,
 ) {
     let has_single_upstream = state.possible_runs.len() == 1 && request.call.resume_after.is_none();
-    if has_single_upstream && !front.shared.quarantine.lock().is_empty() {
+    if !has_single_upstream {
+        return;
+    }
+    let parts = request.part_prints();
+    if status.is_success() && !parts.is_empty() {
+        handle(front, QuarantineEvent::PartsAnswered(parts));
+    }
+    if !front.shared.quarantine.lock().is_empty() {
         handle(front, QuarantineEvent::Answered(request.print()));
     }
 }
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -15,7 +15,7 @@
 use super::admit::{admit, await_config, discard_body, read_body};
 use super::answer::{CallerAnswer, full_body};
 use super::attempt::{AttemptError, OpenReply, SentRequest};
-use super::breaks::{CallerLeftGuard, record_break, record_complete_answer};
+use super::breaks::{CallerLeftGuard, RunProgress, record_break, record_complete_answer};
 use super::deadline::{DeadlinePassed, with_deadline};
 use super::forward::send::{ForwardOutcome, forward, must_forward};
 use super::open::open;
@@ -236,7 +236,8 @@
     Dialect: CallerDialect + 'static,
 {
     let clock = front.shared.clock;
-    let guard = CallerLeftGuard::new(front, request, &reply.upstream.incarnation);
+    let sent_at = reply.run.sent_at;
+    let guard = CallerLeftGuard::new(front, request, &reply.upstream.incarnation, sent_at);
     let body = with_deadline(clock, state.deadline, reply.body.collect()).await;
     match &body {
         Ok(_) => guard.finish(),
@@ -254,7 +255,8 @@
     let body = match body {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
-            record_break(front, request, &reply.upstream, 0, BreakCause::Closed).await;
+            let (upstream, progress) = (&reply.upstream, RunProgress::begun(sent_at));
+            record_break(front, request, upstream, progress, BreakCause::Closed).await;
             return interrupted(error.to_string());
         }
         Err(_) => return interrupted("the answer did not end before the deadline".to_owned()),
@@ -301,7 +303,7 @@
         }
         false => {
             front.monitor.borrow_mut().record_success(id);
-            record_complete_answer(front, request, state);
+            record_complete_answer(front, request, state, reply.head.status);
             AttemptOutcome::Answered(answer)
         }
     }
--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -9,7 +9,7 @@
 
 use super::FrontContext;
 use super::attempt::{AttemptError, OpenReply, SentRequest, send};
-use super::breaks::{CallerLeftGuard, record_break, record_no_listener};
+use super::breaks::{CallerLeftGuard, RunProgress, record_break, record_no_listener};
 use super::partition::observe;
 use super::plan::{PlannedSend, refund_retry, uncrashed_runs};
 use super::quiet::{STALL_CHECK_PERIOD, check_stall, report_stall};
@@ -45,7 +45,7 @@
         time_left,
         resume_after,
     );
-    let guard = CallerLeftGuard::new(front, request, &upstream.incarnation);
+    let guard = CallerLeftGuard::new(front, request, &upstream.incarnation, dispatched.sent_at);
     let (outcome, cause) =
         match await_head(front, request, state, dispatched, upstream, sending).await {
             Ok(outcome) => (outcome, BreakCause::Closed),
@@ -71,7 +71,8 @@
         observe(front, PartitionEvent::Failed(upstream.into()));
         state.disconnected.push(upstream.incarnation.clone());
     }
-    check_for_crash(front, request, state, upstream, &outcome, cause).await;
+    let progress = RunProgress::begun(dispatched.sent_at);
+    check_for_crash(front, request, state, upstream, progress, &outcome, cause).await;
     let has_arrived = match &outcome {
         Ok(_) => true,
         Err(error) => error.may_have_arrived(),
@@ -106,6 +107,7 @@
     request: &SentRequest,
     state: &CallState,
     upstream: &RouteUpstream,
+    progress: RunProgress,
     outcome: &Result<OpenReply, AttemptError>,
     cause: BreakCause,
 ) where
@@ -117,7 +119,7 @@
             tokio::task::spawn_local(async move { record_no_listener(&front, &incarnation).await });
         }
         Err(error) if error.may_have_run() && front.now() < state.deadline => {
-            record_break(front, request, upstream, 0, cause).await;
+            record_break(front, request, upstream, progress, cause).await;
         }
         _ => {}
     }
--- a/crates/gateway/src/front/relay/record.rs
+++ b/crates/gateway/src/front/relay/record.rs
@@ -5,7 +5,7 @@
 use bergamot_routing::PartitionEvent;
 
 use super::super::attempt::OpenReply;
-use super::super::breaks::{record_break, record_caller_left, record_complete_answer};
+use super::super::breaks::{RunProgress, record_break, record_caller_left, record_complete_answer};
 use super::super::partition::observe;
 use super::{EventRelay, FirstEvent};
 
@@ -73,7 +73,8 @@
     pub(super) fn record_finished(&self, reply: OpenReply) {
         let incarnation = reply.upstream.incarnation.clone();
         self.front.monitor.borrow_mut().record_success(&incarnation);
-        record_complete_answer(&self.front, &self.request, &self.state);
+        let status = reply.head.status;
+        record_complete_answer(&self.front, &self.request, &self.state, status);
         if let Some(model) = &self.request.call.model {
             let took = self.front.now().since(reply.run.sent_at);
             self.front.delays.borrow_mut().record_answer(model, took);
@@ -124,16 +125,20 @@
             self.last_event_id.unwrap_or_default(),
         );
         let (request, upstream) = (&self.request, &reply.upstream);
-        record_break(&self.front, request, upstream, self.upstream_events, cause).await;
+        let progress = self.progress(reply);
+        record_break(&self.front, request, upstream, progress, cause).await;
     }
 
     pub(super) fn record_caller_left(&self, reply: &OpenReply) {
         let incarnation = &reply.upstream.incarnation;
-        record_caller_left(
-            &self.front,
-            &self.request,
-            incarnation,
-            self.upstream_events,
-        );
+        let progress = self.progress(reply);
+        record_caller_left(&self.front, &self.request, incarnation, progress);
+    }
+
+    const fn progress(&self, reply: &OpenReply) -> RunProgress {
+        RunProgress {
+            sent_at: reply.run.sent_at,
+            events: self.upstream_events,
+        }
     }
 }
--- a/crates/gateway/src/front/standing.rs
+++ b/crates/gateway/src/front/standing.rs
@@ -9,8 +9,8 @@
 use super::state::CallState;
 
 /// Checks whether a request may be sent, for the first time or again. Returns the number that
-/// selects its upstream if the request must be isolated from other suspected requests. Computes a
-/// digest of the body only while a crash is recorded for any request.
+/// selects its upstream if the request must be isolated from other suspected requests. Computes
+/// digests of the body and the prompt parts only while a crash is recorded for any request.
 pub fn check_standing<Dialect>(
     front: &FrontContext<Dialect>,
     request: &SentRequest,
@@ -20,6 +20,17 @@
     if quarantine.is_empty() {
         return Ok(None);
     }
+    let refusal = CallRefusal::retry_in(ErrorKind::Quarantined, RETURN_QUARANTINED);
+    if let Some(print) = quarantine.quarantined_part(request.part_prints()) {
+        drop(quarantine);
+        log::info!(
+            "event=part_held_back request={} print={print} parts={} sends={}",
+            request.call.id,
+            request.part_list(),
+            state.sends()
+        );
+        return Err(refusal);
+    }
     let print = request.print();
     let standing = quarantine.standing(print);
     match standing {
@@ -36,8 +47,5 @@
         request.call.id,
         state.sends()
     );
-    Err(CallRefusal::retry_in(
-        ErrorKind::Quarantined,
-        RETURN_QUARANTINED,
-    ))
+    Err(refusal)
 }
--- a/crates/quarantine/src/blame.rs
+++ b/crates/quarantine/src/blame.rs
@@ -7,6 +7,9 @@
 //! the two kinds apart: a harmful request crashes an upstream soon after its run there begins,
 //! while the runs beside it are interrupted midway.
 //!
+//! Prompt parts are candidates as well as requests. A harmful part is present at more crashes than
+//! any request with it, and the parts beside it have been answered elsewhere, so they rank last.
+//!
 //! Candidates are therefore ranked by how likely they are harmful, and each one is blamed for those
 //! of its crashes that no higher-ranked candidate is blamed for. Indistinguishable candidates are
 //! routed to different upstreams, so that the next crash identifies the harmful one.
@@ -70,10 +73,12 @@
     weight: usize,
     /// Number of events of the run with the least progress.
     least_progress: u32,
+    /// Whether this is a prompt part that is known to be harmless.
+    is_harmless: bool,
 }
 
 impl<'a> Candidate<'a> {
-    fn new(print: RequestPrint, runs: &'a CrashedRuns) -> Self {
+    fn new(print: RequestPrint, runs: &'a CrashedRuns, is_harmless: bool) -> Self {
         let least_progress = runs.values().min().copied().unwrap_or_default();
         let most_progress = runs.values().max().copied().unwrap_or_default();
         let spread = (most_progress - least_progress) / SAME_POINT_EVENTS;
@@ -82,30 +87,41 @@
             runs,
             weight: runs.len().saturating_sub(spread as usize),
             least_progress,
+            is_harmless,
         }
     }
 
-    /// Returns the sort key: the heaviest candidate comes first, then the one with the least
-    /// progress.
-    fn rank(&self) -> (Reverse<usize>, u32) {
-        (Reverse(self.weight), self.least_progress)
+    /// Returns the sort key: the heaviest candidate comes first, then a request before the parts of
+    /// its prompt, then the one with the least progress.
+    fn rank(&self) -> (bool, Reverse<usize>, bool, u32) {
+        let is_part = self.print.is_part();
+        let weight = Reverse(self.weight);
+        (self.is_harmless, weight, is_part, self.least_progress)
     }
 
-    /// Whether this candidate cannot be told from another by weight and progress.
+    /// Whether this request cannot be told from another by weight and progress. Parts go wherever
+    /// their requests go, so sending them to different upstreams would not tell them apart.
     fn is_indistinguishable_from(&self, other: &Self) -> bool {
-        self.weight == other.weight
+        let are_requests = !self.print.is_part() && !other.print.is_part();
+        are_requests
+            && self.weight == other.weight
             && self.least_progress.abs_diff(other.least_progress) < SAME_POINT_EVENTS
     }
 }
 
-/// Decides which requests caused the crashes.
-pub(crate) fn assign_blame<'a, Entries>(entries: Entries) -> Verdicts
+/// Decides which requests and prompt parts caused the crashes, given which of the parts are known to
+/// be harmless.
+pub(crate) fn assign_blame<'a, Entries, Harmless>(
+    entries: Entries,
+    is_harmless: Harmless,
+) -> Verdicts
 where
     Entries: Iterator<Item = (RequestPrint, &'a CrashedRuns)>,
+    Harmless: Fn(RequestPrint) -> bool,
 {
     let entries = entries.filter(|(_, runs)| runs.len() >= SUSPECT_CRASHES);
     let mut candidates: Vec<_> = entries
-        .map(|(print, runs)| Candidate::new(print, runs))
+        .map(|(print, runs)| Candidate::new(print, runs, is_harmless(print)))
         .collect();
     candidates.sort_by_key(|candidate| (candidate.rank(), candidate.print));
     let mut assignment = BlameAssignment::new(&candidates);
@@ -155,6 +171,11 @@
         if unblamed.len() < SUSPECT_CRASHES {
             return;
         }
+        // Unlike a request, a part can be at several upstreams at once, at different points.
+        let evidence = candidate.weight.min(unblamed.len());
+        if candidate.print.is_part() && evidence < QUARANTINE_CRASHES {
+            return;
+        }
         let beside = self.count_shared_crashes(candidate, &unblamed);
         let is_alone = beside.is_empty();
         let shared = beside.into_iter();
@@ -219,7 +240,11 @@
             let incarnations = candidate.runs.keys();
             let unexplained =
                 incarnations.filter(|incarnation| !self.explained.contains(incarnation));
-            if unexplained.count() >= UNEXPLAINED_CRASHES {
+            let unexplained_count = match candidate.print.is_part() {
+                true => candidate.weight.min(unexplained.count()),
+                false => unexplained.count(),
+            };
+            if unexplained_count >= UNEXPLAINED_CRASHES {
                 self.verdicts.insert(candidate.print, Verdict::Quarantined);
             }
         }
--- a/crates/quarantine/src/crashes.rs
+++ b/crates/quarantine/src/crashes.rs
@@ -23,6 +23,8 @@
 /// Maximum number of requests recorded per upstream: twice the number that run and wait at one. The
 /// latest are kept.
 const MAX_BREAKS_PER_UPSTREAM: usize = 64;
+/// Maximum number of prompt parts recorded per upstream. The latest are kept.
+const MAX_PARTS_PER_UPSTREAM: usize = 128;
 
 /// A request's run at one upstream that was interrupted.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
@@ -100,6 +102,8 @@
 #[derive(Clone, Debug)]
 struct UpstreamBreaks {
     requests: IndexMap<RequestPrint, RequestBreak>,
+    /// The prompt parts of these requests.
+    parts: IndexMap<RequestPrint, RequestBreak>,
     /// Whether a probe of the upstream was requested.
     is_probed: bool,
 }
@@ -149,6 +153,7 @@
             .entry(incarnation.clone())
             .or_insert(UpstreamBreaks {
                 requests: IndexMap::new(),
+                parts: IndexMap::new(),
                 is_probed: false,
             });
         if breaks.requests.len() >= MAX_BREAKS_PER_UPSTREAM {
@@ -166,6 +171,31 @@
         BreakOutcome::Probe
     }
 
+    /// Records the part of a request that was interrupted at the same time as the request, which is
+    /// recorded first. Returns whether the upstream is known to have crashed.
+    pub fn record_part_break(
+        &mut self,
+        now: Millis,
+        incarnation: &UpstreamIncarnation,
+        run: BrokenRun,
+        cause: BreakCause,
+    ) -> bool {
+        let BrokenRun { print, events } = run;
+        if let Some(crash) = self.crashed.get_mut(incarnation) {
+            crash.requests.insert(print);
+            return true;
+        }
+        if let Some(breaks) = self.pending.get_mut(incarnation) {
+            if breaks.parts.len() >= MAX_PARTS_PER_UPSTREAM {
+                breaks.parts.shift_remove_index(0);
+            }
+            let at = now;
+            let broken = RequestBreak { cause, at, events };
+            breaks.parts.insert(print, broken);
+        }
+        false
+    }
+
     /// Drops the breaks at an upstream that announced that it leaves, as its exit is planned.
     pub fn forget(&mut self, incarnation: &UpstreamIncarnation) {
         self.pending.shift_remove(incarnation);
@@ -181,7 +211,7 @@
     ) -> Option<Vec<BrokenRun>> {
         self.expire(now);
         let breaks = self.pending.shift_remove(incarnation)?;
-        let interrupted = breaks.requests.into_iter();
+        let interrupted = breaks.requests.into_iter().chain(breaks.parts);
         let counted = interrupted.filter(|(_, broken)| evidence.counts_for(broken.cause));
         let runs = counted.map(|(print, broken)| BrokenRun {
             print,
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -10,6 +10,9 @@
 
 /// Length of a fingerprint in bytes.
 const FINGERPRINT_BYTES: usize = 16;
+/// The first bytes of the fingerprint of a prompt part. A request's fingerprint begins with them
+/// once in four billion.
+const PART_MARK: [u8; 4] = *b"part";
 
 /// Digest of a request's account, path and body, which identifies it however often it is sent,
 /// wherever, and under whichever ID. Equal on every VM and in every version.
@@ -35,6 +38,21 @@
         Self(bytes)
     }
 
+    /// Computes the fingerprint of a part of a prompt, which is the same for all accounts.
+    pub fn of_part(part: &PromptPartId) -> Self {
+        let digest = Sha256::digest(part.as_str().as_bytes());
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        let (mark, rest) = bytes.split_at_mut(PART_MARK.len());
+        mark.copy_from_slice(&PART_MARK);
+        rest.copy_from_slice(&digest[..rest.len()]);
+        Self(bytes)
+    }
+
+    /// Whether this is the fingerprint of a part of a prompt.
+    pub fn is_part(&self) -> bool {
+        self.0.starts_with(&PART_MARK)
+    }
+
     /// Returns a hash that is equal on every VM.
     pub(crate) fn to_hash(self) -> u64 {
         hash_bytes(&self.0)
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -6,6 +6,7 @@
 use crate::blame::{CrashedRuns, SUSPECT_CRASHES, SuspectPlace, Verdict, Verdicts, assign_blame};
 use crate::crashes::BrokenRun;
 use crate::fingerprint::RequestPrint;
+use crate::parts::{HarmlessParts, PartRuns};
 
 /// Maximum number of crashes recorded per request: enough to show operators which upstreams
 /// crashed.
@@ -21,6 +22,11 @@
 /// How long a request stays in quarantine after its last rejection or crash. A caller that sends it
 /// once a day has a new version of the model by then, or crashes three more upstreams.
 const QUARANTINE_RETENTION: Millis = Millis::from_secs(24 * 3_600);
+/// How long a prompt part outside quarantine is remembered after its last crash.
+const PART_SUSPECT_RETENTION: Millis = Millis::from_secs(600);
+/// How long a prompt part stays in quarantine after its last crash. Rejections do not prolong it, as
+/// requests of many callers may contain the part.
+const PART_QUARANTINE_RETENTION: Millis = Millis::from_secs(3_600);
 
 /// How a request may be handled.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -74,6 +80,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
     entries: IndexMap<RequestPrint, CrashEntry>,
+    harmless_parts: HarmlessParts,
     verdicts: Verdicts,
     /// Whether crashes have changed since the verdicts were computed.
     is_changed: bool,
@@ -112,7 +119,8 @@
     fn update_verdicts(&mut self) {
         if std::mem::take(&mut self.is_changed) {
             let entries = self.entries.iter();
-            self.verdicts = assign_blame(entries.map(|(print, entry)| (*print, &entry.crashes)));
+            let entries = entries.map(|(print, entry)| (*print, &entry.crashes));
+            self.verdicts = assign_blame(entries, |print| self.harmless_parts.contains(print));
         }
     }
 
@@ -130,6 +138,27 @@
         }
     }
 
+    /// Records a complete answer to a request with this prompt part. Returns whether crashes are
+    /// attributed to the part.
+    pub fn record_part_answer(&mut self, now: Millis, part: RequestPrint) -> bool {
+        let is_new = self.harmless_parts.record_answer(now, part);
+        let has_crashes = self.open_crashes(part) > 0;
+        self.is_changed |= is_new && has_crashes;
+        has_crashes
+    }
+
+    /// Whether a crash counts against a prompt part of an interrupted run. A part that is known to
+    /// be harmless may have stood beside the cause at many upstreams that crashed at the same time,
+    /// so only the first of them counts until another run has been sent, and only if its answer had
+    /// not begun.
+    pub fn counts_against_part(&self, part: RequestPrint, runs: &PartRuns<'_>) -> bool {
+        if !self.harmless_parts.contains(part) {
+            return true;
+        }
+        let last_crash_at = self.entries.get(&part).map(|entry| entry.last_crash_at);
+        runs.events == 0 && last_crash_at.is_none_or(|at| runs.sent_at > at)
+    }
+
     /// Records that an upstream crashed during a run of a request. If the request had several runs
     /// there, the one with the least progress counts.
     pub fn record_crash(&mut self, now: Millis, incarnation: &UpstreamIncarnation, run: BrokenRun) {
@@ -216,15 +245,19 @@
 
     /// Drops requests whose last crash or rejection was long ago.
     pub fn expire(&mut self, now: Millis) {
+        self.is_changed |= self.harmless_parts.expire(now);
         self.update_verdicts();
         let count_before = self.entries.len();
         let verdicts = &self.verdicts;
         self.entries.retain(|print, entry| {
-            let retention = match verdicts.get(print) {
-                Some(Verdict::Quarantined) => QUARANTINE_RETENTION,
-                Some(Verdict::Suspected(_)) | None => SUSPECT_RETENTION,
+            let is_quarantined = verdicts.get(print) == Some(&Verdict::Quarantined);
+            let (since, retention) = match (print.is_part(), is_quarantined) {
+                (true, true) => (entry.last_crash_at, PART_QUARANTINE_RETENTION),
+                (true, false) => (entry.last_crash_at, PART_SUSPECT_RETENTION),
+                (false, true) => (entry.last_active_at, QUARANTINE_RETENTION),
+                (false, false) => (entry.last_active_at, SUSPECT_RETENTION),
             };
-            now.since(entry.last_active_at) < retention
+            now.since(since.max(entry.recorded_at)) < retention
         });
         self.is_changed |= self.entries.len() < count_before;
     }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -6,6 +6,7 @@
 //! | [`fingerprint`] | identifies requests by their content |
 //! | [`crashes`] | which upstreams crashed while running which requests, and by what evidence |
 //! | `blame` | which of the requests at a crashed upstream caused the crash |
+//! | [`parts`] | prompt parts that requests share, which may be harmful themselves |
 //! | [`ledger`] | the crashes of each request, and when it is no longer sent |
 //! | [`record`] | the records that entry VMs exchange through the store |
 //! | [`housekeeping`] | which of these records are expired or surplus |
@@ -25,6 +26,7 @@
 pub mod fingerprint;
 pub mod housekeeping;
 pub mod ledger;
+pub mod parts;
 pub mod record;
 pub mod state;
 
@@ -33,5 +35,6 @@
 pub use fingerprint::RequestPrint;
 pub use housekeeping::StoreRecords;
 pub use ledger::{CrashLedger, RequestStanding};
+pub use parts::PartRuns;
 pub use record::{QuarantineRecord, RecordError};
 pub use state::{QuarantineAction, QuarantineEvent, QuarantineState};
--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -3,10 +3,12 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexSet;
 
+use crate::blame::SUSPECT_CRASHES;
 use crate::crashes::{BreakCause, BreakOutcome, BrokenRun, CrashEvidence, CrashWatch};
 use crate::fingerprint::RequestPrint;
 use crate::housekeeping::StoreRecords;
 use crate::ledger::{CrashLedger, QuarantinedRequest, RequestStanding};
+use crate::parts::{MAX_RUNS_PER_RECORD, PartRuns};
 use crate::record::QuarantineRecord;
 
 /// Maximum number of changes per store update, which is what one transaction of the store holds.
@@ -28,6 +30,16 @@
         /// How it was interrupted.
         cause: BreakCause,
     },
+    /// A request with these prompt parts was interrupted at an upstream. Follows
+    /// [`Self::Broken`] of the request.
+    PartsBroken {
+        /// The upstream.
+        incarnation: &'a UpstreamIncarnation,
+        /// The parts and the progress of the request there.
+        runs: PartRuns<'a>,
+        /// How it was interrupted.
+        cause: BreakCause,
+    },
     /// An upstream announced that it leaves.
     Leaving(&'a UpstreamIncarnation),
     /// There is evidence that an upstream crashed.
@@ -46,6 +58,8 @@
     },
     /// A single upstream answered a request completely.
     Answered(RequestPrint),
+    /// A single upstream answered a request with these prompt parts completely.
+    PartsAnswered(&'a [RequestPrint]),
     /// The store holds a record.
     Stored {
         /// The key of the record.
@@ -109,6 +123,11 @@
                 run,
                 cause,
             } => self.record_break(now, incarnation, run, cause),
+            QuarantineEvent::PartsBroken {
+                incarnation,
+                runs,
+                cause,
+            } => self.record_part_breaks(now, incarnation, runs, cause),
             QuarantineEvent::Leaving(incarnation) => {
                 self.crash_watch.forget(incarnation);
                 Vec::new()
@@ -122,6 +141,7 @@
                 is_listed,
             } => self.review(now, incarnation, is_listed),
             QuarantineEvent::Answered(print) => self.clear(now, print),
+            QuarantineEvent::PartsAnswered(parts) => self.clear_parts(now, parts),
             QuarantineEvent::Stored { key, record } => {
                 self.store_records.insert(now, key, record);
                 self.merge(now, record);
@@ -163,6 +183,19 @@
         self.ledger.open_crashes(print) > 0
     }
 
+    /// Returns the quarantined one among the prompt parts of a request, if any.
+    pub fn quarantined_part(&mut self, parts: &[RequestPrint]) -> Option<RequestPrint> {
+        let mut parts = parts.iter().copied();
+        parts.find(|part| self.standing(*part) == RequestStanding::Quarantined)
+    }
+
+    /// Whether one more crash would put one of these prompt parts into quarantine. A break must then
+    /// be resolved before a retry.
+    pub fn has_suspected_part(&self, parts: &[RequestPrint]) -> bool {
+        let mut parts = parts.iter();
+        parts.any(|part| self.ledger.open_crashes(*part) >= SUSPECT_CRASHES)
+    }
+
     /// Records that a quarantined request was rejected.
     pub fn record_rejection(&mut self, now: Millis, print: RequestPrint) {
         self.ledger.record_rejection(now, print);
@@ -213,6 +246,36 @@
         }
     }
 
+    /// Records the prompt parts of an interrupted request.
+    fn record_part_breaks(
+        &mut self,
+        now: Millis,
+        incarnation: &UpstreamIncarnation,
+        runs: PartRuns<'_>,
+        cause: BreakCause,
+    ) -> Vec<QuarantineAction> {
+        let mut struck_runs = Vec::new();
+        for print in runs.prints {
+            if !self.ledger.counts_against_part(*print, &runs) {
+                continue;
+            }
+            let run = BrokenRun {
+                print: *print,
+                events: runs.events,
+            };
+            if self
+                .crash_watch
+                .record_part_break(now, incarnation, run, cause)
+            {
+                struck_runs.push(run);
+            }
+        }
+        match struck_runs.is_empty() {
+            true => Vec::new(),
+            false => self.record_strikes(now, incarnation, &struck_runs),
+        }
+    }
+
     fn record_crash(
         &mut self,
         now: Millis,
@@ -237,10 +300,13 @@
         incarnation: &UpstreamIncarnation,
         runs: &[BrokenRun],
     ) -> Vec<QuarantineAction> {
-        let mut actions = vec![QuarantineAction::Share(QuarantineRecord::Crash {
-            incarnation: incarnation.clone(),
-            runs: runs.to_vec(),
-        })];
+        let records = runs.chunks(MAX_RUNS_PER_RECORD).map(|runs| {
+            QuarantineAction::Share(QuarantineRecord::Crash {
+                incarnation: incarnation.clone(),
+                runs: runs.to_vec(),
+            })
+        });
+        let mut actions: Vec<QuarantineAction> = records.collect();
         for run in runs {
             self.ledger.record_observed_crash(now, incarnation, *run);
             actions.push(QuarantineAction::LogStrike {
@@ -282,8 +348,11 @@
         if incarnations.is_empty() {
             return Vec::new();
         }
-        let must_report =
-            self.ledger.is_observed(print) || self.ledger.standing(print) != RequestStanding::Good;
+        // A VM that started lately may not know that the part is harmless.
+        let is_suspected_part = print.is_part() && incarnations.len() >= SUSPECT_CRASHES;
+        let must_report = is_suspected_part
+            || self.ledger.is_observed(print)
+            || self.ledger.standing(print) != RequestStanding::Good;
         self.ledger.clear(now, print, incarnations.iter().cloned());
         match must_report {
             true => vec![QuarantineAction::Share(QuarantineRecord::Cleared {
@@ -294,6 +363,17 @@
         }
     }
 
+    /// Records that prompt parts are harmless, and clears them of all known crashes.
+    fn clear_parts(&mut self, now: Millis, parts: &[RequestPrint]) -> Vec<QuarantineAction> {
+        let mut actions = Vec::new();
+        for part in parts {
+            if self.ledger.record_part_answer(now, *part) {
+                actions.extend(self.clear(now, *part));
+            }
+        }
+        actions
+    }
+
     fn merge(&mut self, now: Millis, record: &QuarantineRecord) {
         match record {
             QuarantineRecord::CrashWithoutProgress {
