fix: a fleet that starts for the first time may retry at once

Cause: the rule for the first window of a process also bound the processes of a fleet that had never served. Change: a process whose first read of the store finds no coordinator's term, in a store that was never restored, has no predecessor and uses its whole share. Until VMs that start together know each other's keys the reserve is shared among the default number.

--- a/crates/gateway/src/front/budget.rs
+++ b/crates/gateway/src/front/budget.rs
@@ -21,6 +21,8 @@
 const FIRST_WINDOW_FRACTION: f64 = (1.0 - USED_FRACTION) / 2.0;
 /// Number of entry VMs assumed until the key of one of them is known.
 const DEFAULT_VM_COUNT: usize = 16;
+/// Time within which VMs that start together know each other's keys.
+const KEY_EXCHANGE_TIME: Millis = Millis(1_500);
 /// How long the number of known entry VMs must be lower before the reserve is shared among fewer
 /// VMs. Keys that expire while the store is unreachable are written and known again within about
 /// seven seconds, and their VMs serve meanwhile: 3.2 s to the next renewal, 1.5 s to the new key,
@@ -91,6 +93,8 @@
 pub struct RetryBudget {
     bounds: ServingBounds,
     started_at: Millis,
+    /// Whether no entry VM has served before.
+    is_first_start: bool,
     sharers: SharerCount,
     services: IndexMap<ServiceName, ServiceWindow>,
 }
@@ -102,11 +106,18 @@
         Self {
             bounds,
             started_at,
+            is_first_start: false,
             sharers: SharerCount::default(),
             services: IndexMap::new(),
         }
     }
 
+    /// Records that no entry VM has served before this process started, so that no earlier retries
+    /// count.
+    pub fn record_first_start(&mut self) {
+        self.is_first_start = true;
+    }
+
     /// Sets the bounds and the number of entry VMs whose keys are known.
     pub fn set_bounds(&mut self, bounds: ServingBounds, vms: usize) {
         self.bounds = bounds;
@@ -151,9 +162,13 @@
     /// Returns how many retries may be sent in a window with this number of requests.
     fn allowed_retries(&self, requests: usize, sharers: usize, process_age: Millis) -> f64 {
         let earned = requests as f64 * self.bounds.retry_ratio;
-        if process_age < self.bounds.retry_window {
+        if !self.is_first_start && process_age < self.bounds.retry_window {
             return earned * FIRST_WINDOW_FRACTION;
         }
+        let sharers = match process_age < KEY_EXCHANGE_TIME {
+            true => sharers.max(DEFAULT_VM_COUNT),
+            false => sharers,
+        };
         let reserve = self.bounds.retry_reserve / sharers as f64;
         (earned + reserve) * USED_FRACTION
     }
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -215,6 +215,9 @@
 ) -> bool {
     let mut budget = front.budget.borrow_mut();
     budget.set_bounds(front.shared.bounds(), vms);
+    if front.shared.is_first_start() {
+        budget.record_first_start();
+    }
     let is_granted = budget.try_take(now, &state.service);
     let usage = budget.usage(now, &state.service);
     let outcome = if is_granted { "granted" } else { "denied" };
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -69,6 +69,8 @@
     pub stopping: AtomicBool,
     /// What requests that other VMs forward to this process must carry.
     pub forward_secret: u64,
+    /// Whether entry VMs have not served before this process started.
+    is_first_start: AtomicBool,
     /// Whether a caller's request has arrived since the start.
     pub has_traffic: AtomicBool,
     /// When the stop signal arrived, in milliseconds. 0 means not yet.
@@ -119,6 +121,7 @@
             control_unanswered: Notify::new(),
             stopping: AtomicBool::new(false),
             forward_secret: rand::random(),
+            is_first_start: AtomicBool::new(false),
             has_traffic: AtomicBool::new(false),
             stop_started_at: AtomicU64::new(0),
             demand: ArcSwap::default(),
@@ -209,6 +212,16 @@
         *self.feed_role.lock()
     }
 
+    /// Records that no entry VM has served before this process started.
+    pub fn record_first_start(&self) {
+        self.is_first_start.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether no entry VM has served before this process started, as far as the store shows.
+    pub fn is_first_start(&self) -> bool {
+        self.is_first_start.load(Ordering::SeqCst)
+    }
+
     /// Records the number of listed entry VMs.
     pub fn record_list(&self, vms: usize) {
         self.listed_vms.send_replace(Some(vms));
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -17,7 +17,7 @@
 use super::peers::FeedError;
 use super::{STORE_NAME, StoreSync};
 use crate::evacuations::{EvacuationEvent, has_valid_name};
-use crate::own_keys::{ENTRY_PREFIX, QUARANTINE_PREFIX};
+use crate::own_keys::{ENTRY_PREFIX, QUARANTINE_PREFIX, TERM_KEY};
 
 /// How long to wait for peers that have just started to read the store. A peer takes about a second
 /// to read 3,000 upstreams.
@@ -140,6 +140,7 @@
         self.set_source(STORE_NAME);
         let is_restored =
             self.known.is_unread_restore(range.revision) || self.is_first_read(&range);
+        self.check_first_start(&range);
         self.replace_all(range.items, range.revision, started_at, STORE_NAME);
         if is_restored {
             self.lost_key_search = Some(LostKeySearch::new(started_at));
@@ -158,6 +159,16 @@
             && range.revision.generation > StoreGeneration::default()
     }
 
+    /// Records if the first read shows that there was no coordinator yet, so that no VM has served.
+    fn check_first_start(&self, range: &StoreRange) {
+        let is_first_read = self.known.read_generation.is_none();
+        let is_unrestored = range.revision.generation == StoreGeneration::default();
+        let has_term = range.items.iter().any(|item| item.key == TERM_KEY);
+        if is_first_read && is_unrestored && !has_term {
+            self.shared.record_first_start();
+        }
+    }
+
     /// Reads the keys with a prefix. `call` is the name of the call in log and metrics. Returns
     /// `None` if the call failed.
     async fn range(&mut self, prefix: &str, call: &str) -> Option<StoreRange> {
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -189,6 +189,51 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+struct StartCase {
+    name: &'static str,
+    is_first_start: bool,
+    /// Whether a process retries one of three requests.
+    retries: bool,
+}
+
+/// Guards against a fleet that cannot retry after its first start, and against one that retries too
+/// much while its VMs do not know each other.
+#[test]
+fn processes_retry_at_once_only_if_no_vm_has_served_before() {
+    const VMS: usize = 8;
+    let cases = [
+        StartCase {
+            name: "first start",
+            is_first_start: true,
+            retries: true,
+        },
+        StartCase {
+            name: "restart",
+            is_first_start: false,
+            retries: false,
+        },
+    ];
+    let service = ServiceName::new("s");
+    for case in cases {
+        let mut total = 0;
+        for _ in 0..VMS {
+            let mut budget = RetryBudget::new(BOUNDS, STARTED_AT);
+            if case.is_first_start {
+                budget.record_first_start();
+            }
+            budget.set_bounds(BOUNDS, 1);
+            let now = STARTED_AT + Millis(1_000);
+            (0..3).for_each(|_| budget.record_request(now, &service));
+            let taken = std::iter::from_fn(|| budget.try_take(now, &service).then_some(()));
+            let taken_count = taken.count();
+            assert_eq!(taken_count > 0, case.retries, "{}", case.name);
+            total += taken_count;
+        }
+        let bound = BOUNDS.retry_reserve + (3 * VMS) as f64 * BOUNDS.retry_ratio;
+        assert!(total as f64 <= bound, "{}: {total}", case.name);
+    }
+}
+
 #[test]
 fn a_refunded_retry_can_be_taken_only_once() {
     let service = ServiceName::new("s");
