--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -23,6 +23,9 @@
     pub outage: bool,
     /// The next answer breaks off after so many bytes of its body.
     pub die_after_bytes: Option<u64>,
+    /// Answers have neither a length nor chunks and end with their connections. One that breaks off
+    /// ends without a reset.
+    pub unframed: bool,
     /// So many of the next questions take effect, but their answers are lost.
     pub lose_answer: u64,
     /// So many of the next questions are refused as not run.
