refactor: split the quarantine state

Change: what concerns prompt parts, and the upkeep of the records in the store, are modules of their own.

--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -1,5 +1,8 @@
 //! State of one entry VM: the crashes it knows of, and what it does and reports about them.
 
+mod parts;
+mod upkeep;
+
 use bergamot_types::prelude::*;
 use indexmap::IndexSet;
 
@@ -11,13 +14,6 @@
 use crate::parts::{MAX_RUNS_PER_RECORD, PartRuns};
 use crate::record::QuarantineRecord;
 
-/// Maximum number of changes per store update, which is what one transaction of the store holds.
-const MAX_STORE_CHANGES: usize = 32;
-/// Delay between the last crash of a quarantined request and the record of its quarantine for VMs
-/// that start later. By then all VMs' observations of that crash have arrived, and they may blame
-/// another request for it.
-const RECORD_DELAY: Millis = Millis(1_000);
-
 /// An input of [`QuarantineState`].
 #[derive(Clone, Copy, Debug)]
 pub enum QuarantineEvent<'a> {
@@ -183,19 +179,6 @@
         self.ledger.open_crashes(print) > 0
     }
 
-    /// Returns the quarantined one among the prompt parts of a request, if any.
-    pub fn quarantined_part(&mut self, parts: &[RequestPrint]) -> Option<RequestPrint> {
-        let mut parts = parts.iter().copied();
-        parts.find(|part| self.standing(*part) == RequestStanding::Quarantined)
-    }
-
-    /// Whether one more crash would put one of these prompt parts into quarantine. A break must then
-    /// be resolved before a retry.
-    pub fn has_suspected_part(&self, parts: &[RequestPrint]) -> bool {
-        let mut parts = parts.iter();
-        parts.any(|part| self.ledger.open_crashes(*part) >= SUSPECT_CRASHES)
-    }
-
     /// Records that a quarantined request was rejected.
     pub fn record_rejection(&mut self, now: Millis, print: RequestPrint) {
         self.ledger.record_rejection(now, print);
@@ -246,36 +229,6 @@
         }
     }
 
-    /// Records the prompt parts of an interrupted request.
-    fn record_part_breaks(
-        &mut self,
-        now: Millis,
-        incarnation: &UpstreamIncarnation,
-        runs: PartRuns<'_>,
-        cause: BreakCause,
-    ) -> Vec<QuarantineAction> {
-        let mut struck_runs = Vec::new();
-        for print in runs.prints {
-            if !self.ledger.counts_against_part(*print, &runs) {
-                continue;
-            }
-            let run = BrokenRun {
-                print: *print,
-                events: runs.events,
-            };
-            if self
-                .crash_watch
-                .record_part_break(now, incarnation, run, cause)
-            {
-                struck_runs.push(run);
-            }
-        }
-        match struck_runs.is_empty() {
-            true => Vec::new(),
-            false => self.record_strikes(now, incarnation, &struck_runs),
-        }
-    }
-
     fn record_crash(
         &mut self,
         now: Millis,
@@ -363,17 +316,6 @@
         }
     }
 
-    /// Records that prompt parts are harmless, and clears them of all known crashes.
-    fn clear_parts(&mut self, now: Millis, parts: &[RequestPrint]) -> Vec<QuarantineAction> {
-        let mut actions = Vec::new();
-        for part in parts {
-            if self.ledger.record_part_answer(now, *part) {
-                actions.extend(self.clear(now, *part));
-            }
-        }
-        actions
-    }
-
     fn merge(&mut self, now: Millis, record: &QuarantineRecord) {
         match record {
             QuarantineRecord::CrashWithoutProgress {
@@ -410,49 +352,6 @@
             }
         }
     }
-
-    /// Renews the records of quarantined requests that came to this VM.
-    fn renew(&mut self, now: Millis, quarantined: &[QuarantinedRequest]) -> Vec<QuarantineAction> {
-        let renewals = quarantined
-            .iter()
-            .filter_map(|request| self.store_records.renew(now, request));
-        renewals
-            .take(MAX_STORE_CHANGES)
-            .map(QuarantineAction::Share)
-            .collect()
-    }
-
-    fn maintain_store(
-        &mut self,
-        now: Millis,
-        wall_clock: UnixMillis,
-        quarantined: Vec<QuarantinedRequest>,
-    ) -> Vec<QuarantineAction> {
-        let prints: IndexSet<RequestPrint> =
-            quarantined.iter().map(|request| request.print).collect();
-        let unrecorded = quarantined.into_iter().filter(|request| {
-            let is_settled = now.since(request.last_crash_at) >= RECORD_DELAY;
-            is_settled && !self.store_records.has_quarantine(request.print)
-        });
-        let mut actions: Vec<QuarantineAction> = unrecorded
-            .take(MAX_STORE_CHANGES)
-            .map(|request| {
-                QuarantineAction::Share(QuarantineRecord::Quarantined {
-                    print: request.print,
-                    incarnations: request.crashes,
-                    since: wall_clock,
-                })
-            })
-            .collect();
-        let is_quarantined = |print| prints.contains(&print);
-        let removable = self
-            .store_records
-            .removable_keys(now, is_quarantined, MAX_STORE_CHANGES);
-        if !removable.is_empty() {
-            actions.push(QuarantineAction::Remove(removable));
-        }
-        actions
-    }
 }
 
 /// A run whose progress is unknown, such as one that led to quarantine. It counts as having made
