--- a/crates/types/src/kind.rs
+++ b/crates/types/src/kind.rs
@@ -122,7 +122,7 @@
     /// An internal fault before the request was sent.
     Internal: "internal", 500, No, 1, "an internal fault";
     /// Upstreams crashed while they ran this request, so it is not sent to any other.
-    Quarantined: "request_quarantined", 503, No, 600, "upstreams ended while they ran this request, and it is not sent to another one for now";
+    Quarantined: "request_quarantined", 503, No, 600, "upstreams ended while they ran this request, or requests with a part of its prompt, and it is not sent to another one for now";
     /// No upstream takes requests at the moment.
     UpstreamsPaused: "upstreams_paused", 503, No, 1, "the upstreams take no more requests for a moment";
     /// All upstreams that could serve the request are in evacuated failure domains.
