test: requests before the traffic count as none in the bound on retries

Cause: the check of the bound left out the window before, and the one half a window before, where they begin before the traffic. The users count the requests of the window with the most of them; one that is partly before the traffic still has the others. Change: such windows are counted with the requests they have. 400 plays instead of 60 for each of the cases of 8 VMs, and the three seeds that showed it.

--- a/crates/gateway/tests/budget_model.rs
+++ b/crates/gateway/tests/budget_model.rs
@@ -135,15 +135,17 @@
 /// are those of the window, of the one before it or of the one half a window before it.
 fn worst_excess(counts: &Counts) -> f64 {
     let window = (BOUNDS.retry_window.0 / STEP_MS) as usize;
-    let sum = |values: &[u64], from: usize| -> f64 {
-        let values = values.iter().skip(from).take(window);
-        values.sum::<u64>() as f64
+    // A window may begin before the traffic.
+    let sum = |values: &[u64], from: i64| -> f64 {
+        let until = (from + window as i64).max(0) as usize;
+        let from = from.max(0) as usize;
+        values[from..until].iter().sum::<u64>() as f64
     };
     let starts = 0..counts.retries.len() - window;
     let excesses = starts.map(|start| {
-        let earlier = [0, window / 2, window].map(|steps| start.checked_sub(steps));
-        let requests = earlier.into_iter().flatten();
-        let requests = requests.map(|from| sum(&counts.requests, from));
+        let start = start as i64;
+        let earlier = [0, window / 2, window].map(|steps| start - steps as i64);
+        let requests = earlier.into_iter().map(|from| sum(&counts.requests, from));
         let requests = requests.fold(0.0, f64::max);
         let bound = requests * BOUNDS.retry_ratio + BOUNDS.retry_reserve;
         sum(&counts.retries, start) - bound
@@ -159,12 +161,28 @@
         FleetCase {
             vms: 8,
             rate: 20.0,
-            seeds: 0..60,
+            seeds: 0..400,
         },
         FleetCase {
             vms: 8,
             rate: 1.0,
-            seeds: 100..160,
+            seeds: 100..500,
+        },
+        // Traffic falls within the first windows.
+        FleetCase {
+            vms: 8,
+            rate: 20.0,
+            seeds: 1_573..1_574,
+        },
+        FleetCase {
+            vms: 8,
+            rate: 20.0,
+            seeds: 1_818..1_819,
+        },
+        FleetCase {
+            vms: 8,
+            rate: 20.0,
+            seeds: 3_536..3_537,
         },
         FleetCase {
             vms: 195,
