fix: a VM that starts beside others may retry its first requests

Cause: in its first window a process used a tenth of the ratio alone, so its first retry came after fifty requests. Change: a tenth of the reserve's share too. A process that knows only its own key shares it among the default number of VMs. Two starts of every VM in a window stay within what running VMs leave; more do where the ratio's part is larger than the reserve's, and by rounding.

--- a/crates/gateway/src/front/budget.rs
+++ b/crates/gateway/src/front/budget.rs
@@ -3,8 +3,8 @@
 //! equal share of the reserve.
 //!
 //! A process that starts does not know the retries of its predecessor on the VM, which count towards
-//! the bound for a whole window. Until then it uses a small part of the ratio and no reserve, so
-//! that the sum holds however often processes restart.
+//! the bound for a whole window. Until then it uses a small part of the ratio and of its share of the
+//! reserve, so that the sum holds although processes restart.
 
 use std::collections::VecDeque;
 
@@ -16,8 +16,9 @@
 /// The fraction of the bound that is used. Leaves room for windows that begin at a different moment
 /// on this VM.
 const USED_FRACTION: f64 = 0.8;
-/// The fraction of the ratio that a process uses in its first window. It comes in addition to what
-/// its predecessor may have used.
+/// The fraction of the bound that a process uses in its first window. It comes in addition to what
+/// its predecessor may have used. The part of the reserve leaves room for two starts of every VM in
+/// a window.
 const FIRST_WINDOW_FRACTION: f64 = (1.0 - USED_FRACTION) / 2.0;
 /// Number of entry VMs assumed until the key of one of them is known.
 const DEFAULT_VM_COUNT: usize = 16;
@@ -161,16 +162,27 @@
 
     /// Returns how many retries may be sent in a window with this number of requests.
     fn allowed_retries(&self, requests: usize, sharers: usize, process_age: Millis) -> f64 {
-        let earned = requests as f64 * self.bounds.retry_ratio;
-        if !self.is_first_start && process_age < self.bounds.retry_window {
-            return earned * FIRST_WINDOW_FRACTION;
-        }
-        let sharers = match process_age < KEY_EXCHANGE_TIME {
+        let has_predecessor = !self.is_first_start && process_age < self.bounds.retry_window;
+        let fraction = match has_predecessor {
+            true => FIRST_WINDOW_FRACTION,
+            false => USED_FRACTION,
+        };
+        let sharers = match self.may_lack_keys(process_age) {
             true => sharers.max(DEFAULT_VM_COUNT),
             false => sharers,
         };
+        let earned = requests as f64 * self.bounds.retry_ratio;
         let reserve = self.bounds.retry_reserve / sharers as f64;
-        (earned + reserve) * USED_FRACTION
+        (earned + reserve) * fraction
+    }
+
+    /// Whether this process may not know the keys of VMs that serve. VMs that start together learn of
+    /// each other's keys; one that starts later finds the keys of the others.
+    fn may_lack_keys(&self, process_age: Millis) -> bool {
+        match self.is_first_start {
+            true => process_age < KEY_EXCHANGE_TIME,
+            false => process_age < self.bounds.retry_window && self.sharers.known <= 1,
+        }
     }
 
     /// Returns a retry that was taken at `taken_at` to the budget, because it reached no upstream.
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -234,6 +234,49 @@
     }
 }
 
+struct JoinCase {
+    name: &'static str,
+    /// Number of VMs that the process knows of when it starts.
+    known_vms: usize,
+    retries: usize,
+}
+
+/// Guards against a VM that starts beside others and cannot retry until it has served for a while.
+#[test]
+fn a_vm_that_starts_beside_others_may_retry_its_first_requests() {
+    let cases = [
+        JoinCase {
+            name: "one other VM",
+            known_vms: 2,
+            retries: 5,
+        },
+        JoinCase {
+            name: "seven other VMs",
+            known_vms: 8,
+            retries: 1,
+        },
+        JoinCase {
+            name: "more VMs than the reserve has retries for",
+            known_vms: 195,
+            retries: 0,
+        },
+        JoinCase {
+            name: "other VMs that are not known yet",
+            known_vms: 1,
+            retries: 0,
+        },
+    ];
+    let service = ServiceName::new("s");
+    for case in cases {
+        let mut budget = RetryBudget::new(BOUNDS, STARTED_AT);
+        budget.set_bounds(BOUNDS, case.known_vms);
+        let now = STARTED_AT + Millis(14);
+        budget.record_request(now, &service);
+        let taken = std::iter::from_fn(|| budget.try_take(now, &service).then_some(()));
+        assert_eq!(taken.count(), case.retries, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_refunded_retry_can_be_taken_only_once() {
     let service = ServiceName::new("s");
@@ -290,6 +333,12 @@
             kills: vec![kill(21_000, 0..4), kill(24_000, 2..6), kill(27_000, 4..8)],
             known_at_start: 8,
         },
+        RestartCase {
+            name: "all processes restart twice, in a fleet with little traffic",
+            request_period_ms: 1_000,
+            kills: vec![kill(21_000, 0..8), kill(25_000, 0..8)],
+            known_at_start: 8,
+        },
         RestartCase {
             name: "processes restart in turn",
             request_period_ms: 50,
