--- a/crates/gateway/src/front/budget.rs
+++ b/crates/gateway/src/front/budget.rs
@@ -162,26 +162,23 @@
 
     /// Returns how many retries may be sent in a window with this number of requests.
     fn allowed_retries(&self, requests: usize, sharers: usize, process_age: Millis) -> f64 {
-        let has_predecessor = !self.is_first_start && process_age < self.bounds.retry_window;
-        let fraction = match has_predecessor {
-            true => FIRST_WINDOW_FRACTION,
-            false => USED_FRACTION,
-        };
-        let sharers = match self.may_lack_keys(process_age) {
+        let earned = requests as f64 * self.bounds.retry_ratio;
+        if process_age < self.bounds.retry_window && !self.is_first_start {
+            return (earned + self.reserve_of_known(sharers)) * FIRST_WINDOW_FRACTION;
+        }
+        let sharers = match process_age < KEY_EXCHANGE_TIME {
             true => sharers.max(DEFAULT_VM_COUNT),
             false => sharers,
         };
-        let earned = requests as f64 * self.bounds.retry_ratio;
-        let reserve = self.bounds.retry_reserve / sharers as f64;
-        (earned + reserve) * fraction
+        (earned + self.bounds.retry_reserve / sharers as f64) * USED_FRACTION
     }
 
-    /// Whether this process may not know the keys of VMs that serve. VMs that start together learn of
-    /// each other's keys; one that starts later finds the keys of the others.
-    fn may_lack_keys(&self, process_age: Millis) -> bool {
-        match self.is_first_start {
-            true => process_age < KEY_EXCHANGE_TIME,
-            false => process_age < self.bounds.retry_window && self.sharers.known <= 1,
+    /// Returns this VM's share of the reserve, or nothing as long as the VM knows only its own key and
+    /// so cannot tell how many VMs serve.
+    fn reserve_of_known(&self, sharers: usize) -> f64 {
+        match self.sharers.known > 1 {
+            true => self.bounds.retry_reserve / sharers as f64,
+            false => 0.0,
         }
     }
 
--- a/crates/gateway/tests/budget_model.rs
+++ b/crates/gateway/tests/budget_model.rs
@@ -46,6 +46,16 @@
     knows_all_at: Millis,
 }
 
+impl ModelVm {
+    /// Returns the number of VMs whose keys are known. A process that starts learns of them one after
+    /// the other.
+    fn known_vms(&self, now: Millis, vms: usize) -> usize {
+        let learning_time = self.knows_all_at.since(self.up_at).0.max(1);
+        let elapsed = now.since(self.up_at).0.min(learning_time);
+        1 + (vms - 1) * elapsed as usize / learning_time as usize
+    }
+}
+
 /// What changes at random moments: how many requests come, how many fail, and who restarts.
 struct Disturbances {
     traffic_factor: f64,
@@ -111,8 +121,7 @@
             if now < vm.up_at {
                 continue;
             }
-            let known = if now < vm.knows_all_at { 1 } else { case.vms };
-            vm.budget.set_bounds(BOUNDS, known);
+            vm.budget.set_bounds(BOUNDS, vm.known_vms(now, case.vms));
             for _ in 0..arrivals {
                 vm.budget.record_request(now, &service);
                 let mut left = MAX_RETRIES;
