--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -241,30 +241,22 @@
     retries: usize,
 }
 
+const fn join(name: &'static str, known_vms: usize, retries: usize) -> JoinCase {
+    JoinCase {
+        name,
+        known_vms,
+        retries,
+    }
+}
+
 /// Guards against a VM that starts beside others and cannot retry until it has served for a while.
 #[test]
 fn a_vm_that_starts_beside_others_may_retry_its_first_requests() {
     let cases = [
-        JoinCase {
-            name: "one other VM",
-            known_vms: 2,
-            retries: 5,
-        },
-        JoinCase {
-            name: "seven other VMs",
-            known_vms: 8,
-            retries: 1,
-        },
-        JoinCase {
-            name: "more VMs than the reserve has retries for",
-            known_vms: 195,
-            retries: 0,
-        },
-        JoinCase {
-            name: "other VMs that are not known yet",
-            known_vms: 1,
-            retries: 0,
-        },
+        join("one other VM", 2, 5),
+        join("seven other VMs", 8, 1),
+        join("more VMs than the reserve has retries for", 195, 0),
+        join("other VMs that are not known yet", 1, 0),
     ];
     let service = ServiceName::new("s");
     for case in cases {
