review: a key that was taken away works for a moment after the store is back

A VM that reads store updates from a peer in several batches confirms the new configuration with the first one and authorizes by the old one until the last.

--- /dev/null
+++ b/review/harness/src/cases/mod.rs
@@ -0,0 +1,3 @@
+//! The cases.
+
+pub mod keys;
