--- a/review/harness/src/cases/mod.rs
+++ b/review/harness/src/cases/mod.rs
@@ -1,3 +1,4 @@
 //! The cases.
 
 pub mod keys;
+pub mod silence;
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -31,6 +31,7 @@
     let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
     let run = match case.as_str() {
         "keys" => cases::keys::run,
+        "silence" => cases::silence::run,
         _ => {
             eprintln!("no such case: {case}");
             return ExitCode::from(2);
