--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -32,6 +32,7 @@
     let run = match case.as_str() {
         "keys" => cases::keys::run,
         "silence" => cases::silence::run,
+        "stamp" => cases::stamp::run,
         _ => {
             eprintln!("no such case: {case}");
             return ExitCode::from(2);
