--- a/review/harness/src/cases/mod.rs
+++ b/review/harness/src/cases/mod.rs
@@ -2,4 +2,4 @@
 
 pub mod keys;
 pub mod silence;
-pub mod stamp;
+pub mod slots;
--- a/review/harness/src/cases/silence.rs
+++ b/review/harness/src/cases/silence.rs
@@ -26,7 +26,7 @@
         vms_per_zone: 2,
         servers_per_zone: 3,
         work: Duration::from_millis(20),
-        spoils_one_in: None,
+        slots: 6,
         pause: match has_trouble {
             true => SILENCE,
             false => USUAL_PAUSE,
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -32,7 +32,7 @@
     let run = match case.as_str() {
         "keys" => cases::keys::run,
         "silence" => cases::silence::run,
-        "stamp" => cases::stamp::run,
+        "slots" => cases::slots::run,
         _ => {
             eprintln!("no such case: {case}");
             return ExitCode::from(2);
