feat: log lines and counters of answers given up at silent upstreams

Cause: stream_ended outcome=upstream_lost and attempt_failed did not say whether the VM or the upstream had ended the attempt, nor after how long a silence, so that the three hypotheses of the incident could not be told apart from a log. Change: answer_given_up with stage, silence, tolerated time and requests in flight; upstream_recovered; counters of both; stream_not_resumed also for routes that may not be resumed. Limits and decisions stay as they were.

--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -12,7 +12,9 @@
 use super::breaks::{CallerLeftGuard, RunProgress, record_break, record_no_listener};
 use super::partition::observe;
 use super::plan::{PlannedSend, refund_retry, uncrashed_runs};
-use super::quiet::{STALL_CHECK_PERIOD, check_stall, report_stall};
+use super::quiet::{
+    AnswerStage, STALL_CHECK_PERIOD, check_stall, record_given_up, record_received, report_stall,
+};
 use super::state::CallState;
 
 /// Time between two checks of the deadline of a request to a plain service. A single timer would
@@ -173,6 +175,7 @@
             return Err("no answer head arrived before the deadline".to_owned());
         }
         if is_engine && check_stall(front, upstream, request.call.model.as_ref(), dispatched) {
+            record_given_up(front, request, upstream, dispatched, AnswerStage::Head);
             return Err("the upstream is stalled".to_owned());
         }
         if state.route.is_retryable() && front.monitor.borrow().partition.is_silent() {
@@ -190,10 +193,10 @@
 ) {
     let now = front.now();
     let is_engine = upstream.group.is_some();
-    let mut monitor = front.monitor.borrow_mut();
     match outcome {
-        Ok(_) => monitor.record_progress(&upstream.incarnation, now),
+        Ok(_) => record_received(front, &upstream.incarnation),
         Err(error) => {
+            let mut monitor = front.monitor.borrow_mut();
             match error {
                 // The upstream is healthy; it advertises itself when it accepts requests again.
                 AttemptError::HeldBack | AttemptError::BackingOff(_) => return,
--- a/crates/gateway/src/front/quiet.rs
+++ b/crates/gateway/src/front/quiet.rs
@@ -7,12 +7,72 @@
 use bergamot_types::prelude::*;
 
 use super::FrontContext;
+use super::attempt::SentRequest;
 use super::partition::observe;
 
 /// Time between two stall checks while a request waits at an engine. Short compared with the time
 /// within which a stalled leader is to be detected, which is a few passes of a fast engine.
 pub const STALL_CHECK_PERIOD: Millis = Millis(40);
 
+/// How far an answer had come when its upstream stalled.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum AnswerStage {
+    /// Its head is due.
+    Head,
+    /// Its first event is due.
+    FirstEvent,
+    /// Its next event is due.
+    NextEvent,
+}
+
+impl AnswerStage {
+    /// Returns the stage's name in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Head => "head",
+            Self::FirstEvent => "first_event",
+            Self::NextEvent => "next_event",
+        }
+    }
+}
+
+/// Records data from an upstream. Counts it if answers there were given up while it was silent.
+pub fn record_received<Dialect>(front: &FrontContext<Dialect>, incarnation: &UpstreamIncarnation) {
+    let mut monitor = front.monitor.borrow_mut();
+    if monitor.record_progress(incarnation, front.now()) {
+        front.shared.metrics.stall_recoveries.inc();
+        log::info!("event=upstream_recovered upstream={incarnation}");
+    }
+}
+
+/// Records that an answer is given up because nothing is received from its upstream.
+pub fn record_given_up<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    upstream: &RouteUpstream,
+    dispatched: DispatchedRequest,
+    stage: AnswerStage,
+) {
+    let now = front.now();
+    let mut monitor = front.monitor.borrow_mut();
+    monitor.record_given_up(&upstream.incarnation);
+    let inactivity = monitor.leader_inactivity(upstream, dispatched, now);
+    let model = request.call.model.as_ref();
+    log::info!(
+        "event=answer_given_up request={} upstream={} stage={} silence={} timeout={} waited={} in_flight={} last_attempt={}",
+        request.call.id,
+        upstream.incarnation,
+        stage.as_str(),
+        inactivity.duration,
+        monitor.latencies.stall_timeout(model, inactivity),
+        inactivity.waited,
+        monitor.load(&upstream.incarnation).in_flight,
+        dispatched.is_last,
+    );
+    let given_up = &front.shared.metrics.answers_given_up;
+    given_up.with_label_values(&[stage.as_str()]).inc();
+}
+
 /// Whether a request for this model must continue at another upstream because its own is stalled.
 /// Informs the coordinator of a suspected stall, and the other VMs of stalled streams.
 pub fn check_stall<Dialect>(
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -20,7 +20,9 @@
 use super::open::open;
 use super::partition::observe;
 use super::plan::plan;
-use super::quiet::{STALL_CHECK_PERIOD, check_stall};
+use super::quiet::{
+    AnswerStage, STALL_CHECK_PERIOD, check_stall, record_given_up, record_received,
+};
 use super::state::CallState;
 use peer::PeerResume;
 
@@ -252,6 +254,7 @@
             };
             match frame {
                 Err(_) if self.is_stalled(reply) => {
+                    self.record_given_up(reply);
                     let reason = "the upstream is stalled".to_owned();
                     return NextEvent::Broken(BreakCause::Stalled, reason);
                 }
@@ -262,10 +265,7 @@
                 Ok(None) => return NextEvent::End,
                 Ok(Some(Err(error))) => return broken(&error.to_string()),
                 Ok(Some(Ok(frame))) => {
-                    let now = self.front.now();
-                    let mut monitor = self.front.monitor.borrow_mut();
-                    monitor.record_progress(&reply.upstream.incarnation, now);
-                    drop(monitor);
+                    record_received(&self.front, &reply.upstream.incarnation);
                     let opened_at = reply.connection.opened_at;
                     observe(&self.front, PartitionEvent::Received { opened_at });
                     if let Some(data) = frame.data_ref() {
@@ -283,6 +283,15 @@
         check_stall(&self.front, &reply.upstream, model, reply.run)
     }
 
+    fn record_given_up(&self, reply: &OpenReply) {
+        let stage = match self.upstream_events {
+            0 => AnswerStage::FirstEvent,
+            _ => AnswerStage::NextEvent,
+        };
+        let (front, request) = (&self.front, &self.request);
+        record_given_up(front, request, &reply.upstream, reply.run, stage);
+    }
+
     /// Resumes the stream at another upstream, unless the caller disconnects first. The error is
     /// the outcome of the stream.
     async fn resume_for_caller(&mut self) -> Result<EventSource, &'static str> {
@@ -298,6 +307,10 @@
     /// Resumes the stream at another upstream, whether or not the caller is connected.
     async fn resume(&mut self) -> Option<EventSource> {
         if !self.state.route.is_resumable {
+            log::info!(
+                "event=stream_not_resumed request={} kind=not_resumable",
+                self.request.call.id
+            );
             return None;
         }
         loop {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,6 +45,10 @@
     pub orders: IntCounterVec,
     /// Crashes of upstreams that were running requests from this VM, by evidence.
     pub upstream_ends: IntCounterVec,
+    /// Answers given up because nothing was received from their upstream, by what was due.
+    pub answers_given_up: IntCounterVec,
+    /// Upstreams from which data arrived after answers there had been given up.
+    pub stall_recoveries: IntCounter,
     /// Requests for permits to send to upstreams that advertise a limit, by outcome.
     pub permits: IntCounterVec,
     /// Requests for permits to send to cold upstreams, by outcome.
@@ -165,6 +169,15 @@
                 "Upstreams that ended while requests from here ran there, by the evidence",
                 &["evidence"],
             ),
+            answers_given_up: counter(
+                "bergamot_answers_given_up_total",
+                "Answers given up because nothing was received from their upstream, by what was due",
+                &["stage"],
+            ),
+            stall_recoveries: plain_counter(
+                "bergamot_stall_recoveries_total",
+                "Upstreams that sent data after answers there had been given up",
+            ),
             permits: counter(
                 "bergamot_permits_total",
                 "Permits asked for to send to upstreams that advertise a limit, by outcome",
--- a/crates/routing/src/latency.rs
+++ b/crates/routing/src/latency.rs
@@ -180,19 +180,40 @@
         }
     }
 
+    /// Returns the inactivity after which a leader counts as stalled.
+    pub fn stall_timeout(&self, inactivity: LeaderInactivity) -> Millis {
+        let LeaderInactivity {
+            sent,
+            has_begun,
+            has_queue,
+            ..
+        } = inactivity;
+        match (has_begun, sent.is_last) {
+            (true, true) => MAX_STALL,
+            (true, false) => self.scaled_gap(RESUME_FACTOR),
+            (false, is_last) if is_last || has_queue => QUEUE_TIMEOUT,
+            (false, _) => {
+                let first_event_timeout = sent.expected_first_event + self.limits.first_event_delay;
+                first_event_timeout.min(QUEUE_TIMEOUT)
+            }
+        }
+    }
+
+    /// Returns a multiple of the suspicion timeout for gaps, within the longest inactivity.
+    fn scaled_gap(&self, factor: f64) -> Millis {
+        let timeout = self.limits.timeouts.gap;
+        Millis((timeout.0 as f64 * factor) as u64).min(MAX_STALL)
+    }
+
     /// Judges the inactivity of a leader from which a stream has begun.
     fn judge_gap(&self, inactivity: LeaderInactivity) -> StallVerdict {
         let timeout = self.limits.timeouts.gap;
-        let scaled = |factor: f64| Millis((timeout.0 as f64 * factor) as u64).min(MAX_STALL);
-        let max_gap = match inactivity.sent.is_last {
-            true => MAX_STALL,
-            false => scaled(RESUME_FACTOR),
-        };
+        let max_gap = self.stall_timeout(inactivity);
         match inactivity.duration {
             // A request that was sent to an already inactive leader first allows it the time for an
             // answer.
             duration if duration >= max_gap && inactivity.waited >= timeout => StallVerdict::Still,
-            duration if duration >= scaled(LIKELY_STALL_FACTOR) => StallVerdict::Stalled,
+            duration if duration >= self.scaled_gap(LIKELY_STALL_FACTOR) => StallVerdict::Stalled,
             duration if duration >= timeout => StallVerdict::Suspected,
             _ => StallVerdict::Sound,
         }
@@ -200,16 +221,15 @@
 
     /// Judges the inactivity of a leader from which only first events are due.
     fn judge_first_event(&self, inactivity: LeaderInactivity) -> StallVerdict {
+        let timeout = self.stall_timeout(inactivity);
         if inactivity.sent.is_last || inactivity.has_queue {
             return match inactivity.duration {
-                duration if duration >= QUEUE_TIMEOUT => StallVerdict::Still,
+                duration if duration >= timeout => StallVerdict::Still,
                 duration if duration >= MAX_STALL => StallVerdict::Suspected,
                 _ => StallVerdict::Sound,
             };
         }
-        let first_event_timeout =
-            inactivity.sent.expected_first_event + self.limits.first_event_delay;
-        let is_late = inactivity.duration >= first_event_timeout.min(QUEUE_TIMEOUT);
+        let is_late = inactivity.duration >= timeout;
         let is_reported_stalled =
             inactivity.is_stalled && inactivity.waited >= MIN_REPORTED_STALL_WAIT;
         match is_late || is_reported_stalled {
@@ -287,6 +307,15 @@
         }
     }
 
+    /// Returns the inactivity after which a leader of this model counts as stalled.
+    pub fn stall_timeout(&self, model: Option<&ModelName>, inactivity: LeaderInactivity) -> Millis {
+        let latency = model.and_then(|model| self.latencies.get(model));
+        match latency {
+            Some(latency) => latency.stall_timeout(inactivity),
+            None => ModelLatency::default().stall_timeout(inactivity),
+        }
+    }
+
     /// Returns the inactivity after which a leader of this model is avoided.
     pub fn suspicion_timeouts(&self, model: Option<&ModelName>) -> SuspicionTimeouts {
         let latency = model.and_then(|model| self.latencies.get(model));
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -68,6 +68,8 @@
     pub(crate) connecting_since: Option<Millis>,
     /// When the upstream was last suspected to be stalled.
     suspected_at: Option<Millis>,
+    /// Whether an answer was given up because the upstream was silent, and nothing arrived since.
+    is_given_up: bool,
     /// When a connection to the upstream last failed.
     connect_failed_at: Option<Millis>,
     /// Number of consecutive failures.
@@ -202,9 +204,15 @@
         self.begun_answers = self.begun_answers.saturating_sub(u32::from(has_begun));
     }
 
-    pub(crate) fn record_progress(&mut self, now: Millis) {
+    /// Returns whether this is the first data since an answer was given up.
+    pub(crate) fn record_progress(&mut self, now: Millis) -> bool {
         self.last_received_at = now;
         self.connect_failed_at = None;
+        std::mem::take(&mut self.is_given_up)
+    }
+
+    pub(crate) fn record_given_up(&mut self) {
+        self.is_given_up = true;
     }
 
     /// Whether data was received from the upstream within the time of a normal gap.
--- a/crates/routing/src/monitor.rs
+++ b/crates/routing/src/monitor.rs
@@ -136,9 +136,20 @@
         sent: DispatchedRequest,
         now: Millis,
     ) -> StallVerdict {
+        let inactivity = self.leader_inactivity(upstream, sent, now);
+        self.latencies.judge(model, inactivity)
+    }
+
+    /// Returns the inactivity of a leader, for a request that was sent to it.
+    pub fn leader_inactivity(
+        &self,
+        upstream: &RouteUpstream,
+        sent: DispatchedRequest,
+        now: Millis,
+    ) -> LeaderInactivity {
         let load = self.load(&upstream.incarnation);
         let total_load = self.total_load_at(&upstream.incarnation, now);
-        let inactivity = LeaderInactivity {
+        LeaderInactivity {
             duration: load.inactivity(now),
             waited: now.since(sent.sent_at),
             sent,
@@ -148,8 +159,7 @@
             is_stalled: self
                 .stalls
                 .is_stalled(now, leader_key(&upstream.incarnation)),
-        };
-        self.latencies.judge(model, inactivity)
+        }
     }
 
     /// Records that the answer to a request has begun.
@@ -196,12 +206,18 @@
         self.load_mut(incarnation).record_group_change();
     }
 
-    /// Records that data was received from an upstream.
-    pub fn record_progress(&mut self, incarnation: &UpstreamIncarnation, now: Millis) {
+    /// Records that data was received from an upstream. Returns whether answers there had been given
+    /// up since the last data.
+    pub fn record_progress(&mut self, incarnation: &UpstreamIncarnation, now: Millis) -> bool {
         if !self.stalls.is_empty() {
             self.stalls.clear(leader_key(incarnation));
         }
-        self.load_mut(incarnation).record_progress(now);
+        self.load_mut(incarnation).record_progress(now)
+    }
+
+    /// Records that an answer was given up because nothing was received from its upstream.
+    pub fn record_given_up(&mut self, incarnation: &UpstreamIncarnation) {
+        self.load_mut(incarnation).record_given_up();
     }
 
     /// Records the verdict on a leader, and returns who is to be informed. `witness` is the hash of
