--- a/crates/gateway/src/front/breaks.rs
+++ b/crates/gateway/src/front/breaks.rs
@@ -147,44 +147,48 @@
     must_probe
 }
 
-/// Records, when dropped, that the caller of a request disconnected before any event arrived from
-/// the upstream. [`Self::finish`] disarms it.
-pub struct CallerLeftGuard<'a, Dialect> {
-    front: &'a FrontContext<Dialect>,
-    request: &'a SentRequest,
-    incarnation: &'a UpstreamIncarnation,
-    sent_at: Millis,
+/// Records, when dropped, that the caller of a request disconnected. [`Self::finish`] disarms it.
+pub struct CallerLeftGuard<Dialect> {
+    front: Rc<FrontContext<Dialect>>,
+    request: Rc<SentRequest>,
+    incarnation: UpstreamIncarnation,
+    progress: RunProgress,
     is_finished: bool,
 }
 
-impl<'a, Dialect> CallerLeftGuard<'a, Dialect> {
+impl<Dialect> CallerLeftGuard<Dialect> {
     /// Watches a request that is sent at `sent_at`.
     pub fn new(
-        front: &'a FrontContext<Dialect>,
-        request: &'a SentRequest,
-        incarnation: &'a UpstreamIncarnation,
+        front: &Rc<FrontContext<Dialect>>,
+        request: &Rc<SentRequest>,
+        incarnation: &UpstreamIncarnation,
         sent_at: Millis,
     ) -> Self {
         Self {
-            front,
-            request,
-            incarnation,
-            sent_at,
+            front: Rc::clone(front),
+            request: Rc::clone(request),
+            incarnation: incarnation.clone(),
+            progress: RunProgress::begun(sent_at),
             is_finished: false,
         }
     }
 
+    /// Watches a request that has come so far.
+    pub fn at(mut self, progress: RunProgress) -> Self {
+        self.progress = progress;
+        self
+    }
+
     /// Disarms the guard: the attempt finished and its outcome is recorded elsewhere.
     pub fn finish(mut self) {
         self.is_finished = true;
     }
 }
 
-impl<Dialect> Drop for CallerLeftGuard<'_, Dialect> {
+impl<Dialect> Drop for CallerLeftGuard<Dialect> {
     fn drop(&mut self) {
         if !self.is_finished {
-            let progress = RunProgress::begun(self.sent_at);
-            record_caller_left(self.front, self.request, self.incarnation, progress);
+            record_caller_left(&self.front, &self.request, &self.incarnation, self.progress);
         }
     }
 }
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -18,8 +18,9 @@
 use super::breaks::{CallerLeftGuard, RunProgress, record_break, record_complete_answer};
 use super::deadline::{DeadlinePassed, with_deadline};
 use super::forward::send::{ForwardOutcome, forward, must_forward};
-use super::open::open;
-use super::plan::{PlannedSend, plan};
+use super::hedge::{HedgeEnd, HedgedRequest, log_failed_attempt};
+use super::open::record_opened;
+use super::plan::{PlannedSend, UpstreamScope, plan};
 use super::refusal::{CallRefusal, log_refusal, promises_not_run, refuse};
 use super::relay::{EventSource, relay_events};
 use super::residency::record_bound_demand;
@@ -68,7 +69,7 @@
         Ok(body) => body,
         Err(kind) => return log_refusal(&front, &id, Some(&state), kind.into()),
     };
-    let request = SentRequest::new(head, body, call, caller);
+    let request = Rc::new(SentRequest::new(head, body, call, caller));
     front
         .budget
         .borrow_mut()
@@ -88,18 +89,22 @@
 /// this VM reaches none, other VMs send it.
 pub async fn serve<Dialect>(
     front: Rc<FrontContext<Dialect>>,
-    request: SentRequest,
+    request: Rc<SentRequest>,
     mut state: CallState,
 ) -> CallerAnswer
 where
     Dialect: CallerDialect + 'static,
 {
     let mut upstream_failure: Option<CallerAnswer> = None;
+    let mut forwarded = None;
     loop {
         let resume_after = request.call.resume_after;
-        let outcome = match must_forward(&front, &state) {
-            true => forward(&front, &request, &mut state, resume_after).await,
-            false => ForwardOutcome::NotForwarded,
+        let outcome = match forwarded.take() {
+            Some(outcome) => outcome,
+            None if must_forward(&front, &state) => {
+                forward(&front, &request, &mut state, resume_after).await
+            }
+            None => ForwardOutcome::NotForwarded,
         };
         match outcome {
             ForwardOutcome::Opened(reply) => {
@@ -121,15 +126,17 @@
             }
             ForwardOutcome::NotForwarded => {}
         }
-        let planned = plan(&front, &request, &mut state).await;
+        let planned = plan(&front, &request, &mut state, UpstreamScope::All).await;
         let planned = match planned {
             Ok(planned) => planned,
             Err(refusal) => {
                 return refuse_or_fail(&front, &request, &state, refusal, upstream_failure);
             }
         };
-        let outcome = attempt_once(&front, &request, &mut state, &planned).await;
+        let upstream = planned.upstream.clone();
+        let outcome = attempt_once(&front, &request, &mut state, planned).await;
         match outcome {
+            AttemptOutcome::Forwarded(outcome) => forwarded = Some(outcome),
             AttemptOutcome::Opened(reply) => {
                 return relay_events(front, request, state, EventSource::Upstream(reply)).await;
             }
@@ -137,7 +144,7 @@
             AttemptOutcome::ErrorAnswer(answer) if !state.route.is_retryable() => return answer,
             AttemptOutcome::ErrorAnswer(answer) => upstream_failure = Some(answer),
             AttemptOutcome::Failed(error) => {
-                log_failed_attempt(&front, &request, &state, &planned, &error);
+                log_failed_attempt(&front, &request, &state, &upstream, &error);
                 let may_retry = state.route.is_retryable() || !state.may_have_run();
                 if !may_retry {
                     let kind = lost_kind(&front, &state);
@@ -148,26 +155,6 @@
     }
 }
 
-fn log_failed_attempt<Dialect>(
-    front: &FrontContext<Dialect>,
-    request: &SentRequest,
-    state: &CallState,
-    planned: &PlannedSend,
-    error: &AttemptError,
-) {
-    log::info!(
-        "event=attempt_failed request={} print={} parts={} route={} upstream={} attempt={} outcome={} reason=\"{error}\" waited={}",
-        request.call.id,
-        request.print(),
-        request.part_list(),
-        state.route.name,
-        planned.upstream.incarnation,
-        state.sends(),
-        error.as_str(),
-        front.now().since(state.arrived),
-    );
-}
-
 /// Returns the upstream's failure, which is more specific than a rejection by this VM, or rejects
 /// the request.
 fn refuse_or_fail<Dialect>(
@@ -200,35 +187,51 @@
     Answered(CallerAnswer),
     /// The upstream's complete answer with a 5xx status.
     ErrorAnswer(CallerAnswer),
+    /// Another entry VM took the request meanwhile.
+    Forwarded(ForwardOutcome),
     /// The attempt failed without an answer.
     Failed(AttemptError),
 }
 
+/// Sends a request, and to further upstreams while the first is silent, up to the head of an answer.
 async fn attempt_once<Dialect>(
     front: &Rc<FrontContext<Dialect>>,
-    request: &SentRequest,
+    request: &Rc<SentRequest>,
     state: &mut CallState,
-    planned: &PlannedSend,
+    planned: PlannedSend,
 ) -> AttemptOutcome
 where
     Dialect: CallerDialect + 'static,
 {
-    match open(front, request, state, planned, request.call.resume_after).await {
-        Ok(reply) => {
+    let mut hedged = HedgedRequest {
+        front,
+        request,
+        resume_after: request.call.resume_after,
+        state,
+    };
+    let attempt = hedged.send(planned, |reply| reply);
+    match hedged.first_output(attempt, |reply| reply).await {
+        HedgeEnd::Won { output: reply, .. } => {
+            record_opened(front, &reply);
             let is_stream = state.route.kind == RouteKind::Streaming;
             if is_stream && reply.head.status.is_success() {
                 return AttemptOutcome::Opened(Box::new(reply));
             }
             read_whole_answer(front, request, state, reply).await
         }
-        Err(error) => AttemptOutcome::Failed(error),
+        HedgeEnd::Forwarded(outcome) => AttemptOutcome::Forwarded(outcome),
+        HedgeEnd::Failed(error) => AttemptOutcome::Failed(error),
+        HedgeEnd::DeadlinePassed => {
+            let reason = "no answer head arrived before the deadline";
+            AttemptOutcome::Failed(AttemptError::Broken(reason.to_owned()))
+        }
     }
 }
 
 /// Reads the body of an answer that is not a stream, and records the outcome.
 async fn read_whole_answer<Dialect>(
     front: &Rc<FrontContext<Dialect>>,
-    request: &SentRequest,
+    request: &Rc<SentRequest>,
     state: &CallState,
     reply: OpenReply,
 ) -> AttemptOutcome
--- a/crates/gateway/src/front/forward/send.rs
+++ b/crates/gateway/src/front/forward/send.rs
@@ -341,7 +341,7 @@
 }
 
 /// Records that a request may have run at an upstream that another VM sent it to.
-fn record_run(state: &mut CallState, vm: &VmId) {
+pub fn record_run(state: &mut CallState, vm: &VmId) {
     let unknown = UpstreamIncarnation::new(UpstreamId::new(&format!("by-{vm}")), None);
     state.tried.push(unknown.clone());
     state.possible_runs.push(unknown);
--- a/crates/gateway/src/front/forward/serve.rs
+++ b/crates/gateway/src/front/forward/serve.rs
@@ -108,7 +108,7 @@
         }
     };
     // The VM that forwards the request has counted it and its model's demand.
-    let request = SentRequest::new(head, body, call, caller);
+    let request = Rc::new(SentRequest::new(head, body, call, caller));
     (serve(front, request, state).await, Some(place))
 }
 
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -9,9 +9,12 @@
 //! | [`state`] | state of a request |
 //! | [`trace`] | logs requests that a shutdown leaves without a complete answer |
 //! | [`plan`] | the next upstream for a request |
+//! | [`retry`] | retries that the budget grants |
 //! | [`residency`] | the regions in which a request may be processed |
 //! | [`deadline`] | waiting with a deadline |
 //! | [`attempt`] | one attempt at one upstream |
+//! | [`open`] | the life of an attempt, and what its outcome shows of the upstream |
+//! | [`hedge`] | requests at silent upstreams, which are also sent to another one |
 //! | [`relay`] | event streams, which may resume at another upstream |
 //! | [`breaks`] | requests that broke at an upstream, and whether the upstream crashed |
 //! | [`ends`] | crashes that the directory shows |
@@ -45,6 +48,7 @@
 pub mod forward;
 pub mod gates;
 pub mod head_timer;
+pub mod hedge;
 pub mod limits;
 pub mod open;
 pub mod partition;
@@ -55,6 +59,7 @@
 pub mod refusal;
 pub mod relay;
 pub mod residency;
+pub mod retry;
 pub mod server;
 pub mod standing;
 pub mod state;
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -10,11 +10,13 @@
 use super::admit::authorize;
 use super::attempt::SentRequest;
 use super::permits::{PermitDenial, SendPermit, obtain_permit};
+use super::quiet::STALL_CHECK_PERIOD;
 use super::refusal::{
     CallRefusal, EVACUATED_SPREAD, MIN_RETURN_DELAY, RETURN_EVACUATED, RETURN_NO_UPSTREAM,
     RETURN_SPREAD, RETURN_STOPPING,
 };
 use super::residency::{allowed_domains, log_homes};
+use super::retry::{refund_retry, take_retry};
 use super::standing::check_standing;
 use super::state::CallState;
 use crate::view::{ClusterView, ServicePool};
@@ -23,6 +25,10 @@
 /// a later rejection the caller could not retry in time.
 pub const OBJECTIVE_WAIT_DIVISOR: u64 = 5;
 
+/// A request may wait for room at silent upstreams for the time to its deadline divided by this number.
+/// After a later rejection the caller could not be served elsewhere in time.
+const SILENCE_WAIT_DIVISOR: u64 = 2;
+
 /// How many sends may be refused before the request ran, in addition to the attempts that may have
 /// run. Each counts against the retry budget that all entry VMs share.
 pub const MAX_REFUSED_SENDS: usize = 2;
@@ -40,11 +46,22 @@
     pub permit: SendPermit,
 }
 
+/// Which upstreams a request may be sent to.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum UpstreamScope {
+    /// All, preferably those that are not avoided.
+    All,
+    /// Those that are not avoided. Others would hardly make progress before the upstream at which
+    /// the request is at work.
+    Sound,
+}
+
 /// Chooses the next upstream, waiting for one if needed. The error states why none was found.
 pub async fn plan<Dialect>(
     front: &FrontContext<Dialect>,
     request: &SentRequest,
     state: &mut CallState,
+    scope: UpstreamScope,
 ) -> Result<PlannedSend, CallRefusal> {
     let wait_until = state.arrived + Millis(state.route.objective.0 / OBJECTIVE_WAIT_DIVISOR);
     let mut changes = front.shared.view_changed.subscribe();
@@ -53,7 +70,7 @@
     loop {
         changes.mark_unchanged();
         let chosen_at = front.now();
-        let refusal = match plan_now(front, request, state, &left_out) {
+        let refusal = match plan_now(front, request, state, scope, &left_out) {
             Ok(upstream) => match obtain_permit(front, request, &upstream, asking_time).await {
                 Ok(permit) => return Ok(PlannedSend { upstream, permit }),
                 Err(denial) => {
@@ -75,13 +92,37 @@
             Err(refusal) => refusal,
         };
         let now = front.now();
-        let may_wait = refusal.kind == ErrorKind::NoUpstream && now < wait_until;
-        if !may_wait {
+        let timeout = match refusal.kind {
+            ErrorKind::NoUpstream => wait_until.since(now),
+            ErrorKind::Overloaded => silence_wait(front, request, state, now),
+            _ => Millis::ZERO,
+        };
+        if timeout == Millis::ZERO {
             log_homes(front, request, refusal.kind);
             return Err(refusal);
         }
-        let timeout = wait_until.since(now).as_duration();
-        let _ = tokio::time::timeout(timeout, changes.changed()).await;
+        let _ = tokio::time::timeout(timeout.as_duration(), changes.changed()).await;
+    }
+}
+
+/// Returns how long a request that finds no room waits until room is looked for again. Zero unless
+/// upstreams are full because they are silent, and while little time is left.
+fn silence_wait<Dialect>(
+    front: &FrontContext<Dialect>,
+    request: &SentRequest,
+    state: &CallState,
+    now: Millis,
+) -> Millis {
+    let view = front.shared.view.load();
+    let pool = view.pools.get(&state.service);
+    let upstreams = pool.and_then(|pool| pool.upstreams(request.call.model.as_ref()));
+    let monitor = front.monitor.borrow();
+    let is_silent = upstreams.is_some_and(|pool| monitor.are_mostly_silent(pool, now));
+    let total = state.deadline.since(state.arrived);
+    let wait_until = state.arrived + Millis(total.0 / SILENCE_WAIT_DIVISOR);
+    match is_silent {
+        true => wait_until.since(now).min(STALL_CHECK_PERIOD),
+        false => Millis::ZERO,
     }
 }
 
@@ -90,6 +131,7 @@
     front: &FrontContext<Dialect>,
     request: &SentRequest,
     state: &mut CallState,
+    scope: UpstreamScope,
     left_out: &[UpstreamIncarnation],
 ) -> Result<RouteUpstream, CallRefusal> {
     let now = front.now();
@@ -122,6 +164,7 @@
         allowed_domains,
         idle_connections: &front.pool.idle_targets(),
         has_begun_elsewhere: state.may_have_run(),
+        must_be_sound: scope == UpstreamScope::Sound,
         priority: request.priority,
         prompt_tokens: request.call.prompt_tokens(),
         objective: state.route.objective,
@@ -131,11 +174,13 @@
     let chosen = match monitor.choose(upstreams, &criteria, now) {
         UpstreamChoice::Chosen(chosen) => chosen,
         UpstreamChoice::Full => {
-            log::info!(
-                "event=no_room request={} in_flight_and_limits={}",
-                request.call.id,
-                monitor.describe(upstreams, now)
-            );
+            if silence_wait(front, request, state, now) == Millis::ZERO {
+                log::info!(
+                    "event=no_room request={} in_flight_and_limits={}",
+                    request.call.id,
+                    monitor.describe(upstreams, now)
+                );
+            }
             return Err(CallRefusal::retry_in(ErrorKind::Overloaded, full_delay()));
         }
         UpstreamChoice::Closed(Some(opens_at)) => {
@@ -157,6 +202,9 @@
             if state.tried.is_empty() {
                 return Err(no_upstream);
             }
+            if scope == UpstreamScope::Sound {
+                return Err(refusal);
+            }
             log_not_sent_on(request, state, runs, "no other upstream");
             return Err(refusal);
         }
@@ -204,57 +252,6 @@
     Ok(())
 }
 
-/// Takes a retry from the budget, which this VM shares with the others of `vms` known ones, and logs
-/// how much of it is used. Returns whether one was left.
-fn take_retry<Dialect>(
-    front: &FrontContext<Dialect>,
-    request: &SentRequest,
-    state: &CallState,
-    vms: usize,
-    now: Millis,
-) -> bool {
-    let mut budget = front.budget.borrow_mut();
-    budget.set_bounds(front.shared.bounds(), vms);
-    if front.shared.is_first_start() {
-        budget.record_first_start();
-    }
-    let is_granted = budget.try_take(now, &state.service);
-    let usage = budget.usage(now, &state.service);
-    let outcome = if is_granted { "granted" } else { "denied" };
-    count_retry(front, state, outcome);
-    front
-        .shared
-        .metrics
-        .set_state("retry_sharers", usage.sharers as i64);
-    log::info!(
-        "event=retry request={} service={} outcome={outcome} arrivals={} requests={} retries={} allowed={:.1} sharers={} process_age={}",
-        request.call.id,
-        state.service,
-        state.arrivals,
-        usage.requests,
-        usage.retries,
-        usage.allowed,
-        usage.sharers,
-        usage.process_age,
-    );
-    is_granted
-}
-
-fn count_retry<Dialect>(front: &FrontContext<Dialect>, state: &CallState, outcome: &str) {
-    let retries = &front.shared.metrics.retries;
-    let labels = [state.service.as_str(), outcome];
-    retries.with_label_values(&labels).inc();
-}
-
-/// Refunds a retry that was not sent or did not reach an upstream.
-pub fn refund_retry<Dialect>(front: &FrontContext<Dialect>, state: &mut CallState) {
-    if let Some(taken_at) = state.retry_taken_at.take() {
-        let mut budget = front.budget.borrow_mut();
-        budget.refund(taken_at, &state.service);
-        count_retry(front, state, "refunded");
-    }
-}
-
 /// Returns the rejection for a request that no upstream accepts at present. `opens_at` is when the
 /// first one accepts requests again, if known.
 fn upstreams_paused(opens_at: Option<Millis>, now: Millis) -> CallRefusal {
--- a/crates/gateway/src/front/quiet.rs
+++ b/crates/gateway/src/front/quiet.rs
@@ -73,15 +73,16 @@
     given_up.with_label_values(&[stage.as_str()]).inc();
 }
 
-/// Whether a request for this model must continue at another upstream because its own is stalled.
-/// Informs the coordinator of a suspected stall, and the other VMs of stalled streams.
+/// Whether the upstream of a request is stalled. Informs the coordinator of a suspected stall, and the
+/// other VMs of stalled streams.
 pub fn check_stall<Dialect>(
     front: &FrontContext<Dialect>,
+    request: &SentRequest,
     upstream: &RouteUpstream,
-    model: Option<&ModelName>,
     dispatched: DispatchedRequest,
 ) -> bool {
     let now = front.now();
+    let model = request.call.model.as_ref();
     let monitor = front.monitor.borrow();
     let verdict = monitor.judge_stall(upstream, model, dispatched, now);
     if verdict == StallVerdict::Sound {
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -1,30 +1,33 @@
 //! Forwards a stream of events, which may resume at another upstream.
+//!
+//! | module | contents |
+//! | --- | --- |
+//! | [`source`] | the events of one upstream's stream |
+//! | [`peer`] | the events that another entry VM receives |
+//! | [`resume`] | streams that go on at another upstream |
+//! | [`record`] | what a stream shows of its upstream |
 
 mod peer;
 mod record;
+mod resume;
+mod source;
 
 use std::rc::Rc;
 
 use bergamot_ports::CallerDialect;
 use bergamot_quarantine::BreakCause;
-use bergamot_routing::PartitionEvent;
 use bergamot_types::prelude::*;
-use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 
 use super::FrontContext;
 use super::answer::{AnswerChunk, BrokenAnswer, CallerAnswer, streamed_body};
-use super::attempt::{OpenReply, SentRequest};
-use super::events::{EventSplitter, StreamEvent};
+use super::attempt::{AttemptError, OpenReply, SentRequest};
+use super::events::StreamEvent;
 use super::forward::send::PeerReply;
-use super::open::open;
-use super::partition::observe;
-use super::plan::plan;
-use super::quiet::{
-    AnswerStage, STALL_CHECK_PERIOD, check_stall, record_given_up, record_received,
-};
+use super::quiet::{STALL_CHECK_PERIOD, check_stall};
 use super::state::CallState;
-use peer::PeerResume;
+use resume::SilenceEnd;
+use source::{SourceEvent, SourceProgress, UpstreamSource};
 
 /// Number of events buffered for a slow caller before back pressure reaches the upstream.
 const EVENT_BUFFER_SIZE: usize = 64;
@@ -44,6 +47,8 @@
 enum NextEvent {
     Event(StreamEvent),
     End,
+    /// None yet: the upstream is stalled, and the stream may go on at another one.
+    Silent,
     Broken(BreakCause, String),
     CallerLeft,
     DeadlinePassed,
@@ -55,12 +60,17 @@
     Final(&'static str),
     /// The source broke off, and the stream may resume at another one.
     Broken,
+    /// The stream goes on at another source.
+    Moved(EventSource),
 }
 
+/// The caller has disconnected.
+struct CallerGone;
+
 /// Forwards the events of an opened reply. Resumes at another upstream if the stream breaks.
 pub async fn relay_events<Dialect>(
     front: Rc<FrontContext<Dialect>>,
-    request: SentRequest,
+    request: Rc<SentRequest>,
     state: CallState,
     source: EventSource,
 ) -> CallerAnswer
@@ -116,7 +126,7 @@
 
 struct EventRelay<Dialect> {
     front: Rc<FrontContext<Dialect>>,
-    request: SentRequest,
+    request: Rc<SentRequest>,
     state: CallState,
     sender: mpsc::Sender<AnswerChunk>,
     last_event_id: Option<u64>,
@@ -143,6 +153,7 @@
             };
             match relayed {
                 RelayEnd::Final(outcome) => break outcome,
+                RelayEnd::Moved(next) => source = next,
                 RelayEnd::Broken => match self.resume_for_caller().await {
                     Ok(resumed) => source = resumed,
                     Err(outcome) => break outcome,
@@ -184,189 +195,97 @@
 
     /// Forwards the events of one upstream, and records how its stream ended.
     async fn relay_from_upstream(&mut self, reply: OpenReply) -> RelayEnd {
-        let mut reply = reply;
-        match self.relay_upstream(&mut reply).await {
-            NextEvent::End | NextEvent::Event(_) => {
-                self.record_finished(reply);
-                RelayEnd::Final("ok")
-            }
-            NextEvent::CallerLeft => {
-                self.record_caller_left(&reply);
-                RelayEnd::Final("caller_left")
-            }
-            NextEvent::DeadlinePassed => {
-                self.record_caller_left(&reply);
-                RelayEnd::Final("deadline_exceeded_after_send")
-            }
-            NextEvent::Broken(cause, reason) => {
-                self.record_broken(&reply, cause, &reason).await;
-                RelayEnd::Broken
-            }
-        }
-    }
-
-    /// Forwards the events of one upstream until its stream ends or breaks.
-    async fn relay_upstream(&mut self, reply: &mut OpenReply) -> NextEvent {
-        let mut splitter = EventSplitter::default();
+        let mut source = UpstreamSource::new(reply);
         self.upstream_events = 0;
         self.upstream_last_at = None;
         loop {
-            let event = match self.next_event(reply, &mut splitter).await {
-                NextEvent::Event(event) => event,
-                outcome => return outcome,
+            let event = match self.next_event(&mut source).await {
+                NextEvent::Event(event) => SourceEvent::Event(event),
+                NextEvent::End => SourceEvent::End,
+                NextEvent::Silent => match self.outwait_silence(source).await {
+                    SilenceEnd::Progress(progress) => {
+                        let SourceProgress {
+                            source: next,
+                            event,
+                        } = *progress;
+                        source = next;
+                        event
+                    }
+                    SilenceEnd::Peer(peer) => return RelayEnd::Moved(peer),
+                    SilenceEnd::Broken => return RelayEnd::Broken,
+                    SilenceEnd::CallerLeft => return RelayEnd::Final("caller_left"),
+                    SilenceEnd::DeadlinePassed => {
+                        return RelayEnd::Final("deadline_exceeded_after_send");
+                    }
+                },
+                NextEvent::CallerLeft => {
+                    self.record_caller_left(&source.reply);
+                    return RelayEnd::Final("caller_left");
+                }
+                NextEvent::DeadlinePassed => {
+                    self.record_caller_left(&source.reply);
+                    return RelayEnd::Final("deadline_exceeded_after_send");
+                }
+                NextEvent::Broken(cause, reason) => {
+                    self.record_broken(&source.reply, cause, &reason).await;
+                    return RelayEnd::Broken;
+                }
             };
-            // After a resumption the upstream may begin with events that the caller already has.
-            if event.id.is_some() && event.id <= self.last_event_id {
-                continue;
-            }
-            if self.upstream_events == 0 {
-                self.record_first_event(reply);
-            }
-            self.record_gap(reply);
-            self.update_metrics(reply);
-            self.last_event_id = event.id.or(self.last_event_id);
-            self.delivered_events += 1;
-            self.upstream_events += 1;
-            if self.sender.send(Ok(event.bytes)).await.is_err() {
-                return NextEvent::CallerLeft;
+            let SourceEvent::Event(event) = event else {
+                self.record_finished(source.reply);
+                return RelayEnd::Final("ok");
+            };
+            if self.deliver(&source.reply, event).await.is_err() {
+                self.record_caller_left(&source.reply);
+                return RelayEnd::Final("caller_left");
             }
         }
     }
 
-    async fn next_event(&self, reply: &mut OpenReply, splitter: &mut EventSplitter) -> NextEvent {
-        let broken = |reason: &str| NextEvent::Broken(BreakCause::Closed, reason.to_owned());
+    /// Sends an event to the caller. Fails if the caller has disconnected.
+    async fn deliver(&mut self, reply: &OpenReply, event: StreamEvent) -> Result<(), CallerGone> {
+        if self.upstream_events == 0 {
+            self.record_first_event(reply);
+        }
+        self.record_gap(reply);
+        self.update_metrics(reply);
+        self.last_event_id = event.id.or(self.last_event_id);
+        self.delivered_events += 1;
+        self.upstream_events += 1;
+        let sent = self.sender.send(Ok(event.bytes)).await;
+        sent.map_err(|_| CallerGone)
+    }
+
+    async fn next_event(&self, source: &mut UpstreamSource) -> NextEvent {
         loop {
-            if let Some(event) = splitter.next_event() {
-                return NextEvent::Event(event);
-            }
-            if splitter.is_overlong() {
-                return broken("an event exceeds the maximum length");
-            }
-            let now = self.front.now();
-            let time_left = self.state.deadline.since(now);
+            let time_left = self.state.deadline.since(self.front.now());
             if time_left == Millis::ZERO {
                 return NextEvent::DeadlinePassed;
             }
             let timeout = time_left.min(STALL_CHECK_PERIOD).as_duration();
-            let frame = tokio::select! {
-                frame = tokio::time::timeout(timeout, reply.body.frame()) => frame,
+            let event = source.next_event(&self.front, self.last_event_id);
+            let event = tokio::select! {
+                event = tokio::time::timeout(timeout, event) => event,
                 () = self.sender.closed() => return NextEvent::CallerLeft,
             };
-            match frame {
-                Err(_) if self.is_stalled(reply) => {
-                    self.record_given_up(reply);
-                    let reason = "the upstream is stalled".to_owned();
-                    return NextEvent::Broken(BreakCause::Stalled, reason);
+            match event {
+                // Nothing else can be done for a stream that may not be resumed than to wait.
+                Err(_) if self.is_stalled(&source.reply) && self.state.route.is_resumable => {
+                    return NextEvent::Silent;
                 }
                 Err(_) => {}
-                Ok(None) if splitter.has_partial() => {
-                    return broken("the stream ended within an event");
-                }
-                Ok(None) => return NextEvent::End,
-                Ok(Some(Err(error))) => return broken(&error.to_string()),
-                Ok(Some(Ok(frame))) => {
-                    record_received(&self.front, &reply.upstream.incarnation);
-                    let opened_at = reply.connection.opened_at;
-                    observe(&self.front, PartitionEvent::Received { opened_at });
-                    if let Some(data) = frame.data_ref() {
-                        reply.flight.mark_begun();
-                        splitter.push(data);
-                    }
+                Ok(Ok(SourceEvent::Event(event))) => return NextEvent::Event(event),
+                Ok(Ok(SourceEvent::End)) => return NextEvent::End,
+                Ok(Err(AttemptError::Broken(reason))) => {
+                    return NextEvent::Broken(BreakCause::Closed, reason);
                 }
+                Ok(Err(error)) => return NextEvent::Broken(BreakCause::Closed, error.to_string()),
             }
         }
     }
 
     /// Whether the upstream is stalled.
     fn is_stalled(&self, reply: &OpenReply) -> bool {
-        let model = self.request.call.model.as_ref();
-        check_stall(&self.front, &reply.upstream, model, reply.run)
-    }
-
-    fn record_given_up(&self, reply: &OpenReply) {
-        let stage = match self.upstream_events {
-            0 => AnswerStage::FirstEvent,
-            _ => AnswerStage::NextEvent,
-        };
-        let (front, request) = (&self.front, &self.request);
-        record_given_up(front, request, &reply.upstream, reply.run, stage);
-    }
-
-    /// Resumes the stream at another upstream, unless the caller disconnects first. The error is
-    /// the outcome of the stream.
-    async fn resume_for_caller(&mut self) -> Result<EventSource, &'static str> {
-        let caller = self.sender.clone();
-        tokio::select! {
-            // Checked first, so that nothing is sent for a caller that has disconnected.
-            biased;
-            () = caller.closed() => Err("caller_left"),
-            resumed = self.resume() => resumed.ok_or("upstream_lost"),
-        }
-    }
-
-    /// Resumes the stream at another upstream, whether or not the caller is connected.
-    async fn resume(&mut self) -> Option<EventSource> {
-        if !self.state.route.is_resumable {
-            log::info!(
-                "event=stream_not_resumed request={} kind=not_resumable",
-                self.request.call.id
-            );
-            return None;
-        }
-        loop {
-            match self.resume_at_peer().await {
-                PeerResume::Opened(reply) => return Some(EventSource::Peer(reply)),
-                PeerResume::Failed => return None,
-                PeerResume::TryAgain => continue,
-                PeerResume::NotForwarded => {}
-            }
-            let planned = match plan(&self.front, &self.request, &mut self.state).await {
-                Ok(planned) => planned,
-                Err(refusal) => {
-                    log::info!(
-                        "event=stream_not_resumed request={} kind={}",
-                        self.request.call.id,
-                        refusal.kind
-                    );
-                    return None;
-                }
-            };
-            let (front, request) = (&self.front, &self.request);
-            let opened = open(
-                front,
-                request,
-                &mut self.state,
-                &planned,
-                self.last_event_id,
-            )
-            .await;
-            let upstream = &planned.upstream;
-            match opened {
-                Ok(reply) if reply.head.status.is_success() => {
-                    log::info!(
-                        "event=stream_resumed request={} upstream={} after={}",
-                        self.request.call.id,
-                        upstream.incarnation,
-                        self.last_event_id.unwrap_or_default()
-                    );
-                    return Some(EventSource::Upstream(Box::new(reply)));
-                }
-                Ok(reply) => {
-                    self.upstream_events = 0;
-                    let reason = reply.head.status.as_str();
-                    self.record_broken(&reply, BreakCause::Closed, reason).await;
-                }
-                Err(error) => log::info!(
-                    "event=attempt_failed request={} print={} parts={} route={} upstream={} attempt={} outcome={} reason=\"{error}\"",
-                    self.request.call.id,
-                    self.request.print(),
-                    self.request.part_list(),
-                    self.state.route.name,
-                    upstream.incarnation,
-                    self.state.sends(),
-                    error.as_str(),
-                ),
-            }
-        }
+        check_stall(&self.front, &self.request, &reply.upstream, reply.run)
     }
 }
--- a/crates/gateway/src/front/relay/peer.rs
+++ b/crates/gateway/src/front/relay/peer.rs
@@ -47,6 +47,7 @@
                     reply.finish(&self.front);
                     return RelayEnd::Final("ok");
                 }
+                NextEvent::Silent => {}
                 NextEvent::CallerLeft => return RelayEnd::Final("caller_left"),
                 NextEvent::DeadlinePassed => {
                     return RelayEnd::Final("deadline_exceeded_after_send");
--- a/crates/gateway/src/front/relay/record.rs
+++ b/crates/gateway/src/front/relay/record.rs
@@ -2,7 +2,7 @@
 
 use bergamot_ports::CallerDialect;
 use bergamot_quarantine::BreakCause;
-use bergamot_routing::PartitionEvent;
+use bergamot_routing::{PartitionEvent, RouteUpstream};
 
 use super::super::attempt::OpenReply;
 use super::super::breaks::{RunProgress, record_break, record_caller_left, record_complete_answer};
@@ -109,24 +109,24 @@
             .monitor
             .borrow_mut()
             .record_failure(&reply.upstream.incarnation, now);
+        self.log_broken(&reply.upstream, reason);
+        let (request, upstream) = (&self.request, &reply.upstream);
+        let progress = self.progress(reply);
+        record_break(&self.front, request, upstream, progress, cause).await;
+    }
+
+    pub(super) fn log_broken(&self, upstream: &RouteUpstream, reason: &str) {
         log::info!(
             "event=stream_broken request={} print={} parts={} route={} upstream={} group={} events={} last_event={} reason={reason:?}",
             self.request.call.id,
             self.request.print(),
             self.request.part_list(),
             self.state.route.name,
-            reply.upstream.incarnation,
-            reply
-                .upstream
-                .group
-                .as_ref()
-                .map_or("-", |group| group.as_str()),
+            upstream.incarnation,
+            upstream.group.as_ref().map_or("-", |group| group.as_str()),
             self.delivered_events,
             self.last_event_id.unwrap_or_default(),
         );
-        let (request, upstream) = (&self.request, &reply.upstream);
-        let progress = self.progress(reply);
-        record_break(&self.front, request, upstream, progress, cause).await;
     }
 
     pub(super) fn record_caller_left(&self, reply: &OpenReply) {
--- a/crates/load/src/experiment/serving/run.rs
+++ b/crates/load/src/experiment/serving/run.rs
@@ -220,6 +220,7 @@
             allowed_domains: None,
             idle_connections: &[],
             has_begun_elsewhere: false,
+            must_be_sound: false,
             prompt_tokens: request.prompt,
             objective: kind.objective,
             random: self.random.random(),
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -47,6 +47,8 @@
     /// Whether the request has begun at another upstream. Such a request bypasses limits, as
     /// rejecting it would waste the work already done.
     pub has_begun_elsewhere: bool,
+    /// Whether avoided upstreams are left out, as the request is at work at another one.
+    pub must_be_sound: bool,
     /// Number of tokens in the prompt.
     pub prompt_tokens: u32,
     /// Time within which the first event must arrive.
@@ -249,6 +251,7 @@
             .iter()
             .filter(|upstream| criteria.allows(upstream))
             .filter(|upstream| !criteria.tried.contains(&upstream.incarnation))
+            .filter(|upstream| !criteria.must_be_sound || !is_avoided(upstream))
             .peekable();
         if untried.peek().is_none() {
             return UpstreamChoice::None;
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -75,6 +75,8 @@
     /// Number of consecutive failures.
     failures: u32,
     avoided_until: Millis,
+    /// Until when the upstream is avoided as stalled, unless data arrives.
+    stalled_until: Millis,
 }
 
 impl UpstreamLoad {
@@ -103,9 +105,13 @@
     /// Whether other upstreams are preferred now.
     pub fn is_avoided(&self, now: Millis) -> bool {
         let is_connecting = self.slow_connect_since(now).is_some();
-        self.avoided_until > now
-            || is_connecting
-            || self.inactivity(now) > self.tolerated_inactivity()
+        self.avoided_until > now || is_connecting || self.is_silent(now)
+    }
+
+    /// Whether nothing was received for longer than usual although requests wait at the upstream, or
+    /// waited there a moment ago.
+    pub(crate) fn is_silent(&self, now: Millis) -> bool {
+        self.stalled_until > now || self.inactivity(now) > self.tolerated_inactivity()
     }
 
     /// Returns the inactivity that is tolerated. The first-event timeout applies until a stream has
@@ -208,6 +214,7 @@
     pub(crate) fn record_progress(&mut self, now: Millis) -> bool {
         self.last_received_at = now;
         self.connect_failed_at = None;
+        self.stalled_until = Millis::ZERO;
         std::mem::take(&mut self.is_given_up)
     }
 
@@ -223,6 +230,7 @@
     /// Drops past failures and learned limits.
     pub(crate) fn record_group_change(&mut self) {
         self.avoided_until = Millis::ZERO;
+        self.stalled_until = Millis::ZERO;
         self.failures = 0;
         self.limit = None;
         self.fill = None;
@@ -258,6 +266,7 @@
     pub(crate) fn record_success(&mut self) {
         self.failures = 0;
         self.avoided_until = Millis::ZERO;
+        self.stalled_until = Millis::ZERO;
     }
 
     pub(crate) fn record_failure(&mut self, now: Millis) {
@@ -268,6 +277,6 @@
     }
 
     pub(crate) fn record_stall(&mut self, now: Millis) {
-        self.avoided_until = self.avoided_until.max(now + STALL_AVOIDANCE);
+        self.stalled_until = now + STALL_AVOIDANCE;
     }
 }
--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -1,9 +1,11 @@
-//! Detects failure domains that are unreachable.
+//! Detects failure domains that are unreachable, and upstreams that are silent together.
 
+use bergamot_occupancy::leader_key;
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 
 use crate::load::UpstreamLoad;
+use crate::monitor::UpstreamMonitor;
 use crate::upstream::RouteUpstream;
 
 /// Number of upstreams of a failure domain without connections from which the domain counts as
@@ -35,6 +37,22 @@
     unreachable.map(|(domain, _)| domain).collect()
 }
 
+impl UpstreamMonitor {
+    /// Whether half of these upstreams or more send nothing although requests of this VM or others
+    /// wait there. Such upstreams are full as long as the silence lasts, and may have room right after.
+    pub fn are_mostly_silent(&self, pool: &[RouteUpstream], now: Millis) -> bool {
+        let is_silent = |incarnation: &UpstreamIncarnation| {
+            self.load(incarnation).is_silent(now)
+                || self.stalls.is_stalled(now, leader_key(incarnation))
+        };
+        let silent = pool
+            .iter()
+            .filter(|upstream| is_silent(&upstream.incarnation));
+        let count = silent.count();
+        count > 0 && 2 * count >= pool.len()
+    }
+}
+
 /// Connection state of all upstreams of a failure domain.
 #[derive(Default)]
 struct DomainReachability {
--- a/crates/routing/tests/reach.rs
+++ b/crates/routing/tests/reach.rs
@@ -125,7 +125,9 @@
             match observation {
                 Connecting(at) => monitor.record_connecting(&incarnation, Millis(*at)),
                 Failed(at) => monitor.record_connect_failure(&incarnation, Millis(*at)),
-                Received(at) => monitor.record_progress(&incarnation, Millis(*at)),
+                Received(at) => {
+                    monitor.record_progress(&incarnation, Millis(*at));
+                }
             }
         }
         assert_eq!(
@@ -163,6 +165,7 @@
             allowed_domains: None,
             idle_connections: &[],
             has_begun_elsewhere: false,
+            must_be_sound: false,
             prompt_tokens: 100,
             objective: Millis(250),
             random: hash_bytes(&seed.to_le_bytes()),
--- a/crates/routing/tests/residency.rs
+++ b/crates/routing/tests/residency.rs
@@ -112,6 +112,7 @@
                 allowed_domains: allowed.as_deref(),
                 idle_connections: &[],
                 has_begun_elsewhere: case.has_begun_elsewhere,
+                must_be_sound: false,
                 prompt_tokens: 10,
                 objective: Millis(300),
                 priority: 0,
