--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -184,12 +184,12 @@
             ..
         } = self;
         self.guard.finish();
-        // Closes the connection before the upstream is probed for a crash.
-        drop(self.outcome);
         if matches!(self.origin, AttemptOrigin::Sent { .. }) {
             count_attempt(front, state, "given_up");
         }
         record_given_up(front, request, &upstream, run, stage);
+        // Closes the connection before the upstream is probed for a crash.
+        drop(self.outcome);
         let now = front.now();
         let mut monitor = front.monitor.borrow_mut();
         monitor.record_failure(&upstream.incarnation, now);
