fix: keep a group whose leader or member is silent for a moment

Cause: callers' streams ended at upstreams that were sound. The coordinator presumed a leader crashed after two reports without an answer, 0.4 to 0.6 s into a silence, and ordered the other members to leave; a silent member was lost as soon as streams at its leader were stalled. Both end what runs in the group, and can't be undone when the silent upstream goes on. Change: a silent leader's members are ordered to leave, and a silent member of a stalled group is lost, after half of the stall time that the platform sets (two to three seconds). Processes that have exited or refuse connections are replaced at once, as before.

--- a/crates/groups/src/step.rs
+++ b/crates/groups/src/step.rs
@@ -271,9 +271,9 @@
     }
 
     /// Whether a member of the group that `leader` leads is lost to that group. A member that only
-    /// fails to answer this coordinator may be cut off from it and still work in its group. It is
-    /// lost if requests have been stalled at the leader since then, or if the group would have
-    /// broken by now without it.
+    /// fails to answer this coordinator may be cut off from it and still work in its group, and one
+    /// that is silent may go on. It is lost if requests have been stalled at the leader since then
+    /// for a part of the stall time, or if the group would have broken by now without it.
     fn is_lost(&self, now: Millis, id: &UpstreamId, leader: &UpstreamId) -> bool {
         let Some(record) = self
             .records
@@ -290,7 +290,11 @@
             .get(leader)
             .and_then(|leader| leader.stalled_at);
         let is_stalled = stalled_at.is_some_and(|stalled_at| stalled_at >= unanswered_since);
-        is_stalled || now.since(unanswered_since) >= self.options.stall_time
+        let min_silence = match is_stalled {
+            true => self.options.stalled_loss_time(),
+            false => self.options.stall_time,
+        };
+        now.since(unanswered_since) >= min_silence
     }
 
     /// Handles a group whose leader is not listed or does not answer.
@@ -323,6 +327,7 @@
         // of its members it stalls, and breaks after the stall time; until then no member of the
         // group is used again.
         let last_timeout_at = record.map(|record| record.last_timeout_at);
+        let silent_since = record.and_then(|record| record.unanswered_since);
         let members: Vec<UpstreamId> = members.cloned().collect();
         let others = members.iter().filter(|id| Some(*id) != leader.as_ref());
         // If all members are unresponsive, this coordinator is the one that is cut off, and the
@@ -344,6 +349,11 @@
             actions.extend(leader.and_then(|leader| self.query(&leader, now, SECOND_QUERY_DELAY)));
             return;
         }
+        // A sound leader that is only silent goes on with its requests if its members stay.
+        let min_silence = self.options.stalled_loss_time();
+        if silent_since.is_some_and(|since| now.since(since) < min_silence) {
+            return;
+        }
         let stored = self.holds.get(&key.0).map(|hold| hold.stored.clone());
         let stored = stored.unwrap_or_default();
         let hold_until = now + self.options.hold_time();
