fix: requests are refused when silent upstreams look like cut links

When all upstreams fall silent, every VM concludes that it reaches none. A new request was offered to up to four others, each declined for the same reason, and the caller was refused with 503 (upstreams_unreachable): a final act on a suspicion that the next second disproves.

A VM that declines now says whether it reaches no upstream itself, in a header beside the verdict, which VMs of an earlier version ignore. The VM that forwards keeps the reason for a second. If every VM that could be asked said so, the upstreams are silent rather than all links cut: it sends the request itself, and the request waits at an upstream. Such answers do not count against the four offers, so that a single VM with links is still found where most are cut; each VM is asked at most once in half a second by another, as before. Requests are refused as before if one VM declined for another reason.

Price: where no VM has links at all, a request that may run once waits at a cut connection until its deadline instead of a 503 at once.

The calls of record_declined in routing/tests/forward.rs carry a reason now; their expectations are unchanged.

--- a/crates/gateway/src/front/forward/context.rs
+++ b/crates/gateway/src/front/forward/context.rs
@@ -12,6 +12,10 @@
 /// The [`ForwardVerdict`] of an answer.
 const VERDICT_HEADER: HeaderName = HeaderName::from_static("bergamot-forward-verdict");
 
+/// Present if the VM did not take the request because it reaches no upstream. Not a verdict of its
+/// own, as VMs of an earlier version would not know it.
+const REACHES_NONE_HEADER: HeaderName = HeaderName::from_static("bergamot-forward-reaches-none");
+
 /// The id of the upstream that gave an answer.
 const UPSTREAM_HEADER: HeaderName = HeaderName::from_static("bergamot-forward-upstream");
 
@@ -140,6 +144,16 @@
     Some(UpstreamId::new(id.to_str().ok()?))
 }
 
+/// Adds to a declining answer that its VM reaches no upstream.
+pub fn insert_reaches_none(headers: &mut HeaderMap) {
+    insert(headers, REACHES_NONE_HEADER, "1");
+}
+
+/// Takes out of an answer's headers whether its VM reaches no upstream.
+pub fn take_reaches_none(headers: &mut HeaderMap) -> bool {
+    headers.remove(REACHES_NONE_HEADER).is_some()
+}
+
 fn insert(headers: &mut HeaderMap, name: HeaderName, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         headers.insert(name, value);
--- a/crates/gateway/src/front/forward/send.rs
+++ b/crates/gateway/src/front/forward/send.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use bergamot_ports::{CallerDialect, RouteKind, ServingConfig};
-use bergamot_routing::PeerCandidate;
+use bergamot_routing::{PeerCandidate, PeerDecline};
 use bergamot_types::prelude::*;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
@@ -22,10 +22,10 @@
 use super::super::residency::allowed_domains;
 use super::super::state::CallState;
 use super::PeerFlight;
-use super::context::{ForwardContext, ForwardVerdict, take_upstream};
+use super::context::{ForwardContext, ForwardVerdict, take_reaches_none, take_upstream};
 
-/// How many VMs a request is offered to, one after another. If most VMs reach no upstream, each
-/// learns within a few requests which ones do.
+/// How many VMs that may reach upstreams a request is offered to, one after another. Those that reach
+/// none do not count: each is asked again only after a while, by whichever request comes first.
 const MAX_OFFERS: usize = 4;
 
 /// An answer of another VM whose body is not read yet. Closes its connection when dropped, so that
@@ -82,22 +82,26 @@
     Dialect: CallerDialect + 'static,
 {
     let mut offered: Vec<String> = Vec::new();
-    while offered.len() < MAX_OFFERS {
+    let mut refused_offers = 0;
+    let mut reach_none = false;
+    while refused_offers < MAX_OFFERS {
         let target = match next_peer(front, request, state, &offered) {
-            Ok(Some(target)) => target,
-            Ok(None) => break,
+            Ok(PeerChoice::Offer(target)) => target,
+            Ok(PeerChoice::NoneLeft { reach_none: none }) => {
+                reach_none = none;
+                break;
+            }
             Err(refusal) => return ForwardOutcome::Refused(refusal),
         };
         offered.push(target.vm.to_string());
         match offer(front, request, state, &target, resume_after).await {
             Ok(reply) => return receive(front, request, state, reply).await,
-            Err(OfferError::Declined(reason)) => {
+            Err(OfferError::Declined(decline, reason)) => {
+                refused_offers += usize::from(decline != PeerDecline::ReachesNone);
                 let now = front.now();
-                front
-                    .forwards
-                    .peers
-                    .borrow_mut()
-                    .record_declined(target.vm.as_str(), now);
+                let mut peers = front.forwards.peers.borrow_mut();
+                peers.record_declined(target.vm.as_str(), decline, now);
+                drop(peers);
                 count(front, ForwardVerdict::Declined.as_str());
                 log::info!(
                     "event=forward_declined request={} vm={} reason={reason:?}",
@@ -112,14 +116,16 @@
         }
     }
     log::info!(
-        "event=no_peer_takes request={} offers={}",
+        "event=no_peer_takes request={} offers={} reach_none={reach_none}",
         request.call.id,
         offered.len()
     );
-    // Connections from before the partition may still serve it. A VM without others has no other way
-    // than to try, and learns so that the partition has ended.
+    // If no VM reaches an upstream, the upstreams are silent rather than all links cut. They may go on
+    // in a moment, so the request waits at one of them. Otherwise connections from before the partition
+    // may still serve it. A VM without others has no other way than to try, and learns so that the
+    // partition has ended.
     let is_silent = front.monitor.borrow().partition.is_silent();
-    if !is_silent || !has_takers(front) {
+    if reach_none || !is_silent || !has_takers(front) {
         return ForwardOutcome::NotForwarded;
     }
     let jitter = Millis(rand::random_range(0..=RETURN_SPREAD.0));
@@ -145,9 +151,20 @@
     secret: u64,
 }
 
+/// The next VM to offer a request to.
+enum PeerChoice {
+    /// This one may take it.
+    Offer(PeerTarget),
+    /// No VM is left that may take it.
+    NoneLeft {
+        /// Whether this is because they reach no upstream either.
+        reach_none: bool,
+    },
+}
+
 enum OfferError {
     /// The VM did not take the request, so it has not run there.
-    Declined(String),
+    Declined(PeerDecline, String),
     /// The request may have run.
     Lost(String),
 }
@@ -158,7 +175,7 @@
     request: &SentRequest,
     state: &CallState,
     offered: &[String],
-) -> Result<Option<PeerTarget>, CallRefusal> {
+) -> Result<PeerChoice, CallRefusal> {
     let now = front.now();
     check_time(front, state, now)?;
     let view = front.shared.view.load();
@@ -186,16 +203,22 @@
         is_near: entry.failure_domain == site.failure_domain,
     });
     let peers = front.forwards.peers.borrow();
-    let chosen = peers.choose(candidates, offered, now, rand::random());
+    let chosen = peers.choose(candidates.clone(), offered, now, rand::random());
     let entry = chosen.and_then(|vm| view.entries.get(vm));
-    Ok(entry.and_then(|entry| {
+    let target = entry.and_then(|entry| {
         let endpoint = entry.forwarding?;
         Some(PeerTarget {
             vm: VmId::new(&entry.vm),
             addr: endpoint.addr,
             secret: endpoint.secret,
         })
-    }))
+    });
+    Ok(match target {
+        Some(target) => PeerChoice::Offer(target),
+        None => PeerChoice::NoneLeft {
+            reach_none: peers.reach_none(candidates, now),
+        },
+    })
 }
 
 /// Sends a request to another VM and waits for the head of the answer.
@@ -214,7 +237,8 @@
         Some(connection) => Ok(connection),
         None => front.forwards.pool.connect_new(target.addr).await,
     };
-    let mut connection = connection.map_err(|error| OfferError::Declined(error.to_string()))?;
+    let not_asked = |reason: String| OfferError::Declined(PeerDecline::NotAsked, reason);
+    let mut connection = connection.map_err(|error| not_asked(error.to_string()))?;
     let now = front.now();
     let context = ForwardContext {
         vm: front.shared.site.vm.to_string(),
@@ -240,7 +264,7 @@
         Ok(Err(mut error)) => {
             let reason = error.error().to_string();
             return Err(match error.take_message() {
-                Some(_) => OfferError::Declined(reason),
+                Some(_) => not_asked(reason),
                 None => OfferError::Lost(reason),
             });
         }
@@ -252,9 +276,14 @@
         let facts = front.dialect.reply_facts(&request.call.id, &head);
         record_availability(front, &upstream, &facts);
     }
+    let decline = match take_reaches_none(&mut head.headers) {
+        true => PeerDecline::ReachesNone,
+        false => PeerDecline::Other,
+    };
     match ForwardVerdict::take_from(&mut head.headers) {
         Some(ForwardVerdict::Declined) => {
-            Err(OfferError::Declined(format!("status {}", head.status)))
+            let reason = format!("status {}", head.status);
+            Err(OfferError::Declined(decline, reason))
         }
         Some(ForwardVerdict::Lost) | None => {
             Err(OfferError::Lost(format!("status {}", head.status)))
--- a/crates/gateway/src/front/forward/serve.rs
+++ b/crates/gateway/src/front/forward/serve.rs
@@ -17,7 +17,7 @@
 use super::super::state::CallState;
 use super::super::trace::RequestTrace;
 use super::ServedPlace;
-use super::context::{ForwardContext, ForwardVerdict, insert_upstream};
+use super::context::{ForwardContext, ForwardVerdict, insert_reaches_none, insert_upstream};
 
 /// Answers a request that another entry VM forwards. The answer carries a verdict for that VM.
 /// Returns the request's place too, which is kept until the answer was sent.
@@ -35,6 +35,9 @@
         ForwardVerdict::of_refusal(refusal.kind)
     });
     verdict.insert_into(answer.headers_mut());
+    if verdict == ForwardVerdict::Declined && check_reach(&front).is_err() {
+        insert_reaches_none(answer.headers_mut());
+    }
     let upstream = answer.extensions().get::<UpstreamIncarnation>().cloned();
     if let Some(upstream) = upstream {
         insert_upstream(answer.headers_mut(), &upstream);
--- a/crates/routing/src/forward.rs
+++ b/crates/routing/src/forward.rs
@@ -7,6 +7,21 @@
 /// probes of a VM that reaches no upstream either.
 const PEER_AVOIDANCE: Millis = Millis(500);
 
+/// How long the reason why a VM declined counts. Longer than it is not chosen, as many VMs are asked
+/// one after another.
+const DECLINE_VALIDITY: Millis = Millis(1_000);
+
+/// Why a VM did not take a request.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum PeerDecline {
+    /// It reaches no upstream either.
+    ReachesNone,
+    /// It could not be asked, which says nothing about the upstreams that it reaches.
+    NotAsked,
+    /// Another reason, such as a shutdown or a lack of places.
+    Other,
+}
+
 /// A VM that accepts forwarded requests.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct PeerCandidate<'a> {
@@ -20,6 +35,15 @@
 struct PeerLoad {
     in_flight: u32,
     avoided_until: Millis,
+    declined: Option<(PeerDecline, Millis)>,
+}
+
+impl PeerLoad {
+    /// Returns why the VM declined a request a moment ago, if it did.
+    fn decline(&self, now: Millis) -> Option<PeerDecline> {
+        let (decline, declined_at) = self.declined?;
+        (now.since(declined_at) < DECLINE_VALIDITY).then_some(decline)
+    }
 }
 
 /// The requests that this VM forwarded to others, and which of them declined some.
@@ -67,8 +91,27 @@
     }
 
     /// Records that a VM declined a request, or could not be reached.
-    pub fn record_declined(&mut self, vm: &str, now: Millis) {
-        self.load_mut(vm).avoided_until = now + PEER_AVOIDANCE;
+    pub fn record_declined(&mut self, vm: &str, decline: PeerDecline, now: Millis) {
+        let load = self.load_mut(vm);
+        load.avoided_until = now + PEER_AVOIDANCE;
+        load.declined = Some((decline, now));
+    }
+
+    /// Whether no VM reaches an upstream, as far as the VMs could be asked. The upstreams are the
+    /// likelier cause then than the links of all VMs.
+    pub fn reach_none<'a, Candidates>(&self, candidates: Candidates, now: Millis) -> bool
+    where
+        Candidates: Iterator<Item = PeerCandidate<'a>>,
+    {
+        let mut is_said = false;
+        for candidate in candidates {
+            match self.load(candidate.vm).decline(now) {
+                Some(PeerDecline::ReachesNone) => is_said = true,
+                Some(PeerDecline::NotAsked) => {}
+                Some(PeerDecline::Other) | None => return false,
+            }
+        }
+        is_said
     }
 
     /// Drops VMs that are no longer listed and have no requests of this VM.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -33,7 +33,9 @@
 
 pub use assignment::LeaderAssignment;
 pub use choose::{UpstreamChoice, UpstreamCriteria};
-pub use forward::{ForwardPeers, MAX_FORWARDED_REQUESTS, PeerCandidate, has_forward_place};
+pub use forward::{
+    ForwardPeers, MAX_FORWARDED_REQUESTS, PeerCandidate, PeerDecline, has_forward_place,
+};
 pub use gate::{GateState, GateTable};
 pub use latency::{
     DispatchedRequest, LeaderInactivity, ModelLatencies, ModelLatency, StallVerdict,
--- a/crates/routing/tests/forward.rs
+++ b/crates/routing/tests/forward.rs
@@ -1,6 +1,8 @@
 //! Requests of a VM without upstreams spread over the VMs that take them.
 
-use bergamot_routing::{ForwardPeers, MAX_FORWARDED_REQUESTS, PeerCandidate, has_forward_place};
+use bergamot_routing::{
+    ForwardPeers, MAX_FORWARDED_REQUESTS, PeerCandidate, PeerDecline, has_forward_place,
+};
 use bergamot_types::prelude::*;
 
 const NOW: Millis = Millis(10_000);
@@ -82,7 +84,7 @@
     for case in &cases {
         let mut peers = ForwardPeers::default();
         for number in case.declined {
-            peers.record_declined(&names[*number], NOW);
+            peers.record_declined(&names[*number], PeerDecline::Other, NOW);
         }
         let tried: Vec<_> = case.tried.iter().map(|it| names[*it].clone()).collect();
         for random in 0..50 {
@@ -92,6 +94,63 @@
     }
 }
 
+/// Guards against a VM that takes cut links for a silence of all upstreams, and the reverse.
+#[test]
+fn upstreams_are_silent_if_every_vm_that_can_be_asked_reaches_none() {
+    use PeerDecline::{NotAsked, Other, ReachesNone};
+    struct ReachCase {
+        name: &'static str,
+        declines: [Option<PeerDecline>; 3],
+        later: Millis,
+        reach_none: bool,
+    }
+    let case = |name, declines, later, reach_none| ReachCase {
+        name,
+        declines,
+        later: Millis(later),
+        reach_none,
+    };
+    let all = [Some(ReachesNone); 3];
+    let cases = [
+        case("all say so", all, 0, true),
+        case("all said so while others were asked", all, 600, true),
+        case("all said so long ago", all, 2_000, false),
+        case(
+            "one was not asked yet",
+            [Some(ReachesNone), Some(ReachesNone), None],
+            0,
+            false,
+        ),
+        case(
+            "one has crashed",
+            [Some(ReachesNone), Some(NotAsked), Some(ReachesNone)],
+            0,
+            true,
+        ),
+        case(
+            "one has no place left",
+            [Some(ReachesNone), Some(ReachesNone), Some(Other)],
+            0,
+            false,
+        ),
+        case("none could be asked", [Some(NotAsked); 3], 0, false),
+        case("no VM declined", [None; 3], 0, false),
+    ];
+    let names = names(3);
+    for case in &cases {
+        let mut peers = ForwardPeers::default();
+        for (name, decline) in names.iter().zip(case.declines) {
+            if let Some(decline) = decline {
+                peers.record_declined(name, decline, NOW);
+            }
+        }
+        let reach_none = peers.reach_none(candidates(&names), NOW + case.later);
+        assert_eq!(reach_none, case.reach_none, "{}", case.name);
+    }
+    let without_others = ForwardPeers::default().reach_none(candidates(&[]), NOW);
+    assert!(!without_others, "a VM without others");
+}
+
 #[test]
 fn less_urgent_requests_leave_places_to_urgent_ones() {
     struct PlaceCase {
