fix: limits of upstreams with fewer than two slots

`initial_limit` clamped between 2 and the slots. With no or one slot the bounds cross, and `f64::clamp` panics. Now the slots, at least one, bound the limit from above in the last step, so that no pair of bounds can cross. For two slots and more the result is the same as before.

--- a/crates/routing/src/monitor.rs
+++ b/crates/routing/src/monitor.rs
@@ -8,14 +8,14 @@
 use crate::assignment::LeaderAssignment;
 use crate::gate::GateTable;
 use crate::latency::{DispatchedRequest, LeaderInactivity, ModelLatencies, StallVerdict};
-use crate::load::UpstreamLoad;
+use crate::load::{MIN_LIMIT, UpstreamLoad};
 use crate::partition::PartitionState;
 use crate::stalls::{StallNotice, StallRecipients, StallTable};
 use crate::upstream::RouteUpstream;
 
 /// Factor on an equal share of the slots that gives the initial limit.
 const INITIAL_LIMIT_FACTOR: f64 = 1.5;
-/// Lowest initial limit, in requests.
+/// Lowest initial limit, in requests, unless the upstream has fewer slots.
 const MIN_INITIAL_LIMIT: f64 = 2.0;
 
 /// Load and health of all upstreams to which requests were sent.
@@ -94,7 +94,9 @@
     pub(crate) fn initial_limit(&self, slots: u32) -> f64 {
         let user_count = self.assignment.user_count(slots);
         let equal_share = f64::from(slots) / user_count as f64;
-        (equal_share * INITIAL_LIMIT_FACTOR).clamp(MIN_INITIAL_LIMIT, f64::from(slots).max(1.0))
+        let max_limit = f64::from(slots).max(MIN_LIMIT);
+        let limit = (equal_share * INITIAL_LIMIT_FACTOR).max(MIN_INITIAL_LIMIT);
+        limit.min(max_limit)
     }
 
     /// Records that a request with `prompt_tokens` tokens was sent.
