fix: an answer that ends without saying so is broken off

The end is now a message of its own, and a channel that closes without it ends the body with an error, upon which the connection closes without the last chunk. No allocation is added: the message takes the place of the Result in the same channel, and one more message is sent for each stream.

Speed was not measured.

--- a/crates/gateway/src/front/answer.rs
+++ b/crates/gateway/src/front/answer.rs
@@ -16,8 +16,17 @@
 #[error("the answer broke off")]
 pub struct BrokenAnswer;
 
-/// A chunk of an answer's body, or the error that ends it early.
-pub type AnswerChunk = Result<Bytes, BrokenAnswer>;
+/// A message of the task that relays an answer. The answer is complete only if [`Self::End`] was
+/// sent: a channel that closes without it breaks the answer off.
+#[derive(Debug)]
+pub enum AnswerMessage {
+    /// A chunk of the body.
+    Chunk(Bytes),
+    /// The end of the body.
+    End,
+    /// The body ends early.
+    Broken,
+}
 
 /// The body of an answer.
 pub type AnswerBody = UnsyncBoxBody<Bytes, BrokenAnswer>;
@@ -85,11 +94,18 @@
         .boxed_unsync()
 }
 
-/// Returns a body that streams the chunks of a channel.
-pub fn streamed_body(chunks: mpsc::Receiver<AnswerChunk>) -> AnswerBody {
-    let frames = futures::stream::unfold(chunks, |mut chunks| async move {
-        let chunk = chunks.recv().await?;
-        Some((chunk.map(Frame::data), chunks))
+/// Returns a body that streams the messages of a channel.
+pub fn streamed_body(messages: mpsc::Receiver<AnswerMessage>) -> AnswerBody {
+    let frames = futures::stream::unfold(Some(messages), |messages| async move {
+        let mut messages = messages?;
+        match messages.recv().await {
+            Some(AnswerMessage::Chunk(bytes)) => Some((Ok(Frame::data(bytes)), Some(messages))),
+            Some(AnswerMessage::End) => None,
+            Some(AnswerMessage::Broken) | None => Some((Err(BrokenAnswer), None)),
+        }
     });
     StreamBody::new(frames).boxed_unsync()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -20,7 +20,7 @@
 use tokio::sync::mpsc;
 
 use super::FrontContext;
-use super::answer::{AnswerChunk, BrokenAnswer, CallerAnswer, streamed_body};
+use super::answer::{AnswerMessage, CallerAnswer, streamed_body};
 use super::attempt::{AttemptError, OpenReply, SentRequest};
 use super::events::StreamEvent;
 use super::forward::send::PeerReply;
@@ -128,7 +128,7 @@
     front: Rc<FrontContext<Dialect>>,
     request: Rc<SentRequest>,
     state: CallState,
-    sender: mpsc::Sender<AnswerChunk>,
+    sender: mpsc::Sender<AnswerMessage>,
     last_event_id: Option<u64>,
     last_event_at: Option<Millis>,
     delivered_events: u64,
@@ -163,10 +163,14 @@
         if outcome != "ok" {
             // Buffered events are sent before the connection is closed.
             tokio::time::sleep(FLUSH_TIME).await;
-            let _ = self.sender.send(Err(BrokenAnswer)).await;
+            let _ = self.sender.send(AnswerMessage::Broken).await;
         }
         self.log_ended(outcome);
         self.front.count_outcome(self.state.route.kind, outcome);
+        if outcome == "ok" {
+            // Fails if the caller has disconnected.
+            let _ = self.sender.send(AnswerMessage::End).await;
+        }
     }
 
     fn log_ended(&self, outcome: &str) {
@@ -252,7 +256,7 @@
         self.last_event_id = event.id.or(self.last_event_id);
         self.delivered_events += 1;
         self.upstream_events += 1;
-        let sent = self.sender.send(Ok(event.bytes)).await;
+        let sent = self.sender.send(AnswerMessage::Chunk(event.bytes)).await;
         sent.map_err(|_| CallerGone)
     }
 
--- a/crates/gateway/src/front/relay/peer.rs
+++ b/crates/gateway/src/front/relay/peer.rs
@@ -5,6 +5,7 @@
 use bergamot_types::prelude::*;
 use http_body_util::BodyExt;
 
+use super::super::answer::AnswerMessage;
 use super::super::events::EventSplitter;
 use super::super::forward::send::{ForwardOutcome, PeerReply, forward, must_forward};
 use super::{EventRelay, NextEvent, RelayEnd};
@@ -39,7 +40,12 @@
                     self.record_peer_event();
                     self.last_event_id = event.id.or(self.last_event_id);
                     self.delivered_events += 1;
-                    if self.sender.send(Ok(event.bytes)).await.is_err() {
+                    if self
+                        .sender
+                        .send(AnswerMessage::Chunk(event.bytes))
+                        .await
+                        .is_err()
+                    {
                         return RelayEnd::Final("caller_left");
                     }
                 }
