fix: a panic ends one request with an error

A panic while a request was answered ended the task of its connection: the caller got no answer, and nothing was logged or counted. One in a stream's relay ended that task alone, also silently.

Each request is now watched by itself (front/panics.rs). If it panics before its answer has begun, its caller gets 500 `internal`, or 502 `upstream_lost` if an upstream or another VM may have got it; a stream is broken off after its buffered events. `request_panicked` and `bergamot_request_panics_total` tell of it. The connection goes on.

The panic in a relay has no test of its own but that of the body's end. Background loops of the process are not watched.

--- a/crates/gateway/src/front/forward/send.rs
+++ b/crates/gateway/src/front/forward/send.rs
@@ -229,6 +229,7 @@
     *outgoing.uri_mut() = request.uri.clone();
     *outgoing.headers_mut() = front.dialect.peer_headers(&request.headers);
     context.insert_into(outgoing.headers_mut(), target.secret);
+    state.trace.record_forwarded();
     let sending = connection.sender.try_send_request(outgoing);
     let reply = with_deadline(front.shared.clock, state.deadline, sending).await;
     let reply = match reply {
--- a/crates/gateway/src/front/forward/serve.rs
+++ b/crates/gateway/src/front/forward/serve.rs
@@ -13,6 +13,7 @@
 use super::super::attempt::SentRequest;
 use super::super::call::serve;
 use super::super::deadline::with_deadline;
+use super::super::panics::{answer_panicked, catch_panic};
 use super::super::refusal::{CallRefusal, RETURN_STOPPING, log_refusal, refuse};
 use super::super::state::CallState;
 use super::super::trace::RequestTrace;
@@ -29,7 +30,10 @@
 where
     Dialect: CallerDialect + 'static,
 {
-    let (mut answer, place) = take_request(Rc::clone(&front), request, trace).await;
+    let taken = take_request(Rc::clone(&front), request, Rc::clone(&trace));
+    let (mut answer, place) = catch_panic(taken)
+        .await
+        .unwrap_or_else(|panic| (answer_panicked(&front, &trace, &panic), None));
     let refusal = answer.extensions().get::<CallRefusal>();
     let verdict = refusal.map_or(ForwardVerdict::Answered, |refusal| {
         ForwardVerdict::of_refusal(refusal.kind)
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -31,6 +31,7 @@
 //! | [`budget`] | how many retries may be sent |
 //! | [`forward`] | requests that are forwarded to and by other entry VMs |
 //! | [`pool`] | connections to upstreams |
+//! | [`panics`] | panics, each of which ends one request |
 //! | [`partition`] | detection that no upstream is reachable |
 
 pub mod addresses;
@@ -51,6 +52,7 @@
 pub mod hedge;
 pub mod limits;
 pub mod open;
+pub mod panics;
 pub mod partition;
 pub mod permits;
 pub mod plan;
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -24,6 +24,7 @@
 use super::attempt::{AttemptError, OpenReply, SentRequest};
 use super::events::StreamEvent;
 use super::forward::send::PeerReply;
+use super::panics::{catch_panic, record_panic};
 use super::quiet::{STALL_CHECK_PERIOD, check_stall};
 use super::state::CallState;
 use resume::SilenceEnd;
@@ -103,7 +104,7 @@
         state,
         sender,
     };
-    tokio::task::spawn_local(relay.run(source));
+    tokio::task::spawn_local(relay.run_guarded(source));
     answer
 }
 
@@ -144,6 +145,21 @@
 where
     Dialect: CallerDialect + 'static,
 {
+    /// Like [`Self::run`], and a panic breaks the answer off.
+    async fn run_guarded(self, source: EventSource) {
+        let (front, request) = (Rc::clone(&self.front), Rc::clone(&self.request));
+        let sender = self.sender.clone();
+        let kind = self.state.route.kind;
+        let Err(panic) = catch_panic(self.run(source)).await else {
+            return;
+        };
+        record_panic(&front, Some(&request.call.id), "relay", &panic);
+        front.count_outcome(kind, "panicked");
+        tokio::time::sleep(FLUSH_TIME).await;
+        // Fails if the caller has disconnected.
+        let _ = sender.send(AnswerMessage::Broken).await;
+    }
+
     async fn run(mut self, source: EventSource) {
         let mut source = source;
         let outcome = loop {
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -24,6 +24,7 @@
 use super::gates::update_backing_off_metric;
 use super::head_timer::{HeadTimer, TimedStream};
 use super::limits::update_limited_metric;
+use super::panics::{answer_panicked, catch_panic};
 use super::trace::{RequestTrace, TracedAnswer};
 use super::warmup;
 use crate::listen::{close_listener, next_connection};
@@ -129,7 +130,12 @@
             let trace = Rc::new(RequestTrace::begin(&front.shared));
             let (front_ref, trace_ref) = (Rc::clone(&front), Rc::clone(&trace));
             let (mut response, place) = match source {
-                RequestSource::Callers => (answer(front_ref, request, trace_ref).await, None),
+                RequestSource::Callers => {
+                    let answered = catch_panic(answer(front_ref, request, trace_ref)).await;
+                    let answered =
+                        answered.unwrap_or_else(|panic| answer_panicked(&front, &trace, &panic));
+                    (answered, None)
+                }
                 RequestSource::Peers => answer_peer(front_ref, request, trace_ref).await,
             };
             if front.shared.is_stopping() {
--- a/crates/gateway/src/front/trace.rs
+++ b/crates/gateway/src/front/trace.rs
@@ -19,6 +19,7 @@
     arrived: Millis,
     id: OnceCell<RequestId>,
     upstream: RefCell<Option<UpstreamIncarnation>>,
+    is_forwarded: Cell<bool>,
     is_complete: Cell<bool>,
 }
 
@@ -30,6 +31,7 @@
             arrived: shared.clock.now(),
             id: OnceCell::new(),
             upstream: RefCell::default(),
+            is_forwarded: Cell::new(false),
             is_complete: Cell::new(false),
         }
     }
@@ -49,6 +51,21 @@
         *self.upstream.borrow_mut() = Some(upstream.clone());
     }
 
+    /// Records that another entry VM is about to be offered the request.
+    pub fn record_forwarded(&self) {
+        self.is_forwarded.set(true);
+    }
+
+    /// Returns the id of the request, if it was read.
+    pub fn id(&self) -> Option<&RequestId> {
+        self.id.get()
+    }
+
+    /// Whether the request may have been sent.
+    pub fn may_have_run(&self) -> bool {
+        self.is_forwarded.get() || self.upstream.borrow().is_some()
+    }
+
     /// Records that the complete answer was passed to the caller's connection.
     pub fn record_complete(&self) {
         self.is_complete.set(true);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -55,6 +55,8 @@
     pub warm_up_permits: IntCounterVec,
     /// Requests whose list of prompt parts could not be read.
     pub unreadable_prompt_parts: IntCounter,
+    /// Panics that ended a request, by what was being done for it.
+    pub request_panics: IntCounterVec,
     /// Gauges of the process's state, by name.
     pub state: IntGaugeVec,
 }
@@ -192,6 +194,11 @@
                 "bergamot_unreadable_prompt_parts_total",
                 "Requests whose list of prompt parts could not be read",
             ),
+            request_panics: counter(
+                "bergamot_request_panics_total",
+                "Panics that ended a request, by what was being done for it",
+                &["stage"],
+            ),
             state,
             registry,
         }
