fix: sums and bounds of figures from outside

The unread prompt tokens at an upstream were summed in 32 bits, and requests state their tokens themselves: two that claim 4 and 1.4 thousand million overflow. Builds with checks panic; release builds wrap and take a loaded upstream for an idle one (by reading). The expected time of a first event added two such figures the same way. `settled_at` clamped between two numbers of a stored record, which panics if they cross.

The sum is 64 bits wide and bounded where it is passed on, the time is added as a float, and the epochs are bounded without `clamp`. Valid figures give the same results.

Measured: the property test of tests/bounds.rs with 32 bits of tokens failed before (bolero), and passes now; all tests of the crate pass. `weight`, `from_decimal_secs`, the floats of the configuration and the quota's rates were read and hold. The other parsers were not played over the whole range of their fields.

--- a/crates/roster/src/record.rs
+++ b/crates/roster/src/record.rs
@@ -121,7 +121,7 @@
     /// up to that epoch.
     pub fn settled_at(&self, settled: u64) -> Self {
         let mut next = self.clone();
-        next.settled = settled.clamp(self.settled, self.epoch);
+        next.settled = settled.min(self.epoch).max(self.settled);
         let settled_epoch = next.settled;
         next.departed
             .retain(|departed| departed.left > settled_epoch);
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -55,7 +55,7 @@
     /// Number of requests in flight whose answers have begun.
     begun_answers: u32,
     /// Number of prompt tokens of requests whose answers have not begun.
-    pending_prompt_tokens: u32,
+    pending_prompt_tokens: u64,
     /// When data was last received from the upstream.
     last_received_at: Millis,
     /// Start of the current period with at least one request in flight from this VM.
@@ -84,7 +84,7 @@
     pub fn own_load(&self) -> LeaderLoad {
         LeaderLoad {
             requests: self.in_flight,
-            pending_prompt_tokens: self.pending_prompt_tokens,
+            pending_prompt_tokens: u32::try_from(self.pending_prompt_tokens).unwrap_or(u32::MAX),
         }
     }
 
@@ -194,22 +194,27 @@
             self.busy_since = now;
         }
         self.in_flight += 1;
-        self.pending_prompt_tokens += prompt_tokens;
+        self.pending_prompt_tokens += u64::from(prompt_tokens);
     }
 
     pub(crate) fn record_answer_begun(&mut self, prompt_tokens: u32) {
         self.begun_answers += 1;
-        self.pending_prompt_tokens = self.pending_prompt_tokens.saturating_sub(prompt_tokens);
+        self.remove_pending(prompt_tokens);
     }
 
     pub(crate) fn record_ended(&mut self, has_begun: bool, prompt_tokens: u32) {
         if !has_begun {
-            self.pending_prompt_tokens = self.pending_prompt_tokens.saturating_sub(prompt_tokens);
+            self.remove_pending(prompt_tokens);
         }
         self.in_flight = self.in_flight.saturating_sub(1);
         self.begun_answers = self.begun_answers.saturating_sub(u32::from(has_begun));
     }
 
+    fn remove_pending(&mut self, prompt_tokens: u32) {
+        let removed = u64::from(prompt_tokens);
+        self.pending_prompt_tokens = self.pending_prompt_tokens.saturating_sub(removed);
+    }
+
     /// Returns whether this is the first data since an answer was given up.
     pub(crate) fn record_progress(&mut self, now: Millis) -> bool {
         self.last_received_at = now;
@@ -271,7 +276,7 @@
 
     pub(crate) fn record_failure(&mut self, now: Millis) {
         let factor = 1_u64 << self.failures.min(6);
-        self.failures += 1;
+        self.failures = self.failures.saturating_add(1);
         let avoidance = Millis(FIRST_AVOIDANCE.0 * factor).min(MAX_AVOIDANCE);
         self.avoided_until = self.avoided_until.max(now + avoidance);
     }
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -34,8 +34,8 @@
     pub(crate) fn first_event_ms(&self, load: LeaderLoad, prompt_tokens: u32) -> Option<f64> {
         let speed = self.speed?;
         let running = load.requests.min(self.slots);
-        let reading_ms =
-            f64::from(load.pending_prompt_tokens + prompt_tokens) / speed.tokens_per_ms;
+        let unread_tokens = f64::from(load.pending_prompt_tokens) + f64::from(prompt_tokens);
+        let reading_ms = unread_tokens / speed.tokens_per_ms;
         Some(speed.pass_ms(f64::from(running)) * FIRST_EVENT_PASSES + reading_ms)
     }
 }
--- a/crates/routing/tests/bounds.rs
+++ b/crates/routing/tests/bounds.rs
@@ -1,10 +1,17 @@
 //! Limits of upstreams, for any number of slots and VMs that an entry may state.
 
 use bergamot_feed::PeerDescriptor;
+use bergamot_ports::EngineSpeed;
 use bergamot_routing::{RouteUpstream, UpstreamChoice, UpstreamCriteria, UpstreamMonitor};
 use bergamot_types::prelude::*;
 
 const NOW: Millis = Millis(10_000);
+const SPEED: EngineSpeed = EngineSpeed {
+    step_ms: 6.0,
+    step_ms_per_request: 0.04,
+    steps_per_pass: 7,
+    tokens_per_ms: 50.0,
+};
 const OBJECTIVE: Millis = Millis(500);
 
 fn upstream(slots: u32, is_leader: bool) -> RouteUpstream {
@@ -14,7 +21,7 @@
         failure_domain: FailureDomain::new("east"),
         slots,
         group: is_leader.then(|| GroupId::new("g")),
-        speed: None,
+        speed: is_leader.then_some(SPEED),
     }
 }
 
@@ -101,21 +108,21 @@
 /// What happens at an upstream.
 #[derive(Clone, Copy, Debug, bolero::TypeGenerator)]
 enum Step {
-    Sent { prompt_tokens: u16 },
-    Began { prompt_tokens: u16 },
+    Sent { prompt_tokens: u32 },
+    Began { prompt_tokens: u32 },
     FirstEvent { latency: u16 },
     Full,
-    Ended { has_begun: bool, prompt_tokens: u16 },
+    Ended { has_begun: bool, prompt_tokens: u32 },
 }
 
 fn apply(monitor: &mut UpstreamMonitor, upstream: &RouteUpstream, step: Step) {
     let incarnation = &upstream.incarnation;
     match step {
         Step::Sent { prompt_tokens } => {
-            monitor.record_sent(incarnation, None, prompt_tokens.into(), NOW);
+            monitor.record_sent(incarnation, None, prompt_tokens, NOW);
         }
         Step::Began { prompt_tokens } => {
-            monitor.record_answer_begun(incarnation, prompt_tokens.into());
+            monitor.record_answer_begun(incarnation, prompt_tokens);
         }
         Step::FirstEvent { latency } => {
             let latency = Millis(latency.into());
@@ -125,7 +132,7 @@
         Step::Ended {
             has_begun,
             prompt_tokens,
-        } => monitor.record_ended(incarnation, has_begun, prompt_tokens.into()),
+        } => monitor.record_ended(incarnation, has_begun, prompt_tokens),
     }
 }
 
@@ -139,6 +146,7 @@
                 let mut monitor = monitor(vm_count % 8, &upstream);
                 for step in steps {
                     apply(&mut monitor, &upstream, *step);
+                    monitor.expected_first_event(&upstream, u32::MAX, NOW);
                 }
                 for _ in steps {
                     monitor.record_ended(&upstream.incarnation, true, u32::MAX);
