fix: a successful stream without a signature is not passed on

The check is now where the head of every answer is read, so that it holds for first sends, second tries and resumptions, and the one in `read_whole_answer` goes. An unsigned answer counts as a failure of its upstream after a possible run, not as a lost connection or a sign of a crash, as before for answers that are not streams. Such an answer is no longer read to its end first.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -154,6 +154,9 @@
     /// Another incarnation of the upstream listens at the address, or the upstream leads no group.
     #[error("another upstream was meant")]
     Misdirected,
+    /// The answer is a success without the upstream's signature.
+    #[error("an answer without a signature")]
+    Unsigned,
     /// The request was sent and may have run.
     #[error("broken after it was sent: {0}")]
     Broken(String),
@@ -162,7 +165,7 @@
 impl AttemptError {
     /// Whether the request may have run.
     pub fn may_have_run(&self) -> bool {
-        matches!(self, Self::Broken(_))
+        matches!(self, Self::Broken(_) | Self::Unsigned)
     }
 
     /// Whether the request may have reached the upstream, run or not.
@@ -182,6 +185,7 @@
             Self::Refused(_) => "refused",
             Self::BackingOff(_) => "back_off",
             Self::Misdirected => "misdirected",
+            Self::Unsigned => "unsigned",
             Self::Broken(_) => "broken",
         }
     }
@@ -275,10 +279,12 @@
         .ok()
         .flatten()
         .filter(|duration| *duration > Millis::ZERO);
+    let is_unsigned = head.status.is_success() && !facts.is_signed;
     let error = match (facts.is_misdirected, facts.is_not_run, backoff) {
         (true, _, _) => AttemptError::Misdirected,
         (false, true, Some(duration)) => AttemptError::BackingOff(duration),
         (false, true, None) => AttemptError::Refused(head.status.as_u16()),
+        (false, false, _) if is_unsigned => AttemptError::Unsigned,
         (false, false, _) => {
             return Ok(OpenReply {
                 upstream: upstream.clone(),
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -267,9 +267,6 @@
     let (id, keep_alive) = (&reply.upstream.incarnation, reply.facts.keep_alive);
     front.pool.give_back(id, reply.connection, keep_alive);
     let is_failure = reply.head.status.is_server_error();
-    if !is_failure && !reply.facts.is_signed && reply.head.status.is_success() {
-        return interrupted("an answer without a signature".to_owned());
-    }
     // An answer that states that the request did not run never gets here, so its status would
     // promise what is not known.
     let status = reply.head.status.as_u16();
--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -268,7 +268,7 @@
             let (front, incarnation) = (Rc::clone(front), upstream.incarnation.clone());
             tokio::task::spawn_local(async move { record_no_listener(&front, &incarnation).await });
         }
-        error if error.may_have_run() && front.now() < state.deadline => {
+        AttemptError::Broken(_) if front.now() < state.deadline => {
             record_break(front, request, upstream, progress, BreakCause::Closed).await;
         }
         _ => {}
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -28,6 +28,8 @@
     pub unframed: bool,
     /// So many of the next questions take effect, but their answers are lost.
     pub lose_answer: u64,
+    /// So many of the next answers lack their signature.
+    pub omit_signature: u64,
     /// So many of the next questions are refused as not run.
     pub refuse_not_run: u64,
     /// Every answer is late by so many milliseconds.
@@ -100,6 +102,11 @@
         take_one(&mut self.faults.lock().lose_answer)
     }
 
+    /// Whether this question's answer is to lack its signature.
+    pub fn take_omitted_signature(&self) -> bool {
+        take_one(&mut self.faults.lock().omit_signature)
+    }
+
     /// Whether this question is to be refused as not run.
     pub fn take_refusal(&self) -> bool {
         take_one(&mut self.faults.lock().refuse_not_run)
