--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -20,10 +20,11 @@
 use tokio::sync::mpsc;
 
 use super::FrontContext;
-use super::answer::{AnswerChunk, BrokenAnswer, CallerAnswer, streamed_body};
+use super::answer::{AnswerMessage, CallerAnswer, streamed_body};
 use super::attempt::{AttemptError, OpenReply, SentRequest};
 use super::events::StreamEvent;
 use super::forward::send::PeerReply;
+use super::panics::{catch_panic, record_panic};
 use super::quiet::{STALL_CHECK_PERIOD, check_stall};
 use super::state::CallState;
 use resume::SilenceEnd;
@@ -103,7 +104,7 @@
         state,
         sender,
     };
-    tokio::task::spawn_local(relay.run(source));
+    tokio::task::spawn_local(relay.run_guarded(source));
     answer
 }
 
@@ -128,7 +129,7 @@
     front: Rc<FrontContext<Dialect>>,
     request: Rc<SentRequest>,
     state: CallState,
-    sender: mpsc::Sender<AnswerChunk>,
+    sender: mpsc::Sender<AnswerMessage>,
     last_event_id: Option<u64>,
     last_event_at: Option<Millis>,
     delivered_events: u64,
@@ -144,6 +145,21 @@
 where
     Dialect: CallerDialect + 'static,
 {
+    /// Like [`Self::run`], and a panic breaks the answer off.
+    async fn run_guarded(self, source: EventSource) {
+        let (front, request) = (Rc::clone(&self.front), Rc::clone(&self.request));
+        let sender = self.sender.clone();
+        let kind = self.state.route.kind;
+        let Err(panic) = catch_panic(self.run(source)).await else {
+            return;
+        };
+        record_panic(&front, Some(&request.call.id), "relay", &panic);
+        front.count_outcome(kind, "panicked");
+        tokio::time::sleep(FLUSH_TIME).await;
+        // Fails if the caller has disconnected.
+        let _ = sender.send(AnswerMessage::Broken).await;
+    }
+
     async fn run(mut self, source: EventSource) {
         let mut source = source;
         let outcome = loop {
@@ -163,10 +179,14 @@
         if outcome != "ok" {
             // Buffered events are sent before the connection is closed.
             tokio::time::sleep(FLUSH_TIME).await;
-            let _ = self.sender.send(Err(BrokenAnswer)).await;
+            let _ = self.sender.send(AnswerMessage::Broken).await;
         }
         self.log_ended(outcome);
         self.front.count_outcome(self.state.route.kind, outcome);
+        if outcome == "ok" {
+            // Fails if the caller has disconnected.
+            let _ = self.sender.send(AnswerMessage::End).await;
+        }
     }
 
     fn log_ended(&self, outcome: &str) {
@@ -252,7 +272,7 @@
         self.last_event_id = event.id.or(self.last_event_id);
         self.delivered_events += 1;
         self.upstream_events += 1;
-        let sent = self.sender.send(Ok(event.bytes)).await;
+        let sent = self.sender.send(AnswerMessage::Chunk(event.bytes)).await;
         sent.map_err(|_| CallerGone)
     }
 
