fix: a configuration confirms nothing before requests are authorized by it

Cause: callers could use a key 6.8 to 7.3 s after it was taken away (bound 5 s), at VMs that had been turned away by the store and then caught up with a peer in several batches. Each batch recorded the time of the confirmation of the configuration as read, in a field of its own; the view by which keys are checked followed after the last batch. The search for lost keys and the answers of a relay read the same field in the same order. Change: each configuration has its own ConfigConfirmation (bergamot-feed), which the view carries; a later configuration gets a new one, which begins at its predecessor's last confirmation. SharedState::record_confirmation is gone, so what is recorded for a configuration that is not published reaches no request, in whatever order. The doubles of list_age.rs moved to tests/support/store.rs; its assertions are unchanged. suspended.rs and warmup.rs record the confirmation at the view. Tests of other packages were not run.

--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -5,10 +5,12 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+mod confirmation;
 mod freshness;
 mod source;
 mod table;
 
+pub use confirmation::ConfigConfirmation;
 pub use freshness::Freshness;
 pub use source::{PeerDescriptor, PeerRanking, UpdateSource};
 pub use table::{UpdateBatch, UpdateTable};
--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bergamot_feed::ConfigConfirmation;
 use bergamot_ports::{
     ServingConfig, StoreCatalog, StoreEvent, StoreGeneration, StoreItem, StoreRevision,
     UpstreamEntry, UpstreamState,
@@ -50,6 +51,8 @@
     /// The configuration in force: the latest version that was ever read. The store's revisions do
     /// not order configurations, as they go back with a restore.
     pub(crate) config: Option<Arc<ServingConfig>>,
+    /// The confirmation of the configuration in force.
+    pub(crate) confirmation: ConfigConfirmation,
     /// The configuration as stored, for peers that cannot read the store.
     pub(crate) config_item: Option<StoreItem>,
     pub(crate) upstreams: IndexMap<UpstreamId, UpstreamEntry>,
@@ -262,6 +265,7 @@
                 item.revision
             );
             self.config = Some(Arc::new(config));
+            self.confirmation = self.confirmation.successor();
             self.config_item = Some(item.clone());
         }
         Some(version)
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -42,9 +42,6 @@
     pub view: ArcSwap<ClusterView>,
     /// Counts views. A change notifies subscribers of a new view or the start of a stop.
     pub view_changed: watch::Sender<u64>,
-    /// When the last read started that confirmed the newest configuration, in milliseconds. 0 means
-    /// never.
-    confirmed_at: AtomicU64,
     /// The latest time at which the published view was known to be complete, in milliseconds. 0
     /// means never.
     view_current_at: AtomicU64,
@@ -109,7 +106,6 @@
             metrics: GatewayMetrics::new(),
             view: ArcSwap::from_pointee(ClusterView::default()),
             view_changed: watch::channel(0).0,
-            confirmed_at: AtomicU64::new(0),
             view_current_at: AtomicU64::new(0),
             peer_stale_at: AtomicU64::new(0),
             store_unreachable: AtomicBool::new(false),
@@ -162,11 +158,6 @@
         log::info!("event=reload outcome=changed bounds={:?}", site.bounds);
     }
 
-    /// Records that a read started at `started_at` confirmed the newest configuration.
-    pub fn record_confirmation(&self, started_at: Millis) {
-        self.confirmed_at.fetch_max(started_at.0, Ordering::SeqCst);
-    }
-
     /// Records that the published view lacked no change of the store at `at`.
     pub fn record_view_current(&self, at: Millis) {
         self.view_current_at.fetch_max(at.0, Ordering::SeqCst);
@@ -175,9 +166,9 @@
     /// Returns when the list of entry VMs in the published view was last known to be current. A
     /// confirmation of the configuration does not suffice, as other changes may be pending.
     pub fn list_confirmed_at(&self) -> Millis {
-        let view_current_at = self.view_current_at.load(Ordering::SeqCst);
-        let confirmed_at = self.confirmed_at.load(Ordering::SeqCst);
-        Millis(view_current_at.min(confirmed_at))
+        let view_current_at = Millis(self.view_current_at.load(Ordering::SeqCst));
+        let confirmed_at = self.view.load().confirmation.confirmed_at();
+        view_current_at.min(confirmed_at)
     }
 
     /// Records that a peer has no fresh store updates either.
@@ -279,9 +270,9 @@
         self.upstreams_unreachable.load(Ordering::SeqCst)
     }
 
-    /// Returns the time since the newest configuration was confirmed.
+    /// Returns the time since the configuration in the published view was confirmed.
     pub fn config_age(&self, now: Millis) -> Millis {
-        now.since(Millis(self.confirmed_at.load(Ordering::SeqCst)))
+        self.view.load().confirmation.age(now)
     }
 
     /// Whether the configuration was confirmed recently enough to accept callers' API keys.
--- a/crates/gateway/src/sync/lost_keys.rs
+++ b/crates/gateway/src/sync/lost_keys.rs
@@ -125,7 +125,7 @@
         }
         if updates.config_version == self.known.config_version() {
             let confirmed_at = requested_at.0.saturating_sub(updates.config_age.0);
-            self.shared.record_confirmation(Millis(confirmed_at));
+            self.known.confirmation.record(Millis(confirmed_at));
         }
     }
 }
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -346,7 +346,7 @@
             TxnOutcome::LeaseGone => {}
         }
         if self.known.is_config_stored() {
-            self.shared.record_confirmation(started_at);
+            self.known.confirmation.record(started_at);
         }
         Ok(())
     }
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -291,7 +291,7 @@
         // A peer with an older configuration confirms nothing.
         if updates.config_version == known && self.known.config.is_some() {
             let confirmed_at = requested_at.0.saturating_sub(updates.config_age.0);
-            self.shared.record_confirmation(Millis(confirmed_at));
+            self.known.confirmation.record(Millis(confirmed_at));
         }
     }
 
@@ -324,7 +324,7 @@
             return false;
         }
         let confirmed_at = requested_at.0.saturating_sub(updates.config_age.0);
-        self.shared.record_confirmation(Millis(confirmed_at));
+        self.known.confirmation.record(Millis(confirmed_at));
         self.publish();
         true
     }
--- a/crates/gateway/src/sync/publish.rs
+++ b/crates/gateway/src/sync/publish.rs
@@ -78,6 +78,7 @@
             .map(|config| build_pools(config, &known.upstreams, known.evacuations.evacuations()));
         self.shared.publish(ClusterView {
             config: known.config.clone(),
+            confirmation: known.confirmation.clone(),
             upstreams: known.upstreams.clone(),
             revision: known.revision.unwrap_or_default(),
             pools: pools.unwrap_or_default(),
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -147,7 +147,7 @@
             self.query_lost_keys().await;
         }
         if self.known.is_config_stored() {
-            self.shared.record_confirmation(started_at);
+            self.known.confirmation.record(started_at);
         }
         self.publish();
         true
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bergamot_feed::ConfigConfirmation;
 use bergamot_ports::{
     EngineSpeed, MemberState, ServingConfig, StoreRevision, UpstreamEntry, UpstreamState,
 };
@@ -57,6 +58,8 @@
 pub struct ClusterView {
     /// The configuration in force. `None` until one has been read.
     pub config: Option<Arc<ServingConfig>>,
+    /// When that configuration was last confirmed.
+    pub confirmation: ConfigConfirmation,
     /// Entries of the directory, by upstream.
     pub upstreams: IndexMap<UpstreamId, UpstreamEntry>,
     /// The revision of the newest change.
--- a/crates/gateway/tests/list_age.rs
+++ b/crates/gateway/tests/list_age.rs
@@ -10,114 +10,17 @@
 
 use bergamot_gateway::StoreSync;
 use bergamot_gateway::shared::SharedState;
-use bergamot_ports::{
-    CatalogError, ServingConfig, StateStore, StoreCatalog, StoreError, StoreGeneration, StoreItem,
-    StoreLease, StoreRange, StoreRevision, StoreTxn, TxnOutcome, UpstreamEntry, WatchOutcome,
-};
+use bergamot_ports::StoreRevision;
 use bergamot_types::prelude::*;
 use support::entry_site;
+use support::store::{CONFIG_KEY, ConfigCatalog, FixedStore, item, revision};
 use tokio::sync::mpsc;
 
-const CONFIG_KEY: &str = "config";
 /// Run time of a case. Longer than the period of confirmations.
 const RUN_TIME: Duration = Duration::from_millis(1_500);
 /// Age of a confirmation that is one period old, with a margin for a busy machine.
 const MAX_CONFIRMED_AGE: Millis = Millis(1_200);
 
-const fn revision(number: u64) -> StoreRevision {
-    StoreRevision::new(StoreGeneration(0), number)
-}
-
-/// A store that was read at revision 5 and whose watch reports nothing.
-struct SilentStore {
-    /// The revision that confirmations report.
-    current: StoreRevision,
-}
-
-impl StateStore for SilentStore {
-    async fn get(&self, _key: &str) -> Result<Option<StoreItem>, StoreError> {
-        Ok(None)
-    }
-
-    async fn range(&self, prefix: &str) -> Result<StoreRange, StoreError> {
-        let config = StoreItem {
-            key: CONFIG_KEY.to_owned(),
-            value: Vec::new(),
-            revision: revision(2),
-        };
-        Ok(StoreRange {
-            items: [config].into_iter().filter(|_| prefix.is_empty()).collect(),
-            revision: revision(5),
-        })
-    }
-
-    async fn watch(
-        &self,
-        _prefix: &str,
-        _after: StoreRevision,
-        _wait: Duration,
-    ) -> Result<WatchOutcome, StoreError> {
-        std::future::pending().await
-    }
-
-    async fn commit(&self, _txn: &StoreTxn) -> Result<TxnOutcome, StoreError> {
-        Ok(TxnOutcome::Done(self.current))
-    }
-
-    async fn open_lease(&self, _ttl: Duration) -> Result<StoreLease, StoreError> {
-        Err(StoreError::Refused(503))
-    }
-
-    async fn renew_lease(&self, _lease: StoreLease) -> Result<bool, StoreError> {
-        Ok(true)
-    }
-
-    async fn revoke_lease(&self, _lease: StoreLease) -> Result<(), StoreError> {
-        Ok(())
-    }
-
-    fn generation(&self) -> StoreGeneration {
-        StoreGeneration::default()
-    }
-
-    fn reset(&self) {}
-}
-
-/// A catalog in which any value is an empty configuration.
-struct ConfigCatalog;
-
-impl StoreCatalog for ConfigCatalog {
-    fn config_key(&self) -> &str {
-        CONFIG_KEY
-    }
-
-    fn upstream_prefix(&self) -> &str {
-        "upstreams/"
-    }
-
-    fn upstream_id(&self, _key: &str) -> Option<UpstreamId> {
-        None
-    }
-
-    fn evacuated_domain(&self, _key: &str) -> Option<FailureDomain> {
-        None
-    }
-
-    fn read_config(&self, _item: &StoreItem) -> Result<ServingConfig, CatalogError> {
-        Ok(ServingConfig {
-            version: 1,
-            ..ServingConfig::default()
-        })
-    }
-
-    fn read_upstream(&self, item: &StoreItem) -> Result<UpstreamEntry, CatalogError> {
-        Err(CatalogError {
-            key: item.key.clone(),
-            reason: "there are no upstreams".to_owned(),
-        })
-    }
-}
-
 struct ListCase {
     name: &'static str,
     /// The revision that confirmations of the configuration report.
@@ -142,9 +45,8 @@
     for case in cases {
         let (stalls, records) = (mpsc::channel(1).0, mpsc::channel(1).0);
         let shared = SharedState::new(entry_site(), stalls, records);
-        let store = SilentStore {
-            current: case.current,
-        };
+        let config = item(CONFIG_KEY, vec![1], 2);
+        let store = FixedStore::with_items(vec![config], case.current);
         let sync = StoreSync::new(Arc::clone(&shared), Rc::new(store), ConfigCatalog);
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
         listener.set_nonblocking(true).expect("the socket is open");
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers shared by the test files.
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
+pub mod store;
+
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
--- /dev/null
+++ b/crates/gateway/tests/support/store.rs
@@ -0,0 +1,125 @@
+//! A store whose contents do not change, and a catalog that knows only configurations.
+
+use std::time::Duration;
+
+use bergamot_ports::{
+    CatalogError, ServingConfig, StateStore, StoreCatalog, StoreError, StoreGeneration, StoreItem,
+    StoreLease, StoreRange, StoreRevision, StoreTxn, TxnOutcome, UpstreamEntry, WatchOutcome,
+};
+use bergamot_types::prelude::*;
+
+/// The key of the configuration.
+pub const CONFIG_KEY: &str = "config";
+
+/// The position of a change of a store that was never restored.
+pub const fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreGeneration(0), number)
+}
+
+/// Returns an item that was written at revision `number`.
+pub fn item(key: &str, value: Vec<u8>, number: u64) -> StoreItem {
+    StoreItem {
+        key: key.to_owned(),
+        value,
+        revision: revision(number),
+    }
+}
+
+/// A store that was read at revision 5 and whose watch reports nothing.
+pub struct FixedStore {
+    items: Vec<StoreItem>,
+    /// The revision that confirmations report.
+    current: StoreRevision,
+}
+
+impl FixedStore {
+    /// Creates a store whose confirmations report `current`.
+    pub fn with_items(items: Vec<StoreItem>, current: StoreRevision) -> Self {
+        Self { items, current }
+    }
+}
+
+impl StateStore for FixedStore {
+    async fn get(&self, _key: &str) -> Result<Option<StoreItem>, StoreError> {
+        Ok(None)
+    }
+
+    async fn range(&self, prefix: &str) -> Result<StoreRange, StoreError> {
+        let items = self.items.iter();
+        let items = items.filter(|item| item.key.starts_with(prefix));
+        Ok(StoreRange {
+            items: items.cloned().collect(),
+            revision: revision(5),
+        })
+    }
+
+    async fn watch(
+        &self,
+        _prefix: &str,
+        _after: StoreRevision,
+        _wait: Duration,
+    ) -> Result<WatchOutcome, StoreError> {
+        std::future::pending().await
+    }
+
+    async fn commit(&self, _txn: &StoreTxn) -> Result<TxnOutcome, StoreError> {
+        Ok(TxnOutcome::Done(self.current))
+    }
+
+    async fn open_lease(&self, _ttl: Duration) -> Result<StoreLease, StoreError> {
+        Err(StoreError::Refused(503))
+    }
+
+    async fn renew_lease(&self, _lease: StoreLease) -> Result<bool, StoreError> {
+        Ok(true)
+    }
+
+    async fn revoke_lease(&self, _lease: StoreLease) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    fn generation(&self) -> StoreGeneration {
+        StoreGeneration::default()
+    }
+
+    fn reset(&self) {}
+}
+
+/// A catalog in which the first byte of a value is the version of a configuration without contents.
+pub struct ConfigCatalog;
+
+impl StoreCatalog for ConfigCatalog {
+    fn config_key(&self) -> &str {
+        CONFIG_KEY
+    }
+
+    fn upstream_prefix(&self) -> &str {
+        "upstreams/"
+    }
+
+    fn upstream_id(&self, _key: &str) -> Option<UpstreamId> {
+        None
+    }
+
+    fn evacuated_domain(&self, _key: &str) -> Option<FailureDomain> {
+        None
+    }
+
+    fn read_config(&self, item: &StoreItem) -> Result<ServingConfig, CatalogError> {
+        let version = item.value.first().ok_or_else(|| CatalogError {
+            key: item.key.clone(),
+            reason: "there is no version".to_owned(),
+        })?;
+        Ok(ServingConfig {
+            version: u64::from(*version),
+            ..ServingConfig::default()
+        })
+    }
+
+    fn read_upstream(&self, item: &StoreItem) -> Result<UpstreamEntry, CatalogError> {
+        Err(CatalogError {
+            key: item.key.clone(),
+            reason: "there are no upstreams".to_owned(),
+        })
+    }
+}
--- a/crates/gateway/tests/suspended.rs
+++ b/crates/gateway/tests/suspended.rs
@@ -33,7 +33,8 @@
     let (record_sender, _) = mpsc::channel(1);
     let clock = BootClock::with_source(boot_time);
     let shared = SharedState::with_clock(entry_site(), stall_sender, record_sender, clock);
-    shared.record_confirmation(shared.clock.now());
+    let confirmation = &shared.view.load().confirmation;
+    confirmation.record(shared.clock.now());
     assert!(shared.is_confirmed(shared.clock.now()));
     suspend(REVOKE_TIME);
     assert!(!shared.is_confirmed(shared.clock.now()));
--- a/crates/gateway/tests/warmup.rs
+++ b/crates/gateway/tests/warmup.rs
@@ -128,7 +128,7 @@
     let pass_time = |duration: u64, is_list_current: bool| {
         for _ in 0..duration / 100 {
             OWN_BOOT_TIME_MS.fetch_add(100, Ordering::SeqCst);
-            shared.record_confirmation(clock.now());
+            shared.view.load().confirmation.record(clock.now());
             if is_list_current {
                 shared.record_view_current(clock.now());
             }
--- a/crates/types/src/mutate.rs
+++ b/crates/types/src/mutate.rs
@@ -23,6 +23,8 @@
     AdoptAnyRoll,
     /// A lender keeps using the share it lent.
     UseLentShare,
+    /// A configuration that is not published yet confirms the published one.
+    ConfirmBeforePublishing,
 }
 
 #[cfg(feature = "mutate")]
