fix: a configuration is confirmed no more while the store holds one that cannot be read

Cause: a configuration that the store accepts and this program cannot parse left no trace in what is known of the store, so that each confirmation read it again, dropped it and confirmed the one in force, whose keys may have been taken away. Change: its revision is recorded without a version; is_config_stored is false until one that can be read is stored, and keys are refused in the end. bergamot_state{name="config_unreadable"} is 1 meanwhile; the line config_unreadable is logged once for each write. No line in bergamotctl status yet.

--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -20,6 +20,7 @@
     COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, HOLD_PREFIX, QUARANTINE_PREFIX, TERM_KEY,
     hold_from_bytes,
 };
+use crate::stored_config::StoredConfig;
 
 /// Time after the store's return in which entries that expired during the outage may be written
 /// again.
@@ -33,15 +34,6 @@
     Removed(String),
 }
 
-/// The configuration that the store was last seen to hold, in force here or not.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
-pub(crate) struct StoredConfig {
-    /// The revision of its last write. Zero if the store held none.
-    pub(crate) revision: StoreRevision,
-    /// Its version; 0 if there was none or it cannot be read.
-    version: u64,
-}
-
 /// The known contents of the store.
 #[derive(Default)]
 pub(crate) struct KnownState {
@@ -216,72 +208,6 @@
         self.upstreams.shift_remove(id);
     }
 
-    /// Applies the configuration in the store, unless a later write of it is known.
-    fn apply_stored_config<Catalog>(&mut self, catalog: &Catalog, item: &StoreItem)
-    where
-        Catalog: StoreCatalog,
-    {
-        let known = self.stored_config.revision;
-        if item.revision <= known {
-            if item.revision < known {
-                log::info!(
-                    "event=config_outdated revision={} known={known}",
-                    item.revision
-                );
-            }
-            return;
-        }
-        if let Some(version) = self.apply_config(catalog, item) {
-            self.stored_config = StoredConfig {
-                revision: item.revision,
-                version,
-            };
-        }
-    }
-
-    /// Puts a configuration from the store or from a peer in force if its version is later than the
-    /// one in force. Returns its version, or `None` if it cannot be read.
-    pub(crate) fn apply_config<Catalog>(
-        &mut self,
-        catalog: &Catalog,
-        item: &StoreItem,
-    ) -> Option<u64>
-    where
-        Catalog: StoreCatalog,
-    {
-        let config = match catalog.read_config(item) {
-            Ok(config) => config,
-            Err(error) => {
-                log::error!("event=config_unreadable reason={error:?}");
-                return None;
-            }
-        };
-        let (version, known) = (config.version, self.config_version());
-        if version < known {
-            log::warn!("event=config_ignored version={version} known={known}");
-        } else if version > known || self.config.is_none() {
-            log::info!(
-                "event=config_in_force version={version} revision={}",
-                item.revision
-            );
-            self.config = Some(Arc::new(config));
-            self.confirmation = self.confirmation.successor();
-            self.config_item = Some(item.clone());
-        }
-        Some(version)
-    }
-
-    /// Returns the version of the configuration in force; 0 if there is none.
-    pub(crate) fn config_version(&self) -> u64 {
-        self.config.as_ref().map_or(0, |config| config.version)
-    }
-
-    /// Whether the store, when last seen, held the configuration in force. It does not while it was
-    /// restored to an older one, and may then lack even later ones than this VM knows.
-    pub(crate) fn is_config_stored(&self) -> bool {
-        self.config.is_some() && self.stored_config.version == self.config_version()
-    }
-
     /// Whether the store was restored between the last read of all of it and the one at `revision`.
     pub(crate) fn is_unread_restore(&self, revision: StoreRevision) -> bool {
         self.read_generation
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod shared;
 pub mod signals;
 mod stop;
+mod stored_config;
 mod sync;
 #[cfg(test)]
 #[path = "../tests/support/mod.rs"]
--- a/crates/gateway/src/sync/publish.rs
+++ b/crates/gateway/src/sync/publish.rs
@@ -63,6 +63,8 @@
         let evacuated_count = known.evacuations.evacuations().len();
         let metrics = &self.shared.metrics;
         metrics.set_state("evacuated_domains", evacuated_count as i64);
+        let is_unreadable = known.stored_config.is_unreadable();
+        metrics.set_state("config_unreadable", i64::from(is_unreadable));
         let mut feed_state = self.feed_state.borrow_mut();
         if feed_state.config_version != known.config_version() {
             feed_state.config.clone_from(&known.config_item);
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -30,12 +30,28 @@
     items: Vec<StoreItem>,
     /// The revision that confirmations report.
     current: StoreRevision,
+    /// An item that was written after the items were read.
+    replacement: Option<StoreItem>,
 }
 
 impl FixedStore {
     /// Creates a store whose confirmations report `current`.
     pub fn with_items(items: Vec<StoreItem>, current: StoreRevision) -> Self {
-        Self { items, current }
+        Self {
+            items,
+            current,
+            replacement: None,
+        }
+    }
+
+    /// Replaces one of the items after all were read.
+    #[must_use]
+    pub fn replaced_by(self, replacement: StoreItem) -> Self {
+        let replacement = Some(replacement);
+        Self {
+            replacement,
+            ..self
+        }
     }
 }
 
@@ -62,8 +78,15 @@
         std::future::pending().await
     }
 
-    async fn commit(&self, _txn: &StoreTxn) -> Result<TxnOutcome, StoreError> {
-        Ok(TxnOutcome::Done(self.current))
+    async fn commit(&self, txn: &StoreTxn) -> Result<TxnOutcome, StoreError> {
+        let conflict = self.replacement.iter().find(|item| {
+            let mut conditions = txn.conditions.iter();
+            conditions.any(|known| known.key == item.key && known.revision != item.revision)
+        });
+        Ok(match conflict {
+            Some(item) => TxnOutcome::Conflict(vec![item.clone()]),
+            None => TxnOutcome::Done(self.current),
+        })
     }
 
     async fn open_lease(&self, _ttl: Duration) -> Result<StoreLease, StoreError> {
