test: sound upstreams that fall silent in the soak, known to fail

Cause: the soak never made a sound upstream silent, and where an answer was cut without a planned stop at its process no check looked at it. Change: `--silences N` draws silences of some or all upstreams from a source of their own, each beside a new configuration, one in four around a planned stop and one in four after the start that follows; an upstream is sound for 1.5 s between two of them, so that an answer fits into each deadline. Runs with them have callers of streams that may not be resumed, to engines and to the plain service. `CutWhileSilent` is a request that ran, or may have run, without its whole answer, in a time in which only silences, configurations, reloads and planned stops befell its process and its upstreams. Only a deadline that passed and was shorter than a silence and an answer, and the streams that a stop may cut, do not count. Requests that were refused while all upstreams of their service were silent are counted. Records of requests have the time that the deadline leaves; the types of requests have a file of their own.

--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -19,6 +19,8 @@
     Seed(u64),
     /// Draws the faults from a seed, for a run as long as by hand.
     UsualSeed(u64),
+    /// Draws silences of sound upstreams beside configurations and planned stops from a seed, and no other faults.
+    Silences(u64),
     /// A fixed list: start and duration in milliseconds, and the kind of the fault.
     Fixed(&'static [(u64, u64, FaultKind)]),
 }
@@ -135,6 +137,12 @@
     },
 ];
 
+/// Seeds under which answers of silent upstreams were cut.
+const SILENCE_CASES: [SoakCase; 1] = [SoakCase {
+    name: "silences drawn from seed 59002",
+    faults: SoakFaults::Silences(59_002),
+}];
+
 /// Number of process indices reserved for each run.
 const PLACES_PER_RUN: usize = 16;
 
@@ -152,16 +160,26 @@
     };
     let options = match case.faults {
         SoakFaults::UsualSeed(_) => usual,
+        SoakFaults::Silences(_) => SoakOptions {
+            faults: 0,
+            harmful: 0,
+            said: 0,
+            restores: 0,
+            silences: 10,
+            ..short
+        },
         SoakFaults::Seed(_) | SoakFaults::Fixed(_) => short,
     };
     let plan = match case.faults {
-        SoakFaults::Seed(seed) | SoakFaults::UsualSeed(seed) => FaultPlan::draw(seed, &options),
+        SoakFaults::Seed(seed) | SoakFaults::UsualSeed(seed) | SoakFaults::Silences(seed) => {
+            FaultPlan::draw(seed, &options)
+        }
         SoakFaults::Fixed(faults) => FaultPlan {
             faults: faults.iter().copied().map(to_timed_fault).collect(),
         },
     };
     let caller_seed = match case.faults {
-        SoakFaults::UsualSeed(seed) => seed,
+        SoakFaults::UsualSeed(seed) | SoakFaults::Silences(seed) => seed,
         SoakFaults::Seed(_) | SoakFaults::Fixed(_) => index as u64,
     };
     let outcome = run_plan(&plan, caller_seed, &options).await;
@@ -176,13 +194,13 @@
     }
 }
 
-#[test]
-fn external_faults_violate_no_invariant() {
+/// Plays cases side by side. Their process indices begin at `first`.
+fn play_cases(cases: &[SoakCase], first: usize) {
     let runtime = tokio::runtime::Runtime::new().expect("the runtime cannot be started");
-    let runs = CASES.iter().enumerate();
-    let runs = runs.map(|(index, case)| run_case(index, case));
+    let runs = cases.iter().enumerate();
+    let runs = runs.map(|(index, case)| run_case(first + index, case));
     let outcomes = runtime.block_on(futures::future::join_all(runs));
-    for (case, (folder, outcome)) in CASES.iter().zip(outcomes) {
+    for (case, (folder, outcome)) in cases.iter().zip(outcomes) {
         assert!(
             outcome.violations.is_empty(),
             "{}: {outcome:#?}; logs are in {}",
@@ -192,3 +210,13 @@
         assert!(outcome.served > 100, "{}: {outcome:?}", case.name);
     }
 }
+
+#[test]
+fn external_faults_violate_no_invariant() {
+    play_cases(&CASES, 0);
+}
+
+#[test]
+fn silent_upstreams_lose_no_answer() {
+    play_cases(&SILENCE_CASES, CASES.len());
+}
--- a/crates/soak/src/around_stop.rs
+++ b/crates/soak/src/around_stop.rs
@@ -13,10 +13,10 @@
 use tokio::task::JoinSet;
 
 use crate::caller::{
-    CallOrder, CallRecord, CallerConnection, DEADLINE, RequestKind, call_on, connect,
-    connect_slowly,
+    CallRecord, CallerConnection, DEADLINE, RequestKind, call_on, connect, connect_slowly,
 };
 use crate::process::EntryPlace;
+use crate::request::CallOrder;
 use crate::site::LASTING_KEY;
 use crate::slow_stream::HeldPart;
 
@@ -150,6 +150,7 @@
         let pause = Duration::from_millis(self.rng.random_range(0..LONG_PAUSE_MS));
         let place = self.scene.place;
         let mut sent_at = Instant::now();
+        let mut held = Duration::ZERO;
         match self.habit {
             CallHabit::OneEach | CallHabit::Keeps => {}
             CallHabit::Silent => {
@@ -160,8 +161,9 @@
             CallHabit::Halting(part) => {
                 *kept = connect_slowly(place, part, pause).await;
                 // Nobody can begin on a request before its head has come.
-                if part == HeldPart::HalfHead {
-                    sent_at += pause;
+                match part {
+                    HeldPart::HalfHead => sent_at += pause,
+                    HeldPart::BodyEnd => held = pause,
                 }
             }
         }
@@ -182,6 +184,7 @@
             entry: self.scene.entry,
             key: LASTING_KEY.to_owned(),
             sent_at,
+            answer_time: deadline.saturating_sub(held),
             ended_at: Instant::now(),
             end,
         }
--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -8,6 +8,7 @@
 use crate::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
 use crate::domains::{EvacuationPeriod, RecordIndex, UpstreamArrivals, check_regions};
 use crate::plan::FaultKind;
+use crate::silences::AllSilentPeriod;
 use crate::site::{LASTING_KEY, RevokedKey, UpstreamRole, UpstreamRun};
 use crate::violation::Violation;
 
@@ -99,6 +100,8 @@
     pub arrived: Vec<UpstreamArrivals>,
     /// When failure domains were evacuated.
     pub evacuations: Vec<EvacuationPeriod>,
+    /// When all upstreams of a role were silent.
+    pub all_silent: Vec<AllSilentPeriod>,
 }
 
 impl AuditBook {
@@ -111,6 +114,7 @@
             found.extend(check_held(record));
             found.extend(self.check_key(record));
             found.extend(self.check_stop(record));
+            found.extend(self.check_silence(record));
             found.extend(self.check_leaving(record));
             found.extend(self.check_unnamed(record));
         }
@@ -137,7 +141,7 @@
         found
     }
 
-    fn runs(&self, record: &CallRecord) -> usize {
+    pub(crate) fn runs(&self, record: &CallRecord) -> usize {
         self.seen.get(&record.id).map_or(0, Vec::len)
     }
 
@@ -161,7 +165,7 @@
             return None;
         };
         // On an idempotent route such an answer may be an upstream's own statement.
-        let is_checked = matches!(record.kind, RequestKind::Bid | RequestKind::Stream(_));
+        let is_checked = record.kind == RequestKind::Bid || record.kind.is_stream();
         let is_promised = is_checked && matches!(status, 408 | 421 | 429 | 503);
         let is_false = runs > 0 && (is_promised || says_not_run);
         is_false.then_some(Violation::FalselyNotRun { id, status })
@@ -280,7 +284,8 @@
 
 /// Whether a stop that was told at this time may cut a request: only a stream that was sent early and runs until the
 /// last part of the grace.
-fn may_be_cut(record: &CallRecord, told: Instant) -> bool {
-    let is_stream = matches!(record.kind, RequestKind::Stream(_));
-    is_stream && record.sent_at <= told + STREAM_TAKEN && record.ended_at >= told + STREAM_CUT
+pub(crate) fn may_be_cut(record: &CallRecord, told: Instant) -> bool {
+    record.kind.is_stream()
+        && record.sent_at <= told + STREAM_TAKEN
+        && record.ended_at >= told + STREAM_CUT
 }
--- a/crates/soak/src/bin/bergamot-soak.rs
+++ b/crates/soak/src/bin/bergamot-soak.rs
@@ -75,6 +75,12 @@
         "cuts between some processes and all upstreams (0)",
         "COUNT",
     );
+    options.optopt(
+        "",
+        "silences",
+        "silences of sound upstreams, each beside a new configuration; above 0 there are streams that may not be resumed (0)",
+        "COUNT",
+    );
     options.optopt("", "seconds", "time in which faults begin (12)", "SECONDS");
     options.optopt(
         "",
@@ -152,6 +158,7 @@
         cold: matches.opt_get_default("cold", usual.cold)?,
         home_callers: matches.opt_get_default("home-callers", usual.home_callers)?,
         cuts: matches.opt_get_default("cuts", usual.cuts)?,
+        silences: matches.opt_get_default("silences", usual.silences)?,
         length: Duration::from_secs(seconds),
         ..usual
     })
@@ -173,6 +180,13 @@
             outcome.evacuations, outcome.cold_requests, outcome.cold_peak
         );
     }
+    let silence = outcome.silence;
+    if silence.requests > 0 {
+        println!(
+            "  {} requests while all upstreams were silent, {} of them refused",
+            silence.requests, silence.refused
+        );
+    }
     for cut in &outcome.cuts {
         println!("  {cut:?}");
     }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -4,15 +4,13 @@
 use std::time::{Duration, Instant};
 
 use bergamot_adapter::SiteDialect;
-use bergamot_adapter::sample::SampleRequest;
 use bergamot_ports::CallerDialect;
-use bergamot_site_standin::answers::EVENT_TOKENS;
 use bergamot_types::prelude::*;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+use hyper::Response;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::RETRY_AFTER;
-use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use rand::{Rng, SeedableRng};
@@ -21,13 +19,12 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
-use crate::harmful::MARKER;
 use crate::process::EntryPlace;
+pub use crate::request::RequestKind;
+use crate::request::{CallOrder, request, whole_answer};
 use crate::site::{LASTING_KEY, SoakSite, UpstreamRole};
 use crate::slow_stream::{HeldPart, SlowStream};
 
-/// The header of a request's deadline, in milliseconds.
-const DEADLINE_HEADER: &str = "deadline-ms";
 /// The longest deadline of a request.
 pub const DEADLINE: Duration = Duration::from_millis(4_000);
 /// Time past the deadline after which a caller gives up: as long again, so that a late answer shows as late.
@@ -39,9 +36,6 @@
 /// One request in so many goes with the key that changes, or with one that was taken away.
 const PROBE_SHARE: u32 = 6;
 
-/// Events of a harmful stream: more than there is time for before its upstream ends.
-const HARMFUL_EVENTS: u64 = 60;
-
 /// A connection of a caller.
 pub(crate) struct CallerConnection {
     sender: SendRequest<Full<Bytes>>,
@@ -49,19 +43,15 @@
     driver: JoinHandle<()>,
 }
 
-/// What a request is for.
+/// What a caller asks for all the time.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum RequestKind {
-    /// Idempotent, to the plain service.
-    Read,
-    /// Not idempotent, to the plain service.
-    Bid,
-    /// A stream that may be resumed, to a group; of so many events.
-    Stream(u64),
-    /// Idempotent, to the plain service, with a home region.
+pub enum CallerHabit {
+    /// Reads, bids and streams.
+    Usual,
+    /// Requests with a home region.
     Home,
-    /// Ends each upstream that runs it: a stream, or idempotent; the same number is the same request.
-    Harmful(UpstreamRole, usize),
+    /// Streams that may be sent to one upstream only.
+    Single,
 }
 
 /// How a request ended for its caller.
@@ -104,31 +94,20 @@
     pub key: String,
     /// When it was sent.
     pub sent_at: Instant,
+    /// Time that its deadline leaves after it was sent as a whole.
+    pub answer_time: Duration,
     /// When it ended.
     pub ended_at: Instant,
     /// How it ended.
     pub end: CallEnd,
 }
 
-/// What a caller asks for.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct CallOrder<'a> {
-    /// The request's id.
-    pub(crate) id: &'a str,
-    /// What it is for.
-    pub(crate) kind: RequestKind,
-    /// The key it carries.
-    pub(crate) key: &'a str,
-    /// Its deadline.
-    pub(crate) deadline: Duration,
-}
-
 /// One caller.
 pub struct CallerLoop {
     /// Its number.
     pub number: usize,
-    /// Whether all its requests have a home region.
-    pub is_home: bool,
+    /// What it asks for.
+    pub habit: CallerHabit,
     /// The process it calls.
     pub entry: usize,
     /// Where that listens.
@@ -150,11 +129,17 @@
             let pause = rng.random_range(1..LONGEST_PAUSE_MS);
             tokio::time::sleep(Duration::from_millis(pause)).await;
             let id = format!("c{}-{count}", self.number);
-            let kind = match rng.random_range(0..3) {
-                _ if self.is_home => RequestKind::Home,
-                0 => RequestKind::Read,
-                1 => RequestKind::Bid,
-                _ => RequestKind::Stream(rng.random_range(1..80)),
+            let kind = match (self.habit, rng.random_range(0..3)) {
+                (CallerHabit::Home, _) => RequestKind::Home,
+                (CallerHabit::Single, 0) => {
+                    RequestKind::Single(UpstreamRole::Desk, rng.random_range(1..80))
+                }
+                (CallerHabit::Single, _) => {
+                    RequestKind::Single(UpstreamRole::Engine, rng.random_range(1..80))
+                }
+                (CallerHabit::Usual, 0) => RequestKind::Read,
+                (CallerHabit::Usual, 1) => RequestKind::Bid,
+                (CallerHabit::Usual, _) => RequestKind::Stream(rng.random_range(1..80)),
             };
             let key = self.draw_key(&mut rng);
             let record = self.call(&mut kept, id, kind, key).await;
@@ -202,6 +187,7 @@
             entry: self.entry,
             key,
             sent_at,
+            answer_time: DEADLINE,
             ended_at: Instant::now(),
             end,
         }
@@ -292,49 +278,6 @@
     Some(CallerConnection { sender, driver })
 }
 
-fn request(order: CallOrder<'_>) -> Option<Request<Full<Bytes>>> {
-    let CallOrder {
-        id,
-        kind,
-        key,
-        deadline,
-    } = order;
-    let (method, path) = match kind {
-        RequestKind::Read => (Method::GET, format!("/read/{id}")),
-        RequestKind::Home => (Method::GET, format!("/home/{id}")),
-        RequestKind::Bid => (Method::POST, format!("/bid/{id}")),
-        RequestKind::Stream(_) => (Method::POST, format!("/stream/{id}")),
-        RequestKind::Harmful(role, number) => (Method::POST, harmful_path(role, number)),
-    };
-    let mut builder = Request::builder().method(method).uri(path);
-    let answer_tokens = match kind {
-        RequestKind::Stream(events) => Some(events * EVENT_TOKENS),
-        RequestKind::Harmful(UpstreamRole::Engine, _) => Some(HARMFUL_EVENTS * EVENT_TOKENS),
-        RequestKind::Harmful(UpstreamRole::Desk, _)
-        | RequestKind::Read
-        | RequestKind::Home
-        | RequestKind::Bid => None,
-    };
-    let sample = SampleRequest {
-        id,
-        key,
-        answer_tokens,
-    };
-    for (name, value) in sample.headers() {
-        let value = match name {
-            DEADLINE_HEADER => deadline.as_millis().to_string(),
-            _ => value,
-        };
-        builder = builder.header(name, value);
-    }
-    let body = match kind {
-        RequestKind::Read | RequestKind::Home => Bytes::new(),
-        RequestKind::Harmful(..) => Bytes::from_static(MARKER.as_bytes()),
-        _ => Bytes::from(id.to_owned()),
-    };
-    builder.body(Full::new(body)).ok()
-}
-
 async fn read_answer(
     id: &str,
     kind: RequestKind,
@@ -355,29 +298,3 @@
         is_held: text.contains(ErrorKind::Quarantined.code()),
     }
 }
-
-fn harmful_path(role: UpstreamRole, number: usize) -> String {
-    match role {
-        UpstreamRole::Engine => format!("/stream/harmful-{number}"),
-        UpstreamRole::Desk => format!("/read/harmful-{number}"),
-    }
-}
-
-fn whole_stream(events: u64) -> String {
-    let events = (1..=events).map(|event| format!("id: {event}\ndata: piece {event}\n\n"));
-    events.collect()
-}
-
-/// What the stand-ins answer to this request.
-fn whole_answer(id: &str, kind: RequestKind) -> String {
-    match kind {
-        RequestKind::Read => format!("GET /read/{id} 0"),
-        RequestKind::Home => format!("GET /home/{id} 0"),
-        RequestKind::Bid => format!("POST /bid/{id} {}", id.len()),
-        RequestKind::Stream(events) => whole_stream(events),
-        RequestKind::Harmful(UpstreamRole::Engine, _) => whole_stream(HARMFUL_EVENTS),
-        RequestKind::Harmful(role, number) => {
-            format!("POST {} {}", harmful_path(role, number), MARKER.len())
-        }
-    }
-}
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -17,6 +17,7 @@
 use crate::process::{EntryProcess, StopState};
 use crate::proxy::LinkProxy;
 use crate::run::SoakRun;
+use crate::silences::SilenceStart;
 use crate::site::UpstreamRole;
 use crate::violation::Violation;
 
@@ -131,6 +132,15 @@
             FaultKind::HarmfulRequest(role, number) => {
                 self.send_harmful(fault, role, number).await;
             }
+            FaultKind::Silence(set, start) => {
+                if let SilenceStart::AfterStart(index) = start
+                    && !self.wait_started(index).await
+                {
+                    return Ok(());
+                }
+                self.note_begun(noted, Instant::now());
+                self.silence(set, length).await;
+            }
             FaultKind::Evacuates(choice) => self.evacuate(choice, length).await,
             FaultKind::TurnsCold(role, index) => self.turn_cold(role, index, length),
             FaultKind::Says(role, index, said) => self.say(role, index, said, length).await,
--- a/crates/soak/src/harmful.rs
+++ b/crates/soak/src/harmful.rs
@@ -7,7 +7,7 @@
 use tokio::task::JoinSet;
 
 use crate::audit::AuditBook;
-use crate::caller::{CallRecord, RequestKind, call_once};
+use crate::caller::{CallRecord, DEADLINE, RequestKind, call_once};
 use crate::plan::TimedFault;
 use crate::run::SoakRun;
 use crate::site::{LASTING_KEY, UpstreamRole};
@@ -52,6 +52,7 @@
                     entry,
                     key: LASTING_KEY.to_owned(),
                     sent_at,
+                    answer_time: DEADLINE,
                     ended_at: Instant::now(),
                     end,
                 }
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -38,6 +38,9 @@
     pub home_callers: usize,
     /// Cuts between some processes and all upstreams, besides.
     pub cuts: usize,
+    /// Silences of sound upstreams, each beside a new configuration, besides. Above 0, there are callers of streams that
+    /// may not be resumed.
+    pub silences: usize,
     /// The number of the first place for processes; runs that go on side by side need others.
     pub first_place: usize,
 }
@@ -62,6 +65,7 @@
             cold: 0,
             home_callers: 0,
             cuts: 0,
+            silences: 0,
             first_place: 0,
         }
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -12,6 +12,7 @@
 use crate::domains::{DomainChoice, draw_evacuations};
 use crate::options::SoakOptions;
 use crate::said::SaidFault;
+use crate::silences::{SilenceStart, UpstreamSet, draw_silences};
 use crate::site::UpstreamRole;
 
 /// What befalls the bytes of a link.
@@ -107,6 +108,33 @@
     TurnsCold(UpstreamRole, usize),
     /// The operator takes a key away and gives out another.
     ChangeKeys,
+    /// Sound upstreams send nothing, and go on where they were at the end.
+    Silence(UpstreamSet, SilenceStart),
+}
+
+impl FaultKind {
+    /// The role of the upstreams that it befalls; none where it is not about upstreams.
+    pub(crate) const fn role(self) -> Option<UpstreamRole> {
+        match self {
+            Self::EngineLink(..)
+            | Self::EngineDies(_)
+            | Self::EngineLeaves(_)
+            | Self::EngineBreaksOff(..) => Some(UpstreamRole::Engine),
+            Self::DeskLink(..)
+            | Self::DeskDies(_)
+            | Self::DeskLeaves(_)
+            | Self::DeskLosesAnswers(..)
+            | Self::DeskRefuses(..)
+            | Self::DeskSlow(..) => Some(UpstreamRole::Desk),
+            Self::Restarts(role, _)
+            | Self::RestartsCutOff(role, _)
+            | Self::ForeignEntry(role, ..)
+            | Self::HarmfulRequest(role, _)
+            | Self::Says(role, ..)
+            | Self::TurnsCold(role, _) => Some(role),
+            _ => None,
+        }
+    }
 }
 
 /// A fault with its time.
@@ -140,7 +168,7 @@
 /// process can be stopped again and again.
 const STOPPED_MS: std::ops::Range<u64> = 100..1_000;
 /// Time in which the late ones of them come, in milliseconds: short against the grace, so that they overlap.
-const LATE_STOPS_MS: u64 = 3_000;
+pub(crate) const LATE_STOPS_MS: u64 = 3_000;
 /// How long an upstream says something of itself, in milliseconds: past the time after which all processes must go by it, and
 /// the span over which requests are counted.
 const SAID_MS: std::ops::Range<u64> = 5_000..12_000;
@@ -172,6 +200,7 @@
         faults.extend(draw_evacuations(seed, options));
         faults.extend(draw_cold(seed, options));
         faults.extend(draw_cuts(seed, options));
+        faults.extend(draw_silences(seed, options));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
@@ -185,7 +214,7 @@
 
 /// Planned stops have a source of their own too. Every other one comes once all other faults are over, as what a stop cuts
 /// is told apart from what a fault cuts only where no fault befalls the process.
-fn draw_stops(seed: u64, options: &SoakOptions) -> Vec<TimedFault> {
+pub(crate) fn draw_stops(seed: u64, options: &SoakOptions) -> Vec<TimedFault> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32) ^ STOP_SOURCE);
     let length = options.length.as_millis() as u64;
     let late = length + LONGEST_MS..length + LONGEST_MS + LATE_STOPS_MS;
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -224,6 +224,11 @@
         }
     }
 
+    /// Time since its last start.
+    pub fn age(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
     /// Whether it was started and not seen to end since.
     pub const fn is_started(&self) -> bool {
         self.child.is_some()
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,7 @@
 use tokio::task::JoinSet;
 
 use crate::audit::{AuditBook, Trouble};
-use crate::caller::{CallEnd, CallRecord, CallerLoop, RequestKind, call_once};
+use crate::caller::{CallEnd, CallRecord, CallerHabit, CallerLoop, RequestKind, call_once};
 use crate::cuts::CutReport;
 use crate::domains::EvacuationPeriod;
 use crate::groups::GroupWatch;
@@ -15,6 +15,7 @@
 use crate::plan::{FaultKind, FaultPlan};
 use crate::process::{EntryPlace, EntryProcess};
 use crate::proxy::LinkProxy;
+use crate::silences::{SilenceBook, SilenceReport};
 use crate::site::{LASTING_KEY, SoakSite};
 use crate::violation::Violation;
 
@@ -25,6 +26,9 @@
 /// Time in which what is still on its way arrives, after the callers have ended.
 const SETTLE: Duration = Duration::from_millis(1_500);
 
+/// Callers of each process, in runs with silences, whose streams may not be resumed.
+const SINGLE_CALLERS: usize = 2;
+
 /// What a run brought.
 #[derive(Debug)]
 pub struct SoakOutcome {
@@ -46,6 +50,8 @@
     pub cold_peak: usize,
     /// How callers were served while processes were cut off from all upstreams.
     pub cuts: Vec<CutReport>,
+    /// How new requests were answered while all upstreams that could serve them were silent.
+    pub silence: SilenceReport,
     /// What was broken.
     pub violations: Vec<Violation>,
 }
@@ -69,6 +75,8 @@
     pub(crate) around: Mutex<JoinSet<()>>,
     /// When failure domains were evacuated.
     pub(crate) evacuations: Mutex<Vec<EvacuationPeriod>>,
+    /// Silences of sound upstreams.
+    pub(crate) silences: Mutex<SilenceBook>,
     /// What callers draw from.
     pub(crate) seed: u64,
 }
@@ -143,6 +151,7 @@
             records: Arc::default(),
             around: Mutex::default(),
             evacuations: Mutex::default(),
+            silences: Mutex::default(),
             seed,
         })
     }
@@ -152,14 +161,23 @@
         let mut callers = JoinSet::new();
         for (index, entry) in self.entries.iter().enumerate() {
             let place = entry.process.lock().await.place;
-            for number in 0..options.callers + options.home_callers {
+            let homed = options.callers + options.home_callers;
+            let single = match options.silences {
+                0 => 0,
+                _ => SINGLE_CALLERS,
+            };
+            for number in 0..homed + single {
                 let caller = CallerLoop {
-                    // The callers of a run without home callers keep their numbers.
+                    // The usual callers keep their numbers whatever others there are.
                     number: match number < options.callers {
                         true => index * options.callers + number,
                         false => (number + 1) * self.entries.len() + index,
                     },
-                    is_home: number >= options.callers,
+                    habit: match number {
+                        _ if number < options.callers => CallerHabit::Usual,
+                        _ if number < homed => CallerHabit::Home,
+                        _ => CallerHabit::Single,
+                    },
                     entry: index,
                     place,
                     site: Arc::clone(&self.site),
@@ -232,6 +250,7 @@
             revoked: self.site.keys.lock().revoked.clone(),
             arrived: self.site.requests_arrived(),
             evacuations: self.evacuations.lock().clone(),
+            all_silent: self.silences.lock().all_silent.clone(),
         };
         let mut violations = book.check();
         violations.extend(self.violations.lock().iter().cloned());
@@ -246,6 +265,7 @@
         SoakOutcome {
             seed: self.seed,
             cuts: book.cut_reports(),
+            silence: book.silence_report(),
             evacuations: book.evacuations.len(),
             cold_requests,
             cold_peak,
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -11,6 +11,7 @@
     GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
 };
 use parking_lot::Mutex;
+use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
 use crate::cold::WARM_UP;
@@ -118,6 +119,32 @@
             Self::Desk => DESK,
         }
     }
+
+    /// The route of streams that may not be resumed.
+    pub(crate) const fn single_route(self) -> &'static str {
+        match self {
+            Self::Engine => "once",
+            Self::Desk => "feed",
+        }
+    }
+}
+
+/// Adds routes for streams that may be sent to one upstream only.
+fn add_single_streams(config: &mut Value) {
+    let Some(routes) = config["routes"].as_array_mut() else {
+        return;
+    };
+    let stream = routes[0].clone();
+    for role in [UpstreamRole::Engine, UpstreamRole::Desk] {
+        let mut route = stream.clone();
+        let name = role.single_route();
+        route["name"] = json!(name);
+        route["prefix"] = json!(format!("/{name}/"));
+        route["service"] = json!(role.service());
+        route["maxAttempts"] = json!(1);
+        route["resumable"] = json!(false);
+        routes.push(route);
+    }
 }
 
 fn entry_key(upstream: &SiteUpstream) -> String {
@@ -140,6 +167,8 @@
     pub links: Arc<UpstreamLinks>,
     /// Optional parts of the configuration.
     pub features: SampleFeatures,
+    /// Whether there are routes for streams that may not be resumed.
+    pub has_single_streams: bool,
 }
 
 impl SoakSite {
@@ -163,6 +192,7 @@
                 has_warm_up: options.cold > 0,
                 has_home_route: options.home_callers > 0,
             },
+            has_single_streams: options.silences > 0,
         });
         site.change_keys();
         for index in 0..options.engines {
@@ -297,7 +327,11 @@
         keys.version += 1;
         let next = format!("{CHANGING_KEY}{}", keys.version);
         let given_out = [LASTING_KEY, &next];
-        let config = config_with_features(keys.version, &given_out, MAX_ATTEMPTS, self.features);
+        let mut config =
+            config_with_features(keys.version, &given_out, MAX_ATTEMPTS, self.features);
+        if self.has_single_streams {
+            add_single_streams(&mut config);
+        }
         let text = config.to_string();
         self.store.put(CONFIG_KEY, text.as_bytes());
         let key = std::mem::replace(&mut keys.current, next);
--- a/crates/soak/src/violation.rs
+++ b/crates/soak/src/violation.rs
@@ -91,6 +91,21 @@
         /// The process.
         entry: usize,
     },
+    /// A request got no whole answer while upstreams were silent, although nothing else befell it.
+    CutWhileSilent {
+        /// The request.
+        id: String,
+        /// The process.
+        entry: usize,
+        /// What it was for.
+        kind: RequestKind,
+        /// How it ended.
+        end: CallEnd,
+        /// After what time.
+        took: Duration,
+        /// How often it ran.
+        runs: usize,
+    },
     /// A process did not end within its grace.
     DidNotStop {
         /// The process.
--- a/crates/soak/tests/audit/main.rs
+++ b/crates/soak/tests/audit/main.rs
@@ -11,7 +11,7 @@
     GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
 };
 use bergamot_soak::audit::{AuditBook, Trouble};
-use bergamot_soak::caller::{CallEnd, CallRecord, RequestKind};
+use bergamot_soak::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
 use bergamot_soak::plan::FaultKind;
 use bergamot_soak::site::{LASTING_KEY, RevokedKey, UpstreamRole, UpstreamRun};
 
@@ -120,6 +120,7 @@
         entry: 0,
         key: case.key.to_owned(),
         sent_at: at(case.sent),
+        answer_time: DEADLINE,
         ended_at: at(case.ended),
         end: case.end.clone(),
     };
--- a/crates/soak/tests/domains.rs
+++ b/crates/soak/tests/domains.rs
@@ -4,7 +4,7 @@
 
 use bergamot_site_standin::{AdvertisedState, ArrivedRequest};
 use bergamot_soak::audit::{AuditBook, Trouble};
-use bergamot_soak::caller::{CallEnd, CallRecord, RequestKind};
+use bergamot_soak::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
 use bergamot_soak::site::{LASTING_KEY, UpstreamRole};
 use bergamot_soak::{EvacuationPeriod, FaultKind, LinkState, UpstreamArrivals};
 
@@ -239,6 +239,7 @@
         entry: 0,
         key: LASTING_KEY.to_owned(),
         sent_at: at(*ms),
+        answer_time: DEADLINE,
         ended_at: at(ms + 5),
         end: CallEnd::Answered {
             status: 200,
--- a/crates/soak/tests/held.rs
+++ b/crates/soak/tests/held.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use bergamot_soak::caller::{CallEnd, CallRecord, RequestKind};
+use bergamot_soak::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
 use bergamot_soak::site::{LASTING_KEY, UpstreamRole};
 use bergamot_soak::{AuditBook, Violation};
 
@@ -44,6 +44,7 @@
             entry: 0,
             key: LASTING_KEY.to_owned(),
             sent_at,
+            answer_time: DEADLINE,
             ended_at: sent_at + Duration::from_millis(20),
             end: CallEnd::Answered {
                 status: 503,
--- a/crates/soak/tests/keys.rs
+++ b/crates/soak/tests/keys.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use bergamot_soak::caller::{CallEnd, CallRecord, RequestKind};
+use bergamot_soak::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
 use bergamot_soak::site::CHANGING_KEY;
 use bergamot_soak::{AuditBook, Violation};
 
@@ -56,6 +56,7 @@
                 entry: 0,
                 key: format!("{CHANGING_KEY}{version}"),
                 sent_at: at(*sent),
+                answer_time: DEADLINE,
                 ended_at: at(sent + 10),
                 end: CallEnd::Answered {
                     status: *status,
--- a/crates/soak/tests/said.rs
+++ b/crates/soak/tests/said.rs
@@ -6,7 +6,7 @@
 use bergamot_site_standin::{AdvertisedState, ArrivedRequest};
 use bergamot_soak::UpstreamArrivals;
 use bergamot_soak::audit::{AuditBook, Trouble};
-use bergamot_soak::caller::{CallEnd, CallRecord, RequestKind};
+use bergamot_soak::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
 use bergamot_soak::plan::FaultKind;
 use bergamot_soak::site::{LASTING_KEY, UpstreamRole};
 
@@ -192,6 +192,7 @@
         entry: arrival.entry,
         key: LASTING_KEY.to_owned(),
         sent_at: at(arrival.at),
+        answer_time: DEADLINE,
         ended_at: at(arrival.at + 5),
         end: CallEnd::Answered {
             status: 200,
--- a/crates/soak/tests/stop.rs
+++ b/crates/soak/tests/stop.rs
@@ -9,7 +9,7 @@
     GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
 };
 use bergamot_soak::audit::{AuditBook, Trouble};
-use bergamot_soak::caller::{CallEnd, CallRecord, RequestKind};
+use bergamot_soak::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
 use bergamot_soak::plan::FaultKind;
 use bergamot_soak::site::{LASTING_KEY, UpstreamRole, UpstreamRun};
 use bergamot_soak::{LinkState, Violation};
@@ -275,6 +275,7 @@
         entry: 0,
         key: LASTING_KEY.to_owned(),
         sent_at: at(sent),
+        answer_time: DEADLINE,
         ended_at: at(ended),
         end: case.end.clone(),
     };
