--- a/crates/gateway/src/front/forward/send.rs
+++ b/crates/gateway/src/front/forward/send.rs
@@ -180,7 +180,7 @@
     check_time(front, state, now)?;
     let view = front.shared.view.load();
     let config: &ServingConfig = view.config.as_ref().ok_or(ErrorKind::NoBundle)?;
-    check_key(front, config, request, state, now)?;
+    check_key(front, &view, request, state, now)?;
     let runs = state.possible_runs.len();
     if let Some(reason) = arrived_reason(state, runs) {
         log_not_sent_on(request, state, runs, reason);
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use bergamot_ports::ServingConfig;
 use bergamot_routing::{RouteUpstream, UpstreamChoice, UpstreamCriteria, longest_delay};
 use bergamot_types::prelude::*;
 
@@ -138,7 +137,7 @@
     check_time(front, state, now)?;
     let view: Arc<ClusterView> = front.shared.view.load_full();
     let config = view.config.as_ref().ok_or(ErrorKind::NoBundle)?;
-    check_key(front, config, request, state, now)?;
+    check_key(front, &view, request, state, now)?;
     let allowed_domains = allowed_domains(front, config, request)?;
     let allowed_domains = allowed_domains.as_deref();
     let isolation_index = check_standing(front, request, state)?;
@@ -333,18 +332,20 @@
     uncrashed.count()
 }
 
-/// Checks the caller's key again against the latest configuration, right before sending.
+/// Checks the caller's key again against the configuration of a view, right before sending. Its
+/// confirmation belongs to the same view, so that an older configuration is not taken as confirmed.
 pub fn check_key<Dialect>(
     front: &FrontContext<Dialect>,
-    config: &ServingConfig,
+    view: &ClusterView,
     request: &SentRequest,
     state: &CallState,
     now: Millis,
 ) -> Result<(), CallRefusal> {
+    let config = view.config.as_ref().ok_or(ErrorKind::NoBundle)?;
     if config.accounts.is_none() || state.route.is_public {
         return Ok(());
     }
-    if !front.shared.is_confirmed(now) {
+    if !front.shared.is_view_confirmed(view, now) {
         let kind = ErrorKind::ConfigUnconfirmed;
         let time_left = state.deadline.since(now);
         let wait = front.outage(now).return_delay(time_left, rand::random());
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -277,10 +277,15 @@
 
     /// Whether the configuration was confirmed recently enough to accept callers' API keys.
     pub fn is_confirmed(&self, now: Millis) -> bool {
+        self.is_view_confirmed(&self.view.load(), now)
+    }
+
+    /// Whether the configuration in a view was confirmed recently enough to accept callers' API keys.
+    pub fn is_view_confirmed(&self, view: &ClusterView, now: Millis) -> bool {
         let Some(revoke_time) = self.bounds().revoke_time else {
             return true;
         };
-        self.config_age(now) < revoke_time.since(CONFIRM_MARGIN)
+        view.confirmation.age(now) < revoke_time.since(CONFIRM_MARGIN)
     }
 
     /// Whether this VM coordinates the groups.
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -19,6 +19,7 @@
 mod evacuated;
 mod forming;
 mod issue;
+mod leaderless;
 mod observe;
 mod options;
 pub mod planner;
