revert: the coordinator again gives up groups on two missing reports

Next: tell a member whose connections can't be established from one that accepts them and is silent, and wait for the second only.

--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -19,7 +19,6 @@
 mod evacuated;
 mod forming;
 mod issue;
-mod leaderless;
 mod observe;
 mod options;
 pub mod planner;
--- a/crates/groups/src/options.rs
+++ b/crates/groups/src/options.rs
@@ -34,13 +34,6 @@
 }
 
 impl GroupOptions {
-    /// Returns how long a member must be silent until it is lost to a group whose requests are
-    /// stalled. Ending a group ends what runs there, and sound upstreams may be silent for a second
-    /// or two.
-    pub const fn stalled_loss_time(&self) -> Millis {
-        Millis(self.stall_time.0 / 2)
-    }
-
     /// Returns how long the members of a group whose leader may still be open are not used again.
     pub fn hold_time(&self) -> Millis {
         self.stall_time + self.stall_margin
