--- a/crates/gateway/src/front/forward/serve.rs
+++ b/crates/gateway/src/front/forward/serve.rs
@@ -13,11 +13,12 @@
 use super::super::attempt::SentRequest;
 use super::super::call::serve;
 use super::super::deadline::with_deadline;
+use super::super::panics::{answer_panicked, catch_panic};
 use super::super::refusal::{CallRefusal, RETURN_STOPPING, log_refusal, refuse};
 use super::super::state::CallState;
 use super::super::trace::RequestTrace;
 use super::ServedPlace;
-use super::context::{ForwardContext, ForwardVerdict, insert_upstream};
+use super::context::{ForwardContext, ForwardVerdict, insert_reaches_none, insert_upstream};
 
 /// Answers a request that another entry VM forwards. The answer carries a verdict for that VM.
 /// Returns the request's place too, which is kept until the answer was sent.
@@ -29,12 +30,18 @@
 where
     Dialect: CallerDialect + 'static,
 {
-    let (mut answer, place) = take_request(Rc::clone(&front), request, trace).await;
+    let taken = take_request(Rc::clone(&front), request, Rc::clone(&trace));
+    let (mut answer, place) = catch_panic(taken)
+        .await
+        .unwrap_or_else(|panic| (answer_panicked(&front, &trace, &panic), None));
     let refusal = answer.extensions().get::<CallRefusal>();
     let verdict = refusal.map_or(ForwardVerdict::Answered, |refusal| {
         ForwardVerdict::of_refusal(refusal.kind)
     });
     verdict.insert_into(answer.headers_mut());
+    if verdict == ForwardVerdict::Declined && check_reach(&front).is_err() {
+        insert_reaches_none(answer.headers_mut());
+    }
     let upstream = answer.extensions().get::<UpstreamIncarnation>().cloned();
     if let Some(upstream) = upstream {
         insert_upstream(answer.headers_mut(), &upstream);
@@ -108,7 +115,7 @@
         }
     };
     // The VM that forwards the request has counted it and its model's demand.
-    let request = SentRequest::new(head, body, call, caller);
+    let request = Rc::new(SentRequest::new(head, body, call, caller));
     (serve(front, request, state).await, Some(place))
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,12 +45,18 @@
     pub orders: IntCounterVec,
     /// Crashes of upstreams that were running requests from this VM, by evidence.
     pub upstream_ends: IntCounterVec,
+    /// Answers given up because nothing was received from their upstream, by what was due.
+    pub answers_given_up: IntCounterVec,
+    /// Upstreams from which data arrived after answers there had been given up.
+    pub stall_recoveries: IntCounter,
     /// Requests for permits to send to upstreams that advertise a limit, by outcome.
     pub permits: IntCounterVec,
     /// Requests for permits to send to cold upstreams, by outcome.
     pub warm_up_permits: IntCounterVec,
     /// Requests whose list of prompt parts could not be read.
     pub unreadable_prompt_parts: IntCounter,
+    /// Panics that ended a request, by what was being done for it.
+    pub request_panics: IntCounterVec,
     /// Gauges of the process's state, by name.
     pub state: IntGaugeVec,
 }
@@ -165,6 +171,15 @@
                 "Upstreams that ended while requests from here ran there, by the evidence",
                 &["evidence"],
             ),
+            answers_given_up: counter(
+                "bergamot_answers_given_up_total",
+                "Answers given up because nothing was received from their upstream, by what was due",
+                &["stage"],
+            ),
+            stall_recoveries: plain_counter(
+                "bergamot_stall_recoveries_total",
+                "Upstreams that sent data after answers there had been given up",
+            ),
             permits: counter(
                 "bergamot_permits_total",
                 "Permits asked for to send to upstreams that advertise a limit, by outcome",
@@ -179,6 +194,11 @@
                 "bergamot_unreadable_prompt_parts_total",
                 "Requests whose list of prompt parts could not be read",
             ),
+            request_panics: counter(
+                "bergamot_request_panics_total",
+                "Panics that ended a request, by what was being done for it",
+                &["stage"],
+            ),
             state,
             registry,
         }
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -55,7 +55,7 @@
     /// Number of requests in flight whose answers have begun.
     begun_answers: u32,
     /// Number of prompt tokens of requests whose answers have not begun.
-    pending_prompt_tokens: u32,
+    pending_prompt_tokens: u64,
     /// When data was last received from the upstream.
     last_received_at: Millis,
     /// Start of the current period with at least one request in flight from this VM.
@@ -68,11 +68,15 @@
     pub(crate) connecting_since: Option<Millis>,
     /// When the upstream was last suspected to be stalled.
     suspected_at: Option<Millis>,
+    /// Whether an answer was given up because the upstream was silent, and nothing arrived since.
+    is_given_up: bool,
     /// When a connection to the upstream last failed.
     connect_failed_at: Option<Millis>,
     /// Number of consecutive failures.
     failures: u32,
     avoided_until: Millis,
+    /// Until when the upstream is avoided as stalled, unless data arrives.
+    stalled_until: Millis,
 }
 
 impl UpstreamLoad {
@@ -80,7 +84,7 @@
     pub fn own_load(&self) -> LeaderLoad {
         LeaderLoad {
             requests: self.in_flight,
-            pending_prompt_tokens: self.pending_prompt_tokens,
+            pending_prompt_tokens: u32::try_from(self.pending_prompt_tokens).unwrap_or(u32::MAX),
         }
     }
 
@@ -101,9 +105,13 @@
     /// Whether other upstreams are preferred now.
     pub fn is_avoided(&self, now: Millis) -> bool {
         let is_connecting = self.slow_connect_since(now).is_some();
-        self.avoided_until > now
-            || is_connecting
-            || self.inactivity(now) > self.tolerated_inactivity()
+        self.avoided_until > now || is_connecting || self.is_silent(now)
+    }
+
+    /// Whether nothing was received for longer than usual although requests wait at the upstream, or
+    /// waited there a moment ago.
+    pub(crate) fn is_silent(&self, now: Millis) -> bool {
+        self.stalled_until > now || self.inactivity(now) > self.tolerated_inactivity()
     }
 
     /// Returns the inactivity that is tolerated. The first-event timeout applies until a stream has
@@ -186,25 +194,37 @@
             self.busy_since = now;
         }
         self.in_flight += 1;
-        self.pending_prompt_tokens += prompt_tokens;
+        self.pending_prompt_tokens += u64::from(prompt_tokens);
     }
 
     pub(crate) fn record_answer_begun(&mut self, prompt_tokens: u32) {
         self.begun_answers += 1;
-        self.pending_prompt_tokens = self.pending_prompt_tokens.saturating_sub(prompt_tokens);
+        self.remove_pending(prompt_tokens);
     }
 
     pub(crate) fn record_ended(&mut self, has_begun: bool, prompt_tokens: u32) {
         if !has_begun {
-            self.pending_prompt_tokens = self.pending_prompt_tokens.saturating_sub(prompt_tokens);
+            self.remove_pending(prompt_tokens);
         }
         self.in_flight = self.in_flight.saturating_sub(1);
         self.begun_answers = self.begun_answers.saturating_sub(u32::from(has_begun));
     }
 
-    pub(crate) fn record_progress(&mut self, now: Millis) {
+    fn remove_pending(&mut self, prompt_tokens: u32) {
+        let removed = u64::from(prompt_tokens);
+        self.pending_prompt_tokens = self.pending_prompt_tokens.saturating_sub(removed);
+    }
+
+    /// Returns whether this is the first data since an answer was given up.
+    pub(crate) fn record_progress(&mut self, now: Millis) -> bool {
         self.last_received_at = now;
         self.connect_failed_at = None;
+        self.stalled_until = Millis::ZERO;
+        std::mem::take(&mut self.is_given_up)
+    }
+
+    pub(crate) fn record_given_up(&mut self) {
+        self.is_given_up = true;
     }
 
     /// Whether data was received from the upstream within the time of a normal gap.
@@ -215,6 +235,7 @@
     /// Drops past failures and learned limits.
     pub(crate) fn record_group_change(&mut self) {
         self.avoided_until = Millis::ZERO;
+        self.stalled_until = Millis::ZERO;
         self.failures = 0;
         self.limit = None;
         self.fill = None;
@@ -250,16 +271,17 @@
     pub(crate) fn record_success(&mut self) {
         self.failures = 0;
         self.avoided_until = Millis::ZERO;
+        self.stalled_until = Millis::ZERO;
     }
 
     pub(crate) fn record_failure(&mut self, now: Millis) {
         let factor = 1_u64 << self.failures.min(6);
-        self.failures += 1;
+        self.failures = self.failures.saturating_add(1);
         let avoidance = Millis(FIRST_AVOIDANCE.0 * factor).min(MAX_AVOIDANCE);
         self.avoided_until = self.avoided_until.max(now + avoidance);
     }
 
     pub(crate) fn record_stall(&mut self, now: Millis) {
-        self.avoided_until = self.avoided_until.max(now + STALL_AVOIDANCE);
+        self.stalled_until = now + STALL_AVOIDANCE;
     }
 }
--- a/crates/routing/src/monitor.rs
+++ b/crates/routing/src/monitor.rs
@@ -8,14 +8,14 @@
 use crate::assignment::LeaderAssignment;
 use crate::gate::GateTable;
 use crate::latency::{DispatchedRequest, LeaderInactivity, ModelLatencies, StallVerdict};
-use crate::load::UpstreamLoad;
+use crate::load::{MIN_LIMIT, UpstreamLoad};
 use crate::partition::PartitionState;
 use crate::stalls::{StallNotice, StallRecipients, StallTable};
 use crate::upstream::RouteUpstream;
 
 /// Factor on an equal share of the slots that gives the initial limit.
 const INITIAL_LIMIT_FACTOR: f64 = 1.5;
-/// Lowest initial limit, in requests.
+/// Lowest initial limit, in requests, unless the upstream has fewer slots.
 const MIN_INITIAL_LIMIT: f64 = 2.0;
 
 /// Load and health of all upstreams to which requests were sent.
@@ -94,7 +94,9 @@
     pub(crate) fn initial_limit(&self, slots: u32) -> f64 {
         let user_count = self.assignment.user_count(slots);
         let equal_share = f64::from(slots) / user_count as f64;
-        (equal_share * INITIAL_LIMIT_FACTOR).clamp(MIN_INITIAL_LIMIT, f64::from(slots).max(1.0))
+        let max_limit = f64::from(slots).max(MIN_LIMIT);
+        let limit = (equal_share * INITIAL_LIMIT_FACTOR).max(MIN_INITIAL_LIMIT);
+        limit.min(max_limit)
     }
 
     /// Records that a request with `prompt_tokens` tokens was sent.
@@ -136,9 +138,20 @@
         sent: DispatchedRequest,
         now: Millis,
     ) -> StallVerdict {
+        let inactivity = self.leader_inactivity(upstream, sent, now);
+        self.latencies.judge(model, inactivity)
+    }
+
+    /// Returns the inactivity of a leader, for a request that was sent to it.
+    pub fn leader_inactivity(
+        &self,
+        upstream: &RouteUpstream,
+        sent: DispatchedRequest,
+        now: Millis,
+    ) -> LeaderInactivity {
         let load = self.load(&upstream.incarnation);
         let total_load = self.total_load_at(&upstream.incarnation, now);
-        let inactivity = LeaderInactivity {
+        LeaderInactivity {
             duration: load.inactivity(now),
             waited: now.since(sent.sent_at),
             sent,
@@ -148,8 +161,7 @@
             is_stalled: self
                 .stalls
                 .is_stalled(now, leader_key(&upstream.incarnation)),
-        };
-        self.latencies.judge(model, inactivity)
+        }
     }
 
     /// Records that the answer to a request has begun.
@@ -196,12 +208,18 @@
         self.load_mut(incarnation).record_group_change();
     }
 
-    /// Records that data was received from an upstream.
-    pub fn record_progress(&mut self, incarnation: &UpstreamIncarnation, now: Millis) {
+    /// Records that data was received from an upstream. Returns whether answers there had been given
+    /// up since the last data.
+    pub fn record_progress(&mut self, incarnation: &UpstreamIncarnation, now: Millis) -> bool {
         if !self.stalls.is_empty() {
             self.stalls.clear(leader_key(incarnation));
         }
-        self.load_mut(incarnation).record_progress(now);
+        self.load_mut(incarnation).record_progress(now)
+    }
+
+    /// Records that an answer was given up because nothing was received from its upstream.
+    pub fn record_given_up(&mut self, incarnation: &UpstreamIncarnation) {
+        self.load_mut(incarnation).record_given_up();
     }
 
     /// Records the verdict on a leader, and returns who is to be informed. `witness` is the hash of
