fix: a background loop that ends is begun again or stops the process

Callers saw nothing of it at first: a loop of the daemon that panicked stopped, and the process went on without it.

Cause: tasks and threads were spawned and never looked at again. Class: an end derived from something missing; here the end of a loop was not derived at all.

The others (callers', peers' and readiness connections, exchange, served updates, crash records, the threads of the store, the groups and the metrics) own sockets or receivers that end with them: their end begins a planned stop, the process ends with an error, and the platform starts a new one.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
+use crate::duty::{run_required, run_restarted};
 use crate::front::FrontContext;
 use crate::front::ends::{follow_crashes, review_crashes};
 use crate::front::exchange::exchange;
@@ -77,7 +78,8 @@
     /// Runs until the process has received a stop signal and no request is in flight.
     ///
     /// # Errors
-    /// If an address cannot be bound or a thread cannot be started.
+    /// If an address cannot be bound or a thread cannot be started, or if a background loop ended
+    /// that the process cannot go on without; requests in flight have ended then too.
     pub fn run(self) -> anyhow::Result<()> {
         let site = self.shared.site.clone();
         let runtime = tokio::runtime::Builder::new_current_thread()
@@ -106,7 +108,7 @@
             site.peer_addr
         );
         let (shared, ports, records) = (Arc::clone(&self.shared), self.ports.clone(), self.records);
-        spawn_thread("store", move || async move {
+        spawn_thread(&self.shared, "store", move || async move {
             let store = Rc::new(ports.store());
             StoreSync::new(shared, store, ports.catalog())
                 .run(feed_listener, records)
@@ -117,7 +119,7 @@
             self.ports.clone(),
             self.stall_notices,
         );
-        spawn_thread("groups", move || async move {
+        spawn_thread(&self.shared, "groups", move || async move {
             let socket = match UdpSocket::from_std(peer_sender) {
                 Ok(socket) => socket,
                 Err(error) => {
@@ -139,8 +141,10 @@
             .await;
         })?;
         let shared = Arc::clone(&self.shared);
-        spawn_thread("metrics", move || async move {
-            tokio::task::spawn_local(log_usage(Arc::clone(&shared)));
+        spawn_thread(&self.shared, "metrics", move || async move {
+            let usage_shared = Arc::clone(&shared);
+            let log_usage = move || log_usage(Arc::clone(&usage_shared));
+            tokio::task::spawn_local(run_restarted(Arc::clone(&shared), "usage", log_usage));
             serve_metrics(shared, metrics_listener).await;
         })?;
         let local = LocalSet::new();
@@ -170,7 +174,12 @@
     Ok(listener)
 }
 
-fn spawn_thread<Task, TaskFuture>(name: &str, task: Task) -> anyhow::Result<()>
+/// Starts a thread whose task the process cannot go on without.
+fn spawn_thread<Task, TaskFuture>(
+    shared: &Arc<SharedState>,
+    name: &'static str,
+    task: Task,
+) -> anyhow::Result<()>
 where
     Task: FnOnce() -> TaskFuture + Send + 'static,
     TaskFuture: Future<Output = ()> + 'static,
@@ -178,11 +187,13 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
+    let shared = Arc::clone(shared);
     std::thread::Builder::new()
         .name(format!("duty-{name}"))
         .spawn(move || {
             let local = LocalSet::new();
-            local.block_on(&runtime, async move { task().await });
+            let task = async move { task().await };
+            local.block_on(&runtime, run_required(shared, name, task));
         })?;
     Ok(())
 }
@@ -220,32 +231,62 @@
     let caller_listener = TcpListener::from_std(sockets.caller_listener)?;
     let ready_listener = TcpListener::from_std(sockets.ready_listener)?;
     let peer_socket = UdpSocket::from_std(sockets.peer_socket)?;
-    tokio::task::spawn_local(accept_callers(Rc::clone(&front), caller_listener));
     if let Some(listener) = sockets.forward_listener {
         let listener = TcpListener::from_std(listener)?;
-        tokio::task::spawn_local(accept_peers(Rc::clone(&front), listener));
+        spawn_required(&shared, "peers", accept_peers(Rc::clone(&front), listener));
     }
-    tokio::task::spawn_local(accept_ready(Rc::clone(&front), ready_listener));
-    tokio::task::spawn_local(sweep(Rc::clone(&front)));
-    tokio::task::spawn_local(follow_groups(Rc::clone(&front)));
-    tokio::task::spawn_local(watch_partition(Rc::clone(&front)));
-    tokio::task::spawn_local(follow_crashes(Rc::clone(&front)));
-    tokio::task::spawn_local(review_crashes(Rc::clone(&front)));
-    tokio::task::spawn_local(exchange(
+    let (callers, ready) = (Rc::clone(&front), Rc::clone(&front));
+    spawn_required(&shared, "callers", accept_callers(callers, caller_listener));
+    spawn_required(&shared, "ready", accept_ready(ready, ready_listener));
+    let exchange = exchange(
         Rc::clone(&front),
         peer_socket,
         peer_stall_notices,
         crash_notices,
         leader_stall_notices,
         limit_notices,
-    ));
-    follow_settings(&shared, read_settings, &mut signals).await;
+    );
+    spawn_required(&shared, "exchange", exchange);
+    spawn_restarted(&front, "sweep", sweep);
+    let known_groups = Rc::default();
+    spawn_restarted(&front, "groups_view", move |front| {
+        follow_groups(front, Rc::clone(&known_groups))
+    });
+    spawn_restarted(&front, "partition", watch_partition);
+    spawn_restarted(&front, "crashes", follow_crashes);
+    spawn_restarted(&front, "crash_review", review_crashes);
+    tokio::select! {
+        () = follow_settings(&shared, read_settings, &mut signals) => {}
+        () = shared.duties.wait_end() => {}
+    }
     front.stop.signal();
     tokio::select! {
         () = front.stop.wait_end() => {}
         () = ignore_signals(&front.stop, &mut signals) => {}
     }
-    Ok(())
+    shared.duties.first_end().map_or(Ok(()), |end| Err(end.into()))
+}
+
+fn spawn_required<Running>(shared: &Arc<SharedState>, duty: &'static str, running: Running)
+where
+    Running: Future<Output = ()> + 'static,
+{
+    tokio::task::spawn_local(run_required(Arc::clone(shared), duty, running));
+}
+
+fn spawn_restarted<Dialect, Begin, Running>(
+    front: &Rc<FrontContext<Dialect>>,
+    duty: &'static str,
+    begin: Begin,
+) where
+    Dialect: 'static,
+    Begin: Fn(Rc<FrontContext<Dialect>>) -> Running + 'static,
+    Running: Future<Output = ()> + 'static,
+{
+    let shared = Arc::clone(&front.shared);
+    let front = Rc::clone(front);
+    let begin = move || begin(Rc::clone(&front));
+    tokio::task::spawn_local(run_restarted(shared, duty, begin));
 }
 
 /// Reads the settings again on `SIGHUP` and periodically, until a stop signal arrives.
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -20,6 +20,7 @@
 /// have crashed.
 pub async fn follow_crashes<Dialect>(front: Rc<FrontContext<Dialect>>) {
     let mut changes = front.shared.view_changed.subscribe();
+    changes.mark_changed();
     while changes.changed().await.is_ok() {
         let view = front.shared.view.load_full();
         let pending = front.shared.quarantine.lock().pending_upstreams();
--- a/crates/gateway/src/front/forward/serve.rs
+++ b/crates/gateway/src/front/forward/serve.rs
@@ -13,12 +13,13 @@
 use super::super::attempt::SentRequest;
 use super::super::call::serve;
 use super::super::deadline::with_deadline;
-use super::super::panics::{answer_panicked, catch_panic};
+use super::super::panics::answer_panicked;
 use super::super::refusal::{CallRefusal, RETURN_STOPPING, log_refusal, refuse};
 use super::super::state::CallState;
 use super::super::trace::RequestTrace;
 use super::ServedPlace;
 use super::context::{ForwardContext, ForwardVerdict, insert_reaches_none, insert_upstream};
+use crate::panics::catch_panic;
 
 /// Answers a request that another entry VM forwards. The answer carries a verdict for that VM.
 /// Returns the request's place too, which is kept until the answer was sent.
--- a/crates/gateway/src/front/panics.rs
+++ b/crates/gateway/src/front/panics.rs
@@ -1,50 +1,20 @@
 //! Panics while a request is served: each ends that request alone, with an error.
 
-use std::any::Any;
-use std::panic::AssertUnwindSafe;
-
 use bergamot_ports::CallerDialect;
 use bergamot_types::prelude::*;
-use futures::FutureExt;
 
 use super::FrontContext;
 use super::answer::CallerAnswer;
 use super::refusal::refuse;
 use super::trace::RequestTrace;
-
-/// A future of a request panicked.
-#[derive(Debug, thiserror::Error)]
-#[error("{0}")]
-pub struct RequestPanic(String);
-
-impl From<Box<dyn Any + Send>> for RequestPanic {
-    fn from(payload: Box<dyn Any + Send>) -> Self {
-        let literal = payload.downcast_ref::<&str>().copied();
-        let formatted = || payload.downcast_ref::<String>().map(String::as_str);
-        let reason = literal.or_else(formatted).unwrap_or("unknown");
-        Self(reason.to_owned())
-    }
-}
-
-/// Awaits a future.
-///
-/// # Errors
-/// [`RequestPanic`] if it panics.
-pub async fn catch_panic<Running>(running: Running) -> Result<Running::Output, RequestPanic>
-where
-    Running: Future,
-{
-    // State that requests share is borrowed between two awaits only, and a panic ends the borrow.
-    let caught = AssertUnwindSafe(running).catch_unwind().await;
-    caught.map_err(RequestPanic::from)
-}
+use crate::panics::TaskPanic;
 
 /// Logs and counts a panic. `stage` is what was being done for the request.
 pub fn record_panic<Dialect>(
     front: &FrontContext<Dialect>,
     id: Option<&RequestId>,
     stage: &str,
-    panic: &RequestPanic,
+    panic: &TaskPanic,
 ) {
     log::error!(
         "event=request_panicked request={} stage={stage} reason=\"{panic}\"",
@@ -58,7 +28,7 @@
 pub fn answer_panicked<Dialect>(
     front: &FrontContext<Dialect>,
     trace: &RequestTrace,
-    panic: &RequestPanic,
+    panic: &TaskPanic,
 ) -> CallerAnswer
 where
     Dialect: CallerDialect,
--- a/crates/gateway/src/front/panics/tests.rs
+++ b/crates/gateway/src/front/panics/tests.rs
@@ -15,9 +15,9 @@
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
-use super::catch_panic;
 use crate::front::FrontContext;
 use crate::front::server::{accept_callers, accept_peers};
+use crate::panics::catch_panic;
 use crate::shared::SharedState;
 use crate::test_support as support;
 
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -24,9 +24,10 @@
 use super::attempt::{AttemptError, OpenReply, SentRequest};
 use super::events::StreamEvent;
 use super::forward::send::PeerReply;
-use super::panics::{catch_panic, record_panic};
+use super::panics::record_panic;
 use super::quiet::{STALL_CHECK_PERIOD, check_stall};
 use super::state::CallState;
+use crate::panics::catch_panic;
 use resume::SilenceEnd;
 use source::{SourceEvent, SourceProgress, UpstreamSource};
 
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -1,5 +1,6 @@
 //! Callers' connections, readiness, and shutdown.
 
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,10 +25,11 @@
 use super::gates::update_backing_off_metric;
 use super::head_timer::{HeadTimer, TimedStream};
 use super::limits::update_limited_metric;
-use super::panics::{answer_panicked, catch_panic};
+use super::panics::answer_panicked;
 use super::trace::{RequestTrace, TracedAnswer};
 use super::warmup;
 use crate::listen::{close_listener, next_connection};
+use crate::panics::catch_panic;
 use crate::stop::StopControl;
 
 /// Time between two cleanups of expired connections and of upstreams that are no longer listed.
@@ -231,18 +233,26 @@
     has_config && !front.shared.is_stopping() && front.shared.is_confirmed(front.now())
 }
 
+/// The group of each leader.
+pub type LeaderGroups = IndexMap<UpstreamIncarnation, Option<GroupId>>;
+
 /// Follows changes of the groups: assigns leaders to entry VMs, and clears the failures of a leader
 /// whose group changed.
-pub async fn follow_groups<Dialect>(front: Rc<FrontContext<Dialect>>) {
+///
+/// `known_groups` holds the groups that were last seen.
+pub async fn follow_groups<Dialect>(
+    front: Rc<FrontContext<Dialect>>,
+    known_groups: Rc<RefCell<LeaderGroups>>,
+) {
     let mut changes = front.shared.view_changed.subscribe();
-    let mut known_groups: IndexMap<UpstreamIncarnation, Option<GroupId>> = IndexMap::new();
+    changes.mark_changed();
     while changes.changed().await.is_ok() {
         let view = front.shared.view.load_full();
         let leaders = view
             .pools
             .values()
             .flat_map(|pool| pool.models.values().flatten());
-        let current_groups: IndexMap<_, _> = leaders
+        let current_groups: LeaderGroups = leaders
             .map(|leader| (leader.incarnation.clone(), leader.group.clone()))
             .collect();
         let mut monitor = front.monitor.borrow_mut();
@@ -251,14 +261,13 @@
         let leaders = leaders.flat_map(|pool| pool.models.values().flatten());
         monitor.assign_leaders(leaders, &vms, front.shared.site.vm.as_str());
         for (incarnation, group) in &current_groups {
-            if known_groups
-                .get(incarnation)
-                .is_some_and(|previous| previous != group)
-            {
+            let known_groups = known_groups.borrow();
+            let previous = known_groups.get(incarnation);
+            if previous.is_some_and(|previous| previous != group) {
                 monitor.record_group_change(incarnation);
             }
         }
-        known_groups = current_groups;
+        known_groups.replace(current_groups);
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -55,6 +55,8 @@
     pub warm_up_permits: IntCounterVec,
     /// Requests whose list of prompt parts could not be read.
     pub unreadable_prompt_parts: IntCounter,
+    /// Background loops that ended and were begun again, by loop.
+    pub duty_restarts: IntCounterVec,
     /// Panics that ended a request, by what was being done for it.
     pub request_panics: IntCounterVec,
     /// Gauges of the process's state, by name.
@@ -194,6 +196,11 @@
                 "bergamot_unreadable_prompt_parts_total",
                 "Requests whose list of prompt parts could not be read",
             ),
+            duty_restarts: counter(
+                "bergamot_duty_restarts_total",
+                "Background loops that ended and were begun again, by loop",
+                &["duty"],
+            ),
             request_panics: counter(
                 "bergamot_request_panics_total",
                 "Panics that ended a request, by what was being done for it",
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::BootClock;
+use crate::duty::DutyWatch;
 use crate::front::residency::warn_of_unknown_regions;
 use crate::metrics::GatewayMetrics;
 use crate::own_keys::ForwardEndpoint;
@@ -62,6 +63,8 @@
     unanswered_control: Mutex<IndexSet<UpstreamIncarnation>>,
     /// Notified when an upstream did not answer an order or a query.
     pub control_unanswered: Notify,
+    /// Ends of background loops that the process cannot go on without.
+    pub duties: DutyWatch,
     /// Whether the process is stopping.
     pub stopping: AtomicBool,
     /// What requests that other VMs forward to this process must carry.
@@ -115,6 +118,7 @@
             upstreams_unreachable: AtomicBool::new(false),
             unanswered_control: Mutex::default(),
             control_unanswered: Notify::new(),
+            duties: DutyWatch::default(),
             stopping: AtomicBool::new(false),
             forward_secret: rand::random(),
             is_first_start: AtomicBool::new(false),
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -34,6 +34,7 @@
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 
 use self::ask::FeedClient;
@@ -46,6 +47,7 @@
 use self::quarantine::write_records;
 use self::serve::serve_updates;
 use self::stall::LATE_ANSWER_TIME;
+use crate::duty::{run_required, run_restarted};
 use crate::known::KnownState;
 use crate::shared::SharedState;
 
@@ -132,18 +134,23 @@
     ) {
         let (shared, feed_state) = (Arc::clone(&self.shared), Rc::clone(&self.feed_state));
         let presence = Rc::clone(&self.presence);
-        tokio::task::spawn_local(serve_updates(shared, feed_state, presence, listener));
+        let serving = serve_updates(shared, feed_state, presence, listener);
+        spawn_local(run_required(Arc::clone(&self.shared), "news", serving));
         let (shared, store) = (Arc::clone(&self.shared), Rc::clone(&self.store));
-        tokio::task::spawn_local(maintain_own_key(shared, store));
-        tokio::task::spawn_local(watch_followers(FollowerWatch {
+        let maintaining = move || maintain_own_key(Arc::clone(&shared), Rc::clone(&store));
+        spawn_local(run_restarted(Arc::clone(&self.shared), "own_key", maintaining));
+        let watch = Rc::new(FollowerWatch {
             shared: Arc::clone(&self.shared),
             store: Rc::clone(&self.store),
             feed_state: Rc::clone(&self.feed_state),
             presence: Rc::clone(&self.presence),
-        }));
+        });
+        let watching = move || watch_followers(Rc::clone(&watch));
+        spawn_local(run_restarted(Arc::clone(&self.shared), "followers", watching));
         let (shared, store) = (Arc::clone(&self.shared), Rc::clone(&self.store));
         let lost_records = Rc::clone(&self.lost_records);
-        tokio::task::spawn_local(write_records(shared, store, lost_records, records));
+        let writing = write_records(shared, store, lost_records, records);
+        spawn_local(run_required(Arc::clone(&self.shared), "records", writing));
         loop {
             while !self.read_all().await {
                 tokio::time::sleep(RETRY_PERIOD).await;
--- a/crates/gateway/src/sync/presence.rs
+++ b/crates/gateway/src/sync/presence.rs
@@ -30,11 +30,10 @@
 
 /// Probes silent followers and removes the keys of those that do not answer, until the process
 /// stops.
-pub(super) async fn watch_followers<Store>(watch: FollowerWatch<Store>)
+pub(super) async fn watch_followers<Store>(watch: Rc<FollowerWatch<Store>>)
 where
     Store: StateStore + 'static,
 {
-    let watch = Rc::new(watch);
     while !watch.shared.is_stopping() {
         tokio::time::sleep(CHECK_PERIOD).await;
         for action in watch.handle(PresenceEvent::Tick) {
