fix: a part of the changes no longer makes a list of entry VMs current

Seen by a test of our own only: a VM that follows the store and gets the changes that it lacks in several answers took its state for the latest after each of them. Until the last one its peers and the permits of cold upstreams went by entries that the store no longer had, for as long as the parts took.

Cause: follow_store marked the state as current at the start of each watch that was answered. The answer has no mark of more to come. What a VM does know is the revision that its last confirmation reported: below it something is missing. Class: a check that reads two values which speak of different states.

Change: an answer to a watch marks the state as current only if no later revision was observed; the change that reaches this revision does so itself. A confirmation that finds another configuration states no revision, so it is followed by one that does.

Left: changes between two watches that come in parts before any confirmation (at most 0.8 s) are not noticed.

--- a/crates/feed/src/freshness.rs
+++ b/crates/feed/src/freshness.rs
@@ -35,6 +35,16 @@
         }
     }
 
+    /// Records that a watch started at `started_at` has answered, and that its changes are known.
+    ///
+    /// An answer may hold only a part of the changes. It then shows nothing if a later revision of
+    /// the store was observed before.
+    pub fn observe_watch(&mut self, started_at: Millis) {
+        if self.pending.is_none() {
+            self.mark_current(started_at);
+        }
+    }
+
     /// Records that the known state was the latest at `at`.
     pub fn mark_current(&mut self, at: Millis) {
         self.current_at = self.current_at.max(at);
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -71,6 +71,13 @@
 /// Name of the store in log lines about the source of changes.
 const STORE_NAME: &str = "store";
 
+/// Whether the store held the configuration that was confirmed.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum ConfigMatch {
+    Kept,
+    Replaced,
+}
+
 /// Keeps this VM's view of the store up to date.
 pub struct StoreSync<Store, Catalog> {
     shared: Arc<SharedState>,
@@ -257,7 +264,7 @@
                 self.feed_state
                     .borrow_mut()
                     .freshness
-                    .mark_current(started_at);
+                    .observe_watch(started_at);
                 match has_changes {
                     true => self.publish(),
                     false => self.record_view_current(),
@@ -315,8 +322,17 @@
         feed_state.freshness.observe_known(known);
     }
 
-    /// Confirms that the store holds the configuration in force, or applies a later one.
+    /// Confirms that the store holds the configuration in force, or applies a later one and confirms
+    /// that.
     async fn confirm(&mut self) -> Result<(), StoreError> {
+        // An answer with a later configuration does not state the revision of the store.
+        if self.confirm_once().await? == ConfigMatch::Replaced {
+            self.confirm_once().await?;
+        }
+        Ok(())
+    }
+
+    async fn confirm_once(&mut self) -> Result<ConfigMatch, StoreError> {
         let started_at = self.shared.clock.now();
         let txn = StoreTxn {
             conditions: vec![KeyCondition {
@@ -329,18 +345,19 @@
         self.count_store_call("confirm", outcome.as_ref().err());
         if let Err(StoreError::Restored) = outcome {
             self.known.revision = None;
-            return Ok(());
+            return Ok(ConfigMatch::Kept);
         }
         let outcome = outcome?;
         self.confirm_at = Instant::now() + self.ranking.confirm_period().as_duration();
         self.record_success();
-        match outcome {
+        let config_match = match outcome {
             TxnOutcome::Conflict(items) => {
                 let now = self.shared.clock.now();
                 for item in &items {
                     self.known.apply_item(&self.catalog, item, now);
                 }
                 self.publish();
+                ConfigMatch::Replaced
             }
             // A transaction without writes returns the store's current revision.
             TxnOutcome::Done(revision) => {
@@ -349,13 +366,14 @@
                 feed_state
                     .freshness
                     .observe_store(revision, known, started_at);
+                ConfigMatch::Kept
             }
-            TxnOutcome::LeaseGone => {}
-        }
+            TxnOutcome::LeaseGone => ConfigMatch::Kept,
+        };
         if self.known.is_config_stored() {
             self.known.confirmation.record(started_at);
         }
-        Ok(())
+        Ok(config_match)
     }
 
     fn watch_pause(&self) -> Duration {
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -1,10 +1,13 @@
 //! A store whose contents do not change, and a catalog that knows only configurations.
 
+use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use bergamot_ports::{
-    CatalogError, ServingConfig, StateStore, StoreCatalog, StoreError, StoreGeneration, StoreItem,
-    StoreLease, StoreRange, StoreRevision, StoreTxn, TxnOutcome, UpstreamEntry, WatchOutcome,
+    CatalogError, ServingConfig, StateStore, StoreCatalog, StoreError, StoreEvent, StoreGeneration,
+    StoreItem, StoreLease, StoreRange, StoreRevision, StoreTxn, TxnOutcome, UpstreamEntry,
+    WatchOutcome,
 };
 use bergamot_types::prelude::*;
 
@@ -25,13 +28,18 @@
     }
 }
 
-/// A store that was read at revision 5 and whose watch reports nothing.
+/// Time after which a watch reports the next part of the changes.
+const PART_DELAY: Duration = Duration::from_millis(300);
+
+/// A store that was read at revision 5. Its watches report nothing, unless it has changes.
 pub struct FixedStore {
     items: Vec<StoreItem>,
     /// The revision that confirmations report.
     current: StoreRevision,
     /// An item that was written after the items were read.
     replacement: Option<StoreItem>,
+    /// Items that were written after the items were read, of which each watch reports the next.
+    parts: RefCell<VecDeque<StoreItem>>,
 }
 
 impl FixedStore {
@@ -41,9 +49,17 @@
             items,
             current,
             replacement: None,
+            parts: RefCell::default(),
         }
     }
 
+    /// Writes these items after all were read. Each watch reports the next of them.
+    #[must_use]
+    pub fn followed_by(self, parts: Vec<StoreItem>) -> Self {
+        let parts = RefCell::new(parts.into());
+        Self { parts, ..self }
+    }
+
     /// Replaces one of the items after all were read.
     #[must_use]
     pub fn replaced_by(self, replacement: StoreItem) -> Self {
@@ -75,7 +91,15 @@
         _after: StoreRevision,
         _wait: Duration,
     ) -> Result<WatchOutcome, StoreError> {
-        std::future::pending().await
+        let part = self.parts.borrow_mut().pop_front();
+        let Some(part) = part else {
+            return std::future::pending().await;
+        };
+        tokio::time::sleep(PART_DELAY).await;
+        Ok(WatchOutcome::Changes {
+            revision: part.revision,
+            events: vec![StoreEvent::Written(part)],
+        })
     }
 
     async fn commit(&self, txn: &StoreTxn) -> Result<TxnOutcome, StoreError> {
