fix: calls that fail now and then do not keep removed upstreams in use

Callers could be sent to an upstream whose entry had been removed for as long as calls of their VM to the store kept failing, each for a moment: requests then waited for a connection, or reached an upstream that had left.

Cause: an entry that is removed around an outage stays in use for 2 s after the store's return, as its upstream may write it again. Each failed call began an outage and each answer ended one, so every failure within 2 s of the last began that time anew for all such entries. Class: a check by a value that is written apart from what it speaks of.

Change: each entry has its own time (ExpiredEntries), of which only the time with a reachable store counts, as no upstream can write its entry in any other. A restore begins it anew, as before.

known/tests.rs on the code before: dropped after 11.0 s where 10.0 s are due in the case of a second outage (the table stopped there; a call that fails every 1.5 s keeps the entry to the end, by calculation). Since: all four cases pass.

--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -15,6 +15,7 @@
 use crate::cold::EntryStatements;
 use crate::departures::DepartureLog;
 use crate::evacuations::{EvacuationChange, EvacuationEvent, EvacuationState};
+use crate::expired::{EXPIRY_GRACE, ExpiredEntries};
 use crate::logs::join_ids;
 use crate::own_keys::{
     COORDINATOR_KEY, ENTRY_PREFIX, EntryRecord, HOLD_PREFIX, QUARANTINE_PREFIX, TERM_KEY,
@@ -22,10 +23,6 @@
 };
 use crate::stored_config::StoredConfig;
 
-/// Time after the store's return in which entries that expired during the outage may be written
-/// again.
-const EXPIRY_GRACE: Millis = Millis(2_000);
-
 /// A change of the stored records of requests that were running when upstreams crashed.
 pub(crate) enum CrashRecordChange {
     /// The record was written under the key.
@@ -77,10 +74,10 @@
     pub(crate) evacuations: EvacuationState,
     /// Changes of the evacuations since they were last logged.
     pub(crate) evacuation_changes: Vec<EvacuationChange>,
-    /// Removed entries that may be written again, with the time at which they are dropped.
-    pub(crate) expired: IndexMap<UpstreamId, Millis>,
+    /// Removed entries that may be written again.
+    expired: ExpiredEntries,
     /// Whether the last call to the store failed.
-    pub(crate) is_store_unreachable: bool,
+    is_store_unreachable: bool,
     /// When the store last came back from an outage.
     pub(crate) store_returned_at: Option<Millis>,
 }
@@ -192,7 +189,7 @@
         if entry.state == UpstreamState::Draining {
             self.departures.record(&entry.incarnation, now);
         }
-        self.expired.shift_remove(&id);
+        self.expired.remove(&id);
         self.statements.record(&entry, revision, now);
         self.upstreams.insert(id, entry);
     }
@@ -203,7 +200,7 @@
         if self.unreadable.insert(id.clone(), revision) != Some(revision) {
             log::warn!("event=entry_unreadable upstream={id} reason={reason:?}");
         }
-        self.expired.shift_remove(id);
+        self.expired.remove(id);
         self.statements.remove(id);
         self.upstreams.shift_remove(id);
     }
@@ -236,30 +233,51 @@
         }
     }
 
+    /// Whether the last call to the store failed.
+    pub(crate) fn is_store_unreachable(&self) -> bool {
+        self.is_store_unreachable
+    }
+
+    /// Records whether a call to the store failed.
+    pub(crate) fn set_store_unreachable(&mut self, is_unreachable: bool, now: Millis) {
+        self.expired.pass_time(now, !self.is_store_unreachable);
+        if self.is_store_unreachable && !is_unreachable {
+            self.record_store_return(now);
+        }
+        self.is_store_unreachable = is_unreachable;
+    }
+
     /// Records that the store came back from an outage at `at`.
     pub(crate) fn record_store_return(&mut self, at: Millis) {
         self.store_returned_at = self.store_returned_at.max(Some(at));
     }
 
+    /// Records that this VM noticed a restore of the store. Entries that the copy lacks are written
+    /// again as after an outage.
+    pub(crate) fn record_restore(&mut self, now: Millis) {
+        self.record_store_return(now);
+        self.restored_at = Some(now);
+        self.expired.pass_time(now, !self.is_store_unreachable);
+        self.expired.begin_anew();
+    }
+
     /// Removes an entry, at once or, around an outage, after the grace in which it may be written
     /// again.
     pub(crate) fn remove_upstream(&mut self, id: &UpstreamId, now: Millis) {
         self.unreadable.shift_remove(id);
         self.departures.forget(id);
         let grace_end = self.store_returned_at.map(|at| at + EXPIRY_GRACE);
-        let removal_at = match self.is_store_unreachable {
-            true => Some(now + EXPIRY_GRACE),
-            false => grace_end.filter(|end| *end > now),
+        let grace = match self.is_store_unreachable {
+            true => EXPIRY_GRACE,
+            false => grace_end.unwrap_or_default().since(now),
         };
-        match removal_at {
-            Some(until) => {
-                self.expired.entry(id.clone()).or_insert(until);
-            }
-            None => {
-                self.drop_upstream(id, now);
-                self.unlisted.push(id.clone());
-            }
+        if grace == Millis::ZERO {
+            self.drop_upstream(id, now);
+            self.unlisted.push(id.clone());
+            return;
         }
+        self.expired.pass_time(now, !self.is_store_unreachable);
+        self.expired.insert(id, grace);
     }
 
     fn drop_upstream(&mut self, id: &UpstreamId, now: Millis) {
@@ -285,21 +303,14 @@
         if self.is_store_unreachable {
             return None;
         }
-        let earliest_review = self
-            .expired
-            .values()
-            .map(|until| self.removal_time(*until))
+        let next_expiry = self.expired.next_end().into_iter();
+        let earliest_review = next_expiry
             .chain(self.departures.trusted_at())
             .chain(self.evacuations.next_hold_end())
             .min()?;
         Some(earliest_review.since(now).as_duration() + Duration::from_millis(1))
     }
 
-    fn removal_time(&self, until: Millis) -> Millis {
-        let grace_end = self.store_returned_at.map(|at| at + EXPIRY_GRACE);
-        grace_end.map_or(until, |end| end.max(until))
-    }
-
     /// Removes the entries that were not written again within the grace, adds those that are trusted
     /// now, and ends the holds of evacuations that are over. Returns whether there were any.
     pub(crate) fn review_entries(&mut self, now: Millis) -> bool {
@@ -314,11 +325,9 @@
             self.statements.record(&entry, StoreRevision::ZERO, now);
             self.upstreams.insert(id, entry);
         }
-        let due_ids = self.expired.iter();
-        let due_ids = due_ids.filter(|(_, until)| self.removal_time(**until) <= now);
-        let due_ids: Vec<UpstreamId> = due_ids.map(|(id, _)| id.clone()).collect();
+        self.expired.pass_time(now, true);
+        let due_ids = self.expired.take_due();
         for id in &due_ids {
-            self.expired.shift_remove(id);
             self.drop_upstream(id, now);
         }
         if !due_ids.is_empty() {
@@ -329,3 +338,6 @@
         has_trusted || !due_ids.is_empty() || !self.evacuation_changes.is_empty()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod departures;
 mod duty;
 pub mod evacuations;
+mod expired;
 mod front;
 pub mod group_actions;
 pub mod groups;
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -173,7 +173,7 @@
     async fn follow(&mut self) {
         let is_coordinator = self.is_coordinator();
         let now = self.shared.clock.now();
-        let source = self.ranking.source(self.known.is_store_unreachable, now);
+        let source = self.ranking.source(self.known.is_store_unreachable(), now);
         if let UpdateSource::Peers(peers) = source
             && !is_coordinator
             && self.poll_peers(&peers).await
@@ -206,7 +206,7 @@
     /// Follows the store for one watch from `revision`, or until it was restored or the watch has
     /// stalled. While the store is unreachable, first makes one short call to see whether it is back.
     async fn follow_store(&mut self, revision: StoreRevision) {
-        if self.known.is_store_unreachable && !self.is_store_back().await {
+        if self.known.is_store_unreachable() && !self.is_store_back().await {
             return;
         }
         let store = Rc::clone(&self.store);
@@ -384,10 +384,10 @@
     }
 
     fn record_failure(&mut self, call: &str, error: &StoreError) {
-        if !self.known.is_store_unreachable {
+        if !self.known.is_store_unreachable() {
             log::warn!("event=store_lost call={call} reason={error:?}");
         }
-        self.known.is_store_unreachable = true;
+        self.known.set_store_unreachable(true, self.shared.clock.now());
         self.shared.set_store_unreachable(true);
         let are_peers_stale = self.shared.are_peers_stale(self.shared.clock.now());
         let pause = match self.ranking.is_store_reader() {
@@ -400,7 +400,7 @@
     }
 
     fn record_success(&mut self) {
-        if !self.known.is_store_unreachable {
+        if !self.known.is_store_unreachable() {
             return;
         }
         let now = self.shared.clock.now();
@@ -408,8 +408,7 @@
             "event=store_regained config_age={}",
             self.shared.config_age(now)
         );
-        self.known.is_store_unreachable = false;
+        self.known.set_store_unreachable(false, now);
         self.shared.set_store_unreachable(false);
-        self.known.store_returned_at = Some(now);
     }
 }
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -110,7 +110,7 @@
                 self.shared.record_stale_peer(now);
             }
             self.ranking
-                .back_off(vm, self.known.is_store_unreachable, now);
+                .back_off(vm, self.known.is_store_unreachable(), now);
         }
         false
     }
@@ -189,7 +189,7 @@
         }
         // A VM that can reach the store accepts relayed updates only from a relay of its failure
         // domain, whose reader goes on reading the store.
-        if updates.is_relayed && !self.known.is_store_unreachable && !self.is_relay(addr) {
+        if updates.is_relayed && !self.known.is_store_unreachable() && !self.is_relay(addr) {
             return Err(FeedError::Relayed);
         }
         let age = self.shared.clock.now().since(requested_at) + updates.age;
--- a/crates/gateway/src/sync/publish.rs
+++ b/crates/gateway/src/sync/publish.rs
@@ -48,10 +48,7 @@
             .metrics
             .set_state("store_generation", generation.0 as i64);
         self.known.revision = None;
-        // Entries that the copy lacks are written again as after an outage.
-        let now = self.shared.clock.now();
-        self.known.record_store_return(now);
-        self.known.restored_at = Some(now);
+        self.known.record_restore(self.shared.clock.now());
     }
 
     pub(super) fn publish(&mut self) {
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -47,11 +47,11 @@
         }
         let deadline = Instant::now() + PEER_READ_TIMEOUT;
         while Instant::now() < deadline {
-            if self.ranking.is_server() && !self.known.is_store_unreachable {
+            if self.ranking.is_server() && !self.known.is_store_unreachable() {
                 return false;
             }
             let now = self.shared.clock.now();
-            let source = self.ranking.source(self.known.is_store_unreachable, now);
+            let source = self.ranking.source(self.known.is_store_unreachable(), now);
             let UpdateSource::Peers(peers) = source else {
                 return false;
             };
@@ -74,7 +74,7 @@
         }
         let now = self.shared.clock.now();
         self.ranking
-            .back_off(vm, self.known.is_store_unreachable, now);
+            .back_off(vm, self.known.is_store_unreachable(), now);
     }
 
     /// Reads the records of the entry VMs from the store. Returns `false` if the call failed.
