fix: a silent upstream's group is kept, as one that is gone is told apart

Callers lost answers at sound upstreams that were silent for a second: the coordinator ordered members of a silent leader's group to leave after two missing reports, some 0.5 s into the silence, and what ran there broke off.

Cause: a missing report stood for both a silent process and one that is gone. Class: an irreversible act on revocable evidence.

A report that is missing while connections are established (Silent) suspends the choice of the upstream, and its group is given up only once it would have broken by itself; without a connection (Unreachable) the group is given up as before. report_missing says which.

The planner's tests and its simulated world used the one outcome for dead and cut-off upstreams; they now use Unreachable, with the same expectations.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -264,7 +264,10 @@
         () = front.stop.wait_end() => {}
         () = ignore_signals(&front.stop, &mut signals) => {}
     }
-    shared.duties.first_end().map_or(Ok(()), |end| Err(end.into()))
+    shared
+        .duties
+        .first_end()
+        .map_or(Ok(()), |end| Err(end.into()))
 }
 
 fn spawn_required<Running>(shared: &Arc<SharedState>, duty: &'static str, running: Running)
--- a/crates/gateway/src/group_actions.rs
+++ b/crates/gateway/src/group_actions.rs
@@ -95,17 +95,18 @@
             let outcome = match control.report(&target).await {
                 Ok(report) => QueryOutcome::Answered(report),
                 Err(ControlError::Gone) => QueryOutcome::Gone,
-                Err(ControlError::NoAnswer(_))
-                    if timed_out_late(clock, started_at, Control::REPORT_TIMEOUT) =>
-                {
-                    QueryOutcome::Unheard
-                }
-                Err(ControlError::NoAnswer(reason)) => {
+                Err(error @ (ControlError::Unreachable(_) | ControlError::NoAnswer(_))) => {
+                    let is_reachable = matches!(error, ControlError::NoAnswer(_));
+                    let is_late = timed_out_late(clock, started_at, Control::REPORT_TIMEOUT);
                     log::info!(
-                        "event=report_missing upstream={} reason={reason:?}",
+                        "event=report_missing upstream={} reachable={is_reachable} late={is_late} reason=\"{error}\"",
                         target.incarnation
                     );
-                    QueryOutcome::Silent
+                    match (is_late, is_reachable) {
+                        (true, is_reachable) => QueryOutcome::Unheard { is_reachable },
+                        (false, true) => QueryOutcome::Silent,
+                        (false, false) => QueryOutcome::Unreachable,
+                    }
                 }
                 Err(ControlError::Malformed(reason)) => {
                     log::warn!(
@@ -181,7 +182,7 @@
         }
         CompletedAction::Query(id, outcome) => {
             log::info!("event=asked upstream={id} outcome={outcome:?}");
-            if *outcome == QueryOutcome::Silent {
+            if matches!(outcome, QueryOutcome::Silent | QueryOutcome::Unreachable) {
                 shared.record_unanswered_control(id);
             }
             planner.record_query_outcome(id, outcome, shared.clock.now());
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -145,7 +145,11 @@
         spawn_local(run_required(Arc::clone(&self.shared), "news", serving));
         let (shared, store) = (Arc::clone(&self.shared), Rc::clone(&self.store));
         let maintaining = move || maintain_own_key(Arc::clone(&shared), Rc::clone(&store));
-        spawn_local(run_restarted(Arc::clone(&self.shared), "own_key", maintaining));
+        spawn_local(run_restarted(
+            Arc::clone(&self.shared),
+            "own_key",
+            maintaining,
+        ));
         let watch = Rc::new(FollowerWatch {
             shared: Arc::clone(&self.shared),
             store: Rc::clone(&self.store),
@@ -153,7 +157,11 @@
             presence: Rc::clone(&self.presence),
         });
         let watching = move || watch_followers(Rc::clone(&watch));
-        spawn_local(run_restarted(Arc::clone(&self.shared), "followers", watching));
+        spawn_local(run_restarted(
+            Arc::clone(&self.shared),
+            "followers",
+            watching,
+        ));
         let (shared, store) = (Arc::clone(&self.shared), Rc::clone(&self.store));
         let lost_records = Rc::clone(&self.lost_records);
         let writing = write_records(shared, store, lost_records, records);
@@ -387,7 +395,8 @@
         if !self.known.is_store_unreachable() {
             log::warn!("event=store_lost call={call} reason={error:?}");
         }
-        self.known.set_store_unreachable(true, self.shared.clock.now());
+        self.known
+            .set_store_unreachable(true, self.shared.clock.now());
         self.shared.set_store_unreachable(true);
         let are_peers_stale = self.shared.are_peers_stale(self.shared.clock.now());
         let pause = match self.ranking.is_store_reader() {
--- a/crates/groups/src/observe.rs
+++ b/crates/groups/src/observe.rs
@@ -96,6 +96,7 @@
             QueryOutcome::Answered(report) => {
                 self.answer_count += 1;
                 record.unanswered = 0;
+                record.is_unreachable = false;
                 record.answers_at_late_timeout = None;
                 record.unanswered_since = None;
                 record.answered_at = now;
@@ -111,18 +112,13 @@
                 }
             }
             QueryOutcome::Gone => record.has_exited = true,
-            QueryOutcome::Silent => {
-                record.unanswered += 1;
-                record.last_timeout_at = now;
-                record.unanswered_since.get_or_insert(now);
-            }
-            QueryOutcome::Unheard => {
+            QueryOutcome::Unreachable => record.record_unanswered(true, now),
+            QueryOutcome::Silent => record.record_unanswered(false, now),
+            QueryOutcome::Unheard { is_reachable } => {
                 let answer_count = self.answer_count;
                 let previous = record.answers_at_late_timeout.replace(answer_count);
                 if previous.is_some_and(|previous| answer_count - previous >= MIN_OTHER_ANSWERS) {
-                    record.unanswered += 1;
-                    record.last_timeout_at = now;
-                    record.unanswered_since.get_or_insert(now);
+                    record.record_unanswered(!is_reachable, now);
                 }
             }
         }
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -42,11 +42,16 @@
     Answered(UpstreamReport),
     /// Its process has exited.
     Gone,
-    /// No answer.
+    /// No answer, and no connection could be established.
+    Unreachable,
+    /// No answer, although connections are established. The upstream may be at work and go on.
     Silent,
     /// No answer, but this process was paused while it waited, so the missing answer says nothing
     /// about the upstream.
-    Unheard,
+    Unheard {
+        /// Whether a connection was established all the same.
+        is_reachable: bool,
+    },
 }
 
 /// The coordinator of the replica groups of one service.
--- a/crates/groups/src/step.rs
+++ b/crates/groups/src/step.rs
@@ -272,8 +272,9 @@
 
     /// Whether a member of the group that `leader` leads is lost to that group. A member that only
     /// fails to answer this coordinator may be cut off from it and still work in its group. It is
-    /// lost if requests have been stalled at the leader since then, or if the group would have
-    /// broken by now without it.
+    /// lost if it is not reachable and requests have been stalled at the leader since then, or if the
+    /// group would have broken by now without it. A member that accepts connections and is silent
+    /// may go on, and ending its group would end what runs there.
     fn is_lost(&self, now: Millis, id: &UpstreamId, leader: &UpstreamId) -> bool {
         let Some(record) = self
             .records
@@ -290,7 +291,16 @@
             .get(leader)
             .and_then(|leader| leader.stalled_at);
         let is_stalled = stalled_at.is_some_and(|stalled_at| stalled_at >= unanswered_since);
-        is_stalled || now.since(unanswered_since) >= self.options.stall_time
+        let is_evident = is_stalled && record.is_unreachable;
+        is_evident || now.since(unanswered_since) >= self.options.stall_time
+    }
+
+    /// Whether the leader of a group is given up: it is not reachable, or has not answered for as
+    /// long as it takes a group to break.
+    fn is_leader_given_up(&self, now: Millis, leader: &UpstreamRecord) -> bool {
+        let silence = leader.unanswered_since.map(|since| now.since(since));
+        let is_over = silence.is_some_and(|silence| silence >= self.options.stall_time);
+        leader.unanswered >= self.options.max_unanswered && (leader.is_unreachable || is_over)
     }
 
     /// Handles a group whose leader is not listed or does not answer.
@@ -312,9 +322,8 @@
             free.extend(members.cloned());
             return;
         }
-        let is_leader_unresponsive =
-            record.is_none_or(|record| record.unanswered >= self.options.max_unanswered);
-        if !is_leader_unresponsive {
+        let is_leader_given_up = record.is_none_or(|record| self.is_leader_given_up(now, record));
+        if !is_leader_given_up {
             let min_interval = Millis(self.options.query_interval.0 / 3);
             actions.extend(leader.and_then(|leader| self.query(&leader, now, min_interval)));
             return;
--- a/crates/groups/src/upstream.rs
+++ b/crates/groups/src/upstream.rs
@@ -28,6 +28,8 @@
     pub queried_at: Option<Millis>,
     /// Number of consecutive queries and orders that it did not answer.
     pub unanswered: u32,
+    /// Whether no connection could be established when it last did not answer.
+    pub is_unreachable: bool,
     /// When it last answered a query.
     pub answered_at: Millis,
     /// When a query to it last timed out.
@@ -64,6 +66,7 @@
             is_query_pending: false,
             queried_at: None,
             unanswered: 0,
+            is_unreachable: false,
             answered_at: Millis::ZERO,
             last_timeout_at: Millis::ZERO,
             unanswered_since: None,
@@ -103,6 +106,14 @@
         self.restart(entry);
     }
 
+    /// Records that an order or a query was not answered.
+    pub fn record_unanswered(&mut self, is_unreachable: bool, now: Millis) {
+        self.unanswered += 1;
+        self.is_unreachable = is_unreachable;
+        self.last_timeout_at = now;
+        self.unanswered_since.get_or_insert(now);
+    }
+
     /// Whether an order is pending.
     pub fn has_pending_order(&self) -> bool {
         self.last_order
--- a/crates/groups/tests/incarnations.rs
+++ b/crates/groups/tests/incarnations.rs
@@ -116,13 +116,17 @@
     for elapsed in [1, 60] {
         planner.record_query_outcome(
             &incarnation("u3"),
-            &QueryOutcome::Silent,
+            &QueryOutcome::Unreachable,
             NOW + Millis(elapsed),
         );
     }
     apply_restarts(&upstreams, &["u3"], &mut planner, NOW + Millis(100));
     // A query to the earlier incarnation times out now.
-    planner.record_query_outcome(&incarnation("u3"), &QueryOutcome::Silent, NOW + Millis(110));
+    planner.record_query_outcome(
+        &incarnation("u3"),
+        &QueryOutcome::Unreachable,
+        NOW + Millis(110),
+    );
     planner.record_query_outcome(&incarnation("u3"), &QueryOutcome::Gone, NOW + Millis(120));
     let actions = planner.step(NOW + Millis(130));
     assert_eq!(orders(&actions), ["u3: stage b", "u4: stage b"]);
--- a/crates/groups/tests/support/shorthand.rs
+++ b/crates/groups/tests/support/shorthand.rs
@@ -165,8 +165,8 @@
 pub fn time_out_queries(planner: &mut GroupPlanner, id: &str, now: Millis) {
     let incarnation = incarnation(id);
     planner.record_stall(&incarnation, true, now);
-    planner.record_query_outcome(&incarnation, &QueryOutcome::Silent, now);
+    planner.record_query_outcome(&incarnation, &QueryOutcome::Unreachable, now);
     let actions = planner.step(now + Millis(60));
     accept_orders(planner, &actions);
-    planner.record_query_outcome(&incarnation, &QueryOutcome::Silent, now + Millis(60));
+    planner.record_query_outcome(&incarnation, &QueryOutcome::Unreachable, now + Millis(60));
 }
--- a/crates/groups/tests/support/world.rs
+++ b/crates/groups/tests/support/world.rs
@@ -383,11 +383,11 @@
         else {
             return match self.options.trust_refusals {
                 true => QueryOutcome::Gone,
-                false => QueryOutcome::Silent,
+                false => QueryOutcome::Unreachable,
             };
         };
         if upstream.down_until > self.now {
-            return QueryOutcome::Silent;
+            return QueryOutcome::Unreachable;
         }
         if upstream.id != *id {
             return QueryOutcome::Gone;
--- a/crates/groups/tests/unresponsive.rs
+++ b/crates/groups/tests/unresponsive.rs
@@ -21,7 +21,13 @@
         let now = NOW + Millis(round * 1_000);
         planner.record_stall(&incarnation("u1"), true, now);
         for id in ["u1", "u2"] {
-            planner.record_query_outcome(&incarnation(id), &QueryOutcome::Unheard, now);
+            planner.record_query_outcome(
+                &incarnation(id),
+                &QueryOutcome::Unheard {
+                    is_reachable: false,
+                },
+                now,
+            );
         }
         let actions = planner.step(now + Millis(60));
         let orders = actions
@@ -77,7 +83,7 @@
     );
     let after_leave = [upstreams[0], upstream("u2", Some("a")), upstreams[2]];
     apply_directory(&after_leave, &mut planner);
-    planner.record_query_outcome(&incarnation("u1"), &QueryOutcome::Silent, now);
+    planner.record_query_outcome(&incarnation("u1"), &QueryOutcome::Unreachable, now);
     let actions = planner.step(now + Millis(4_000));
     assert!(
         !orders(&actions).iter().any(|order| order.starts_with("u2")),
@@ -110,7 +116,13 @@
         for _ in 0..10 {
             planner.record_query_outcome(&leader, &report, now);
         }
-        planner.record_query_outcome(&member_incarnation, &QueryOutcome::Unheard, now);
+        planner.record_query_outcome(
+            &member_incarnation,
+            &QueryOutcome::Unheard {
+                is_reachable: false,
+            },
+            now,
+        );
         planner.record_stall(&leader, true, now + Millis(10));
         let actions = planner.step(now + Millis(20));
         if orders(&actions).contains(&"u1: leave".to_owned()) {
@@ -130,6 +142,8 @@
     struct UnresponsiveCase {
         name: &'static str,
         is_listed: bool,
+        /// What the member's missing answers show.
+        outcome: QueryOutcome,
         /// Set if a stall of the leader is suspected after the member stopped answering; the value
         /// is whether the stall is certain.
         stall: Option<bool>,
@@ -140,6 +154,7 @@
     let case = |name, is_listed, stall, elapsed_ms, ends_group| UnresponsiveCase {
         name,
         is_listed,
+        outcome: QueryOutcome::Unreachable,
         stall,
         elapsed_ms,
         ends_group,
@@ -188,6 +203,26 @@
             4_000,
             true,
         ),
+        UnresponsiveCase {
+            outcome: QueryOutcome::Silent,
+            ..case(
+                "certainly stalled, but the member accepts connections",
+                true,
+                Some(true),
+                1_000,
+                false,
+            )
+        },
+        UnresponsiveCase {
+            outcome: QueryOutcome::Silent,
+            ..case(
+                "the member accepts connections, but the group would have broken",
+                true,
+                Some(true),
+                4_000,
+                true,
+            )
+        },
     ];
     for case in cases {
         let upstreams = [
@@ -201,7 +236,7 @@
         planner.record_query_outcome(&incarnation("u1"), &report, NOW);
         for elapsed in [1, 60] {
             let now = NOW + Millis(elapsed);
-            planner.record_query_outcome(&incarnation("u2"), &QueryOutcome::Silent, now);
+            planner.record_query_outcome(&incarnation("u2"), &case.outcome, now);
         }
         if !case.is_listed {
             apply_directory(&upstreams[..1], &mut planner);
@@ -308,3 +343,66 @@
         "{actions:?}"
     );
 }
+
+/// Guards against answers that are cut at a leader that is silent for a moment, because members of
+/// its group are ordered to leave.
+#[test]
+fn members_of_a_silent_leader_stay_until_the_group_would_have_broken() {
+    let upstreams = [
+        member("u2", "a.7", 1, MemberState::Ready),
+        member("u1", "a.7", 0, MemberState::Open),
+    ];
+    struct SilentLeaderCase {
+        name: &'static str,
+        outcome: QueryOutcome,
+        is_listed: bool,
+        /// Time since the first missing answer in milliseconds.
+        elapsed_ms: u64,
+        leaves: bool,
+    }
+    let case = |name, outcome, is_listed, elapsed_ms, leaves| SilentLeaderCase {
+        name,
+        outcome,
+        is_listed,
+        elapsed_ms,
+        leaves,
+    };
+    let (silent, gone) = (QueryOutcome::Silent, QueryOutcome::Unreachable);
+    let cases = [
+        case("not reachable", gone.clone(), true, 500, true),
+        case("not reachable nor listed", gone, false, 500, true),
+        case("silent", silent.clone(), true, 3_900, false),
+        case("silent, not listed", silent.clone(), false, 3_900, false),
+        case("silent for too long", silent.clone(), true, 4_000, true),
+        case("silent too long, not listed", silent, false, 4_000, true),
+    ];
+    for case in cases {
+        let mut planner = planner();
+        apply_directory(&upstreams, &mut planner);
+        // The leader is known before it falls silent.
+        let actions = planner.step(NOW);
+        accept_orders(&mut planner, &actions);
+        planner.record_stall(&incarnation("u1"), true, NOW);
+        for elapsed in [0, 60] {
+            let now = NOW + Millis(elapsed);
+            planner.record_query_outcome(&incarnation("u1"), &case.outcome, now);
+        }
+        planner.record_stall(&incarnation("u1"), true, NOW + Millis(100));
+        if !case.is_listed {
+            apply_directory(&upstreams[..1], &mut planner);
+        }
+        let members = ["u1", "u2"].map(UpstreamId::new);
+        planner.record_hold(&GroupId::new("a.7"), &members, true);
+        let now = NOW + Millis(case.elapsed_ms);
+        let mut leaves = false;
+        for step in 0..3 {
+            let report = QueryOutcome::Answered(report());
+            planner.record_query_outcome(&incarnation("u2"), &report, NOW);
+            let actions = planner.step(now + Millis(step));
+            leaves |= orders(&actions).contains(&"u2: leave".to_owned());
+            accept_orders(&mut planner, &actions);
+            planner.record_hold(&GroupId::new("a.7"), &members, true);
+        }
+        assert_eq!(leaves, case.leaves, "{}", case.name);
+    }
+}
--- a/crates/ports/src/control.rs
+++ b/crates/ports/src/control.rs
@@ -151,7 +151,12 @@
     /// Another upstream listens at the address, so the target has crashed or left.
     #[error("another upstream listens there")]
     Gone,
-    /// No answer within the timeout.
+    /// No connection was established, nor did an answer arrive within the timeout: nothing shows that
+    /// the process still runs.
+    #[error("the upstream is not reachable: {0}")]
+    Unreachable(String),
+    /// No answer within the timeout, although connections to the upstream are established. It may be
+    /// at work and go on.
     #[error("the upstream is silent: {0}")]
     NoAnswer(String),
     /// The answer cannot be parsed.
