fix: bytes without end that are no answer are bounded, and hold up no others

Cause: the HTTP library bounds heads, but not informational heads, the digits of a chunk's size or small pieces, and reads on for as long as bytes are there; bodies that are not streams were read to their end without a bound, whatever their size; the search for the end of an event began at its start with each piece.

Change: crates/bounded stands around the stream that the library reads from, at upstreams, other VMs, callers, the store, control calls and /v1: more than 256 KiB, or 64 small pieces, without a head or a piece of a body close the connection, and every 64 KiB other tasks get their turn. Plain answers are held up to 256 KiB each and 32 MiB in all, so that one that breaks can be replaced; larger ones are passed on as the caller reads them and break off if they do not end. The body of a failure is awaited for 0.5 s, the rest of a refusal up to 64 KiB. An event in over 64 small pieces ends its stream, which goes on elsewhere. bergamot_endless_answers_total, answer_without_end and large_answer_ended tell of it.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bergamot_bounded::{BoundedBody, BoundedConnector};
 use bergamot_placement::{EngineReport, VmOrder};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -50,12 +51,12 @@
 }
 
 /// An upstream's answer with its body unread.
-pub type UpstreamReply = Response<Incoming>;
+pub type UpstreamReply = Response<BoundedBody<Incoming>>;
 
 /// HTTP client with a connection pool that its clones share.
 #[derive(Clone)]
 pub struct EngineClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<BoundedConnector, Full<Bytes>>,
 }
 
 impl EngineClient {
@@ -70,7 +71,7 @@
             // If a connection closes during a request, the request may have run. Routing decides
             // whether it is retried.
             .retry_canceled_requests(false)
-            .build(connector);
+            .build(BoundedConnector::new(connector));
         Self { client }
     }
 
@@ -98,6 +99,7 @@
                     true => Error::NeverConnected(error.to_string()),
                     false => Error::Broken(error.to_string()),
                 })?;
+        let reply = BoundedBody::of_response(reply);
         match is_refused_unrun(&reply) {
             true => Err(Error::RefusedNotRun(reply.status().as_u16())),
             false => Ok(reply),
--- a/crates/engine/src/sse.rs
+++ b/crates/engine/src/sse.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Default)]
 pub struct SseParser {
     buffer: BytesMut,
+    /// Bytes of the buffer that do not begin the end of an event.
+    searched: usize,
 }
 
 impl SseParser {
@@ -34,7 +36,13 @@
     /// Returns the next complete event.
     pub fn next_event(&mut self) -> Option<SseEvent> {
         loop {
-            let end = find(&self.buffer, b"\n\n")?;
+            let Some(found) = find(&self.buffer[self.searched..], b"\n\n") else {
+                // The last byte may be the first of the two that end an event.
+                self.searched = self.buffer.len().saturating_sub(1);
+                return None;
+            };
+            let end = self.searched + found;
+            self.searched = 0;
             let block = self.buffer.split_to(end);
             self.buffer.advance(2);
             if let Some(event) = parse_event(&block) {
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -8,8 +8,7 @@
 use bergamot_routing::{DispatchedRequest, RouteUpstream};
 use bergamot_types::prelude::*;
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::http::request::Parts as RequestParts;
 use hyper::http::response::Parts as ReplyParts;
 use hyper::{HeaderMap, Method, Request, Uri};
@@ -18,6 +17,7 @@
 use super::admit::AdmittedCaller;
 use super::flight::{ConnectGuard, FlightGuard};
 use super::gates::record_availability;
+use super::held::ReplyBody;
 use super::limits::record_limit;
 use super::partition::connect_new;
 use super::permits::{SendPermit, may_send};
@@ -119,7 +119,7 @@
     /// The facts that the head advertises.
     pub facts: ReplyFacts,
     /// The answer's body.
-    pub body: Incoming,
+    pub body: ReplyBody,
     /// The connection, which returns to the pool after the body.
     pub connection: UpstreamConnection,
     /// When the request was sent, and the latency expected then.
@@ -262,6 +262,7 @@
         }
     })?;
     let (head, body) = reply.into_parts();
+    let body = ReplyBody::new(body, connection.meter.clone());
     let facts = front.dialect.reply_facts(&request.call.id, &head);
     if !facts.matches_request {
         return Err(AttemptError::Broken(
@@ -307,14 +308,14 @@
 fn drain_error_response<Dialect>(
     front: &FrontContext<Dialect>,
     upstream: &RouteUpstream,
-    body: Incoming,
+    body: ReplyBody,
     connection: UpstreamConnection,
     keep_alive: Option<u64>,
 ) {
     let pool = std::rc::Rc::clone(&front.pool);
     let id = upstream.incarnation.clone();
     tokio::task::spawn_local(async move {
-        let read = http_body_util::BodyExt::collect(body);
+        let read = Limited::new(body, MAX_ERROR_BYTES).collect();
         let read = tokio::time::timeout(ERROR_BODY_TIMEOUT, read).await;
         if matches!(read, Ok(Ok(_))) {
             pool.give_back(&id, connection, keep_alive);
@@ -322,5 +323,9 @@
     });
 }
 
+/// Most bytes of the rest of an error response that are read. One that is longer costs more than a
+/// new connection.
+const MAX_ERROR_BYTES: usize = 64 << 10;
+
 /// How long to wait for the rest of an error response before its connection is closed.
 const ERROR_BODY_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(200);
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -6,19 +6,20 @@
 use bergamot_ports::{CallerDialect, RouteKind};
 use bergamot_quarantine::BreakCause;
 use bergamot_types::prelude::*;
-use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::EXPECT;
 
 use super::FrontContext;
 use super::admit::{admit, await_config, discard_body, read_body};
-use super::answer::{CallerAnswer, full_body};
+use super::answer::CallerAnswer;
 use super::attempt::{AttemptError, OpenReply, SentRequest};
 use super::breaks::{CallerLeftGuard, RunProgress, record_break, record_complete_answer};
 use super::deadline::{DeadlinePassed, with_deadline};
 use super::forward::send::{ForwardOutcome, forward, must_forward};
 use super::hedge::{HedgeEnd, HedgedRequest, log_failed_attempt};
+use super::held::HeldBody;
+use super::large::{LargeEnd, pass_on};
 use super::open::record_opened;
 use super::plan::{PlannedSend, UpstreamScope, plan};
 use super::refusal::{CallRefusal, log_refusal, promises_not_run, refuse};
@@ -27,6 +28,9 @@
 use super::state::CallState;
 use super::trace::RequestTrace;
 
+/// How long the body of a failure is awaited. Another upstream may answer meanwhile.
+const FAILURE_BODY_TIME: Millis = Millis(500);
+
 /// Admits a request, reads its body and returns the answer.
 pub async fn answer<Dialect>(
     front: Rc<FrontContext<Dialect>>,
@@ -241,7 +245,25 @@
     let clock = front.shared.clock;
     let sent_at = reply.run.sent_at;
     let guard = CallerLeftGuard::new(front, request, &reply.upstream.incarnation, sent_at);
-    let body = with_deadline(clock, state.deadline, reply.body.collect()).await;
+    let mut reply = reply;
+    let reading = HeldBody::read(&mut reply.body, &front.held);
+    let is_failure = reply.head.status.is_server_error();
+    let body_deadline = match is_failure {
+        true => state.deadline.min(front.now() + FAILURE_BODY_TIME),
+        false => state.deadline,
+    };
+    let body = with_deadline(clock, body_deadline, reading).await;
+    // An answer that states that the request did not run never gets here, so its status would
+    // promise what is not known.
+    let status = reply.head.status.as_u16();
+    let is_false_promise = state.route.kind != RouteKind::Idempotent && promises_not_run(status);
+    let body = match body {
+        Ok(Ok(beginning)) if !beginning.is_whole && !is_failure && !is_false_promise => {
+            let answer = pass_on_reply(front, request, state, reply, beginning, guard);
+            return AttemptOutcome::Answered(answer);
+        }
+        body => body,
+    };
     match &body {
         Ok(_) => guard.finish(),
         Err(DeadlinePassed) => drop(guard),
@@ -256,21 +278,19 @@
         AttemptOutcome::Failed(AttemptError::Broken(reason))
     };
     let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) if body.is_whole => body,
+        // A failure is not passed on before it is known whether another upstream answers.
+        Ok(Ok(_)) => return interrupted(format!("the body of status {status} is too large")),
         Ok(Err(error)) => {
             let (upstream, progress) = (&reply.upstream, RunProgress::begun(sent_at));
             record_break(front, request, upstream, progress, BreakCause::Closed).await;
             return interrupted(error.to_string());
         }
-        Err(_) => return interrupted("the answer did not end before the deadline".to_owned()),
+        Err(_) => return interrupted("the body did not end in time".to_owned()),
     };
     let (id, keep_alive) = (&reply.upstream.incarnation, reply.facts.keep_alive);
     front.pool.give_back(id, reply.connection, keep_alive);
-    let is_failure = reply.head.status.is_server_error();
-    // An answer that states that the request did not run never gets here, so its status would
-    // promise what is not known.
-    let status = reply.head.status.as_u16();
-    if state.route.kind != RouteKind::Idempotent && promises_not_run(status) {
+    if is_false_promise {
         let reason = format!("status {status} without a statement that nothing ran");
         if is_failure {
             return interrupted(reason);
@@ -278,7 +298,7 @@
         // The cause may be the caller, for whom the upstream is not to be avoided.
         return AttemptOutcome::Failed(AttemptError::Broken(reason));
     }
-    let mut answer = CallerAnswer::new(full_body(body));
+    let mut answer = CallerAnswer::new(body.into_answer_body());
     *answer.status_mut() = reply.head.status;
     *answer.headers_mut() = front.dialect.answer_headers(&reply.head);
     answer.extensions_mut().insert(id.clone());
@@ -308,3 +328,82 @@
         }
     }
 }
+
+/// Passes on an answer that is too large to be held, and records its end.
+fn pass_on_reply<Dialect>(
+    front: &Rc<FrontContext<Dialect>>,
+    request: &Rc<SentRequest>,
+    state: &CallState,
+    reply: OpenReply,
+    beginning: HeldBody,
+    guard: CallerLeftGuard<Dialect>,
+) -> CallerAnswer
+where
+    Dialect: CallerDialect + 'static,
+{
+    let OpenReply {
+        upstream,
+        head,
+        facts,
+        body: rest,
+        connection,
+        run,
+        flight,
+        ..
+    } = reply;
+    let headers = front.dialect.answer_headers(&head);
+    let id = upstream.incarnation.clone();
+    let (front, request) = (Rc::clone(front), Rc::clone(request));
+    let clock = front.shared.clock;
+    let kind = state.route.kind;
+    let arrived = state.arrived;
+    let finish = async move |end: LargeEnd| {
+        drop(flight);
+        log::info!(
+            "event=large_answer_ended request={} upstream={} outcome={} waited={}",
+            request.call.id,
+            upstream.incarnation,
+            end.as_str(),
+            front.now().since(arrived)
+        );
+        front.count_outcome(kind, end.as_str());
+        match end {
+            LargeEnd::Whole => {
+                guard.finish();
+                front
+                    .monitor
+                    .borrow_mut()
+                    .record_success(&upstream.incarnation);
+                front
+                    .pool
+                    .give_back(&upstream.incarnation, connection, facts.keep_alive);
+            }
+            LargeEnd::Broken(_) => {
+                guard.finish();
+                drop(connection);
+                let now = front.now();
+                front
+                    .monitor
+                    .borrow_mut()
+                    .record_failure(&upstream.incarnation, now);
+                let progress = RunProgress::begun(run.sent_at);
+                record_break(&front, &request, &upstream, progress, BreakCause::Closed).await;
+            }
+            LargeEnd::DeadlinePassed => {
+                drop((connection, guard));
+                let now = front.now();
+                front
+                    .monitor
+                    .borrow_mut()
+                    .record_failure(&upstream.incarnation, now);
+            }
+            LargeEnd::CallerLeft => drop((connection, guard)),
+        }
+    };
+    let body = pass_on(clock, state.deadline, beginning.into_bytes(), rest, finish);
+    let mut answer = CallerAnswer::new(body);
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = headers;
+    answer.extensions_mut().insert(id);
+    answer
+}
--- a/crates/gateway/src/front/forward/mod.rs
+++ b/crates/gateway/src/front/forward/mod.rs
@@ -20,6 +20,7 @@
 
 use bergamot_routing::{ForwardPeers, has_forward_place};
 use bergamot_types::prelude::*;
+use prometheus::IntCounter;
 
 use super::pool::ConnectionPool;
 use crate::clock::BootClock;
@@ -39,10 +40,10 @@
 }
 
 impl ForwardFront {
-    /// Creates the state of a VM without forwarded requests.
-    pub fn new(clock: BootClock) -> Self {
+    /// Creates the state of a VM without forwarded requests. `endless` counts answers without end.
+    pub fn new(clock: BootClock, endless: IntCounter) -> Self {
         Self {
-            pool: Rc::new(ConnectionPool::new(clock).with_keep_alive(KEEP_ALIVE_INTERVAL)),
+            pool: Rc::new(ConnectionPool::new(clock, endless).with_keep_alive(KEEP_ALIVE_INTERVAL)),
             peers: Rc::default(),
             served: Rc::default(),
         }
--- a/crates/gateway/src/front/forward/send.rs
+++ b/crates/gateway/src/front/forward/send.rs
@@ -6,16 +6,17 @@
 use bergamot_ports::{CallerDialect, RouteKind, ServingConfig};
 use bergamot_routing::{PeerCandidate, PeerDecline};
 use bergamot_types::prelude::*;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::Request;
-use hyper::body::Incoming;
 use hyper::http::response::Parts as ReplyParts;
 
 use super::super::FrontContext;
-use super::super::answer::{CallerAnswer, full_body};
+use super::super::answer::CallerAnswer;
 use super::super::attempt::SentRequest;
 use super::super::deadline::{DeadlinePassed, with_deadline};
 use super::super::gates::record_availability;
+use super::super::held::{HeldBody, ReplyBody};
+use super::super::large::pass_on;
 use super::super::plan::{arrived_reason, check_key, check_time, log_not_sent_on};
 use super::super::pool::UpstreamConnection;
 use super::super::refusal::{CallRefusal, RETURN_NO_UPSTREAM, RETURN_SPREAD, RETURN_STOPPING};
@@ -36,7 +37,7 @@
     /// The answer's head, without what is meant for this VM.
     pub head: ReplyParts,
     /// The answer's body.
-    pub body: Incoming,
+    pub body: ReplyBody,
     connection: UpstreamConnection,
     _flight: PeerFlight,
 }
@@ -271,6 +272,7 @@
         }
     };
     let (mut head, body) = reply.into_parts();
+    let body = ReplyBody::new(body, connection.meter.clone());
     let upstream = take_upstream(&mut head.headers);
     if let Some(upstream) = upstream.and_then(|id| listed_incarnation(front, &id)) {
         // What the upstream announces of itself binds this VM too.
@@ -330,14 +332,15 @@
     let PeerReply {
         vm,
         head,
-        body,
+        mut body,
         connection,
         _flight: flight,
     } = reply;
-    let body = with_deadline(front.shared.clock, state.deadline, body.collect()).await;
-    drop(flight);
-    let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
+    let clock = front.shared.clock;
+    let reading = HeldBody::read(&mut body, &front.held);
+    let held_body = with_deadline(clock, state.deadline, reading).await;
+    let held_body = match held_body {
+        Ok(Ok(held_body)) => held_body,
         Ok(Err(error)) => {
             record_lost(front, request, state, &vm, &error.to_string());
             return ForwardOutcome::Lost;
@@ -347,14 +350,24 @@
             return ForwardOutcome::Lost;
         }
     };
-    front.forwards.pool.give_back(&vm, connection, None);
     count(front, ForwardVerdict::Answered.as_str());
     log::info!(
         "event=forwarded request={id} vm={vm} status={} waited={}",
         status.as_u16(),
         front.now().since(state.arrived)
     );
-    let mut answer = CallerAnswer::new(full_body(body));
+    let answer_body = match held_body.is_whole {
+        true => {
+            front.forwards.pool.give_back(&vm, connection, None);
+            drop(flight);
+            held_body.into_answer_body()
+        }
+        false => {
+            let finish = async move |_end| drop((flight, connection));
+            pass_on(clock, state.deadline, held_body.into_bytes(), body, finish)
+        }
+    };
+    let mut answer = CallerAnswer::new(answer_body);
     *answer.status_mut() = status;
     *answer.headers_mut() = front.dialect.answer_headers(&head);
     if is_signed && status.is_server_error() {
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -15,6 +15,8 @@
 //! | [`attempt`] | one attempt at one upstream |
 //! | [`open`] | the life of an attempt, and what its outcome shows of the upstream |
 //! | [`hedge`] | requests at silent upstreams, which are also sent to another one |
+//! | [`held`] | bodies that are held until they are known to be whole |
+//! | [`large`] | answers that are too large to be held |
 //! | [`relay`] | event streams, which may resume at another upstream |
 //! | [`breaks`] | requests that broke at an upstream, and whether the upstream crashed |
 //! | [`ends`] | crashes that the directory shows |
@@ -50,6 +52,8 @@
 pub mod gates;
 pub mod head_timer;
 pub mod hedge;
+pub mod held;
+pub mod large;
 pub mod limits;
 pub mod open;
 pub mod panics;
@@ -86,6 +90,7 @@
 use crate::stop::StopControl;
 use budget::RetryBudget;
 use forward::ForwardFront;
+use held::HeldTotal;
 use permits::{PendingPermits, QuotaMessage};
 use pool::ConnectionPool;
 use warmup::WarmUpFront;
@@ -104,6 +109,8 @@
     pub monitor: Rc<RefCell<UpstreamMonitor>>,
     /// Notified when this VM suspects that it reaches no upstream.
     pub partition_suspected: Notify,
+    /// Bytes that are held for answers.
+    pub held: HeldTotal,
     /// Demand for each model.
     pub demand: RefCell<DemandMeter>,
     /// Delays after which rejected callers are asked to return.
@@ -137,14 +144,16 @@
     ) -> Self {
         let budget = RetryBudget::new(shared.bounds(), shared.clock.now());
         let quota = QuotaState::new(shared.site.vm.to_string(), rand::random());
+        let endless = shared.metrics.endless_answers.clone();
         let descriptor = PeerDescriptor {
             vm: shared.site.vm.to_string(),
             failure_domain: shared.site.failure_domain.clone(),
             millicores: shared.site.millicores,
         };
         Self {
-            pool: Rc::new(ConnectionPool::new(shared.clock)),
-            forwards: ForwardFront::new(shared.clock),
+            pool: Rc::new(ConnectionPool::new(shared.clock, endless.clone())),
+            forwards: ForwardFront::new(shared.clock, endless),
+            held: HeldTotal::default(),
             dialect,
             monitor: Rc::new(RefCell::new(UpstreamMonitor::new(descriptor))),
             partition_suspected: Notify::new(),
--- a/crates/gateway/src/front/partition.rs
+++ b/crates/gateway/src/front/partition.rs
@@ -9,9 +9,10 @@
 };
 use bergamot_types::prelude::*;
 use futures::future::join_all;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 
 use super::FrontContext;
+use super::held::ReplyBody;
 use super::pool::{ConnectError, UpstreamConnection};
 
 /// Time between two rounds of probes while this VM reaches no upstream. Callers are served through
@@ -21,6 +22,9 @@
 /// How long a probe waits for an answer on its connection. A report needs no free slot.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Largest report in bytes.
+const MAX_REPORT_BYTES: usize = 64 << 10;
+
 /// How long after its establishment a connection is checked on which no answer is awaited.
 const RESET_TIME: Duration = Duration::from_millis(50);
 
@@ -178,12 +182,13 @@
         let request = front.dialect.report_request(entry);
         let request = request.map(|()| Full::default());
         let exchange = async {
-            let answer = connection.sender.send_request(request).await?;
-            answer.into_body().collect().await
+            let answer = connection.sender.send_request(request).await;
+            let body = ReplyBody::new(answer.ok()?.into_body(), connection.meter.clone());
+            Limited::new(body, MAX_REPORT_BYTES).collect().await.ok()
         };
         match tokio::time::timeout(ANSWER_TIMEOUT, exchange).await {
-            Ok(Ok(_)) => {}
-            Ok(Err(_)) => return ProbeOutcome::Failed,
+            Ok(Some(_)) => {}
+            Ok(None) => return ProbeOutcome::Failed,
             Err(_) => return ProbeOutcome::Unanswered,
         }
     } else {
--- a/crates/gateway/src/front/pool.rs
+++ b/crates/gateway/src/front/pool.rs
@@ -6,12 +6,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bergamot_bounded::{BoundedStream, ByteMeter, IntakeBounds, TrickleBound};
 use bergamot_types::prelude::*;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
+use prometheus::IntCounter;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -30,6 +32,18 @@
 /// a request is in transit.
 const IDLE_MARGIN: Duration = Duration::from_millis(800);
 
+/// Largest head of an answer in bytes, and how far the library reads ahead of a body.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+/// What may arrive on a connection without a head or a piece of a body. Beyond it the bytes are no
+/// answer, and the connection is closed.
+const INTAKE_BOUNDS: IntakeBounds = IntakeBounds {
+    max_bytes: 4 * READ_BUFFER_BYTES as u64,
+    trickle: Some(TrickleBound {
+        max_pieces: 64,
+        small_bytes: 16 << 10,
+    }),
+};
+
 /// Why a connection could not be established.
 #[derive(Debug, thiserror::Error)]
 pub enum ConnectError {
@@ -48,6 +62,8 @@
     pub sender: http1::SendRequest<Full<Bytes>>,
     /// When the connection was established.
     pub opened_at: Millis,
+    /// Counts what arrives.
+    pub meter: ByteMeter,
     driver: JoinHandle<()>,
 }
 
@@ -68,6 +84,8 @@
     clock: BootClock,
     /// How often the other end is probed while nothing arrives; none if it is not.
     keep_alive: Option<Duration>,
+    /// Counts connections on which bytes arrived without end.
+    endless: IntCounter,
     idle: RefCell<IndexMap<Key, Vec<IdleConnection>>>,
 }
 
@@ -75,10 +93,11 @@
 where
     Key: Clone + Eq + Hash + 'static,
 {
-    /// Creates an empty pool.
-    pub fn new(clock: BootClock) -> Self {
+    /// Creates an empty pool. `endless` counts connections on which bytes arrived without end.
+    pub fn new(clock: BootClock, endless: IntCounter) -> Self {
         Self {
             clock,
+            endless,
             keep_alive: None,
             idle: RefCell::default(),
         }
@@ -99,7 +118,9 @@
     /// # Errors
     /// See [`ConnectError`]. No part of a request was sent.
     pub async fn connect_new(&self, addr: SocketAddr) -> Result<UpstreamConnection, ConnectError> {
-        match tokio::time::timeout(CONNECT_TIMEOUT, open(addr, self.clock, self.keep_alive)).await {
+        let meter = ByteMeter::new(INTAKE_BOUNDS, Some(self.endless.clone()));
+        let opening = open(addr, self.clock, self.keep_alive, meter);
+        match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
             Ok(outcome) => outcome,
             Err(_) => Err(ConnectError::Failed("timed out".to_owned())),
         }
@@ -180,6 +201,7 @@
     addr: SocketAddr,
     clock: BootClock,
     keep_alive: Option<Duration>,
+    meter: ByteMeter,
 ) -> Result<UpstreamConnection, ConnectError> {
     let stream = TcpStream::connect(addr).await.map_err(|error| {
         match error.kind() == std::io::ErrorKind::ConnectionRefused {
@@ -201,7 +223,11 @@
             log::debug!("event=keep_alive_not_set addr={addr} reason={error:?}");
         }
     }
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let stream = BoundedStream::new(stream, meter.clone());
+    let handshake = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, connection) =
         handshake.map_err(|error| ConnectError::Failed(error.to_string()))?;
     let driver = tokio::task::spawn_local(async move {
@@ -212,6 +238,7 @@
     Ok(UpstreamConnection {
         sender,
         opened_at: clock.now(),
+        meter,
         driver,
     })
 }
--- a/crates/gateway/src/front/relay/peer.rs
+++ b/crates/gateway/src/front/relay/peer.rs
@@ -81,8 +81,8 @@
             if let Some(event) = splitter.next_event() {
                 return NextEvent::Event(event);
             }
-            if splitter.is_overlong() {
-                return broken("an event exceeds the maximum length");
+            if splitter.is_endless() {
+                return broken("an event does not end");
             }
             let time_left = self.state.deadline.since(self.front.now());
             if time_left == Millis::ZERO {
--- a/crates/gateway/src/front/relay/source.rs
+++ b/crates/gateway/src/front/relay/source.rs
@@ -54,8 +54,8 @@
                     return Ok(SourceEvent::Event(event));
                 }
             }
-            if self.splitter.is_overlong() {
-                return broken("an event exceeds the maximum length");
+            if self.splitter.is_endless() {
+                return broken("an event does not end");
             }
             match self.reply.body.frame().await {
                 None if self.splitter.has_partial() => {
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bergamot_ports::CallerDialect;
+use bergamot_bounded::{BoundedStream, ByteMeter, IntakeBounds};
+use bergamot_ports::{CallerDialect, CallerLimits};
 use bergamot_types::prelude::*;
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -37,6 +38,9 @@
 /// The smallest buffer size that the HTTP library accepts for the head of a request.
 const MIN_HEAD_BUFFER_BYTES: usize = 8_192;
 
+/// Bytes that a body of one byte in each chunk takes for each of them, rounded up.
+const CHUNK_OVERHEAD_FACTOR: u64 = 8;
+
 /// Time to read requests that have arrived on idle connections before these are closed. The runtime
 /// may not have polled the sockets yet.
 const FINAL_READ_TIME: Duration = Duration::from_millis(5);
@@ -148,23 +152,36 @@
             Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, traced)))
         }
     });
+    let stream = TimedStream::new(stream, timer.clone());
+    let stream = BoundedStream::new(stream, ByteMeter::new(request_bounds(&limits), None));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // The library measures this timeout from the last answer, so it applies to idle connections
         // too.
         .header_read_timeout(limits.idle_timeout.as_duration())
         .max_buf_size(limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(TimedStream::new(stream, timer.clone())), service);
+        .serve_connection(TokioIo::new(stream), service);
     let outcome = drive(&front.stop, connection, &timer).await;
     if let Err(error) = outcome {
         log::debug!("event=caller_connection_ended reason={error:?}");
     }
 }
 
+/// Returns what a request may take on its connection: a head, and the largest body in the smallest
+/// chunks.
+fn request_bounds(limits: &CallerLimits) -> IntakeBounds {
+    let body_bytes = (limits.body_bytes as u64).saturating_mul(CHUNK_OVERHEAD_FACTOR);
+    let head_bytes = limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES) as u64;
+    IntakeBounds {
+        max_bytes: body_bytes.saturating_add(2 * head_bytes),
+        trickle: None,
+    }
+}
+
 /// Drives a connection until it ends, and closes it in time if the process stops.
 async fn drive<Service>(
     stop: &StopControl,
-    connection: http1::Connection<TokioIo<TimedStream>, Service>,
+    connection: http1::Connection<TokioIo<BoundedStream<TimedStream>>, Service>,
     timer: &HeadTimer,
 ) -> hyper::Result<()>
 where
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -57,6 +57,8 @@
     pub unreadable_prompt_parts: IntCounter,
     /// Background loops that ended and were begun again, by loop.
     pub duty_restarts: IntCounterVec,
+    /// Connections to upstreams and other entry VMs on which bytes arrived without end.
+    pub endless_answers: IntCounter,
     /// Panics that ended a request, by what was being done for it.
     pub request_panics: IntCounterVec,
     /// Gauges of the process's state, by name.
@@ -201,6 +203,10 @@
                 "Background loops that ended and were begun again, by loop",
                 &["duty"],
             ),
+            endless_answers: plain_counter(
+                "bergamot_endless_answers_total",
+                "Connections to upstreams and entry VMs on which bytes arrived that are no answer",
+            ),
             request_panics: counter(
                 "bergamot_request_panics_total",
                 "Panics that ended a request, by what was being done for it",
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bergamot_bounded::{BoundedBody, BoundedConnector};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -62,7 +63,7 @@
 /// HTTP/1.1 client with a connection pool, which clones share.
 #[derive(Clone)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<BoundedConnector, Full<Bytes>>,
 }
 
 impl HttpClient {
@@ -74,7 +75,7 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
-            .build(connector);
+            .build(BoundedConnector::new(connector));
         Self { client }
     }
 
@@ -86,12 +87,12 @@
         &self,
         request: Request<Full<Bytes>>,
         timeout: Duration,
-    ) -> Result<Response<Incoming>, Error> {
+    ) -> Result<Response<BoundedBody<Incoming>>, Error> {
         let url = request.uri().to_string();
         let answer = tokio::time::timeout(timeout, self.client.request(request))
             .await
             .map_err(|_| Error::Timeout { url: url.clone() })?;
-        answer.map_err(|error| {
+        answer.map(BoundedBody::of_response).map_err(|error| {
             let reason = root_cause(&error);
             match error.is_connect() {
                 true => Error::Connect { url, reason },
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -1,5 +1,6 @@
 //! The stream of changes that a watch receives.
 
+use bergamot_bounded::BoundedBody;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -11,12 +12,12 @@
 /// The changes of the watched keys, in batches as the service sends them.
 pub struct WatchStream {
     url: String,
-    body: Incoming,
+    body: BoundedBody<Incoming>,
     unparsed: BytesMut,
 }
 
 impl WatchStream {
-    pub(crate) fn new(url: String, body: Incoming) -> Self {
+    pub(crate) fn new(url: String, body: BoundedBody<Incoming>) -> Self {
         Self {
             url,
             body,
