fix: a failure's body that cannot be replaced is not cut

Found by reading the diff: the body of a failure was awaited for 0.5 s and dropped beyond 256 KiB also where no other upstream may serve the request, so that a sound upstream's answer became a 502.

Large answers and confirmations of the configuration have files of their own.

--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -19,7 +19,7 @@
 use super::forward::send::{ForwardOutcome, forward, must_forward};
 use super::hedge::{HedgeEnd, HedgedRequest, log_failed_attempt};
 use super::held::HeldBody;
-use super::large::{LargeEnd, pass_on};
+use super::large::pass_on_reply;
 use super::open::record_opened;
 use super::plan::{PlannedSend, UpstreamScope, plan};
 use super::refusal::{CallRefusal, log_refusal, promises_not_run, refuse};
@@ -28,7 +28,7 @@
 use super::state::CallState;
 use super::trace::RequestTrace;
 
-/// How long the body of a failure is awaited. Another upstream may answer meanwhile.
+/// How long the body of a failure is awaited if the request may be sent again.
 const FAILURE_BODY_TIME: Millis = Millis(500);
 
 /// Admits a request, reads its body and returns the answer.
@@ -248,7 +248,8 @@
     let mut reply = reply;
     let reading = HeldBody::read(&mut reply.body, &front.held);
     let is_failure = reply.head.status.is_server_error();
-    let body_deadline = match is_failure {
+    let is_replaceable = is_failure && state.route.is_retryable();
+    let body_deadline = match is_replaceable {
         true => state.deadline.min(front.now() + FAILURE_BODY_TIME),
         false => state.deadline,
     };
@@ -258,7 +259,7 @@
     let status = reply.head.status.as_u16();
     let is_false_promise = state.route.kind != RouteKind::Idempotent && promises_not_run(status);
     let body = match body {
-        Ok(Ok(beginning)) if !beginning.is_whole && !is_failure && !is_false_promise => {
+        Ok(Ok(beginning)) if !beginning.is_whole && !is_replaceable && !is_false_promise => {
             let answer = pass_on_reply(front, request, state, reply, beginning, guard);
             return AttemptOutcome::Answered(answer);
         }
@@ -328,82 +329,3 @@
         }
     }
 }
-
-/// Passes on an answer that is too large to be held, and records its end.
-fn pass_on_reply<Dialect>(
-    front: &Rc<FrontContext<Dialect>>,
-    request: &Rc<SentRequest>,
-    state: &CallState,
-    reply: OpenReply,
-    beginning: HeldBody,
-    guard: CallerLeftGuard<Dialect>,
-) -> CallerAnswer
-where
-    Dialect: CallerDialect + 'static,
-{
-    let OpenReply {
-        upstream,
-        head,
-        facts,
-        body: rest,
-        connection,
-        run,
-        flight,
-        ..
-    } = reply;
-    let headers = front.dialect.answer_headers(&head);
-    let id = upstream.incarnation.clone();
-    let (front, request) = (Rc::clone(front), Rc::clone(request));
-    let clock = front.shared.clock;
-    let kind = state.route.kind;
-    let arrived = state.arrived;
-    let finish = async move |end: LargeEnd| {
-        drop(flight);
-        log::info!(
-            "event=large_answer_ended request={} upstream={} outcome={} waited={}",
-            request.call.id,
-            upstream.incarnation,
-            end.as_str(),
-            front.now().since(arrived)
-        );
-        front.count_outcome(kind, end.as_str());
-        match end {
-            LargeEnd::Whole => {
-                guard.finish();
-                front
-                    .monitor
-                    .borrow_mut()
-                    .record_success(&upstream.incarnation);
-                front
-                    .pool
-                    .give_back(&upstream.incarnation, connection, facts.keep_alive);
-            }
-            LargeEnd::Broken(_) => {
-                guard.finish();
-                drop(connection);
-                let now = front.now();
-                front
-                    .monitor
-                    .borrow_mut()
-                    .record_failure(&upstream.incarnation, now);
-                let progress = RunProgress::begun(run.sent_at);
-                record_break(&front, &request, &upstream, progress, BreakCause::Closed).await;
-            }
-            LargeEnd::DeadlinePassed => {
-                drop((connection, guard));
-                let now = front.now();
-                front
-                    .monitor
-                    .borrow_mut()
-                    .record_failure(&upstream.incarnation, now);
-            }
-            LargeEnd::CallerLeft => drop((connection, guard)),
-        }
-    };
-    let body = pass_on(clock, state.deadline, beginning.into_bytes(), rest, finish);
-    let mut answer = CallerAnswer::new(body);
-    *answer.status_mut() = head.status;
-    *answer.headers_mut() = headers;
-    answer.extensions_mut().insert(id);
-    answer
-}
--- a/crates/gateway/src/front/large.rs
+++ b/crates/gateway/src/front/large.rs
@@ -1,13 +1,21 @@
 //! Answers that are too large to be held: passed on as they arrive, as fast as the caller reads.
 
+use std::rc::Rc;
+
+use bergamot_ports::CallerDialect;
+use bergamot_quarantine::BreakCause;
 use bergamot_types::prelude::*;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 
-use super::answer::{AnswerBody, AnswerMessage, streamed_body};
+use super::FrontContext;
+use super::answer::{AnswerBody, AnswerMessage, CallerAnswer, streamed_body};
+use super::attempt::{OpenReply, SentRequest};
+use super::breaks::{CallerLeftGuard, RunProgress, record_break};
 use super::deadline::{DeadlinePassed, with_deadline};
-use super::held::ReplyBody;
+use super::held::{HeldBody, ReplyBody};
+use super::state::CallState;
 use crate::clock::BootClock;
 
 /// Number of pieces buffered for a slow caller before back pressure reaches the upstream.
@@ -95,3 +103,89 @@
         }
     }
 }
+
+/// Passes on an answer that is too large to be held, and records its end.
+pub fn pass_on_reply<Dialect>(
+    front: &Rc<FrontContext<Dialect>>,
+    request: &Rc<SentRequest>,
+    state: &CallState,
+    reply: OpenReply,
+    beginning: HeldBody,
+    guard: CallerLeftGuard<Dialect>,
+) -> CallerAnswer
+where
+    Dialect: CallerDialect + 'static,
+{
+    let OpenReply {
+        upstream,
+        head,
+        facts,
+        body: rest,
+        connection,
+        run,
+        flight,
+        ..
+    } = reply;
+    let headers = front.dialect.answer_headers(&head);
+    let is_failure = head.status.is_server_error();
+    let id = upstream.incarnation.clone();
+    let (front, request) = (Rc::clone(front), Rc::clone(request));
+    let clock = front.shared.clock;
+    let kind = state.route.kind;
+    let arrived = state.arrived;
+    let finish = async move |end: LargeEnd| {
+        drop(flight);
+        log::info!(
+            "event=large_answer_ended request={} upstream={} outcome={} waited={}",
+            request.call.id,
+            upstream.incarnation,
+            end.as_str(),
+            front.now().since(arrived)
+        );
+        let outcome = match end {
+            LargeEnd::Whole if is_failure => "upstream_failure",
+            _ => end.as_str(),
+        };
+        front.count_outcome(kind, outcome);
+        match end {
+            LargeEnd::Whole => {
+                guard.finish();
+                let mut monitor = front.monitor.borrow_mut();
+                match is_failure {
+                    true => monitor.record_failure(&upstream.incarnation, front.now()),
+                    false => monitor.record_success(&upstream.incarnation),
+                }
+                drop(monitor);
+                front
+                    .pool
+                    .give_back(&upstream.incarnation, connection, facts.keep_alive);
+            }
+            LargeEnd::Broken(_) => {
+                guard.finish();
+                drop(connection);
+                let now = front.now();
+                front
+                    .monitor
+                    .borrow_mut()
+                    .record_failure(&upstream.incarnation, now);
+                let progress = RunProgress::begun(run.sent_at);
+                record_break(&front, &request, &upstream, progress, BreakCause::Closed).await;
+            }
+            LargeEnd::DeadlinePassed => {
+                drop((connection, guard));
+                let now = front.now();
+                front
+                    .monitor
+                    .borrow_mut()
+                    .record_failure(&upstream.incarnation, now);
+            }
+            LargeEnd::CallerLeft => drop((connection, guard)),
+        }
+    };
+    let body = pass_on(clock, state.deadline, beginning.into_bytes(), rest, finish);
+    let mut answer = CallerAnswer::new(body);
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = headers;
+    answer.extensions_mut().insert(id);
+    answer
+}
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -7,6 +7,7 @@
 
 mod ask;
 mod board;
+mod confirm;
 mod lost;
 mod lost_keys;
 mod own;
@@ -27,8 +28,7 @@
 use bergamot_feed::{PeerRanking, UpdateSource};
 use bergamot_membership::prelude::*;
 use bergamot_ports::{
-    KeyCondition, StateStore, StoreCatalog, StoreError, StoreEvent, StoreGeneration, StoreRevision,
-    StoreTxn, TxnOutcome, WatchOutcome,
+    StateStore, StoreCatalog, StoreError, StoreEvent, StoreGeneration, StoreRevision, WatchOutcome,
 };
 use bergamot_quarantine::QuarantineRecord;
 use bergamot_types::prelude::*;
@@ -71,13 +71,6 @@
 /// Name of the store in log lines about the source of changes.
 const STORE_NAME: &str = "store";
 
-/// Whether the store held the configuration that was confirmed.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum ConfigMatch {
-    Kept,
-    Replaced,
-}
-
 /// Keeps this VM's view of the store up to date.
 pub struct StoreSync<Store, Catalog> {
     shared: Arc<SharedState>,
@@ -330,60 +323,6 @@
         feed_state.freshness.observe_known(known);
     }
 
-    /// Confirms that the store holds the configuration in force, or applies a later one and confirms
-    /// that.
-    async fn confirm(&mut self) -> Result<(), StoreError> {
-        // An answer with a later configuration does not state the revision of the store.
-        if self.confirm_once().await? == ConfigMatch::Replaced {
-            self.confirm_once().await?;
-        }
-        Ok(())
-    }
-
-    async fn confirm_once(&mut self) -> Result<ConfigMatch, StoreError> {
-        let started_at = self.shared.clock.now();
-        let txn = StoreTxn {
-            conditions: vec![KeyCondition {
-                key: self.catalog.config_key().to_owned(),
-                revision: self.known.stored_config.revision,
-            }],
-            ..StoreTxn::default()
-        };
-        let outcome = self.store.commit(&txn).await;
-        self.count_store_call("confirm", outcome.as_ref().err());
-        if let Err(StoreError::Restored) = outcome {
-            self.known.revision = None;
-            return Ok(ConfigMatch::Kept);
-        }
-        let outcome = outcome?;
-        self.confirm_at = Instant::now() + self.ranking.confirm_period().as_duration();
-        self.record_success();
-        let config_match = match outcome {
-            TxnOutcome::Conflict(items) => {
-                let now = self.shared.clock.now();
-                for item in &items {
-                    self.known.apply_item(&self.catalog, item, now);
-                }
-                self.publish();
-                ConfigMatch::Replaced
-            }
-            // A transaction without writes returns the store's current revision.
-            TxnOutcome::Done(revision) => {
-                let known = self.known.revision.unwrap_or_default();
-                let mut feed_state = self.feed_state.borrow_mut();
-                feed_state
-                    .freshness
-                    .observe_store(revision, known, started_at);
-                ConfigMatch::Kept
-            }
-            TxnOutcome::LeaseGone => ConfigMatch::Kept,
-        };
-        if self.known.is_config_stored() {
-            self.known.confirmation.record(started_at);
-        }
-        Ok(config_match)
-    }
-
     fn watch_pause(&self) -> Duration {
         match self.is_coordinator() {
             true => COORDINATOR_WATCH_PAUSE,
