fix: a silence of an upstream lowers none of its limits

A plain service's limit also never rose again once refusals had lowered it, as only first events raise limits.

Change: a first event that was sent before the end of a silence of 600 ms or more is no sample, nor is such a gap. Plain services learn no limit from first events, and a complete answer restores a part of a lowered limit.

--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -323,7 +323,7 @@
             AttemptOutcome::ErrorAnswer(answer)
         }
         false => {
-            front.monitor.borrow_mut().record_success(id);
+            front.monitor.borrow_mut().record_success(&reply.upstream);
             record_complete_answer(front, request, state, reply.head.status);
             AttemptOutcome::Answered(answer)
         }
--- a/crates/gateway/src/front/large.rs
+++ b/crates/gateway/src/front/large.rs
@@ -153,7 +153,7 @@
                 let mut monitor = front.monitor.borrow_mut();
                 match is_failure {
                     true => monitor.record_failure(&upstream.incarnation, front.now()),
-                    false => monitor.record_success(&upstream.incarnation),
+                    false => monitor.record_success(&upstream),
                 }
                 drop(monitor);
                 front
--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -315,7 +315,7 @@
         _ => monitor.record_failure(&upstream.incarnation, now),
     }
     if matches!(error, AttemptError::Refused(_)) {
-        monitor.lower_limit(&upstream.incarnation, upstream.slots);
+        monitor.lower_limit(upstream);
     }
     drop(monitor);
     if matches!(
--- a/crates/gateway/src/front/relay/record.rs
+++ b/crates/gateway/src/front/relay/record.rs
@@ -32,8 +32,8 @@
         let objective = self.state.route.objective;
         let took = now.since(reply.run.sent_at);
         let mut monitor = self.front.monitor.borrow_mut();
-        monitor.record_first_event(&upstream.incarnation, upstream.slots, took, objective, now);
-        if let Some(model) = &self.request.call.model {
+        let is_sample = monitor.record_first_event(upstream, took, objective, now);
+        if let Some(model) = self.request.call.model.as_ref().filter(|_| is_sample) {
             let latencies = monitor.latencies.get_mut(model);
             latencies.record_first_event(
                 took,
@@ -72,7 +72,9 @@
 
     pub(super) fn record_finished(&self, reply: OpenReply) {
         let incarnation = reply.upstream.incarnation.clone();
-        self.front.monitor.borrow_mut().record_success(&incarnation);
+        let mut monitor = self.front.monitor.borrow_mut();
+        monitor.record_success(&reply.upstream);
+        drop(monitor);
         let status = reply.head.status;
         record_complete_answer(&self.front, &self.request, &self.state, status);
         if let Some(model) = &self.request.call.model {
--- a/crates/load/src/experiment/serving/run.rs
+++ b/crates/load/src/experiment/serving/run.rs
@@ -290,13 +290,8 @@
             let took = Millis(now - request.tried_at);
             request.is_late |= took > kind.objective;
             book.record_answer_begun(incarnation, request.prompt);
-            book.record_first_event(
-                incarnation,
-                self.case.slots,
-                took,
-                kind.objective,
-                Millis(now),
-            );
+            let leader = &self.pool[request.leader];
+            book.record_first_event(leader, took, kind.objective, Millis(now));
         }
         request.last_at = now;
         book.record_progress(incarnation, Millis(now));
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -88,13 +88,13 @@
     /// Whether the upstream has room for one more request.
     fn has_room(&self, upstream: &RouteUpstream) -> bool {
         let load = self.load(&upstream.incarnation);
-        // Plain services have no first events to learn a limit from; they reject excess requests
-        // themselves.
-        let initial_limit = match upstream.group {
-            Some(_) => self.initial_limit(upstream.slots),
-            None => f64::from(upstream.slots),
-        };
-        f64::from(load.in_flight) + 1.0 <= load.limit(initial_limit)
+        f64::from(load.in_flight) + 1.0 <= self.own_limit(upstream)
+    }
+
+    /// Returns the limit of requests in flight from this VM.
+    pub(crate) fn own_limit(&self, upstream: &RouteUpstream) -> f64 {
+        let initial_limit = self.limit_before_answers(upstream);
+        self.load(&upstream.incarnation).limit(initial_limit)
     }
 
     /// Whether a leader has a free slot for one more request and its first event can be expected in
--- a/crates/routing/src/latency.rs
+++ b/crates/routing/src/latency.rs
@@ -40,7 +40,7 @@
 /// already late by then, so an early move gains nothing.
 const RESUME_FACTOR: f64 = 3.0;
 /// Longest inactivity for which streams wait, whatever was observed.
-const MAX_STALL: Millis = Millis(600);
+pub(crate) const MAX_STALL: Millis = Millis(600);
 /// Factor on the normal delay of a first event over the expected time, after which a request moves
 /// to another upstream if the leader had room for it.
 const DELAY_FACTOR: f64 = 1.5;
@@ -128,8 +128,12 @@
 }
 
 impl ModelLatency {
-    /// Records the time between two events of a stream from one leader.
+    /// Records the time between two events of a stream from one leader, unless the leader counted as
+    /// stalled in it.
     pub fn record_gap(&mut self, duration: Millis, speed: Option<EngineSpeed>, slots: u32) {
+        if duration >= MAX_STALL {
+            return;
+        }
         self.gaps.record(duration);
         self.update_limits(speed, slots);
     }
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -3,7 +3,7 @@
 use bergamot_occupancy::LeaderLoad;
 use bergamot_types::prelude::*;
 
-use crate::latency::SuspicionTimeouts;
+use crate::latency::{MAX_STALL, SuspicionTimeouts};
 
 /// How long an upstream is avoided after a failure. Doubles with each consecutive failure.
 const FIRST_AVOIDANCE: Millis = Millis(300);
@@ -40,6 +40,45 @@
 /// Number of free slots up to which a leader counts as nearly full.
 const NEARLY_FULL_FREE_SLOTS: f64 = 2.0;
 
+/// Why other upstreams are preferred to one.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum AvoidanceReason {
+    /// Requests failed there.
+    Failed,
+    /// Connecting takes longer than usual.
+    Connecting,
+    /// Nothing arrives from it.
+    Silent,
+}
+
+impl AvoidanceReason {
+    /// Returns the reason's name in logs.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Failed => "failed",
+            Self::Connecting => "connecting",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// A time in which nothing arrived from an upstream although requests waited there, and which is
+/// over.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) struct PastSilence {
+    ended_at: Millis,
+    /// Whether a stream had begun, so that the silence was no queue.
+    had_begun: bool,
+}
+
+impl PastSilence {
+    /// Whether a wait since `sent_at` may be longer for the silence. `has_queue` tells whether
+    /// requests wait at the upstream for others.
+    pub(crate) fn explains_wait(self, sent_at: Millis, has_queue: bool) -> bool {
+        sent_at < self.ended_at && (self.had_begun || !has_queue)
+    }
+}
+
 /// Load and health of one upstream.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct UpstreamLoad {
@@ -77,6 +116,8 @@
     avoided_until: Millis,
     /// Until when the upstream is avoided as stalled, unless data arrives.
     stalled_until: Millis,
+    /// The last silence that was long enough for a stall.
+    pub(crate) past_silence: Option<PastSilence>,
 }
 
 impl UpstreamLoad {
@@ -104,8 +145,18 @@
 
     /// Whether other upstreams are preferred now.
     pub fn is_avoided(&self, now: Millis) -> bool {
-        let is_connecting = self.slow_connect_since(now).is_some();
-        self.avoided_until > now || is_connecting || self.is_silent(now)
+        self.avoidance(now).is_some()
+    }
+
+    /// Returns why other upstreams are preferred now.
+    pub(crate) fn avoidance(&self, now: Millis) -> Option<AvoidanceReason> {
+        if self.avoided_until > now {
+            return Some(AvoidanceReason::Failed);
+        }
+        if self.slow_connect_since(now).is_some() {
+            return Some(AvoidanceReason::Connecting);
+        }
+        self.is_silent(now).then_some(AvoidanceReason::Silent)
     }
 
     /// Whether nothing was received for longer than usual although requests wait at the upstream, or
@@ -217,6 +268,12 @@
 
     /// Returns whether this is the first data since an answer was given up.
     pub(crate) fn record_progress(&mut self, now: Millis) -> bool {
+        if self.inactivity(now) >= MAX_STALL {
+            self.past_silence = Some(PastSilence {
+                ended_at: now,
+                had_begun: self.has_begun(),
+            });
+        }
         self.last_received_at = now;
         self.connect_failed_at = None;
         self.stalled_until = Millis::ZERO;
@@ -254,6 +311,12 @@
         }
     }
 
+    /// Raises a limit that was lowered, after a complete answer of a plain service.
+    pub(crate) fn restore_limit(&mut self, slots: u32) {
+        let raised = |limit: f64| (limit + LIMIT_INCREASE).min(f64::from(slots));
+        self.limit = self.limit.map(raised);
+    }
+
     /// Lowers the limits after a late first event.
     pub(crate) fn record_late_first_event(&mut self, initial_limit: f64) {
         let fill = self.fill.unwrap_or(INITIAL_FILL);
--- a/crates/routing/src/monitor.rs
+++ b/crates/routing/src/monitor.rs
@@ -8,7 +8,7 @@
 use crate::assignment::LeaderAssignment;
 use crate::gate::GateTable;
 use crate::latency::{DispatchedRequest, LeaderInactivity, ModelLatencies, StallVerdict};
-use crate::load::{MIN_LIMIT, UpstreamLoad};
+use crate::load::{MIN_LIMIT, PastSilence, UpstreamLoad};
 use crate::partition::PartitionState;
 use crate::stalls::{StallNotice, StallRecipients, StallTable};
 use crate::upstream::RouteUpstream;
@@ -99,6 +99,16 @@
         limit.min(max_limit)
     }
 
+    /// Returns the limit of requests in flight from this VM before the upstream has answered.
+    pub(crate) fn limit_before_answers(&self, upstream: &RouteUpstream) -> f64 {
+        // Plain services have no first events to learn a limit from; they reject excess requests
+        // themselves.
+        match upstream.group {
+            Some(_) => self.initial_limit(upstream.slots),
+            None => f64::from(upstream.slots),
+        }
+    }
+
     /// Records that a request with `prompt_tokens` tokens was sent.
     pub fn record_sent(
         &mut self,
@@ -260,33 +270,52 @@
     }
 
     /// Records how long the first event of a stream took, and adjusts the limits by comparing it
-    /// with the objective.
+    /// with the objective. Returns whether the time shows how fast the upstream is.
     pub fn record_first_event(
         &mut self,
-        incarnation: &UpstreamIncarnation,
-        slots: u32,
+        upstream: &RouteUpstream,
         latency: Millis,
         objective: Millis,
         now: Millis,
-    ) {
+    ) -> bool {
+        let RouteUpstream {
+            incarnation, slots, ..
+        } = upstream;
         let total_requests = self.total_load_at(incarnation, now).requests;
-        let initial_limit = self.initial_limit(slots);
+        let initial_limit = self.initial_limit(*slots);
         let load = self.load_mut(incarnation);
-        match latency > objective {
-            true => load.record_late_first_event(initial_limit),
-            false => load.raise_limits(slots, initial_limit, total_requests),
+        let has_queue = total_requests > *slots;
+        let is_explained = |silence: PastSilence| {
+            let sent_at = Millis(now.0.saturating_sub(latency.0));
+            silence.explains_wait(sent_at, has_queue)
+        };
+        if load.past_silence.is_some_and(is_explained) {
+            return false;
         }
+        if upstream.group.is_some() {
+            match latency > objective {
+                true => load.record_late_first_event(initial_limit),
+                false => load.raise_limits(*slots, initial_limit, total_requests),
+            }
+        }
+        true
     }
 
     /// Lowers the limit of an upstream that is full.
-    pub fn lower_limit(&mut self, incarnation: &UpstreamIncarnation, slots: u32) {
-        let initial_limit = self.initial_limit(slots);
-        self.load_mut(incarnation).lower_limit(initial_limit);
+    pub fn lower_limit(&mut self, upstream: &RouteUpstream) {
+        let initial_limit = self.limit_before_answers(upstream);
+        self.load_mut(&upstream.incarnation)
+            .lower_limit(initial_limit);
     }
 
     /// Records a complete answer.
-    pub fn record_success(&mut self, incarnation: &UpstreamIncarnation) {
-        self.load_mut(incarnation).record_success();
+    pub fn record_success(&mut self, upstream: &RouteUpstream) {
+        let load = self.load_mut(&upstream.incarnation);
+        load.record_success();
+        // First events do not raise the limit of a plain service.
+        if upstream.group.is_none() {
+            load.restore_limit(upstream.slots);
+        }
     }
 
     /// Records a failure.
@@ -322,22 +351,40 @@
         gates.collect::<Vec<_>>().join(",")
     }
 
-    /// Describes for the log the limits of these upstreams and the requests in flight.
+    /// Describes for the log the limits of these upstreams, the requests in flight, and why others
+    /// are preferred.
     pub fn describe(&self, pool: &[RouteUpstream], now: Millis) -> String {
         let is_remote_load_known = self.occupancy.is_remote_load_known(now);
         let loads = pool.iter().map(|upstream| {
             let load = self.load(&upstream.incarnation);
-            if !is_remote_load_known {
-                let limit = load.limit(self.initial_limit(upstream.slots));
-                return format!("{}/{limit:.1}", load.in_flight);
+            let avoidance = self.avoidance_str(upstream, now);
+            if upstream.group.is_none() || !is_remote_load_known {
+                let limit = self.own_limit(upstream);
+                return format!("{}/{limit:.1}{avoidance}", load.in_flight);
             }
             let total_load = self.total_load_at(&upstream.incarnation, now);
             let limit = load.common_limit(upstream.slots);
             format!(
-                "{}/{limit:.1}:{}",
+                "{}/{limit:.1}:{}{avoidance}",
                 total_load.requests, total_load.pending_prompt_tokens
             )
         });
         loads.collect::<Vec<_>>().join(",")
     }
+
+    /// Returns why others are preferred to an upstream, as a suffix; empty if none are.
+    fn avoidance_str(&self, upstream: &RouteUpstream, now: Millis) -> String {
+        let reason = self.load(&upstream.incarnation).avoidance(now);
+        let is_reported = self
+            .stalls
+            .is_stalled(now, leader_key(&upstream.incarnation));
+        match (reason, is_reported) {
+            (Some(reason), _) => format!("-{}", reason.as_str()),
+            (None, true) => "-reported".to_owned(),
+            (None, false) if !self.assignment.is_assigned(&upstream.incarnation) => {
+                "-unassigned".to_owned()
+            }
+            (None, false) => String::new(),
+        }
+    }
 }
--- a/crates/routing/tests/bounds.rs
+++ b/crates/routing/tests/bounds.rs
@@ -126,9 +126,9 @@
         }
         Step::FirstEvent { latency } => {
             let latency = Millis(latency.into());
-            monitor.record_first_event(incarnation, upstream.slots, latency, OBJECTIVE, NOW);
+            monitor.record_first_event(upstream, latency, OBJECTIVE, NOW);
         }
-        Step::Full => monitor.lower_limit(incarnation, upstream.slots),
+        Step::Full => monitor.lower_limit(upstream),
         Step::Ended {
             has_begun,
             prompt_tokens,
--- a/crates/routing/tests/silence.rs
+++ b/crates/routing/tests/silence.rs
@@ -30,6 +30,23 @@
     })
 }
 
+/// Returns the criteria of a request that is at work at another upstream.
+fn criteria(home: &FailureDomain) -> UpstreamCriteria<'_> {
+    UpstreamCriteria {
+        priority: 0,
+        home,
+        tried: &[],
+        allowed_domains: None,
+        idle_connections: &[],
+        has_begun_elsewhere: true,
+        must_be_sound: true,
+        prompt_tokens: 100,
+        objective: Millis(250),
+        random: 7,
+        isolation_index: None,
+    }
+}
+
 struct SilenceCase {
     name: &'static str,
     /// Upstreams that send nothing although a request waits there.
@@ -115,23 +132,118 @@
         for name in case.recovered {
             monitor.record_progress(&upstream(name).incarnation, SILENT_AT);
         }
-        let criteria = UpstreamCriteria {
-            priority: 0,
-            home: &home,
-            tried: &[],
-            allowed_domains: None,
-            idle_connections: &[],
-            has_begun_elsewhere: true,
-            must_be_sound: true,
-            prompt_tokens: 100,
-            objective: Millis(250),
-            random: 7,
-            isolation_index: None,
-        };
-        let choice = monitor.choose(&pool, &criteria, SILENT_AT);
+        let choice = monitor.choose(&pool, &criteria(&home), SILENT_AT);
         let has_sound = matches!(choice, UpstreamChoice::Chosen(_));
         assert_eq!(has_sound, case.has_sound, "{}: {choice:?}", case.name);
         let are_mostly_silent = monitor.are_mostly_silent(&pool, SILENT_AT);
         assert_eq!(are_mostly_silent, case.are_mostly_silent, "{}", case.name);
     }
 }
+
+/// Why requests took longer than their objective.
+#[derive(Clone, Copy)]
+enum DelayCause {
+    /// Nothing arrived from the upstream for a second.
+    Silence,
+    /// It was at work on others.
+    Load,
+    /// It was full, and has answered since.
+    Refusals,
+}
+
+struct LimitCase {
+    name: &'static str,
+    is_leader: bool,
+    cause: DelayCause,
+    /// Whether as many requests fit as before.
+    is_limit_kept: bool,
+}
+
+fn count_fitting(monitor: &mut UpstreamMonitor, upstream: &RouteUpstream) -> u32 {
+    let home = FailureDomain::new(HOME);
+    let criteria = UpstreamCriteria {
+        must_be_sound: false,
+        has_begun_elsewhere: false,
+        ..criteria(&home)
+    };
+    let pool = std::slice::from_ref(upstream);
+    let mut count = 0;
+    while count < upstream.slots
+        && matches!(
+            monitor.choose(pool, &criteria, SILENT_AT),
+            UpstreamChoice::Chosen(_)
+        )
+    {
+        monitor.record_sent(&upstream.incarnation, None, 1, SILENT_AT);
+        count += 1;
+    }
+    count
+}
+
+fn delay_requests(monitor: &mut UpstreamMonitor, upstream: &RouteUpstream, cause: DelayCause) {
+    const REQUESTS: u32 = 5;
+    let incarnation = &upstream.incarnation;
+    (0..REQUESTS).for_each(|_| monitor.record_sent(incarnation, None, 1, SENT_AT));
+    monitor.record_answer_begun(incarnation, 1);
+    monitor.record_progress(incarnation, SENT_AT);
+    match cause {
+        DelayCause::Silence => {}
+        DelayCause::Load => {
+            for at in (SENT_AT.0..SILENT_AT.0).step_by(100) {
+                monitor.record_progress(incarnation, Millis(at));
+            }
+        }
+        DelayCause::Refusals => (0..REQUESTS).for_each(|_| monitor.lower_limit(upstream)),
+    }
+    monitor.record_progress(incarnation, SILENT_AT);
+    for number in 0..REQUESTS {
+        let latency = SILENT_AT.since(SENT_AT);
+        if !matches!(cause, DelayCause::Refusals) {
+            monitor.record_first_event(upstream, latency, Millis(250), SILENT_AT);
+        }
+        monitor.record_success(upstream);
+        monitor.record_ended(incarnation, number == 0, 1);
+    }
+}
+
+/// Guards against upstreams that get too few requests for good after a silence or after refusals.
+#[test]
+fn limits_are_lowered_by_load_alone_and_rise_again() {
+    let case = |name, is_leader, cause, is_limit_kept| LimitCase {
+        name,
+        is_leader,
+        cause,
+        is_limit_kept,
+    };
+    let cases = [
+        case("a silent leader", true, DelayCause::Silence, true),
+        case("a silent plain service", false, DelayCause::Silence, true),
+        case("a loaded leader", true, DelayCause::Load, false),
+        case(
+            "a plain service that refused",
+            false,
+            DelayCause::Refusals,
+            false,
+        ),
+    ];
+    for case in cases {
+        let mut monitor = monitor();
+        let upstream = RouteUpstream {
+            group: case.is_leader.then(|| GroupId::new("g")),
+            ..upstream("a")
+        };
+        delay_requests(&mut monitor, &upstream, case.cause);
+        let fitting = count_fitting(&mut monitor, &upstream);
+        let is_kept = fitting == upstream.slots;
+        assert_eq!(is_kept, case.is_limit_kept, "{}: {fitting}", case.name);
+        if case.is_leader {
+            continue;
+        }
+        for _ in 0..fitting {
+            monitor.record_ended(&upstream.incarnation, false, 1);
+        }
+        (0..100).for_each(|_| monitor.record_success(&upstream));
+        let fitting = count_fitting(&mut monitor, &upstream);
+        assert_eq!(fitting, upstream.slots, "{}", case.name);
+    }
+}
