fix: an answer that is given up in a silence is no failure of its upstream

Callers saw: requests refused as overloaded in a silence of some upstreams, with the others full, and upstreams that went on stayed without requests for four seconds and more.

Cause: giving an attempt up for another one recorded a failure of the silent upstream. Failures double the time in which it is avoided, one for each attempt, up to 5 s, and the first data does not revoke them. `no_room` showed three of four silent leaders as failed, none as silent, so requests did not wait for them either.

Change: it is recorded as a stall, which ends with the first data or after 2 s; so is an upstream that is silent when the deadline passes.

--- a/crates/gateway/src/front/open.rs
+++ b/crates/gateway/src/front/open.rs
@@ -192,7 +192,8 @@
         drop(self.outcome);
         let now = front.now();
         let mut monitor = front.monitor.borrow_mut();
-        monitor.record_failure(&upstream.incarnation, now);
+        // Not a failure, which the first data would not revoke.
+        monitor.record_stall(&upstream.incarnation, now);
         drop(monitor);
         let progress = RunProgress {
             sent_at: run.sent_at,
@@ -213,7 +214,7 @@
         }
         let now = front.now();
         let mut monitor = front.monitor.borrow_mut();
-        monitor.record_failure(&self.upstream.incarnation, now);
+        monitor.record_unanswered(&self.upstream.incarnation, now);
     }
 }
 
--- a/crates/routing/src/monitor.rs
+++ b/crates/routing/src/monitor.rs
@@ -323,6 +323,14 @@
         self.load_mut(incarnation).record_failure(now);
     }
 
+    /// Records that an upstream did not answer a request in time.
+    pub fn record_unanswered(&mut self, incarnation: &UpstreamIncarnation, now: Millis) {
+        match self.load(incarnation).is_silent(now) {
+            true => self.record_stall(incarnation, now),
+            false => self.record_failure(incarnation, now),
+        }
+    }
+
     /// Records that requests at an upstream are stalled.
     pub fn record_stall(&mut self, incarnation: &UpstreamIncarnation, now: Millis) {
         self.load_mut(incarnation).record_stall(now);
