fix: requests wait for room at upstreams whose silence is just over

Cause: a VM waits for room only while half of all upstreams are silent to its knowledge. With few requests of its own it awaits data from a few only, and right after the silence none is silent but all are at work on what arrived meanwhile.

Change: an upstream counts as held up for as long after a silence as it lasted, and two silent upstreams count as most if not more deliver.

--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -67,6 +67,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) struct PastSilence {
     ended_at: Millis,
+    duration: Millis,
     /// Whether a stream had begun, so that the silence was no queue.
     had_begun: bool,
 }
@@ -77,6 +78,11 @@
     pub(crate) fn explains_wait(self, sent_at: Millis, has_queue: bool) -> bool {
         sent_at < self.ended_at && (self.had_begun || !has_queue)
     }
+
+    /// Whether the upstream may still be at work on what arrived during the silence.
+    fn has_backlog(self, now: Millis) -> bool {
+        now.since(self.ended_at) < self.duration
+    }
 }
 
 /// Load and health of one upstream.
@@ -165,6 +171,12 @@
         self.stalled_until > now || self.inactivity(now) > self.tolerated_inactivity()
     }
 
+    /// Whether the upstream is silent, or was a moment ago and is at work on what arrived meanwhile.
+    pub(crate) fn is_held_up(&self, now: Millis) -> bool {
+        let has_backlog = |silence: PastSilence| silence.has_backlog(now);
+        self.is_silent(now) || self.past_silence.is_some_and(has_backlog)
+    }
+
     /// Returns the inactivity that is tolerated. The first-event timeout applies until a stream has
     /// begun, as no gap between events can be late before.
     fn tolerated_inactivity(&self) -> Millis {
@@ -268,9 +280,11 @@
 
     /// Returns whether this is the first data since an answer was given up.
     pub(crate) fn record_progress(&mut self, now: Millis) -> bool {
-        if self.inactivity(now) >= MAX_STALL {
+        let duration = self.inactivity(now);
+        if duration >= MAX_STALL {
             self.past_silence = Some(PastSilence {
                 ended_at: now,
+                duration,
                 had_begun: self.has_begun(),
             });
         }
--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -37,19 +37,29 @@
     unreachable.map(|(domain, _)| domain).collect()
 }
 
+/// Number of silent upstreams from which a VM concludes that most are, although it awaits nothing from
+/// the others.
+const MIN_SILENT_UPSTREAMS: usize = 2;
+
 impl UpstreamMonitor {
     /// Whether half of these upstreams or more send nothing although requests of this VM or others
-    /// wait there. Such upstreams are full as long as the silence lasts, and may have room right after.
+    /// wait there, or of those from which this VM awaits data. Such upstreams are full as long as the
+    /// silence lasts, and may have room right after.
     pub fn are_mostly_silent(&self, pool: &[RouteUpstream], now: Millis) -> bool {
         let is_silent = |incarnation: &UpstreamIncarnation| {
-            self.load(incarnation).is_silent(now)
+            self.load(incarnation).is_held_up(now)
                 || self.stalls.is_stalled(now, leader_key(incarnation))
         };
-        let silent = pool
+        let (silent, others): (Vec<_>, Vec<_>) = pool
             .iter()
-            .filter(|upstream| is_silent(&upstream.incarnation));
-        let count = silent.count();
-        count > 0 && 2 * count >= pool.len()
+            .map(|upstream| &upstream.incarnation)
+            .partition(|incarnation| is_silent(incarnation));
+        let delivering = others
+            .into_iter()
+            .filter(|incarnation| self.load(incarnation).has_recent_data(now));
+        let is_observed =
+            silent.len() >= MIN_SILENT_UPSTREAMS && silent.len() >= delivering.count();
+        is_observed || (!silent.is_empty() && 2 * silent.len() >= pool.len())
     }
 }
 
--- a/crates/routing/tests/silence.rs
+++ b/crates/routing/tests/silence.rs
@@ -53,8 +53,10 @@
     silent: &'static [&'static str],
     /// Upstreams whose streams were judged as stalled and where nothing waits any more.
     left: &'static [&'static str],
-    /// Of the silent ones, those that send data at the end.
+    /// Those that send data at the end.
     recovered: &'static [&'static str],
+    /// Number of further upstreams, from which nothing is awaited.
+    others: usize,
     /// Whether a request that is at work elsewhere finds an upstream.
     has_sound: bool,
     are_mostly_silent: bool,
@@ -70,6 +72,7 @@
             silent: &[],
             left: &[],
             recovered: &[],
+            others: 0,
             has_sound: true,
             are_mostly_silent: false,
         },
@@ -78,6 +81,7 @@
             silent: &["a"],
             left: &[],
             recovered: &[],
+            others: 0,
             has_sound: true,
             are_mostly_silent: false,
         },
@@ -86,6 +90,7 @@
             silent: &["a", "b"],
             left: &[],
             recovered: &[],
+            others: 0,
             has_sound: true,
             are_mostly_silent: true,
         },
@@ -94,6 +99,7 @@
             silent: &["a", "b", "c"],
             left: &[],
             recovered: &[],
+            others: 0,
             has_sound: false,
             are_mostly_silent: true,
         },
@@ -102,21 +108,42 @@
             silent: &[],
             left: &["a", "b", "c"],
             recovered: &[],
+            others: 0,
             has_sound: false,
             are_mostly_silent: true,
         },
+        SilenceCase {
+            name: "two of many are silent, and nothing is awaited from the others",
+            silent: &["a", "b"],
+            left: &[],
+            recovered: &[],
+            others: 9,
+            has_sound: true,
+            are_mostly_silent: true,
+        },
+        SilenceCase {
+            name: "two of many are silent, and three deliver",
+            silent: &["a", "b"],
+            left: &[],
+            recovered: &["c", "o0", "o1"],
+            others: 9,
+            has_sound: true,
+            are_mostly_silent: false,
+        },
         SilenceCase {
             name: "all were silent, and two have sent data since",
             silent: &["a"],
             left: &["b", "c"],
             recovered: &["b", "c"],
+            others: 0,
             has_sound: true,
             are_mostly_silent: false,
         },
     ];
-    let pool = ["a", "b", "c"].map(upstream);
     let home = FailureDomain::new(HOME);
     for case in &cases {
+        let mut pool: Vec<RouteUpstream> = ["a", "b", "c"].map(upstream).into();
+        pool.extend((0..case.others).map(|number| upstream(&format!("o{number}"))));
         let mut monitor = monitor();
         for name in case.silent.iter().chain(case.left) {
             let incarnation = upstream(name).incarnation;
