fix: a duty that ends also ends a process on the product's own interface

Callers would see: a VM whose control or platform duty has panicked serves from what it last knew, for good, and nothing says so. No such panic is known.

Cause: `bergamot-entry` without `--platform` spawned its duties, and the loops within them, and never looked at how they ended.

Change: `DutyWatch::watch`, which the platform's daemon uses already, is run around each of them.

Measured: `the_end_of_a_duty_is_known` (a panic, a return) passes; the code before has no interface on which it could fail.

--- a/crates/entry/src/bin/bergamot-entry.rs
+++ b/crates/entry/src/bin/bergamot-entry.rs
@@ -94,10 +94,14 @@
     let signals = Arc::new(AtomicU32::new(0));
     count_stop_signals(Arc::clone(&signals))?;
     let daemon = EntryDaemon::start(settings)?;
-    while signals.load(Ordering::Relaxed) == 0 {
+    while signals.load(Ordering::Relaxed) == 0 && daemon.duty_end().is_none() {
         std::thread::sleep(std::time::Duration::from_millis(50));
     }
+    let duty_end = daemon.duty_end();
     let outcome = daemon.stop(|| signals.load(Ordering::Relaxed) > 1);
+    if let Some(end) = duty_end {
+        return Err(end.into());
+    }
     Ok(match outcome {
         StopOutcome::Graceful => ExitCode::SUCCESS,
         StopOutcome::Aborted(aborted) => {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwap;
 use bergamot_claims::{ClaimOptions, ClaimState};
 use bergamot_engine::EngineClient;
+use bergamot_gateway::duty::{DutyEnd, DutyWatch};
 use bergamot_roster::{Member, RosterOptions};
 use bergamot_types::prelude::*;
 use parking_lot::Mutex;
@@ -109,6 +110,7 @@
             probe: probe_ring,
             claims: claims_ring,
             kv_calls: ArcSwap::from_pointee(serde_json::Value::Null),
+            duties: DutyWatch::default(),
             settings,
         });
         let mut daemon = Self {
@@ -154,7 +156,7 @@
         Ok(daemon)
     }
 
-    fn spawn<Duty, DutyFuture>(&mut self, name: &str, duty: Duty) -> anyhow::Result<()>
+    fn spawn<Duty, DutyFuture>(&mut self, name: &'static str, duty: Duty) -> anyhow::Result<()>
     where
         Duty: FnOnce(Arc<SharedState>) -> DutyFuture + Send + 'static,
         DutyFuture: Future<Output = ()> + 'static,
@@ -170,7 +172,7 @@
             .spawn(move || {
                 runtime.block_on(async {
                     tokio::select! {
-                        () = duty(shared) => {}
+                        () = shared.watch(name, duty(Arc::clone(&shared))) => {}
                         _ = stop_receiver.recv() => {}
                     }
                 });
@@ -202,16 +204,19 @@
             .spawn(move || {
                 runtime.block_on(async {
                     if let Some(keeper) = tls.clone() {
-                        tokio::spawn(async move {
+                        shared.spawn_required("tls_files", async move {
                             loop {
                                 tokio::time::sleep(TLS_CHECK_INTERVAL).await;
                                 keeper.refresh();
                             }
                         });
                     }
-                    if let Ok(listener) = listen(listener) {
-                        front::serve(context, listener, tls, stop).await;
-                    }
+                    let serving = async {
+                        if let Ok(listener) = listen(listener) {
+                            front::serve(context, listener, tls, stop).await;
+                        }
+                    };
+                    shared.watch("callers", serving).await;
                     // A claimed request continues after its caller disconnected, and dropping the
                     // runtime would abort it. No new requests arrive here, so the count only falls.
                     while shared.in_flight.load(Ordering::SeqCst) > 0 {
@@ -265,6 +270,12 @@
         self.shared.view.load().groups.len()
     }
 
+    /// Returns the first end of a loop that the process cannot go on without. It must be stopped
+    /// then, so that a new process takes its place.
+    pub fn duty_end(&self) -> Option<DutyEnd> {
+        self.shared.duties.first_end()
+    }
+
     /// Stops the daemon: refuses new requests, waits for those in flight, then stops the duties.
     ///
     /// `is_urgent` is polled. Once it returns `true`, requests in flight are aborted.
@@ -387,3 +398,6 @@
     };
     ClaimState::new(shared.settings.entry.clone(), options)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/entry/src/duty/peer.rs
+++ b/crates/entry/src/duty/peer.rs
@@ -37,8 +37,10 @@
 ) {
     let socket = Arc::new(socket);
     let pool: Pool = Arc::default();
-    tokio::spawn(receive_loop(Arc::clone(&shared), Arc::clone(&socket)));
-    tokio::spawn(accept_loop(Arc::clone(&shared), listener));
+    let receiving = receive_loop(Arc::clone(&shared), Arc::clone(&socket));
+    shared.spawn_required("peer_datagrams", receiving);
+    let accepting = accept_loop(Arc::clone(&shared), listener);
+    shared.spawn_required("peer_connections", accepting);
     while let Some(task) = tasks.recv().await {
         match task {
             PeerTask::Send(to, datagram) => send(&shared, &socket, to, *datagram).await,
--- a/crates/entry/src/duty/platform.rs
+++ b/crates/entry/src/duty/platform.rs
@@ -46,11 +46,20 @@
         reading: Mutex::new(IndexSet::new()),
     });
     let tuning = &settings.tuning;
-    tokio::spawn(roll_loop(Arc::clone(&platform), tuning.sync_period));
-    tokio::spawn(roster_loop(Arc::clone(&platform), tuning.roster_period));
-    tokio::spawn(vm_list_loop(Arc::clone(&platform), tuning.vm_list_period));
-    tokio::spawn(watch_loop(Arc::clone(&platform)));
-    tokio::spawn(remote_loop(Arc::clone(&platform), tuning.remote_period));
+    shared.spawn_required("roll", roll_loop(Arc::clone(&platform), tuning.sync_period));
+    shared.spawn_required(
+        "roster",
+        roster_loop(Arc::clone(&platform), tuning.roster_period),
+    );
+    shared.spawn_required(
+        "vm_list",
+        vm_list_loop(Arc::clone(&platform), tuning.vm_list_period),
+    );
+    shared.spawn_required("group_watch", watch_loop(Arc::clone(&platform)));
+    shared.spawn_required(
+        "remote_groups",
+        remote_loop(Arc::clone(&platform), tuning.remote_period),
+    );
     while let Some(task) = tasks.recv().await {
         let platform = Arc::clone(&platform);
         tokio::spawn(async move {
--- a/crates/entry/src/duty/shared.rs
+++ b/crates/entry/src/duty/shared.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use bergamot_claims::{ClaimEvent, ClaimKey, FinishOutcome, Verdict};
+use bergamot_gateway::duty::DutyWatch;
 use bergamot_peer::{Answer, Datagram, GroupsEntry, Question};
 use bergamot_placement::VmOrder;
 use bergamot_quarantine::QuarantineState;
@@ -145,6 +146,8 @@
     pub claims: RingSender<ClaimsInbox>,
     /// Counts of calls to the key-value store, for the dump.
     pub kv_calls: ArcSwap<serde_json::Value>,
+    /// Ends of loops that the process cannot go on without.
+    pub duties: DutyWatch,
 }
 
 impl SharedState {
@@ -171,6 +174,24 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Spawns a loop that the process cannot go on without.
+    pub fn spawn_required<Running>(self: &Arc<Self>, duty: &'static str, running: Running)
+    where
+        Running: Future<Output = ()> + Send + 'static,
+    {
+        let shared = Arc::clone(self);
+        tokio::spawn(async move { shared.watch(duty, running).await });
+    }
+
+    /// Runs a loop that the process cannot go on without.
+    pub async fn watch<Running>(&self, duty: &'static str, running: Running)
+    where
+        Running: Future<Output = ()>,
+    {
+        let is_stopping = || self.is_stopping();
+        self.duties.watch(duty, running, is_stopping).await;
+    }
+
     /// Sends a question to a peer and waits for its answer. Returns `None` if there is none.
     pub async fn ask_peer(self: &Arc<Self>, to: SocketAddr, question: Question) -> Option<Answer> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -50,6 +50,25 @@
         });
     }
 
+    /// Runs a loop that the process cannot go on without. Records its end, unless it returns while
+    /// the process stops.
+    pub async fn watch<Running, IsStopping>(
+        &self,
+        duty: &'static str,
+        running: Running,
+        is_stopping: IsStopping,
+    ) where
+        Running: Future<Output = ()>,
+        IsStopping: Fn() -> bool,
+    {
+        let reason = match catch_panic(running).await {
+            Err(panic) => panic.to_string(),
+            Ok(()) if is_stopping() => return,
+            Ok(()) => "it returned".to_owned(),
+        };
+        self.record(DutyEnd { duty, reason });
+    }
+
     /// Returns the first end, if there was one.
     pub fn first_end(&self) -> Option<DutyEnd> {
         self.first_end.borrow().clone()
@@ -68,12 +87,8 @@
 where
     Running: Future<Output = ()>,
 {
-    let reason = match catch_panic(running).await {
-        Err(panic) => panic.to_string(),
-        Ok(()) if shared.is_stopping() => return,
-        Ok(()) => "it returned".to_owned(),
-    };
-    shared.duties.record(DutyEnd { duty, reason });
+    let is_stopping = || shared.is_stopping();
+    shared.duties.watch(duty, running, is_stopping).await;
 }
 
 /// Runs a loop whose state outlives it. If it ends before the process stops, it is begun again.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod cold;
 pub mod daemon;
 mod departures;
-mod duty;
+pub mod duty;
 pub mod evacuations;
 mod expired;
 mod front;
