fix: bergamotctl status tells why there is no roll record

Operators saw: "the roll record cannot be read" for a key-value service that does not answer, a fleet where nothing was rolled yet, and a record that cannot be read.

Cause: all three were mapped to none.

Change: `record_error` in the JSON and its text in the first line name which of the three it is.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -266,7 +266,7 @@
     let status = fleet(&kv(matches)?, &caller, &admins(matches)?).await;
     let record = match &status.record {
         Some(record) => format!("roll {} of {}", record.number, record.digest),
-        None => "the roll record cannot be read".to_owned(),
+        None => status.record_error.clone().unwrap_or_default(),
     };
     let lines = status.entries.iter().map(|entry| match entry.roll {
         None => format!("{}: no answer", entry.admin),
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -36,6 +36,8 @@
 pub struct FleetStatus {
     /// The roll record in the key-value service; none if it cannot be read.
     pub record: Option<RollRecord>,
+    /// Why there is no record.
+    pub record_error: Option<String>,
     /// Each entry VM asked.
     pub entries: Vec<EntryStatus>,
 }
@@ -64,14 +66,36 @@
 
 /// Asks every entry VM and the key-value service.
 pub async fn fleet(kv: &KvClient, caller: &HttpClient, admins: &[String]) -> FleetStatus {
-    let record = kv.get(ROLL_KEY).await.ok().flatten();
-    let record = record.and_then(|entry| serde_json::from_slice(&entry.value).ok());
+    let (record, record_error) = match read_record(kv).await {
+        Ok(record) => (Some(record), None),
+        Err(error) => (None, Some(error.to_string())),
+    };
     let mut entries = Vec::with_capacity(admins.len());
     for admin in admins {
         let dump = dump(caller, admin).await.ok();
         entries.push(entry_status(admin, dump.as_ref()));
     }
-    FleetStatus { record, entries }
+    FleetStatus {
+        record,
+        record_error,
+        entries,
+    }
+}
+
+/// Why the roll record is not known.
+#[derive(Debug, thiserror::Error)]
+enum RecordError {
+    #[error("the key-value service does not answer: {0}")]
+    Unanswered(#[from] bergamot_platform::Error),
+    #[error("nothing was rolled yet")]
+    Absent,
+    #[error("the roll record cannot be read: {0}")]
+    Unreadable(#[from] serde_json::Error),
+}
+
+async fn read_record(kv: &KvClient) -> Result<RollRecord, RecordError> {
+    let entry = kv.get(ROLL_KEY).await?.ok_or(RecordError::Absent)?;
+    Ok(serde_json::from_slice(&entry.value)?)
 }
 
 fn entry_status(admin: &str, dump: Option<&Value>) -> EntryStatus {
