fix: the bound that a request met is logged once in a row

Operators saw: four lines `event=not_sent_on` a second for each stream whose upstream is silent while the VM has used its retries.

Cause: the search for another upstream is repeated every 250 ms and logged its reason each time.

Change: a request remembers the reason that was last logged.

--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -1,5 +1,6 @@
 //! Admission of a call: route lookup, authorization and reading of the request body.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use bergamot_ports::{AccountGrant, CallerCall, Route, ServingConfig};
@@ -101,6 +102,7 @@
     }
     Ok(AdmittedCall {
         state: CallState {
+            logged_bound: Cell::default(),
             route: route.clone(),
             service,
             arrived,
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -301,8 +301,17 @@
     (state.arrivals >= max_attempts + MAX_REFUSED_SENDS).then_some("sends that arrived")
 }
 
-/// Logs the bound that a request met. The rejection or the broken stream does not show it.
-pub fn log_not_sent_on(request: &SentRequest, state: &CallState, runs: usize, reason: &str) {
+/// Logs the bound that a request met, once in a row. The rejection or the broken stream does not show
+/// it.
+pub fn log_not_sent_on(
+    request: &SentRequest,
+    state: &CallState,
+    runs: usize,
+    reason: &'static str,
+) {
+    if state.logged_bound.replace(Some(reason)) == Some(reason) {
+        return;
+    }
     log::info!(
         "event=not_sent_on request={} reason=\"{reason}\" sends={} arrivals={} runs={runs}",
         request.call.id,
--- a/crates/gateway/src/front/state.rs
+++ b/crates/gateway/src/front/state.rs
@@ -1,5 +1,6 @@
 //! State of a request between its head and its answer.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use bergamot_ports::Route;
@@ -27,6 +28,9 @@
     pub disconnected: Vec<UpstreamIncarnation>,
     /// Whether another entry VM forwarded the request to this one.
     pub is_forwarded: bool,
+    /// The bound that was last logged for the request. A search for another upstream meets it again
+    /// and again.
+    pub logged_bound: Cell<Option<&'static str>>,
     /// When the retry now being sent was taken from the budget. `None` for the first send.
     pub retry_taken_at: Option<Millis>,
     /// Traces the request until its answer was sent.
