test: engines that send bytes without end on the product's own interface

Cause: the bounds on what arrives on a connection were tested for upstreams of the platform's interface and servers of the platform, not for /v1.

Change: the cases of crates/platform/tests/endless.rs also run against the client of engines.

--- a/crates/platform/tests/endless.rs
+++ b/crates/platform/tests/endless.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bergamot_engine::EngineClient;
 use bergamot_platform::http::{HttpClient, build};
 use bytes::Bytes;
 use hyper::Method;
@@ -23,8 +24,18 @@
 /// Bytes that are written at once.
 const WRITE_BYTES: usize = 64 << 10;
 
+/// Who sends the bytes.
+#[derive(Clone, Copy, Debug)]
+enum ServerKind {
+    /// A server of the platform.
+    Platform,
+    /// An engine, on the product's own interface.
+    Engine,
+}
+
 #[derive(Clone, Copy)]
 struct EndlessCase {
+    server: ServerKind,
     name: &'static str,
     start: &'static str,
     repeated: &'static str,
@@ -45,6 +56,7 @@
 async fn a_call_to_a_server_that_sends_bytes_without_end_fails_in_time() {
     let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     let case = |name, start, repeated| EndlessCase {
+        server: ServerKind::Platform,
         name,
         start,
         repeated,
@@ -61,7 +73,11 @@
             "A: b\r\n",
         ),
     ];
-    for case in cases {
+    let engine_cases = cases.map(|case| EndlessCase {
+        server: ServerKind::Engine,
+        ..case
+    });
+    for case in cases.into_iter().chain(engine_cases) {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let addr = listener.local_addr().expect("the socket is bound");
         listener.set_nonblocking(true).expect("the socket is open");
@@ -85,14 +101,31 @@
             let request = build(Method::GET, &format!("http://{addr}/"), Bytes::new());
             let request = request.expect("the URL is valid");
             let started_at = Instant::now();
-            let reply = client.call(request, TIMEOUT).await;
-            (reply, started_at.elapsed())
+            let is_answered = match case.server {
+                ServerKind::Platform => client.call(request, TIMEOUT).await.is_ok(),
+                ServerKind::Engine => {
+                    let client = EngineClient::new(TIMEOUT);
+                    client.report(addr, TIMEOUT).await.is_ok()
+                }
+            };
+            (is_answered, started_at.elapsed())
         });
-        let (reply, took) = called.await;
-        assert!(reply.is_err(), "{}: {reply:?}", case.name);
-        assert!(took < TIMEOUT + SLACK, "{}: {took:?}", case.name);
+        let (is_answered, took) = called.await;
+        assert!(!is_answered, "{}: {:?}", case.name, case.server);
+        assert!(
+            took < TIMEOUT + SLACK,
+            "{}: {:?}, {took:?}",
+            case.name,
+            case.server
+        );
         let has_had_turns = took < TIMEOUT || ticks.get() >= MIN_TICKS;
-        assert!(has_had_turns, "{}: {} turns", case.name, ticks.get());
+        assert!(
+            has_had_turns,
+            "{}: {:?}, {} turns",
+            case.name,
+            case.server,
+            ticks.get()
+        );
         runtime.shutdown_background();
     }
 }
