fix: only sync/mod.rs schedules confirmations by a clock that pauses

Cause: moved the confirmation to sync/confirm.rs, and with it a use of `Instant`. The clock is allowed for the delay until the next call, in the files that the test lists.

Change: `StoreSync::schedule_confirm` in sync/mod.rs, which is listed; the three other places that set the same time use it.

--- a/crates/gateway/src/sync/confirm.rs
+++ b/crates/gateway/src/sync/confirm.rs
@@ -1,7 +1,6 @@
 //! Confirms that no newer configuration was missed.
 
 use bergamot_ports::{KeyCondition, StateStore, StoreCatalog, StoreError, StoreTxn, TxnOutcome};
-use tokio::time::Instant;
 
 use super::StoreSync;
 
@@ -43,7 +42,7 @@
             return Ok(ConfigMatch::Kept);
         }
         let outcome = outcome?;
-        self.confirm_at = Instant::now() + self.ranking.confirm_period().as_duration();
+        self.schedule_confirm();
         self.record_success();
         let config_match = match outcome {
             TxnOutcome::Conflict(items) => {
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -163,7 +163,7 @@
             while !self.read_all().await {
                 tokio::time::sleep(RETRY_PERIOD).await;
             }
-            self.confirm_at = Instant::now() + self.ranking.confirm_period().as_duration();
+            self.schedule_confirm();
             while self.known.revision.is_some() {
                 self.follow().await;
             }
@@ -330,6 +330,11 @@
         }
     }
 
+    /// Makes the next confirmation due after the usual period.
+    fn schedule_confirm(&mut self) {
+        self.confirm_at = Instant::now() + self.ranking.confirm_period().as_duration();
+    }
+
     fn record_failure(&mut self, call: &str, error: &StoreError) {
         if !self.known.is_store_unreachable() {
             log::warn!("event=store_lost call={call} reason={error:?}");
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -339,7 +339,7 @@
         if let Err(error) = outcome {
             log::warn!("event=config_not_read reason={error:?}");
             self.store.reset();
-            self.confirm_at = Instant::now() + self.ranking.confirm_period().as_duration();
+            self.schedule_confirm();
         }
     }
 }
