feat: how busy the callers' thread is, and how long connections wait for it

Cause: a VM that refuses or is late for want of processor could not be told from one that knows too little of the others: no line or metric said how busy it was, how late its timers were, or how many connections it had accepted.

Change: counters of the callers' thread's time (all, busy, late), of callers' connections, and a histogram of the time from accept to a connection's first run; the usage line has busy, late and connections. The thread's waits are measured by the runtime's park hooks, lateness by the tick of load reports, so no VM wakes up more often.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -82,8 +82,14 @@
     /// that the process cannot go on without; requests in flight have ended then too.
     pub fn run(self) -> anyhow::Result<()> {
         let site = self.shared.site.clone();
+        let (park, unpark) = (
+            Arc::clone(&self.shared.parks),
+            Arc::clone(&self.shared.parks),
+        );
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
+            .on_thread_park(move || park.park())
+            .on_thread_unpark(move || unpark.unpark())
             .build()?;
         // Done before callers can connect: a signal without a handler ends the process at once.
         let signals = {
--- a/crates/gateway/src/front/exchange.rs
+++ b/crates/gateway/src/front/exchange.rs
@@ -20,6 +20,7 @@
 use super::FrontContext;
 use super::addresses::SourceAddresses;
 use super::limits::apply_quota_actions;
+use super::pace::record_pace;
 use super::permits::{QuotaMessage, deliver_permit_answer};
 use super::warmup::{self, answer_cold_question, deliver_cold_answer};
 use crate::metrics::GatewayMetrics;
@@ -57,7 +58,10 @@
             received = socket.recv_from(&mut buffer) => {
                 handle_datagram(&front, &buffer, received, &suspicions, &mut addresses)
             }
-            _ = report_ticks.tick() => load_notices(tick(&front, &mut idle_periods)),
+            due = report_ticks.tick() => {
+                record_pace(&front, due.into_std());
+                load_notices(tick(&front, &mut idle_periods))
+            }
             Some(record) = crash_records.recv() => crash_notices(&front, &record),
             Some(stall) = leader_stalls.recv() => {
                 let hops = front.monitor.borrow().occupancy.origin_hops(front.now());
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -32,6 +32,7 @@
 //! | [`exchange`] | exchange of load reports and notices between entry VMs |
 //! | [`budget`] | how many retries may be sent |
 //! | [`forward`] | requests that are forwarded to and by other entry VMs |
+//! | [`pace`] | how busy the callers' thread is |
 //! | [`pool`] | connections to upstreams |
 //! | [`panics`] | panics, each of which ends one request |
 //! | [`partition`] | detection that no upstream is reachable |
@@ -56,6 +57,7 @@
 pub mod large;
 pub mod limits;
 pub mod open;
+pub mod pace;
 pub mod panics;
 pub mod partition;
 pub mod permits;
@@ -91,6 +93,7 @@
 use budget::RetryBudget;
 use forward::ForwardFront;
 use held::HeldTotal;
+use pace::PaceMeter;
 use permits::{PendingPermits, QuotaMessage};
 use pool::ConnectionPool;
 use warmup::WarmUpFront;
@@ -123,6 +126,8 @@
     pub permits: PendingPermits<PermitVerdict>,
     /// Upstreams that are cold, and the permits to send to them.
     pub warm_up: WarmUpFront,
+    /// Periods of this thread.
+    pub pace: PaceMeter,
     /// The life cycle of the process.
     pub stop: Rc<StopControl>,
     /// Sends crashes that this VM observed, and the requests that ran there, to the other VMs.
@@ -163,6 +168,7 @@
             quota: RefCell::new(quota),
             permits: PendingPermits::default(),
             warm_up: WarmUpFront::new(shared.site.vm.to_string()),
+            pace: PaceMeter::default(),
             stop: Rc::new(StopControl::new(Arc::clone(&shared))),
             crash_records,
             stall_notices,
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -26,6 +26,7 @@
 use super::gates::update_backing_off_metric;
 use super::head_timer::{HeadTimer, TimedStream};
 use super::limits::update_limited_metric;
+use super::pace::AcceptedAt;
 use super::panics::answer_panicked;
 use super::trace::{RequestTrace, TracedAnswer};
 use super::warmup;
@@ -54,6 +55,16 @@
     Peers,
 }
 
+impl RequestSource {
+    /// Returns the source's name in metrics.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Peers => "peers",
+        }
+    }
+}
+
 /// Accepts callers until the listener must close, and then those in its accept queue.
 pub async fn accept_callers<Dialect>(front: Rc<FrontContext<Dialect>>, listener: TcpListener)
 where
@@ -100,8 +111,14 @@
     Dialect: CallerDialect + 'static,
 {
     if let Some(guard) = front.stop.accept() {
+        if source == RequestSource::Callers {
+            let connections = &front.shared.metrics.caller_connections;
+            connections.with_label_values(&["accepted"]).inc();
+        }
         let front = Rc::clone(front);
+        let accepted_at = AcceptedAt::now();
         tokio::task::spawn_local(async move {
+            accepted_at.record_delay(&front, source.as_str());
             serve_connection(front, stream, source).await;
             drop(guard);
         });
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -61,6 +61,12 @@
     pub endless_answers: IntCounter,
     /// Panics that ended a request, by what was being done for it.
     pub request_panics: IntCounterVec,
+    /// Connections from callers, by outcome.
+    pub caller_connections: IntCounterVec,
+    /// Time from accepting a connection to the first run of its task, in seconds.
+    pub accept_delay: HistogramVec,
+    /// Time of the callers' thread, in microseconds, by use.
+    pub thread_time: IntCounterVec,
     /// Gauges of the process's state, by name.
     pub state: IntGaugeVec,
 }
@@ -212,6 +218,21 @@
                 "Panics that ended a request, by what was being done for it",
                 &["stage"],
             ),
+            caller_connections: counter(
+                "bergamot_caller_connections_total",
+                "Connections from callers by outcome",
+                &["outcome"],
+            ),
+            accept_delay: histogram(
+                "bergamot_accept_delay_seconds",
+                "Time from accepting a connection to the first run of its task, by source",
+                &["source"],
+            ),
+            thread_time: counter(
+                "bergamot_callers_thread_us_total",
+                "Time of the callers' thread in microseconds: all, busy, or late to handle a timer",
+                &["use"],
+            ),
             state,
             registry,
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -16,6 +16,7 @@
 
 use crate::clock::BootClock;
 use crate::duty::DutyWatch;
+use crate::front::pace::ParkMeter;
 use crate::front::residency::warn_of_unknown_regions;
 use crate::metrics::GatewayMetrics;
 use crate::own_keys::ForwardEndpoint;
@@ -37,6 +38,8 @@
     bounds: ArcSwap<ServingBounds>,
     /// The clock that all times in this state refer to.
     pub clock: BootClock,
+    /// Time in which the callers' thread waits for events.
+    pub parks: Arc<ParkMeter>,
     /// The metrics.
     pub metrics: GatewayMetrics,
     /// The latest view of the store's contents.
@@ -106,6 +109,7 @@
             bounds: ArcSwap::from_pointee(site.bounds),
             site,
             clock,
+            parks: Arc::default(),
             metrics: GatewayMetrics::new(),
             view: ArcSwap::from_pointee(ClusterView::default()),
             view_changed: watch::channel(0).0,
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -22,6 +22,10 @@
     datagram_bytes_sent: u64,
     datagrams_received: u64,
     datagram_bytes_received: u64,
+    connections: u64,
+    thread_us: u64,
+    thread_busy_us: u64,
+    thread_late_us: u64,
 }
 
 impl UsageTotals {
@@ -29,7 +33,12 @@
         let metrics = &shared.metrics;
         let datagrams = |direction| metrics.datagrams.with_label_values(&[direction]).get();
         let bytes = |direction| metrics.datagram_bytes.with_label_values(&[direction]).get();
+        let thread_us = |thread_use| metrics.thread_time.with_label_values(&[thread_use]).get();
         Self {
+            connections: sum(&metrics.caller_connections),
+            thread_us: thread_us("all"),
+            thread_busy_us: thread_us("busy"),
+            thread_late_us: thread_us("late"),
             store_calls: sum(&metrics.store_calls),
             feed_requests: sum(&metrics.feed_requests),
             feed_requests_served: metrics.feed_requests_served.get(),
@@ -64,10 +73,11 @@
 }
 
 fn log_period(shared: &SharedState, earlier: UsageTotals, totals: UsageTotals) {
+    let thread_us = totals.thread_us - earlier.thread_us;
     log::info!(
         "event=usage period={} duties={} millicores={} store_calls={} feed_requests={} \
          feed_requests_served={} datagrams_sent={} datagram_bytes_sent={} datagrams_received={} \
-         datagram_bytes_received={}",
+         datagram_bytes_received={} connections={} busy={} late={}",
         USAGE_PERIOD.as_millis(),
         duties(shared),
         shared.site.millicores,
@@ -78,9 +88,16 @@
         totals.datagram_bytes_sent - earlier.datagram_bytes_sent,
         totals.datagrams_received - earlier.datagrams_received,
         totals.datagram_bytes_received - earlier.datagram_bytes_received,
+        totals.connections - earlier.connections,
+        permille(totals.thread_busy_us - earlier.thread_busy_us, thread_us),
+        permille(totals.thread_late_us - earlier.thread_late_us, thread_us),
     );
 }
 
+fn permille(part: u64, whole: u64) -> u64 {
+    part * 1_000 / whole.max(1)
+}
+
 /// Returns the duties of this VM that cost more than serving its own callers, joined by commas.
 fn duties(shared: &SharedState) -> String {
     let duties = [
