test: processes with a small share of a core, to few of which most connections go

Change: the soak draws crowds (--crowds, off by default): each process is held to a share of a core by stops, as a quota does, connections are spread for 3 s and then most go to one or two; callers try elsewhere only what was not read. The test plays two cases and asks for the users' bound.

--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -6,6 +6,7 @@
 use bergamot_site_standin::upstream::SeenRequest;
 
 use crate::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
+use crate::crowds::CrowdCall;
 use crate::domains::{EvacuationPeriod, RecordIndex, UpstreamArrivals, check_regions};
 use crate::plan::FaultKind;
 use crate::silences::AllSilentPeriod;
@@ -53,6 +54,8 @@
                 it == entry
             }
             FaultKind::StoreOutage | FaultKind::StoreHang | FaultKind::StoreSlow(_) => true,
+            // Each process has a small share of a core meanwhile.
+            FaultKind::Crowd(_) => true,
             _ => false,
         }
     }
@@ -100,6 +103,8 @@
     pub arrived: Vec<UpstreamArrivals>,
     /// When failure domains were evacuated.
     pub evacuations: Vec<EvacuationPeriod>,
+    /// Requests of crowds.
+    pub crowd_calls: Vec<CrowdCall>,
     /// When all upstreams of a role were silent.
     pub all_silent: Vec<AllSilentPeriod>,
 }
@@ -123,6 +128,7 @@
         found.extend(self.check_said());
         found.extend(self.check_arrivals());
         found.extend(self.check_cuts());
+        found.extend(self.check_crowds());
         found
     }
 
--- a/crates/soak/src/bin/bergamot-soak.rs
+++ b/crates/soak/src/bin/bergamot-soak.rs
@@ -75,6 +75,12 @@
         "cuts between some processes and all upstreams (0)",
         "COUNT",
     );
+    options.optopt(
+        "",
+        "crowds",
+        "times in which most connections go to few processes, each with a small share of a core (0)",
+        "N",
+    );
     options.optopt(
         "",
         "silences",
@@ -158,6 +164,7 @@
         cold: matches.opt_get_default("cold", usual.cold)?,
         home_callers: matches.opt_get_default("home-callers", usual.home_callers)?,
         cuts: matches.opt_get_default("cuts", usual.cuts)?,
+        crowds: matches.opt_get_default("crowds", usual.crowds)?,
         silences: matches.opt_get_default("silences", usual.silences)?,
         length: Duration::from_secs(seconds),
         ..usual
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -52,7 +52,10 @@
     async fn befall(self: Arc<Self>, fault: TimedFault) -> anyhow::Result<()> {
         let from = Instant::now();
         let noted = self.note(fault.kind, from);
-        self.apply(fault, noted).await?;
+        match fault.kind {
+            FaultKind::Crowd(crowd) => self.crowd(crowd, fault.length).await,
+            _ => self.apply(fault, noted).await?,
+        }
         self.troubles.lock()[noted].until = Instant::now();
         Ok(())
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod audit;
 pub mod caller;
 mod cold;
+pub mod cpu_share;
+pub mod crowds;
 pub mod cuts;
 pub mod domains;
 mod faults;
@@ -35,6 +37,7 @@
 pub mod violation;
 
 pub use audit::AuditBook;
+pub use crowds::{CrowdFault, CrowdReport};
 pub use cuts::{CutReport, ProcessSet, TryCount};
 pub use domains::{DomainChoice, EvacuationPeriod, UpstreamArrivals};
 pub use options::SoakOptions;
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -38,6 +38,9 @@
     pub home_callers: usize,
     /// Cuts between some processes and all upstreams, besides.
     pub cuts: usize,
+    /// Times in which most new connections go to few processes, besides. Above 0, there are routes for streams that may
+    /// not be resumed.
+    pub crowds: usize,
     /// Silences of sound upstreams, each beside a new configuration, besides. Above 0, there are callers of streams that
     /// may not be resumed.
     pub silences: usize,
@@ -65,6 +68,7 @@
             cold: 0,
             home_callers: 0,
             cuts: 0,
+            crowds: 0,
             silences: 0,
             first_place: 0,
         }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::cold::draw_cold;
+use crate::crowds::{CrowdFault, draw_crowds};
 use crate::cuts::{ProcessSet, draw_cuts};
 use crate::domains::{DomainChoice, draw_evacuations};
 use crate::options::SoakOptions;
@@ -108,6 +109,8 @@
     TurnsCold(UpstreamRole, usize),
     /// The operator takes a key away and gives out another.
     ChangeKeys,
+    /// Most new connections go to few processes.
+    Crowd(CrowdFault),
     /// Sound upstreams send nothing, and go on where they were at the end.
     Silence(UpstreamSet, SilenceStart),
 }
@@ -200,6 +203,7 @@
         faults.extend(draw_evacuations(seed, options));
         faults.extend(draw_cold(seed, options));
         faults.extend(draw_cuts(seed, options));
+        faults.extend(draw_crowds(seed, options));
         faults.extend(draw_silences(seed, options));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -172,10 +172,15 @@
         }
     }
 
+    /// Its id while it runs.
+    pub fn id(&self) -> Option<i32> {
+        let id = self.child.as_ref().and_then(Child::id);
+        id.and_then(|id| i32::try_from(id).ok())
+    }
+
     /// Sends it a signal, by its id.
     pub fn signal(&self, signal: Signal) {
-        let id = self.child.as_ref().and_then(Child::id);
-        let Some(id) = id.and_then(|id| i32::try_from(id).ok()) else {
+        let Some(id) = self.id() else {
             return;
         };
         if let Err(error) = kill(Pid::from_raw(id), signal) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,6 +8,7 @@
 
 use crate::audit::{AuditBook, Trouble};
 use crate::caller::{CallEnd, CallRecord, CallerHabit, CallerLoop, RequestKind, call_once};
+use crate::crowds::{CrowdCall, CrowdReport};
 use crate::cuts::CutReport;
 use crate::domains::EvacuationPeriod;
 use crate::groups::GroupWatch;
@@ -50,6 +51,8 @@
     pub cold_peak: usize,
     /// How callers were served while processes were cut off from all upstreams.
     pub cuts: Vec<CutReport>,
+    /// How callers were served while most connections went to few processes.
+    pub crowds: CrowdReport,
     /// How new requests were answered while all upstreams that could serve them were silent.
     pub silence: SilenceReport,
     /// What was broken.
@@ -75,6 +78,8 @@
     pub(crate) around: Mutex<JoinSet<()>>,
     /// When failure domains were evacuated.
     pub(crate) evacuations: Mutex<Vec<EvacuationPeriod>>,
+    /// Requests of crowds.
+    pub(crate) crowd_calls: Arc<Mutex<Vec<CrowdCall>>>,
     /// Silences of sound upstreams.
     pub(crate) silences: Mutex<SilenceBook>,
     /// What callers draw from.
@@ -151,6 +156,7 @@
             records: Arc::default(),
             around: Mutex::default(),
             evacuations: Mutex::default(),
+            crowd_calls: Arc::default(),
             silences: Mutex::default(),
             seed,
         })
@@ -250,6 +256,7 @@
             revoked: self.site.keys.lock().revoked.clone(),
             arrived: self.site.requests_arrived(),
             evacuations: self.evacuations.lock().clone(),
+            crowd_calls: std::mem::take(&mut *self.crowd_calls.lock()),
             all_silent: self.silences.lock().all_silent.clone(),
         };
         let mut violations = book.check();
@@ -265,6 +272,7 @@
         SoakOutcome {
             seed: self.seed,
             cuts: book.cut_reports(),
+            crowds: book.crowd_report(),
             silence: book.silence_report(),
             evacuations: book.evacuations.len(),
             cold_requests,
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -192,7 +192,7 @@
                 has_warm_up: options.cold > 0,
                 has_home_route: options.home_callers > 0,
             },
-            has_single_streams: options.silences > 0,
+            has_single_streams: options.silences + options.crowds > 0,
         });
         site.change_keys();
         for index in 0..options.engines {
--- a/crates/soak/src/violation.rs
+++ b/crates/soak/src/violation.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::caller::{CallEnd, RequestKind};
+use crate::crowds::CrowdReport;
 use crate::cuts::CutReport;
 
 /// A promise that was broken.
@@ -177,6 +178,8 @@
     },
     /// Processes that are cut off from all upstreams serve their callers far worse than the others.
     WorseWhileCutOff(CutReport),
+    /// Callers are served far worse while most connections go to few processes.
+    WorseInCrowd(CrowdReport),
     /// Some time after the last fault a process does not serve.
     NotBack {
         /// The process.
