fix: a VM accepts no more connections than its callers' thread has time for

What callers saw: while most new connections went to one VM with a small share of a core, all that it had read became late together; streams stood still and most requests ended with 503 or 504.

Cause: nothing bounded what a VM accepts by what it can serve. The class: work is taken on without regard to the time that is left for it.

Change: crates/intake measures how much of its time the callers' thread is busy, or denied the processor, over 0.5 s. From nine tenths on connections beyond a rate are closed before anything is read; the rate begins with what connections have cost before, falls while the thread stays full, and rises while it has time. Every connection is accepted again once none was turned away for 4 s. Nothing is turned away below that.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -80,6 +80,7 @@
 
 use bergamot_feed::PeerDescriptor;
 use bergamot_groups::DemandMeter;
+use bergamot_intake::IntakeState;
 use bergamot_peer::LeaderStall;
 use bergamot_ports::RouteKind;
 use bergamot_quarantine::QuarantineRecord;
@@ -128,6 +129,8 @@
     pub warm_up: WarmUpFront,
     /// Periods of this thread.
     pub pace: PaceMeter,
+    /// How many connections of callers are accepted.
+    pub intake: RefCell<IntakeState>,
     /// The life cycle of the process.
     pub stop: Rc<StopControl>,
     /// Sends crashes that this VM observed, and the requests that ran there, to the other VMs.
@@ -169,6 +172,7 @@
             permits: PendingPermits::default(),
             warm_up: WarmUpFront::new(shared.site.vm.to_string()),
             pace: PaceMeter::default(),
+            intake: RefCell::default(),
             stop: Rc::new(StopControl::new(Arc::clone(&shared))),
             crash_records,
             stall_notices,
--- a/crates/gateway/src/front/pace.rs
+++ b/crates/gateway/src/front/pace.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use bergamot_intake::ThreadPeriod;
+use bergamot_intake::{IntakeChange, ThreadPeriod};
 
 use super::FrontContext;
 
@@ -91,6 +91,18 @@
         let total = total.with_label_values(&[thread_use]);
         total.inc_by(time.as_micros() as u64);
     }
+    let change = front.intake.borrow_mut().record_period(period);
+    match change {
+        Some(IntakeChange::Limited(rate)) => {
+            log::info!("event=intake_limited connections_per_second={rate:.0}");
+            front.shared.metrics.set_state("intake_limited", 1);
+        }
+        Some(IntakeChange::Unlimited) => {
+            log::info!("event=intake_unlimited");
+            front.shared.metrics.set_state("intake_limited", 0);
+        }
+        None => {}
+    }
 }
 
 /// A connection that waits for the first run of its task.
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bergamot_bounded::{BoundedStream, ByteMeter, IntakeBounds};
+use bergamot_intake::IntakeDecision;
 use bergamot_ports::{CallerDialect, CallerLimits};
 use bergamot_types::prelude::*;
 use bytes::Bytes;
@@ -110,11 +111,10 @@
 ) where
     Dialect: CallerDialect + 'static,
 {
+    if source == RequestSource::Callers && is_turned_away(front) {
+        return;
+    }
     if let Some(guard) = front.stop.accept() {
-        if source == RequestSource::Callers {
-            let connections = &front.shared.metrics.caller_connections;
-            connections.with_label_values(&["accepted"]).inc();
-        }
         let front = Rc::clone(front);
         let accepted_at = AcceptedAt::now();
         tokio::task::spawn_local(async move {
@@ -125,6 +125,19 @@
     }
 }
 
+/// Decides whether a connection of a caller is closed unread, as this thread has no time for its request,
+/// and counts it. Its caller is served by another VM sooner.
+fn is_turned_away<Dialect>(front: &FrontContext<Dialect>) -> bool {
+    let decision = front.intake.borrow_mut().decide();
+    let outcome = match decision {
+        IntakeDecision::Accept => "accepted",
+        IntakeDecision::TurnAway => "turned_away",
+    };
+    let connections = &front.shared.metrics.caller_connections;
+    connections.with_label_values(&[outcome]).inc();
+    decision == IntakeDecision::TurnAway
+}
+
 async fn serve_connection<Dialect>(
     front: Rc<FrontContext<Dialect>>,
     stream: TcpStream,
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -5,5 +5,7 @@
 #![forbid(unsafe_code)]
 
 pub mod period;
+pub mod state;
 
 pub use period::ThreadPeriod;
+pub use state::{IntakeChange, IntakeDecision, IntakeState};
