feat: the version by which a request was refused, and when a VM decides by another one

Cause: a refusal's line has the age of the configuration in force, not the version that decided; nothing says from where and how late a VM learned of a version. Fresh ages with an old view, old ages and false confirmations look alike.

Change: refused has config and config_age of the view that decided; config_published says from whom and how late; bergamot_state has config_version.

--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -15,6 +15,7 @@
 use super::residency::{LatestHomes, check_admission};
 use super::state::CallState;
 use super::trace::RequestTrace;
+use crate::view::ClusterView;
 
 /// How long to read the rest of a rejected request's body. Long enough for callers that send the
 /// body in pieces to finish it.
@@ -79,6 +80,19 @@
     trace: Rc<RequestTrace>,
 ) -> Result<AdmittedCall, CallRefusal> {
     let view = front.shared.view.load();
+    let standing = view.config_standing(front.now());
+    let admitted = admit_by(&view, front, call, path, arrived, trace);
+    admitted.map_err(|refusal| refusal.by_config(standing))
+}
+
+fn admit_by<Dialect>(
+    view: &ClusterView,
+    front: &FrontContext<Dialect>,
+    call: &CallerCall,
+    path: &str,
+    arrived: Millis,
+    trace: Rc<RequestTrace>,
+) -> Result<AdmittedCall, CallRefusal> {
     let Some(config) = &view.config else {
         let time_left = call.deadline.unwrap_or(DEFAULT_DEADLINE);
         let wait = front
--- a/crates/gateway/src/front/refusal.rs
+++ b/crates/gateway/src/front/refusal.rs
@@ -8,6 +8,7 @@
 use super::FrontContext;
 use super::answer::{CallerAnswer, full_body};
 use super::state::CallState;
+use crate::view::ConfigStanding;
 
 /// Return delay if no upstream serves the request. About the time that the repair of a group takes.
 pub const RETURN_NO_UPSTREAM: Millis = Millis(600);
@@ -47,6 +48,8 @@
     pub kind: ErrorKind,
     /// The return delay, if the caller is asked to return.
     pub retry_after: Option<Millis>,
+    /// The configuration by which it was decided, if it depends on one.
+    pub decided_by: Option<ConfigStanding>,
 }
 
 impl From<ErrorKind> for CallRefusal {
@@ -54,6 +57,7 @@
         Self {
             kind,
             retry_after: None,
+            decided_by: None,
         }
     }
 }
@@ -80,6 +84,16 @@
         Self {
             kind,
             retry_after: Some(delay),
+            decided_by: None,
+        }
+    }
+
+    /// States the configuration by which the request is refused.
+    #[must_use]
+    pub const fn by_config(self, standing: ConfigStanding) -> Self {
+        Self {
+            decided_by: Some(standing),
+            ..self
         }
     }
 }
@@ -104,15 +118,19 @@
         }),
         ..refusal
     };
+    let config = refusal
+        .decided_by
+        .unwrap_or_else(|| front.shared.view.load().config_standing(now));
     log::info!(
-        "event=refused request={id} kind={} status={} route={} sends={} ran={} waited={} config_age={} retry_after={}",
+        "event=refused request={id} kind={} status={} route={} sends={} ran={} waited={} config={} config_age={} retry_after={}",
         refusal.kind,
         refusal.kind.response().status,
         state.map_or("-", |state| state.route.name.as_str()),
         state.map_or(0, CallState::sends),
         refusal.kind.response().ran,
         state.map_or(Millis::ZERO, |state| now.since(state.arrived)),
-        front.shared.config_age(now),
+        config.version,
+        config.age,
         refusal.retry_after.unwrap_or_default(),
     );
     let kind = state.map_or("none", |state| state.route.kind.as_str());
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -97,7 +97,6 @@
         for vm in peers {
             let Err(error) = self.poll_peer(vm).await else {
                 self.peer_failures.swap_remove(vm);
-                self.set_source(vm);
                 return true;
             };
             self.record_unusable(vm, &error);
@@ -143,6 +142,9 @@
                 Err(error) => break Err(error),
             }
         };
+        if outcome.is_ok() {
+            self.set_source(vm);
+        }
         match has_changes {
             true => self.publish(),
             false => self.record_view_current(),
--- a/crates/gateway/src/sync/publish.rs
+++ b/crates/gateway/src/sync/publish.rs
@@ -71,6 +71,8 @@
         feed_state.restored_at = known.restored_at;
         feed_state.evacuations.clone_from(&known.evacuations);
         drop(feed_state);
+        self.log_config_change();
+        let known = &self.known;
         let pools = known
             .config
             .as_ref()
@@ -97,6 +99,28 @@
         self.record_view_current();
     }
 
+    /// Logs that requests are about to be decided by another configuration, with its source and the time
+    /// within which this VM has learned of it.
+    fn log_config_change(&self) {
+        let (now, version) = (self.shared.clock.now(), self.known.config_version());
+        let previous = self.shared.view.load().config_standing(now);
+        if version == previous.version {
+            return;
+        }
+        self.shared
+            .metrics
+            .set_state("config_version", version as i64);
+        let known_after = match previous.version {
+            0 => "-".to_owned(),
+            _ => previous.age.to_string(),
+        };
+        log::info!(
+            "event=config_published version={version} before={} source={} known_after={known_after}",
+            previous.version,
+            self.source
+        );
+    }
+
     /// Passes on since when the published view is known to be complete. Must not be called while
     /// known changes are not published.
     pub(super) fn record_view_current(&self) {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -89,7 +89,24 @@
     pub ended_evacuations: IndexMap<FailureDomain, EndedEvacuation>,
 }
 
+/// The configuration of a view, and how recently it was confirmed.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct ConfigStanding {
+    /// Its version; 0 if there is none.
+    pub version: u64,
+    /// Time since its last confirmation.
+    pub age: Millis,
+}
+
 impl ClusterView {
+    /// Returns the standing of the view's configuration at `now`.
+    pub fn config_standing(&self, now: Millis) -> ConfigStanding {
+        ConfigStanding {
+            version: self.config.as_ref().map_or(0, |config| config.version),
+            age: self.confirmation.age(now),
+        }
+    }
+
     /// Whether the directory lists this incarnation of an upstream.
     pub fn is_listed(&self, incarnation: &UpstreamIncarnation) -> bool {
         let entry = self.upstreams.get(&incarnation.id);
