--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -5,6 +5,7 @@
 
 use bergamot_site_standin::upstream::SeenRequest;
 
+use crate::additions::AddedGrant;
 use crate::caller::{CallEnd, CallRecord, DEADLINE, RequestKind};
 use crate::crowds::CrowdCall;
 use crate::domains::{EvacuationPeriod, RecordIndex, UpstreamArrivals, check_regions};
@@ -53,6 +54,7 @@
             FaultKind::KillEntry(it) | FaultKind::PauseEntry(it) | FaultKind::StoreLink(it, _) => {
                 it == entry
             }
+            FaultKind::StoreLinks(set, _) => set.has(entry),
             FaultKind::StoreOutage | FaultKind::StoreHang | FaultKind::StoreSlow(_) => true,
             // Each process has a small share of a core meanwhile.
             FaultKind::Crowd(_) => true,
@@ -99,6 +101,8 @@
     pub troubles: Vec<Trouble>,
     /// Keys that were taken away.
     pub revoked: Vec<RevokedKey>,
+    /// Keys and routes that were added.
+    pub granted: Vec<AddedGrant>,
     /// What reached each upstream, run or not.
     pub arrived: Vec<UpstreamArrivals>,
     /// When failure domains were evacuated.
@@ -118,6 +122,7 @@
             found.extend(self.check_answer(record));
             found.extend(check_held(record));
             found.extend(self.check_key(record));
+            found.extend(self.check_grant(record));
             found.extend(self.check_stop(record));
             found.extend(self.check_silence(record));
             found.extend(self.check_leaving(record));
@@ -204,7 +209,7 @@
             return None;
         };
         let id = record.id.clone();
-        if record.key == LASTING_KEY {
+        if record.key == LASTING_KEY && !matches!(record.kind, RequestKind::Added(_)) {
             let is_denied = matches!(status, 401 | 403 | 404);
             return is_denied.then_some(Violation::Denied { id, status });
         }
--- a/crates/soak/src/bin/bergamot-soak.rs
+++ b/crates/soak/src/bin/bergamot-soak.rs
@@ -87,6 +87,12 @@
         "silences of sound upstreams, each beside a new configuration; above 0 there are streams that may not be resumed (0)",
         "COUNT",
     );
+    options.optopt(
+        "",
+        "additions",
+        "series of configurations that add keys and routes, while the store turns some processes away (0)",
+        "COUNT",
+    );
     options.optopt("", "seconds", "time in which faults begin (12)", "SECONDS");
     options.optopt(
         "",
@@ -166,6 +172,7 @@
         cuts: matches.opt_get_default("cuts", usual.cuts)?,
         crowds: matches.opt_get_default("crowds", usual.crowds)?,
         silences: matches.opt_get_default("silences", usual.silences)?,
+        additions: matches.opt_get_default("additions", usual.additions)?,
         length: Duration::from_secs(seconds),
         ..usual
     })
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -102,6 +102,13 @@
                 let link = &self.entries[index].store_link;
                 strain(link, state, length).await;
             }
+            FaultKind::StoreLinks(turned_away, state) => {
+                let entries = self.entries.iter().enumerate();
+                let entries = entries.filter(|(number, _)| turned_away.has(*number));
+                let strained = entries.map(|(_, entry)| strain(&entry.store_link, state, length));
+                futures::future::join_all(strained).await;
+            }
+            FaultKind::AddsGrant(size) => self.site.add_grant(size),
             FaultKind::UpstreamsCut(cut_off, state) => {
                 self.cut_upstreams(cut_off, state);
                 tokio::time::sleep(length).await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod additions;
 mod around_stop;
 pub mod audit;
 pub mod caller;
@@ -36,6 +37,7 @@
 pub mod upstream_links;
 pub mod violation;
 
+pub use additions::{AddedGrant, GrantSize};
 pub use audit::AuditBook;
 pub use crowds::{CrowdFault, CrowdReport};
 pub use cuts::{CutReport, ProcessSet, TryCount};
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -44,6 +44,9 @@
     /// Silences of sound upstreams, each beside a new configuration, besides. Above 0, there are callers of streams that
     /// may not be resumed.
     pub silences: usize,
+    /// Series of configurations that add keys and routes, each while the store turns some processes away, besides. Above
+    /// 0, each process is asked for the newest of them that must be in force.
+    pub additions: usize,
     /// The number of the first place for processes; runs that go on side by side need others.
     pub first_place: usize,
 }
@@ -70,6 +73,7 @@
             cuts: 0,
             crowds: 0,
             silences: 0,
+            additions: 0,
             first_place: 0,
         }
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::additions::{GrantSize, draw_additions};
 use crate::cold::draw_cold;
 use crate::crowds::{CrowdFault, draw_crowds};
 use crate::cuts::{ProcessSet, draw_cuts};
@@ -109,6 +110,10 @@
     TurnsCold(UpstreamRole, usize),
     /// The operator takes a key away and gives out another.
     ChangeKeys,
+    /// The operator adds a key and a route.
+    AddsGrant(GrantSize),
+    /// The links of some processes to the store.
+    StoreLinks(ProcessSet, LinkState),
     /// Most new connections go to few processes.
     Crowd(CrowdFault),
     /// Sound upstreams send nothing, and go on where they were at the end.
@@ -205,10 +210,17 @@
         faults.extend(draw_cuts(seed, options));
         faults.extend(draw_crowds(seed, options));
         faults.extend(draw_silences(seed, options));
+        faults.extend(draw_additions(seed, options));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
 
+    /// Whether it adds keys and routes.
+    pub fn has_additions(&self) -> bool {
+        let mut faults = self.faults.iter();
+        faults.any(|fault| matches!(fault.kind, FaultKind::AddsGrant(_)))
+    }
+
     /// Whether it cuts processes off from all upstreams.
     pub fn has_cuts(&self) -> bool {
         let mut faults = self.faults.iter();
--- a/crates/soak/src/request.rs
+++ b/crates/soak/src/request.rs
@@ -29,6 +29,8 @@
     Single(UpstreamRole, u64),
     /// Idempotent, to the plain service, with a home region.
     Home,
+    /// Idempotent, to the plain service, on the route that this version of the configuration added.
+    Added(u64),
     /// Ends each upstream that runs it: a stream, or idempotent; the same number is the same request.
     Harmful(UpstreamRole, usize),
 }
@@ -39,7 +41,7 @@
         match self {
             Self::Stream(_) => UpstreamRole::Engine,
             Self::Single(role, _) | Self::Harmful(role, _) => role,
-            Self::Read | Self::Bid | Self::Home => UpstreamRole::Desk,
+            Self::Read | Self::Bid | Self::Home | Self::Added(_) => UpstreamRole::Desk,
         }
     }
 
@@ -73,6 +75,7 @@
     let (method, path) = match kind {
         RequestKind::Read => (Method::GET, format!("/read/{id}")),
         RequestKind::Home => (Method::GET, format!("/home/{id}")),
+        RequestKind::Added(number) => (Method::GET, format!("/added-{number}/{id}")),
         RequestKind::Bid => (Method::POST, format!("/bid/{id}")),
         RequestKind::Stream(_) => (Method::POST, format!("/stream/{id}")),
         RequestKind::Single(role, _) => (Method::POST, format!("/{}/{id}", role.single_route())),
@@ -85,6 +88,7 @@
         RequestKind::Harmful(UpstreamRole::Desk, _)
         | RequestKind::Read
         | RequestKind::Home
+        | RequestKind::Added(_)
         | RequestKind::Bid => None,
     };
     let sample = SampleRequest {
@@ -102,7 +106,7 @@
         builder = builder.header(name, value);
     }
     let body = match kind {
-        RequestKind::Read | RequestKind::Home => Bytes::new(),
+        RequestKind::Read | RequestKind::Home | RequestKind::Added(_) => Bytes::new(),
         RequestKind::Harmful(..) => Bytes::from_static(MARKER.as_bytes()),
         _ => Bytes::from(id.to_owned()),
     };
@@ -126,6 +130,7 @@
     match kind {
         RequestKind::Read => format!("GET /read/{id} 0"),
         RequestKind::Home => format!("GET /home/{id} 0"),
+        RequestKind::Added(number) => format!("GET /added-{number}/{id} 0"),
         RequestKind::Bid => format!("POST /bid/{id} {}", id.len()),
         RequestKind::Stream(events) | RequestKind::Single(_, events) => whole_stream(events),
         RequestKind::Harmful(UpstreamRole::Engine, _) => whole_stream(HARMFUL_EVENTS),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,6 +6,7 @@
 use parking_lot::Mutex;
 use tokio::task::JoinSet;
 
+use crate::additions::GrantCheck;
 use crate::audit::{AuditBook, Trouble};
 use crate::caller::{CallEnd, CallRecord, CallerHabit, CallerLoop, RequestKind, call_once};
 use crate::crowds::{CrowdCall, CrowdReport};
@@ -115,10 +116,11 @@
     background.spawn(watch.run(Arc::clone(&run.site), Arc::clone(&run.violations)));
     run.check_back("start").await;
     let callers = run.start_callers(options).await;
+    let checks = run.start_grant_checks(plan);
     run.play(plan).await?;
     run.check_back("end").await;
     run.check_config().await;
-    drop(callers);
+    drop((callers, checks));
     let around = std::mem::take(&mut *run.around.lock());
     around.join_all().await;
     tokio::time::sleep(SETTLE).await;
@@ -196,6 +198,16 @@
         callers
     }
 
+    /// Starts the checks of added keys and routes; they end when the set is dropped.
+    fn start_grant_checks(self: &Arc<Self>, plan: &FaultPlan) -> JoinSet<()> {
+        let entries = (0..self.entries.len()).filter(|_| plan.has_additions());
+        let checks = entries.map(|entry| GrantCheck {
+            run: Arc::clone(self),
+            entry,
+        });
+        checks.map(GrantCheck::run).collect()
+    }
+
     /// Waits until every process serves every kind of request; `stage` tells the checks of a run apart.
     async fn check_back(&self, stage: &str) {
         let end = Instant::now() + RECOVERY;
@@ -249,11 +261,13 @@
     }
 
     fn judge(&self) -> SoakOutcome {
+        let keys = self.site.keys.lock().clone();
         let book = AuditBook {
             records: std::mem::take(&mut *self.records.lock()),
             seen: self.site.requests_seen(),
             troubles: self.troubles.lock().clone(),
-            revoked: self.site.keys.lock().revoked.clone(),
+            revoked: keys.revoked,
+            granted: keys.added,
             arrived: self.site.requests_arrived(),
             evacuations: self.evacuations.lock().clone(),
             crowd_calls: std::mem::take(&mut *self.crowd_calls.lock()),
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -14,6 +14,7 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
+use crate::additions::{AddedGrant, GrantSize, add_routes};
 use crate::cold::WARM_UP;
 use crate::domains::UpstreamArrivals;
 use crate::harmful::CRASH;
@@ -101,6 +102,8 @@
     pub current: String,
     /// Keys that were taken away.
     pub revoked: Vec<RevokedKey>,
+    /// Keys that were given out, with routes of their own, and are not taken away.
+    pub added: Vec<AddedGrant>,
 }
 
 /// Which upstreams a place is for.
@@ -326,19 +329,42 @@
         let mut keys = self.keys.lock();
         keys.version += 1;
         let next = format!("{CHANGING_KEY}{}", keys.version);
-        let given_out = [LASTING_KEY, &next];
+        let key = std::mem::replace(&mut keys.current, next);
+        self.write_config(&keys);
+        if !key.is_empty() {
+            let at = Instant::now();
+            keys.revoked.push(RevokedKey { key, at });
+        }
+    }
+
+    /// Adds a key and a route, with the next version.
+    pub fn add_grant(&self, size: GrantSize) {
+        let mut keys = self.keys.lock();
+        keys.version += 1;
+        let number = keys.version;
+        keys.added.push(AddedGrant {
+            number,
+            size,
+            at: Instant::now(),
+        });
+        self.write_config(&keys);
+        if let Some(grant) = keys.added.last_mut() {
+            grant.at = Instant::now();
+        }
+    }
+
+    fn write_config(&self, keys: &KeyBook) {
+        let mut given_out = vec![LASTING_KEY.to_owned(), keys.current.clone()];
+        given_out.extend(keys.added.iter().map(AddedGrant::key));
+        let given_out: Vec<&str> = given_out.iter().map(String::as_str).collect();
         let mut config =
             config_with_features(keys.version, &given_out, MAX_ATTEMPTS, self.features);
         if self.has_single_streams {
             add_single_streams(&mut config);
         }
+        add_routes(&mut config, &keys.added);
         let text = config.to_string();
         self.store.put(CONFIG_KEY, text.as_bytes());
-        let key = std::mem::replace(&mut keys.current, next);
-        if !key.is_empty() {
-            let at = Instant::now();
-            keys.revoked.push(RevokedKey { key, at });
-        }
     }
 
     /// All runs that there were.
--- a/crates/soak/src/violation.rs
+++ b/crates/soak/src/violation.rs
@@ -55,6 +55,17 @@
         /// What was answered.
         status: u16,
     },
+    /// A route or key was refused as unknown, long after it had been added.
+    RefusedAsUnknown {
+        /// The request.
+        id: String,
+        /// The process.
+        entry: usize,
+        /// What was answered.
+        status: u16,
+        /// How long after.
+        after: Duration,
+    },
     /// A key was good long after it had been taken away.
     RevokedServed {
         /// The request.
