fix: nothing is refused for good by a configuration that may be outdated

Callers got 401 and 404 for routes and keys that had been acknowledged over two seconds before, at VMs that knew their configuration to be unconfirmed.

Cause: a key is accepted only while the configuration is confirmed; that a route or key does not exist was said at any age.

Change: the bound configApplyMs is read. 401, 404 and 413 are given only if the configuration that decides was confirmed within it; then any version it lacks is too recent to be binding. Otherwise the request waits up to a third of its time, one second at most, for a confirmation, not while the store is unreachable, and gets 503 with a return delay.

--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -11,11 +11,10 @@
 use hyper::body::Incoming;
 
 use super::FrontContext;
-use super::refusal::{CallRefusal, RETURN_STOPPING};
+use super::refusal::{CallRefusal, RETURN_STOPPING, refuse_by_config};
 use super::residency::{LatestHomes, check_admission};
 use super::state::CallState;
 use super::trace::RequestTrace;
-use crate::view::ClusterView;
 
 /// How long to read the rest of a rejected request's body. Long enough for callers that send the
 /// body in pieces to finish it.
@@ -24,7 +23,7 @@
 const MAX_REJECTED_BODY_BYTES: usize = 1 << 20;
 /// Deadline assumed for callers that send none.
 const DEFAULT_DEADLINE: Millis = Millis(3_000);
-/// Maximum time that a request waits for the first configuration of a VM that has just started.
+/// Maximum time that a request waits for a configuration that this VM is about to read or confirm.
 /// When 195 VMs start together, half of them have their configuration after 0.75 s, and callers
 /// give up after one second.
 const MAX_CONFIG_WAIT: Millis = Millis(1_000);
@@ -50,6 +49,29 @@
     let _ = tokio::time::timeout(wait.as_duration(), config_loaded).await;
 }
 
+/// Waits until the configuration was confirmed recently enough to refuse a call for good, as after a
+/// suspension of this VM. Returns at once while the store is unreachable, since another VM may serve
+/// the caller sooner.
+pub async fn await_confirmation<Dialect>(front: &FrontContext<Dialect>, call: &CallerCall) {
+    let shared = &front.shared;
+    if shared.is_store_unreachable() {
+        return;
+    }
+    let time_left = call.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let wait = MAX_CONFIG_WAIT.min(longest_delay(time_left));
+    let confirmed = async {
+        loop {
+            let changed = shared.config_confirmed.notified();
+            if shared.may_refuse_by(&shared.view.load(), front.now()) {
+                return;
+            }
+            changed.await;
+        }
+    };
+    // On a timeout, the call is rejected because the configuration is unconfirmed.
+    let _ = tokio::time::timeout(wait.as_duration(), confirmed).await;
+}
+
 /// The account and the priority of a caller.
 pub struct AdmittedCaller {
     /// The account that the call's key belongs to. `None` if the configuration has no accounts, or
@@ -80,19 +102,6 @@
     trace: Rc<RequestTrace>,
 ) -> Result<AdmittedCall, CallRefusal> {
     let view = front.shared.view.load();
-    let standing = view.config_standing(front.now());
-    let admitted = admit_by(&view, front, call, path, arrived, trace);
-    admitted.map_err(|refusal| refusal.by_config(standing))
-}
-
-fn admit_by<Dialect>(
-    view: &ClusterView,
-    front: &FrontContext<Dialect>,
-    call: &CallerCall,
-    path: &str,
-    arrived: Millis,
-    trace: Rc<RequestTrace>,
-) -> Result<AdmittedCall, CallRefusal> {
     let Some(config) = &view.config else {
         let time_left = call.deadline.unwrap_or(DEFAULT_DEADLINE);
         let wait = front
@@ -100,8 +109,11 @@
             .return_delay(time_left, rand::random());
         return Err(CallRefusal::retry_in(ErrorKind::NoBundle, wait));
     };
-    let route = config.route(&call.host, path).ok_or(ErrorKind::NotFound)?;
-    let grant = authorize(config, route, call)?;
+    let time_left = call.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let refuse = |kind| refuse_by_config(front, &view, kind, time_left);
+    let route = config.route(&call.host, path);
+    let route = route.ok_or_else(|| refuse(ErrorKind::NotFound))?;
+    let grant = authorize(config, route, call).map_err(refuse)?;
     let homes = LatestHomes::new(route, grant);
     check_admission(front, call, &homes)?;
     let service = pick_service(route, &call.id).ok_or(ErrorKind::NoUpstream)?;
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -11,7 +11,7 @@
 use hyper::header::EXPECT;
 
 use super::FrontContext;
-use super::admit::{admit, await_config, discard_body, read_body};
+use super::admit::{admit, await_config, await_confirmation, discard_body, read_body};
 use super::answer::CallerAnswer;
 use super::attempt::{AttemptError, OpenReply, SentRequest};
 use super::breaks::{CallerLeftGuard, RunProgress, record_break, record_complete_answer};
@@ -22,7 +22,7 @@
 use super::large::pass_on_reply;
 use super::open::record_opened;
 use super::plan::{PlannedSend, UpstreamScope, plan};
-use super::refusal::{CallRefusal, log_refusal, promises_not_run, refuse};
+use super::refusal::{CallRefusal, log_refusal, promises_not_run, refuse, refuse_by_config};
 use super::relay::{EventSource, relay_events};
 use super::residency::record_bound_demand;
 use super::state::CallState;
@@ -54,7 +54,13 @@
         log::info!("event=prompt_parts_unreadable request={id} reason=\"{error}\"");
     }
     await_config(&front, &call).await;
-    let admitted = admit(&front, &call, head.uri.path(), arrived, trace);
+    let path = head.uri.path();
+    let mut admitted = admit(&front, &call, path, arrived, Rc::clone(&trace));
+    let is_unconfirmed = |refusal: &CallRefusal| refusal.kind == ErrorKind::ConfigUnconfirmed;
+    if admitted.as_ref().is_err_and(is_unconfirmed) {
+        await_confirmation(&front, &call).await;
+        admitted = admit(&front, &call, path, arrived, trace);
+    }
     let limit = admitted.as_ref().map_or(0, |admitted| admitted.body_limit);
     let (state, caller) = match admitted {
         Ok(admitted) => (admitted.state, admitted.caller),
@@ -71,7 +77,10 @@
     let body_read = with_deadline(front.shared.clock, state.deadline, body_read).await;
     let body = match body_read.unwrap_or(Err(ErrorKind::RequestTimeout)) {
         Ok(body) => body,
-        Err(kind) => return log_refusal(&front, &id, Some(&state), kind.into()),
+        Err(kind) => {
+            let refusal = refuse_body(&front, kind, &state);
+            return log_refusal(&front, &id, Some(&state), refusal);
+        }
     };
     let request = Rc::new(SentRequest::new(head, body, call, caller));
     front
@@ -89,6 +98,20 @@
     serve(front, request, state).await
 }
 
+/// Returns the refusal of a request whose body was not read. The size limit follows from the
+/// configuration.
+pub fn refuse_body<Dialect>(
+    front: &FrontContext<Dialect>,
+    kind: ErrorKind,
+    state: &CallState,
+) -> CallRefusal {
+    if kind != ErrorKind::TooLarge {
+        return kind.into();
+    }
+    let time_left = state.deadline.since(front.now());
+    refuse_by_config(front, &front.shared.view.load(), kind, time_left)
+}
+
 /// Attempts an admitted request at upstreams until one answers or no further attempt is allowed. While
 /// this VM reaches none, other VMs send it.
 pub async fn serve<Dialect>(
--- a/crates/gateway/src/front/forward/serve.rs
+++ b/crates/gateway/src/front/forward/serve.rs
@@ -11,7 +11,7 @@
 use super::super::admit::{admit, discard_body, read_body};
 use super::super::answer::CallerAnswer;
 use super::super::attempt::SentRequest;
-use super::super::call::serve;
+use super::super::call::{refuse_body, serve};
 use super::super::deadline::with_deadline;
 use super::super::panics::answer_panicked;
 use super::super::refusal::{CallRefusal, RETURN_STOPPING, log_refusal, refuse};
@@ -109,10 +109,8 @@
     let body = match body_read.unwrap_or(Err(ErrorKind::RequestTimeout)) {
         Ok(body) => body,
         Err(kind) => {
-            return (
-                log_refusal(&front, &id, Some(&state), kind.into()),
-                Some(place),
-            );
+            let refusal = refuse_body(&front, kind, &state);
+            return (log_refusal(&front, &id, Some(&state), refusal), Some(place));
         }
     };
     // The VM that forwards the request has counted it and its model's demand.
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -12,7 +12,7 @@
 use super::quiet::STALL_CHECK_PERIOD;
 use super::refusal::{
     CallRefusal, EVACUATED_SPREAD, MIN_RETURN_DELAY, RETURN_EVACUATED, RETURN_NO_UPSTREAM,
-    RETURN_SPREAD, RETURN_STOPPING,
+    RETURN_SPREAD, RETURN_STOPPING, refuse_by_config,
 };
 use super::residency::{allowed_domains, log_homes};
 use super::retry::{refund_retry, take_retry};
@@ -360,6 +360,8 @@
         let wait = front.outage(now).return_delay(time_left, rand::random());
         return Err(CallRefusal::retry_in(kind, wait));
     }
-    authorize(config, &state.route, &request.call)?;
+    let time_left = state.deadline.since(now);
+    let granted = authorize(config, &state.route, &request.call);
+    granted.map_err(|kind| refuse_by_config(front, view, kind, time_left))?;
     Ok(())
 }
--- a/crates/gateway/src/front/refusal.rs
+++ b/crates/gateway/src/front/refusal.rs
@@ -8,7 +8,7 @@
 use super::FrontContext;
 use super::answer::{CallerAnswer, full_body};
 use super::state::CallState;
-use crate::view::ConfigStanding;
+use crate::view::{ClusterView, ConfigStanding};
 
 /// Return delay if no upstream serves the request. About the time that the repair of a group takes.
 pub const RETURN_NO_UPSTREAM: Millis = Millis(600);
@@ -98,6 +98,25 @@
     }
 }
 
+/// Returns the refusal of a request for a reason that follows from a view's configuration. Callers do
+/// not return after such a reason, so it is given only if the configuration was confirmed recently.
+pub fn refuse_by_config<Dialect>(
+    front: &FrontContext<Dialect>,
+    view: &ClusterView,
+    kind: ErrorKind,
+    time_left: Millis,
+) -> CallRefusal {
+    let now = front.now();
+    let refusal = match front.shared.may_refuse_by(view, now) {
+        true => kind.into(),
+        false => {
+            let delay = front.outage(now).return_delay(time_left, rand::random());
+            CallRefusal::retry_in(ErrorKind::ConfigUnconfirmed, delay)
+        }
+    };
+    refusal.by_config(view.config_standing(now))
+}
+
 /// Logs and counts a refusal, and returns the error response.
 pub fn log_refusal<Dialect>(
     front: &FrontContext<Dialect>,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -46,6 +46,8 @@
     pub view: ArcSwap<ClusterView>,
     /// Counts views. A change notifies subscribers of a new view or the start of a stop.
     pub view_changed: watch::Sender<u64>,
+    /// Notified when the configuration in the published view may have been confirmed.
+    pub config_confirmed: Notify,
     /// The latest time at which the published view was known to be complete, in milliseconds. 0
     /// means never.
     view_current_at: AtomicU64,
@@ -113,6 +115,7 @@
             metrics: GatewayMetrics::new(),
             view: ArcSwap::from_pointee(ClusterView::default()),
             view_changed: watch::channel(0).0,
+            config_confirmed: Notify::new(),
             view_current_at: AtomicU64::new(0),
             peer_stale_at: AtomicU64::new(0),
             store_unreachable: AtomicBool::new(false),
@@ -169,6 +172,7 @@
     /// Records that the published view lacked no change of the store at `at`.
     pub fn record_view_current(&self, at: Millis) {
         self.view_current_at.fetch_max(at.0, Ordering::SeqCst);
+        self.config_confirmed.notify_waiters();
     }
 
     /// Returns when the list of entry VMs in the published view was last known to be current. A
@@ -296,6 +300,13 @@
         view.confirmation.age(now) < revoke_time.since(CONFIRM_MARGIN)
     }
 
+    /// Whether the configuration in a view was confirmed recently enough to refuse a request for good
+    /// because of it. Any configuration that it lacks is then too recent to be in force everywhere.
+    pub fn may_refuse_by(&self, view: &ClusterView, now: Millis) -> bool {
+        let apply_time = self.bounds().config_apply_time;
+        apply_time.is_none_or(|apply_time| view.confirmation.age(now) < apply_time)
+    }
+
     /// Whether this VM coordinates the groups.
     pub fn is_coordinator(&self) -> bool {
         let view = self.view.load();
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -8,6 +8,7 @@
     drain_time: Millis(2_000),
     stop_grace: Millis(8_000),
     revoke_time: None,
+    config_apply_time: None,
     retry_ratio: 0.2,
     retry_window: Millis(10_000),
     retry_reserve: 100.0,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -12,6 +12,9 @@
 /// How long callers' keys are accepted without a confirmation of the configuration.
 pub const REVOKE_TIME: Millis = Millis(5_000);
 
+/// Time after which a change of the configuration is in force.
+pub const CONFIG_APPLY_TIME: Millis = Millis(2_000);
+
 /// Returns the settings of a small entry VM.
 pub fn entry_site() -> VmSite {
     let addr = SocketAddr::from(([127, 0, 0, 1], 1));
@@ -30,6 +33,7 @@
             drain_time: Millis(2_000),
             stop_grace: Millis(8_000),
             revoke_time: Some(REVOKE_TIME),
+            config_apply_time: Some(CONFIG_APPLY_TIME),
             retry_ratio: 0.2,
             retry_window: Millis(10_000),
             retry_reserve: 100.0,
--- a/crates/gateway/tests/suspended.rs
+++ b/crates/gateway/tests/suspended.rs
@@ -11,7 +11,7 @@
 use bergamot_gateway::deadline::{DeadlinePassed, with_deadline};
 use bergamot_gateway::shared::SharedState;
 use bergamot_types::prelude::*;
-use support::{REVOKE_TIME, entry_site, source_files};
+use support::{CONFIG_APPLY_TIME, REVOKE_TIME, entry_site, source_files};
 use tokio::sync::mpsc;
 
 /// Time since boot in milliseconds. Unlike the timers of the process, it includes suspensions.
@@ -41,6 +41,24 @@
     assert_eq!(shared.config_age(shared.clock.now()), REVOKE_TIME);
 }
 
+/// A route may have been added while the VM was suspended. Guards against refusing it as unknown by
+/// the configuration from before.
+#[test]
+fn a_route_added_during_a_suspension_is_not_refused_as_unknown() {
+    static OWN_BOOT_TIME_MS: AtomicU64 = AtomicU64::new(70_000);
+    let (stall_sender, _) = mpsc::channel(1);
+    let (record_sender, _) = mpsc::channel(1);
+    let clock =
+        BootClock::with_source(|| Duration::from_millis(OWN_BOOT_TIME_MS.load(Ordering::SeqCst)));
+    let shared = SharedState::with_clock(entry_site(), stall_sender, record_sender, clock);
+    let view = shared.view.load_full();
+    view.confirmation.record(clock.now());
+    for (suspension, may_refuse) in [(Millis::ZERO, true), (CONFIG_APPLY_TIME, false)] {
+        OWN_BOOT_TIME_MS.fetch_add(suspension.0, Ordering::SeqCst);
+        assert_eq!(shared.may_refuse_by(&view, clock.now()), may_refuse);
+    }
+}
+
 /// Guards against a timer that pauses during a suspension and so runs for another five seconds
 /// after the deadline.
 #[tokio::test]
--- a/crates/ports/src/site.rs
+++ b/crates/ports/src/site.rs
@@ -35,6 +35,8 @@
     /// Time after which a revoked key must not be served. If none, the rule binds only VMs that can
     /// reach the platform.
     pub revoke_time: Option<Millis>,
+    /// Time after which a change of the configuration is in force, if operators state one.
+    pub config_apply_time: Option<Millis>,
     /// Maximum number of retries of all entry VMs together, as a fraction of the requests.
     pub retry_ratio: f64,
     /// The window over which the fraction is measured.
--- a/crates/types/src/kind.rs
+++ b/crates/types/src/kind.rs
@@ -115,7 +115,8 @@
     UpstreamLost: "upstream_lost", 502, Unknown, 0, "the upstream broke off and the outcome is not known";
     /// No bundle is in force yet.
     NoBundle: "no_bundle", 503, No, 2, "no bundle is in force yet";
-    /// The configuration was not confirmed recently enough to accept the caller's key.
+    /// The configuration was not confirmed recently enough to accept the caller's key, or to refuse the
+    /// request for good.
     ConfigUnconfirmed: "configuration_unconfirmed", 503, No, 1, "the configuration could not be confirmed";
     /// The entry VM is stopping.
     ShuttingDown: "shutting_down", 503, No, 1, "this entry VM is stopping";
