fix: a conflict without a later configuration confirms nothing

A store that reports a conflict and does not return the configuration, or an earlier write of it, left the known one confirmed at each try.

Cause: after any conflict the known configuration was recorded as confirmed if it was the one last read, whatever the answer held. Keys that were taken away would have stayed good and new routes refused.

Change: an answer confirms only if the condition held or it returned the latest known write. Otherwise config_not_confirmed is logged.

--- a/crates/gateway/src/sync/confirm.rs
+++ b/crates/gateway/src/sync/confirm.rs
@@ -1,6 +1,8 @@
 //! Confirms that no newer configuration was missed.
 
-use bergamot_ports::{KeyCondition, StateStore, StoreCatalog, StoreError, StoreTxn, TxnOutcome};
+use bergamot_ports::{
+    KeyCondition, StateStore, StoreCatalog, StoreError, StoreItem, StoreTxn, TxnOutcome,
+};
 
 use super::StoreSync;
 
@@ -9,6 +11,8 @@
 enum ConfigMatch {
     Kept,
     Replaced,
+    /// The answer does not show which configuration the store holds.
+    Unknown,
 }
 
 impl<Store, Catalog> StoreSync<Store, Catalog>
@@ -19,9 +23,15 @@
     /// Confirms that the store holds the configuration in force, or applies a later one and confirms
     /// that.
     pub(super) async fn confirm(&mut self) -> Result<(), StoreError> {
+        let mut config_match = self.confirm_once().await?;
         // An answer with a later configuration does not state the revision of the store.
-        if self.confirm_once().await? == ConfigMatch::Replaced {
-            self.confirm_once().await?;
+        if config_match == ConfigMatch::Replaced {
+            config_match = self.confirm_once().await?;
+        }
+        if config_match == ConfigMatch::Unknown {
+            log::warn!(
+                "event=config_not_confirmed reason=\"the store holds another configuration and did not return it\""
+            );
         }
         Ok(())
     }
@@ -51,7 +61,10 @@
                     self.known.apply_item(&self.catalog, item, now);
                 }
                 self.publish();
-                ConfigMatch::Replaced
+                match self.shows_stored_config(&items) {
+                    true => ConfigMatch::Replaced,
+                    false => ConfigMatch::Unknown,
+                }
             }
             // A transaction without writes returns the store's current revision.
             TxnOutcome::Done(revision) => {
@@ -62,11 +75,20 @@
                     .observe_store(revision, known, started_at);
                 ConfigMatch::Kept
             }
-            TxnOutcome::LeaseGone => ConfigMatch::Kept,
+            TxnOutcome::LeaseGone => ConfigMatch::Unknown,
         };
-        if self.known.is_config_stored() {
+        if config_match != ConfigMatch::Unknown && self.known.is_config_stored() {
             self.known.confirmation.record(started_at);
         }
         Ok(config_match)
     }
+
+    /// Whether the items of an answer include the latest known write of the configuration.
+    fn shows_stored_config(&self, items: &[StoreItem]) -> bool {
+        let mut items = items.iter();
+        items.any(|item| {
+            let is_latest = item.revision == self.known.stored_config.revision;
+            item.key == self.catalog.config_key() && is_latest
+        })
+    }
 }
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -38,6 +38,8 @@
     current: StoreRevision,
     /// An item that was written after the items were read.
     replacement: Option<StoreItem>,
+    /// What each commit conflicts with, if any does.
+    conflict: Option<Vec<StoreItem>>,
     /// Items that were written after the items were read, of which each watch reports the next.
     parts: RefCell<VecDeque<StoreItem>>,
 }
@@ -49,10 +51,18 @@
             items,
             current,
             replacement: None,
+            conflict: None,
             parts: RefCell::default(),
         }
     }
 
+    /// Answers each commit with a conflict and these items.
+    #[must_use]
+    pub fn conflicting_with(self, items: Vec<StoreItem>) -> Self {
+        let conflict = Some(items);
+        Self { conflict, ..self }
+    }
+
     /// Writes these items after all were read. Each watch reports the next of them.
     #[must_use]
     pub fn followed_by(self, parts: Vec<StoreItem>) -> Self {
@@ -103,6 +113,9 @@
     }
 
     async fn commit(&self, txn: &StoreTxn) -> Result<TxnOutcome, StoreError> {
+        if let Some(items) = &self.conflict {
+            return Ok(TxnOutcome::Conflict(items.clone()));
+        }
         let conflict = self.replacement.iter().find(|item| {
             let mut conditions = txn.conditions.iter();
             conditions.any(|known| known.key == item.key && known.revision != item.revision)
