refactor: the size limit of a body rests on the configuration that admitted it

Cause: a body over the limit was refused by the configuration in force once it had been read, which may be a later one than that of the limit.

--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -15,6 +15,7 @@
 use super::residency::{LatestHomes, check_admission};
 use super::state::CallState;
 use super::trace::RequestTrace;
+use crate::view::ConfigStanding;
 
 /// How long to read the rest of a rejected request's body. Long enough for callers that send the
 /// body in pieces to finish it.
@@ -49,10 +50,29 @@
     let _ = tokio::time::timeout(wait.as_duration(), config_loaded).await;
 }
 
+/// Like [`admit`]. Decides once more after a confirmation of the configuration if the call would be
+/// refused because of one that may be outdated.
+pub async fn admit_confirmed<Dialect>(
+    front: &FrontContext<Dialect>,
+    call: &CallerCall,
+    path: &str,
+    arrived: Millis,
+    trace: Rc<RequestTrace>,
+) -> Result<AdmittedCall, CallRefusal> {
+    let admitted = admit(front, call, path, arrived, Rc::clone(&trace));
+    match admitted {
+        Err(refusal) if refusal.kind == ErrorKind::ConfigUnconfirmed => {
+            await_confirmation(front, call).await;
+            admit(front, call, path, arrived, trace)
+        }
+        admitted => admitted,
+    }
+}
+
 /// Waits until the configuration was confirmed recently enough to refuse a call for good, as after a
 /// suspension of this VM. Returns at once while the store is unreachable, since another VM may serve
 /// the caller sooner.
-pub async fn await_confirmation<Dialect>(front: &FrontContext<Dialect>, call: &CallerCall) {
+async fn await_confirmation<Dialect>(front: &FrontContext<Dialect>, call: &CallerCall) {
     let shared = &front.shared;
     if shared.is_store_unreachable() {
         return;
@@ -62,7 +82,8 @@
     let confirmed = async {
         loop {
             let changed = shared.config_confirmed.notified();
-            if shared.may_refuse_by(&shared.view.load(), front.now()) {
+            let standing = shared.view.load().config_standing(front.now());
+            if shared.may_refuse_by(standing) {
                 return;
             }
             changed.await;
@@ -91,6 +112,8 @@
     pub caller: AdmittedCaller,
     /// Maximum size of the request body in bytes.
     pub body_limit: usize,
+    /// The configuration by which it was admitted.
+    pub config: ConfigStanding,
 }
 
 /// Finds the route and the account of a call. Fails with the rejection to send to the caller.
@@ -110,7 +133,8 @@
         return Err(CallRefusal::retry_in(ErrorKind::NoBundle, wait));
     };
     let time_left = call.deadline.unwrap_or(DEFAULT_DEADLINE);
-    let refuse = |kind| refuse_by_config(front, &view, kind, time_left);
+    let standing = view.config_standing(front.now());
+    let refuse = |kind| refuse_by_config(front, standing, kind, time_left);
     let route = config.route(&call.host, path);
     let route = route.ok_or_else(|| refuse(ErrorKind::NotFound))?;
     let grant = authorize(config, route, call).map_err(refuse)?;
@@ -149,6 +173,7 @@
             homes,
         },
         body_limit: config.caller_limits.body_bytes,
+        config: standing,
     })
 }
 
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -11,7 +11,7 @@
 use hyper::header::EXPECT;
 
 use super::FrontContext;
-use super::admit::{admit, await_config, await_confirmation, discard_body, read_body};
+use super::admit::{AdmittedCall, admit_confirmed, await_config, discard_body, read_body};
 use super::answer::CallerAnswer;
 use super::attempt::{AttemptError, OpenReply, SentRequest};
 use super::breaks::{CallerLeftGuard, RunProgress, record_break, record_complete_answer};
@@ -27,6 +27,7 @@
 use super::residency::record_bound_demand;
 use super::state::CallState;
 use super::trace::RequestTrace;
+use crate::view::ConfigStanding;
 
 /// How long the body of a failure is awaited if the request may be sent again.
 const FAILURE_BODY_TIME: Millis = Millis(500);
@@ -54,16 +55,14 @@
         log::info!("event=prompt_parts_unreadable request={id} reason=\"{error}\"");
     }
     await_config(&front, &call).await;
-    let path = head.uri.path();
-    let mut admitted = admit(&front, &call, path, arrived, Rc::clone(&trace));
-    let is_unconfirmed = |refusal: &CallRefusal| refusal.kind == ErrorKind::ConfigUnconfirmed;
-    if admitted.as_ref().is_err_and(is_unconfirmed) {
-        await_confirmation(&front, &call).await;
-        admitted = admit(&front, &call, path, arrived, trace);
-    }
-    let limit = admitted.as_ref().map_or(0, |admitted| admitted.body_limit);
-    let (state, caller) = match admitted {
-        Ok(admitted) => (admitted.state, admitted.caller),
+    let admitted = admit_confirmed(&front, &call, head.uri.path(), arrived, trace).await;
+    let AdmittedCall {
+        state,
+        caller,
+        body_limit,
+        config,
+    } = match admitted {
+        Ok(admitted) => admitted,
         Err(refusal) => {
             // A caller that sent `Expect: 100-continue` has not sent its body yet and gets the
             // error response instead of `100 Continue`.
@@ -73,12 +72,12 @@
             return log_refusal(&front, &id, None, refusal);
         }
     };
-    let body_read = read_body(body, limit);
+    let body_read = read_body(body, body_limit);
     let body_read = with_deadline(front.shared.clock, state.deadline, body_read).await;
     let body = match body_read.unwrap_or(Err(ErrorKind::RequestTimeout)) {
         Ok(body) => body,
         Err(kind) => {
-            let refusal = refuse_body(&front, kind, &state);
+            let refusal = refuse_body(&front, kind, &state, config);
             return log_refusal(&front, &id, Some(&state), refusal);
         }
     };
@@ -98,18 +97,19 @@
     serve(front, request, state).await
 }
 
-/// Returns the refusal of a request whose body was not read. The size limit follows from the
-/// configuration.
+/// Returns the refusal of a request whose body was not read. Its size limit follows from the
+/// configuration by which it was admitted.
 pub fn refuse_body<Dialect>(
     front: &FrontContext<Dialect>,
     kind: ErrorKind,
     state: &CallState,
+    config: ConfigStanding,
 ) -> CallRefusal {
     if kind != ErrorKind::TooLarge {
         return kind.into();
     }
     let time_left = state.deadline.since(front.now());
-    refuse_by_config(front, &front.shared.view.load(), kind, time_left)
+    refuse_by_config(front, config, kind, time_left)
 }
 
 /// Attempts an admitted request at upstreams until one answers or no further attempt is allowed. While
--- a/crates/gateway/src/front/forward/serve.rs
+++ b/crates/gateway/src/front/forward/serve.rs
@@ -109,7 +109,7 @@
     let body = match body_read.unwrap_or(Err(ErrorKind::RequestTimeout)) {
         Ok(body) => body,
         Err(kind) => {
-            let refusal = refuse_body(&front, kind, &state);
+            let refusal = refuse_body(&front, kind, &state, admitted.config);
             return (log_refusal(&front, &id, Some(&state), refusal), Some(place));
         }
     };
--- a/crates/gateway/src/front/plan.rs
+++ b/crates/gateway/src/front/plan.rs
@@ -12,7 +12,7 @@
 use super::quiet::STALL_CHECK_PERIOD;
 use super::refusal::{
     CallRefusal, EVACUATED_SPREAD, MIN_RETURN_DELAY, RETURN_EVACUATED, RETURN_NO_UPSTREAM,
-    RETURN_SPREAD, RETURN_STOPPING, refuse_by_config,
+    RETURN_SPREAD, RETURN_STOPPING, refuse_by_config, refuse_unconfirmed,
 };
 use super::residency::{allowed_domains, log_homes};
 use super::retry::{refund_retry, take_retry};
@@ -354,14 +354,11 @@
     if config.accounts.is_none() || state.route.is_public {
         return Ok(());
     }
+    let (standing, time_left) = (view.config_standing(now), state.deadline.since(now));
     if !front.shared.is_view_confirmed(view, now) {
-        let kind = ErrorKind::ConfigUnconfirmed;
-        let time_left = state.deadline.since(now);
-        let wait = front.outage(now).return_delay(time_left, rand::random());
-        return Err(CallRefusal::retry_in(kind, wait));
+        return Err(refuse_unconfirmed(front, standing, time_left));
     }
-    let time_left = state.deadline.since(now);
     let granted = authorize(config, &state.route, &request.call);
-    granted.map_err(|kind| refuse_by_config(front, view, kind, time_left))?;
+    granted.map_err(|kind| refuse_by_config(front, standing, kind, time_left))?;
     Ok(())
 }
--- a/crates/gateway/src/front/refusal.rs
+++ b/crates/gateway/src/front/refusal.rs
@@ -8,7 +8,7 @@
 use super::FrontContext;
 use super::answer::{CallerAnswer, full_body};
 use super::state::CallState;
-use crate::view::{ClusterView, ConfigStanding};
+use crate::view::ConfigStanding;
 
 /// Return delay if no upstream serves the request. About the time that the repair of a group takes.
 pub const RETURN_NO_UPSTREAM: Millis = Millis(600);
@@ -98,23 +98,29 @@
     }
 }
 
-/// Returns the refusal of a request for a reason that follows from a view's configuration. Callers do
-/// not return after such a reason, so it is given only if the configuration was confirmed recently.
+/// Returns the refusal of a request for a reason that follows from a configuration. Callers do not
+/// return after such a reason, so it is given only if the configuration was confirmed recently.
 pub fn refuse_by_config<Dialect>(
     front: &FrontContext<Dialect>,
-    view: &ClusterView,
+    standing: ConfigStanding,
     kind: ErrorKind,
     time_left: Millis,
 ) -> CallRefusal {
-    let now = front.now();
-    let refusal = match front.shared.may_refuse_by(view, now) {
-        true => kind.into(),
-        false => {
-            let delay = front.outage(now).return_delay(time_left, rand::random());
-            CallRefusal::retry_in(ErrorKind::ConfigUnconfirmed, delay)
-        }
-    };
-    refusal.by_config(view.config_standing(now))
+    match front.shared.may_refuse_by(standing) {
+        true => CallRefusal::from(kind).by_config(standing),
+        false => refuse_unconfirmed(front, standing, time_left),
+    }
+}
+
+/// Returns the refusal of a request by a configuration that was not confirmed recently enough.
+pub fn refuse_unconfirmed<Dialect>(
+    front: &FrontContext<Dialect>,
+    standing: ConfigStanding,
+    time_left: Millis,
+) -> CallRefusal {
+    let outage = front.outage(front.now());
+    let delay = outage.return_delay(time_left, rand::random());
+    CallRefusal::retry_in(ErrorKind::ConfigUnconfirmed, delay).by_config(standing)
 }
 
 /// Logs and counts a refusal, and returns the error response.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -20,7 +20,7 @@
 use crate::front::residency::warn_of_unknown_regions;
 use crate::metrics::GatewayMetrics;
 use crate::own_keys::ForwardEndpoint;
-use crate::view::ClusterView;
+use crate::view::{ClusterView, ConfigStanding};
 
 /// Subtracted from the time for which a confirmed configuration is valid. A request may wait this
 /// long between the check and its arrival at the upstream.
@@ -300,11 +300,11 @@
         view.confirmation.age(now) < revoke_time.since(CONFIRM_MARGIN)
     }
 
-    /// Whether the configuration in a view was confirmed recently enough to refuse a request for good
-    /// because of it. Any configuration that it lacks is then too recent to be in force everywhere.
-    pub fn may_refuse_by(&self, view: &ClusterView, now: Millis) -> bool {
+    /// Whether a configuration was confirmed recently enough to refuse a request for good because of it.
+    /// Any later one that this VM does not know is then too recent to be in force everywhere.
+    pub fn may_refuse_by(&self, standing: ConfigStanding) -> bool {
         let apply_time = self.bounds().config_apply_time;
-        apply_time.is_none_or(|apply_time| view.confirmation.age(now) < apply_time)
+        apply_time.is_none_or(|apply_time| standing.age < apply_time)
     }
 
     /// Whether this VM coordinates the groups.
--- a/crates/gateway/tests/suspended.rs
+++ b/crates/gateway/tests/suspended.rs
@@ -55,7 +55,8 @@
     view.confirmation.record(clock.now());
     for (suspension, may_refuse) in [(Millis::ZERO, true), (CONFIG_APPLY_TIME, false)] {
         OWN_BOOT_TIME_MS.fetch_add(suspension.0, Ordering::SeqCst);
-        assert_eq!(shared.may_refuse_by(&view, clock.now()), may_refuse);
+        let standing = view.config_standing(clock.now());
+        assert_eq!(shared.may_refuse_by(standing), may_refuse);
     }
 }
 
--- a/crates/soak/src/additions.rs
+++ b/crates/soak/src/additions.rs
@@ -90,6 +90,24 @@
     }
 }
 
+impl SoakSite {
+    /// Adds a key and a route, with the next version.
+    pub fn add_grant(&self, size: GrantSize) {
+        let mut keys = self.keys.lock();
+        keys.version += 1;
+        let number = keys.version;
+        keys.added.push(AddedGrant {
+            number,
+            size,
+            at: Instant::now(),
+        });
+        self.write_config(&keys);
+        if let Some(grant) = keys.added.last_mut() {
+            grant.at = Instant::now();
+        }
+    }
+}
+
 /// Draws series of additions from a source of their own, and times in which the store turns processes
 /// away, one for each series.
 pub(crate) fn draw_additions(seed: u64, options: &SoakOptions) -> Vec<TimedFault> {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -14,7 +14,7 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
-use crate::additions::{AddedGrant, GrantSize, add_routes};
+use crate::additions::{AddedGrant, add_routes};
 use crate::cold::WARM_UP;
 use crate::domains::UpstreamArrivals;
 use crate::harmful::CRASH;
@@ -337,23 +337,7 @@
         }
     }
 
-    /// Adds a key and a route, with the next version.
-    pub fn add_grant(&self, size: GrantSize) {
-        let mut keys = self.keys.lock();
-        keys.version += 1;
-        let number = keys.version;
-        keys.added.push(AddedGrant {
-            number,
-            size,
-            at: Instant::now(),
-        });
-        self.write_config(&keys);
-        if let Some(grant) = keys.added.last_mut() {
-            grant.at = Instant::now();
-        }
-    }
-
-    fn write_config(&self, keys: &KeyBook) {
+    pub(crate) fn write_config(&self, keys: &KeyBook) {
         let mut given_out = vec![LASTING_KEY.to_owned(), keys.current.clone()];
         given_out.extend(keys.added.iter().map(AddedGrant::key));
         let given_out: Vec<&str> = given_out.iter().map(String::as_str).collect();
