test: a leaving upstream's work that its silent link held up is allowed

The users' rules do not count a request as late whose link was cut.

Change: such work is excused only if its caller sent it within the bound and the upstream's own link was strained since. Work that is sent later over the same link is still found.

--- a/crates/soak/tests/audit/cases.rs
+++ b/crates/soak/tests/audit/cases.rs
@@ -1,7 +1,7 @@
 //! Requests with what is to be found in them.
 
 use bergamot_soak::caller::{CallEnd, RequestKind};
-use bergamot_soak::plan::FaultKind;
+use bergamot_soak::plan::{FaultKind, LinkState};
 
 use super::{AuditCase, FOREIGN, HARMFUL, answered, ended};
 
@@ -255,6 +255,25 @@
             leaves: true,
             ..case()
         },
+        AuditCase {
+            name: "work that was sent before that and held up on the link",
+            sent: 2_000,
+            ended: 5_300,
+            runs: &[5_100],
+            leaves: true,
+            trouble: Some((FaultKind::DeskLink(0, LinkState::Silent), 1_500, 5_050)),
+            ..case()
+        },
+        AuditCase {
+            name: "work that was sent later over the same link",
+            sent: 3_100,
+            ended: 5_300,
+            runs: &[5_100],
+            leaves: true,
+            trouble: Some((FaultKind::DeskLink(0, LinkState::Silent), 1_500, 5_050)),
+            found: Some("WorkWhileLeaving"),
+            ..case()
+        },
         AuditCase {
             name: "work at an upstream that no entry names",
             sent: 3_000,
