fix: the soak compiles again

Cause: named a function of the audit like one of domains.rs; do not compile the soak.

Change: the function has a name of its own.

--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -251,7 +251,7 @@
             let after = seen.at.checked_duration_since(leaving_since)?;
             let is_late = after > LEAVE_BOUND;
             let is_held_up = record.sent_at <= leaving_since + LEAVE_BOUND
-                && self.is_link_strained(run, record.sent_at, seen.at);
+                && self.may_be_held_up(run, record.sent_at, seen.at);
             let is_troubled = self.is_troubled(record.entry, seen.at - LEAVE_BOUND, seen.at);
             let is_excused = is_held_up || is_troubled;
             (is_late && !is_excused).then(|| Violation::WorkWhileLeaving {
@@ -263,7 +263,7 @@
     }
 
     /// Whether bytes to an upstream may have been held back on its link at some time between these.
-    fn is_link_strained(&self, run: &UpstreamRun, from: Instant, until: Instant) -> bool {
+    fn may_be_held_up(&self, run: &UpstreamRun, from: Instant, until: Instant) -> bool {
         let mut troubles = self.troubles.iter();
         troubles.any(|trouble| {
             let is_strained = match trouble.kind {
