test: a load that was served before a spike is served again

At a use of 0.7 to 0.9 a limit that turns connections away is neither raised nor lifted.

Change: a case for each of three uses; known red.

--- a/crates/intake/tests/intake.rs
+++ b/crates/intake/tests/intake.rs
@@ -118,6 +118,36 @@
     assert_eq!(accepted, f64::from(calm.arriving));
 }
 
+/// Guards against a bound that outlasts the spike which brought it about, at a load between the two
+/// uses by which it is judged.
+#[test]
+fn a_load_that_was_served_before_a_spike_is_served_again() {
+    let [calm, spike, ..] = CASES;
+    let loads = [
+        ("0.66 of the time", micros(3_300)),
+        ("0.76 of the time", micros(3_800)),
+        ("0.84 of the time", micros(4_200)),
+    ];
+    let mut failures = Vec::new();
+    for (name, cost) in loads {
+        let load = IntakeCase {
+            name,
+            cost,
+            accepted: calm.accepted.clone(),
+            ..calm
+        };
+        let (mut state, mut backlog) = (IntakeState::default(), Duration::ZERO);
+        let before = load.play(&mut state, &mut backlog);
+        spike.play(&mut state, &mut backlog);
+        load.play(&mut state, &mut backlog);
+        let after = load.play(&mut state, &mut backlog);
+        if after < before {
+            failures.push((name, before, after));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:?}");
+}
+
 #[test]
 fn a_thread_that_is_denied_the_processor_while_it_waits_is_busy() {
     let period = ThreadPeriod {
