test: a link excuses late work only within three seconds before its arrival

Cause: the excuse of took any fault of the link since the request was sent. The users' rules say: a request isn't counted as late at a runner if the link was cut or harmed in the last contactMs.

Change: that bound; a case whose link was whole again long before.

--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -19,6 +19,9 @@
 const REVOKE_BOUND: Duration = Duration::from_millis(5_250);
 /// Time after which a leaving upstream gets no new work, from processes whose links are whole.
 const LEAVE_BOUND: Duration = Duration::from_millis(2_000);
+/// Time before a request's arrival in which a fault of the upstream's link may have held it up, as the
+/// users set it.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Time past its deadline in which a request has its answer on a busy machine; not tuned.
 const ANSWER_SLACK: Duration = Duration::from_millis(1_000);
 /// Time after the end of a fault in which it still counts as a cause: the two seconds after which a VM
@@ -251,7 +254,7 @@
             let after = seen.at.checked_duration_since(leaving_since)?;
             let is_late = after > LEAVE_BOUND;
             let is_held_up = record.sent_at <= leaving_since + LEAVE_BOUND
-                && self.may_be_held_up(run, record.sent_at, seen.at);
+                && self.may_be_held_up(run, record.sent_at.max(seen.at - CONTACT_TIME), seen.at);
             let is_troubled = self.is_troubled(record.entry, seen.at - LEAVE_BOUND, seen.at);
             let is_excused = is_held_up || is_troubled;
             (is_late && !is_excused).then(|| Violation::WorkWhileLeaving {
--- a/crates/soak/tests/audit/cases.rs
+++ b/crates/soak/tests/audit/cases.rs
@@ -264,6 +264,16 @@
             trouble: Some((FaultKind::DeskLink(0, LinkState::Silent), 1_500, 5_050)),
             ..case()
         },
+        AuditCase {
+            name: "work that was sent before that over a link that was whole again long before it arrived",
+            sent: 2_000,
+            ended: 6_200,
+            runs: &[6_000],
+            leaves: true,
+            trouble: Some((FaultKind::DeskLink(0, LinkState::Silent), 1_500, 2_500)),
+            found: Some("WorkWhileLeaving"),
+            ..case()
+        },
         AuditCase {
             name: "work that was sent later over the same link",
             sent: 3_100,
