--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -48,11 +48,26 @@
     pub caller_addr: SocketAddr,
     pub ready_addr: SocketAddr,
     pub desk: Arc<SiteUpstream>,
-    _runtime: Runtime,
+    pub store: Arc<SiteStoreStandin>,
+    pub runtime: Runtime,
 }
 
 impl RunningEntry {
     pub fn start(ip: Ipv4Addr) -> Self {
+        let config = config(1, &["key-1"]);
+        let entry = Self::start_with(ip, &config, |settings| settings);
+        entry.desk.faults.set(FaultSet {
+            delay_ms: RESPONSE_DELAY_MS,
+            ..FaultSet::default()
+        });
+        entry
+    }
+
+    /// Starts a process with changed settings, whose upstream responds without a delay.
+    pub fn start_with<Change>(ip: Ipv4Addr, config: &serde_json::Value, change: Change) -> Self
+    where
+        Change: FnOnce(String) -> String,
+    {
         let runtime = Runtime::new().expect("the runtime cannot be started");
         let store = SiteStoreStandin::new(SiteStoreOptions::default());
         let store_addr = runtime.block_on(async {
@@ -62,8 +77,7 @@
             bergamot_standin::serve_on(listener, Arc::clone(&store))
                 .expect("the store stand-in cannot be started")
         });
-        let text = config(1, &["key-1"]).to_string();
-        store.put(CONFIG_KEY, text.as_bytes());
+        store.put(CONFIG_KEY, config.to_string().as_bytes());
         let options = UpstreamOptions {
             id: "d0".to_owned(),
             service: "desk".to_owned(),
@@ -78,7 +92,8 @@
         let desk = runtime
             .block_on(desk)
             .expect("the upstream stand-in cannot be started");
-        let settings = write_settings(&ip.to_string(), &sample_settings(ip, store_addr));
+        let settings = change(sample_settings(ip, store_addr));
+        let settings = write_settings(&ip.to_string(), &settings);
         let process = program(&settings)
             .stdout(Stdio::null())
             .spawn()
@@ -90,16 +105,13 @@
             caller_addr: addr_of(CALLER_PORT),
             ready_addr: addr_of(READY_PORT),
             desk,
-            _runtime: runtime,
+            store,
+            runtime,
         };
         entry.wait_until("readiness", || entry.is_ready());
         entry.wait_until("first successful response", || {
             send_request(entry.caller_addr).is_some_and(|reply| reply.starts_with("HTTP/1.1 200"))
         });
-        entry.desk.faults.set(FaultSet {
-            delay_ms: RESPONSE_DELAY_MS,
-            ..FaultSet::default()
-        });
         entry
     }
 
