fix: the bodies of all requests together stay within a quarter of the memory

Callers saw their VM end: 120 connections with a body of 1 MiB each, whole or short of their end, took 144 to 225 MB of a VM with 64 MB.

Cause: no line read memoryMb and maxFds, and nothing bounded what the bodies of all requests hold together. A body was kept as the pieces in which it arrived, each of which keeps the whole buffer it was read into (100 KiB in chunks of a byte: 95 MB for 120), and was then copied.

A body fills pages of 16 KiB, sized by what has arrived, and takes each from a ledger that all bodies share. A length that cannot fit or is over the limit is refused before the body is read.

--- /dev/null
+++ b/crates/gateway/src/body.rs
@@ -0,0 +1,411 @@
+//! Bodies of requests: pages of memory, all of which together stay within the VM's share.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+
+use bergamot_resources::prelude::*;
+use bergamot_types::prelude::*;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use prometheus::IntCounterVec;
+use tokio::sync::Notify;
+
+use crate::clock::BootClock;
+
+/// Size of a page. Pages of one size leave no gaps in the allocator's memory.
+const PAGE_BYTES: usize = 16 << 10;
+/// Size of the first page of a body without a length.
+const MIN_PAGE_BYTES: usize = 512;
+
+/// The bodies of all requests of this VM, within its share of the memory.
+pub struct BodyRoom {
+    clock: BootClock,
+    /// Bytes that all bodies together may hold.
+    share: AtomicUsize,
+    /// Counts bodies that were given up, by reason.
+    given_up: IntCounterVec,
+    bodies: Mutex<RoomBodies>,
+}
+
+#[derive(Default)]
+struct RoomBodies {
+    ledger: BodyLedger,
+    arriving: IndexMap<BodyId, Arc<ArrivingPages>>,
+}
+
+impl BodyRoom {
+    /// Creates a room of `share` bytes. `given_up` counts bodies that were given up, by reason.
+    pub fn new(clock: BootClock, share: usize, given_up: IntCounterVec) -> Self {
+        Self {
+            clock,
+            share: AtomicUsize::new(share),
+            given_up,
+            bodies: Mutex::default(),
+        }
+    }
+
+    /// Changes the bytes that all bodies together may hold. Those that are held stay.
+    pub fn set_share(&self, share: usize) {
+        self.share.store(share, Ordering::Relaxed);
+    }
+
+    /// Returns how many bytes are held.
+    pub fn held_bytes(&self) -> usize {
+        self.bodies.lock().ledger.held_bytes()
+    }
+
+    /// Begins a body of this size, if it is announced.
+    ///
+    /// # Errors
+    /// [`ErrorKind::MemoryFull`] if there is no room for it.
+    fn begin(self: &Arc<Self>, announced: Option<usize>) -> Result<BodyHold<Arriving>, ErrorKind> {
+        let now = self.clock.now();
+        let mut bodies = self.bodies.lock();
+        let share = self.share.load(Ordering::Relaxed);
+        if !bodies
+            .ledger
+            .has_room(now, announced.unwrap_or_default(), share)
+        {
+            self.count("refused");
+            return Err(ErrorKind::MemoryFull);
+        }
+        let id = bodies.ledger.begin(now);
+        let pages = Arc::new(ArrivingPages {
+            announced,
+            filled: Mutex::default(),
+            given_way: Notify::new(),
+        });
+        bodies.arriving.insert(id, Arc::clone(&pages));
+        Ok(BodyHold {
+            room: Arc::clone(self),
+            state: Arriving { id, pages },
+        })
+    }
+
+    /// Makes room for `bytes` more of a body.
+    ///
+    /// # Errors
+    /// [`ErrorKind::MemoryFull`] if there is none.
+    fn grow(&self, id: BodyId, bytes: usize) -> Result<(), ErrorKind> {
+        let now = self.clock.now();
+        let mut bodies = self.bodies.lock();
+        let share = self.share.load(Ordering::Relaxed);
+        let GrowOutcome::Granted(victims) = bodies.ledger.grow(now, id, bytes, share) else {
+            self.count("refused");
+            return Err(ErrorKind::MemoryFull);
+        };
+        for victim in victims {
+            self.count("stalled");
+            if let Some(pages) = bodies.arriving.swap_remove(&victim) {
+                pages.give_way();
+            }
+        }
+        Ok(())
+    }
+
+    fn count(&self, reason: &str) {
+        self.given_up.with_label_values(&[reason]).inc();
+    }
+}
+
+/// The pages of a body that is arriving. The room takes them back when the body gives way.
+struct ArrivingPages {
+    announced: Option<usize>,
+    filled: Mutex<FilledPages>,
+    given_way: Notify,
+}
+
+#[derive(Default)]
+struct FilledPages {
+    pages: Vec<BytesMut>,
+    bytes: usize,
+    has_given_way: bool,
+}
+
+impl ArrivingPages {
+    fn give_way(&self) {
+        let mut filled = self.filled.lock();
+        filled.pages = Vec::new();
+        filled.has_given_way = true;
+        self.given_way.notify_one();
+    }
+
+    /// Returns the size of the page that has to be added for so many bytes; 0 if they fit into the last one.
+    fn new_page_bytes(&self, bytes: usize) -> usize {
+        let filled = self.filled.lock();
+        let spare = filled.spare();
+        if bytes <= spare {
+            return 0;
+        }
+        let missing = match self.announced {
+            Some(announced) => announced.saturating_sub(filled.bytes),
+            None => filled.bytes.max(MIN_PAGE_BYTES),
+        };
+        missing.min(PAGE_BYTES).max(bytes - spare)
+    }
+
+    /// Fills the last page, and a new one of `page_bytes` bytes with what does not fit.
+    ///
+    /// # Errors
+    /// [`ErrorKind::MemoryFull`] if the body has given way.
+    fn append(&self, data: &[u8], page_bytes: usize) -> Result<(), ErrorKind> {
+        let mut filled = self.filled.lock();
+        if filled.has_given_way {
+            return Err(ErrorKind::MemoryFull);
+        }
+        let (fitting, rest) = data.split_at(filled.spare().min(data.len()));
+        if let Some(page) = filled.pages.last_mut() {
+            page.extend_from_slice(fitting);
+        }
+        if !rest.is_empty() {
+            let mut page = BytesMut::with_capacity(page_bytes);
+            page.extend_from_slice(rest);
+            filled.pages.push(page);
+        }
+        filled.bytes += data.len();
+        Ok(())
+    }
+}
+
+impl FilledPages {
+    /// Returns the free bytes of the last page.
+    fn spare(&self) -> usize {
+        let last = self.pages.last();
+        last.map_or(0, |page| page.capacity() - page.len())
+    }
+}
+
+/// A body that is arriving. It may have to give way to others.
+struct Arriving {
+    id: BodyId,
+    pages: Arc<ArrivingPages>,
+}
+
+/// A body that has arrived, and is kept until its request has ended.
+struct Arrived {
+    bytes: usize,
+}
+
+/// A step in the life of a body.
+trait HoldState {
+    fn release(&self, room: &BodyRoom);
+}
+
+impl HoldState for Arriving {
+    fn release(&self, room: &BodyRoom) {
+        let mut bodies = room.bodies.lock();
+        bodies.arriving.swap_remove(&self.id);
+        bodies.ledger.abandon(self.id);
+    }
+}
+
+impl HoldState for Arrived {
+    fn release(&self, room: &BodyRoom) {
+        room.bodies.lock().ledger.release(self.bytes);
+    }
+}
+
+/// The memory of a body, released when dropped.
+struct BodyHold<State>
+where
+    State: HoldState,
+{
+    room: Arc<BodyRoom>,
+    state: State,
+}
+
+impl<State> Drop for BodyHold<State>
+where
+    State: HoldState,
+{
+    fn drop(&mut self) {
+        self.state.release(&self.room);
+    }
+}
+
+impl BodyHold<Arriving> {
+    /// Appends bytes that have arrived.
+    ///
+    /// # Errors
+    /// [`ErrorKind::MemoryFull`] if there is no room for them.
+    fn append(&self, data: &[u8]) -> Result<(), ErrorKind> {
+        let Arriving { id, pages } = &self.state;
+        let page_bytes = pages.new_page_bytes(data.len());
+        if page_bytes > 0 {
+            self.room.grow(*id, page_bytes)?;
+        }
+        pages.append(data, page_bytes)
+    }
+
+    /// Ends the arrival. The body does not give way any more.
+    ///
+    /// # Errors
+    /// [`ErrorKind::MemoryFull`] if it has given way.
+    fn complete(self) -> Result<RequestBody, ErrorKind> {
+        let mut bodies = self.room.bodies.lock();
+        let mut filled = self.state.pages.filled.lock();
+        if filled.has_given_way {
+            return Err(ErrorKind::MemoryFull);
+        }
+        let pages = std::mem::take(&mut filled.pages);
+        let hold = BodyHold {
+            room: Arc::clone(&self.room),
+            state: Arrived {
+                bytes: bodies.ledger.complete(self.state.id),
+            },
+        };
+        drop((bodies, filled));
+        Ok(RequestBody {
+            pages: pages.into_iter().map(BytesMut::freeze).collect(),
+            hold: Some(hold),
+        })
+    }
+}
+
+/// The whole body of a request. Its memory is accounted for until it is dropped.
+pub struct RequestBody {
+    pages: Arc<[Bytes]>,
+    hold: Option<BodyHold<Arrived>>,
+}
+
+impl From<Bytes> for RequestBody {
+    /// Makes a body of bytes that are not accounted for.
+    fn from(bytes: Bytes) -> Self {
+        Self {
+            pages: Arc::new([bytes]),
+            hold: None,
+        }
+    }
+}
+
+impl RequestBody {
+    /// Returns the bytes in pieces.
+    pub fn pieces(&self) -> impl Iterator<Item = &[u8]> + Clone {
+        self.pages.iter().map(Bytes::as_ref)
+    }
+
+    /// Returns the bytes in one piece, whose memory is accounted for until it is dropped.
+    pub fn into_contiguous(self) -> Bytes {
+        let bytes = match &*self.pages {
+            [page] => page.clone(),
+            pages => Bytes::from(pages.concat()),
+        };
+        Bytes::from_owner(ContiguousBody {
+            bytes,
+            _hold: self.hold,
+        })
+    }
+
+    /// Returns a body that sends the bytes.
+    pub fn to_outgoing(&self) -> OutgoingBody {
+        OutgoingBody {
+            pages: Arc::clone(&self.pages),
+            next_page: 0,
+            bytes_left: self.pages.iter().map(|page| page.len() as u64).sum(),
+        }
+    }
+}
+
+/// The bytes of a body in one piece.
+struct ContiguousBody {
+    bytes: Bytes,
+    _hold: Option<BodyHold<Arrived>>,
+}
+
+impl AsRef<[u8]> for ContiguousBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// The body of a request to an upstream or another entry VM.
+#[derive(Clone, Debug)]
+pub struct OutgoingBody {
+    pages: Arc<[Bytes]>,
+    next_page: usize,
+    bytes_left: u64,
+}
+
+impl Default for OutgoingBody {
+    /// An empty body.
+    fn default() -> Self {
+        Self {
+            pages: Arc::new([]),
+            next_page: 0,
+            bytes_left: 0,
+        }
+    }
+}
+
+impl Body for OutgoingBody {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let page = self.pages.get(self.next_page).cloned();
+        let Some(page) = page.filter(|page| !page.is_empty()) else {
+            return Poll::Ready(None);
+        };
+        self.next_page += 1;
+        self.bytes_left -= page.len() as u64;
+        Poll::Ready(Some(Ok(Frame::data(page))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes_left == 0
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes_left)
+    }
+}
+
+/// Reads a body of at most `limit` bytes into the room.
+///
+/// # Errors
+/// [`ErrorKind::TooLarge`], at once if the length is announced; [`ErrorKind::MemoryFull`] if there is no room for the
+/// body, or if it stalled and others need its room; [`ErrorKind::BadRequest`] if it breaks off.
+pub async fn read_body(
+    room: &Arc<BodyRoom>,
+    body: &mut Incoming,
+    limit: usize,
+) -> Result<RequestBody, ErrorKind> {
+    if body.is_end_stream() {
+        return Ok(RequestBody::from(Bytes::new()));
+    }
+    let size = body.size_hint();
+    if size.lower() > limit as u64 {
+        return Err(ErrorKind::TooLarge);
+    }
+    let announced = size.exact().and_then(|bytes| usize::try_from(bytes).ok());
+    let hold = room.begin(announced)?;
+    let pages = Arc::clone(&hold.state.pages);
+    let mut bytes = 0;
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = pages.given_way.notified() => return Err(ErrorKind::MemoryFull),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else {
+            return hold.complete();
+        };
+        let frame = frame.map_err(|_| ErrorKind::BadRequest)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        bytes += data.len();
+        if bytes > limit {
+            return Err(ErrorKind::TooLarge);
+        }
+        hold.append(&data)?;
+    }
+}
--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -1,4 +1,4 @@
-//! Admission of a call: route lookup, authorization and reading of the request body.
+//! Admission of a call: route lookup and authorization.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -6,8 +6,7 @@
 use bergamot_ports::{AccountGrant, CallerCall, Route, ServingConfig};
 use bergamot_routing::longest_delay;
 use bergamot_types::prelude::*;
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 use super::FrontContext;
@@ -221,12 +220,3 @@
     // The request is rejected whether or not its body could be read.
     let _ = tokio::time::timeout(REJECTED_BODY_TIMEOUT.as_duration(), read).await;
 }
-
-/// Reads a body of at most `limit` bytes.
-pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ErrorKind> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(ErrorKind::TooLarge),
-        Err(_) => Err(ErrorKind::BadRequest),
-    }
-}
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -7,8 +7,7 @@
 use bergamot_quarantine::RequestPrint;
 use bergamot_routing::{DispatchedRequest, RouteUpstream};
 use bergamot_types::prelude::*;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::http::request::Parts as RequestParts;
 use hyper::http::response::Parts as ReplyParts;
 use hyper::{HeaderMap, Method, Request, Uri};
@@ -24,6 +23,7 @@
 use super::pool::{ConnectError, UpstreamConnection};
 use super::residency::{LatestHomes, is_still_allowed};
 use super::warmup::record_cold_time;
+use crate::body::RequestBody;
 
 /// The parts of a request that are the same for all its attempts.
 pub struct SentRequest {
@@ -34,7 +34,7 @@
     /// The request headers as the caller sent them.
     pub headers: HeaderMap,
     /// The request body.
-    pub body: Bytes,
+    pub body: RequestBody,
     /// The caller's call.
     pub call: CallerCall,
     /// The caller's account.
@@ -55,7 +55,7 @@
     /// Creates a request whose body was read completely.
     pub fn new(
         head: RequestParts,
-        body: Bytes,
+        body: RequestBody,
         call: CallerCall,
         admitted: AdmittedCaller,
     ) -> Self {
@@ -92,7 +92,7 @@
     pub fn print(&self) -> RequestPrint {
         *self.print.get_or_init(|| {
             let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
-            RequestPrint::of(self.account.as_ref(), path, &self.body)
+            RequestPrint::of_pieces(self.account.as_ref(), path, self.body.pieces())
         })
     }
 }
@@ -249,7 +249,7 @@
         priority: request.priority,
         resume_after,
     };
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    let mut outgoing = Request::new(request.body.to_outgoing());
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.uri.clone();
     *outgoing.headers_mut() = front.dialect.outgoing_headers(&request.call, &context);
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -11,7 +11,7 @@
 use hyper::header::EXPECT;
 
 use super::FrontContext;
-use super::admit::{AdmittedCall, admit_confirmed, await_config, discard_body, read_body};
+use super::admit::{AdmittedCall, admit_confirmed, await_config, discard_body};
 use super::answer::CallerAnswer;
 use super::attempt::{AttemptError, OpenReply, SentRequest};
 use super::breaks::{CallerLeftGuard, RunProgress, record_break, record_complete_answer};
@@ -22,11 +22,14 @@
 use super::large::pass_on_reply;
 use super::open::record_opened;
 use super::plan::{PlannedSend, UpstreamScope, plan};
-use super::refusal::{CallRefusal, log_refusal, promises_not_run, refuse, refuse_by_config};
+use super::refusal::{
+    CallRefusal, RETURN_MEMORY_FULL, log_refusal, promises_not_run, refuse, refuse_by_config,
+};
 use super::relay::{EventSource, relay_events};
 use super::residency::record_bound_demand;
 use super::state::CallState;
 use super::trace::RequestTrace;
+use crate::body::read_body;
 use crate::view::ConfigStanding;
 
 /// How long the body of a failure is awaited if the request may be sent again.
@@ -43,7 +46,7 @@
 {
     let arrived = front.now();
     front.shared.has_traffic.store(true, Ordering::Relaxed);
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let call = match front.dialect.read_call(&head) {
         Ok(call) => call,
         Err(kind) => return refuse(&front, None, kind.into()),
@@ -72,7 +75,7 @@
             return log_refusal(&front, &id, None, refusal);
         }
     };
-    let body_read = read_body(body, body_limit);
+    let body_read = read_body(&front.bodies, &mut body, body_limit);
     let body_read = with_deadline(front.shared.clock, state.deadline, body_read).await;
     let body = match body_read.unwrap_or(Err(ErrorKind::RequestTimeout)) {
         Ok(body) => body,
@@ -105,6 +108,9 @@
     state: &CallState,
     config: ConfigStanding,
 ) -> CallRefusal {
+    if kind == ErrorKind::MemoryFull {
+        return CallRefusal::retry_in(kind, RETURN_MEMORY_FULL);
+    }
     if kind != ErrorKind::TooLarge {
         return kind.into();
     }
--- a/crates/gateway/src/front/forward/context.rs
+++ b/crates/gateway/src/front/forward/context.rs
@@ -95,6 +95,7 @@
         match kind {
             // What only this VM lacks, or knows differently.
             ErrorKind::UpstreamsUnreachable
+            | ErrorKind::MemoryFull
             | ErrorKind::NoBundle
             | ErrorKind::ConfigUnconfirmed
             | ErrorKind::ShuttingDown
--- a/crates/gateway/src/front/forward/send.rs
+++ b/crates/gateway/src/front/forward/send.rs
@@ -6,7 +6,6 @@
 use bergamot_ports::{CallerDialect, RouteKind, ServingConfig};
 use bergamot_routing::{PeerCandidate, PeerDecline};
 use bergamot_types::prelude::*;
-use http_body_util::Full;
 use hyper::Request;
 use hyper::http::response::Parts as ReplyParts;
 
@@ -249,7 +248,7 @@
         arrivals: u32::try_from(state.arrivals).unwrap_or(u32::MAX),
         resume_after,
     };
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    let mut outgoing = Request::new(request.body.to_outgoing());
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.uri.clone();
     *outgoing.headers_mut() = front.dialect.peer_headers(&request.headers);
--- a/crates/gateway/src/front/forward/serve.rs
+++ b/crates/gateway/src/front/forward/serve.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 
 use super::super::FrontContext;
-use super::super::admit::{admit, discard_body, read_body};
+use super::super::admit::{admit, discard_body};
 use super::super::answer::CallerAnswer;
 use super::super::attempt::SentRequest;
 use super::super::call::{refuse_body, serve};
@@ -19,6 +19,7 @@
 use super::super::trace::RequestTrace;
 use super::ServedPlace;
 use super::context::{ForwardContext, ForwardVerdict, insert_reaches_none, insert_upstream};
+use crate::body::read_body;
 use crate::panics::catch_panic;
 
 /// Answers a request that another entry VM forwards. The answer carries a verdict for that VM.
@@ -60,7 +61,7 @@
 where
     Dialect: CallerDialect + 'static,
 {
-    let (mut head, body) = request.into_parts();
+    let (mut head, mut body) = request.into_parts();
     let secret = front.shared.forward_secret;
     let context = ForwardContext::take_from(&mut head.headers, secret);
     let call = front.dialect.read_call(&head);
@@ -104,7 +105,7 @@
         context.time_left,
         context.possible_runs.len()
     );
-    let body_read = read_body(body, limit);
+    let body_read = read_body(&front.bodies, &mut body, limit);
     let body_read = with_deadline(front.shared.clock, state.deadline, body_read).await;
     let body = match body_read.unwrap_or(Err(ErrorKind::RequestTimeout)) {
         Ok(body) => body,
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -3,7 +3,7 @@
 //! | module | contents |
 //! | --- | --- |
 //! | [`server`] | callers' connections, readiness, shutdown |
-//! | [`admit`] | checks of a request's route, account and body |
+//! | [`admit`] | checks of a request's route and account |
 //! | [`head_timer`] | time limit for the head of a request |
 //! | [`call`] | one request, from its head to its answer |
 //! | [`state`] | state of a request |
@@ -89,6 +89,7 @@
 use bergamot_types::prelude::*;
 use tokio::sync::{Notify, mpsc};
 
+use crate::body::BodyRoom;
 use crate::shared::SharedState;
 use crate::stop::StopControl;
 use budget::RetryBudget;
@@ -113,6 +114,8 @@
     pub monitor: Rc<RefCell<UpstreamMonitor>>,
     /// Notified when this VM suspects that it reaches no upstream.
     pub partition_suspected: Notify,
+    /// Bodies of requests.
+    pub bodies: Arc<BodyRoom>,
     /// Bytes that are held for answers.
     pub held: HeldTotal,
     /// Demand for each model.
@@ -153,6 +156,11 @@
         let budget = RetryBudget::new(shared.bounds(), shared.clock.now());
         let quota = QuotaState::new(shared.site.vm.to_string(), rand::random());
         let endless = shared.metrics.endless_answers.clone();
+        let bodies = BodyRoom::new(
+            shared.clock,
+            shared.resource_shares().body_bytes,
+            shared.metrics.bodies_given_up.clone(),
+        );
         let descriptor = PeerDescriptor {
             vm: shared.site.vm.to_string(),
             failure_domain: shared.site.failure_domain.clone(),
@@ -161,6 +169,7 @@
         Self {
             pool: Rc::new(ConnectionPool::new(shared.clock, endless.clone())),
             forwards: ForwardFront::new(shared.clock, endless),
+            bodies: Arc::new(bodies),
             held: HeldTotal::default(),
             dialect,
             monitor: Rc::new(RefCell::new(UpstreamMonitor::new(descriptor))),
--- a/crates/gateway/src/front/partition.rs
+++ b/crates/gateway/src/front/partition.rs
@@ -9,11 +9,12 @@
 };
 use bergamot_types::prelude::*;
 use futures::future::join_all;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 
 use super::FrontContext;
 use super::held::ReplyBody;
 use super::pool::{ConnectError, UpstreamConnection};
+use crate::body::OutgoingBody;
 
 /// Time between two rounds of probes while this VM reaches no upstream. Callers are served through
 /// other VMs meanwhile, so a partition that ended is noticed soon enough.
@@ -180,7 +181,7 @@
     };
     if has_report(entry) {
         let request = front.dialect.report_request(entry);
-        let request = request.map(|()| Full::default());
+        let request = request.map(|()| OutgoingBody::default());
         let exchange = async {
             let answer = connection.sender.send_request(request).await;
             let body = ReplyBody::new(answer.ok()?.into_body(), connection.meter.clone());
--- a/crates/gateway/src/front/pool.rs
+++ b/crates/gateway/src/front/pool.rs
@@ -8,8 +8,6 @@
 
 use bergamot_bounded::{BoundedStream, ByteMeter, IntakeBounds, TrickleBound};
 use bergamot_types::prelude::*;
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
@@ -18,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::body::OutgoingBody;
 use crate::clock::BootClock;
 
 /// Timeout for establishing a connection. A lost SYN packet is sent again only after a second, by
@@ -59,7 +58,7 @@
 /// upstream stops working on the request.
 pub struct UpstreamConnection {
     /// Sends requests on the connection.
-    pub sender: http1::SendRequest<Full<Bytes>>,
+    pub sender: http1::SendRequest<OutgoingBody>,
     /// When the connection was established.
     pub opened_at: Millis,
     /// Counts what arrives.
--- a/crates/gateway/src/front/refusal.rs
+++ b/crates/gateway/src/front/refusal.rs
@@ -36,6 +36,9 @@
 /// Return delay if this VM is stopping. Short, as another VM accepts the request.
 pub const RETURN_STOPPING: Millis = Millis(50);
 
+/// Return delay if this VM has no memory left for a request's body. Short, as another VM may have.
+pub const RETURN_MEMORY_FULL: Millis = Millis(100);
+
 /// Whether an answer with this status promises that the request has not run and never will.
 pub fn promises_not_run(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
--- a/crates/gateway/src/front/refusal/tests.rs
+++ b/crates/gateway/src/front/refusal/tests.rs
@@ -26,6 +26,10 @@
         ErrorKind::RequestTimeout,
         "before the first send: reading the body",
     ),
+    lost(
+        ErrorKind::MemoryFull,
+        "before the first send: reading the body",
+    ),
     lost(
         ErrorKind::ClaimUnavailable,
         "never on the serving path: claims of the own interface",
--- a/crates/gateway/src/front/residency/tests.rs
+++ b/crates/gateway/src/front/residency/tests.rs
@@ -122,7 +122,12 @@
         priority: 0,
         homes: LatestHomes::new(admitted_under, None),
     };
-    SentRequest::new(head.into_parts().0, Bytes::from_static(b"17"), call, caller)
+    SentRequest::new(
+        head.into_parts().0,
+        Bytes::from_static(b"17").into(),
+        call,
+        caller,
+    )
 }
 
 /// Sends a request to an upstream in the region `north`. Returns the outcome and what arrived.
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -331,6 +331,11 @@
         front.monitor.borrow_mut().retain(is_listed, now);
         front.quota.borrow_mut().retain(is_listed, now);
         warmup::review(&front);
+        front
+            .bodies
+            .set_share(front.shared.resource_shares().body_bytes);
+        let body_bytes = i64::try_from(front.bodies.held_bytes()).unwrap_or(i64::MAX);
+        front.shared.metrics.set_state("body_bytes", body_bytes);
         update_limited_metric(&front);
         update_backing_off_metric(&front);
         let demands = front.demand.borrow_mut().demands(front.now());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod body;
 pub mod clock;
 pub mod cold;
 pub mod daemon;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -63,6 +63,8 @@
     pub request_panics: IntCounterVec,
     /// Connections from callers, by outcome.
     pub caller_connections: IntCounterVec,
+    /// Request bodies that were given up for want of memory, by reason.
+    pub bodies_given_up: IntCounterVec,
     /// Time from accepting a connection to the first run of its task, in seconds.
     pub accept_delay: HistogramVec,
     /// Time of the callers' thread, in microseconds, by use.
@@ -223,6 +225,11 @@
                 "Connections from callers by outcome",
                 &["outcome"],
             ),
+            bodies_given_up: counter(
+                "bergamot_bodies_given_up_total",
+                "Request bodies given up for want of memory: refused, or stalled while others needed their room",
+                &["reason"],
+            ),
             accept_delay: histogram(
                 "bergamot_accept_delay_seconds",
                 "Time from accepting a connection to the first run of its task, by source",
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -9,6 +9,7 @@
 use bergamot_peer::SuspicionNotice;
 use bergamot_ports::{ServingBounds, VmSite};
 use bergamot_quarantine::{QuarantineRecord, QuarantineState};
+use bergamot_resources::prelude::*;
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
@@ -36,6 +37,8 @@
     pub site: VmSite,
     /// The bounds in force. A reload changes them.
     bounds: ArcSwap<ServingBounds>,
+    /// How the VM's memory and descriptors are divided. A reload changes it.
+    resource_shares: ArcSwap<ResourceShares>,
     /// The clock that all times in this state refer to.
     pub clock: BootClock,
     /// Time in which the callers' thread waits for events.
@@ -109,6 +112,7 @@
     ) -> Arc<Self> {
         Arc::new(Self {
             bounds: ArcSwap::from_pointee(site.bounds),
+            resource_shares: ArcSwap::from_pointee(ResourceShares::of(site.limits)),
             site,
             clock,
             parks: Arc::default(),
@@ -150,17 +154,28 @@
         **self.bounds.load()
     }
 
-    /// Applies what a reload may change, the bounds. Addresses and names change only with a
+    /// Returns what callers may make this VM hold.
+    pub fn resource_shares(&self) -> ResourceShares {
+        **self.resource_shares.load()
+    }
+
+    /// Applies what a reload may change: the bounds, and the limits of the VM. Addresses and names change only with a
     /// restart.
     pub fn reload(&self, site: &VmSite) {
         let current_bounds = self.bounds();
         let fixed_settings = VmSite {
             bounds: self.site.bounds,
+            limits: self.site.limits,
             ..site.clone()
         };
         if fixed_settings != self.site {
             log::warn!("event=reload outcome=needs_restart site={site:?}");
         }
+        let shares = ResourceShares::of(site.limits);
+        if shares != self.resource_shares() {
+            self.resource_shares.store(Arc::new(shares));
+            log::info!("event=reload outcome=changed shares={shares:?}");
+        }
         if current_bounds == site.bounds {
             log::info!("event=reload outcome=unchanged");
             return;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use bergamot_ports::{RegionMap, ServingBounds, VmSite, WarmUpBounds};
+use bergamot_ports::{RegionMap, ServingBounds, VmLimits, VmSite, WarmUpBounds};
 use bergamot_types::prelude::*;
 
 /// How long callers' keys are accepted without a confirmation of the configuration.
@@ -27,6 +27,7 @@
         ready_addr: addr,
         metrics_addr: addr,
         millicores: 250,
+        limits: VmLimits::default(),
         peer_addr: addr,
         forward_addr: None,
         bounds: ServingBounds {
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -44,7 +44,7 @@
 pub use region::{HomeRegions, RegionMap};
 pub use residency::RequestHomes;
 pub use revision::StoreRevision;
-pub use site::{ServingBounds, VmSite, WarmUpBounds};
+pub use site::{ServingBounds, VmLimits, VmSite, WarmUpBounds};
 pub use store::{
     KeyCondition, KeyWrite, StateStore, StoreError, StoreEvent, StoreItem, StoreRange, StoreTxn,
     TxnOutcome, WatchOutcome,
--- a/crates/ports/src/site.rs
+++ b/crates/ports/src/site.rs
@@ -54,6 +54,25 @@
     pub evacuation_time: Option<Millis>,
 }
 
+/// What the platform lets a process take. It ends a process that takes more memory.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct VmLimits {
+    /// Memory in bytes, with the bytes that wait unread in sockets.
+    pub memory_bytes: u64,
+    /// Open descriptors.
+    pub descriptors: usize,
+}
+
+impl Default for VmLimits {
+    /// The limits of the smallest VM.
+    fn default() -> Self {
+        Self {
+            memory_bytes: 160_000_000,
+            descriptors: 4_100,
+        }
+    }
+}
+
 /// Identity, addresses and bounds of this process.
 #[derive(Clone, PartialEq, Debug)]
 pub struct VmSite {
@@ -73,6 +92,8 @@
     pub metrics_addr: SocketAddr,
     /// The CPU limit of this VM in thousandths of a core.
     pub millicores: u32,
+    /// The memory and the descriptors of this VM.
+    pub limits: VmLimits,
     /// The address for datagrams from peers, and for their connections to the update feed.
     pub peer_addr: SocketAddr,
     /// The address for requests that other VMs forward; none if this VM accepts none.
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -27,12 +27,24 @@
     /// Computes the fingerprint of a request; `path` includes the query. Hashes the whole body
     /// once.
     pub fn of(account: Option<&ClientAccount>, path: &str, body: &[u8]) -> Self {
+        Self::of_pieces(account, path, [body])
+    }
+
+    /// Like [`Self::of`], of a body in pieces. The fingerprint does not depend on where they end.
+    pub fn of_pieces<'a, Pieces>(account: Option<&ClientAccount>, path: &str, body: Pieces) -> Self
+    where
+        Pieces: IntoIterator<Item = &'a [u8], IntoIter: Clone>,
+    {
         let account = account.map_or("", ClientAccount::as_str);
         let mut digest = Sha256::new();
-        for part in [account.as_bytes(), path.as_bytes(), body] {
+        for part in [account.as_bytes(), path.as_bytes()] {
             digest.update((part.len() as u64).to_le_bytes());
             digest.update(part);
         }
+        let body = body.into_iter();
+        let body_bytes: usize = body.clone().map(<[u8]>::len).sum();
+        digest.update((body_bytes as u64).to_le_bytes());
+        body.for_each(|piece| digest.update(piece));
         let mut bytes = [0; FINGERPRINT_BYTES];
         bytes.copy_from_slice(&digest.finalize()[..FINGERPRINT_BYTES]);
         Self(bytes)
--- a/crates/types/src/kind.rs
+++ b/crates/types/src/kind.rs
@@ -103,6 +103,8 @@
     RateLimited: "rate_limited", 429, No, 1, "the account's limit is used up";
     /// The queue is full, or its wait would exceed the deadline.
     Overloaded: "overloaded", 503, No, 1, "no capacity before the deadline";
+    /// The memory for request bodies is used up, or the body arrived too slowly while others needed its room.
+    MemoryFull: "memory_full", 503, No, 1, "this entry VM has no memory left for the request body";
     /// No routable replica serves the model or service now.
     NoUpstream: "no_upstream", 503, No, 2, "no replica is ready for this model or service";
     /// Upstreams rejected the request before running it, as often as the retry budget allows.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod prelude;
 pub mod rate;
 pub mod time;
+pub mod units;
 
 pub use hash::{hash_bytes, rendezvous_rank, rendezvous_score};
 pub use id::{
