fix: bodies of rejected requests are dropped as they arrive

A caller without a valid key made a VM of 64 MB take 145 MB with 120 bodies of 1 MiB, and 93 MB with 100 KiB in chunks of a byte.

Cause: the rest of a rejected body, up to 1 MiB, was collected for a second to be dropped at its end.

Each piece is dropped as it arrives. A small body is read before the response, so that its connection can be used again; the rest of a larger one while the response is sent, which says that the connection closes. Small pieces count, as they cost as much time as large ones: 1,024 are read.

--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -6,8 +6,9 @@
 use bergamot_ports::{AccountGrant, CallerCall, Route, ServingConfig};
 use bergamot_routing::longest_delay;
 use bergamot_types::prelude::*;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 
 use super::FrontContext;
 use super::refusal::{CallRefusal, RETURN_STOPPING, refuse_by_config};
@@ -21,6 +22,11 @@
 const REJECTED_BODY_TIMEOUT: Millis = Millis(1_000);
 /// Maximum number of bytes read from a rejected request's body.
 const MAX_REJECTED_BODY_BYTES: usize = 1 << 20;
+/// Maximum number of bytes read from a rejected request's body before the response is sent.
+const MAX_AWAITED_BODY_BYTES: usize = 64 << 10;
+/// Maximum number of pieces read from a rejected request's body, however small they are. A piece
+/// costs as much time as kilobytes in large ones.
+const MAX_REJECTED_BODY_PIECES: usize = 1_024;
 /// Deadline assumed for callers that send none.
 const DEFAULT_DEADLINE: Millis = Millis(3_000);
 /// Maximum time that a request waits for a configuration that this VM is about to read or confirm.
@@ -213,10 +219,53 @@
     None
 }
 
-/// Reads and drops the rest of a rejected request's body. Closing a connection with unread bytes
-/// resets it, and the caller would never see the error response.
-pub async fn discard_body(body: Incoming) {
-    let read = Limited::new(body, MAX_REJECTED_BODY_BYTES).collect();
-    // The request is rejected whether or not its body could be read.
-    let _ = tokio::time::timeout(REJECTED_BODY_TIMEOUT.as_duration(), read).await;
+/// Whether the connection of a rejected request can carry another one.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ConnectionReuse {
+    /// The whole body was read.
+    Reusable,
+    /// Some of the body is left, and the connection closes after the response.
+    Closes,
+}
+
+/// Reads and drops a rejected request's body. Closing a connection with unread bytes resets it, and
+/// the caller would never see the error response. What is left of a large body is read while the
+/// response is sent.
+pub async fn discard_body(mut body: Incoming) -> ConnectionReuse {
+    if body.size_hint().lower() <= MAX_AWAITED_BODY_BYTES as u64 {
+        let reading = drop_pieces(&mut body, MAX_AWAITED_BODY_BYTES);
+        let read = tokio::time::timeout(REJECTED_BODY_TIMEOUT.as_duration(), reading).await;
+        if read == Ok(ConnectionReuse::Reusable) {
+            return ConnectionReuse::Reusable;
+        }
+    }
+    discard_later(body)
+}
+
+/// Reads and drops the rest of a body while its response is sent.
+pub fn discard_later(mut body: Incoming) -> ConnectionReuse {
+    tokio::task::spawn_local(async move {
+        let reading = drop_pieces(&mut body, MAX_REJECTED_BODY_BYTES);
+        // The connection closes whether or not the body could be read.
+        let _ = tokio::time::timeout(REJECTED_BODY_TIMEOUT.as_duration(), reading).await;
+    });
+    ConnectionReuse::Closes
+}
+
+/// Reads and drops pieces of a body until its end, or until the bounds are reached.
+async fn drop_pieces(body: &mut Incoming, max_bytes: usize) -> ConnectionReuse {
+    let mut bytes = 0;
+    for _ in 0..MAX_REJECTED_BODY_PIECES {
+        let Some(frame) = body.frame().await else {
+            return ConnectionReuse::Reusable;
+        };
+        let Ok(frame) = frame else {
+            return ConnectionReuse::Closes;
+        };
+        bytes += frame.data_ref().map_or(0, Bytes::len);
+        if bytes > max_bytes {
+            return ConnectionReuse::Closes;
+        }
+    }
+    ConnectionReuse::Closes
 }
--- a/crates/gateway/src/front/answer.rs
+++ b/crates/gateway/src/front/answer.rs
@@ -8,8 +8,11 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::Response;
 use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::{CONNECTION, HeaderValue};
 use tokio::sync::mpsc;
 
+use super::admit::ConnectionReuse;
+
 /// The answer ended early. Closes the caller's connection, so that the answer does not look
 /// complete.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
@@ -87,6 +90,14 @@
     }
 }
 
+/// Announces that the connection closes after this answer, unless it can be reused.
+pub fn set_reuse(answer: &mut CallerAnswer, reuse: ConnectionReuse) {
+    if reuse == ConnectionReuse::Closes {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+}
+
 /// Returns a body of known bytes.
 pub fn full_body(bytes: Bytes) -> AnswerBody {
     Full::new(bytes)
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -11,8 +11,10 @@
 use hyper::header::EXPECT;
 
 use super::FrontContext;
-use super::admit::{AdmittedCall, admit_confirmed, await_config, discard_body};
-use super::answer::CallerAnswer;
+use super::admit::{
+    AdmittedCall, ConnectionReuse, admit_confirmed, await_config, discard_body, discard_later,
+};
+use super::answer::{CallerAnswer, set_reuse};
 use super::attempt::{AttemptError, OpenReply, SentRequest};
 use super::breaks::{CallerLeftGuard, RunProgress, record_break, record_complete_answer};
 use super::deadline::{DeadlinePassed, with_deadline};
@@ -69,10 +71,13 @@
         Err(refusal) => {
             // A caller that sent `Expect: 100-continue` has not sent its body yet and gets the
             // error response instead of `100 Continue`.
-            if !head.headers.contains_key(EXPECT) {
-                discard_body(body).await;
-            }
-            return log_refusal(&front, &id, None, refusal);
+            let reuse = match head.headers.contains_key(EXPECT) {
+                true => ConnectionReuse::Reusable,
+                false => discard_body(body).await,
+            };
+            let mut answer = log_refusal(&front, &id, None, refusal);
+            set_reuse(&mut answer, reuse);
+            return answer;
         }
     };
     let body_read = read_body(&front.bodies, &mut body, body_limit);
@@ -81,7 +86,9 @@
         Ok(body) => body,
         Err(kind) => {
             let refusal = refuse_body(&front, kind, &state, config);
-            return log_refusal(&front, &id, Some(&state), refusal);
+            let mut answer = log_refusal(&front, &id, Some(&state), refusal);
+            set_reuse(&mut answer, discard_later(body));
+            return answer;
         }
     };
     let request = Rc::new(SentRequest::new(head, body, call, caller));
--- a/crates/gateway/src/front/forward/serve.rs
+++ b/crates/gateway/src/front/forward/serve.rs
@@ -8,8 +8,8 @@
 use hyper::body::Incoming;
 
 use super::super::FrontContext;
-use super::super::admit::{admit, discard_body};
-use super::super::answer::CallerAnswer;
+use super::super::admit::{admit, discard_body, discard_later};
+use super::super::answer::{CallerAnswer, set_reuse};
 use super::super::attempt::SentRequest;
 use super::super::call::{refuse_body, serve};
 use super::super::deadline::with_deadline;
@@ -69,8 +69,10 @@
         (Ok(context), Ok(call)) => (context, call),
         (Err(error), _) => {
             log::warn!("event=forward_not_accepted reason=\"{error}\"");
-            discard_body(body).await;
-            return (refuse(&front, None, ErrorKind::Forbidden.into()), None);
+            let reuse = discard_body(body).await;
+            let mut answer = refuse(&front, None, ErrorKind::Forbidden.into());
+            set_reuse(&mut answer, reuse);
+            return (answer, None);
         }
         (_, Err(kind)) => return (refuse(&front, None, kind.into()), None),
     };
@@ -86,17 +88,21 @@
     let admitted = match admitted {
         Ok(admitted) => admitted,
         Err(refusal) => {
-            discard_body(body).await;
-            return (log_refusal(&front, &id, None, refusal), None);
+            let reuse = discard_body(body).await;
+            let mut answer = log_refusal(&front, &id, None, refusal);
+            set_reuse(&mut answer, reuse);
+            return (answer, None);
         }
     };
     let (limit, caller) = (admitted.body_limit, admitted.caller);
     let mut state = admitted.state;
     apply_context(&mut state, &context, now);
     let Some(place) = front.forwards.enter(caller.priority) else {
-        discard_body(body).await;
+        let reuse = discard_body(body).await;
         let refusal = CallRefusal::retry_in(ErrorKind::UpstreamsUnreachable, RETURN_STOPPING);
-        return (log_refusal(&front, &id, Some(&state), refusal), None);
+        let mut answer = log_refusal(&front, &id, Some(&state), refusal);
+        set_reuse(&mut answer, reuse);
+        return (answer, None);
     };
     log::info!(
         "event=taken_from_peer request={id} vm={} elapsed={} time_left={} runs={}",
@@ -111,7 +117,9 @@
         Ok(body) => body,
         Err(kind) => {
             let refusal = refuse_body(&front, kind, &state, admitted.config);
-            return (log_refusal(&front, &id, Some(&state), refusal), Some(place));
+            let mut answer = log_refusal(&front, &id, Some(&state), refusal);
+            set_reuse(&mut answer, discard_later(body));
+            return (answer, Some(place));
         }
     };
     // The VM that forwards the request has counted it and its model's demand.
