fix: connections stay within the descriptors and the memory of the VM

700 connections without a request took 734 descriptors of a VM that may use 400 for sockets, whether they sent nothing, half a head or a head that waits for 100 Continue.

Cause: nothing bounded the open connections of callers and of entry VMs that forward. Each idle one kept room for the largest answer's state, too.

The listener keeps the tasks of its connections. At the bound, one that waits for a request closes for the new one: those without a request first, the oldest of them first; then one whose body takes over a second; then the one idle for the longest time. A connection whose request is being answered stays; if all are, the new one is closed unread, which lets its caller go elsewhere. The state of a request is allocated with the request.

--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -91,6 +91,7 @@
             return answer;
         }
     };
+    state.trace.record_received();
     let request = Rc::new(SentRequest::new(head, body, call, caller));
     front
         .budget
--- a/crates/gateway/src/front/forward/serve.rs
+++ b/crates/gateway/src/front/forward/serve.rs
@@ -122,6 +122,7 @@
             return (answer, Some(place));
         }
     };
+    state.trace.record_received();
     // The VM that forwards the request has counted it and its model's demand.
     let request = Rc::new(SentRequest::new(head, body, call, caller));
     (serve(front, request, state).await, Some(place))
--- a/crates/gateway/src/front/head_timer.rs
+++ b/crates/gateway/src/front/head_timer.rs
@@ -10,10 +10,13 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bergamot_resources::prelude::*;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::connection_set::ConnectionUse;
+
 /// Time between two checks of a connection on which no head has begun to arrive.
 const IDLE_CHECK_PERIOD: Duration = Duration::from_secs(1);
 
@@ -27,10 +30,12 @@
 enum HeadState {
     /// No byte has arrived.
     Fresh,
-    /// Between two requests.
-    Idle,
+    /// Between two requests since this time.
+    Idle(Instant),
     /// A head has been arriving since this time.
     Arriving(Instant),
+    /// The body of a request has been arriving since this time.
+    Receiving(Instant),
     /// A request is being answered.
     Answering,
 }
@@ -65,18 +70,26 @@
     /// Whether a request was read on this connection. If so, the library closes the connection
     /// only after the answer.
     pub fn has_been_used(&self) -> bool {
-        matches!(self.state.get(), HeadState::Idle | HeadState::Answering)
+        matches!(
+            self.state.get(),
+            HeadState::Idle(_) | HeadState::Receiving(_) | HeadState::Answering
+        )
     }
 
     /// Records that a head has arrived. Until the end of the answer, further bytes do not start the
     /// timer of the next head.
     pub fn record_head(&self) -> HeadGuard {
-        self.state.set(HeadState::Answering);
+        self.state.set(HeadState::Receiving(Instant::now()));
         HeadGuard {
             state: Rc::clone(&self.state),
         }
     }
 
+    /// Records that the body of a request has arrived.
+    pub fn record_received(&self) {
+        self.state.set(HeadState::Answering);
+    }
+
     /// Resolves when a head has taken too long to arrive.
     pub async fn head_overdue(&self) {
         loop {
@@ -85,7 +98,7 @@
                 HeadState::Arriving(since) => {
                     tokio::time::sleep_until(since + self.limit).await;
                 }
-                HeadState::Fresh | HeadState::Idle | HeadState::Answering => {
+                _ => {
                     tokio::time::sleep(self.limit.min(IDLE_CHECK_PERIOD)).await;
                 }
             }
@@ -93,12 +106,28 @@
     }
 
     fn record_bytes(&self) {
-        if matches!(self.state.get(), HeadState::Fresh | HeadState::Idle) {
+        if matches!(self.state.get(), HeadState::Fresh | HeadState::Idle(_)) {
             self.state.set(HeadState::Arriving(Instant::now()));
         }
     }
 }
 
+impl ConnectionUse for HeadTimer {
+    fn standing(&self) -> ConnectionStanding {
+        let (phase, since) = match self.state.get() {
+            HeadState::Fresh => (ConnectionPhase::Unused, self.opened),
+            HeadState::Arriving(since) => (ConnectionPhase::Unused, since),
+            HeadState::Idle(since) => (ConnectionPhase::Idle, since),
+            HeadState::Receiving(since) => (ConnectionPhase::Receiving, since),
+            HeadState::Answering => (ConnectionPhase::Answering, Instant::now()),
+        };
+        ConnectionStanding {
+            phase,
+            age: since.elapsed(),
+        }
+    }
+}
+
 /// Marks the connection as busy from the arrival of a head to the end of its answer.
 pub struct HeadGuard {
     state: Rc<Cell<HeadState>>,
@@ -106,7 +135,7 @@
 
 impl Drop for HeadGuard {
     fn drop(&mut self) {
-        self.state.set(HeadState::Idle);
+        self.state.set(HeadState::Idle(Instant::now()));
     }
 }
 
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -31,6 +31,7 @@
 use super::panics::answer_panicked;
 use super::trace::{RequestTrace, TracedAnswer};
 use super::warmup;
+use crate::connection_set::{ConnectionAdmission, ConnectionSet};
 use crate::listen::{close_listener, next_connection};
 use crate::panics::catch_panic;
 use crate::stop::StopControl;
@@ -91,40 +92,93 @@
     Dialect: CallerDialect + 'static,
 {
     let mut closing = front.stop.closing();
+    let mut connections = ConnectionSet::default();
     loop {
         tokio::select! {
-            stream = next_connection(&listener) => spawn_connection(front, stream, source),
+            stream = next_connection(&listener) => {
+                let admission = admit_connection(front, &mut connections, source);
+                if admission != ConnectionAdmission::Refused {
+                    spawn_connection(front, &mut connections, stream, source);
+                }
+                if admission == ConnectionAdmission::Replaces {
+                    // The connection that gave way closes before another one is accepted.
+                    tokio::task::yield_now().await;
+                }
+            }
             _ = closing.wait_for(|is_closing| *is_closing) => break,
         }
     }
     for stream in close_listener(listener) {
-        spawn_connection(front, stream, source);
+        if admit_connection(front, &mut connections, source) != ConnectionAdmission::Refused {
+            spawn_connection(front, &mut connections, stream, source);
+        }
+    }
+}
+
+/// Decides whether a new connection is served. Otherwise it is closed unread.
+fn admit_connection<Dialect>(
+    front: &FrontContext<Dialect>,
+    connections: &mut ConnectionSet<HeadTimer>,
+    source: RequestSource,
+) -> ConnectionAdmission {
+    if source == RequestSource::Callers && is_turned_away(front) {
+        return ConnectionAdmission::Refused;
     }
+    let shares = front.shared.resource_shares();
+    let most = match source {
+        RequestSource::Callers => shares.caller_connections,
+        RequestSource::Peers => shares.forward_connections,
+    };
+    let admission = connections.admit(most);
+    let outcome = match admission {
+        ConnectionAdmission::Admitted => return admission,
+        ConnectionAdmission::Replaces => "replaced",
+        ConnectionAdmission::Refused => "refused",
+    };
+    log::debug!(
+        "event=connections_full source={} outcome={outcome}",
+        source.as_str()
+    );
+    let given_up = &front.shared.metrics.connections_given_up;
+    given_up
+        .with_label_values(&[source.as_str(), outcome])
+        .inc();
+    admission
 }
 
 /// Spawns the task of a connection. The connection is counted before its task first runs, so that a
 /// shutdown waits for it.
 fn spawn_connection<Dialect>(
     front: &Rc<FrontContext<Dialect>>,
+    connections: &mut ConnectionSet<HeadTimer>,
     stream: TcpStream,
     source: RequestSource,
 ) where
     Dialect: CallerDialect + 'static,
 {
-    if source == RequestSource::Callers && is_turned_away(front) {
-        return;
-    }
     if let Some(guard) = front.stop.accept() {
         let front = Rc::clone(front);
+        let limits = caller_limits(&front);
+        let timer = HeadTimer::new(limits.header_timeout.as_duration());
+        let connection_timer = timer.clone();
         let accepted_at = AcceptedAt::now();
-        tokio::task::spawn_local(async move {
+        let task = tokio::task::spawn_local(async move {
             accepted_at.record_delay(&front, source.as_str());
-            serve_connection(front, stream, source).await;
+            serve_connection(front, stream, source, limits, timer).await;
             drop(guard);
         });
+        connections.insert(task.abort_handle(), connection_timer);
     }
 }
 
+fn caller_limits<Dialect>(front: &FrontContext<Dialect>) -> CallerLimits {
+    let view = front.shared.view.load();
+    let config = view.config.as_ref();
+    config
+        .map(|config| config.caller_limits)
+        .unwrap_or_default()
+}
+
 /// Decides whether a connection of a caller is closed unread, as this thread has no time for its request,
 /// and counts it. Its caller is served by another VM sooner.
 fn is_turned_away<Dialect>(front: &FrontContext<Dialect>) -> bool {
@@ -142,6 +196,8 @@
     front: Rc<FrontContext<Dialect>>,
     stream: TcpStream,
     source: RequestSource,
+    limits: CallerLimits,
+    timer: HeadTimer,
 ) where
     Dialect: CallerDialect + 'static,
 {
@@ -149,21 +205,13 @@
         log::debug!("event=caller_lost reason={error:?}");
         return;
     }
-    let limits = front
-        .shared
-        .view
-        .load()
-        .config
-        .as_ref()
-        .map(|config| config.caller_limits);
-    let limits = limits.unwrap_or_default();
-    let timer = HeadTimer::new(limits.header_timeout.as_duration());
     let service = service_fn(|request: Request<Incoming>| {
         let front = Rc::clone(&front);
         let timer = timer.clone();
-        async move {
+        // Boxed, as an idle connection would keep room for it.
+        Box::pin(async move {
             let head_guard = timer.record_head();
-            let trace = Rc::new(RequestTrace::begin(&front.shared));
+            let trace = Rc::new(RequestTrace::begin(&front.shared, timer));
             let (front_ref, trace_ref) = (Rc::clone(&front), Rc::clone(&trace));
             let (mut response, place) = match source {
                 RequestSource::Callers => {
@@ -180,7 +228,7 @@
             }
             let traced = TracedAnswer::new(trace, head_guard, place);
             Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, traced)))
-        }
+        })
     });
     let stream = TimedStream::new(stream, timer.clone());
     let stream = BoundedStream::new(stream, ByteMeter::new(request_bounds(&limits), None));
--- a/crates/gateway/src/front/trace.rs
+++ b/crates/gateway/src/front/trace.rs
@@ -8,7 +8,7 @@
 
 use super::answer::AnswerGuard;
 use super::forward::ServedPlace;
-use super::head_timer::HeadGuard;
+use super::head_timer::{HeadGuard, HeadTimer};
 use crate::shared::SharedState;
 
 /// Traces one request until its answer was sent. While the process stops, it logs that the request
@@ -21,12 +21,15 @@
     upstream: RefCell<Option<UpstreamIncarnation>>,
     is_forwarded: Cell<bool>,
     is_complete: Cell<bool>,
+    /// The timer of the connection.
+    timer: HeadTimer,
 }
 
 impl RequestTrace {
-    /// Begins a trace when the head of a request has arrived.
-    pub fn begin(shared: &Arc<SharedState>) -> Self {
+    /// Begins a trace when the head of a request has arrived on the connection of `timer`.
+    pub fn begin(shared: &Arc<SharedState>, timer: HeadTimer) -> Self {
         Self {
+            timer,
             shared: Arc::clone(shared),
             arrived: shared.clock.now(),
             id: OnceCell::new(),
@@ -46,6 +49,11 @@
         }
     }
 
+    /// Records that the whole body has arrived.
+    pub fn record_received(&self) {
+        self.timer.record_received();
+    }
+
     /// Records the upstream that the request is about to be sent to.
     pub fn record_upstream(&self, upstream: &UpstreamIncarnation) {
         *self.upstream.borrow_mut() = Some(upstream.clone());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod body;
 pub mod clock;
 pub mod cold;
+pub mod connection_set;
 pub mod daemon;
 mod departures;
 pub mod duty;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -63,6 +63,8 @@
     pub request_panics: IntCounterVec,
     /// Connections from callers, by outcome.
     pub caller_connections: IntCounterVec,
+    /// Connections that were closed for want of descriptors or memory, by source and reason.
+    pub connections_given_up: IntCounterVec,
     /// Request bodies that were given up for want of memory, by reason.
     pub bodies_given_up: IntCounterVec,
     /// Time from accepting a connection to the first run of its task, in seconds.
@@ -225,6 +227,11 @@
                 "Connections from callers by outcome",
                 &["outcome"],
             ),
+            connections_given_up: counter(
+                "bergamot_connections_given_up_total",
+                "Connections closed at the bound on open ones, by source: replaced by a new one, or refused",
+                &["source", "reason"],
+            ),
             bodies_given_up: counter(
                 "bergamot_bodies_given_up_total",
                 "Request bodies given up for want of memory: refused, or stalled while others needed their room",
--- a/crates/gateway/tests/suspended.rs
+++ b/crates/gateway/tests/suspended.rs
@@ -85,7 +85,11 @@
 }
 
 /// The files that may use a clock that pauses while the VM is suspended, and why that is harmless.
-const ALLOWED_FILES: [(&str, &str); 6] = [
+const ALLOWED_FILES: [(&str, &str); 7] = [
+    (
+        "connection_set.rs",
+        "which connection was of use last; a suspension befalls all of them",
+    ),
     (
         "sync/mod.rs",
         "delay until the next request to the store; the age of the data uses the boot clock",
