fix: a peer's question for store updates has at most 1 KiB

120 connections that announced a question of 4 MiB and stopped short of its end made a VM of 64 MB take 399 MB.

Cause: every message between VMs had the bound of the largest one, a bundle.

--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -19,6 +19,8 @@
 pub trait PeerMessage: Serialize + DeserializeOwned {
     /// Version of the message's format.
     const VERSION: u8 = VERSION;
+    /// Largest frame of such a message in bytes.
+    const MAX_BYTES: usize = MAX_FRAME_BYTES;
 }
 
 /// Encoding byte: an uncompressed message follows.
@@ -114,7 +116,7 @@
     Stream: AsyncRead + Unpin,
 {
     let length = stream.read_u32().await? as usize;
-    if length > MAX_FRAME_BYTES {
+    if length > Message::MAX_BYTES {
         return Err(Error::TooLarge(length));
     }
     // The buffer grows with the bytes received, so that a forged length allocates no memory.
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -10,8 +10,12 @@
 /// version 4, and the requester since version 5.
 const FEED_VERSION: u8 = 5;
 
+/// Largest request in bytes. Its fields take less than a hundred.
+const MAX_REQUEST_BYTES: usize = 1 << 10;
+
 impl PeerMessage for UpdateRequest {
     const VERSION: u8 = FEED_VERSION;
+    const MAX_BYTES: usize = MAX_REQUEST_BYTES;
 }
 
 impl PeerMessage for UpdateResponse {
