fix: connections for readiness, metrics and the update feed are bounded

700 idle connections at the port of readiness or of the update feed took 734 descriptors of 400. One idle connection at the port of metrics kept all others waiting.

Cause: these listeners kept every connection for as long as it stayed open, and metrics were served one connection after the other.

At their bound, the connection that has been of no use for the longest time closes for a new one. Metrics are served to 16 connections at once.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
+use crate::connection_set::{ActivityMark, ConnectionSet};
 use crate::duty::{run_required, run_restarted};
 use crate::front::FrontContext;
 use crate::front::ends::{follow_crashes, review_crashes};
@@ -39,6 +40,9 @@
 /// Period at which the settings are read again, as they may change without a signal.
 const RELOAD_PERIOD: Duration = Duration::from_secs(5);
 
+/// Most open connections to the metrics listener.
+const MAX_METRICS_CONNECTIONS: usize = 16;
+
 /// Function that reads the settings.
 pub type SettingsReader = Box<dyn Fn() -> anyhow::Result<VmSite> + Send>;
 
@@ -347,17 +351,23 @@
             return;
         }
     };
+    let mut connections = ConnectionSet::<ActivityMark>::default();
     loop {
         let stream = next_connection(&listener).await;
-        let service = service_fn(|_request| {
-            let metrics_text = shared.metrics.render();
-            async move { Ok::<_, std::convert::Infallible>(Response::new(metrics_text)) }
+        let shared = Arc::clone(&shared);
+        connections.admit(MAX_METRICS_CONNECTIONS);
+        let task = tokio::task::spawn_local(async move {
+            let service = service_fn(|_request| {
+                let metrics_text = shared.metrics.render();
+                async move { Ok::<_, std::convert::Infallible>(Response::new(metrics_text)) }
+            });
+            let connection = http1::Builder::new()
+                .keep_alive(false)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("event=metrics_connection_ended reason={error:?}");
+            }
         });
-        let connection = http1::Builder::new()
-            .keep_alive(false)
-            .serve_connection(TokioIo::new(stream), service);
-        if let Err(error) = connection.await {
-            log::debug!("event=metrics_connection_ended reason={error:?}");
-        }
+        connections.insert(task.abort_handle(), ActivityMark::default());
     }
 }
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -31,13 +31,15 @@
 use super::panics::answer_panicked;
 use super::trace::{RequestTrace, TracedAnswer};
 use super::warmup;
-use crate::connection_set::{ConnectionAdmission, ConnectionSet};
+use crate::connection_set::{ActivityMark, ConnectionAdmission, ConnectionSet};
 use crate::listen::{close_listener, next_connection};
 use crate::panics::catch_panic;
 use crate::stop::StopControl;
 
 /// Time between two cleanups of expired connections and of upstreams that are no longer listed.
 const SWEEP_PERIOD: Duration = Duration::from_secs(2);
+/// Most open connections to the readiness listener.
+const MAX_READY_CONNECTIONS: usize = 16;
 /// The smallest buffer size that the HTTP library accepts for the head of a request.
 const MIN_HEAD_BUFFER_BYTES: usize = 8_192;
 
@@ -301,11 +303,16 @@
 where
     Dialect: 'static,
 {
+    let mut connections = ConnectionSet::<ActivityMark>::default();
     loop {
         let stream = next_connection(&listener).await;
         let front = Rc::clone(&front);
-        tokio::task::spawn_local(async move {
+        connections.admit(MAX_READY_CONNECTIONS);
+        let activity = ActivityMark::default();
+        let connection_activity = activity.clone();
+        let task = tokio::task::spawn_local(async move {
             let service = service_fn(|_request| {
+                activity.touch();
                 let status = match is_ready(&front) {
                     true => StatusCode::OK,
                     false => StatusCode::SERVICE_UNAVAILABLE,
@@ -319,6 +326,7 @@
                 log::debug!("event=ready_connection_ended reason={error:?}");
             }
         });
+        connections.insert(task.abort_handle(), connection_activity);
     }
 }
 
--- a/crates/gateway/src/sync/serve.rs
+++ b/crates/gateway/src/sync/serve.rs
@@ -10,6 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::board::FeedState;
+use crate::connection_set::{ActivityMark, ConnectionSet};
 use crate::listen::next_connection;
 use crate::shared::SharedState;
 
@@ -33,14 +34,20 @@
             return;
         }
     };
+    let mut connections = ConnectionSet::<ActivityMark>::default();
     loop {
         let stream = next_connection(&listener).await;
+        let most = shared.resource_shares().feed_connections;
         let (shared, feed_state) = (Arc::clone(&shared), Rc::clone(&feed_state));
         let presence = Rc::clone(&presence);
-        tokio::task::spawn_local(async move {
-            let reason = serve_peer(&shared, &feed_state, &presence, stream).await;
+        connections.admit(most);
+        let activity = ActivityMark::default();
+        let connection_activity = activity.clone();
+        let task = tokio::task::spawn_local(async move {
+            let reason = serve_peer(&shared, &feed_state, &presence, stream, &activity).await;
             log::debug!("event=news_connection_ended reason={reason:?}");
         });
+        connections.insert(task.abort_handle(), connection_activity);
     }
 }
 
@@ -50,6 +57,7 @@
     feed_state: &RefCell<FeedState>,
     presence: &RefCell<PresenceState>,
     mut stream: TcpStream,
+    activity: &ActivityMark,
 ) -> String {
     if let Err(error) = stream.set_nodelay(true) {
         return error.to_string();
@@ -61,6 +69,7 @@
             Ok(Err(error)) => return error.to_string(),
             Err(_) => return "idle".to_owned(),
         };
+        activity.touch();
         let now = shared.clock.now();
         let requested = PresenceEvent::Requested(request.requester);
         presence.borrow_mut().handle(now, requested);
