fix: answers that nobody reads stay within an eighth of the memory

120 callers that asked for 2 MiB each and read nothing made a VM of 64 MB take 85 MB.

Cause: the bound on what is held of all answers was 32 MiB whatever the VM has, and the beginning of an answer that is passed on did not count any more, although it waited for its caller; neither did the four pieces behind it.

What is held counts until the caller's connection takes it, within an eighth of the VM's memory. One piece waits behind the one being written. Once the share is used up, an answer whose caller takes nothing for a second breaks off, which gives its upstream's slot back, too.

--- a/crates/gateway/src/front/forward/send.rs
+++ b/crates/gateway/src/front/forward/send.rs
@@ -363,7 +363,7 @@
         }
         false => {
             let finish = async move |_end| drop((flight, connection));
-            pass_on(clock, state.deadline, held_body.into_bytes(), body, finish)
+            pass_on(front, state.deadline, held_body.into_bytes(), body, finish)
         }
     };
     let mut answer = CallerAnswer::new(answer_body);
--- a/crates/gateway/src/front/held.rs
+++ b/crates/gateway/src/front/held.rs
@@ -11,31 +11,62 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use super::answer::{AnswerBody, BrokenAnswer};
+use crate::shared::SharedState;
 
 /// Most bytes of an answer that are held. An answer that is held can be replaced by that of another
 /// upstream if it breaks off; larger ones are passed on as they arrive.
 pub const MAX_HELD_BYTES: usize = 256 << 10;
-/// Most bytes that are held for all answers together: an eighth of the memory of a VM.
-pub const MAX_TOTAL_HELD_BYTES: usize = 32 << 20;
 
 /// The body of an upstream's or another VM's answer.
 pub type ReplyBody = BoundedBody<Incoming>;
 
-/// Counts the bytes that are held for all answers.
-#[derive(Clone, Debug, Default)]
+/// Counts the bytes that are held for all answers, until they are passed to their callers' connections.
+#[derive(Clone)]
 pub struct HeldTotal {
     bytes: Arc<AtomicUsize>,
+    shared: Arc<SharedState>,
 }
 
 impl HeldTotal {
+    /// Creates a count of zero.
+    pub fn new(shared: Arc<SharedState>) -> Self {
+        Self {
+            bytes: Arc::default(),
+            shared,
+        }
+    }
+
+    /// Whether more is held than the answers' share of the memory.
+    pub fn is_full(&self) -> bool {
+        self.bytes() > self.shared.resource_shares().answer_bytes
+    }
+
+    /// Returns a piece of an answer, which counts as held until it is dropped.
+    pub fn hold(&self, piece: Bytes) -> Bytes {
+        let mut held = HeldBytes::none(self);
+        held.add(piece.len());
+        Bytes::from_owner(HeldPiece { piece, _held: held })
+    }
+
     /// Returns the number of bytes that are held.
     pub fn bytes(&self) -> usize {
         self.bytes.load(Ordering::Relaxed)
     }
 }
 
+/// A piece of an answer that counts as held.
+struct HeldPiece {
+    piece: Bytes,
+    _held: HeldBytes,
+}
+
+impl AsRef<[u8]> for HeldPiece {
+    fn as_ref(&self) -> &[u8] {
+        &self.piece
+    }
+}
+
 /// The bytes that are held for one answer, until dropped.
-#[derive(Debug)]
 pub struct HeldBytes {
     total: HeldTotal,
     bytes: usize,
@@ -52,8 +83,8 @@
     /// Adds bytes. Returns whether more may be added.
     fn add(&mut self, bytes: usize) -> bool {
         self.bytes += bytes;
-        let total = self.total.bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        self.bytes <= MAX_HELD_BYTES && total <= MAX_TOTAL_HELD_BYTES
+        self.total.bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.bytes <= MAX_HELD_BYTES && !self.total.is_full()
     }
 }
 
@@ -95,9 +126,12 @@
         Ok(held_body)
     }
 
-    /// Returns the held bytes, which count as held no more.
+    /// Returns the held bytes, which count as held until they are dropped.
     pub fn into_bytes(self) -> Bytes {
-        self.bytes.freeze()
+        Bytes::from_owner(HeldPiece {
+            piece: self.bytes.freeze(),
+            _held: self.held,
+        })
     }
 
     /// Returns the body of an answer to a caller, whose bytes count as held until they are sent.
--- a/crates/gateway/src/front/large.rs
+++ b/crates/gateway/src/front/large.rs
@@ -1,6 +1,7 @@
 //! Answers that are too large to be held: passed on as they arrive, as fast as the caller reads.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bergamot_ports::CallerDialect;
 use bergamot_quarantine::BreakCause;
@@ -14,12 +15,13 @@
 use super::attempt::{OpenReply, SentRequest};
 use super::breaks::{CallerLeftGuard, RunProgress, record_break};
 use super::deadline::{DeadlinePassed, with_deadline};
-use super::held::{HeldBody, ReplyBody};
+use super::held::{HeldBody, HeldTotal, ReplyBody};
 use super::state::CallState;
-use crate::clock::BootClock;
 
 /// Number of pieces buffered for a slow caller before back pressure reaches the upstream.
-const PIECE_BUFFER_SIZE: usize = 4;
+const PIECE_BUFFER_SIZE: usize = 1;
+/// Time without a byte taken by its caller after which an answer is given up if others need its memory.
+const UNREAD_TIME: Duration = Duration::from_secs(1);
 
 /// How an answer ended that was passed on as it arrived.
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -30,6 +32,8 @@
     Broken(String),
     /// The caller disconnected.
     CallerLeft,
+    /// The caller read nothing while the memory for answers was used up.
+    CallerStalled,
     /// The request's deadline passed.
     DeadlinePassed,
 }
@@ -41,6 +45,7 @@
             Self::Whole => "ok",
             Self::Broken(_) => "upstream_lost",
             Self::CallerLeft => "caller_left",
+            Self::CallerStalled => "caller_stalled",
             Self::DeadlinePassed => "deadline_exceeded_after_send",
         }
     }
@@ -48,8 +53,8 @@
 
 /// Returns the body of an answer that begins with `beginning` and goes on with what arrives on
 /// `rest`. `finish` records the end.
-pub fn pass_on<Finish, Finishing>(
-    clock: BootClock,
+pub fn pass_on<Dialect, Finish, Finishing>(
+    front: &FrontContext<Dialect>,
     deadline: Millis,
     beginning: Bytes,
     rest: ReplyBody,
@@ -60,8 +65,9 @@
     Finishing: Future<Output = ()> + 'static,
 {
     let (sender, receiver) = mpsc::channel(PIECE_BUFFER_SIZE);
+    let (clock, held) = (front.shared.clock, front.held.clone());
     tokio::task::spawn_local(async move {
-        let passing = relay_pieces(&sender, beginning, rest);
+        let passing = relay_pieces(&sender, &held, beginning, rest);
         let passed = with_deadline(clock, deadline, passing).await;
         let end = match passed {
             Ok(end) => end,
@@ -80,11 +86,12 @@
 
 async fn relay_pieces(
     sender: &mpsc::Sender<AnswerMessage>,
+    held: &HeldTotal,
     beginning: Bytes,
     mut rest: ReplyBody,
 ) -> LargeEnd {
-    if sender.send(AnswerMessage::Chunk(beginning)).await.is_err() {
-        return LargeEnd::CallerLeft;
+    if let Err(end) = send_piece(sender, held, beginning).await {
+        return end;
     }
     loop {
         let frame = tokio::select! {
@@ -97,9 +104,29 @@
             Some(Ok(frame)) => frame.into_data(),
         };
         if let Ok(data) = data
-            && sender.send(AnswerMessage::Chunk(data)).await.is_err()
+            && let Err(end) = send_piece(sender, held, held.hold(data)).await
         {
-            return LargeEnd::CallerLeft;
+            return end;
+        }
+    }
+}
+
+/// Passes a piece to the caller's connection once that has taken the one before. Gives up a caller that takes none
+/// while the memory for answers is used up.
+async fn send_piece(
+    sender: &mpsc::Sender<AnswerMessage>,
+    held: &HeldTotal,
+    piece: Bytes,
+) -> Result<(), LargeEnd> {
+    loop {
+        match tokio::time::timeout(UNREAD_TIME, sender.reserve()).await {
+            Ok(Ok(permit)) => {
+                permit.send(AnswerMessage::Chunk(piece));
+                return Ok(());
+            }
+            Ok(Err(_)) => return Err(LargeEnd::CallerLeft),
+            Err(_) if held.is_full() => return Err(LargeEnd::CallerStalled),
+            Err(_) => {}
         }
     }
 }
@@ -130,7 +157,7 @@
     let is_failure = head.status.is_server_error();
     let id = upstream.incarnation.clone();
     let (front, request) = (Rc::clone(front), Rc::clone(request));
-    let clock = front.shared.clock;
+    let passing_front = Rc::clone(&front);
     let kind = state.route.kind;
     let arrived = state.arrived;
     let finish = async move |end: LargeEnd| {
@@ -179,10 +206,16 @@
                     .borrow_mut()
                     .record_failure(&upstream.incarnation, now);
             }
-            LargeEnd::CallerLeft => drop((connection, guard)),
+            LargeEnd::CallerLeft | LargeEnd::CallerStalled => drop((connection, guard)),
         }
     };
-    let body = pass_on(clock, state.deadline, beginning.into_bytes(), rest, finish);
+    let body = pass_on(
+        &passing_front,
+        state.deadline,
+        beginning.into_bytes(),
+        rest,
+        finish,
+    );
     let mut answer = CallerAnswer::new(body);
     *answer.status_mut() = head.status;
     *answer.headers_mut() = headers;
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -170,7 +170,7 @@
             pool: Rc::new(ConnectionPool::new(shared.clock, endless.clone())),
             forwards: ForwardFront::new(shared.clock, endless),
             bodies: Arc::new(bodies),
-            held: HeldTotal::default(),
+            held: HeldTotal::new(Arc::clone(&shared)),
             dialect,
             monitor: Rc::new(RefCell::new(UpstreamMonitor::new(descriptor))),
             partition_suspected: Notify::new(),
