fix: the product's own interface bounds bodies and connections

120 connections with bodies of 1 MiB short of their end took 146 MB of 64 MB at /v1, 100 KiB in chunks of a byte 105 MB, and 600 idle connections with 400 descriptors kept every ordinary caller waiting (the test found none served in 150 s) while a core turned.

Cause: nothing read how much memory and how many descriptors there are; bodies were collected as on the platform; the accept loop went round at once when no descriptor was left, for callers, peers and operators.

tuning.memory_mb (512) and tuning.max_connections (4,096) are checked settings; bodies come through the same room, callers' connections and operators' through the same sets, and a failed accept waits. A head has at most 32 KiB, as the library read 400 KiB ahead of each body. The rest of a refused body is dropped while the refusal is sent.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -10,9 +10,13 @@
 use arc_swap::ArcSwap;
 use bergamot_claims::{ClaimOptions, ClaimState};
 use bergamot_engine::EngineClient;
+use bergamot_gateway::body::BodyRoom;
 use bergamot_gateway::duty::{DutyEnd, DutyWatch};
+use bergamot_ports::VmLimits;
+use bergamot_resources::prelude::*;
 use bergamot_roster::{Member, RosterOptions};
 use bergamot_types::prelude::*;
+use nix::sys::resource::{Resource, getrlimit};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
@@ -25,7 +29,7 @@
 use crate::ring::ring;
 use crate::route_view::RouteView;
 use crate::routing_state::RoutingState;
-use crate::settings::EntrySettings;
+use crate::settings::{EntrySettings, TuningSettings};
 use crate::tls::TlsReloader;
 
 /// Capacity of the ring to the control duty, in items.
@@ -193,7 +197,14 @@
             .thread_name("duty-callers")
             .enable_all()
             .build()?;
+        let shares = resource_shares(tuning);
+        let bodies = BodyRoom::new(
+            self.shared.clock,
+            shares.body_bytes,
+            self.shared.metrics.bodies_given_up.clone(),
+        );
         let context = Arc::new(FrontContext {
+            bodies: Arc::new(bodies),
             client: EngineClient::new(tuning.connect_timeout.as_duration()),
             shared: Arc::clone(&self.shared),
         });
@@ -213,7 +224,8 @@
                     }
                     let serving = async {
                         if let Ok(listener) = listen(listener) {
-                            front::serve(context, listener, tls, stop).await;
+                            let most = shares.caller_connections;
+                            front::serve(context, listener, tls, stop, most).await;
                         }
                     };
                     shared.watch("callers", serving).await;
@@ -337,6 +349,22 @@
     }
 }
 
+/// Divides the memory and the descriptors of this process.
+fn resource_shares(tuning: &TuningSettings) -> ResourceShares {
+    let descriptors = getrlimit(Resource::RLIMIT_NOFILE);
+    let descriptors = descriptors.map_or(VmLimits::default().descriptors, |(soft, _)| {
+        usize::try_from(soft).unwrap_or(usize::MAX)
+    });
+    let shares = ResourceShares::of(VmLimits {
+        memory_bytes: tuning.memory_bytes,
+        descriptors,
+    });
+    ResourceShares {
+        caller_connections: shares.caller_connections.min(tuning.max_connections),
+        ..shares
+    }
+}
+
 fn listen(listener: std::net::TcpListener) -> std::io::Result<TcpListener> {
     listener.set_nonblocking(true)?;
     TcpListener::from_std(listener)
--- a/crates/entry/src/duty/admin.rs
+++ b/crates/entry/src/duty/admin.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bergamot_gateway::connection_set::{ActivityMark, ConnectionSet};
+use bergamot_gateway::listen::next_connection;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -19,14 +21,17 @@
 /// Limit on the wait for another duty's part of the dump.
 const DUMP_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Most open connections of operators.
+const MAX_ADMIN_CONNECTIONS: usize = 32;
+
 /// Serves requests until the task is dropped.
 pub async fn run(shared: Arc<SharedState>, listener: TcpListener) {
+    let mut connections = ConnectionSet::<ActivityMark>::default();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let stream = next_connection(&listener).await;
+        connections.admit(MAX_ADMIN_CONNECTIONS);
         let shared = Arc::clone(&shared);
-        tokio::spawn(async move {
+        let task = tokio::spawn(async move {
             let service = service_fn(move |request| {
                 let shared = Arc::clone(&shared);
                 async move { respond(&shared, &request).await }
@@ -36,6 +41,7 @@
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
         });
+        connections.insert(task.abort_handle(), ActivityMark::default());
     }
 }
 
--- a/crates/entry/src/duty/peer.rs
+++ b/crates/entry/src/duty/peer.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bergamot_gateway::listen::next_connection;
 use bergamot_peer::{
     Answer, Datagram, MAX_DATAGRAM_BYTES, Question, decode, encode, read_frame, write_frame,
 };
@@ -158,14 +159,12 @@
 
 async fn accept_loop(shared: Arc<SharedState>, listener: TcpListener) {
     loop {
-        let Ok((stream, from)) = listener.accept().await else {
-            continue;
-        };
+        let stream = next_connection(&listener).await;
         let _ = stream.set_nodelay(true);
         let shared = Arc::clone(&shared);
         tokio::spawn(async move {
             if let Err(error) = serve_connection(&shared, stream).await {
-                log::trace!("event=peer_connection_ended from={from} reason={error:?}");
+                log::trace!("event=peer_connection_ended reason={error:?}");
             }
         });
     }
--- a/crates/entry/src/front/answer.rs
+++ b/crates/entry/src/front/answer.rs
@@ -74,7 +74,7 @@
     // The rest of the request body was not read, so the connection cannot be reused. Announces the close to the caller.
     if matches!(
         refusal.kind,
-        ErrorKind::TooLarge | ErrorKind::RequestTimeout
+        ErrorKind::TooLarge | ErrorKind::RequestTimeout | ErrorKind::MemoryFull
     ) {
         set_connection_close(&mut response);
     }
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod breaks;
 mod call;
+mod caller_activity;
 mod claimed;
 mod model;
 mod probe;
@@ -15,6 +16,7 @@
 use std::sync::Arc;
 
 use bergamot_engine::EngineClient;
+use bergamot_gateway::body::BodyRoom;
 
 use crate::duty::SharedState;
 
@@ -24,6 +26,8 @@
 pub struct FrontContext {
     /// The state shared by the daemon's duties.
     pub shared: Arc<SharedState>,
+    /// Bodies of requests.
+    pub bodies: Arc<BodyRoom>,
     /// The HTTP client for upstreams.
     pub client: EngineClient,
 }
--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -98,7 +98,10 @@
     let id = request.id.clone();
     let key = request.idempotency_key.clone();
     let is_stream = completion.stream;
+    // Accounts for the body that is sent to replicas, which is about as large.
+    let received_body = request.body.clone();
     tokio::spawn(async move {
+        let _received_body = received_body;
         let mut sink = ChunkSink {
             chunk_sender,
             must_finish: claim_guard.is_some(),
--- a/crates/entry/src/front/request.rs
+++ b/crates/entry/src/front/request.rs
@@ -6,10 +6,10 @@
 use bergamot_bundle::roll::ActiveBundle;
 use bergamot_bundle::{AccountSpec, BundleDigest};
 use bergamot_engine::headers::{DEADLINE, IDEMPOTENCY_KEY, REQUEST_ID, RUN};
+use bergamot_gateway::body::{discard_rest, read_body};
 use bergamot_quarantine::RequestPrint;
 use bergamot_types::prelude::*;
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HeaderMap};
 use hyper::{Method, Request};
@@ -85,7 +85,7 @@
     let shared = &context.shared;
     let tuning = &shared.settings.tuning;
     let arrived_at = shared.clock.now();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let deadline = arrived_at + parse_deadline(&head.headers, tuning)?;
     let idempotency_key = match head.headers.get(IDEMPOTENCY_KEY) {
         None => None,
@@ -102,15 +102,15 @@
         Some("at-most-once") => true,
         Some(_) => return Err(ErrorKind::BadRequest),
     };
-    let collected = Limited::new(body, tuning.max_body_bytes).collect();
-    let body = tokio::time::timeout(tuning.body_timeout.as_duration(), collected)
-        .await
-        .map_err(|_| ErrorKind::RequestTimeout)?
-        .map_err(|error| match error.is::<LengthLimitError>() {
-            true => ErrorKind::TooLarge,
-            false => ErrorKind::BadRequest,
-        })?
-        .to_bytes();
+    let reading = read_body(&context.bodies, &mut body, tuning.max_body_bytes);
+    let read = tokio::time::timeout(tuning.body_timeout.as_duration(), reading).await;
+    let body = match read.unwrap_or(Err(ErrorKind::RequestTimeout)) {
+        Ok(body) => body.into_contiguous(),
+        Err(kind) => {
+            tokio::spawn(discard_rest(body));
+            return Err(kind);
+        }
+    };
     Ok(CallerRequest {
         id,
         method: head.method,
--- a/crates/entry/src/front/server.rs
+++ b/crates/entry/src/front/server.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bergamot_gateway::connection_set::{ConnectionAdmission, ConnectionSet};
+use bergamot_gateway::listen::{close_listener, next_connection};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -20,6 +22,7 @@
 use super::answer::{
     CallerResponse, Refusal, error_response, full_response, set_connection_close, set_request_id,
 };
+use super::caller_activity::{ActivityGuard, CallerActivity};
 use super::request::{authenticate, bundle, read, request_id};
 use super::{FrontContext, model, service};
 use crate::tls::TlsReloader;
@@ -27,6 +30,8 @@
 
 /// Timeout for a caller to send the head of a request, and for the TLS handshake.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest head of a request in bytes, and how far the library reads ahead of a body.
+const READ_BUFFER_BYTES: usize = 32 << 10;
 /// Maximum number of concurrent streams on one HTTP/2 connection.
 const MAX_STREAMS: u32 = 1_024;
 /// How long a shutdown waits for the first request of an open connection. A caller that has just connected sends its
@@ -40,30 +45,39 @@
     listener: TcpListener,
     tls: Option<Arc<TlsReloader>>,
     mut stop: watch::Receiver<bool>,
+    most_connections: usize,
 ) {
     let closing = watch::Sender::new(false);
-    let accept_stream = |stream: TcpStream| {
+    let mut connections = ConnectionSet::default();
+    let given_up = &context.shared.metrics.connections_given_up;
+    let mut accept_stream = |stream: TcpStream| {
+        match connections.admit(most_connections) {
+            ConnectionAdmission::Admitted => {}
+            ConnectionAdmission::Replaces => given_up.with_label_values(&["replaced"]).inc(),
+            ConnectionAdmission::Refused => {
+                given_up.with_label_values(&["refused"]).inc();
+                return;
+            }
+        }
         let _ = stream.set_nodelay(true);
+        let activity = Arc::default();
         let connection = CallerConnection {
             context: Arc::clone(&context),
             closing: closing.subscribe(),
+            activity: Arc::clone(&activity),
         };
         let acceptor = tls.as_ref().map(|keeper| keeper.acceptor());
-        tokio::spawn(connection.run(stream, acceptor));
+        let task = tokio::spawn(connection.run(stream, acceptor));
+        connections.insert(task.abort_handle(), activity);
     };
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = next_connection(&listener) => stream,
             _ = stop.wait_for(|stopping| *stopping) => break,
         };
-        let Ok((stream, _)) = accepted else {
-            continue;
-        };
         accept_stream(stream);
     }
-    bergamot_gateway::listen::close_listener(listener)
-        .into_iter()
-        .for_each(accept_stream);
+    close_listener(listener).into_iter().for_each(accept_stream);
     // A connection that is still in its TLS handshake finds the flag set when it starts to serve.
     closing.send_replace(true);
     closing.closed().await;
@@ -73,6 +87,7 @@
 struct CallerConnection {
     context: Arc<FrontContext>,
     closing: watch::Receiver<bool>,
+    activity: Arc<CallerActivity>,
 }
 
 impl CallerConnection {
@@ -94,6 +109,7 @@
         let mut builder = Builder::new(TokioExecutor::new());
         builder
             .http1()
+            .max_buf_size(READ_BUFFER_BYTES)
             .timer(TokioTimer::new())
             .header_read_timeout(HEADER_TIMEOUT);
         builder
@@ -104,7 +120,11 @@
         let service = service_fn(|request| {
             first_request.notify_one();
             let context = Arc::clone(&self.context);
-            async move { Ok::<_, Infallible>(handle_request(context, request).await) }
+            let activity = ActivityGuard::begin(&self.activity);
+            // Boxed, as an idle connection would keep room for it.
+            Box::pin(async move {
+                Ok::<_, Infallible>(handle_request(context, request, activity).await)
+            })
         });
         let mut connection = pin!(builder.serve_connection(io, service));
         let shutdown_requested = async {
@@ -126,10 +146,14 @@
     }
 }
 
-async fn handle_request(context: Arc<FrontContext>, request: Request<Incoming>) -> CallerResponse {
+async fn handle_request(
+    context: Arc<FrontContext>,
+    request: Request<Incoming>,
+    activity: ActivityGuard,
+) -> CallerResponse {
     let id = request_id(request.headers());
     let is_http2 = request.version() == Version::HTTP_2;
-    let in_flight = InFlight::new(&context);
+    let in_flight = InFlight::new(&context, activity);
     let outcome = route_request(&context, request, id.clone(), in_flight).await;
     let mut response = outcome.unwrap_or_else(|refusal| error_response(refusal, &id));
     // Idle connections are closed soon, and HTTP/1 cannot tell the caller whether a request sent during the close was
@@ -144,7 +168,7 @@
     context: &Arc<FrontContext>,
     request: Request<Incoming>,
     id: RequestId,
-    in_flight: InFlight,
+    mut in_flight: InFlight,
 ) -> Result<CallerResponse, Refusal> {
     let path = request.uri().path().to_owned();
     let is_model_list = path == "/v1/models";
@@ -173,6 +197,7 @@
         return Ok(response);
     }
     let request = read(context, request, id).await?;
+    in_flight.activity.record_received();
     match is_model {
         true => model::handle(context, request, &active, &account, is_chat, in_flight).await,
         false => service::handle(context, request, &active, &account, in_flight).await,
@@ -207,13 +232,15 @@
 /// Counts one request as in flight until it is dropped.
 pub struct InFlight {
     context: Arc<FrontContext>,
+    activity: ActivityGuard,
 }
 
 impl InFlight {
-    fn new(context: &Arc<FrontContext>) -> Self {
+    fn new(context: &Arc<FrontContext>, activity: ActivityGuard) -> Self {
         context.shared.in_flight.fetch_add(1, Ordering::SeqCst);
         Self {
             context: Arc::clone(context),
+            activity,
         }
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -34,6 +34,10 @@
     pub peer_bytes: IntCounterVec,
     /// Datagrams and frames that were dropped, by reason.
     pub dropped: IntCounterVec,
+    /// Request bodies given up for want of memory, by reason.
+    pub bodies_given_up: IntCounterVec,
+    /// Callers' connections closed at the bound on open ones, by reason.
+    pub connections_given_up: IntCounterVec,
     /// Gauges of the VM's state by name, such as the roll number, roster epoch and group count.
     pub state: IntGaugeVec,
     /// Violated invariants by name. Any value above zero is a defect.
@@ -111,6 +115,16 @@
                 "Bytes between entry VMs",
                 &["direction"],
             ),
+            bodies_given_up: counter(
+                "bergamot_bodies_given_up_total",
+                "Request bodies given up for want of memory: refused, or stalled while others needed their room",
+                &["reason"],
+            ),
+            connections_given_up: counter(
+                "bergamot_connections_given_up_total",
+                "Callers' connections closed at the bound on open ones: replaced by a new one, or refused",
+                &["reason"],
+            ),
             dropped: counter(
                 "bergamot_dropped_total",
                 "Messages dropped by reason",
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,7 +7,12 @@
 use bergamot_placement::PlacementOptions;
 use bergamot_routing::BalanceOptions;
 use bergamot_types::prelude::*;
+use bergamot_types::units::Megabytes;
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+
+/// The largest body takes at most this part of the memory.
+const MEMORY_PER_BODY: u64 = 8;
 
 /// All settings of the daemon.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -56,11 +61,18 @@
 }
 
 /// Timeouts, intervals and limits. Times are in milliseconds.
+#[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct TuningSettings {
     /// Number of worker threads that serve callers.
     pub caller_threads: usize,
+    /// Memory that this process may take, in megabytes. Request bodies get a quarter of it.
+    #[serde(rename = "memory_mb")]
+    #[serde_as(as = "Megabytes")]
+    pub memory_bytes: u64,
+    /// Maximum number of callers' connections. Memory and the limit on open descriptors may allow fewer.
+    pub max_connections: usize,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: usize,
     /// Timeout for receiving a request body.
@@ -121,6 +133,8 @@
     fn default() -> Self {
         Self {
             caller_threads: 1,
+            memory_bytes: 512_000_000,
+            max_connections: 4_096,
             max_body_bytes: 1 << 20,
             body_timeout: Millis(10_000),
             default_deadline: Millis(60_000),
@@ -172,7 +186,7 @@
     /// Returns the first invalid field and the reason, if any.
     pub fn problem(&self) -> Option<(&'static str, String)> {
         let tuning = &self.tuning;
-        let rules: [(bool, &'static str, &str); 10] = [
+        let rules: [(bool, &'static str, &str); 12] = [
             (self.entry.as_str().is_empty(), "entry", "must not be empty"),
             (
                 self.failure_domain.as_str().is_empty(),
@@ -200,6 +214,16 @@
                 "tuning.caller_threads",
                 "must be at least 1",
             ),
+            (
+                tuning.max_connections == 0,
+                "tuning.max_connections",
+                "must be at least 1",
+            ),
+            (
+                tuning.max_body_bytes as u64 > tuning.memory_bytes / MEMORY_PER_BODY,
+                "tuning.max_body_bytes",
+                "must not exceed an eighth of memory_mb, or the largest body is never accepted",
+            ),
             (
                 tuning.default_deadline > tuning.max_deadline,
                 "tuning.default_deadline",
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -53,6 +53,21 @@
             change: |value| value["tuning"]["probe_period"] = 60_000.into(),
             expected_error: "tuning.probe_period",
         },
+        InvalidCase {
+            name: "no memory",
+            change: |value| value["tuning"]["memory_mb"] = 0.into(),
+            expected_error: "must be a positive number of megabytes",
+        },
+        InvalidCase {
+            name: "no connections",
+            change: |value| value["tuning"]["max_connections"] = 0.into(),
+            expected_error: "tuning.max_connections",
+        },
+        InvalidCase {
+            name: "bodies that are never accepted",
+            change: |value| value["tuning"]["memory_mb"] = 7.into(),
+            expected_error: "tuning.max_body_bytes",
+        },
         InvalidCase {
             name: "drain shorter than the age limit of evidence",
             change: |value| value["placement"]["min_drain"] = 10.into(),
--- a/crates/gateway/src/connection_set.rs
+++ b/crates/gateway/src/connection_set.rs
@@ -16,6 +16,15 @@
     fn standing(&self) -> ConnectionStanding;
 }
 
+impl<Use> ConnectionUse for Arc<Use>
+where
+    Use: ConnectionUse,
+{
+    fn standing(&self) -> ConnectionStanding {
+        (**self).standing()
+    }
+}
+
 /// When a connection was last of use. It may give way at any time.
 #[derive(Clone, Debug)]
 pub struct ActivityMark(Arc<Mutex<Instant>>);
--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -6,8 +6,6 @@
 use bergamot_ports::{AccountGrant, CallerCall, Route, ServingConfig};
 use bergamot_routing::longest_delay;
 use bergamot_types::prelude::*;
-use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
 use super::FrontContext;
@@ -15,18 +13,11 @@
 use super::residency::{LatestHomes, check_admission};
 use super::state::CallState;
 use super::trace::RequestTrace;
+use crate::body::{DiscardEnd, REJECTED_BODY_TIMEOUT, discard_rest, drop_pieces};
 use crate::view::ConfigStanding;
 
-/// How long to read the rest of a rejected request's body. Long enough for callers that send the
-/// body in pieces to finish it.
-const REJECTED_BODY_TIMEOUT: Millis = Millis(1_000);
-/// Maximum number of bytes read from a rejected request's body.
-const MAX_REJECTED_BODY_BYTES: usize = 1 << 20;
 /// Maximum number of bytes read from a rejected request's body before the response is sent.
 const MAX_AWAITED_BODY_BYTES: usize = 64 << 10;
-/// Maximum number of pieces read from a rejected request's body, however small they are. A piece
-/// costs as much time as kilobytes in large ones.
-const MAX_REJECTED_BODY_PIECES: usize = 1_024;
 /// Deadline assumed for callers that send none.
 const DEFAULT_DEADLINE: Millis = Millis(3_000);
 /// Maximum time that a request waits for a configuration that this VM is about to read or confirm.
@@ -234,8 +225,8 @@
 pub async fn discard_body(mut body: Incoming) -> ConnectionReuse {
     if body.size_hint().lower() <= MAX_AWAITED_BODY_BYTES as u64 {
         let reading = drop_pieces(&mut body, MAX_AWAITED_BODY_BYTES);
-        let read = tokio::time::timeout(REJECTED_BODY_TIMEOUT.as_duration(), reading).await;
-        if read == Ok(ConnectionReuse::Reusable) {
+        let read = tokio::time::timeout(REJECTED_BODY_TIMEOUT, reading).await;
+        if read == Ok(DiscardEnd::Whole) {
             return ConnectionReuse::Reusable;
         }
     }
@@ -243,29 +234,7 @@
 }
 
 /// Reads and drops the rest of a body while its response is sent.
-pub fn discard_later(mut body: Incoming) -> ConnectionReuse {
-    tokio::task::spawn_local(async move {
-        let reading = drop_pieces(&mut body, MAX_REJECTED_BODY_BYTES);
-        // The connection closes whether or not the body could be read.
-        let _ = tokio::time::timeout(REJECTED_BODY_TIMEOUT.as_duration(), reading).await;
-    });
-    ConnectionReuse::Closes
-}
-
-/// Reads and drops pieces of a body until its end, or until the bounds are reached.
-async fn drop_pieces(body: &mut Incoming, max_bytes: usize) -> ConnectionReuse {
-    let mut bytes = 0;
-    for _ in 0..MAX_REJECTED_BODY_PIECES {
-        let Some(frame) = body.frame().await else {
-            return ConnectionReuse::Reusable;
-        };
-        let Ok(frame) = frame else {
-            return ConnectionReuse::Closes;
-        };
-        bytes += frame.data_ref().map_or(0, Bytes::len);
-        if bytes > max_bytes {
-            return ConnectionReuse::Closes;
-        }
-    }
+pub fn discard_later(body: Incoming) -> ConnectionReuse {
+    tokio::task::spawn_local(discard_rest(body));
     ConnectionReuse::Closes
 }
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -11,7 +11,7 @@
 const MAX_FINAL_ACCEPTS: usize = 8_192;
 
 /// Returns the next connection. Logs a failed accept and tries again.
-pub(crate) async fn next_connection(listener: &TcpListener) -> TcpStream {
+pub async fn next_connection(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => return stream,
--- a/crates/local/src/bin/bergamot-local.rs
+++ b/crates/local/src/bin/bergamot-local.rs
@@ -47,6 +47,12 @@
         "N",
     );
     options.optopt("", "size", "VMs in each replica (default 2)", "N");
+    options.optopt(
+        "",
+        "memory-mb",
+        "memory of each entry VM (default 512)",
+        "MB",
+    );
     options.optflag("h", "help", "print this help");
     options
 }
@@ -56,6 +62,7 @@
         true => LocalOptions::smallest(),
         false => LocalOptions::default(),
     };
+    let memory_mb: Option<u64> = matches.opt_get("memory-mb")?;
     Ok(LocalOptions {
         failure_domains: matches
             .opt_get("failure-domains")?
@@ -68,6 +75,7 @@
             .unwrap_or(base.engines_per_domain),
         replicas: matches.opt_get("replicas")?.unwrap_or(base.replicas),
         vms_per_replica: matches.opt_get("size")?.unwrap_or(base.vms_per_replica),
+        memory_bytes: memory_mb.map(|megabytes| megabytes * 1_000_000),
         ..base
     })
 }
--- a/crates/local/src/fleet.rs
+++ b/crates/local/src/fleet.rs
@@ -143,7 +143,7 @@
         };
         for index in 0..options.failure_domains * options.entries_per_domain {
             let domain = index / options.entries_per_domain;
-            fleet.add_entry(domain, index, options.tune)?;
+            fleet.add_entry(domain, index, options)?;
         }
         Ok(fleet)
     }
@@ -152,7 +152,7 @@
         &mut self,
         domain: usize,
         index: usize,
-        tune: fn(&mut EntrySettings),
+        options: &LocalOptions,
     ) -> anyhow::Result<()> {
         let mut settings = EntrySettings {
             entry: EntryId::from(format!("entry-{}", index + 1)),
@@ -169,7 +169,10 @@
             },
             ..EntrySettings::sample()
         };
-        tune(&mut settings);
+        if let Some(memory_bytes) = options.memory_bytes {
+            settings.tuning.memory_bytes = memory_bytes;
+        }
+        (options.tune)(&mut settings);
         if let Some((field, reason)) = settings.problem() {
             bail!("{field}: {reason}");
         }
--- a/crates/local/src/options.rs
+++ b/crates/local/src/options.rs
@@ -28,6 +28,8 @@
     pub list_lag: Duration,
     /// Whether engines ignore fencing numbers.
     pub ignore_fencing: bool,
+    /// Memory of each entry VM in bytes; its default if none.
+    pub memory_bytes: Option<u64>,
     /// Changes the settings of each entry VM before it starts.
     pub tune: fn(&mut EntrySettings),
 }
@@ -45,6 +47,7 @@
             weights: WeightOptions::default(),
             list_lag: Duration::from_millis(500),
             ignore_fencing: false,
+            memory_bytes: None,
             tune: |_| {},
         }
     }
