fix: an answer that nobody reads holds a buffer's worth of bytes on its way

Cause: each such answer kept a piece that was read although there was no place for it, a read buffer of 64 KiB, and whatever the kernel let wait unread in the upstream's socket, hundreds of kilobytes.

A piece is read once the caller's connection has a place for it. The read buffer and the receive buffer of an upstream's socket have 32 KiB, those of a caller's socket 64 KiB.

--- a/crates/gateway/src/front/large.rs
+++ b/crates/gateway/src/front/large.rs
@@ -90,10 +90,16 @@
     beginning: Bytes,
     mut rest: ReplyBody,
 ) -> LargeEnd {
-    if let Err(end) = send_piece(sender, held, beginning).await {
-        return end;
+    match reserve_place(sender, held).await {
+        Ok(place) => place.send(AnswerMessage::Chunk(beginning)),
+        Err(end) => return end,
     }
     loop {
+        // The next piece is read once there is a place for it.
+        let place = match reserve_place(sender, held).await {
+            Ok(place) => place,
+            Err(end) => return end,
+        };
         let frame = tokio::select! {
             frame = rest.frame() => frame,
             () = sender.closed() => return LargeEnd::CallerLeft,
@@ -103,27 +109,21 @@
             Some(Err(error)) => return LargeEnd::Broken(error.to_string()),
             Some(Ok(frame)) => frame.into_data(),
         };
-        if let Ok(data) = data
-            && let Err(end) = send_piece(sender, held, held.hold(data)).await
-        {
-            return end;
+        if let Ok(data) = data {
+            place.send(AnswerMessage::Chunk(held.hold(data)));
         }
     }
 }
 
-/// Passes a piece to the caller's connection once that has taken the one before. Gives up a caller that takes none
-/// while the memory for answers is used up.
-async fn send_piece(
-    sender: &mpsc::Sender<AnswerMessage>,
+/// Waits until the caller's connection takes another piece. Gives up a caller that takes none while the memory for
+/// answers is used up.
+async fn reserve_place<'a>(
+    sender: &'a mpsc::Sender<AnswerMessage>,
     held: &HeldTotal,
-    piece: Bytes,
-) -> Result<(), LargeEnd> {
+) -> Result<mpsc::Permit<'a, AnswerMessage>, LargeEnd> {
     loop {
         match tokio::time::timeout(UNREAD_TIME, sender.reserve()).await {
-            Ok(Ok(permit)) => {
-                permit.send(AnswerMessage::Chunk(piece));
-                return Ok(());
-            }
+            Ok(Ok(place)) => return Ok(place),
             Ok(Err(_)) => return Err(LargeEnd::CallerLeft),
             Err(_) if held.is_full() => return Err(LargeEnd::CallerStalled),
             Err(_) => {}
--- a/crates/gateway/src/front/pool.rs
+++ b/crates/gateway/src/front/pool.rs
@@ -13,7 +13,7 @@
 use indexmap::IndexMap;
 use prometheus::IntCounter;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
 
 use crate::body::OutgoingBody;
@@ -32,11 +32,14 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(800);
 
 /// Largest head of an answer in bytes, and how far the library reads ahead of a body.
-const READ_BUFFER_BYTES: usize = 64 << 10;
+const READ_BUFFER_BYTES: usize = 32 << 10;
+/// Size of a socket's receive buffer, of which the kernel makes twice as much. What waits there while a caller does
+/// not read its answer counts as memory.
+const SOCKET_BUFFER_BYTES: u32 = 32 << 10;
 /// What may arrive on a connection without a head or a piece of a body. Beyond it the bytes are no
 /// answer, and the connection is closed.
 const INTAKE_BOUNDS: IntakeBounds = IntakeBounds {
-    max_bytes: 4 * READ_BUFFER_BYTES as u64,
+    max_bytes: 256 << 10,
     trickle: Some(TrickleBound {
         max_pieces: 64,
         small_bytes: 16 << 10,
@@ -202,13 +205,21 @@
     keep_alive: Option<Duration>,
     meter: ByteMeter,
 ) -> Result<UpstreamConnection, ConnectError> {
-    let stream = TcpStream::connect(addr).await.map_err(|error| {
+    let to_failed = |error: std::io::Error| ConnectError::Failed(error.to_string());
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    };
+    let socket = socket.map_err(to_failed)?;
+    if let Err(error) = socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES) {
+        log::debug!("event=socket_buffer_not_set addr={addr} reason={error:?}");
+    }
+    let stream = socket.connect(addr).await.map_err(|error| {
         match error.kind() == std::io::ErrorKind::ConnectionRefused {
             true => ConnectError::Refused(error),
             false => ConnectError::Failed(error.to_string()),
         }
     })?;
-    let to_failed = |error: std::io::Error| ConnectError::Failed(error.to_string());
     stream.set_nodelay(true).map_err(to_failed)?;
     let socket = SockRef::from(&stream);
     socket
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -18,6 +18,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use indexmap::IndexMap;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::FrontContext;
@@ -40,6 +41,9 @@
 const SWEEP_PERIOD: Duration = Duration::from_secs(2);
 /// Most open connections to the readiness listener.
 const MAX_READY_CONNECTIONS: usize = 16;
+/// Size of the receive buffer of a caller's socket, of which the kernel makes twice as much. What
+/// waits there unread counts as memory.
+const SOCKET_BUFFER_BYTES: usize = 64 << 10;
 /// The smallest buffer size that the HTTP library accepts for the head of a request.
 const MIN_HEAD_BUFFER_BYTES: usize = 8_192;
 
@@ -93,6 +97,13 @@
 ) where
     Dialect: CallerDialect + 'static,
 {
+    // The sockets of accepted connections have the same buffer.
+    if let Err(error) = SockRef::from(&listener).set_recv_buffer_size(SOCKET_BUFFER_BYTES) {
+        log::debug!(
+            "event=socket_buffer_not_set source={} reason={error:?}",
+            source.as_str()
+        );
+    }
     let mut closing = front.stop.closing();
     let mut connections = ConnectionSet::default();
     loop {
