refactor: rejected and outgoing bodies have modules of their own

A caller that waits for 100 Continue is no longer told to go on with a body that is refused for its size or for want of memory: its connection closes with the refusal. abusive_clients: the cases over the limit, without a request and of the largest body pass.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,37 +1,26 @@
 //! Bodies of requests: pages of memory, all of which together stay within the VM's share.
 
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll};
-use std::time::Duration;
 
 use bergamot_resources::prelude::*;
 use bergamot_types::prelude::*;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Incoming};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
 use tokio::sync::Notify;
 
 use crate::clock::BootClock;
+use crate::outgoing::OutgoingBody;
 
 /// Size of a page. Pages of one size leave no gaps in the allocator's memory.
 const PAGE_BYTES: usize = 16 << 10;
 /// Size of the first page of a body without a length.
 const MIN_PAGE_BYTES: usize = 512;
 
-/// How long to read the rest of a rejected request's body. Long enough for callers that send the
-/// body in pieces to finish it.
-pub(crate) const REJECTED_BODY_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum number of bytes read from a rejected request's body while the response is sent.
-const MAX_REJECTED_BODY_BYTES: usize = 1 << 20;
-/// Maximum number of pieces read from a rejected request's body, however small they are. A piece
-/// costs as much time as kilobytes in large ones.
-const MAX_REJECTED_BODY_PIECES: usize = 1_024;
-
 /// The bodies of all requests of this VM, within its share of the memory.
 pub struct BodyRoom {
     clock: BootClock,
@@ -313,11 +302,7 @@
 
     /// Returns a body that sends the bytes.
     pub fn to_outgoing(&self) -> OutgoingBody {
-        OutgoingBody {
-            pages: Arc::clone(&self.pages),
-            next_page: 0,
-            bytes_left: self.pages.iter().map(|page| page.len() as u64).sum(),
-        }
+        OutgoingBody::new(Arc::clone(&self.pages))
     }
 }
 
@@ -333,51 +318,6 @@
     }
 }
 
-/// The body of a request to an upstream or another entry VM.
-#[derive(Clone, Debug)]
-pub struct OutgoingBody {
-    pages: Arc<[Bytes]>,
-    next_page: usize,
-    bytes_left: u64,
-}
-
-impl Default for OutgoingBody {
-    /// An empty body.
-    fn default() -> Self {
-        Self {
-            pages: Arc::new([]),
-            next_page: 0,
-            bytes_left: 0,
-        }
-    }
-}
-
-impl Body for OutgoingBody {
-    type Data = Bytes;
-    type Error = std::convert::Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        _context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        let page = self.pages.get(self.next_page).cloned();
-        let Some(page) = page.filter(|page| !page.is_empty()) else {
-            return Poll::Ready(None);
-        };
-        self.next_page += 1;
-        self.bytes_left -= page.len() as u64;
-        Poll::Ready(Some(Ok(Frame::data(page))))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.bytes_left == 0
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.bytes_left)
-    }
-}
-
 /// Reads a body of at most `limit` bytes into the room.
 ///
 /// # Errors
@@ -419,38 +359,3 @@
         hold.append(&data)?;
     }
 }
-
-/// How the reading of a rejected request's body ended.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub(crate) enum DiscardEnd {
-    /// The whole body was read.
-    Whole,
-    /// It broke off, or more of it is left.
-    Unfinished,
-}
-
-/// Reads and drops the rest of a rejected request's body while the response is sent. Closing a
-/// connection with unread bytes resets it, and the caller would never see the response.
-pub async fn discard_rest(mut body: Incoming) {
-    let reading = drop_pieces(&mut body, MAX_REJECTED_BODY_BYTES);
-    // The connection closes whether or not the body could be read.
-    let _ = tokio::time::timeout(REJECTED_BODY_TIMEOUT, reading).await;
-}
-
-/// Reads and drops pieces of a body until its end, or until the bounds are reached.
-pub(crate) async fn drop_pieces(body: &mut Incoming, max_bytes: usize) -> DiscardEnd {
-    let mut bytes = 0;
-    for _ in 0..MAX_REJECTED_BODY_PIECES {
-        let Some(frame) = body.frame().await else {
-            return DiscardEnd::Whole;
-        };
-        let Ok(frame) = frame else {
-            return DiscardEnd::Unfinished;
-        };
-        bytes += frame.data_ref().map_or(0, Bytes::len);
-        if bytes > max_bytes {
-            return DiscardEnd::Unfinished;
-        }
-    }
-    DiscardEnd::Unfinished
-}
--- a/crates/gateway/src/front/admit.rs
+++ b/crates/gateway/src/front/admit.rs
@@ -13,7 +13,7 @@
 use super::residency::{LatestHomes, check_admission};
 use super::state::CallState;
 use super::trace::RequestTrace;
-use crate::body::{DiscardEnd, REJECTED_BODY_TIMEOUT, discard_rest, drop_pieces};
+use crate::discard::{DiscardEnd, REJECTED_BODY_TIMEOUT, discard_rest, drop_pieces};
 use crate::view::ConfigStanding;
 
 /// Maximum number of bytes read from a rejected request's body before the response is sent.
--- a/crates/gateway/src/front/call.rs
+++ b/crates/gateway/src/front/call.rs
@@ -59,6 +59,7 @@
         front.shared.metrics.unreadable_prompt_parts.inc();
         log::info!("event=prompt_parts_unreadable request={id} reason=\"{error}\"");
     }
+    let expects_continue = head.headers.contains_key(EXPECT);
     await_config(&front, &call).await;
     let admitted = admit_confirmed(&front, &call, head.uri.path(), arrived, trace).await;
     let AdmittedCall {
@@ -71,7 +72,7 @@
         Err(refusal) => {
             // A caller that sent `Expect: 100-continue` has not sent its body yet and gets the
             // error response instead of `100 Continue`.
-            let reuse = match head.headers.contains_key(EXPECT) {
+            let reuse = match expects_continue {
                 true => ConnectionReuse::Reusable,
                 false => discard_body(body).await,
             };
@@ -87,7 +88,12 @@
         Err(kind) => {
             let refusal = refuse_body(&front, kind, &state, config);
             let mut answer = log_refusal(&front, &id, Some(&state), refusal);
-            set_reuse(&mut answer, discard_later(body));
+            // A caller that waits for `100 Continue` would be told to send the body.
+            let reuse = match expects_continue {
+                true => ConnectionReuse::Closes,
+                false => discard_later(body),
+            };
+            set_reuse(&mut answer, reuse);
             return answer;
         }
     };
--- a/crates/gateway/src/front/partition.rs
+++ b/crates/gateway/src/front/partition.rs
@@ -14,7 +14,7 @@
 use super::FrontContext;
 use super::held::ReplyBody;
 use super::pool::{ConnectError, UpstreamConnection};
-use crate::body::OutgoingBody;
+use crate::outgoing::OutgoingBody;
 
 /// Time between two rounds of probes while this VM reaches no upstream. Callers are served through
 /// other VMs meanwhile, so a partition that ended is noticed soon enough.
--- a/crates/gateway/src/front/pool.rs
+++ b/crates/gateway/src/front/pool.rs
@@ -16,8 +16,8 @@
 use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
 
-use crate::body::OutgoingBody;
 use crate::clock::BootClock;
+use crate::outgoing::OutgoingBody;
 
 /// Timeout for establishing a connection. A lost SYN packet is sent again only after a second, by
 /// which time another upstream would have answered; a live upstream accepts within a few
