--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -12,6 +12,7 @@
 use bergamot_adapter::sample::{
     CALLER_PORT, CONFIG_KEY, METRICS_PORT, READY_PORT, SampleRequest, SampleSettings, config,
 };
+use bergamot_ports::VmLimits;
 use bergamot_site_standin::{
     GroupTimes, SiteStoreOptions, SiteStoreStandin, SiteUpstream, UpstreamOptions,
 };
@@ -55,7 +56,7 @@
 impl RunningEntry {
     pub fn start(ip: Ipv4Addr) -> Self {
         let config = config(1, &["key-1"]);
-        let entry = Self::start_with(ip, &config, |settings| settings);
+        let entry = Self::start_with(ip, &config, VmLimits::default());
         entry.desk.faults.set(FaultSet {
             delay_ms: RESPONSE_DELAY_MS,
             ..FaultSet::default()
@@ -63,11 +64,8 @@
         entry
     }
 
-    /// Starts a process with changed settings, whose upstream responds without a delay.
-    pub fn start_with<Change>(ip: Ipv4Addr, config: &serde_json::Value, change: Change) -> Self
-    where
-        Change: FnOnce(String) -> String,
-    {
+    /// Starts a process on a VM with these limits, whose upstream responds without a delay.
+    pub fn start_with(ip: Ipv4Addr, config: &serde_json::Value, limits: VmLimits) -> Self {
         let runtime = Runtime::new().expect("the runtime cannot be started");
         let store = SiteStoreStandin::new(SiteStoreOptions::default());
         let store_addr = runtime.block_on(async {
@@ -92,8 +90,11 @@
         let desk = runtime
             .block_on(desk)
             .expect("the upstream stand-in cannot be started");
-        let settings = change(sample_settings(ip, store_addr));
-        let settings = write_settings(&ip.to_string(), &settings);
+        let sample = SampleSettings {
+            limits,
+            ..SampleSettings::on_address(ip, store_addr)
+        };
+        let settings = write_settings(&ip.to_string(), &sample.to_text());
         let process = program(&settings)
             .stdout(Stdio::null())
             .spawn()
