fix: events that nobody reads wait within 32 KiB, and not past the deadline

A caller of a stream that read nothing kept 64 events, whatever their size, and its upstream's slot for as long as it stayed connected: 120 of them made a VM of 64 MB take 101 MB.

Cause: the queue of a stream was bounded by events alone, and its relay waited for the caller without regard to the deadline.

The queue has 64 events and 32 KiB, which count as held for answers. A caller that takes nothing for a second loses its stream once the share of the memory is used up, or its deadline has passed; one that reads gets all events, also late. At the bound on connections one whose answer is not read for a second gives way like one whose body takes that long.

--- a/crates/gateway/src/front/head_timer.rs
+++ b/crates/gateway/src/front/head_timer.rs
@@ -44,6 +44,8 @@
 #[derive(Clone, Debug)]
 pub struct HeadTimer {
     state: Rc<Cell<HeadState>>,
+    /// Since when the socket takes no more bytes of an answer.
+    write_blocked_since: Rc<Cell<Option<Instant>>>,
     opened: Instant,
     limit: Duration,
 }
@@ -53,6 +55,7 @@
     pub fn new(limit: Duration) -> Self {
         Self {
             state: Rc::new(Cell::new(HeadState::Fresh)),
+            write_blocked_since: Rc::default(),
             opened: Instant::now(),
             limit,
         }
@@ -105,6 +108,12 @@
         }
     }
 
+    fn record_write(&self, is_blocked: bool) {
+        let since = self.write_blocked_since.get();
+        let since = is_blocked.then(|| since.unwrap_or_else(Instant::now));
+        self.write_blocked_since.set(since);
+    }
+
     fn record_bytes(&self) {
         if matches!(self.state.get(), HeadState::Fresh | HeadState::Idle(_)) {
             self.state.set(HeadState::Arriving(Instant::now()));
@@ -119,7 +128,10 @@
             HeadState::Arriving(since) => (ConnectionPhase::Unused, since),
             HeadState::Idle(since) => (ConnectionPhase::Idle, since),
             HeadState::Receiving(since) => (ConnectionPhase::Receiving, since),
-            HeadState::Answering => (ConnectionPhase::Answering, Instant::now()),
+            HeadState::Answering => match self.write_blocked_since.get() {
+                Some(since) => (ConnectionPhase::Unread, since),
+                None => (ConnectionPhase::Answering, Instant::now()),
+            },
         };
         ConnectionStanding {
             phase,
@@ -173,7 +185,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.timer.record_write(polled.is_pending());
+        polled
     }
 
     fn poll_write_vectored(
@@ -181,7 +195,9 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.timer.record_write(polled.is_pending());
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/front/held.rs
+++ b/crates/gateway/src/front/held.rs
@@ -43,9 +43,21 @@
 
     /// Returns a piece of an answer, which counts as held until it is dropped.
     pub fn hold(&self, piece: Bytes) -> Bytes {
+        self.hold_with(piece, ())
+    }
+
+    /// Like [`Self::hold`]. The guard is dropped with the piece.
+    pub fn hold_with<Guard>(&self, piece: Bytes, guard: Guard) -> Bytes
+    where
+        Guard: Send + 'static,
+    {
         let mut held = HeldBytes::none(self);
         held.add(piece.len());
-        Bytes::from_owner(HeldPiece { piece, _held: held })
+        Bytes::from_owner(HeldPiece {
+            piece,
+            _held: held,
+            _guard: guard,
+        })
     }
 
     /// Returns the number of bytes that are held.
@@ -55,12 +67,13 @@
 }
 
 /// A piece of an answer that counts as held.
-struct HeldPiece {
+struct HeldPiece<Guard> {
     piece: Bytes,
     _held: HeldBytes,
+    _guard: Guard,
 }
 
-impl AsRef<[u8]> for HeldPiece {
+impl<Guard> AsRef<[u8]> for HeldPiece<Guard> {
     fn as_ref(&self) -> &[u8] {
         &self.piece
     }
@@ -131,6 +144,7 @@
         Bytes::from_owner(HeldPiece {
             piece: self.bytes.freeze(),
             _held: self.held,
+            _guard: (),
         })
     }
 
--- a/crates/gateway/src/front/large.rs
+++ b/crates/gateway/src/front/large.rs
@@ -78,8 +78,12 @@
             _ => AnswerMessage::Broken,
         };
         finish(end).await;
-        // Fails if the caller has disconnected.
-        let _ = sender.send(last_message).await;
+        let _ = match last_message {
+            // Fails if the caller has disconnected.
+            AnswerMessage::End => sender.send(AnswerMessage::End).await.is_ok(),
+            // A channel that closes without an end breaks the answer off, too.
+            message => sender.try_send(message).is_ok(),
+        };
     });
     streamed_body(receiver)
 }
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -4,10 +4,12 @@
 //! | --- | --- |
 //! | [`source`] | the events of one upstream's stream |
 //! | [`peer`] | the events that another entry VM receives |
+//! | [`queue`] | events that wait for the caller |
 //! | [`resume`] | streams that go on at another upstream |
 //! | [`record`] | what a stream shows of its upstream |
 
 mod peer;
+mod queue;
 mod record;
 mod resume;
 mod source;
@@ -17,7 +19,6 @@
 use bergamot_ports::CallerDialect;
 use bergamot_quarantine::BreakCause;
 use bergamot_types::prelude::*;
-use tokio::sync::mpsc;
 
 use super::FrontContext;
 use super::answer::{AnswerMessage, CallerAnswer, streamed_body};
@@ -28,12 +29,10 @@
 use super::quiet::{STALL_CHECK_PERIOD, check_stall};
 use super::state::CallState;
 use crate::panics::catch_panic;
+use queue::{EventQueue, QueueEnd};
 use resume::SilenceEnd;
 use source::{SourceEvent, SourceProgress, UpstreamSource};
 
-/// Number of events buffered for a slow caller before back pressure reaches the upstream.
-const EVENT_BUFFER_SIZE: usize = 64;
-
 /// Time for buffered events to be sent before the connection of a broken answer is closed.
 const FLUSH_TIME: std::time::Duration = std::time::Duration::from_millis(5);
 
@@ -66,9 +65,6 @@
     Moved(EventSource),
 }
 
-/// The caller has disconnected.
-struct CallerGone;
-
 /// Forwards the events of an opened reply. Resumes at another upstream if the stream breaks.
 pub async fn relay_events<Dialect>(
     front: Rc<FrontContext<Dialect>>,
@@ -79,7 +75,7 @@
 where
     Dialect: CallerDialect + 'static,
 {
-    let (sender, receiver) = mpsc::channel(EVENT_BUFFER_SIZE);
+    let (queue, receiver) = EventQueue::new(front.held.clone(), front.shared.clock, state.deadline);
     let mut answer = CallerAnswer::new(streamed_body(receiver));
     let head = match &source {
         EventSource::Upstream(reply) => &reply.head,
@@ -103,7 +99,7 @@
         front,
         request,
         state,
-        sender,
+        queue,
     };
     tokio::task::spawn_local(relay.run_guarded(source));
     answer
@@ -130,7 +126,7 @@
     front: Rc<FrontContext<Dialect>>,
     request: Rc<SentRequest>,
     state: CallState,
-    sender: mpsc::Sender<AnswerMessage>,
+    queue: EventQueue,
     last_event_id: Option<u64>,
     last_event_at: Option<Millis>,
     delivered_events: u64,
@@ -149,7 +145,7 @@
     /// Like [`Self::run`], and a panic breaks the answer off.
     async fn run_guarded(self, source: EventSource) {
         let (front, request) = (Rc::clone(&self.front), Rc::clone(&self.request));
-        let sender = self.sender.clone();
+        let sender = self.queue.sender.clone();
         let kind = self.state.route.kind;
         let Err(panic) = catch_panic(self.run(source)).await else {
             return;
@@ -178,15 +174,16 @@
             }
         };
         if outcome != "ok" {
-            // Buffered events are sent before the connection is closed.
+            // Buffered events are sent before the connection is closed. If the queue is full, the
+            // channel closes without an end, which breaks the answer off, too.
             tokio::time::sleep(FLUSH_TIME).await;
-            let _ = self.sender.send(AnswerMessage::Broken).await;
+            let _ = self.queue.sender.try_send(AnswerMessage::Broken);
         }
         self.log_ended(outcome);
         self.front.count_outcome(self.state.route.kind, outcome);
         if outcome == "ok" {
             // Fails if the caller has disconnected.
-            let _ = self.sender.send(AnswerMessage::End).await;
+            let _ = self.queue.sender.send(AnswerMessage::End).await;
         }
     }
 
@@ -256,15 +253,15 @@
                 self.record_finished(source.reply);
                 return RelayEnd::Final("ok");
             };
-            if self.deliver(&source.reply, event).await.is_err() {
+            if let Err(end) = self.deliver(&source.reply, event).await {
                 self.record_caller_left(&source.reply);
-                return RelayEnd::Final("caller_left");
+                return RelayEnd::Final(end.as_str());
             }
         }
     }
 
-    /// Sends an event to the caller. Fails if the caller has disconnected.
-    async fn deliver(&mut self, reply: &OpenReply, event: StreamEvent) -> Result<(), CallerGone> {
+    /// Sends an event to the caller. Fails if the caller has disconnected, or reads nothing.
+    async fn deliver(&mut self, reply: &OpenReply, event: StreamEvent) -> Result<(), QueueEnd> {
         if self.upstream_events == 0 {
             self.record_first_event(reply);
         }
@@ -273,8 +270,7 @@
         self.last_event_id = event.id.or(self.last_event_id);
         self.delivered_events += 1;
         self.upstream_events += 1;
-        let sent = self.sender.send(AnswerMessage::Chunk(event.bytes)).await;
-        sent.map_err(|_| CallerGone)
+        self.queue.push(event.bytes).await
     }
 
     async fn next_event(&self, source: &mut UpstreamSource) -> NextEvent {
@@ -287,7 +283,7 @@
             let event = source.next_event(&self.front, self.last_event_id);
             let event = tokio::select! {
                 event = tokio::time::timeout(timeout, event) => event,
-                () = self.sender.closed() => return NextEvent::CallerLeft,
+                () = self.queue.sender.closed() => return NextEvent::CallerLeft,
             };
             match event {
                 // Nothing else can be done for a stream that may not be resumed than to wait.
--- a/crates/gateway/src/front/relay/peer.rs
+++ b/crates/gateway/src/front/relay/peer.rs
@@ -5,7 +5,6 @@
 use bergamot_types::prelude::*;
 use http_body_util::BodyExt;
 
-use super::super::answer::AnswerMessage;
 use super::super::events::EventSplitter;
 use super::super::forward::send::{ForwardOutcome, PeerReply, forward, must_forward};
 use super::{EventRelay, NextEvent, RelayEnd};
@@ -40,13 +39,8 @@
                     self.record_peer_event();
                     self.last_event_id = event.id.or(self.last_event_id);
                     self.delivered_events += 1;
-                    if self
-                        .sender
-                        .send(AnswerMessage::Chunk(event.bytes))
-                        .await
-                        .is_err()
-                    {
-                        return RelayEnd::Final("caller_left");
+                    if let Err(end) = self.queue.push(event.bytes).await {
+                        return RelayEnd::Final(end.as_str());
                     }
                 }
                 NextEvent::End => {
@@ -91,7 +85,7 @@
             let timeout = time_left.as_duration();
             let frame = tokio::select! {
                 frame = tokio::time::timeout(timeout, reply.body.frame()) => frame,
-                () = self.sender.closed() => return NextEvent::CallerLeft,
+                () = self.queue.sender.closed() => return NextEvent::CallerLeft,
             };
             match frame {
                 Err(_) => {}
--- a/crates/gateway/src/front/relay/resume.rs
+++ b/crates/gateway/src/front/relay/resume.rs
@@ -58,7 +58,7 @@
         let end = tokio::select! {
             // Checked first, so that nothing is sent for a caller that has disconnected.
             biased;
-            () = self.sender.closed() => return SilenceEnd::CallerLeft,
+            () = self.queue.sender.closed() => return SilenceEnd::CallerLeft,
             end = hedged.first_output(silent, follow) => end,
         };
         match end {
@@ -88,7 +88,7 @@
     /// Resumes the stream at another upstream, unless the caller disconnects first. The error is
     /// the outcome of the stream.
     pub(super) async fn resume_for_caller(&mut self) -> Result<EventSource, &'static str> {
-        let caller = self.sender.clone();
+        let caller = self.queue.sender.clone();
         tokio::select! {
             // Checked first, so that nothing is sent for a caller that has disconnected.
             biased;
--- a/crates/resources/src/connection.rs
+++ b/crates/resources/src/connection.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-/// Time after which a connection whose request body is still arriving may give way.
-const MIN_RECEIVING_TIME: Duration = Duration::from_secs(1);
+/// Time after which a connection may give way whose request body is still arriving, or whose answer is not read.
+const MIN_STALL_TIME: Duration = Duration::from_secs(1);
 
 /// What a connection is doing.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -16,6 +16,8 @@
     Idle,
     /// A request is being answered.
     Answering,
+    /// An answer waits for its caller, who does not read it.
+    Unread,
 }
 
 /// What a connection is doing, and for how long.
@@ -28,20 +30,20 @@
 }
 
 impl ConnectionStanding {
-    /// Returns how readily the connection gives way; none if it does not. No request that may run is lost with it.
+    /// Returns how readily the connection gives way; none if it does not.
     fn rank(&self) -> Option<(u8, Duration)> {
         let rank = match self.phase {
             ConnectionPhase::Unused => 2,
-            ConnectionPhase::Receiving if self.age >= MIN_RECEIVING_TIME => 1,
+            ConnectionPhase::Receiving | ConnectionPhase::Unread if self.age >= MIN_STALL_TIME => 1,
             ConnectionPhase::Idle => 0,
-            ConnectionPhase::Receiving | ConnectionPhase::Answering => return None,
+            _ => return None,
         };
         Some((rank, self.age))
     }
 }
 
 /// Returns the connection that gives way to a new one: of those that wait for their first request the oldest, then
-/// the one whose body takes longest, then the one idle for the longest time.
+/// the one whose body or unread answer takes longest, then the one idle for the longest time.
 pub fn choose_victim<Id, Standings>(standings: Standings) -> Option<Id>
 where
     Standings: IntoIterator<Item = (Id, ConnectionStanding)>,
--- a/crates/resources/tests/connection.rs
+++ b/crates/resources/tests/connection.rs
@@ -11,7 +11,16 @@
     victim: Option<usize>,
 }
 
-const CASES: [VictimCase; 5] = [
+const CASES: [VictimCase; 6] = [
+    VictimCase {
+        name: "an answer that is not read, before an idle connection",
+        open: &[
+            (ConnectionPhase::Idle, 9_000),
+            (ConnectionPhase::Unread, 1_000),
+            (ConnectionPhase::Unread, 999),
+        ],
+        victim: Some(1),
+    },
     VictimCase {
         name: "of those without a request, the oldest",
         open: &[
