refactor: accepting connections has a module of its own, and usual terms for eviction

Bodies and connections that make room for others are evicted and closed in names, comments and tests.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -10,13 +10,10 @@
 use arc_swap::ArcSwap;
 use bergamot_claims::{ClaimOptions, ClaimState};
 use bergamot_engine::EngineClient;
-use bergamot_gateway::body::BodyRoom;
+use bergamot_gateway::body::BodyBudget;
 use bergamot_gateway::duty::{DutyEnd, DutyWatch};
-use bergamot_ports::VmLimits;
-use bergamot_resources::prelude::*;
 use bergamot_roster::{Member, RosterOptions};
 use bergamot_types::prelude::*;
-use nix::sys::resource::{Resource, getrlimit};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
@@ -29,7 +26,8 @@
 use crate::ring::ring;
 use crate::route_view::RouteView;
 use crate::routing_state::RoutingState;
-use crate::settings::{EntrySettings, TuningSettings};
+use crate::settings::EntrySettings;
+use crate::shares::resource_shares;
 use crate::tls::TlsReloader;
 
 /// Capacity of the ring to the control duty, in items.
@@ -198,7 +196,7 @@
             .enable_all()
             .build()?;
         let shares = resource_shares(tuning);
-        let bodies = BodyRoom::new(
+        let bodies = BodyBudget::new(
             self.shared.clock,
             shares.body_bytes,
             self.shared.metrics.bodies_given_up.clone(),
@@ -349,22 +347,6 @@
     }
 }
 
-/// Divides the memory and the descriptors of this process.
-fn resource_shares(tuning: &TuningSettings) -> ResourceShares {
-    let descriptors = getrlimit(Resource::RLIMIT_NOFILE);
-    let descriptors = descriptors.map_or(VmLimits::default().descriptors, |(soft, _)| {
-        usize::try_from(soft).unwrap_or(usize::MAX)
-    });
-    let shares = ResourceShares::of(VmLimits {
-        memory_bytes: tuning.memory_bytes,
-        descriptors,
-    });
-    ResourceShares {
-        caller_connections: shares.caller_connections.min(tuning.max_connections),
-        ..shares
-    }
-}
-
 fn listen(listener: std::net::TcpListener) -> std::io::Result<TcpListener> {
     listener.set_nonblocking(true)?;
     TcpListener::from_std(listener)
--- a/crates/entry/src/front/caller_activity.rs
+++ b/crates/entry/src/front/caller_activity.rs
@@ -1,4 +1,4 @@
-//! What callers' connections are doing, for the choice of the one that gives way to a new one.
+//! What callers' connections are doing, which decides which of them is closed for a new one.
 
 use std::sync::Arc;
 use std::time::Instant;
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 
 use bergamot_engine::EngineClient;
-use bergamot_gateway::body::BodyRoom;
+use bergamot_gateway::body::BodyBudget;
 
 use crate::duty::SharedState;
 
@@ -27,7 +27,7 @@
     /// The state shared by the daemon's duties.
     pub shared: Arc<SharedState>,
     /// Bodies of requests.
-    pub bodies: Arc<BodyRoom>,
+    pub bodies: Arc<BodyBudget>,
     /// The HTTP client for upstreams.
     pub client: EngineClient,
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod route_view;
 pub mod routing_state;
 pub mod settings;
+mod shares;
 pub mod tls;
 
 pub use daemon::{EntryDaemon, StopOutcome};
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -22,23 +22,23 @@
 const MIN_PAGE_BYTES: usize = 512;
 
 /// The bodies of all requests of this VM, within its share of the memory.
-pub struct BodyRoom {
+pub struct BodyBudget {
     clock: BootClock,
     /// Bytes that all bodies together may hold.
     share: AtomicUsize,
     /// Counts bodies that were given up, by reason.
     given_up: IntCounterVec,
-    bodies: Mutex<RoomBodies>,
+    bodies: Mutex<BudgetState>,
 }
 
 #[derive(Default)]
-struct RoomBodies {
+struct BudgetState {
     ledger: BodyLedger,
     arriving: IndexMap<BodyId, Arc<ArrivingPages>>,
 }
 
-impl BodyRoom {
-    /// Creates a room of `share` bytes. `given_up` counts bodies that were given up, by reason.
+impl BodyBudget {
+    /// Creates a budget of `share` bytes. `given_up` counts bodies that were given up, by reason.
     pub fn new(clock: BootClock, share: usize, given_up: IntCounterVec) -> Self {
         Self {
             clock,
@@ -61,14 +61,14 @@
     /// Begins a body of this size, if it is announced.
     ///
     /// # Errors
-    /// [`ErrorKind::MemoryFull`] if there is no room for it.
+    /// [`ErrorKind::MemoryFull`] if the budget is used up.
     fn begin(self: &Arc<Self>, announced: Option<usize>) -> Result<BodyHold<Arriving>, ErrorKind> {
         let now = self.clock.now();
         let mut bodies = self.bodies.lock();
         let share = self.share.load(Ordering::Relaxed);
         if !bodies
             .ledger
-            .has_room(now, announced.unwrap_or_default(), share)
+            .fits(now, announced.unwrap_or_default(), share)
         {
             self.count("refused");
             return Err(ErrorKind::MemoryFull);
@@ -77,16 +77,16 @@
         let pages = Arc::new(ArrivingPages {
             announced,
             filled: Mutex::default(),
-            given_way: Notify::new(),
+            evicted: Notify::new(),
         });
         bodies.arriving.insert(id, Arc::clone(&pages));
         Ok(BodyHold {
-            room: Arc::clone(self),
+            budget: Arc::clone(self),
             state: Arriving { id, pages },
         })
     }
 
-    /// Makes room for `bytes` more of a body.
+    /// Takes `bytes` more for a body out of the budget.
     ///
     /// # Errors
     /// [`ErrorKind::MemoryFull`] if there is none.
@@ -101,7 +101,7 @@
         for victim in victims {
             self.count("stalled");
             if let Some(pages) = bodies.arriving.swap_remove(&victim) {
-                pages.give_way();
+                pages.evict();
             }
         }
         Ok(())
@@ -112,26 +112,26 @@
     }
 }
 
-/// The pages of a body that is arriving. The room takes them back when the body gives way.
+/// The pages of a body that is arriving. They are freed when the body is evicted.
 struct ArrivingPages {
     announced: Option<usize>,
     filled: Mutex<FilledPages>,
-    given_way: Notify,
+    evicted: Notify,
 }
 
 #[derive(Default)]
 struct FilledPages {
     pages: Vec<BytesMut>,
     bytes: usize,
-    has_given_way: bool,
+    is_evicted: bool,
 }
 
 impl ArrivingPages {
-    fn give_way(&self) {
+    fn evict(&self) {
         let mut filled = self.filled.lock();
         filled.pages = Vec::new();
-        filled.has_given_way = true;
-        self.given_way.notify_one();
+        filled.is_evicted = true;
+        self.evicted.notify_one();
     }
 
     /// Returns the size of the page that has to be added for so many bytes; 0 if they fit into the last one.
@@ -154,7 +154,7 @@
     /// [`ErrorKind::MemoryFull`] if the body has given way.
     fn append(&self, data: &[u8], page_bytes: usize) -> Result<(), ErrorKind> {
         let mut filled = self.filled.lock();
-        if filled.has_given_way {
+        if filled.is_evicted {
             return Err(ErrorKind::MemoryFull);
         }
         let (fitting, rest) = data.split_at(filled.spare().min(data.len()));
@@ -179,7 +179,7 @@
     }
 }
 
-/// A body that is arriving. It may have to give way to others.
+/// A body that is arriving. It may be evicted to make room for others.
 struct Arriving {
     id: BodyId,
     pages: Arc<ArrivingPages>,
@@ -192,20 +192,20 @@
 
 /// A step in the life of a body.
 trait HoldState {
-    fn release(&self, room: &BodyRoom);
+    fn release(&self, budget: &BodyBudget);
 }
 
 impl HoldState for Arriving {
-    fn release(&self, room: &BodyRoom) {
-        let mut bodies = room.bodies.lock();
+    fn release(&self, budget: &BodyBudget) {
+        let mut bodies = budget.bodies.lock();
         bodies.arriving.swap_remove(&self.id);
         bodies.ledger.abandon(self.id);
     }
 }
 
 impl HoldState for Arrived {
-    fn release(&self, room: &BodyRoom) {
-        room.bodies.lock().ledger.release(self.bytes);
+    fn release(&self, budget: &BodyBudget) {
+        budget.bodies.lock().ledger.release(self.bytes);
     }
 }
 
@@ -214,7 +214,7 @@
 where
     State: HoldState,
 {
-    room: Arc<BodyRoom>,
+    budget: Arc<BodyBudget>,
     state: State,
 }
 
@@ -223,7 +223,7 @@
     State: HoldState,
 {
     fn drop(&mut self) {
-        self.state.release(&self.room);
+        self.state.release(&self.budget);
     }
 }
 
@@ -231,29 +231,29 @@
     /// Appends bytes that have arrived.
     ///
     /// # Errors
-    /// [`ErrorKind::MemoryFull`] if there is no room for them.
+    /// [`ErrorKind::MemoryFull`] if the budget is used up.
     fn append(&self, data: &[u8]) -> Result<(), ErrorKind> {
         let Arriving { id, pages } = &self.state;
         let page_bytes = pages.new_page_bytes(data.len());
         if page_bytes > 0 {
-            self.room.grow(*id, page_bytes)?;
+            self.budget.grow(*id, page_bytes)?;
         }
         pages.append(data, page_bytes)
     }
 
-    /// Ends the arrival. The body does not give way any more.
+    /// Ends the arrival. The body cannot be evicted any more.
     ///
     /// # Errors
     /// [`ErrorKind::MemoryFull`] if it has given way.
     fn complete(self) -> Result<RequestBody, ErrorKind> {
-        let mut bodies = self.room.bodies.lock();
+        let mut bodies = self.budget.bodies.lock();
         let mut filled = self.state.pages.filled.lock();
-        if filled.has_given_way {
+        if filled.is_evicted {
             return Err(ErrorKind::MemoryFull);
         }
         let pages = std::mem::take(&mut filled.pages);
         let hold = BodyHold {
-            room: Arc::clone(&self.room),
+            budget: Arc::clone(&self.budget),
             state: Arrived {
                 bytes: bodies.ledger.complete(self.state.id),
             },
@@ -318,13 +318,13 @@
     }
 }
 
-/// Reads a body of at most `limit` bytes into the room.
+/// Reads a body of at most `limit` bytes that counts towards the budget.
 ///
 /// # Errors
-/// [`ErrorKind::TooLarge`], at once if the length is announced; [`ErrorKind::MemoryFull`] if there is no room for the
-/// body, or if it stalled and others need its room; [`ErrorKind::BadRequest`] if it breaks off.
+/// [`ErrorKind::TooLarge`], at once if the length is announced; [`ErrorKind::MemoryFull`] if the budget is
+/// used up, or the body stalled and was evicted; [`ErrorKind::BadRequest`] if it breaks off.
 pub async fn read_body(
-    room: &Arc<BodyRoom>,
+    budget: &Arc<BodyBudget>,
     body: &mut Incoming,
     limit: usize,
 ) -> Result<RequestBody, ErrorKind> {
@@ -336,13 +336,13 @@
         return Err(ErrorKind::TooLarge);
     }
     let announced = size.exact().and_then(|bytes| usize::try_from(bytes).ok());
-    let hold = room.begin(announced)?;
+    let hold = budget.begin(announced)?;
     let pages = Arc::clone(&hold.state.pages);
     let mut bytes = 0;
     loop {
         let frame = tokio::select! {
             biased;
-            () = pages.given_way.notified() => return Err(ErrorKind::MemoryFull),
+            () = pages.evicted.notified() => return Err(ErrorKind::MemoryFull),
             frame = body.frame() => frame,
         };
         let Some(frame) = frame else {
--- a/crates/gateway/src/connection_set.rs
+++ b/crates/gateway/src/connection_set.rs
@@ -1,4 +1,4 @@
-//! The open connections of a listener, and which of them gives way to a new one.
+//! The open connections of a listener, and which of them is closed for a new one.
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -25,7 +25,7 @@
     }
 }
 
-/// When a connection was last of use. It may give way at any time.
+/// When a connection was last of use. It may be closed at any time.
 #[derive(Clone, Debug)]
 pub struct ActivityMark(Arc<Mutex<Instant>>);
 
@@ -56,7 +56,7 @@
 pub enum ConnectionAdmission {
     /// There is room for it.
     Admitted,
-    /// Another connection has given way to it.
+    /// Another connection was closed for it.
     Replaces,
     /// All connections are serving requests.
     Refused,
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! | module | contents |
 //! | --- | --- |
-//! | [`server`] | callers' connections, readiness, shutdown |
+//! | [`accept`] | accepts connections, within the VM's descriptors and memory |
+//! | [`server`] | requests of a connection, readiness, shutdown |
 //! | [`admit`] | checks of a request's route and account |
 //! | [`head_timer`] | time limit for the head of a request |
 //! | [`call`] | one request, from its head to its answer |
@@ -37,6 +38,7 @@
 //! | [`panics`] | panics, each of which ends one request |
 //! | [`partition`] | detection that no upstream is reachable |
 
+pub mod accept;
 pub mod addresses;
 pub mod admit;
 pub mod answer;
@@ -89,7 +91,7 @@
 use bergamot_types::prelude::*;
 use tokio::sync::{Notify, mpsc};
 
-use crate::body::BodyRoom;
+use crate::body::BodyBudget;
 use crate::shared::SharedState;
 use crate::stop::StopControl;
 use budget::RetryBudget;
@@ -115,7 +117,7 @@
     /// Notified when this VM suspects that it reaches no upstream.
     pub partition_suspected: Notify,
     /// Bodies of requests.
-    pub bodies: Arc<BodyRoom>,
+    pub bodies: Arc<BodyBudget>,
     /// Bytes that are held for answers.
     pub held: HeldTotal,
     /// Demand for each model.
@@ -156,7 +158,7 @@
         let budget = RetryBudget::new(shared.bounds(), shared.clock.now());
         let quota = QuotaState::new(shared.site.vm.to_string(), rand::random());
         let endless = shared.metrics.endless_answers.clone();
-        let bodies = BodyRoom::new(
+        let bodies = BodyBudget::new(
             shared.clock,
             shared.resource_shares().body_bytes,
             shared.metrics.bodies_given_up.clone(),
--- a/crates/gateway/src/front/panics/tests.rs
+++ b/crates/gateway/src/front/panics/tests.rs
@@ -16,7 +16,7 @@
 use tokio::task::LocalSet;
 
 use crate::front::FrontContext;
-use crate::front::server::{accept_callers, accept_peers};
+use crate::front::accept::{accept_callers, accept_peers};
 use crate::panics::catch_panic;
 use crate::shared::SharedState;
 use crate::test_support as support;
--- a/crates/resources/src/connection.rs
+++ b/crates/resources/src/connection.rs
@@ -1,8 +1,8 @@
-//! Which connection gives way to a new one.
+//! Which connection is closed for a new one.
 
 use std::time::Duration;
 
-/// Time after which a connection may give way whose request body is still arriving, or whose answer is not read.
+/// Time after which a connection may be closed whose request body is still arriving, or whose answer is not read.
 const MIN_STALL_TIME: Duration = Duration::from_secs(1);
 
 /// What a connection is doing.
@@ -30,7 +30,7 @@
 }
 
 impl ConnectionStanding {
-    /// Returns how readily the connection gives way; none if it does not.
+    /// Returns the rank among connections to close, the highest first; none if it stays open.
     fn rank(&self) -> Option<(u8, Duration)> {
         let rank = match self.phase {
             ConnectionPhase::Unused => 2,
@@ -42,7 +42,7 @@
     }
 }
 
-/// Returns the connection that gives way to a new one: of those that wait for their first request the oldest, then
+/// Returns the connection to close for a new one: of those that wait for their first request the oldest, then
 /// the one whose body or unread answer takes longest, then the one idle for the longest time.
 pub fn choose_victim<Id, Standings>(standings: Standings) -> Option<Id>
 where
--- a/crates/resources/src/ledger.rs
+++ b/crates/resources/src/ledger.rs
@@ -1,4 +1,4 @@
-//! The bytes of request bodies, and which body gives way when they are used up.
+//! The bytes of request bodies, and which body is evicted when they are used up.
 
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
@@ -6,7 +6,7 @@
 /// Size up to which a body is small. A quarter of the bytes is left to small bodies, so that they need not wait behind
 /// large ones.
 pub const SMALL_BODY_BYTES: usize = 64 << 10;
-/// Time without growth after which a body that is still arriving gives way to another one. Covers a packet that is
+/// Time without growth after which a body that is still arriving may be evicted. Covers a packet that is
 /// lost and sent again.
 pub const STALL_TIME: Millis = Millis(1_000);
 
@@ -17,9 +17,9 @@
 /// What follows from the growth of a body.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum GrowOutcome {
-    /// The body may grow. These others give way: they hold nothing any more.
+    /// The body may grow. These others are evicted: they hold nothing any more.
     Granted(Vec<BodyId>),
-    /// There is no room, and no other body gives way.
+    /// There is no room, and no other body can be evicted.
     Refused,
 }
 
@@ -57,8 +57,8 @@
         id
     }
 
-    /// Whether a body of this size could be held now, if all bodies that have stalled gave way.
-    pub fn has_room(&self, now: Millis, bytes: usize, share: usize) -> bool {
+    /// Whether a body of this size could be held now, if all bodies that have stalled were evicted.
+    pub fn fits(&self, now: Millis, bytes: usize, share: usize) -> bool {
         let stalled = self.arriving.values().filter(|body| is_stalled(body, now));
         let stalled_bytes: usize = stalled.map(|body| body.bytes).sum();
         self.held_bytes() - stalled_bytes + bytes <= limit_for(bytes, share)
@@ -85,7 +85,7 @@
         GrowOutcome::Granted(victims)
     }
 
-    /// Returns the bodies that have to give way for so many bytes, those first that have stalled for the longest time.
+    /// Returns the bodies to evict for so many bytes, first those that have stalled for the longest time.
     fn choose_victims(&self, now: Millis, grower: BodyId, needed: usize) -> Option<Vec<BodyId>> {
         if needed == 0 {
             return Some(Vec::new());
@@ -114,7 +114,7 @@
         bytes
     }
 
-    /// Ends a body that is arriving. Without effect on a body that gave way or is complete.
+    /// Ends a body that is arriving. Without effect on a body that was evicted or is complete.
     pub fn abandon(&mut self, id: BodyId) {
         self.take(id);
     }
--- a/crates/resources/src/lib.rs
+++ b/crates/resources/src/lib.rs
@@ -5,8 +5,8 @@
 //! | module | contents |
 //! | --- | --- |
 //! | [`shares`] | how a VM's memory and descriptors are divided |
-//! | [`ledger`] | the bytes of request bodies, and which body gives way when they are used up |
-//! | [`connection`] | which connection gives way to a new one |
+//! | [`ledger`] | the bytes of request bodies, and which body is evicted when they are used up |
+//! | [`connection`] | which connection is closed for a new one |
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
--- a/crates/resources/tests/connection.rs
+++ b/crates/resources/tests/connection.rs
@@ -1,4 +1,4 @@
-//! Guards against a connection that gives way although its request may run, or before one of less use.
+//! Guards against a connection that is closed although its request may run, or before one of less use.
 
 use std::time::Duration;
 
@@ -62,7 +62,7 @@
 ];
 
 #[test]
-fn the_connection_of_least_use_gives_way() {
+fn the_connection_of_least_use_is_closed() {
     for case in CASES {
         let standings = case.open.iter().enumerate();
         let standings = standings.map(|(index, (phase, age_ms))| {
--- a/crates/resources/tests/ledger.rs
+++ b/crates/resources/tests/ledger.rs
@@ -1,4 +1,4 @@
-//! Guards against bytes of bodies that are lost or counted twice, and against bodies that give way although they grow.
+//! Guards against bytes of bodies that are lost or counted twice, and against bodies that are evicted although they grow.
 
 use bergamot_resources::ledger::{SMALL_BODY_BYTES, STALL_TIME};
 use bergamot_resources::prelude::*;
@@ -13,7 +13,7 @@
     /// Bytes of the other bodies, and the time since each grew.
     others: &'static [(usize, Millis)],
     bytes: usize,
-    /// The bodies that give way; none if the growth is refused.
+    /// The bodies that are evicted; none if the growth is refused.
     victims: Option<&'static [usize]>,
 }
 
@@ -31,7 +31,7 @@
         victims: None,
     },
     GrowCase {
-        name: "the body that stalled for the longest time gives way",
+        name: "the body that stalled for the longest time is evicted",
         others: &[
             (LARGE_LIMIT / 2, STALL_TIME),
             (LARGE_LIMIT / 2, Millis(5_000)),
@@ -40,7 +40,7 @@
         victims: Some(&[1]),
     },
     GrowCase {
-        name: "as many give way as are needed",
+        name: "as many are evicted as are needed",
         others: &[
             (LARGE_LIMIT / 2, Millis(2_000)),
             (LARGE_LIMIT / 2, Millis(5_000)),
@@ -49,7 +49,7 @@
         victims: Some(&[1, 0]),
     },
     GrowCase {
-        name: "none gives way if that is not enough",
+        name: "none is evicted if that is not enough",
         others: &[
             (LARGE_LIMIT / 2, Millis(5_000)),
             (LARGE_LIMIT / 2, Millis::ZERO),
@@ -66,7 +66,7 @@
 ];
 
 #[test]
-fn bodies_that_stalled_give_way_and_no_others() {
+fn bodies_that_stalled_evict_and_no_others() {
     let now = Millis(60_000);
     for case in CASES {
         let mut ledger = BodyLedger::default();
