review: a runner that started again joins another group while the head of its old one is open

Case 4: TWO is broken after a hand-over of the coordinator, while the head of a group and the members that are left are partitioned from the store.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,7 +6,7 @@
 cd "$here/../.." || exit 2
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout 118 target/review-2/release/review-2 left-while-cut "$folder" "$here/record.txt"
+timeout 118 target/review-2/release/review-2 member-of-two "$folder" "$here/record.txt"
 status=$?
 case "$status" in
     0 | 1) exit "$status" ;;
--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -5,11 +5,14 @@
 use std::time::{Duration, Instant};
 
 use crate::client::{Call, Clients};
+use crate::engine::Fleet;
 use crate::entry::{Entry, Place};
+use crate::http::{Handler, serve};
 use crate::judge::count_late;
 use crate::proxy::Link;
 use crate::record::{Record, millis};
-use crate::site::{CONTACT, Departure, KEY, Site};
+use crate::site::{CONTACT, Departure, KEY, Site, config};
+use crate::store::Store;
 
 /// Of two machines with these names in one zone, the first gets the store's changes from the second.
 const FOLLOWER: &str = "front-kecskemet-1";
@@ -172,3 +175,66 @@
     let late = count_late(record, &clients, &site.all_runners(), &departures);
     Some(late == 0)
 }
+
+/// Runners of a group are partitioned from the store, one of its other members crashes and starts
+/// again under its id, and the machine that coordinates the groups is stopped (planned).
+pub fn member_of_two(record: &Arc<Record>, folder: &str, has_trouble: bool) -> Option<bool> {
+    const ROUNDS: usize = 4;
+    let mut broken = 0;
+    for _ in 0..ROUNDS {
+        broken += join_two(record, folder, has_trouble)?;
+    }
+    Some(broken == 0)
+}
+
+/// One round, with a deployment of its own. Returns how often the rule was broken.
+fn join_two(record: &Arc<Record>, folder: &str, has_trouble: bool) -> Option<usize> {
+    /// Two groups of three, and two that are left over.
+    const RUNNERS: usize = 8;
+    let store = Store::start();
+    let served = Arc::clone(&store);
+    let handler: Handler = Arc::new(move |request| Some(served.answer(&request)));
+    let link = Link::start(serve(handler).ok()?).ok()?;
+    store.put("op/config", &config(true));
+    let fleet = Fleet::start(&store, record, RUNNERS).ok()?;
+    let mut machines = Vec::new();
+    for name in [FOLLOWER, READER] {
+        machines.push(Entry::start(folder, &place(name, &link)).ok()?);
+    }
+    if !wait_until(millis(12_000), || fleet.open_groups() == 2) {
+        record.say("the groups were not formed");
+        return None;
+    }
+    thread::sleep(millis(2_500));
+    let group = fleet.open_group()?;
+    let [head, member, other] = group.as_slice() else {
+        return None;
+    };
+    if has_trouble {
+        for engine in [head, other] {
+            fleet.cut_from_store(engine, true);
+        }
+        thread::sleep(millis(5_000));
+        fleet.crash(member);
+    }
+    thread::sleep(millis(300));
+    let leads = |machine: &&Entry| machine.has_logged(&["event=coordinator_begins"]);
+    let coordinator = machines.iter().find(leads)?;
+    coordinator.terminate();
+    record.note("the machine that coordinates the groups gets SIGTERM");
+    thread::sleep(millis(2_700));
+    if has_trouble {
+        for engine in [head, other] {
+            fleet.cut_from_store(engine, false);
+        }
+    }
+    thread::sleep(millis(2_000));
+    for machine in &mut machines {
+        machine.kill();
+    }
+    let broken = fleet.broken();
+    record.say(&format!(
+        "joins while the head of the runner's group was open: {broken}"
+    ));
+    Some(broken)
+}
--- a/review/harness-2/src/entry.rs
+++ b/review/harness-2/src/entry.rs
@@ -5,6 +5,13 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
+const SIGTERM: i32 = 15;
+
+unsafe extern "C" {
+    /// POSIX.
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
 /// The program of the deploy file.
 const PROGRAM: &str = "target/release/bergamot-entry";
 
@@ -89,6 +96,11 @@
         lines.any(|line| words.iter().all(|word| line.contains(word)))
     }
 
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        unsafe { kill(self.child.id() as i32, SIGTERM) };
+    }
+
     pub fn kill(&mut self) {
         let _ = (self.child.kill(), self.child.wait());
     }
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -5,6 +5,7 @@
 
 mod cases;
 mod client;
+mod engine;
 mod entry;
 mod http;
 mod json;
@@ -35,6 +36,7 @@
     let held = match case.as_str() {
         "left-while-cut" => cases::left_while_cut(&record, folder, has_trouble),
         "drained-while-silent" => cases::drained_while_silent(&record, folder, has_trouble),
+        "member-of-two" => cases::member_of_two(&record, folder, has_trouble),
         _ => None,
     };
     match held {
