fix: an entry that left while this VM was cut off is dropped before its bounds hold again

Cause: to one VM an outage of the store and a cut of its own link look the same, and only the first earns removed entries a grace. The grace of 2 s began with the VM's own next successful call. The coordinator made that late: it asked no peer, and its retries were due 1.2 s after a call had failed, which takes 0.6 to 0.9 s.

Change: the store is taken to have returned at most contactMs less the grace and 0.25 s after the last failed call began, and not at all if the state was current within two heartbeats, as no entry can have expired then. A VM applies a peer's statement of a return by the same rule. While its calls fail the coordinator takes changes from peers and goes on trying the store; it and readers are due again 0.3 s after a failed call began. `contactMs` is read from the settings. `store_regained` says what the end of an outage was judged by.

Why it works: the grace ends before contactMs have passed since the link can have been back, and after an outage still 1.85 s or more after the return at VMs that read the store, as calls follow each other closely.

--- a/crates/gateway/src/expired.rs
+++ b/crates/gateway/src/expired.rs
@@ -18,10 +18,10 @@
 }
 
 impl ExpiredEntries {
-    /// Counts the time since the last call, in which the store was reachable or not.
+    /// Counts the time from the last call to `now`, in which the store was reachable or not.
     pub(crate) fn pass_time(&mut self, now: Millis, was_reachable: bool) {
         let elapsed = now.since(self.counted_at);
-        self.counted_at = now;
+        self.counted_at = self.counted_at.max(now);
         if was_reachable {
             for left in self.left.values_mut() {
                 *left = left.since(elapsed);
--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -238,13 +238,25 @@
         self.is_store_unreachable
     }
 
-    /// Records whether a call to the store failed.
-    pub(crate) fn set_store_unreachable(&mut self, is_unreachable: bool, now: Millis) {
+    /// Records that a call to the store failed.
+    pub(crate) fn begin_outage(&mut self, now: Millis) {
         self.expired.pass_time(now, !self.is_store_unreachable);
-        if self.is_store_unreachable && !is_unreachable {
-            self.record_store_return(now);
+        self.is_store_unreachable = true;
+    }
+
+    /// Records that a call to the store succeeded, and since when it can have been back. `None` if no
+    /// entry can have expired meanwhile.
+    pub(crate) fn end_outage(&mut self, returned_at: Option<Millis>, now: Millis) {
+        if self.is_store_unreachable {
+            self.expired.pass_time(returned_at.unwrap_or(now), false);
+        }
+        self.expired.pass_time(now, true);
+        if self.is_store_unreachable
+            && let Some(returned_at) = returned_at
+        {
+            self.record_store_return(returned_at);
         }
-        self.is_store_unreachable = is_unreachable;
+        self.is_store_unreachable = false;
     }
 
     /// Records that the store came back from an outage at `at`.
--- a/crates/gateway/src/known/tests.rs
+++ b/crates/gateway/src/known/tests.rs
@@ -46,7 +46,10 @@
         let is_down = outages
             .iter()
             .any(|(start, end)| (*start..*end).contains(&now));
-        known.set_store_unreachable(is_down, Millis(now));
+        match is_down {
+            true => known.begin_outage(Millis(now)),
+            false => known.end_outage(Some(Millis(now)), Millis(now)),
+        }
         if now == first_return {
             known.remove_upstream(&id, Millis(now));
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod listen;
 pub mod logs;
 pub mod metrics;
+mod outage;
 mod outgoing;
 pub mod own_keys;
 mod panics;
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -10,6 +10,7 @@
 mod confirm;
 mod lost;
 mod lost_keys;
+mod outage;
 mod own;
 mod peers;
 mod presence;
@@ -28,7 +29,7 @@
 use bergamot_feed::{PeerRanking, UpdateSource};
 use bergamot_membership::prelude::*;
 use bergamot_ports::{
-    StateStore, StoreCatalog, StoreError, StoreEvent, StoreGeneration, StoreRevision, WatchOutcome,
+    StateStore, StoreCatalog, StoreEvent, StoreGeneration, StoreRevision, WatchOutcome,
 };
 use bergamot_quarantine::QuarantineRecord;
 use bergamot_types::prelude::*;
@@ -41,6 +42,7 @@
 use self::board::{FeedState, max_served_bytes};
 use self::lost::LostRecords;
 use self::lost_keys::LostKeySearch;
+use self::outage::RETRY_PERIOD;
 use self::own::maintain_own_key;
 use self::peers::{FeedError, POLL_PERIOD};
 use self::presence::{FollowerWatch, watch_followers};
@@ -49,18 +51,9 @@
 use self::stall::LATE_ANSWER_TIME;
 use crate::duty::{run_required, run_restarted};
 use crate::known::KnownState;
+use crate::outage::StoreOutage;
 use crate::shared::SharedState;
 
-/// Period of retries while the store is unreachable, at a VM that serves its updates to peers.
-const RETRY_PERIOD: Duration = Duration::from_millis(300);
-/// Period of retries at those peers, which also poll that VM four times a second. Together with the
-/// duration of a failed call it stays below the three seconds after which a VM whose link is back
-/// must be up to date.
-const FOLLOWER_RETRY_PERIOD: Duration = Duration::from_millis(1_200);
-/// Period of retries while a peer answers that it has no fresh updates either. The VM that reads
-/// the store finds out sooner and serves its updates. Failed calls also count as load: 1,600 in an
-/// outage of 8 s with 195 VMs.
-const STALE_PEER_RETRY_PERIOD: Duration = Duration::from_millis(4_000);
 /// Longest wait of one watch. A watch without changes costs one call.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Time between a watch's answer and the next watch, so that a burst of changes costs one call.
@@ -96,6 +89,10 @@
     source: String,
     /// Generation of the store at its last answer.
     generation: Option<StoreGeneration>,
+    /// The outage that has not ended for this VM, neither by the store nor by a peer.
+    outage: Option<StoreOutage>,
+    /// Whether this VM's own last call to the store failed. Updates may come from peers meanwhile.
+    has_failed_call: bool,
 }
 
 impl<Store, Catalog> StoreSync<Store, Catalog>
@@ -123,6 +120,8 @@
             peer_failures: IndexMap::new(),
             source: STORE_NAME.to_owned(),
             generation: None,
+            outage: None,
+            has_failed_call: false,
         }
     }
 
@@ -170,27 +169,40 @@
         }
     }
 
-    /// Obtains the next changes, from peers if their feeds are usable.
+    /// Obtains the next changes, from peers if their feeds are usable. The coordinator and the VM that
+    /// reads the store for others use them only while they cannot reach the store, and go on trying it.
     async fn follow(&mut self) {
-        let is_coordinator = self.is_coordinator();
         let now = self.shared.clock.now();
-        let source = self.ranking.source(self.known.is_store_unreachable(), now);
+        let is_cut_off = self.is_cut_off();
+        let source = self.ranking.source(is_cut_off, now);
         if let UpdateSource::Peers(peers) = source
-            && !is_coordinator
+            && (is_cut_off || !self.is_coordinator())
             && self.poll_peers(&peers).await
         {
             if self.known.review_entries(self.shared.clock.now()) {
                 self.publish();
             }
-            tokio::time::sleep(POLL_PERIOD).await;
-            return;
+            if !self.follows_store() || Instant::now() < self.confirm_at {
+                tokio::time::sleep(POLL_PERIOD).await;
+                return;
+            }
         }
-        self.set_source(STORE_NAME);
         if let Some(revision) = self.known.revision {
             self.follow_store(revision).await;
         }
     }
 
+    /// Whether this VM gets its updates from the store while it can be reached.
+    fn follows_store(&self) -> bool {
+        self.is_coordinator() || self.ranking.is_store_reader()
+    }
+
+    /// Whether the store cannot be reached. Updates from a peer end this for a VM that gets them from
+    /// peers anyway.
+    fn is_cut_off(&self) -> bool {
+        self.known.is_store_unreachable() || (self.has_failed_call && self.follows_store())
+    }
+
     fn is_coordinator(&self) -> bool {
         let coordinator = self.known.coordinator.as_ref();
         coordinator.is_some_and(|record| record.vm == self.shared.site.vm.as_str())
@@ -207,9 +219,10 @@
     /// Follows the store for one watch from `revision`, or until it was restored or the watch has
     /// stalled. While the store is unreachable, first makes one short call to see whether it is back.
     async fn follow_store(&mut self, revision: StoreRevision) {
-        if self.known.is_store_unreachable() && !self.is_store_back().await {
+        if self.has_failed_call && !self.is_store_back().await {
             return;
         }
+        self.set_source(STORE_NAME);
         let store = Rc::clone(&self.store);
         let started_at = self.shared.clock.now();
         let watch = async move { store.watch("", revision, WATCH_WAIT).await };
@@ -232,9 +245,10 @@
             if Instant::now() < self.confirm_at {
                 continue;
             }
+            let confirmed_at = self.shared.clock.now();
             if let Err(error) = self.confirm().await {
                 // The watch's connection is affected by the same outage.
-                self.record_failure("confirm", &error);
+                self.record_failure("confirm", confirmed_at, &error);
                 return;
             }
             if self.known.revision.is_none() {
@@ -276,7 +290,7 @@
                 log::info!("event=store_history_gone revision={revision}");
                 self.known.revision = None;
             }
-            Err(error) => self.record_failure("watch", &error),
+            Err(error) => self.record_failure("watch", self.shared.clock.now(), &error),
         }
     }
 
@@ -288,10 +302,11 @@
             tokio::time::sleep(pause).await;
             return false;
         }
+        let started_at = self.shared.clock.now();
         let Err(error) = self.confirm().await else {
             return true;
         };
-        self.record_failure("confirm", &error);
+        self.record_failure("confirm", started_at, &error);
         false
     }
 
@@ -334,34 +349,4 @@
     fn schedule_confirm(&mut self) {
         self.confirm_at = Instant::now() + self.ranking.confirm_period().as_duration();
     }
-
-    fn record_failure(&mut self, call: &str, error: &StoreError) {
-        if !self.known.is_store_unreachable() {
-            log::warn!("event=store_lost call={call} reason={error:?}");
-        }
-        self.known
-            .set_store_unreachable(true, self.shared.clock.now());
-        self.shared.set_store_unreachable(true);
-        let are_peers_stale = self.shared.are_peers_stale(self.shared.clock.now());
-        let pause = match self.ranking.is_store_reader() {
-            true => RETRY_PERIOD,
-            false if are_peers_stale => STALE_PEER_RETRY_PERIOD,
-            false => FOLLOWER_RETRY_PERIOD,
-        };
-        self.confirm_at = Instant::now() + pause;
-        self.store.reset();
-    }
-
-    fn record_success(&mut self) {
-        if !self.known.is_store_unreachable() {
-            return;
-        }
-        let now = self.shared.clock.now();
-        log::info!(
-            "event=store_regained config_age={}",
-            self.shared.config_age(now)
-        );
-        self.known.set_store_unreachable(false, now);
-        self.shared.set_store_unreachable(false);
-    }
 }
--- a/crates/gateway/src/sync/peers.rs
+++ b/crates/gateway/src/sync/peers.rs
@@ -12,6 +12,7 @@
 
 use super::StoreSync;
 use crate::evacuations::EvacuationEvent;
+use crate::outage::can_have_expired;
 
 /// Period of requests to a peer. A change is known here after at most this period and the reader's
 /// own pause, a fraction of the time after which a leaving upstream must get no new requests.
@@ -108,8 +109,7 @@
             if error.lacks_fresh_updates() {
                 self.shared.record_stale_peer(now);
             }
-            self.ranking
-                .back_off(vm, self.known.is_store_unreachable(), now);
+            self.ranking.back_off(vm, self.is_cut_off(), now);
         }
         false
     }
@@ -191,7 +191,7 @@
         }
         // A VM that can reach the store accepts relayed updates only from a relay of its failure
         // domain, whose reader goes on reading the store.
-        if updates.is_relayed && !self.known.is_store_unreachable() && !self.is_relay(addr) {
+        if updates.is_relayed && !self.is_cut_off() && !self.is_relay(addr) {
             return Err(FeedError::Relayed);
         }
         let age = self.shared.clock.now().since(requested_at) + updates.age;
@@ -221,7 +221,6 @@
         requested_at: Millis,
         addr: SocketAddr,
     ) {
-        self.record_success();
         self.apply_store_return(&updates, requested_at);
         self.apply_retained(&updates, requested_at);
         let now = self.shared.clock.now();
@@ -244,10 +243,17 @@
         self.apply_confirmation(&updates, requested_at, addr).await;
     }
 
-    /// Applies the times at which a peer saw the store come back and noticed a restore.
+    /// Applies the times at which a peer saw the store come back and noticed a restore. Ends the outage
+    /// for this VM, as its peer reaches the store.
     pub(super) fn apply_store_return(&mut self, updates: &StoreUpdates, requested_at: Millis) {
-        if let Some(since_return) = updates.since_return {
-            let returned_at = Millis(requested_at.0.saturating_sub(since_return.0));
+        let current_at = self.feed_state.borrow().freshness.current_at();
+        let returned_at = updates
+            .since_return
+            .map(|since_return| Millis(requested_at.0.saturating_sub(since_return.0)))
+            // Otherwise the peer alone was cut off, or this VM has applied the return before.
+            .filter(|at| can_have_expired(current_at, *at, &self.shared.bounds()));
+        self.end_outage(returned_at);
+        if let Some(returned_at) = returned_at {
             self.known.record_store_return(returned_at);
         }
         if let Some(since_restore) = updates.since_restore {
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -39,7 +39,7 @@
     /// Reads everything from a peer. Returns `false` if this VM is to read the store itself, or no
     /// peer has its contents.
     async fn read_from_peers(&mut self) -> bool {
-        if self.is_coordinator() {
+        if self.is_coordinator() && !self.is_cut_off() {
             return false;
         }
         if self.known.entries.is_empty() && !self.read_entries().await {
@@ -47,11 +47,11 @@
         }
         let deadline = Instant::now() + PEER_READ_TIMEOUT;
         while Instant::now() < deadline {
-            if self.ranking.is_server() && !self.known.is_store_unreachable() {
+            if self.ranking.is_server() && !self.is_cut_off() {
                 return false;
             }
             let now = self.shared.clock.now();
-            let source = self.ranking.source(self.known.is_store_unreachable(), now);
+            let source = self.ranking.source(self.is_cut_off(), now);
             let UpdateSource::Peers(peers) = source else {
                 return false;
             };
@@ -73,8 +73,7 @@
             return;
         }
         let now = self.shared.clock.now();
-        self.ranking
-            .back_off(vm, self.known.is_store_unreachable(), now);
+        self.ranking.back_off(vm, self.is_cut_off(), now);
     }
 
     /// Reads the records of the entry VMs from the store. Returns `false` if the call failed.
@@ -119,7 +118,6 @@
             if updates.has_more {
                 continue;
             }
-            self.record_success();
             self.apply_store_return(&updates, requested_at);
             let fresh_at = Millis(requested_at.0.saturating_sub(updates.age.0));
             self.replace_all(items.into_values().collect(), after, fresh_at, vm);
@@ -172,10 +170,11 @@
     /// Reads the keys with a prefix. `call` is the name of the call in log and metrics. Returns
     /// `None` if the call failed.
     async fn range(&mut self, prefix: &str, call: &str) -> Option<StoreRange> {
+        let started_at = self.shared.clock.now();
         let range = self.store.range(prefix).await;
         self.count_store_call(call, range.as_ref().err());
         if let Err(error) = &range {
-            self.record_failure(call, error);
+            self.record_failure(call, started_at, error);
         }
         range.ok()
     }
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -6,6 +6,7 @@
 
 const BOUNDS: ServingBounds = ServingBounds {
     drain_time: Millis(2_000),
+    contact_time: Millis(3_000),
     stop_grace: Millis(8_000),
     revoke_time: None,
     config_apply_time: None,
--- a/crates/gateway/tests/budget_model.rs
+++ b/crates/gateway/tests/budget_model.rs
@@ -8,6 +8,7 @@
 
 const BOUNDS: ServingBounds = ServingBounds {
     drain_time: Millis(2_000),
+    contact_time: Millis(3_000),
     stop_grace: Millis(8_000),
     revoke_time: None,
     config_apply_time: None,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -32,6 +32,7 @@
         forward_addr: None,
         bounds: ServingBounds {
             drain_time: Millis(2_000),
+            contact_time: Millis(3_000),
             stop_grace: Millis(8_000),
             revoke_time: Some(REVOKE_TIME),
             config_apply_time: Some(CONFIG_APPLY_TIME),
--- a/crates/ports/src/site.rs
+++ b/crates/ports/src/site.rs
@@ -30,6 +30,8 @@
 pub struct ServingBounds {
     /// Time after which a leaving upstream gets no new requests.
     pub drain_time: Millis,
+    /// Time after an interruption of a VM's links from which on the times here bind it again.
+    pub contact_time: Millis,
     /// Time between the stop signal and the kill.
     pub stop_grace: Millis,
     /// Time after which a revoked key must not be served. If none, the rule binds only VMs that can
