fix: a change that a silent watch lacks is fetched by a second watch within 0.2 s

Cause: the bound was made up of waits in a row that did not know it: up to 0.8 s until a confirmation shows that the watch lacks a change, 2 s of patience with the watch, and up to 0.8 s until the next confirmation looks at the time. The patience is right for a connection whose packets are retransmitted, not for the news.

Change: 0.2 s after a confirmation has shown a revision that the watch has not delivered, a second watch is opened beside it; the first answer of both counts. Both together are given up after 2 s as before. The periods on the way of a change shrink with drainMs and configApplyMs below 2 s. A VM that has just lost the store asks all peers anew, as its pauses for stale ones were measured before.

Why it works: a reader knows a change 1.0 s and two calls after it at the latest, followers 0.25 s later. A slow store cannot starve the VM, as the first watch stays open.

--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -169,6 +169,12 @@
         self.preferred.is_empty()
     }
 
+    /// Ends all backoffs. A VM that has just lost the store asks every peer, as one may have reached it
+    /// again since.
+    pub fn end_backoffs(&mut self) {
+        self.backoff_until.clear();
+    }
+
     /// Backs off from a peer that did not answer or had no current updates. `is_store_unreachable`
     /// is set if this VM could not read the store at that time.
     pub fn back_off(&mut self, vm: &str, is_store_unreachable: bool, now: Millis) {
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -48,7 +48,6 @@
 use self::presence::{FollowerWatch, watch_followers};
 use self::quarantine::write_records;
 use self::serve::serve_updates;
-use self::stall::LATE_ANSWER_TIME;
 use crate::duty::{run_required, run_restarted};
 use crate::known::KnownState;
 use crate::outage::StoreOutage;
@@ -183,7 +182,7 @@
                 self.publish();
             }
             if !self.follows_store() || Instant::now() < self.confirm_at {
-                tokio::time::sleep(POLL_PERIOD).await;
+                tokio::time::sleep(self.within_change_time(POLL_PERIOD)).await;
                 return;
             }
         }
@@ -223,25 +222,24 @@
             return;
         }
         self.set_source(STORE_NAME);
-        let store = Rc::clone(&self.store);
-        let started_at = self.shared.clock.now();
-        let watch = async move { store.watch("", revision, WATCH_WAIT).await };
-        tokio::pin!(watch);
+        let mut watches = self.open_watches(revision);
         let outcome = loop {
-            let review_at = self
-                .known
-                .time_until_review(self.shared.clock.now())
-                .map(|wait| Instant::now() + wait);
-            let wake_at = review_at.map_or(self.confirm_at, |at| at.min(self.confirm_at));
+            let review_wait = self.known.time_until_review(self.shared.clock.now());
+            let review_at = review_wait.map(|wait| Instant::now() + wait);
+            let wake_times = [Some(self.confirm_at), review_at, watches.late_at()];
+            let wake_at = wake_times.into_iter().flatten().min();
             tokio::select! {
                 biased;
-                () = tokio::time::sleep_until(wake_at) => {}
-                outcome = &mut watch => break outcome,
+                () = tokio::time::sleep_until(wake_at.unwrap_or(self.confirm_at)) => {}
+                outcome = watches.answer() => break outcome,
             }
             let now = self.shared.clock.now();
             if self.known.review_entries(now) {
                 self.publish();
             }
+            if let Some(outcome) = self.open_due_watch(&mut watches, revision).await {
+                break outcome;
+            }
             if Instant::now() < self.confirm_at {
                 continue;
             }
@@ -258,14 +256,16 @@
             if self.query_lost_keys().await {
                 self.publish();
             }
-            if self.is_watch_stalled(started_at) {
-                if let Ok(outcome) = tokio::time::timeout(LATE_ANSWER_TIME, &mut watch).await {
+            self.expect_answer(&mut watches);
+            if self.are_watches_stalled(&watches) {
+                if let Some(outcome) = watches.arrived_answer().await {
                     break outcome;
                 }
-                log::warn!("event=watch_stalled revision={revision}");
+                log::warn!("event=watches_given_up revision={revision}");
                 return;
             }
         };
+        let started_at = watches.started_at();
         self.count_store_call("watch", outcome.as_ref().err());
         match outcome {
             Ok(WatchOutcome::Changes { events, revision }) => {
@@ -284,6 +284,7 @@
                     true => self.publish(),
                     false => self.record_view_current(),
                 }
+                drop(watches);
                 tokio::time::sleep(self.watch_pause()).await;
             }
             Ok(WatchOutcome::Compacted) => {
@@ -347,6 +348,7 @@
 
     /// Makes the next confirmation due after the usual period.
     fn schedule_confirm(&mut self) {
-        self.confirm_at = Instant::now() + self.ranking.confirm_period().as_duration();
+        let period = self.ranking.confirm_period().as_duration();
+        self.confirm_at = Instant::now() + self.within_change_time(period);
     }
 }
--- a/crates/gateway/src/sync/outage.rs
+++ b/crates/gateway/src/sync/outage.rs
@@ -52,6 +52,7 @@
     fn begin_outage(&mut self, call: &str, started_at: Millis, error: &StoreError) {
         if !self.known.is_store_unreachable() {
             log::warn!("event=store_lost call={call} reason={error:?}");
+            self.ranking.end_backoffs();
         }
         let now = self.shared.clock.now();
         let outage = StoreOutage {
