fix: a group is given up if a member joins another one by an earlier coordinator's order

The coordinator opened a group and in the same step ordered its open leader into another one, so that two groups counted on one upstream.

Cause: an order of the coordinator before may arrive after a takeover, as one that stops gives up its lease at once. The successor had begun to form a group from the same upstreams. It saw the other group complete and opened it, while its own went on to ask for the members that it lacked.

Change: a group that forms is given up when a member shows up in a group that it was not in when the formation began.

Measured: groups/tests/decisions.rs, the new case: two joins before, none after.

--- a/crates/groups/src/assign.rs
+++ b/crates/groups/src/assign.rs
@@ -179,9 +179,15 @@
         log::info!("event=group_forms group={id} members={members:?}");
         let group = FormingGroup {
             epoch: self.epoch,
+        let earlier_groups = members.iter().filter_map(|member| {
+            let membership = self.records.get(member)?.entry.membership.as_ref()?;
+            let key = (membership.group.clone(), membership.epoch);
+            Some((member.clone(), key))
+        });
             model,
             members,
             started_at: now,
+            earlier_groups: earlier_groups.collect(),
         };
         let key = (id.clone(), group.epoch);
         self.leaders.insert(key, group.members[0].clone());
--- a/crates/groups/src/forming.rs
+++ b/crates/groups/src/forming.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::upstream::UpstreamRecord;
+use crate::view::GroupKey;
 
 /// A group that does not serve yet.
 #[derive(Clone, Debug)]
@@ -13,6 +14,8 @@
     pub model: ModelName,
     /// The members in order of rank.
     pub members: Vec<UpstreamId>,
+    /// The groups that members had not left when this one began to form.
+    pub earlier_groups: IndexMap<UpstreamId, GroupKey>,
     pub started_at: Millis,
 }
 
@@ -47,6 +50,9 @@
             if record.has_exited || record.unanswered >= max_unanswered {
                 return FormingStep::Abort("a member does not answer");
             }
+            if self.has_joined_another(id, record) {
+                return FormingStep::Abort("a member joined another group");
+            }
             if !record.is_member_of(id, self.epoch) {
                 orders.push((member.clone(), self.join_order(id)));
                 continue;
@@ -73,6 +79,18 @@
         FormingStep::Orders(orders)
     }
 
+    /// Whether a member joined another group since this one began to form, by an order of an earlier
+    /// coordinator that was still on its way. That group may serve.
+    fn has_joined_another(&self, id: &GroupId, record: &UpstreamRecord) -> bool {
+        let Some(membership) = &record.entry.membership else {
+            return false;
+        };
+        let key = (membership.group.clone(), membership.epoch);
+        let is_this_group = key.0 == *id && key.1 == self.epoch;
+        let earlier_group = self.earlier_groups.get(&record.entry.incarnation.id);
+        !is_this_group && earlier_group != Some(&key)
+    }
+
     fn join_order(&self, id: &GroupId) -> GroupOrder {
         GroupOrder::Join {
             group: id.clone(),
--- a/crates/groups/tests/decisions.rs
+++ b/crates/groups/tests/decisions.rs
@@ -311,3 +311,38 @@
         (3, 0, 0, 3)
     );
 }
+
+/// Guards against a member that is ordered into a group that forms although it joined another one
+/// meanwhile, by an order that an earlier coordinator had sent. That group is opened.
+#[test]
+fn a_group_is_given_up_if_a_member_joins_another_one_by_an_earlier_order() {
+    let broken = [
+        member("u1", "a.7", 0, MemberState::Broken),
+        member("u2", "a.7", 1, MemberState::Ready),
+    ];
+    let joined = [
+        member("u1", "a.8", 0, MemberState::Ready),
+        member("u2", "a.8", 1, MemberState::Ready),
+    ];
+    let open = [member("u1", "a.8", 0, MemberState::Open), joined[1]];
+    let mut planner = planner();
+    apply_directory(&broken, &mut planner);
+    let actions = planner.step(NOW);
+    assert_eq!(orders(&actions), ["u1: join a of 2", "u2: join a of 2"]);
+    for action in &actions {
+        if let GroupAction::Order(request) = action {
+            planner.record_order_outcome(request, &OrderOutcome::Unfit);
+        }
+    }
+    for (directory, elapsed) in [(&joined, 600), (&open, 1_200)] {
+        apply_directory(directory, &mut planner);
+        for id in ["u1", "u2"] {
+            let answer = QueryOutcome::Answered(report());
+            planner.record_query_outcome(&incarnation(id), &answer, NOW + Millis(elapsed));
+        }
+        let actions = planner.step(NOW + Millis(elapsed));
+        let joins: Vec<String> = orders(&actions);
+        let joins = joins.into_iter().filter(|order| order.contains("join"));
+        assert_eq!(joins.collect::<Vec<_>>(), Vec::<String>::new());
+    }
+}
