fix: a new coordinator holds members whose old leader may be open

Cause: holds that follow from what a coordinator saw were in its memory and ended with its term. The next one began from the present entries. The head's entry had expired, or been overwritten, so that nothing named the old group, and the guess that an upstream may have restarted needs a listed member of it.

Change: each entry VM keeps a log of what it sees in the directory, in office or not: members that left or restarted, the last memberships of upstreams that are not listed, and the leaders. Upstreams that the planner first sees are held by it for what is left of stallMs and 0.4 s. A VM that began to read less than that ago uses no upstream that was free when first seen and has begun no order.

Why it works: a departure shows in the entry, and every VM that can take over reads all entries.

--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bergamot_feed::ConfigConfirmation;
+use bergamot_groups::MembershipLog;
 use bergamot_ports::{
     ServingConfig, StoreCatalog, StoreEvent, StoreGeneration, StoreItem, StoreRevision,
     UpstreamEntry, UpstreamState,
@@ -11,6 +12,7 @@
 use bergamot_quarantine::QuarantineRecord;
 use bergamot_types::prelude::*;
 use indexmap::{IndexMap, IndexSet};
+use parking_lot::Mutex;
 
 use crate::cold::EntryStatements;
 use crate::departures::DepartureLog;
@@ -49,6 +51,8 @@
     pub(crate) statements: EntryStatements,
     /// Upstreams that left, in case a restored store lists them again.
     pub(crate) departures: DepartureLog,
+    /// The members that left their groups.
+    pub(crate) memberships: Arc<Mutex<MembershipLog>>,
     pub(crate) entries: IndexMap<String, EntryRecord>,
     pub(crate) coordinator: Option<EntryRecord>,
     /// The revision of that record. Zero if there is none.
@@ -83,6 +87,14 @@
 }
 
 impl KnownState {
+    /// Creates the state before anything has been read. Departures of members go to `memberships`.
+    pub(crate) fn new(memberships: Arc<Mutex<MembershipLog>>) -> Self {
+        Self {
+            memberships,
+            ..Self::default()
+        }
+    }
+
     pub(crate) fn apply_event<Catalog>(&mut self, catalog: &Catalog, event: StoreEvent, now: Millis)
     where
         Catalog: StoreCatalog,
@@ -191,6 +203,8 @@
         }
         self.expired.remove(&id);
         self.statements.record(&entry, revision, now);
+        let previous = self.upstreams.get(&id);
+        self.memberships.lock().record_entry(previous, &entry, now);
         self.upstreams.insert(id, entry);
     }
 
@@ -202,7 +216,9 @@
         }
         self.expired.remove(id);
         self.statements.remove(id);
-        self.upstreams.shift_remove(id);
+        if let Some(entry) = self.upstreams.shift_remove(id) {
+            self.memberships.lock().record_removal(&entry);
+        }
     }
 
     /// Whether the store was restored between the last read of all of it and the one at `revision`.
@@ -295,6 +311,7 @@
     fn drop_upstream(&mut self, id: &UpstreamId, now: Millis) {
         self.statements.remove(id);
         if let Some(entry) = self.upstreams.shift_remove(id) {
+            self.memberships.lock().record_removal(&entry);
             self.departures.record(&entry.incarnation, now);
         }
     }
@@ -335,6 +352,8 @@
             let id = entry.incarnation.id.clone();
             log::info!("event=upstream_relisted upstream={id}");
             self.statements.record(&entry, StoreRevision::ZERO, now);
+            let previous = self.upstreams.get(&id);
+            self.memberships.lock().record_entry(previous, &entry, now);
             self.upstreams.insert(id, entry);
         }
         self.expired.pass_time(now, true);
--- a/crates/gateway/src/planner_input.rs
+++ b/crates/gateway/src/planner_input.rs
@@ -47,7 +47,11 @@
     });
     planner.set_spec(spec);
     planner.set_evacuated(view.evacuations.keys().cloned());
+    let now = shared.clock.now();
+    let memberships = shared.memberships.lock();
+    planner.set_departures(&memberships, |id| view.upstreams.get(id), now);
+    drop(memberships);
     let entries = view.upstreams.values();
     let members = entries.filter(|entry| entry.service == service);
-    planner.set_directory(members, view.revision.to_ordinal(), shared.clock.now());
+    planner.set_directory(members, view.revision.to_ordinal(), now);
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
-use bergamot_groups::ModelDemand;
+use bergamot_groups::{MembershipLog, ModelDemand};
 use bergamot_membership::prelude::*;
 use bergamot_peer::SuspicionNotice;
 use bergamot_ports::{ServingBounds, VmSite};
@@ -45,6 +45,8 @@
     pub parks: Arc<ParkMeter>,
     /// The metrics.
     pub metrics: GatewayMetrics,
+    /// The members that left their groups, as far as the store was read.
+    pub memberships: Arc<Mutex<MembershipLog>>,
     /// The latest view of the store's contents.
     pub view: ArcSwap<ClusterView>,
     /// Counts views. A change notifies subscribers of a new view or the start of a stop.
@@ -117,6 +119,7 @@
             clock,
             parks: Arc::default(),
             metrics: GatewayMetrics::new(),
+            memberships: Arc::default(),
             view: ArcSwap::from_pointee(ClusterView::default()),
             view_changed: watch::channel(0).0,
             config_confirmed: Notify::new(),
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -102,13 +102,14 @@
     /// Creates the state before anything has been read.
     pub fn new(shared: Arc<SharedState>, store: Rc<Store>, catalog: Catalog) -> Self {
         let own_key = hash_bytes(shared.site.vm.as_str().as_bytes());
+        let memberships = Arc::clone(&shared.memberships);
         Self {
             own_key,
             presence: Rc::default(),
             shared,
             store,
             catalog,
-            known: KnownState::default(),
+            known: KnownState::new(memberships),
             confirm_at: Instant::now(),
             has_failed_peer_confirm: false,
             ranking: PeerRanking::default(),
--- a/crates/gateway/src/sync/read.rs
+++ b/crates/gateway/src/sync/read.rs
@@ -226,6 +226,7 @@
             self.known.apply_item(&self.catalog, item, now);
         }
         self.known.retain_listed(&listed, now);
+        self.known.memberships.lock().record_read(now);
         self.known.revision = Some(revision);
         self.known.read_generation = Some(revision.generation);
         let served_items = items.into_iter().filter_map(|mut item| {
--- a/crates/groups/src/assign.rs
+++ b/crates/groups/src/assign.rs
@@ -135,7 +135,7 @@
             && !record.has_pending_order()
             && !is_forming
             && !is_held_by_predecessor
-            && !self.may_have_restarted(record)
+            && !self.may_have_restarted(record, now)
             && !self.may_be_held_unrecorded(record, now)
             && record.held_until <= now
     }
@@ -144,14 +144,16 @@
     /// stalled, as far as this coordinator can tell: the upstream had no group when first seen and
     /// has begun no order. All other upstreams are used immediately. Waiting for them too lowered
     /// the mean score on days with faults from between 0.620 and 0.647 to between 0.585 and 0.606
-    /// (8 VMs, 57 upstreams; five days, six runs with the wait and three without).
-    pub(crate) fn may_have_restarted(&self, record: &UpstreamRecord) -> bool {
+    /// (8 VMs, 57 upstreams; five days, six runs with the wait and three without). A group may be
+    /// stalled without a listed member if this VM has not seen its members for long.
+    pub(crate) fn may_have_restarted(&self, record: &UpstreamRecord, now: Millis) -> bool {
         let has_start_time = record.entry.incarnation.started_at.is_some();
         let is_fresh = record.was_free_at_discovery && record.orders_begun == Some(0);
         let fabric = record.entry.fabric.as_ref();
         has_start_time
             && is_fresh
-            && fabric.is_some_and(|fabric| self.stalled_fabrics.contains(fabric))
+            && (now < self.unseen_departures_until
+                || fabric.is_some_and(|fabric| self.stalled_fabrics.contains(fabric)))
     }
 
     /// Whether an earlier coordinator may have held an upstream and the record of it is lost.
@@ -177,17 +179,17 @@
         self.epoch += 1;
         let id = group_name(&model, self.epoch);
         log::info!("event=group_forms group={id} members={members:?}");
-        let group = FormingGroup {
-            epoch: self.epoch,
         let earlier_groups = members.iter().filter_map(|member| {
             let membership = self.records.get(member)?.entry.membership.as_ref()?;
             let key = (membership.group.clone(), membership.epoch);
             Some((member.clone(), key))
         });
+        let group = FormingGroup {
+            epoch: self.epoch,
             model,
+            earlier_groups: earlier_groups.collect(),
             members,
             started_at: now,
-            earlier_groups: earlier_groups.collect(),
         };
         let key = (id.clone(), group.epoch);
         self.leaders.insert(key, group.members[0].clone());
--- a/crates/groups/src/issue.rs
+++ b/crates/groups/src/issue.rs
@@ -22,7 +22,7 @@
         let retry_delay = self.options.order_retry_delay;
         let is_join = matches!(order, GroupOrder::Join { .. });
         let record = self.records.get(id);
-        if is_join && record.is_some_and(|record| self.may_have_restarted(record)) {
+        if is_join && record.is_some_and(|record| self.may_have_restarted(record, now)) {
             return false;
         }
         let Some(record) = self.records.get_mut(id) else {
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -19,6 +19,7 @@
 mod evacuated;
 mod forming;
 mod issue;
+mod membership_log;
 mod observe;
 mod options;
 pub mod planner;
@@ -29,5 +30,6 @@
 mod view;
 
 pub use demand::{DemandMeter, ModelDemand};
+pub use membership_log::MembershipLog;
 pub use options::GroupOptions;
 pub use planner::{GroupAction, GroupPlanner, QueryOutcome};
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -12,6 +12,7 @@
 use crate::demand::{ModelDemand, needed_shares};
 use crate::evacuated::EvacuatedDomains;
 use crate::forming::FormingGroup;
+use crate::membership_log::MembershipLog;
 use crate::options::GroupOptions;
 use crate::upstream::UpstreamRecord;
 use crate::view::{GroupKey, group_model};
@@ -81,6 +82,11 @@
     pub(crate) inherited_holds: IndexMap<GroupId, Vec<UpstreamId>>,
     /// End of the time during which those are not used.
     pub(crate) inherited_holds_until: Millis,
+    /// Upstreams that may be members of a group whose leader is open, as this VM saw, each with the end
+    /// of that time.
+    pub(crate) member_holds: IndexMap<UpstreamId, Millis>,
+    /// Until when an upstream may have left such a group before this VM first read the directory.
+    pub(crate) unseen_departures_until: Millis,
     /// Whether stored holds of earlier coordinators may be missing from those.
     pub(crate) may_lack_holds: bool,
     /// Fabric domains in which a group lacks members while its leader may be open.
@@ -116,6 +122,8 @@
             last_discovery_at: now,
             inherited_holds_until: now + options.hold_time(),
             inherited_holds,
+            member_holds: IndexMap::new(),
+            unseen_departures_until: Millis::ZERO,
             may_lack_holds: false,
             stalled_fabrics: IndexSet::new(),
             answer_count: 0,
@@ -145,6 +153,19 @@
         self.may_lack_holds = true;
     }
 
+    /// Applies what this VM saw of the members' departures, also before it took over. Must be called
+    /// before each directory is set, as upstreams that were not listed before are held by it.
+    pub fn set_departures<'a, Find>(&mut self, log: &MembershipLog, find_entry: Find, now: Millis)
+    where
+        Find: Fn(&UpstreamId) -> Option<&'a UpstreamEntry>,
+    {
+        let hold_time = self.options.hold_time();
+        self.member_holds = log.holds(find_entry, hold_time, now);
+        if !self.is_first_term {
+            self.unseen_departures_until = log.followed_since().unwrap_or(now) + hold_time;
+        }
+    }
+
     /// Whether an upstream has seen a higher fencing number, so that another coordinator has taken
     /// over.
     pub fn is_fenced(&self) -> bool {
@@ -187,10 +208,16 @@
         for entry in entries {
             let id = &entry.incarnation.id;
             listed_by_addr.insert(entry.addr, id);
-            let record = self
-                .records
-                .entry(id.clone())
-                .or_insert_with(|| UpstreamRecord::new(entry.clone()));
+            let record = self.records.entry(id.clone()).or_insert_with(|| {
+                let held_until = self.member_holds.get(id).copied();
+                if let Some(held_until) = held_until {
+                    log::info!("event=member_held upstream={id} until={held_until}");
+                }
+                UpstreamRecord {
+                    held_until: held_until.unwrap_or_default(),
+                    ..UpstreamRecord::new(entry.clone())
+                }
+            });
             record.is_listed = true;
             if record.entry.incarnation.is_newer_than(&entry.incarnation) {
                 // The upstream reported its restart before its entry shows it.
--- a/crates/groups/tests/random.rs
+++ b/crates/groups/tests/random.rs
@@ -81,6 +81,30 @@
         seeds: 100,
         min_serving_share: 0.0,
     },
+    RunCase {
+        name: "restarts of members whose groups are not listed, and takeovers",
+        options: WorldOptions {
+            orphan_chance: 0.05,
+            ..WorldOptions::NO_FAULTS
+        },
+        seeds: 60,
+        min_serving_share: 0.3,
+    },
+    RunCase {
+        name: "the same with late and lost orders, crashes and partitions",
+        options: WorldOptions {
+            orphan_chance: 0.03,
+            late_chance: 0.1,
+            lost_chance: 0.05,
+            crash_chance: 0.01,
+            same_id_share: 0.8,
+            cut_chance: 0.01,
+            takeover_chance: 0.02,
+            ..WorldOptions::NO_FAULTS
+        },
+        seeds: 100,
+        min_serving_share: 0.0,
+    },
     RunCase {
         name: "restores of the store",
         options: WorldOptions {
@@ -144,18 +168,28 @@
             },
         ),
         (
-            "the next coordinator does not receive the holds",
+            "the next coordinator receives no holds and has not seen which members left",
             WorldOptions {
                 forget_holds: true,
+                forget_departures: true,
                 cut_chance: 0.05,
                 takeover_chance: 0.1,
                 ..WorldOptions::NO_FAULTS
             },
         ),
+        (
+            "the next coordinator has not seen which members left",
+            WorldOptions {
+                forget_departures: true,
+                orphan_chance: 0.05,
+                ..WorldOptions::NO_FAULTS
+            },
+        ),
         (
             "a coordinator trusts the holds that a restored store has",
             WorldOptions {
                 trust_restored_holds: true,
+                forget_departures: true,
                 cut_chance: 0.05,
                 restore_chance: 0.1,
                 ..WorldOptions::NO_FAULTS
--- a/crates/groups/tests/support/world.rs
+++ b/crates/groups/tests/support/world.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use bergamot_groups::{GroupAction, GroupOptions, GroupPlanner, QueryOutcome};
+use bergamot_groups::{GroupAction, GroupOptions, GroupPlanner, MembershipLog, QueryOutcome};
 use bergamot_ports::{
     EngineSpec, GroupMembership, GroupOrder, MemberState, ModelSpec, OrderOutcome, OrderRequest,
     StoreGeneration, StoreRevision, UpstreamEntry, UpstreamReport, UpstreamState,
@@ -32,6 +32,9 @@
     pub same_id_share: f64,
     /// An upstream is cut off from the coordinator, from the store, or from both.
     pub cut_chance: f64,
+    /// Per second for each open group: all of its members but one are cut off from the store until their
+    /// entries have expired. Then that one restarts under its id, and another coordinator takes over.
+    pub orphan_chance: f64,
     /// Another coordinator takes over while orders of the previous one are still in transit.
     pub takeover_chance: f64,
     /// An order is carried out 2 to 12 s late, and its answer is lost.
@@ -45,6 +48,8 @@
     pub trust_refusals: bool,
     /// Deliberate fault: the next coordinator does not receive the holds.
     pub forget_holds: bool,
+    /// Deliberate fault: the next coordinator has not seen which members left.
+    pub forget_departures: bool,
     /// Deliberate fault: a coordinator trusts the holds that a restored store has.
     pub trust_restored_holds: bool,
     /// Deliberate fault: fencing numbers and epochs are the store's bare numbers.
@@ -56,12 +61,14 @@
         crash_chance: 0.0,
         same_id_share: 0.0,
         cut_chance: 0.0,
+        orphan_chance: 0.0,
         takeover_chance: 0.0,
         late_chance: 0.0,
         lost_chance: 0.0,
         restore_chance: 0.0,
         trust_refusals: false,
         forget_holds: false,
+        forget_departures: false,
         trust_restored_holds: false,
         ignore_generations: false,
     };
@@ -134,6 +141,14 @@
     upstreams: Vec<SimulatedUpstream>,
     planners: Vec<(GroupPlanner, u64)>,
     pending_orders: Vec<PendingOrder>,
+    /// The directory as all entry VMs last read it.
+    listed: IndexMap<UpstreamId, UpstreamEntry>,
+    /// The departures that the entry VMs have seen.
+    departures: MembershipLog,
+    /// Listed members of unlisted groups that restart at a time.
+    orphans: Vec<(UpstreamId, u64)>,
+    /// When another coordinator takes over after such a restart.
+    takeovers_at: Vec<u64>,
     revision: u64,
     /// Number of restores of the store.
     generation: u64,
@@ -181,6 +196,10 @@
             upstreams: Vec::new(),
             planners: Vec::new(),
             pending_orders: Vec::new(),
+            listed: IndexMap::new(),
+            departures: MembershipLog::default(),
+            orphans: Vec::new(),
+            takeovers_at: Vec::new(),
             revision: 10,
             generation: 0,
             restored_at: None,
@@ -277,7 +296,9 @@
             if self.now.is_multiple_of(1_000) {
                 self.inject_faults();
             }
+            self.restart_orphans();
             self.advance_upstreams();
+            self.read_directory();
             self.deliver_orders();
             for index in 0..self.planners.len() {
                 self.step_planner(index);
@@ -319,6 +340,24 @@
             .collect()
     }
 
+    /// Lets the entry VMs read the directory.
+    fn read_directory(&mut self) {
+        let now = Millis(self.now);
+        let directory = self.directory().into_iter();
+        let directory = directory.map(|entry| (entry.incarnation.id.clone(), entry));
+        let previous = std::mem::replace(&mut self.listed, directory.collect());
+        let removed = previous
+            .iter()
+            .filter(|(id, _)| !self.listed.contains_key(*id));
+        for (_, entry) in removed {
+            self.departures.record_removal(entry);
+        }
+        for (id, entry) in &self.listed {
+            self.departures.record_entry(previous.get(id), entry, now);
+        }
+        self.departures.record_read(now);
+    }
+
     fn step_planner(&mut self, index: usize) {
         let now = Millis(self.now);
         let is_current = index + 1 == self.planners.len();
@@ -329,6 +368,10 @@
         let revision = self.ordinal();
         let planner = &mut self.planners[index].0;
         // A coordinator that was replaced continues with the directory it last read.
+        if is_current && !self.options.forget_departures {
+            let find_entry = |id: &UpstreamId| self.listed.get(id);
+            planner.set_departures(&self.departures, find_entry, now);
+        }
         if is_current {
             planner.set_directory(entries.iter(), revision, now);
         }
--- a/crates/groups/tests/support/world/faults.rs
+++ b/crates/groups/tests/support/world/faults.rs
@@ -6,25 +6,10 @@
     pub(super) fn inject_faults(&mut self) {
         for index in 0..self.upstreams.len() {
             if self.random.random_bool(self.options.crash_chance) {
-                let fabric = self.upstreams[index].fabric;
-                let addr = self.upstreams[index].addr;
-                let staged = self.upstreams[index].staged.clone();
                 let down_until = self.now + self.random.random_range(1_000..6_000);
-                let mut next = self.start_upstream(fabric, addr);
-                next.staged = staged;
                 let same_id_share = self.options.same_id_share;
-                if same_id_share > 0.0 && self.random.random_bool(same_id_share) {
-                    let previous = &self.upstreams[index];
-                    next.id = previous.id.clone();
-                    next.cut_until = previous.cut_until;
-                    next.cut_from_store = previous.cut_from_store;
-                    next.cut_from_coordinator = previous.cut_from_coordinator;
-                    // The old entry stays until it expires or is overwritten.
-                    next.entry_written_at = previous.entry_written_at;
-                    next.previous_entry = Some(previous.entry());
-                }
-                next.down_until = down_until;
-                self.upstreams[index] = next;
+                let has_same_id = same_id_share > 0.0 && self.random.random_bool(same_id_share);
+                self.crash(index, down_until, has_same_id);
             }
             if self.random.random_bool(self.options.cut_chance) {
                 let until = self.now + self.random.random_range(2_000..9_000);
@@ -37,6 +22,9 @@
                 self.trace(|| format!("{id} is cut off, kind {kind}, until {until}"));
             }
         }
+        if self.options.orphan_chance > 0.0 {
+            self.cut_groups();
+        }
         if self.options.restore_chance > 0.0 && self.random.random_bool(self.options.restore_chance)
         {
             self.restore_store();
@@ -46,6 +34,75 @@
         }
     }
 
+    /// Crashes an upstream. Its next incarnation starts at `down_until`.
+    fn crash(&mut self, index: usize, down_until: u64, has_same_id: bool) {
+        let fabric = self.upstreams[index].fabric;
+        let addr = self.upstreams[index].addr;
+        let mut next = self.start_upstream(fabric, addr);
+        let previous = &self.upstreams[index];
+        next.staged = previous.staged.clone();
+        if has_same_id {
+            next.id = previous.id.clone();
+            next.cut_until = previous.cut_until;
+            next.cut_from_store = previous.cut_from_store;
+            next.cut_from_coordinator = previous.cut_from_coordinator;
+            // The old entry stays until it expires or is overwritten.
+            next.entry_written_at = previous.entry_written_at;
+            next.previous_entry = Some(previous.entry());
+        }
+        next.down_until = down_until;
+        self.upstreams[index] = next;
+    }
+
+    /// Cuts all members of some open groups but one off from the store.
+    fn cut_groups(&mut self) {
+        let open = self.upstreams.iter().filter_map(|upstream| {
+            let joined = upstream.joined.as_ref()?;
+            let is_open = joined.membership.state == MemberState::Open;
+            is_open.then(|| joined.members.clone())
+        });
+        let groups: Vec<Vec<UpstreamId>> = open.collect();
+        for mut members in groups {
+            if !self.random.random_bool(self.options.orphan_chance) {
+                continue;
+            }
+            let Some(orphan) = members.pop() else {
+                continue;
+            };
+            let restarts_at = self.now + ENTRY_TTL_MS + self.random.random_range(100..1_500);
+            let cut = self.upstreams.iter_mut();
+            for upstream in cut.filter(|upstream| members.contains(&upstream.id)) {
+                upstream.cut_until = restarts_at + STALL_MS + 1_000;
+                upstream.cut_from_store = true;
+                upstream.cut_from_coordinator = false;
+            }
+            self.trace(|| format!("{members:?} are unlisted, {orphan} restarts at {restarts_at}"));
+            self.orphans.push((orphan, restarts_at));
+        }
+    }
+
+    /// Restarts the orphans that are due, and lets another coordinator take over soon after.
+    pub(super) fn restart_orphans(&mut self) {
+        let now = self.now;
+        let due = self.orphans.extract_if(.., |(_, at)| *at <= now);
+        let due: Vec<(UpstreamId, u64)> = due.collect();
+        for (orphan, _) in due {
+            let position = self
+                .upstreams
+                .iter()
+                .position(|upstream| upstream.id == orphan);
+            if let Some(index) = position {
+                self.crash(index, now + 200, true);
+                let takeover_at = now + self.random.random_range(0..2_000);
+                self.takeovers_at.push(takeover_at);
+            }
+        }
+        let count = self.takeovers_at.extract_if(.., |at| *at <= now).count();
+        if count > 0 {
+            self.take_over();
+        }
+    }
+
     /// Restores the store from a copy that is older than all holds. Upstreams write their entries
     /// again; the coordinator's record is lost.
     fn restore_store(&mut self) {
