fix: an answer whose status is outside 200 to 599 is no answer

Callers got 101 without having asked for an upgrade, and 600, 700 and 999, as answers to all kinds of requests, when an upstream in trouble sent them. 000 and malformed first lines did not come through, as the HTTP library takes no status below 100.

Cause: what a final answer may be was left to the library, which takes any status from 100 to 999 and returns 101 as an answer.

Change: one function decides it (RFC 9110, 15, 15.2, 15.2.2), asked at the answers of upstreams, of entry VMs that serve forwarded requests, of the platform and of engines. Anything else is a broken answer that may have run.

--- a/crates/bounded/src/lib.rs
+++ b/crates/bounded/src/lib.rs
@@ -10,12 +10,14 @@
 //! | [`stream`] | a stream that fails once a bound is exceeded, and gives the thread back |
 //! | [`body`] | a body whose data counts as progress |
 //! | [`connector`] | a connector of such streams for pooled clients |
+//! | [`status`] | which statuses end an exchange |
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod body;
 pub mod connector;
 pub mod meter;
+pub mod status;
 pub mod stream;
 
 pub use body::BoundedBody;
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bergamot_bounded::status::is_final;
 use bergamot_bounded::{BoundedBody, BoundedConnector};
 use bergamot_placement::{EngineReport, VmOrder};
 use bytes::Bytes;
@@ -99,6 +100,12 @@
                     true => Error::NeverConnected(error.to_string()),
                     false => Error::Broken(error.to_string()),
                 })?;
+        if !is_final(reply.status()) {
+            let status = reply.status().as_u16();
+            return Err(Error::Broken(format!(
+                "the status {status} ends no exchange"
+            )));
+        }
         let reply = BoundedBody::of_response(reply);
         match is_refused_unrun(&reply) {
             true => Err(Error::RefusedNotRun(reply.status().as_u16())),
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, OnceCell, RefCell};
 use std::fmt;
 
+use bergamot_bounded::status::is_final;
 use bergamot_ports::{CallerCall, CallerDialect, OutgoingContext, ReplyFacts};
 use bergamot_quarantine::RequestPrint;
 use bergamot_routing::{DispatchedRequest, RouteUpstream};
@@ -262,6 +263,12 @@
         }
     })?;
     let (head, body) = reply.into_parts();
+    if !is_final(head.status) {
+        return Err(AttemptError::Broken(format!(
+            "the status {} ends no exchange",
+            head.status.as_u16()
+        )));
+    }
     let body = ReplyBody::new(body, connection.meter.clone());
     let facts = front.dialect.reply_facts(&request.call.id, &head);
     if !facts.matches_request {
--- a/crates/gateway/src/front/forward/send.rs
+++ b/crates/gateway/src/front/forward/send.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use bergamot_bounded::status::is_final;
 use bergamot_ports::{CallerDialect, RouteKind, ServingConfig};
 use bergamot_routing::{PeerCandidate, PeerDecline};
 use bergamot_types::prelude::*;
@@ -271,6 +272,12 @@
         }
     };
     let (mut head, body) = reply.into_parts();
+    if !is_final(head.status) {
+        let status = head.status.as_u16();
+        return Err(OfferError::Lost(format!(
+            "the status {status} ends no exchange"
+        )));
+    }
     let body = ReplyBody::new(body, connection.meter.clone());
     let upstream = take_upstream(&mut head.headers);
     if let Some(upstream) = upstream.and_then(|id| listed_incarnation(front, &id)) {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bergamot_bounded::status::is_final;
 use bergamot_bounded::{BoundedBody, BoundedConnector};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -92,13 +93,20 @@
         let answer = tokio::time::timeout(timeout, self.client.request(request))
             .await
             .map_err(|_| Error::Timeout { url: url.clone() })?;
-        answer.map(BoundedBody::of_response).map_err(|error| {
-            let reason = root_cause(&error);
-            match error.is_connect() {
-                true => Error::Connect { url, reason },
-                false => Error::Broken { url, reason },
+        match answer {
+            Ok(answer) if is_final(answer.status()) => Ok(BoundedBody::of_response(answer)),
+            Ok(answer) => Err(Error::Broken {
+                url,
+                reason: format!("the status {} ends no exchange", answer.status().as_u16()),
+            }),
+            Err(error) => {
+                let reason = root_cause(&error);
+                Err(match error.is_connect() {
+                    true => Error::Connect { url, reason },
+                    false => Error::Broken { url, reason },
+                })
             }
-        })
+        }
     }
 
     /// Sends a request and reads the complete answer, regardless of its status.
