--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -260,7 +260,7 @@
         self.is_store_unreachable = true;
     }
 
-    /// Records that a call to the store succeeded, and since when it can have been back. `None` if no
+    /// Records that the store can be reached, and since when it is taken to have been back. `None` if no
     /// entry can have expired meanwhile.
     pub(crate) fn end_outage(&mut self, returned_at: Option<Millis>, now: Millis) {
         if self.is_store_unreachable {
--- a/crates/gateway/src/sync/stall.rs
+++ b/crates/gateway/src/sync/stall.rs
@@ -1,6 +1,7 @@
 //! Watches that no longer deliver changes although the store answers other calls.
 
 use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bergamot_ports::{StateStore, StoreCatalog, StoreError, StoreRevision, WatchOutcome};
@@ -81,7 +82,7 @@
     }
 
     fn open_watch(&self, revision: StoreRevision) -> PendingWatch {
-        let store = std::rc::Rc::clone(&self.store);
+        let store = Rc::clone(&self.store);
         Box::pin(async move { store.watch("", revision, WATCH_WAIT).await })
     }
 
@@ -119,8 +120,8 @@
         self.shared.clock.now().since(lacking_since) >= WATCH_STALL_TIMEOUT
     }
 
-    /// Returns a period of the way of a change to this VM, which is made for bounds of
-    /// [`USUAL_CHANGE_TIME`] and shrinks with a shorter one.
+    /// Shortens a period by which changes reach this VM, in proportion, if a bound on the time of a
+    /// change is below [`USUAL_CHANGE_TIME`].
     pub(super) fn within_change_time(&self, period: Duration) -> Duration {
         let bounds = self.shared.bounds();
         let change_times = [Some(bounds.drain_time), bounds.config_apply_time];
@@ -133,6 +134,6 @@
     }
 }
 
-/// Time within which a change is in force for which the periods here are made: of a VM that reads the
-/// store up to 1.1 s, then a period of requests for each VM that passes the change on.
+/// The bound on the time of a change for which the periods of the store thread are chosen. A VM that
+/// reads the store takes up to 1.1 s of it, and each VM that passes the change on a period of requests.
 const USUAL_CHANGE_TIME: Millis = Millis::from_secs(2);
--- a/crates/groups/src/membership_log.rs
+++ b/crates/groups/src/membership_log.rs
@@ -3,6 +3,8 @@
 //! Each VM keeps a log, so that one that takes over as coordinator knows which upstreams may still be
 //! members of a group whose leader is open, although no entry says so any more.
 
+use std::hash::Hash;
+
 use bergamot_ports::{GroupMembership, MemberState, UpstreamEntry};
 use bergamot_types::prelude::*;
 use indexmap::IndexMap;
@@ -125,7 +127,7 @@
 /// Inserts a value as the latest one, within [`MAX_REMEMBERED`].
 fn remember<Key, Value>(values: &mut IndexMap<Key, Value>, key: Key, value: Value)
 where
-    Key: std::hash::Hash + Eq,
+    Key: Hash + Eq,
 {
     values.shift_remove(&key);
     values.insert(key, value);
