fix: the lateness of a watch counts in the time that includes suspensions

Change: the second watch is due by the clock that counts suspensions, and retries are scheduled beside the confirmations, where timers are listed.

--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -225,13 +225,18 @@
         self.set_source(STORE_NAME);
         let mut watches = self.open_watches(revision);
         let outcome = loop {
-            let review_wait = self.known.time_until_review(self.shared.clock.now());
-            let review_at = review_wait.map(|wait| Instant::now() + wait);
-            let wake_times = [Some(self.confirm_at), review_at, watches.late_at()];
-            let wake_at = wake_times.into_iter().flatten().min();
+            let now = self.shared.clock.now();
+            let waits = [
+                self.known.time_until_review(now),
+                watches.time_until_late(now),
+            ];
+            let shortest_wait = waits.into_iter().flatten().min();
+            let wake_at = shortest_wait.map_or(self.confirm_at, |wait| {
+                self.confirm_at.min(Instant::now() + wait)
+            });
             tokio::select! {
                 biased;
-                () = tokio::time::sleep_until(wake_at.unwrap_or(self.confirm_at)) => {}
+                () = tokio::time::sleep_until(wake_at) => {}
                 outcome = watches.answer() => break outcome,
             }
             let now = self.shared.clock.now();
@@ -347,6 +352,11 @@
         }
     }
 
+    /// Makes the next call due that shows whether the store is back.
+    fn schedule_retry(&mut self, pause: Duration) {
+        self.confirm_at = Instant::now() + pause;
+    }
+
     /// Makes the next confirmation due after the usual period.
     fn schedule_confirm(&mut self) {
         let period = self.ranking.confirm_period().as_duration();
--- a/crates/gateway/src/sync/outage.rs
+++ b/crates/gateway/src/sync/outage.rs
@@ -4,7 +4,6 @@
 
 use bergamot_ports::{StateStore, StoreCatalog, StoreError};
 use bergamot_types::prelude::*;
-use tokio::time::Instant;
 
 use super::StoreSync;
 use super::peers::MAX_UPDATE_AGE;
@@ -40,7 +39,7 @@
             false if self.shared.are_peers_stale(now) => STALE_PEER_RETRY_PERIOD,
             false => FOLLOWER_RETRY_PERIOD,
         };
-        self.confirm_at = Instant::now() + pause;
+        self.schedule_retry(pause);
         self.store.reset();
     }
 
--- a/crates/gateway/src/sync/stall.rs
+++ b/crates/gateway/src/sync/stall.rs
@@ -6,7 +6,6 @@
 
 use bergamot_ports::{StateStore, StoreCatalog, StoreError, StoreRevision, WatchOutcome};
 use bergamot_types::prelude::*;
-use tokio::time::Instant;
 
 use super::{StoreSync, WATCH_WAIT};
 
@@ -31,7 +30,7 @@
     second: Option<PendingWatch>,
     started_at: Millis,
     /// When the second watch begins, as a change is lacking.
-    late_at: Option<Instant>,
+    late_at: Option<Millis>,
 }
 
 impl WatchPair {
@@ -40,9 +39,10 @@
         self.started_at
     }
 
-    /// Returns when the second watch is due, if it is.
-    pub(super) const fn late_at(&self) -> Option<Instant> {
-        self.late_at
+    /// Returns the time until the second watch is due, if it is.
+    pub(super) fn time_until_late(&self, now: Millis) -> Option<Duration> {
+        let late_at = self.late_at?;
+        Some(late_at.since(now).as_duration())
     }
 
     /// Waits for the first answer.
@@ -91,7 +91,8 @@
         let is_lacking = self.feed_state.borrow().freshness.pending_since().is_some();
         if is_lacking && watches.second.is_none() && watches.late_at.is_none() {
             let delay = self.within_change_time(LATE_WATCH_TIME);
-            watches.late_at = Some(Instant::now() + delay);
+            let delay = Millis(delay.as_millis() as u64);
+            watches.late_at = Some(self.shared.clock.now() + delay);
         }
     }
 
@@ -101,7 +102,8 @@
         watches: &mut WatchPair,
         revision: StoreRevision,
     ) -> Option<WatchResult> {
-        watches.late_at.take_if(|at| *at <= Instant::now())?;
+        let now = self.shared.clock.now();
+        watches.late_at.take_if(|at| *at <= now)?;
         if let Some(outcome) = watches.arrived_answer().await {
             return Some(outcome);
         }
