--- a/crates/gateway/src/front/forward/mod.rs
+++ b/crates/gateway/src/front/forward/mod.rs
@@ -10,6 +10,7 @@
 //! | [`send`] | the VM that forwards |
 //! | [`serve`] | the VM that serves a forwarded request |
 
+mod choose;
 pub mod context;
 pub mod send;
 pub mod serve;
--- a/crates/gateway/src/front/forward/send.rs
+++ b/crates/gateway/src/front/forward/send.rs
@@ -1,11 +1,10 @@
 //! Forwards requests to other entry VMs while this VM reaches no upstream.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bergamot_bounded::status::is_final;
-use bergamot_ports::{CallerDialect, RouteKind, ServingConfig};
-use bergamot_routing::{PeerCandidate, PeerDecline};
+use bergamot_ports::{CallerDialect, RouteKind};
+use bergamot_routing::PeerDecline;
 use bergamot_types::prelude::*;
 use hyper::Request;
 use hyper::http::response::Parts as ReplyParts;
@@ -17,12 +16,11 @@
 use super::super::gates::record_availability;
 use super::super::held::{HeldBody, ReplyBody};
 use super::super::large::pass_on;
-use super::super::plan::{arrived_reason, check_key, check_time, log_not_sent_on};
 use super::super::pool::UpstreamConnection;
-use super::super::refusal::{CallRefusal, RETURN_NO_UPSTREAM, RETURN_SPREAD, RETURN_STOPPING};
-use super::super::residency::allowed_domains;
+use super::super::refusal::{CallRefusal, RETURN_NO_UPSTREAM, RETURN_SPREAD};
 use super::super::state::CallState;
 use super::PeerFlight;
+use super::choose::{PeerChoice, PeerTarget, next_peer};
 use super::context::{ForwardContext, ForwardVerdict, take_reaches_none, take_upstream};
 
 /// How many VMs that may reach upstreams a request is offered to, one after another. Those that reach
@@ -145,24 +143,6 @@
     entries.any(|entry| entry.forwarding.is_some() && entry.vm != own)
 }
 
-/// A VM that a request is offered to.
-struct PeerTarget {
-    vm: VmId,
-    addr: SocketAddr,
-    secret: u64,
-}
-
-/// The next VM to offer a request to.
-enum PeerChoice {
-    /// This one may take it.
-    Offer(PeerTarget),
-    /// No VM is left that may take it.
-    NoneLeft {
-        /// Whether this is because they reach no upstream either.
-        reach_none: bool,
-    },
-}
-
 enum OfferError {
     /// The VM did not take the request, so it has not run there.
     Declined(PeerDecline, String),
@@ -170,58 +150,6 @@
     Lost(String),
 }
 
-/// Returns the next VM to offer a request to. The error states why it may not be sent again.
-fn next_peer<Dialect>(
-    front: &FrontContext<Dialect>,
-    request: &SentRequest,
-    state: &CallState,
-    offered: &[String],
-) -> Result<PeerChoice, CallRefusal> {
-    let now = front.now();
-    check_time(front, state, now)?;
-    let view = front.shared.view.load();
-    let config: &ServingConfig = view.config.as_ref().ok_or(ErrorKind::NoBundle)?;
-    check_key(front, &view, request, state, now)?;
-    let runs = state.possible_runs.len();
-    if let Some(reason) = arrived_reason(state, runs) {
-        log_not_sent_on(request, state, runs, reason);
-        return Err(CallRefusal::retry_in(
-            ErrorKind::UpstreamRefused,
-            RETURN_STOPPING,
-        ));
-    }
-    let domains = allowed_domains(front, config, request)?;
-    let site = &front.shared.site;
-    let takers = view.entries.values().filter(|entry| {
-        let domain = &entry.failure_domain;
-        let is_allowed = domains
-            .as_ref()
-            .is_none_or(|domains| domains.contains(&domain));
-        is_allowed && entry.forwarding.is_some() && entry.vm != site.vm.as_str()
-    });
-    let candidates = takers.map(|entry| PeerCandidate {
-        vm: &entry.vm,
-        is_near: entry.failure_domain == site.failure_domain,
-    });
-    let peers = front.forwards.peers.borrow();
-    let chosen = peers.choose(candidates.clone(), offered, now, rand::random());
-    let entry = chosen.and_then(|vm| view.entries.get(vm));
-    let target = entry.and_then(|entry| {
-        let endpoint = entry.forwarding?;
-        Some(PeerTarget {
-            vm: VmId::new(&entry.vm),
-            addr: endpoint.addr,
-            secret: endpoint.secret,
-        })
-    });
-    Ok(match target {
-        Some(target) => PeerChoice::Offer(target),
-        None => PeerChoice::NoneLeft {
-            reach_none: peers.reach_none(candidates, now),
-        },
-    })
-}
-
 /// Sends a request to another VM and waits for the head of the answer.
 async fn offer<Dialect>(
     front: &FrontContext<Dialect>,
